--- /dev/null
+++ b/Makefile
@@ -0,0 +1,60 @@
+# Front of the build; `make help` lists the targets. CMake and Ninja do the work.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+export CCACHE_BASEDIR = $(CURDIR)
+export CCACHE_NOHASHDIR = 1
+
+PACKAGES = libjsonrpccpp-dev libjsoncpp-dev libmicrohttpd-dev libcurl4-openssl-dev libdocopt-dev \
+	libeasyloggingpp-dev libexpected-dev prometheus-cpp-dev libtomlplusplus-dev libboost-test-dev \
+	libboost-dev librapidcheck-dev libxxhash-dev libssl-dev ccache cmake ninja-build g++ pkg-config \
+	python3 clang-format clang-tidy
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'standins/*.h' 'standins/*.cpp' \
+	'bench/*.h' 'bench/*.cpp' 'tests/*.h' 'tests/*.cpp')
+
+.PHONY: help packages configure build test test-fast test-asan test-tsan demo bench lint format format-check clean
+
+help: ## List the targets
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sort | awk -F':.*## ' '{ printf "  %-14s %s\n", $$1, $$2 }'
+
+packages: ## Install what is missing, by apt-get
+	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
+	if [ -n "$$missing" ]; then apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $$missing >/dev/null; fi
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) >$(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	@rm -f $(BUILD).configure.log
+
+build: configure ## Build daemon, tool, stand-ins, benchmark and tests
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: test-fast test-asan test-tsan ## All tests: plain, under ASan and UBSan, threaded parts under TSan
+
+test-fast: build ## All tests, plain build
+	@ctest --test-dir $(BUILD) -j $(JOBS) --output-on-failure
+
+test-asan: ## All tests under AddressSanitizer and UndefinedBehaviorSanitizer
+	@$(MAKE) --no-print-directory build BUILD=build-asan CMAKE_FLAGS=-DLOVAGERAIL_SANITIZE=address,undefined
+	@ctest --test-dir build-asan -j $(JOBS) --output-on-failure
+
+test-tsan: ## Threaded parts under ThreadSanitizer
+	@$(MAKE) --no-print-directory build BUILD=build-tsan CMAKE_FLAGS=-DLOVAGERAIL_SANITIZE=thread
+	@ctest --test-dir build-tsan -j $(JOBS) --output-on-failure -L threads
+
+demo: build ## Run the whole path on loopback and check it
+	@python3 scripts/demo.py --bin $(BUILD)
+
+bench: build ## Replay fixed inputs through the decisions; the last line is the fingerprint
+	@$(BUILD)/lovagerail-bench
+
+lint: configure ## Run clang-tidy over all sources
+	@cmake --build $(BUILD) -j $(JOBS) --target lint
+
+format: ## Format all sources
+	@clang-format -i $(SOURCES)
+
+format-check: ## Fail if a source is not formatted
+	@clang-format --dry-run -Werror $(SOURCES)
+
+clean: ## Remove all build folders
+	@rm -rf build build-asan build-tsan
--- /dev/null
+++ b/src/ring.cpp
@@ -0,0 +1,44 @@
+// The eventfd behind a wakeup.
+#include "ring.h"
+
+#include <cstdint>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace lovagerail {
+
+wakeup::wakeup()
+    : m_descriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    if (m_descriptor < 0)
+        throw std::runtime_error("eventfd failed");
+}
+
+wakeup::~wakeup()
+{
+    close(m_descriptor);
+}
+
+void wakeup::notify()
+{
+    const std::uint64_t one = 1;
+    // A full counter means the reader has been told already.
+    [[maybe_unused]] const auto written = write(m_descriptor, &one, sizeof one);
+}
+
+void wakeup::drain()
+{
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto got = read(m_descriptor, &count, sizeof count);
+}
+
+void wakeup::wait(std::chrono::milliseconds longest)
+{
+    pollfd waiting { m_descriptor, POLLIN, 0 };
+    if (poll(&waiting, 1, static_cast<int>(longest.count())) > 0)
+        drain();
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,153 @@
+// Words that every part shares: strong identifiers, units and points in time.
+//
+// Nothing here reads a clock. Decision modules take an `instant` as an
+// argument, so that tests, replay and the daemon drive the same code.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lovagerail {
+
+// A name that can't be mixed up with a name of another kind.
+template <typename Tag>
+class name_id {
+public:
+    name_id() = default;
+    explicit name_id(std::string text)
+        : m_text(std::move(text))
+    {
+    }
+
+    const std::string& str() const { return m_text; }
+    bool empty() const { return m_text.empty(); }
+
+    friend auto operator<=>(const name_id&, const name_id&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const name_id& id) { return out << id.m_text; }
+
+private:
+    std::string m_text;
+};
+
+// A number that can't be mixed up with a number of another kind.
+template <typename Tag, typename Rep = std::uint64_t>
+class number_id {
+public:
+    using rep = Rep;
+
+    constexpr number_id() = default;
+    constexpr explicit number_id(Rep number)
+        : m_number(number)
+    {
+    }
+
+    constexpr Rep value() const { return m_number; }
+    constexpr number_id next() const { return number_id(m_number + 1); }
+
+    friend constexpr auto operator<=>(const number_id&, const number_id&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const number_id& id) { return out << id.m_number; }
+
+private:
+    Rep m_number = 0;
+};
+
+// An amount of one unit: adds and subtracts with its own kind alone.
+template <typename Tag, typename Rep = std::uint64_t>
+class amount {
+public:
+    using rep = Rep;
+
+    constexpr amount() = default;
+    constexpr explicit amount(Rep count)
+        : m_count(count)
+    {
+    }
+
+    constexpr Rep count() const { return m_count; }
+    constexpr amount& operator+=(amount other)
+    {
+        m_count += other.m_count;
+        return *this;
+    }
+    constexpr amount& operator-=(amount other)
+    {
+        m_count -= other.m_count;
+        return *this;
+    }
+    friend constexpr amount operator+(amount left, amount right) { return left += right; }
+    friend constexpr amount operator-(amount left, amount right) { return left -= right; }
+    friend constexpr auto operator<=>(const amount&, const amount&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const amount& a) { return out << a.m_count; }
+
+private:
+    Rep m_count = 0;
+};
+
+using instance_id = name_id<struct instance_tag>;
+using failure_domain_id = name_id<struct failure_domain_tag>;
+using client_account_id = name_id<struct client_account_tag>;
+using target_id = name_id<struct target_tag>;
+using pool_id = name_id<struct pool_tag>;
+using route_id = name_id<struct route_tag>;
+using model_id = name_id<struct model_tag>;
+using run_id = name_id<struct run_tag>;
+using key_id = name_id<struct key_tag>;
+using duty_id = name_id<struct duty_tag>;
+using request_id = name_id<struct request_tag>;
+
+// One try of one request at one target. Unique per daemon incarnation.
+using attempt_id = number_id<struct attempt_tag>;
+// Order of accepted configuration, given by the key-value service.
+using revision = number_id<struct revision_tag>;
+// Grows with each holder of a duty; peers refuse an order with an older one.
+using fencing_number = number_id<struct fencing_tag>;
+// Grows with each start of an instance or target of the same name.
+using incarnation = number_id<struct incarnation_tag>;
+using weight_version = number_id<struct weight_version_tag>;
+using step_number = number_id<struct step_tag>;
+using group_number = number_id<struct group_tag, std::uint32_t>;
+using sample_number = number_id<struct sample_tag, std::uint32_t>;
+
+using token_count = amount<struct token_tag>;
+using byte_count = amount<struct byte_tag>;
+// Money in millionths of the platform's currency.
+using micro_price = amount<struct micro_price_tag, std::int64_t>;
+
+using duration = std::chrono::nanoseconds;
+
+// The monotonic clock that decisions are told about; it can't be read here.
+struct decision_clock {
+    using duration = lovagerail::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<decision_clock>;
+    static constexpr bool is_steady = true;
+};
+using instant = decision_clock::time_point;
+
+// Calendar time, for windows and logs alone; it may jump.
+using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+} // namespace lovagerail
+
+template <typename Tag>
+struct std::hash<lovagerail::name_id<Tag>> {
+    std::size_t operator()(const lovagerail::name_id<Tag>& id) const noexcept
+    {
+        return std::hash<std::string>()(id.str());
+    }
+};
+
+template <typename Tag, typename Rep>
+struct std::hash<lovagerail::number_id<Tag, Rep>> {
+    std::size_t operator()(const lovagerail::number_id<Tag, Rep>& id) const noexcept
+    {
+        return std::hash<Rep>()(id.value());
+    }
+};
