--- /dev/null
+++ b/src/router.h
@@ -0,0 +1,179 @@
+// Chooses the target for a request: among the live targets that its routing class
+// allows, the one with the least expected wait and unsaved prefill work.
+//
+// The router owns what is known of targets, their load, health and prefix caches;
+// the daemon feeds it events and asks choose(). It takes time and a random seed
+// from its caller. choose() looks at a bounded number of candidates, so its cost
+// doesn't grow with the class beyond its cached subset.
+#pragma once
+
+#include "health.h"
+#include "load.h"
+#include "prefix_index.h"
+#include "router_policy.h"
+#include "target_table.h"
+#include "types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lovagerail {
+
+struct route_request {
+    routing_class_id routingClass;
+    client_account_id account;
+    run_id run; // empty for live trade
+    std::vector<block_hash> promptBlocks;
+    token_count promptTokens; // estimate
+    token_count expectedTokens; // to generate; zero for plain services
+    std::optional<instant> deadline; // for the whole answer
+    bool idempotent = false;
+    bool resumable = false;
+    bool returnable = false; // the target can hand it back "not run" until it starts
+    std::vector<target_id> excluded; // tried before, or barred by quarantine
+    std::uint64_t seed = 0; // fresh for each call
+};
+
+enum class route_reason { LeastCost, // least expected wait and prefill
+    PrefixReuse, // a cached prefix made the difference
+    Probe, // half-open target gets its probe
+    OnlyCandidate,
+    AllEjected, // nothing healthy was left, so health was overruled
+    Baseline }; // another policy than the default
+
+struct score_parts {
+    duration wait {};
+    duration prefill {}; // of the tokens that aren't cached
+    duration network {};
+    double healthWeight = 1;
+    duration total {};
+};
+
+struct route_choice {
+    target_slot slot;
+    target_id target;
+    std::string address;
+    lovagerail::incarnation incarnation;
+    target_kind kind = target_kind::Engine;
+    supply_kind supply = supply_kind::Firm;
+    failure_domain_id failureDomain;
+    route_reason reason = route_reason::LeastCost;
+    score_parts score;
+    token_count cachedTokens; // expected
+};
+
+enum class no_route_reason { UnknownClass,
+    NoLiveTarget,
+    AllExcluded, // by the request's own list
+    CheapOnly, // only cheap targets are left, which this work may not use or has too much on
+    CannotMeetDeadline };
+
+struct no_route {
+    no_route_reason reason = no_route_reason::NoLiveTarget;
+    duration retryAfter {};
+};
+
+using route_decision = std::variant<route_choice, no_route>;
+
+std::string_view toString(route_reason reason);
+std::string_view toString(no_route_reason reason);
+
+struct router_settings {
+    std::string instance; // our own name; spreads the subsets of instances
+    failure_domain_id failureDomain; // our own
+    policy_kind policy = policy_kind::ExpectedCost;
+    duration crossDomainDelay = std::chrono::microseconds(3000); // both ways
+    std::size_t subsetSize = 64; // targets of a class that this instance follows
+    std::size_t samples = 2; // random choices per decision
+    double boundedLoad = 1.25; // a preferred target may have so many times the mean load
+    std::uint32_t cheapExposure = 64; // attempts per account or run, failure domain, on cheap targets
+    target_table_settings table;
+    load_settings load;
+    prefix_index_settings prefixes;
+    health_settings health;
+};
+
+struct attempt_end {
+    attempt_outcome outcome = attempt_outcome::Success;
+    token_count generated;
+    std::optional<token_count> cachedTokens; // as the engine reported
+};
+
+class router {
+public:
+    explicit router(router_settings settings);
+
+    // Knowledge of targets.
+    void applyList(const std::vector<listed_target>& rows, instant now);
+    void applyRow(const listed_target& row, instant now);
+    void applyReport(const load_report& report, instant now);
+    void applyCacheEvent(const target_id& target, const cache_event& event, instant now);
+    void advanceState(const target_id& target, incarnation seen, target_state state, instant now);
+    void setLabels(const target_id& target, label_map labels, instant now);
+    void setClass(const routing_class_id& name, target_predicate predicate);
+    void removeClass(const routing_class_id& name);
+    void setPolicy(policy_kind policy) { m_settings.policy = policy; }
+    // Housekeeping; call about once a second.
+    void tick(instant now);
+
+    // The decision; changes nothing until started() is called with it.
+    route_decision choose(const route_request& request, instant now);
+
+    // Life of an attempt; unknown and repeated attempts are ignored.
+    void started(attempt_id attempt, const route_choice& choice, const route_request& request, instant now);
+    void firstToken(attempt_id attempt, instant now);
+    void ended(attempt_id attempt, const attempt_end& end, instant now);
+
+    const target_table& table() const { return m_table; }
+    const load_book& load() const { return m_load; }
+    const prefix_index& prefixes() const { return m_prefixes; }
+    const health_monitor& health() const { return m_health; }
+    // Attempts in flight on cheap targets of a failure domain for an account or run.
+    std::uint32_t cheapExposure(const route_request& request, const failure_domain_id& domain) const;
+
+private:
+    // The targets of a class that this instance follows, and a hash ring of all of them.
+    struct class_cache {
+        std::uint64_t version = 0; // of the class when this was built
+        std::vector<target_slot> subset; // sorted
+        std::vector<std::pair<std::uint64_t, target_slot>> ring; // sorted by hash
+    };
+    struct exposure_key {
+        bool isRun = false;
+        std::string owner; // account or run
+        failure_domain_id domain;
+        friend auto operator<=>(const exposure_key&, const exposure_key&) = default;
+    };
+    struct attempt_state {
+        target_slot slot;
+        lovagerail::incarnation incarnation;
+        instant sentAt;
+        token_count expectedCached;
+        std::uint64_t units = 1; // work in the attempt, for comparing latencies
+        std::optional<exposure_key> exposure; // counted in m_exposure until it ends
+    };
+    struct candidate_set;
+
+    void applyChange(const slot_change& change, instant now);
+    const class_cache& cacheOf(const routing_class_id& name);
+    candidate_set gather(const route_request& request, const class_cache& cache, instant now);
+    bool mayUse(const route_request& request, const target_record& record) const;
+    route_choice makeChoice(const route_request& request, const routing_candidate& candidate, route_reason reason) const;
+    static exposure_key exposureKey(const route_request& request, const failure_domain_id& domain);
+
+    router_settings m_settings;
+    target_table m_table;
+    load_book m_load;
+    prefix_index m_prefixes;
+    health_monitor m_health;
+    policy_set m_policies;
+    std::map<routing_class_id, class_cache> m_caches;
+    std::map<attempt_id, attempt_state> m_attempts;
+    std::map<exposure_key, std::uint32_t> m_exposure; // positive counts alone
+};
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/target_table.h
@@ -0,0 +1,142 @@
+// What a daemon knows of targets, merged from the platform's lagging list, load
+// reports and its own observations, and which targets a routing class allows.
+//
+// Within one incarnation a target's state only advances (starting, live,
+// leaving, gone); any source may advance it, and only a newer incarnation starts
+// over. So a stale list can never bring a leaving target back.
+//
+// Each known target has a slot, a small number that other routing state is
+// indexed by. Costs for n targets and c classes: an event about one target is
+// O(log n + c); changing a class is O(n).
+#pragma once
+
+#include "types.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagerail {
+
+using target_slot = number_id<struct target_slot_tag, std::uint32_t>;
+using routing_class_id = name_id<struct routing_class_tag>;
+using label_map = std::map<std::string, std::string>;
+
+enum class target_kind { Engine,
+    Service };
+enum class supply_kind { Firm,
+    Cheap };
+enum class target_state { Starting,
+    Live,
+    Leaving,
+    Gone };
+
+// One row of the platform's list of targets.
+struct listed_target {
+    target_id id;
+    std::string address;
+    pool_id pool;
+    target_kind kind = target_kind::Engine;
+    supply_kind supply = supply_kind::Firm;
+    failure_domain_id failureDomain;
+    label_map labels;
+    lovagerail::incarnation incarnation;
+    target_state state = target_state::Live;
+
+    friend bool operator==(const listed_target&, const listed_target&) = default;
+};
+
+// What is known of one target after merging.
+struct target_record {
+    listed_target listed; // incarnation and state are the merged ones
+    weight_version version; // last reported; zero before the first report
+    model_id model; // last reported
+    instant stateSince;
+    instant lastHeard; // last report or observed answer
+    instant lastListed;
+};
+
+using target_predicate = std::function<bool(const target_record&)>;
+
+// What an event did to a target; the router resets slot state by it.
+enum class target_change { None, // nothing new, or an event older than what is known
+    Updated,
+    Added, // a new slot
+    Restarted, // a newer incarnation took over the slot
+    Removed }; // the slot is free again
+
+struct slot_change {
+    target_slot slot;
+    target_change change = target_change::None;
+};
+
+struct target_table_settings {
+    // A target that's absent from the list and silent for so long is gone.
+    duration absenceGrace = std::chrono::seconds(30);
+    // Gone targets are remembered for so long, so that late rows can't revive them.
+    duration goneMemory = std::chrono::minutes(10);
+};
+
+class target_table {
+public:
+    explicit target_table(target_table_settings settings = {});
+
+    // Merges one row; rows of an older incarnation are ignored.
+    slot_change applyRow(const listed_target& row, instant now);
+    // Merges a whole list: rows as above, then absent and silent targets are gone.
+    std::vector<slot_change> applyList(const std::vector<listed_target>& rows, instant now);
+    // A report proves that the incarnation runs, and says what it serves.
+    slot_change applyReport(const target_id& id, incarnation reported, weight_version version, const model_id& model, instant now);
+    // Sets the state of one incarnation (older ones are ignored) from any source.
+    slot_change advanceState(const target_id& id, incarnation seen, target_state state, instant now);
+    // Labels are operators' settings: they hold from now on, whatever the incarnation.
+    slot_change setLabels(const target_id& id, label_map labels, instant now);
+    // Frees slots of targets gone for long.
+    std::vector<slot_change> expire(instant now);
+
+    // Defines or replaces a class: the targets whose records satisfy the predicate.
+    void setClass(const routing_class_id& name, target_predicate predicate);
+    void removeClass(const routing_class_id& name);
+    bool hasClass(const routing_class_id& name) const { return m_classes.contains(name); }
+
+    // Live targets of the class, sorted by slot; empty for an unknown class.
+    const std::vector<target_slot>& allowed(const routing_class_id& name) const;
+    // Grows whenever allowed(name) changes; for caches derived from it.
+    std::uint64_t allowedVersion(const routing_class_id& name) const;
+    bool isAllowed(const routing_class_id& name, target_slot slot) const;
+
+    std::optional<target_slot> find(const target_id& id) const;
+    const target_record& record(target_slot slot) const;
+    bool isLive(target_slot slot) const;
+    // Slots in use and free; upper bound of slot numbers.
+    std::size_t slotCount() const { return m_slots.size(); }
+    std::size_t size() const { return m_byName.size(); }
+    std::vector<target_slot> all() const;
+
+private:
+    struct slot_entry {
+        target_record record;
+        bool used = false;
+    };
+    struct routing_class {
+        target_predicate predicate;
+        std::vector<target_slot> allowed; // sorted; each is live and satisfies the predicate
+        std::uint64_t version = 1;
+    };
+
+    target_slot addSlot(const listed_target& row, instant now);
+    void setState(target_record& record, target_state state, instant now);
+    void refreshClasses(target_slot slot);
+    static void refreshClass(routing_class& group, target_slot slot, bool wanted);
+
+    target_table_settings m_settings;
+    std::vector<slot_entry> m_slots; // index is the slot number
+    std::vector<target_slot> m_free;
+    std::map<target_id, target_slot> m_byName; // exactly the used slots
+    std::map<routing_class_id, routing_class> m_classes;
+};
+
+} // namespace lovagerail
