Selectors, configuration objects and their JSON codec

One list of fields per kind serves the codec and the file reader. Fields that this release doesn't know are kept and written back, nested ones too.

No change of behaviour.

--- /dev/null
+++ b/src/object_codec.cpp
@@ -0,0 +1,384 @@
+// JSON codec of objects: one visitor writes the field list, another reads it.
+#include "object_codec.h"
+
+#include "object_fields.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+#include <limits>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::string_view step = "objects.decode";
+    constexpr int nestingLimit = 64;
+
+    // Unknown fields are written first, so that a known one always wins.
+    void writeUnknown(Json::Value& to, const unknown_fields& fields)
+    {
+        for (const auto& [name, text] : fields) {
+            auto value = parseJson(text, step);
+            if (value)
+                to[name] = std::move(*value);
+        }
+    }
+
+    class json_writer {
+    public:
+        explicit json_writer(Json::Value& to)
+            : m_to(to)
+        {
+        }
+
+        void field(const char* name, const std::string& value) { m_to[name] = value; }
+        void field(const char* name, bool value) { m_to[name] = value; }
+        void field(const char* name, double value) { m_to[name] = value; }
+        void field(const char* name, std::int32_t value) { m_to[name] = value; }
+        void field(const char* name, std::uint32_t value) { m_to[name] = value; }
+        void field(const char* name, std::uint64_t value) { m_to[name] = Json::UInt64(value); }
+        void field(const char* name, micro_price value) { m_to[name] = Json::Int64(value.count()); }
+        void field(const char* name, weight_version value) { m_to[name] = Json::UInt64(value.value()); }
+        void field(const char* name, const selector& value) { m_to[name] = value.text(); }
+
+        template <typename Tag>
+        void field(const char* name, const name_id<Tag>& value) { m_to[name] = value.str(); }
+
+        template <typename Enum>
+            requires std::is_enum_v<Enum>
+        void field(const char* name, Enum value) { m_to[name] = std::string(toString(value)); }
+
+        template <typename Item>
+        void field(const char* name, const std::vector<Item>& values)
+        {
+            Json::Value list(Json::arrayValue);
+            for (const auto& item : values) {
+                Json::Value holder(Json::objectValue);
+                json_writer(holder).field("item", item);
+                list.append(holder["item"]);
+            }
+            m_to[name] = std::move(list);
+        }
+
+        template <typename Table>
+        void table(const char* name, const Table& nested)
+        {
+            Json::Value inner(Json::objectValue);
+            writeUnknown(inner, nested.unknown);
+            json_writer writer(inner);
+            detail::visitFields(writer, nested);
+            m_to[name] = std::move(inner);
+        }
+
+    private:
+        Json::Value& m_to;
+    };
+
+    // Reads known fields, remembers their names, and keeps the first fault.
+    class json_reader {
+    public:
+        json_reader(const Json::Value& from, std::string path)
+            : m_from(from)
+            , m_path(std::move(path))
+        {
+        }
+
+        void field(const char* name, std::string& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isString(), name, "text"))
+                to = value->asString();
+        }
+
+        void field(const char* name, bool& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isBool(), name, "true or false"))
+                to = value->asBool();
+        }
+
+        void field(const char* name, double& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isNumeric(), name, "a number"))
+                to = value->asDouble();
+        }
+
+        void field(const char* name, std::int32_t& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isInt(), name, "a whole number of 32 bits"))
+                to = value->asInt();
+        }
+
+        void field(const char* name, std::uint32_t& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isUInt(), name, "a whole number of 32 bits, not negative"))
+                to = value->asUInt();
+        }
+
+        void field(const char* name, std::uint64_t& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isUInt64(), name, "a whole number, not negative"))
+                to = value->asUInt64();
+        }
+
+        void field(const char* name, micro_price& to)
+        {
+            const auto* value = take(name);
+            if (value && expect(value->isInt64(), name, "a whole number"))
+                to = micro_price(value->asInt64());
+        }
+
+        void field(const char* name, weight_version& to)
+        {
+            std::uint64_t number = to.value();
+            field(name, number);
+            to = weight_version(number);
+        }
+
+        void field(const char* name, selector& to)
+        {
+            std::string text = to.text();
+            field(name, text);
+            to = selector::keep(text);
+        }
+
+        template <typename Tag>
+        void field(const char* name, name_id<Tag>& to)
+        {
+            std::string text = to.str();
+            field(name, text);
+            to = name_id<Tag>(std::move(text));
+        }
+
+        template <typename Enum>
+            requires std::is_enum_v<Enum>
+        void field(const char* name, Enum& to)
+        {
+            std::string text(toString(to));
+            field(name, text);
+            expect(detail::parseEnum(text, to), name, "one of " + detail::enumChoices<Enum>());
+        }
+
+        template <typename Item>
+        void field(const char* name, std::vector<Item>& to)
+        {
+            const auto* value = take(name);
+            if (!value || !expect(value->isArray(), name, "a list"))
+                return;
+            to.clear();
+            for (const auto& entry : *value) {
+                Json::Value holder(Json::objectValue);
+                holder["item"] = entry;
+                json_reader inner(holder, m_path + name + ".");
+                inner.field("item", to.emplace_back());
+                adopt(inner);
+            }
+        }
+
+        template <typename Table>
+        void table(const char* name, Table& nested)
+        {
+            const auto* value = take(name);
+            if (!value || !expect(value->isObject(), name, "a table"))
+                return;
+            json_reader inner(*value, m_path + name + ".");
+            detail::visitFields(inner, nested);
+            nested.unknown = inner.rest();
+            adopt(inner);
+        }
+
+        void labelsField(const char* name, labels& to)
+        {
+            const auto* value = take(name);
+            if (!value || !expect(value->isObject(), name, "a table"))
+                return;
+            for (const auto& key : value->getMemberNames()) {
+                const auto& entry = (*value)[key];
+                if (expect(entry.isString(), name, "text as each value"))
+                    to[key] = entry.asString();
+            }
+        }
+
+        // The fields that nobody asked for.
+        unknown_fields rest() const
+        {
+            unknown_fields fields;
+            for (const auto& name : m_from.getMemberNames()) {
+                if (!m_known.contains(name))
+                    fields[name] = toText(m_from[name]);
+            }
+            return fields;
+        }
+
+        const std::string& fault() const { return m_fault; }
+
+    private:
+        const Json::Value* take(const char* name)
+        {
+            m_known.insert(name);
+            return m_from.isMember(name) ? &m_from[name] : nullptr;
+        }
+
+        bool expect(bool holds, const char* name, const std::string& wanted)
+        {
+            if (!holds && m_fault.empty())
+                m_fault = m_path + name + ": expected " + wanted;
+            return holds;
+        }
+
+        void adopt(const json_reader& inner)
+        {
+            if (m_fault.empty())
+                m_fault = inner.m_fault;
+        }
+
+        const Json::Value& m_from; // an object
+        std::string m_path;
+        std::set<std::string> m_known;
+        std::string m_fault; // empty while all is well
+    };
+
+    // Names of the fields that differ, nested ones with their path.
+    void compare(const std::string& path, const Json::Value& before, const Json::Value& after, std::vector<std::string>& lines)
+    {
+        if (before == after)
+            return;
+        if (!before.isObject() || !after.isObject()) {
+            const auto shown = [](const Json::Value& value) { return value.isNull() ? std::string("(none)") : toText(value); };
+            lines.push_back(path + ": " + shown(before) + " -> " + shown(after));
+            return;
+        }
+        std::set<std::string> names;
+        for (const auto& name : before.getMemberNames())
+            names.insert(name);
+        for (const auto& name : after.getMemberNames())
+            names.insert(name);
+        for (const auto& name : names)
+            compare(path.empty() ? name : path + "." + name, before.get(name, Json::Value()), after.get(name, Json::Value()), lines);
+    }
+
+    result<config_object> corrupt(std::string detail)
+    {
+        return failure(error_code::Corrupt, step, std::move(detail));
+    }
+
+} // namespace
+
+Json::Value toJson(const config_object& object)
+{
+    Json::Value value(Json::objectValue);
+    const auto& meta = metaOf(object);
+    writeUnknown(value, meta.unknown);
+    value["name"] = meta.name;
+    value["labels"] = Json::Value(Json::objectValue);
+    for (const auto& [key, text] : meta.labels)
+        value["labels"][key] = text;
+    json_writer writer(value);
+    std::visit([&](const auto& held) { detail::visitFields(writer, held); }, object);
+    return value;
+}
+
+result<config_object> objectFromJson(object_kind kind, const Json::Value& value)
+{
+    if (!value.isObject())
+        return corrupt(std::string(toString(kind)) + ": expected a table");
+    config_object made = detail::emptyObject(kind);
+    auto& meta = metaOf(made);
+    json_reader reader(value, std::string(toString(kind)) + ".");
+    reader.field("name", meta.name);
+    reader.labelsField("labels", meta.labels);
+    std::visit([&](auto& held) { detail::visitFields(reader, held); }, made);
+    if (!reader.fault().empty())
+        return corrupt(reader.fault());
+    if (!isObjectName(meta.name))
+        return corrupt(std::string(toString(kind)) + ".name: expected letters, digits, '-', '_' and '.'");
+    meta.unknown = reader.rest();
+    return made;
+}
+
+Json::Value toEnvelope(const config_object& object)
+{
+    const auto& stamp = metaOf(object).changed;
+    Json::Value value(Json::objectValue);
+    value["kind"] = std::string(toString(kindOf(object)));
+    value["by"] = stamp.by;
+    value["when"] = Json::Int64(stamp.when.time_since_epoch().count());
+    if (stamp.at != revision())
+        value["at"] = Json::UInt64(stamp.at.value());
+    value["object"] = toJson(object);
+    return value;
+}
+
+result<config_object> objectFromEnvelope(const Json::Value& value)
+{
+    if (!value.isObject() || !value["kind"].isString() || !value["by"].isString() || !value["when"].isInt64())
+        return corrupt("expected an envelope with kind, by, when and object");
+    if (value.isMember("at") && !value["at"].isUInt64())
+        return corrupt("at: expected a revision");
+    const auto kind = parseObjectKind(value["kind"].asString());
+    if (!kind)
+        return tl::unexpected(kind.error());
+    auto object = objectFromJson(*kind, value["object"]);
+    if (!object)
+        return object;
+    auto& stamp = metaOf(*object).changed;
+    stamp.by = value["by"].asString();
+    stamp.when = wall_time(std::chrono::milliseconds(value["when"].asInt64()));
+    stamp.at = revision(value.get("at", Json::UInt64(0)).asUInt64());
+    return object;
+}
+
+bool sameContent(const config_object& left, const config_object& right)
+{
+    return left.index() == right.index() && toJson(left) == toJson(right);
+}
+
+std::vector<std::string> fieldDifferences(const config_object& before, const config_object& after)
+{
+    std::vector<std::string> lines;
+    compare({}, toJson(before), toJson(after), lines);
+    return lines;
+}
+
+std::string toText(const Json::Value& value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder made;
+        made["indentation"] = "";
+        made["emitUTF8"] = true;
+        return made;
+    }();
+    return Json::writeString(builder, value);
+}
+
+result<Json::Value> parseJson(std::string_view text, std::string_view atStep)
+{
+    static const Json::CharReaderBuilder builder = [] {
+        Json::CharReaderBuilder made;
+        Json::CharReaderBuilder::strictMode(&made.settings_);
+        made["strictRoot"] = false;
+        made["stackLimit"] = nestingLimit;
+        return made;
+    }();
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string faults;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &faults))
+            return value;
+    } catch (const std::exception& tooDeep) {
+        faults = tooDeep.what();
+    }
+    // The parser quotes no input, only places.
+    return failure(error_code::Corrupt, atStep, "no JSON: " + faults.substr(0, faults.find('\n')));
+}
+
+} // namespace lovagerail
