Routing: target table, load, prefix index, health and router

Cause: the data path needs one place that decides which target runs a request. Change: targets merged from list, reports and observations with a state that only advances within an incarnation; expected wait from own counts corrected by reports; prefix blocks per target from sends and cache events; ejection that can't empty a pool; choice by least expected cost among two random samples, prefix holders and prefix homes; five baselines selectable by name.

No change of behaviour: nothing uses the modules yet.

--- /dev/null
+++ b/src/health.cpp
@@ -0,0 +1,259 @@
+// Outlier detection, ejection and return of targets; see health.h.
+#include "health.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::uint32_t latencyCheckEvery = 16; // samples, since the median costs O(members)
+    constexpr std::size_t leastPoolForLatency = 3; // a median of fewer says nothing
+    constexpr std::uint32_t mostDoublings = 16; // of the back-off
+
+    double toSeconds(duration span)
+    {
+        return std::chrono::duration<double>(span).count();
+    }
+
+    bool isFailure(attempt_outcome outcome)
+    {
+        return outcome != attempt_outcome::Success && outcome != attempt_outcome::Refused;
+    }
+
+} // namespace
+
+health_monitor::health_monitor(health_settings settings)
+    : m_settings(settings)
+{
+}
+
+void health_monitor::started(target_slot slot, const pool_id& pool, instant now)
+{
+    slot_health& health = at(slot);
+    if (health.used && health.pool == pool)
+        return;
+    removed(slot);
+    health.used = true;
+    health.pool = pool;
+    health.slowStartFrom = now;
+    auto& members = m_pools[pool].members;
+    members.insert(std::lower_bound(members.begin(), members.end(), slot), slot);
+}
+
+// A pool that shrinks may hold more ejected members than a new ejection could
+// make; they stay until their probes, but the last member is always let in.
+void health_monitor::removed(target_slot slot)
+{
+    slot_health& health = at(slot);
+    if (!health.used)
+        return;
+    const auto it = m_pools.find(health.pool);
+    assert(it != m_pools.end());
+    pool_health& pool = it->second;
+    if (health.ejected)
+        --pool.ejected;
+    pool.members.erase(std::lower_bound(pool.members.begin(), pool.members.end(), slot));
+    health = {};
+    if (pool.members.empty()) {
+        m_pools.erase(it);
+        return;
+    }
+    if (pool.ejected < pool.members.size())
+        return;
+    slot_health& kept = at(pool.members.front());
+    readmit(kept, kept.slowStartFrom);
+}
+
+void health_monitor::sent(target_slot slot, instant now)
+{
+    slot_health& health = at(slot);
+    if (!health.ejected || now < health.until || probeRuns(health, now))
+        return;
+    health.probing = true;
+    health.probeSent = now;
+}
+
+void health_monitor::ended(target_slot slot, attempt_outcome outcome, duration latency, instant now)
+{
+    slot_health& health = at(slot);
+    if (!health.used)
+        return;
+
+    // Step 1. While ejected only the probe counts; the rest was sent before.
+    if (health.ejected) {
+        if (!health.probing)
+            return;
+        if (isFailure(outcome))
+            eject(health, now);
+        else
+            readmit(health, now);
+        return;
+    }
+
+    // Step 2. Take the sample, and eject an outlier if its pool can spare it.
+    sample(health, outcome, latency, now);
+    if (isOutlier(health) && mayEject(health.pool))
+        eject(health, now);
+}
+
+// The weight drops with recent failures too, since a target may fail without
+// being ejected, and with refusals, since a target that refuses all looks idle.
+double health_monitor::weight(target_slot slot, instant now) const
+{
+    const slot_health* health = find(slot);
+    if (!health)
+        return 1;
+    if (health->ejected) {
+        const bool mayProbe = now >= health->until && !probeRuns(*health, now);
+        return mayProbe ? m_settings.lowestWeight : 0;
+    }
+    const double lowest = m_settings.lowestWeight;
+    const double elapsed = std::clamp(toSeconds(now - health->slowStartFrom) / toSeconds(m_settings.slowStart), 0.0, 1.0);
+    const double fresh = std::exp2(-toSeconds(now - health->sampledAt) / toSeconds(m_settings.memory));
+    const double failing = std::min(1.0, (health->failureShare + health->refusedShare) * fresh);
+    const double slowStart = lowest + (1 - lowest) * elapsed;
+    return std::max(lowest, slowStart * (1 - failing));
+}
+
+health_state health_monitor::state(target_slot slot, instant now) const
+{
+    const slot_health* health = find(slot);
+    if (!health)
+        return health_state::Healthy;
+    if (health->ejected)
+        return now < health->until ? health_state::Ejected : health_state::HalfOpen;
+    return now - health->slowStartFrom < m_settings.slowStart ? health_state::SlowStart : health_state::Healthy;
+}
+
+instant health_monitor::ejectedUntil(target_slot slot) const
+{
+    const slot_health* health = find(slot);
+    return health && health->ejected ? health->until : instant {};
+}
+
+std::size_t health_monitor::ejectedCount(const pool_id& pool) const
+{
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? 0 : it->second.ejected;
+}
+
+std::size_t health_monitor::poolSize(const pool_id& pool) const
+{
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? 0 : it->second.members.size();
+}
+
+health_monitor::slot_health& health_monitor::at(target_slot slot)
+{
+    if (slot.value() >= m_slots.size())
+        m_slots.resize(slot.value() + 1);
+    return m_slots[slot.value()];
+}
+
+const health_monitor::slot_health* health_monitor::find(target_slot slot) const
+{
+    if (slot.value() >= m_slots.size() || !m_slots[slot.value()].used)
+        return nullptr;
+    return &m_slots[slot.value()];
+}
+
+// A probe whose end is never told must not bar the target for ever.
+bool health_monitor::probeRuns(const slot_health& health, instant now) const
+{
+    return health.probing && now - health.probeSent < m_settings.probeTimeout;
+}
+
+void health_monitor::sample(slot_health& health, attempt_outcome outcome, duration latency, instant now) const
+{
+    const double rate = m_settings.learningRate;
+    const double fresh = health.samples == 0 ? 0 : std::exp2(-toSeconds(now - health.sampledAt) / toSeconds(m_settings.memory));
+    const bool failed = isFailure(outcome);
+    const bool refused = outcome == attempt_outcome::Refused;
+    health.failureShare = health.failureShare * fresh * (1 - rate) + (failed ? rate : 0);
+    health.refusedShare = health.refusedShare * fresh * (1 - rate) + (refused ? rate : 0);
+    health.sampledAt = now;
+    ++health.samples;
+    if (failed)
+        ++health.consecutive;
+    if (outcome != attempt_outcome::Success)
+        return;
+    health.consecutive = 0;
+    const double seconds = toSeconds(latency);
+    const bool first = health.latencySeconds == 0;
+    health.latencySeconds += (first ? 1 : rate) * (seconds - health.latencySeconds);
+}
+
+bool health_monitor::isOutlier(const slot_health& health) const
+{
+    if (health.consecutive >= m_settings.consecutiveFailures)
+        return true;
+    if (health.samples < m_settings.leastSamples)
+        return false;
+    if (health.failureShare > m_settings.failureShare)
+        return true;
+    if (health.samples % latencyCheckEvery != 0)
+        return false;
+    const double median = medianLatency(health.pool);
+    return median > 0 && health.latencySeconds > m_settings.latencyFactor * median;
+}
+
+// Zero if too few members have been measured.
+double health_monitor::medianLatency(const pool_id& pool) const
+{
+    std::vector<double> measured;
+    for (const target_slot slot : m_pools.at(pool).members) {
+        const double seconds = m_slots[slot.value()].latencySeconds;
+        if (seconds > 0)
+            measured.push_back(seconds);
+    }
+    if (measured.size() < leastPoolForLatency)
+        return 0;
+    const auto middle = measured.begin() + static_cast<std::ptrdiff_t>(measured.size() / 2);
+    std::nth_element(measured.begin(), middle, measured.end());
+    return *middle;
+}
+
+bool health_monitor::mayEject(const pool_id& pool) const
+{
+    const pool_health& members = m_pools.at(pool);
+    const auto size = static_cast<double>(members.members.size());
+    const auto after = static_cast<double>(members.ejected + 1);
+    return after < size && after <= size * m_settings.largestEjectedShare;
+}
+
+// Also called for an ejected target whose probe failed; the back-off doubles.
+void health_monitor::eject(slot_health& health, instant now)
+{
+    if (!health.ejected) {
+        ++m_pools.at(health.pool).ejected;
+        const bool workedLong = now - health.slowStartFrom > m_settings.longestEjection;
+        health.ejections = workedLong ? 0 : health.ejections;
+    }
+    const std::uint32_t doublings = std::min(health.ejections, mostDoublings);
+    const duration backOff = std::min(m_settings.firstEjection * (std::int64_t(1) << doublings), m_settings.longestEjection);
+    health.ejected = true;
+    health.probing = false;
+    health.until = now + backOff;
+    ++health.ejections;
+}
+
+// Back with a clean record and a slow start; the back-off is kept in
+// case it fails again soon.
+void health_monitor::readmit(slot_health& health, instant now)
+{
+    assert(health.ejected);
+    --m_pools.at(health.pool).ejected;
+    health.ejected = false;
+    health.probing = false;
+    health.consecutive = 0;
+    health.failureShare = 0;
+    health.refusedShare = 0;
+    health.samples = 0;
+    health.latencySeconds = 0;
+    health.slowStartFrom = now;
+}
+
+} // namespace lovagerail
--- a/src/health.h
+++ b/src/health.h
@@ -34,11 +34,12 @@
     std::uint32_t leastSamples = 10; // before the share counts
     double latencyFactor = 8; // ejects when mean time per unit is so many times its pool's median
     double learningRate = 0.1;
+    duration memory = std::chrono::seconds(10); // age at which a share of failures counts for half
     double largestEjectedShare = 0.5; // of a pool
     duration firstEjection = std::chrono::seconds(2);
     duration longestEjection = std::chrono::minutes(2);
     duration slowStart = std::chrono::seconds(10);
-    double lowestWeight = 0.1; // at the begin of slow start
+    double lowestWeight = 0.1; // at the start of slow start, and of a failing target
     duration probeTimeout = std::chrono::seconds(10); // a probe that says nothing is lost
 };
 
@@ -46,13 +47,14 @@
 public:
     explicit health_monitor(health_settings settings = {});
 
-    // A target joined the pool or restarted: slow start.
+    // A target became live in the pool: slow start. Ignored for a member of the pool.
     void started(target_slot slot, const pool_id& pool, instant now);
+    // It's no longer live; what was seen of it is forgotten.
     void removed(target_slot slot);
 
     // An attempt left for the target; in the half-open state it is the probe.
     void sent(target_slot slot, instant now);
-    // An attempt ended; latency is compared within the pool.
+    // An attempt ended; latency per unit of work is compared within the pool.
     void ended(target_slot slot, attempt_outcome outcome, duration latency, instant now);
 
     // Share of normal work that the target may get: 0 while ejected, 1 when healthy.
@@ -60,7 +62,7 @@
     health_state state(target_slot slot, instant now) const;
     instant ejectedUntil(target_slot slot) const;
 
-    std::size_t ejectedCount(const pool_id& pool, instant now) const;
+    std::size_t ejectedCount(const pool_id& pool) const;
     std::size_t poolSize(const pool_id& pool) const;
 
 private:
@@ -69,25 +71,35 @@
         pool_id pool;
         std::uint32_t consecutive = 0; // failures without a success between
         double failureShare = 0; // moving average, 0..1
+        double refusedShare = 0; // moving average, 0..1; lowers the weight, never ejects
         std::uint32_t samples = 0;
+        instant sampledAt;
         double latencySeconds = 0; // moving average; zero before the first
-        bool ejected = false; // until a probe succeeds
-        instant until; // end of the ejection
+        bool ejected = false; // from ejection until a probe succeeds
+        instant until; // end of the ejection; a probe may run then
         std::uint32_t ejections = 0; // in a row; drives the back-off
-        bool probing = false;
+        bool probing = false; // only while ejected
         instant probeSent;
         instant slowStartFrom;
     };
+    struct pool_health {
+        std::vector<target_slot> members; // sorted; exactly the used slots of the pool
+        std::size_t ejected = 0; // members that are ejected, below members.size()
+    };
 
     slot_health& at(target_slot slot);
+    const slot_health* find(target_slot slot) const;
+    bool probeRuns(const slot_health& health, instant now) const;
+    void sample(slot_health& health, attempt_outcome outcome, duration latency, instant now) const;
     bool isOutlier(const slot_health& health) const;
-    bool mayEject(const slot_health& health) const;
+    double medianLatency(const pool_id& pool) const;
+    bool mayEject(const pool_id& pool) const;
     void eject(slot_health& health, instant now);
     void readmit(slot_health& health, instant now);
 
     health_settings m_settings;
     std::vector<slot_health> m_slots;
-    std::map<pool_id, std::vector<target_slot>> m_pools; // sorted; exactly the used slots
+    std::map<pool_id, pool_health> m_pools; // without empty ones
 };
 
 } // namespace lovagerail
--- a/src/load.h
+++ b/src/load.h
@@ -53,6 +53,7 @@
     double largestCorrection = 16; // learned times stay within this factor of the initial ones
     duration historySpan = std::chrono::seconds(20); // reports older than this are ignored
     double kvPressureStart = 0.85; // above this share of the KV cache, waits grow
+    double reportWeight = 0.2; // of one report in the mean of others' load
     duration reportTrust = std::chrono::seconds(10); // age at which a report counts for half
 };
 
@@ -65,6 +66,14 @@
     bool reported = false;
 };
 
+// What a request would meet at a target.
+struct load_estimate {
+    double requests = 0; // ours and others' there now
+    duration wait {}; // until its own work begins
+    duration own {}; // its prefill, or its whole run at a plain service
+    duration total {}; // until the whole answer
+};
+
 class load_book {
 public:
     explicit load_book(load_settings settings = {});
@@ -83,12 +92,8 @@
     // False if the report is older than one already taken, or too old to use.
     bool applyReport(target_slot slot, const load_report& report, instant now);
 
-    // Wait before the request's first token, without its own prefill.
-    duration expectedWait(target_slot slot, instant now) const;
-    // Time that the target needs for so many uncached prompt tokens.
-    duration prefillTime(target_slot slot, token_count tokens) const;
-    // Time from dispatch to the whole answer.
-    duration expectedTotal(target_slot slot, request_cost cost, instant now) const;
+    // What a request would meet if it were sent now.
+    load_estimate estimate(target_slot slot, request_cost cost, instant now) const;
 
     load_view view(target_slot slot, instant now) const;
     // Requests that we sent and that haven't ended.
@@ -96,7 +101,8 @@
     const target_speed& speed(target_slot slot) const;
 
 private:
-    // A change of our own load at one time; undone to know our load at an earlier time.
+    // A change of our own count of requests at one time; undone to know the
+    // count at an earlier time.
     struct own_change {
         instant at;
         int requests = 0;
@@ -106,14 +112,16 @@
         std::uint32_t generation = 0; // grows with reset(), so that old attempts don't count
         std::uint32_t own = 0; // attempts in flight, never negative
         double ownPrefillTokens = 0; // of attempts without a first token, never negative
-        std::deque<own_change> history; // newest last, within historySpan
+        std::deque<own_change> history; // oldest first, none before historyFrom
+        instant historyFrom; // reports measured before can't be corrected
         bool reported = false;
-        instant measuredAt;
+        instant measuredAt; // of the newest report taken
         double otherRequests = 0; // at measuredAt, never negative
-        double otherWaiting = 0; // part of them that had not started
+        double otherMean = 0; // moving average over reports
+        double waitingShare = 0; // share of requests that had not started
         double kvCacheUsage = 0;
         target_speed speed;
-        double meanPrefillTokens = 500; // of one request, for other senders' waiting ones
+        double meanPrefillTokens = 500; // of one request
         double meanDecodeTokens = 200;
     };
     struct attempt_entry {
@@ -124,14 +132,19 @@
         instant firstTokenAt;
         bool started = false; // first token came
         double aheadTokens = 0; // prefill tokens that were ahead of it when sent
-        double othersAtSend = 0; // requests that were there when sent
+        double aheadRequests = 0; // requests that were there when sent
     };
 
     slot_load& at(target_slot slot);
     const slot_load& at(target_slot slot) const;
+    void addOwn(slot_load& load, int requests, instant now) const;
     double otherRequestsNow(const slot_load& load, instant now) const;
-    void learn(slot_load& load, const attempt_entry& entry, token_count generated, instant now);
-    void learnValue(double& value, double observed, double initial) const;
+    double requestsNow(const slot_load& load, instant now) const;
+    double pendingPrefill(const slot_load& load, instant now) const;
+    double waitSeconds(const slot_load& load, instant now) const;
+    void learnPrefill(slot_load& load, const attempt_entry& entry, instant now) const;
+    void learnWhole(slot_load& load, const attempt_entry& entry, token_count generated, instant now) const;
+    void learn(double& value, double observed, double initial) const;
 
     load_settings m_settings;
     std::vector<slot_load> m_slots;
--- /dev/null
+++ b/src/router.cpp
@@ -0,0 +1,527 @@
+// Candidates, their scores and the choice; see router.h.
+#include "router.h"
+
+#include <algorithm>
+#include <cassert>
+#include <xxhash.h>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::size_t homeBlock = 15; // the first kilobyte of a prompt decides its home
+    constexpr std::size_t homeCount = 2; // homes of a prefix that are candidates
+    constexpr std::size_t mostPrefixCandidates = 4;
+    constexpr std::size_t ringPoints = 512; // of a small class; a large one has one per target
+    constexpr std::size_t mostPointsPerTarget = 64;
+    constexpr std::size_t drawsPerSample = 4; // before the subset is scanned instead
+    constexpr std::size_t smallClass = 256; // targets; below, caches follow each change at once
+    constexpr duration cacheLifetime = std::chrono::seconds(1); // of a large class's caches
+    constexpr duration leastRetryAfter = std::chrono::milliseconds(100);
+    constexpr duration noTargetRetryAfter = std::chrono::seconds(1);
+
+    std::uint64_t hashName(std::string_view name, std::uint64_t seed)
+    {
+        return XXH64(name.data(), name.size(), seed);
+    }
+
+    duration scale(duration span, double factor)
+    {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
+    }
+
+} // namespace
+
+// What one decision has gathered so far.
+struct router::selection {
+    const route_request& request;
+    std::vector<prefix_match> matches;
+    std::vector<target_slot> excluded; // sorted
+    bool overruleHealth = false;
+    std::vector<routing_candidate> candidates; // sorted by slot, no slot twice
+    std::size_t seenExcluded = 0;
+    std::size_t seenCheap = 0; // cheap targets that this work may not use
+};
+
+std::string_view toString(route_reason reason)
+{
+    switch (reason) {
+    case route_reason::LeastCost:
+        return "least_cost";
+    case route_reason::PrefixReuse:
+        return "prefix_reuse";
+    case route_reason::Probe:
+        return "probe";
+    case route_reason::OnlyCandidate:
+        return "only_candidate";
+    case route_reason::AllEjected:
+        return "all_ejected";
+    case route_reason::Baseline:
+        return "baseline";
+    }
+    return "unknown";
+}
+
+std::string_view toString(no_route_reason reason)
+{
+    switch (reason) {
+    case no_route_reason::UnknownClass:
+        return "unknown_class";
+    case no_route_reason::NoLiveTarget:
+        return "no_live_target";
+    case no_route_reason::AllExcluded:
+        return "all_excluded";
+    case no_route_reason::CheapOnly:
+        return "cheap_only";
+    case no_route_reason::CannotMeetDeadline:
+        return "cannot_meet_deadline";
+    }
+    return "unknown";
+}
+
+router::router(router_settings settings)
+    : m_settings(std::move(settings))
+    , m_table(m_settings.table)
+    , m_load(m_settings.load)
+    , m_prefixes(m_settings.prefixes)
+    , m_health(m_settings.health)
+{
+}
+
+void router::applyList(const std::vector<listed_target>& rows, instant now)
+{
+    for (const slot_change& change : m_table.applyList(rows, now))
+        applyChange(change, now);
+}
+
+void router::applyRow(const listed_target& row, instant now)
+{
+    applyChange(m_table.applyRow(row, now), now);
+}
+
+// A report of an older incarnation is of no use to the load either.
+void router::applyReport(const load_report& report, instant now)
+{
+    applyChange(m_table.applyReport(report.target, report.incarnation, report.version, report.model, now), now);
+    const auto slot = m_table.find(report.target);
+    if (slot && m_table.record(*slot).listed.incarnation == report.incarnation)
+        m_load.applyReport(*slot, report, now);
+}
+
+void router::applyCacheEvent(const target_id& target, const cache_event& event, instant now)
+{
+    const auto slot = m_table.find(target);
+    if (slot)
+        m_prefixes.apply(*slot, event, now);
+}
+
+void router::advanceState(const target_id& target, incarnation seen, target_state state, instant now)
+{
+    applyChange(m_table.advanceState(target, seen, state, now), now);
+}
+
+void router::setLabels(const target_id& target, label_map labels)
+{
+    m_table.setLabels(target, std::move(labels));
+}
+
+void router::setClass(const routing_class_id& name, target_predicate predicate)
+{
+    m_table.setClass(name, std::move(predicate));
+}
+
+void router::removeClass(const routing_class_id& name)
+{
+    m_table.removeClass(name);
+    m_caches.erase(name);
+}
+
+void router::tick(instant now)
+{
+    for (const slot_change& change : m_table.expire(now))
+        applyChange(change, now);
+}
+
+// Keeps what is known per slot in step with the table: another start of a target
+// has no load, no cache and no health record yet.
+void router::applyChange(const slot_change& change, instant now)
+{
+    if (change.change == target_change::None)
+        return;
+    if (change.change != target_change::Updated) {
+        ++generation(change.slot);
+        m_health.removed(change.slot);
+        m_prefixes.clear(change.slot);
+        m_load.reset(change.slot, m_table.record(change.slot).listed.kind);
+    }
+    if (m_table.isLive(change.slot))
+        m_health.started(change.slot, m_table.record(change.slot).listed.pool, now);
+    else
+        m_health.removed(change.slot);
+}
+
+std::uint32_t& router::generation(target_slot slot)
+{
+    if (slot.value() >= m_generations.size())
+        m_generations.resize(slot.value() + 1);
+    return m_generations[slot.value()];
+}
+
+route_decision router::choose(const route_request& request, instant now)
+{
+    // Step 1. Refuse early what can't be placed at all.
+    if (!m_table.hasClass(request.routingClass))
+        return no_route { no_route_reason::UnknownClass, noTargetRetryAfter };
+    const std::vector<target_slot>& allowed = m_table.allowed(request.routingClass);
+    if (allowed.empty())
+        return no_route { no_route_reason::NoLiveTarget, noTargetRetryAfter };
+
+    // Step 2. Gather a bounded number of candidates; widen only while none is found.
+    seeded_random random(request.seed);
+    const class_cache& cache = cacheOf(request.routingClass, now);
+    selection chosen { request, {}, {}, false, {}, 0, 0 };
+    for (const target_id& id : request.excluded) {
+        if (const auto slot = m_table.find(id))
+            chosen.excluded.push_back(*slot);
+    }
+    std::sort(chosen.excluded.begin(), chosen.excluded.end());
+    if (!request.promptBlocks.empty())
+        chosen.matches = m_prefixes.match(request.promptBlocks, now);
+    const bool isDefault = m_settings.policy == policy_kind::ExpectedCost;
+    if (isDefault) {
+        addSamples(chosen, cache, random, now);
+        addPreferred(chosen, cache, now);
+        applyBoundedLoad(chosen);
+    }
+    if (chosen.candidates.empty())
+        addAll(chosen, cache.subset, now);
+    if (chosen.candidates.empty())
+        addAll(chosen, allowed, now);
+    if (chosen.candidates.empty()) {
+        chosen.overruleHealth = true;
+        addAll(chosen, allowed, now);
+    }
+    if (chosen.candidates.empty())
+        return explainNone(chosen);
+
+    // Step 3. Leave out who can't make the deadline; look at all before refusing.
+    if (!keepTimely(chosen, now)) {
+        addAll(chosen, allowed, now);
+        if (!keepTimely(chosen, now))
+            return explainNone(chosen);
+    }
+
+    // Step 4. A target that waits for its probe gets it from work that may be repeated.
+    if (request.idempotent && !chosen.overruleHealth) {
+        for (const routing_candidate& candidate : chosen.candidates) {
+            if (m_health.state(candidate.slot, now) == health_state::HalfOpen)
+                return makeChoice(chosen, candidate, route_reason::Probe);
+        }
+    }
+
+    // Step 5. Let the policy pick.
+    const std::size_t index = m_policies.pick(m_settings.policy, chosen.candidates, random);
+    const routing_candidate& picked = chosen.candidates[index];
+    if (chosen.overruleHealth)
+        return makeChoice(chosen, picked, route_reason::AllEjected);
+    if (!isDefault)
+        return makeChoice(chosen, picked, route_reason::Baseline);
+    if (chosen.candidates.size() == 1)
+        return makeChoice(chosen, picked, route_reason::OnlyCandidate);
+    const bool leastAnyway = std::all_of(chosen.candidates.begin(), chosen.candidates.end(), [&](const routing_candidate& other) {
+        return picked.costUncached <= other.costUncached;
+    });
+    return makeChoice(chosen, picked, leastAnyway ? route_reason::LeastCost : route_reason::PrefixReuse);
+}
+
+void router::started(attempt_id attempt, const route_choice& choice, const route_request& request, instant now)
+{
+    if (m_attempts.contains(attempt))
+        return;
+    attempt_state state;
+    state.slot = choice.slot;
+    state.generation = generation(choice.slot);
+    state.sentAt = now;
+    state.firstTokenAt = now;
+    state.expectedCached = choice.cachedTokens;
+    state.hasPrompt = !request.promptBlocks.empty();
+    if (choice.supply == supply_kind::Cheap) {
+        state.exposure = exposureKey(request, choice.failureDomain);
+        ++m_exposure[*state.exposure];
+    }
+    m_attempts.emplace(attempt, std::move(state));
+    const token_count cached = std::min(choice.cachedTokens, request.promptTokens);
+    m_load.sent(attempt, choice.slot, { request.promptTokens - cached, request.expectedTokens }, now);
+    m_health.sent(choice.slot, now);
+    if (choice.kind == target_kind::Engine)
+        m_prefixes.sent(choice.slot, request.promptBlocks, now);
+}
+
+void router::firstToken(attempt_id attempt, instant now)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end())
+        return;
+    if (it->second.firstTokenAt == it->second.sentAt)
+        it->second.firstTokenAt = now;
+    m_load.firstToken(attempt, now);
+}
+
+// An attempt at an earlier start of the target says nothing about the present one.
+void router::ended(attempt_id attempt, const attempt_end& end, instant now)
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end())
+        return;
+    const attempt_state state = it->second;
+    m_attempts.erase(it);
+    m_load.finished(attempt, end.outcome == attempt_outcome::Success, end.generated, now);
+    if (state.exposure) {
+        const auto count = m_exposure.find(*state.exposure);
+        assert(count != m_exposure.end() && count->second > 0);
+        if (--count->second == 0)
+            m_exposure.erase(count);
+    }
+    if (state.generation != generation(state.slot))
+        return;
+    const auto units = std::max<std::uint64_t>(1, end.generated.count());
+    m_health.ended(state.slot, end.outcome, (now - state.firstTokenAt) / static_cast<std::int64_t>(units), now);
+    if (end.cachedTokens && state.hasPrompt)
+        m_prefixes.observed(state.slot, state.expectedCached, *end.cachedTokens);
+}
+
+std::uint32_t router::cheapExposure(const route_request& request, const failure_domain_id& domain) const
+{
+    const auto it = m_exposure.find(exposureKey(request, domain));
+    return it == m_exposure.end() ? 0 : it->second;
+}
+
+// Caches of a large class are rebuilt at most once a second; a candidate is
+// checked against the class itself anyway.
+const router::class_cache& router::cacheOf(const routing_class_id& name, instant now)
+{
+    class_cache& cache = m_caches[name];
+    const std::uint64_t version = m_table.allowedVersion(name);
+    const std::vector<target_slot>& allowed = m_table.allowed(name);
+    if (cache.version == version)
+        return cache;
+    const bool isSmall = allowed.size() <= smallClass;
+    if (cache.version != 0 && !isSmall && now - cache.builtAt < cacheLifetime)
+        return cache;
+    cache.version = version;
+    cache.builtAt = now;
+    cache.subset = followed(allowed);
+    cache.ring = buildRing(allowed);
+    return cache;
+}
+
+// Rendezvous hashing within each failure domain, with the domains in turn, so
+// that the subset spreads over domains and changes little with the class.
+std::vector<target_slot> router::followed(const std::vector<target_slot>& allowed) const
+{
+    if (allowed.size() <= m_settings.subsetSize)
+        return allowed;
+    std::map<failure_domain_id, std::vector<std::pair<std::uint64_t, target_slot>>> byDomain;
+    const std::uint64_t seed = hashName(m_settings.instance, 0);
+    for (const target_slot slot : allowed) {
+        const listed_target& listed = m_table.record(slot).listed;
+        byDomain[listed.failureDomain].emplace_back(hashName(listed.id.str(), seed), slot);
+    }
+    for (auto& [domain, ranked] : byDomain) {
+        const std::size_t kept = std::min(ranked.size(), m_settings.subsetSize);
+        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
+    }
+    std::vector<target_slot> subset;
+    for (std::size_t rank = 0; subset.size() < m_settings.subsetSize; ++rank) {
+        for (const auto& [domain, ranked] : byDomain) {
+            if (rank < ranked.size() && subset.size() < m_settings.subsetSize)
+                subset.push_back(ranked[rank].second);
+        }
+    }
+    std::sort(subset.begin(), subset.end());
+    return subset;
+}
+
+std::vector<std::pair<std::uint64_t, target_slot>> router::buildRing(const std::vector<target_slot>& allowed) const
+{
+    std::vector<std::pair<std::uint64_t, target_slot>> ring;
+    if (allowed.empty())
+        return ring;
+    const std::size_t points = std::clamp<std::size_t>(ringPoints / allowed.size(), 1, mostPointsPerTarget);
+    for (const target_slot slot : allowed) {
+        for (std::size_t point = 0; point < points; ++point)
+            ring.emplace_back(hashName(m_table.record(slot).listed.id.str(), point), slot);
+    }
+    std::sort(ring.begin(), ring.end());
+    return ring;
+}
+
+// Adds one target with its score, unless it's there already or may not be used.
+void router::addCandidate(selection& chosen, target_slot slot, instant now) const
+{
+    // Step 1. Who may run the request at all.
+    const route_request& request = chosen.request;
+    const auto place = std::lower_bound(chosen.candidates.begin(), chosen.candidates.end(), slot,
+        [](const routing_candidate& candidate, target_slot wanted) { return candidate.slot < wanted; });
+    if (place != chosen.candidates.end() && place->slot == slot)
+        return;
+    if (!m_table.isAllowed(request.routingClass, slot))
+        return;
+    if (std::binary_search(chosen.excluded.begin(), chosen.excluded.end(), slot)) {
+        ++chosen.seenExcluded;
+        return;
+    }
+    const target_record& record = m_table.record(slot);
+    if (!mayUse(request, record)) {
+        ++chosen.seenCheap;
+        return;
+    }
+    const double weight = m_health.weight(slot, now);
+    if (weight <= 0 && !chosen.overruleHealth)
+        return;
+
+    // Step 2. What it would cost there.
+    routing_candidate candidate;
+    candidate.slot = slot;
+    for (const prefix_match& match : chosen.matches) {
+        if (match.slot == slot)
+            candidate.cached = std::min(request.promptTokens, token_count(static_cast<std::uint64_t>(match.expectedTokens)));
+    }
+    const load_estimate estimate = m_load.estimate(slot, { request.promptTokens - candidate.cached, request.expectedTokens }, now);
+    const load_estimate uncached = m_load.estimate(slot, { request.promptTokens, request.expectedTokens }, now);
+    candidate.outstanding = m_load.ownOutstanding(slot);
+    candidate.load = estimate.requests;
+    candidate.wait = estimate.wait;
+    candidate.own = estimate.own;
+    candidate.total = estimate.total;
+    candidate.weight = weight > 0 ? weight : 1;
+    const bool isLocal = record.listed.failureDomain == m_settings.failureDomain;
+    candidate.network = isLocal ? duration {} : m_settings.crossDomainDelay;
+    const duration credit = record.listed.supply == supply_kind::Cheap ? m_settings.cheapCredit : duration {};
+    candidate.cost = scale(estimate.wait + estimate.own, 1 / candidate.weight) + candidate.network - credit;
+    candidate.costUncached = candidate.cost + scale(uncached.own - estimate.own, 1 / candidate.weight);
+    chosen.candidates.insert(place, candidate);
+}
+
+void router::addAll(selection& chosen, const std::vector<target_slot>& slots, instant now) const
+{
+    chosen.seenExcluded = 0;
+    chosen.seenCheap = 0;
+    for (const target_slot slot : slots)
+        addCandidate(chosen, slot, now);
+}
+
+// Random choices among the subset, so that instances with the same stale
+// knowledge don't all send to the same target.
+void router::addSamples(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const
+{
+    const std::size_t wanted = std::min(m_settings.samples, cache.subset.size());
+    for (std::size_t draw = 0; draw < wanted * drawsPerSample; ++draw) {
+        addCandidate(chosen, cache.subset[random.below(cache.subset.size())], now);
+        if (chosen.candidates.size() >= wanted)
+            return;
+    }
+}
+
+// Targets that hold the longest prefixes, and the homes of the prompt's first
+// kilobyte, which all instances compute alike without asking each other.
+void router::addPreferred(selection& chosen, const class_cache& cache, instant now) const
+{
+    const std::vector<block_hash>& blocks = chosen.request.promptBlocks;
+    if (blocks.empty() || cache.ring.empty())
+        return;
+    for (std::size_t i = 0; i < std::min(chosen.matches.size(), mostPrefixCandidates); ++i)
+        addCandidate(chosen, chosen.matches[i].slot, now);
+    const block_hash key = blocks[std::min(homeBlock, blocks.size() - 1)];
+    auto it = std::lower_bound(cache.ring.begin(), cache.ring.end(), std::pair(key.value(), target_slot()));
+    for (std::size_t i = 0; i < homeCount; ++i, ++it) {
+        if (it == cache.ring.end())
+            it = cache.ring.begin();
+        addCandidate(chosen, it->second, now);
+    }
+}
+
+// A candidate far above the mean load of all loses its prefix bonus: many
+// instances may prefer it at once without seeing each other's requests yet.
+void router::applyBoundedLoad(selection& chosen) const
+{
+    if (chosen.candidates.size() < 2)
+        return;
+    double sum = 0;
+    for (const routing_candidate& candidate : chosen.candidates)
+        sum += candidate.load;
+    const double bound = 1 + m_settings.boundedLoad * sum / static_cast<double>(chosen.candidates.size());
+    for (routing_candidate& candidate : chosen.candidates) {
+        if (candidate.load > bound)
+            candidate.cost = candidate.costUncached;
+    }
+}
+
+// Keeps the candidates that are expected to make the deadline; false, and
+// nothing changed, if there is none.
+bool router::keepTimely(selection& chosen, instant now) const
+{
+    if (!chosen.request.deadline)
+        return true;
+    const duration left = *chosen.request.deadline - now;
+    const auto isLate = [&](const routing_candidate& candidate) {
+        return left <= duration {} || scale(candidate.total, m_settings.deadlineMargin) > left;
+    };
+    if (std::all_of(chosen.candidates.begin(), chosen.candidates.end(), isLate))
+        return false;
+    chosen.candidates.erase(std::remove_if(chosen.candidates.begin(), chosen.candidates.end(), isLate), chosen.candidates.end());
+    return true;
+}
+
+// Why nothing was chosen, and when another try makes sense.
+no_route router::explainNone(const selection& chosen)
+{
+    if (!chosen.candidates.empty()) {
+        duration shortest = duration::max();
+        for (const routing_candidate& candidate : chosen.candidates)
+            shortest = std::min(shortest, candidate.wait);
+        return { no_route_reason::CannotMeetDeadline, std::max(shortest, leastRetryAfter) };
+    }
+    if (chosen.seenCheap > 0)
+        return { no_route_reason::CheapOnly, noTargetRetryAfter };
+    if (chosen.seenExcluded > 0)
+        return { no_route_reason::AllExcluded, noTargetRetryAfter };
+    return { no_route_reason::NoLiveTarget, noTargetRetryAfter };
+}
+
+route_choice router::makeChoice(const selection& chosen, const routing_candidate& candidate, route_reason reason) const
+{
+    assert(m_table.isAllowed(chosen.request.routingClass, candidate.slot));
+    const target_record& record = m_table.record(candidate.slot);
+    route_choice choice;
+    choice.slot = candidate.slot;
+    choice.target = record.listed.id;
+    choice.address = record.listed.address;
+    choice.incarnation = record.listed.incarnation;
+    choice.kind = record.listed.kind;
+    choice.supply = record.listed.supply;
+    choice.failureDomain = record.listed.failureDomain;
+    choice.reason = reason;
+    choice.score = { candidate.wait, candidate.own, candidate.network, candidate.weight, candidate.cost };
+    choice.cachedTokens = candidate.cached;
+    return choice;
+}
+
+router::exposure_key router::exposureKey(const route_request& request, const failure_domain_id& domain)
+{
+    const bool isRun = !request.run.empty();
+    return { isRun, isRun ? request.run.str() : request.account.str(), domain };
+}
+
+// Cheap targets vanish by failure domain within seconds: only work that can be
+// run again, moved, or handed back may be there, and a bounded amount of it.
+bool router::mayUse(const route_request& request, const target_record& record) const
+{
+    if (record.listed.supply == supply_kind::Firm)
+        return true;
+    if (!request.idempotent && !request.resumable && !request.returnable)
+        return false;
+    return cheapExposure(request, record.listed.failureDomain) < m_settings.cheapExposure;
+}
+
+} // namespace lovagerail
--- a/src/router.h
+++ b/src/router.h
@@ -47,10 +47,10 @@
 
 struct score_parts {
     duration wait {};
-    duration prefill {}; // of the tokens that aren't cached
+    duration own {}; // prefill of the tokens that aren't cached, or the service's time
     duration network {};
     double healthWeight = 1;
-    duration total {};
+    duration total {}; // (wait + own) / healthWeight + network
 };
 
 struct route_choice {
@@ -86,11 +86,13 @@
     std::string instance; // our own name; spreads the subsets of instances
     failure_domain_id failureDomain; // our own
     policy_kind policy = policy_kind::ExpectedCost;
-    duration crossDomainDelay = std::chrono::microseconds(3000); // both ways
+    duration crossDomainDelay = std::chrono::milliseconds(3); // both ways
     std::size_t subsetSize = 64; // targets of a class that this instance follows
     std::size_t samples = 2; // random choices per decision
     double boundedLoad = 1.25; // a preferred target may have so many times the mean load
-    std::uint32_t cheapExposure = 64; // attempts per account or run, failure domain, on cheap targets
+    std::uint32_t cheapExposure = 64; // attempts on cheap targets per account or run and failure domain
+    duration cheapCredit = std::chrono::milliseconds(2); // for work that may run on cheap targets
+    double deadlineMargin = 0.8; // refused if this share of the expected time is too long
     target_table_settings table;
     load_settings load;
     prefix_index_settings prefixes;
@@ -113,7 +115,7 @@
     void applyReport(const load_report& report, instant now);
     void applyCacheEvent(const target_id& target, const cache_event& event, instant now);
     void advanceState(const target_id& target, incarnation seen, target_state state, instant now);
-    void setLabels(const target_id& target, label_map labels, instant now);
+    void setLabels(const target_id& target, label_map labels);
     void setClass(const routing_class_id& name, target_predicate predicate);
     void removeClass(const routing_class_id& name);
     void setPolicy(policy_kind policy) { m_settings.policy = policy; }
@@ -136,11 +138,13 @@
     std::uint32_t cheapExposure(const route_request& request, const failure_domain_id& domain) const;
 
 private:
-    // The targets of a class that this instance follows, and a hash ring of all of them.
+    // Derived from a class: the targets that this instance follows, and a hash
+    // ring of all of them that gives each prefix a home on which instances agree.
     struct class_cache {
         std::uint64_t version = 0; // of the class when this was built
+        instant builtAt;
         std::vector<target_slot> subset; // sorted
-        std::vector<std::pair<std::uint64_t, target_slot>> ring; // sorted by hash
+        std::vector<std::pair<std::uint64_t, target_slot>> ring; // sorted
     };
     struct exposure_key {
         bool isRun = false;
@@ -150,20 +154,31 @@
     };
     struct attempt_state {
         target_slot slot;
-        lovagerail::incarnation incarnation;
+        std::uint32_t generation = 0; // of the slot's use
         instant sentAt;
+        instant firstTokenAt; // sentAt until it comes
         token_count expectedCached;
-        std::uint64_t units = 1; // work in the attempt, for comparing latencies
+        bool hasPrompt = false;
         std::optional<exposure_key> exposure; // counted in m_exposure until it ends
     };
-    struct candidate_set;
+    struct selection;
 
     void applyChange(const slot_change& change, instant now);
-    const class_cache& cacheOf(const routing_class_id& name);
-    candidate_set gather(const route_request& request, const class_cache& cache, instant now);
-    bool mayUse(const route_request& request, const target_record& record) const;
-    route_choice makeChoice(const route_request& request, const routing_candidate& candidate, route_reason reason) const;
+    std::uint32_t& generation(target_slot slot);
+    const class_cache& cacheOf(const routing_class_id& name, instant now);
+    std::vector<target_slot> followed(const std::vector<target_slot>& allowed) const;
+    std::vector<std::pair<std::uint64_t, target_slot>> buildRing(const std::vector<target_slot>& allowed) const;
+
+    void addCandidate(selection& chosen, target_slot slot, instant now) const;
+    void addAll(selection& chosen, const std::vector<target_slot>& slots, instant now) const;
+    void addSamples(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const;
+    void addPreferred(selection& chosen, const class_cache& cache, instant now) const;
+    void applyBoundedLoad(selection& chosen) const;
+    bool keepTimely(selection& chosen, instant now) const;
+    static no_route explainNone(const selection& chosen);
+    route_choice makeChoice(const selection& chosen, const routing_candidate& candidate, route_reason reason) const;
     static exposure_key exposureKey(const route_request& request, const failure_domain_id& domain);
+    bool mayUse(const route_request& request, const target_record& record) const;
 
     router_settings m_settings;
     target_table m_table;
@@ -171,6 +186,7 @@
     prefix_index m_prefixes;
     health_monitor m_health;
     policy_set m_policies;
+    std::vector<std::uint32_t> m_generations; // by slot; grows when another start of a target takes it
     std::map<routing_class_id, class_cache> m_caches;
     std::map<attempt_id, attempt_state> m_attempts;
     std::map<exposure_key, std::uint32_t> m_exposure; // positive counts alone
--- a/src/router_policy.h
+++ b/src/router_policy.h
@@ -22,11 +22,13 @@
     std::uint32_t outstanding = 0; // our own attempts in flight there
     double load = 0; // outstanding and what reports show of others
     duration wait {};
-    duration prefill {}; // of the tokens that aren't cached
+    duration own {}; // prefill of the tokens that aren't cached, or the service's time
+    duration total {}; // until the whole answer
     duration network {};
     token_count cached; // expected
     double weight = 1; // health, above 0
-    double cost = 0; // seconds; the default's score
+    duration cost {}; // the default's score
+    duration costUncached {}; // the same if nothing were cached
 };
 
 // Random numbers from one seed; equal on every machine.
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -52,6 +52,8 @@
 // What is known of one target after merging.
 struct target_record {
     listed_target listed; // incarnation and state are the merged ones
+    label_map labels; // the listed ones, overlaid by operators' own
+    bool absent = false; // neither listed nor heard of lately; ends when it's seen again
     weight_version version; // last reported; zero before the first report
     model_id model; // last reported
     instant stateSince;
@@ -74,9 +76,10 @@
 };
 
 struct target_table_settings {
-    // A target that's absent from the list and silent for so long is gone.
+    // A target that's missing from the list and silent for so long is absent.
     duration absenceGrace = std::chrono::seconds(30);
-    // Gone targets are remembered for so long, so that late rows can't revive them.
+    // Targets are remembered for so long after they were last seen, so that late
+    // rows can't revive those that left.
     duration goneMemory = std::chrono::minutes(10);
 };
 
@@ -86,15 +89,16 @@
 
     // Merges one row; rows of an older incarnation are ignored.
     slot_change applyRow(const listed_target& row, instant now);
-    // Merges a whole list: rows as above, then absent and silent targets are gone.
+    // Merges a whole list: rows as above; targets not in it and silent become absent.
     std::vector<slot_change> applyList(const std::vector<listed_target>& rows, instant now);
     // A report proves that the incarnation runs, and says what it serves.
     slot_change applyReport(const target_id& id, incarnation reported, weight_version version, const model_id& model, instant now);
     // Sets the state of one incarnation (older ones are ignored) from any source.
     slot_change advanceState(const target_id& id, incarnation seen, target_state state, instant now);
-    // Labels are operators' settings: they hold from now on, whatever the incarnation.
-    slot_change setLabels(const target_id& id, label_map labels, instant now);
-    // Frees slots of targets gone for long.
+    // Operators' labels win over listed ones of the same name, for all incarnations;
+    // each call replaces the earlier labels. The target need not be known yet.
+    slot_change setLabels(const target_id& id, label_map labels);
+    // Frees slots of targets gone or absent for long.
     std::vector<slot_change> expire(instant now);
 
     // Defines or replaces a class: the targets whose records satisfy the predicate.
@@ -124,19 +128,23 @@
     struct routing_class {
         target_predicate predicate;
         std::vector<target_slot> allowed; // sorted; each is live and satisfies the predicate
-        std::uint64_t version = 1;
+        std::uint64_t version = 0;
     };
 
     target_slot addSlot(const listed_target& row, instant now);
-    void setState(target_record& record, target_state state, instant now);
+    void restart(target_record& record, incarnation seen, target_state state, instant now);
+    void relabel(target_record& record);
+    void markAbsent(target_slot slot, instant now);
     void refreshClasses(target_slot slot);
-    static void refreshClass(routing_class& group, target_slot slot, bool wanted);
+    void refreshClass(routing_class& group, target_slot slot, bool wanted);
 
     target_table_settings m_settings;
     std::vector<slot_entry> m_slots; // index is the slot number
     std::vector<target_slot> m_free;
     std::map<target_id, target_slot> m_byName; // exactly the used slots
+    std::map<target_id, label_map> m_operatorLabels;
     std::map<routing_class_id, routing_class> m_classes;
+    std::uint64_t m_lastVersion = 0; // never reused, also when a class is removed and set again
 };
 
 } // namespace lovagerail
