Usage: count at the serving instance in numbered segments with copies

Cause: usage has to survive the death of the instance that counted it, and every repeat of an event or a copy has to count once. Change: events are counted in an open segment that is cut each flush interval; segments are immutable and numbered without gaps within an incarnation, so a number says exactly what a reader has.

--- a/src/usage.h
+++ b/src/usage.h
@@ -94,10 +94,19 @@
     pool_id pool;
 };
 
+// Work at one target: as we counted it, and as the target itself reports it.
+struct target_usage {
+    usage_figures counted;
+    usage_figures reported;
+
+    target_usage& operator+=(const target_usage& other);
+    friend bool operator==(const target_usage&, const target_usage&) = default;
+};
+
 // The same work added up twice, by account and by target, on separate paths.
 struct usage_ledger {
     std::map<usage_key, usage_figures> accounts;
-    std::map<target_id, usage_figures> targets;
+    std::map<target_id, target_usage> targets;
 
     usage_ledger& operator+=(const usage_ledger& other);
     bool empty() const { return accounts.empty() && targets.empty(); }
@@ -128,13 +137,16 @@
 // Immutable segments of one origin, in order, from the first not yet sealed.
 class segment_log {
 public:
-    // Takes the next segment; a repeat is dropped. False if one is missing before it.
-    bool add(const usage_batch& segment);
-    // Batches from `from` on, one for each window up to `last`. Empty if `from` was dropped.
+    // Takes the next segment; drops repeats and what would leave a gap.
+    void add(const usage_batch& segment);
+    // Batches from `from` on, one for each window up to `last`. The first one starts
+    // at `from` even if segments were dropped there: below the log's start all is sealed.
     std::vector<usage_batch> batches(segment_number from, window_number last) const;
+    // Segments below are sealed: they aren't needed any more.
     void dropBelow(segment_number sealed);
-    // Drops segments of windows older than `oldest`; returns how many unsealed ones went.
+    // Drops segments of windows before `oldest`; returns how many unsealed ones went.
     std::size_t dropWindowsBefore(window_number oldest);
+    segment_number start() const { return m_segments.empty() ? m_next : m_segments.begin()->first; }
     segment_number next() const { return m_next; }
     const std::map<segment_number, usage_batch>& segments() const { return m_segments; }
 
@@ -186,6 +198,33 @@
 struct usage_position {
     usage_origin origin;
     segment_number next; // all segments below are held or sealed
+    friend bool operator==(const usage_position&, const usage_position&) = default;
+};
+
+// Segments on their way to one holder of copies.
+struct copy_push {
+    usage_origin origin;
+    segment_number unsealedFrom; // all below are sealed
+    std::vector<usage_batch> segments;
+};
+Json::Value toJson(const copy_push& push);
+result<copy_push> copyPushFromJson(const Json::Value& json);
+
+// Brings the holders of copies up to date, one push to each at a time.
+class copy_sender {
+public:
+    // What to send now. A holder that isn't listed any more is forgotten.
+    std::map<instance_id, copy_push> pushes(const usage_origin& self, const segment_log& log, const std::vector<instance_id>& holders);
+    // The holder answered that it holds all below `next`; it may have restarted with less.
+    void acknowledged(const instance_id& holder, segment_number next);
+    void failed(const instance_id& holder); // the same segments go again with the next call
+
+private:
+    struct progress {
+        segment_number next;
+        bool underWay = false;
+    };
+    std::map<instance_id, progress> m_holders;
 };
 
 // Segments of other instances that this one keeps in case they die.
@@ -193,15 +232,21 @@
 public:
     explicit usage_copies(usage_settings settings);
 
-    // Returns what is held afterwards: the sender goes on from there.
-    segment_number add(const usage_batch& segment, wall_time now);
+    // Returns what is held afterwards: the answer for copy_sender::acknowledged().
+    segment_number add(const copy_push& push, wall_time now);
     std::vector<usage_position> held() const;
     std::vector<usage_batch> batches(const usage_origin& origin, segment_number from, window_number last) const;
     void dropBelow(const usage_position& sealed);
+    // Drops what is older than the retention.
+    void expire(wall_time now);
 
 private:
+    struct kept {
+        segment_log log;
+        window_number touched; // the last window in which its origin pushed
+    };
     usage_settings m_settings;
-    std::map<usage_origin, segment_log> m_logs;
+    std::map<usage_origin, kept> m_kept;
 };
 
 // The instances that hold copies of `self`: rendezvous hashing over the live
--- a/src/usage_window.h
+++ b/src/usage_window.h
@@ -39,12 +39,15 @@
     friend bool operator==(const account_usage&, const account_usage&) = default;
 };
 
-// A target whose figures aren't what the accounts were counted with, in sum over all.
+// Sums that ought to be equal and aren't. Requests aren't compared: a request
+// may take several attempts.
 struct usage_difference {
-    usage_figures accounts;
-    usage_figures targets;
+    target_id target; // empty: the sum over accounts against the sum over targets
+    usage_figures counted; // by account, or by us at this target
+    usage_figures reported; // by target, or by the target itself
     friend bool operator==(const usage_difference&, const usage_difference&) = default;
 };
+constexpr std::size_t differencesKept = 64;
 
 struct origin_mark {
     segment_number next; // segments below are in this or an earlier sealed window
@@ -56,8 +59,9 @@
     window_number window;
     std::map<client_account_id, account_usage> accounts;
     std::map<usage_origin, origin_mark> included;
-    std::map<target_id, usage_figures> targets;
-    std::vector<usage_difference> differences; // empty if the sums agree, else one
+    usage_figures total; // of all accounts, late ones and retries included
+    std::vector<usage_difference> differences; // the first ones, in order of targets
+    std::uint64_t differenceCount = 0;
     std::vector<instance_id> missing; // live instances that did not answer in time
     friend bool operator==(const sealed_window&, const sealed_window&) = default;
 };
