--- /dev/null
+++ b/src/daemon/messages.h
@@ -0,0 +1,48 @@
+// What the serving and the control thread tell each other.
+#pragma once
+
+#include "http/server.h"
+#include "serving.h"
+
+#include <variant>
+#include <vector>
+
+namespace lovagerail::daemon {
+
+// --- Control to serving ---
+
+struct new_config {
+    config_ptr inForce;
+};
+struct new_denials {
+    std::vector<deny_mark> marks;
+};
+struct new_targets {
+    std::vector<listed_target> rows;
+};
+struct cancel_job {
+    job_id job;
+};
+struct serving_mode {
+    bool cutOff = false;
+    bool draining = false;
+};
+using to_serving = std::variant<new_config, new_denials, new_targets, generation_job, cancel_job, serving_mode>;
+
+// --- Serving to control ---
+
+struct trainer_call_in {
+    trainer_request request;
+    http::exchange_ptr answer;
+};
+struct served_versions {
+    // What live targets report, for the rollouts that they may serve.
+    std::vector<std::pair<target_id, weight_version>> versions;
+};
+struct serving_state {
+    std::size_t open = 0;
+    serving_counts counts;
+};
+using to_control = std::variant<trainer_call_in, job_news, serving_record, served_versions, serving_state>;
+
+} // namespace lovagerail::daemon
--- /dev/null
+++ b/src/http/async.cpp
@@ -0,0 +1,47 @@
+// Gathering events into answers.
+#include "http/async.h"
+
+namespace lovagerail::http {
+
+void async_caller::call(request wanted, answer_function onAnswer)
+{
+    wanted.id = ++m_lastId;
+    const auto id = wanted.id;
+    open_call open;
+    open.onAnswer = std::move(onAnswer);
+    if (m_transfers.start(std::move(wanted))) {
+        m_open.emplace(id, std::move(open));
+        return;
+    }
+    open.got.detail = "too many requests wait";
+    m_refused.push_back(std::move(open));
+}
+
+void async_caller::poll()
+{
+    for (auto& refused : std::exchange(m_refused, {}))
+        refused.onAnswer(refused.got);
+    event next;
+    while (m_transfers.tryPop(next)) {
+        const auto found = m_open.find(next.id);
+        if (found == m_open.end())
+            continue;
+        auto& open = found->second;
+        if (next.what == event::kind::Head) {
+            open.got.headers = std::move(next.headers);
+            continue;
+        }
+        if (next.what == event::kind::Body) {
+            open.got.body += next.bytes;
+            continue;
+        }
+        open.got.status = next.status;
+        open.got.outcome = next.outcome;
+        open.got.detail = std::move(next.detail);
+        auto done = std::move(open);
+        m_open.erase(found);
+        done.onAnswer(done.got);
+    }
+}
+
+} // namespace lovagerail::http
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,295 @@
+// The multi handle, its easy handles and their callbacks.
+#include "http/client.h"
+
+#include <algorithm>
+#include <cctype>
+#include <curl/curl.h>
+#include <mutex>
+#include <unordered_map>
+
+namespace lovagerail::http {
+
+namespace {
+
+    constexpr long keptConnections = 256;
+
+    struct transfer {
+        request wanted;
+        CURL* easy = nullptr;
+        curl_slist* headerLines = nullptr;
+        std::vector<event>* sink = nullptr;
+        header_list headers;
+        bool headTold = false;
+        std::chrono::steady_clock::time_point lastByte;
+    };
+
+    void startLibrary()
+    {
+        static std::once_flag once;
+        std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+    }
+
+    int statusOf(CURL* easy)
+    {
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        return static_cast<int>(status);
+    }
+
+    // Tells the head once, before the first byte of the body or the end.
+    void tellHead(transfer& t)
+    {
+        if (t.headTold)
+            return;
+        t.headTold = true;
+        event head;
+        head.what = event::kind::Head;
+        head.id = t.wanted.id;
+        head.status = statusOf(t.easy);
+        head.headers = t.headers;
+        t.sink->push_back(std::move(head));
+    }
+
+    std::string lower(std::string_view text)
+    {
+        std::string out(text);
+        std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return out;
+    }
+
+    std::string_view trim(std::string_view text)
+    {
+        constexpr std::string_view blanks = " \t\r\n";
+        const auto first = text.find_first_not_of(blanks);
+        if (first == std::string_view::npos)
+            return {};
+        const auto last = text.find_last_not_of(blanks);
+        return text.substr(first, last - first + 1);
+    }
+
+    std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& t = *static_cast<transfer*>(user);
+        const std::string_view line(data, size * count);
+        t.lastByte = std::chrono::steady_clock::now();
+        // A new status line starts a new head (after "100 Continue").
+        if (line.substr(0, 5) == "HTTP/") {
+            t.headers.clear();
+            return line.size();
+        }
+        const auto colon = line.find(':');
+        if (colon != std::string_view::npos)
+            t.headers.emplace_back(lower(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))));
+        return line.size();
+    }
+
+    std::size_t onBody(char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& t = *static_cast<transfer*>(user);
+        t.lastByte = std::chrono::steady_clock::now();
+        tellHead(t);
+        event body;
+        body.what = event::kind::Body;
+        body.id = t.wanted.id;
+        body.bytes.assign(data, size * count);
+        t.sink->push_back(std::move(body));
+        return size * count;
+    }
+
+    // What the peer can have seen of a request that libcurl ended with this code.
+    transfer_result outcomeOf(const transfer& t, CURLcode code)
+    {
+        if (code == CURLE_OK)
+            return transfer_result::Whole;
+        if (statusOf(t.easy) != 0)
+            return transfer_result::Truncated;
+        long sent = 0;
+        curl_easy_getinfo(t.easy, CURLINFO_REQUEST_SIZE, &sent);
+        return sent == 0 ? transfer_result::NotSent : transfer_result::NoAnswer;
+    }
+
+} // namespace
+
+std::string_view findHeader(const header_list& headers, std::string_view lowerName)
+{
+    for (const auto& [name, value] : headers) {
+        if (name == lowerName)
+            return value;
+    }
+    return {};
+}
+
+struct client::state {
+    CURLM* multi = nullptr;
+    std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
+    std::vector<event> pending;
+
+    void release(transfer& t) const
+    {
+        curl_multi_remove_handle(multi, t.easy);
+        curl_easy_cleanup(t.easy);
+        curl_slist_free_all(t.headerLines);
+    }
+
+    void finish(transfer& t, transfer_result outcome, std::string detail)
+    {
+        event done;
+        done.what = event::kind::Done;
+        done.id = t.wanted.id;
+        done.status = statusOf(t.easy);
+        done.outcome = outcome;
+        done.detail = std::move(detail);
+        pending.push_back(std::move(done));
+        const auto id = t.wanted.id;
+        release(t);
+        transfers.erase(id);
+    }
+
+    // Ends transfers whose peer has been silent for too long.
+    void endSilent()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<transfer*> silent;
+        for (const auto& [id, t] : transfers) {
+            if (t->wanted.idleTimeout.count() == 0 || now - t->lastByte < t->wanted.idleTimeout)
+                continue;
+            silent.push_back(t.get());
+        }
+        for (auto* t : silent)
+            finish(*t, outcomeOf(*t, CURLE_OPERATION_TIMEDOUT), "peer silent for too long");
+    }
+};
+
+client::client()
+    : m_state(std::make_unique<state>())
+{
+    startLibrary();
+    m_state->multi = curl_multi_init();
+    curl_multi_setopt(m_state->multi, CURLMOPT_MAXCONNECTS, keptConnections);
+}
+
+client::~client()
+{
+    for (auto& [id, t] : m_state->transfers)
+        m_state->release(*t);
+    curl_multi_cleanup(m_state->multi);
+}
+
+void client::start(request wanted)
+{
+    auto owned = std::make_unique<transfer>();
+    transfer& t = *owned;
+    t.wanted = std::move(wanted);
+    t.sink = &m_state->pending;
+    t.lastByte = std::chrono::steady_clock::now();
+    t.easy = curl_easy_init();
+
+    // Step 1. Where to and for how long.
+    curl_easy_setopt(t.easy, CURLOPT_URL, t.wanted.url.c_str());
+    curl_easy_setopt(t.easy, CURLOPT_CUSTOMREQUEST, t.wanted.method.c_str());
+    curl_easy_setopt(t.easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(t.wanted.connectTimeout.count()));
+    curl_easy_setopt(t.easy, CURLOPT_TIMEOUT_MS, static_cast<long>(t.wanted.totalTimeout.count()));
+    curl_easy_setopt(t.easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(t.easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(t.easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(t.easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(t.easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    if (!t.wanted.caFile.empty())
+        curl_easy_setopt(t.easy, CURLOPT_CAINFO, t.wanted.caFile.c_str());
+    if (t.wanted.reuse == connection_reuse::Forbidden)
+        curl_easy_setopt(t.easy, CURLOPT_FRESH_CONNECT, 1L);
+
+    // Step 2. Headers are what we were given and no more of our own making.
+    for (const auto& [name, value] : t.wanted.headers)
+        t.headerLines = curl_slist_append(t.headerLines, (name + ": " + value).c_str());
+    t.headerLines = curl_slist_append(t.headerLines, "Expect:");
+    curl_easy_setopt(t.easy, CURLOPT_HTTPHEADER, t.headerLines);
+
+    // Step 3. The body, also an empty one where the method wants a length.
+    const bool bodyless = t.wanted.body.empty() && (t.wanted.method == "GET" || t.wanted.method == "HEAD" || t.wanted.method == "DELETE");
+    if (!bodyless) {
+        curl_easy_setopt(t.easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(t.wanted.body.size()));
+        curl_easy_setopt(t.easy, CURLOPT_POSTFIELDS, t.wanted.body.data());
+    }
+    if (t.wanted.method == "HEAD")
+        curl_easy_setopt(t.easy, CURLOPT_NOBODY, 1L);
+
+    // Step 4. Where answers go.
+    curl_easy_setopt(t.easy, CURLOPT_PRIVATE, &t);
+    curl_easy_setopt(t.easy, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(t.easy, CURLOPT_HEADERDATA, &t);
+    curl_easy_setopt(t.easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(t.easy, CURLOPT_WRITEDATA, &t);
+
+    curl_multi_add_handle(m_state->multi, t.easy);
+    m_state->transfers[t.wanted.id] = std::move(owned);
+}
+
+void client::cancel(std::uint64_t id)
+{
+    const auto found = m_state->transfers.find(id);
+    if (found == m_state->transfers.end())
+        return;
+    m_state->release(*found->second);
+    m_state->transfers.erase(found);
+    auto& pending = m_state->pending;
+    pending.erase(std::remove_if(pending.begin(), pending.end(), [id](const event& e) { return e.id == id; }), pending.end());
+}
+
+std::vector<event> client::poll(std::chrono::milliseconds longest, int wakeDescriptor)
+{
+    // Step 1. Wait for the sockets, the descriptor or the time.
+    curl_waitfd extra {};
+    extra.fd = wakeDescriptor;
+    extra.events = CURL_WAIT_POLLIN;
+    const unsigned extras = wakeDescriptor < 0 ? 0 : 1;
+    if (m_state->pending.empty())
+        curl_multi_poll(m_state->multi, extras ? &extra : nullptr, extras, static_cast<int>(longest.count()), nullptr);
+
+    // Step 2. Move bytes; the callbacks fill the pending events.
+    int running = 0;
+    curl_multi_perform(m_state->multi, &running);
+
+    // Step 3. Gather the transfers that ended.
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(m_state->multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        transfer* t = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &t);
+        const CURLcode code = message->data.result;
+        if (code == CURLE_OK)
+            tellHead(*t);
+        m_state->finish(*t, outcomeOf(*t, code), code == CURLE_OK ? "" : curl_easy_strerror(code));
+    }
+    m_state->endSilent();
+    return std::exchange(m_state->pending, {});
+}
+
+std::size_t client::open() const
+{
+    return m_state->transfers.size();
+}
+
+answer fetch(request wanted)
+{
+    client single;
+    answer got;
+    single.start(std::move(wanted));
+    for (;;) {
+        for (auto& e : single.poll(std::chrono::milliseconds(1000))) {
+            if (e.what == event::kind::Head)
+                got.headers = std::move(e.headers);
+            else if (e.what == event::kind::Body)
+                got.body += e.bytes;
+            else {
+                got.status = e.status;
+                got.outcome = e.outcome;
+                got.detail = std::move(e.detail);
+                return got;
+            }
+        }
+    }
+}
+
+} // namespace lovagerail::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,311 @@
+// The callbacks of libmicrohttpd and the hand-over between its thread and ours.
+#include "http/server.h"
+
+#include "named_thread.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+#include <cstring>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace lovagerail::http {
+
+namespace {
+
+    constexpr std::size_t streamBlockBytes = 16 * 1024;
+    constexpr int listenBacklog = 511;
+
+    std::string lower(const char* text)
+    {
+        std::string out(text);
+        std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return out;
+    }
+
+    // Splits "IP:port" and binds a listening socket to it.
+    result<int> bindAddress(const std::string& address)
+    {
+        constexpr std::string_view step = "http.listen";
+        const auto colon = address.rfind(':');
+        if (colon == std::string::npos)
+            return failure(error_code::InvalidArgument, step, "address is not IP:port: " + address);
+        sockaddr_in where {};
+        where.sin_family = AF_INET;
+        where.sin_port = htons(static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10)));
+        if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &where.sin_addr) != 1)
+            return failure(error_code::InvalidArgument, step, "not an IP number: " + address);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        const int on = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        if (bind(descriptor, reinterpret_cast<sockaddr*>(&where), sizeof where) != 0 || ::listen(descriptor, listenBacklog) != 0) {
+            const std::string why = std::strerror(errno);
+            close(descriptor);
+            return failure(error_code::Unavailable, step, peer_kind::None, address, why);
+        }
+        return descriptor;
+    }
+
+} // namespace
+
+// Entry points from libmicrohttpd; all run on the server's thread.
+struct server_callbacks {
+    // What libmicrohttpd keeps for a connection's request.
+    struct request_slot {
+        exchange_ptr shared;
+        bool tooLarge = false;
+        bool handedOver = false;
+        bool replied = false;
+    };
+
+    static MHD_Result onHeader(void* user, MHD_ValueKind, const char* key, const char* value)
+    {
+        static_cast<header_list*>(user)->emplace_back(lower(key), value == nullptr ? "" : value);
+        return MHD_YES;
+    }
+
+    // Keeps the query as it was sent; libmicrohttpd would decode and split it.
+    static void* onUri(void*, const char* uri, MHD_Connection*)
+    {
+        auto* slot = new request_slot;
+        slot->shared = std::make_shared<exchange>(0);
+        const std::string_view whole(uri);
+        const auto mark = whole.find('?');
+        slot->shared->path = std::string(whole.substr(0, mark));
+        if (mark != std::string_view::npos)
+            slot->shared->query = std::string(whole.substr(mark + 1));
+        return slot;
+    }
+
+    static MHD_Result onAccess(void* user, MHD_Connection* connection, const char*, const char* method, const char*,
+        const char* upload, size_t* uploadSize, void** context)
+    {
+        auto& self = *static_cast<server*>(user);
+        auto& slot = *static_cast<request_slot*>(*context);
+        exchange& x = *slot.shared;
+
+        // Step 1. The head has come.
+        if (x.m_connection == nullptr && !slot.handedOver && x.method.empty()) {
+            x.method = method;
+            x.m_unreadLimit = self.m_limits.unreadBytes;
+            x.m_connection = connection;
+            MHD_get_connection_values(connection, MHD_HEADER_KIND, &onHeader, &x.headers);
+            return MHD_YES;
+        }
+
+        // Step 2. A piece of the body.
+        if (*uploadSize > 0) {
+            slot.tooLarge = slot.tooLarge || x.body.size() + *uploadSize > self.m_limits.bodyBytes;
+            if (!slot.tooLarge)
+                x.body.append(upload, *uploadSize);
+            *uploadSize = 0;
+            return MHD_YES;
+        }
+
+        // Step 3. The request is whole: hand it over once.
+        if (!slot.handedOver) {
+            slot.handedOver = true;
+            if (slot.tooLarge)
+                x.answer(413, { { "content-type", "application/json" } },
+                    R"({"error":{"outcome":"not_run","reason":"body_too_large"}})");
+            else
+                self.m_handler(slot.shared);
+        }
+
+        // Step 4. Answer if the head of the answer is there, else sleep until it is.
+        std::lock_guard lock(x.m_mutex);
+        if (!x.m_begun) {
+            x.m_suspended = true;
+            MHD_suspend_connection(connection);
+            return MHD_YES;
+        }
+        return queueReply(connection, slot);
+    }
+
+    static MHD_Result queueReply(MHD_Connection* connection, request_slot& slot)
+    {
+        exchange& x = *slot.shared;
+        slot.replied = true;
+        MHD_Response* response = nullptr;
+        if (x.m_whole)
+            response = MHD_create_response_from_buffer(x.m_unread.size(), x.m_unread.data(), MHD_RESPMEM_MUST_COPY);
+        else
+            response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, &onRead, new exchange_ptr(slot.shared), &onFree);
+        for (const auto& [name, value] : x.m_answerHeaders)
+            MHD_add_response_header(response, name.c_str(), value.c_str());
+        const auto queued = MHD_queue_response(connection, static_cast<unsigned>(x.m_status), response);
+        MHD_destroy_response(response);
+        return queued;
+    }
+
+    static ssize_t onRead(void* user, std::uint64_t, char* out, size_t room)
+    {
+        exchange& x = **static_cast<exchange_ptr*>(user);
+        std::lock_guard lock(x.m_mutex);
+        if (!x.m_unread.empty()) {
+            const auto count = std::min(room, x.m_unread.size());
+            std::memcpy(out, x.m_unread.data(), count);
+            x.m_unread.erase(0, count);
+            return static_cast<ssize_t>(count);
+        }
+        if (x.m_aborted)
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        if (x.m_ended)
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        if (x.m_connection == nullptr)
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        x.m_suspended = true;
+        MHD_suspend_connection(x.m_connection);
+        return 0;
+    }
+
+    static void onFree(void* user) { delete static_cast<exchange_ptr*>(user); }
+
+    static void onCompleted(void*, MHD_Connection*, void** context, MHD_RequestTerminationCode)
+    {
+        auto* slot = static_cast<request_slot*>(*context);
+        if (slot == nullptr)
+            return;
+        {
+            std::lock_guard lock(slot->shared->m_mutex);
+            slot->shared->m_connection = nullptr;
+        }
+        delete slot;
+        *context = nullptr;
+    }
+};
+
+void exchange::resumeLocked()
+{
+    if (!m_suspended || m_connection == nullptr)
+        return;
+    m_suspended = false;
+    MHD_resume_connection(m_connection);
+}
+
+void exchange::begin(int status, header_list answerHeaders)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_begun)
+        return;
+    m_begun = true;
+    m_status = status;
+    m_answerHeaders = std::move(answerHeaders);
+    resumeLocked();
+}
+
+bool exchange::append(std::string_view bytes)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_connection == nullptr || m_ended || m_aborted)
+        return false;
+    if (m_unread.size() + bytes.size() > m_unreadLimit) {
+        m_aborted = true;
+        m_unread.clear();
+        resumeLocked();
+        return false;
+    }
+    m_unread.append(bytes);
+    resumeLocked();
+    return true;
+}
+
+void exchange::end()
+{
+    std::lock_guard lock(m_mutex);
+    m_ended = true;
+    resumeLocked();
+}
+
+void exchange::abort()
+{
+    std::lock_guard lock(m_mutex);
+    m_aborted = true;
+    m_begun = true;
+    resumeLocked();
+}
+
+void exchange::answer(int status, header_list answerHeaders, std::string whole)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_begun)
+        return;
+    m_begun = true;
+    m_ended = true;
+    m_whole = true;
+    m_status = status;
+    m_answerHeaders = std::move(answerHeaders);
+    m_unread = std::move(whole);
+    resumeLocked();
+}
+
+bool exchange::callerGone() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_connection == nullptr;
+}
+
+result<std::unique_ptr<server>> server::listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest)
+{
+    const auto bound = bindAddress(address);
+    if (!bound)
+        return tl::unexpected(bound.error());
+    std::unique_ptr<server> self(new server);
+    self->m_limits = limits;
+    self->m_handler = std::move(onRequest);
+    self->m_listener = *bound;
+
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+    std::vector<MHD_OptionItem> options {
+        { MHD_OPTION_LISTEN_SOCKET, *bound, nullptr },
+        { MHD_OPTION_CONNECTION_LIMIT, limits.connections, nullptr },
+        { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(limits.headerBytes), nullptr },
+        { MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, nullptr },
+        { MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress, nullptr },
+        { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(threadStackBytes), nullptr },
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), nullptr },
+        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), nullptr },
+    };
+    if (!tls.certificatePem.empty()) {
+        flags |= MHD_USE_TLS;
+        options.push_back({ MHD_OPTION_HTTPS_MEM_CERT, 0, const_cast<char*>(tls.certificatePem.c_str()) });
+        options.push_back({ MHD_OPTION_HTTPS_MEM_KEY, 0, const_cast<char*>(tls.keyPem.c_str()) });
+    }
+    options.push_back({ MHD_OPTION_END, 0, nullptr });
+    self->m_daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &server_callbacks::onAccess, self.get(), MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
+    if (self->m_daemon == nullptr) {
+        close(*bound);
+        return failure(error_code::Internal, "http.listen", peer_kind::None, address, "libmicrohttpd could not start");
+    }
+    return self;
+}
+
+server::~server()
+{
+    if (m_daemon != nullptr)
+        MHD_stop_daemon(m_daemon);
+    if (m_listener >= 0)
+        close(m_listener);
+}
+
+void server::stopListening()
+{
+    if (m_listener < 0)
+        return;
+    m_listener = -1;
+    const auto descriptor = MHD_quiesce_daemon(m_daemon);
+    if (descriptor != MHD_INVALID_SOCKET)
+        close(descriptor);
+}
+
+unsigned server::openConnections() const
+{
+    const auto* info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info == nullptr ? 0 : info->num_connections;
+}
+
+} // namespace lovagerail::http
--- /dev/null
+++ b/src/platform/kv_codec.cpp
@@ -0,0 +1,240 @@
+// Base64 keys and values, 64-bit numbers as texts.
+#include "platform/kv_codec.h"
+
+#include <cstdlib>
+#include <json/json.h>
+#include <memory>
+#include <openssl/evp.h>
+
+namespace lovagerail::platform {
+
+namespace {
+
+    std::string toBase64(std::string_view bytes)
+    {
+        std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        out.resize(static_cast<std::size_t>(length));
+        return out;
+    }
+
+    std::string fromBase64(const std::string& text)
+    {
+        if (text.empty())
+            return {};
+        std::string out(text.size() / 4 * 3 + 3, '\0');
+        const auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+            reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+        if (length < 0)
+            return {};
+        auto size = static_cast<std::size_t>(length);
+        // EVP_DecodeBlock counts the padding as bytes.
+        if (text.back() == '=')
+            --size;
+        if (text.size() > 1 && text[text.size() - 2] == '=')
+            --size;
+        out.resize(size);
+        return out;
+    }
+
+    std::int64_t numberOf(const Json::Value& value)
+    {
+        if (value.isString())
+            return std::strtoll(value.asCString(), nullptr, 10);
+        return value.isIntegral() ? value.asInt64() : 0;
+    }
+
+    revision revisionOf(const Json::Value& value)
+    {
+        return revision(static_cast<std::uint64_t>(numberOf(value)));
+    }
+
+    std::string compact(const Json::Value& value)
+    {
+        Json::StreamWriterBuilder writer;
+        writer["indentation"] = "";
+        return Json::writeString(writer, value);
+    }
+
+    Json::Value rangeJson(const kv_range& range)
+    {
+        Json::Value out(Json::objectValue);
+        out["key"] = toBase64(range.key);
+        if (!range.rangeEnd.empty())
+            out["range_end"] = toBase64(range.rangeEnd);
+        if (range.limit > 0)
+            out["limit"] = std::to_string(range.limit);
+        if (range.at != revision())
+            out["revision"] = std::to_string(range.at.value());
+        if (range.keysOnly)
+            out["keys_only"] = true;
+        return out;
+    }
+
+    Json::Value operationJson(const kv_operation& operation)
+    {
+        Json::Value out(Json::objectValue);
+        if (const auto* range = std::get_if<kv_range>(&operation)) {
+            out["request_range"] = rangeJson(*range);
+        } else if (const auto* put = std::get_if<kv_put>(&operation)) {
+            auto& body = out["request_put"];
+            body["key"] = toBase64(put->key);
+            body["value"] = toBase64(put->value);
+            if (put->lease != kv_lease_id())
+                body["lease"] = std::to_string(put->lease.value());
+        } else {
+            const auto& erase = std::get<kv_delete>(operation);
+            auto& body = out["request_delete_range"];
+            body["key"] = toBase64(erase.key);
+            if (!erase.rangeEnd.empty())
+                body["range_end"] = toBase64(erase.rangeEnd);
+        }
+        return out;
+    }
+
+    Json::Value compareJson(const kv_compare& compare)
+    {
+        Json::Value out(Json::objectValue);
+        out["key"] = toBase64(compare.key);
+        out["result"] = "EQUAL";
+        switch (compare.field) {
+        case kv_field::ModRevision:
+            out["target"] = "MOD";
+            out["mod_revision"] = std::to_string(compare.number.value());
+            break;
+        case kv_field::CreateRevision:
+            out["target"] = "CREATE";
+            out["create_revision"] = std::to_string(compare.number.value());
+            break;
+        case kv_field::Value:
+            out["target"] = "VALUE";
+            out["value"] = toBase64(compare.value);
+            break;
+        }
+        return out;
+    }
+
+    Json::Value transactionJson(const kv_transaction& transaction)
+    {
+        Json::Value out(Json::objectValue);
+        out["compare"] = Json::Value(Json::arrayValue);
+        out["success"] = Json::Value(Json::arrayValue);
+        out["failure"] = Json::Value(Json::arrayValue);
+        for (const auto& compare : transaction.compares)
+            out["compare"].append(compareJson(compare));
+        for (const auto& operation : transaction.then)
+            out["success"].append(operationJson(operation));
+        for (const auto& operation : transaction.otherwise)
+            out["failure"].append(operationJson(operation));
+        return out;
+    }
+
+    kv_entry entryOf(const Json::Value& value)
+    {
+        kv_entry entry;
+        entry.key = fromBase64(value["key"].asString());
+        entry.value = fromBase64(value["value"].asString());
+        entry.createRevision = revisionOf(value["create_revision"]);
+        entry.modRevision = revisionOf(value["mod_revision"]);
+        entry.lease = kv_lease_id(numberOf(value["lease"]));
+        return entry;
+    }
+
+    void addEntries(const Json::Value& range, kv_answer& answer)
+    {
+        for (const auto& item : range["kvs"])
+            answer.entries.push_back(entryOf(item));
+        answer.more = answer.more || range["more"].asBool();
+    }
+
+    result<Json::Value> parse(std::string_view body, std::string_view step)
+    {
+        Json::CharReaderBuilder builder;
+        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+        Json::Value value;
+        std::string why;
+        if (!reader->parse(body.data(), body.data() + body.size(), &value, &why) || !value.isObject())
+            return failure(error_code::Corrupt, step, peer_kind::KeyValueService, {}, "not a JSON object: " + why);
+        return value;
+    }
+
+} // namespace
+
+kv_wire_request encodeCall(const kv_call& call)
+{
+    if (const auto* range = std::get_if<kv_range>(&call))
+        return { "/v3/kv/range", compact(rangeJson(*range)) };
+    if (const auto* transaction = std::get_if<kv_transaction>(&call))
+        return { "/v3/kv/txn", compact(transactionJson(*transaction)) };
+    Json::Value body(Json::objectValue);
+    if (const auto* grant = std::get_if<kv_grant>(&call)) {
+        body["TTL"] = std::to_string(grant->seconds);
+        return { "/v3/lease/grant", compact(body) };
+    }
+    if (const auto* keep = std::get_if<kv_keep_alive>(&call)) {
+        body["ID"] = std::to_string(keep->lease.value());
+        return { "/v3/lease/keepalive", compact(body) };
+    }
+    body["ID"] = std::to_string(std::get<kv_revoke>(call).lease.value());
+    return { "/v3/lease/revoke", compact(body) };
+}
+
+kv_wire_request encodeWatch(const std::string& key, const std::string& rangeEnd, revision from)
+{
+    Json::Value body(Json::objectValue);
+    auto& create = body["create_request"];
+    create["key"] = toBase64(key);
+    if (!rangeEnd.empty())
+        create["range_end"] = toBase64(rangeEnd);
+    if (from != revision())
+        create["start_revision"] = std::to_string(from.value());
+    return { "/v3/watch", compact(body) };
+}
+
+result<kv_answer> decodeAnswer(const kv_call& call, std::string_view body)
+{
+    const auto parsed = parse(body, "kv.answer");
+    if (!parsed)
+        return tl::unexpected(parsed.error());
+    const Json::Value& value = *parsed;
+    kv_answer answer;
+    answer.at = revisionOf(value["header"]["revision"]);
+    if (std::holds_alternative<kv_range>(call)) {
+        addEntries(value, answer);
+    } else if (std::holds_alternative<kv_transaction>(call)) {
+        answer.succeeded = value["succeeded"].asBool();
+        for (const auto& response : value["responses"])
+            addEntries(response["response_range"], answer);
+    } else if (std::holds_alternative<kv_grant>(call)) {
+        answer.lease = kv_lease_id(numberOf(value["ID"]));
+        answer.leaseSeconds = numberOf(value["TTL"]);
+    } else if (const auto* keep = std::get_if<kv_keep_alive>(&call)) {
+        answer.lease = keep->lease;
+        answer.leaseSeconds = numberOf(value["result"]["TTL"]);
+    }
+    return answer;
+}
+
+result<kv_news> decodeNews(std::string_view line)
+{
+    const auto parsed = parse(line, "kv.watch");
+    if (!parsed)
+        return tl::unexpected(parsed.error());
+    const Json::Value& body = (*parsed)["result"];
+    kv_news news;
+    news.at = revisionOf(body["header"]["revision"]);
+    news.created = body["created"].asBool();
+    news.compactedTo = revisionOf(body["compact_revision"]);
+    for (const auto& item : body["events"]) {
+        kv_event event;
+        event.deleted = item["type"].asString() == "DELETE";
+        event.entry = entryOf(item["kv"]);
+        news.events.push_back(std::move(event));
+    }
+    if (body["canceled"].asBool())
+        news.ended = error { error_code::Unavailable, "kv.watch", peer_kind::KeyValueService, {}, "watch cancelled by the service" };
+    return news;
+}
+
+} // namespace lovagerail::platform
--- /dev/null
+++ b/src/platform/kv_session.cpp
@@ -0,0 +1,310 @@
+// Budget, endpoints, outcomes and watches of the key-value session.
+#include "platform/kv_session.h"
+
+#include "platform/kv_codec.h"
+
+#include <algorithm>
+
+namespace lovagerail::platform {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusTooManyRequests = 429;
+    constexpr int statusUnavailable = 503;
+    // A stale answer is asked for again at the next endpoint so many times.
+    constexpr int mostStaleTries = 3;
+    constexpr duration firstBackoff = std::chrono::milliseconds(100);
+    constexpr duration longestBackoff = std::chrono::seconds(5);
+    constexpr std::string_view step = "kv.call";
+
+    bool isRead(const kv_call& call) { return std::holds_alternative<kv_range>(call); }
+
+    // What a finished transfer says of the call; the body is decoded elsewhere.
+    std::optional<error> transferError(const kv_call& call, const http::event& event, const std::string& endpoint)
+    {
+        const auto make = [&](error_code code, std::string detail) {
+            return error { code, std::string(step), peer_kind::KeyValueService, endpoint, std::move(detail) };
+        };
+        // A read that was lost changed nothing: it is as good as not sent.
+        const auto lost = isRead(call) ? error_code::Unavailable : error_code::Unknown;
+        switch (event.outcome) {
+        case http::transfer_result::NotSent:
+            return make(error_code::Unavailable, event.detail);
+        case http::transfer_result::NoAnswer:
+        case http::transfer_result::Truncated:
+            return make(lost, event.detail);
+        case http::transfer_result::Whole:
+            break;
+        }
+        if (event.status == statusOk)
+            return std::nullopt;
+        if (event.status == statusTooManyRequests || event.status == statusUnavailable)
+            return make(error_code::Unavailable, "refused with status " + std::to_string(event.status));
+        constexpr int firstServerError = 500;
+        if (event.status >= firstServerError)
+            return make(lost, "status " + std::to_string(event.status));
+        return make(error_code::InvalidArgument, "status " + std::to_string(event.status));
+    }
+
+} // namespace
+
+kv_session::kv_session(kv_session_settings settings, start_function start, cancel_function cancel)
+    : m_settings(std::move(settings))
+    , m_start(std::move(start))
+    , m_cancel(std::move(cancel))
+    , m_tokens(static_cast<double>(m_settings.callsPerSecond))
+{
+}
+
+void kv_session::call(kv_call wanted, answer_function onAnswer)
+{
+    waiting_call waiting;
+    waiting.wanted = std::move(wanted);
+    waiting.onAnswer = std::move(onAnswer);
+    m_queue.push_back(std::move(waiting));
+}
+
+std::uint64_t kv_session::watch(std::string key, std::string rangeEnd, revision from, news_function onNews)
+{
+    const auto id = ++m_lastId;
+    watch_state state;
+    state.key = std::move(key);
+    state.rangeEnd = std::move(rangeEnd);
+    state.next = from;
+    state.onNews = std::move(onNews);
+    m_watches.emplace(id, std::move(state));
+    return id;
+}
+
+void kv_session::endWatch(std::uint64_t watch)
+{
+    const auto found = m_watches.find(watch);
+    if (found == m_watches.end())
+        return;
+    if (found->second.request != 0) {
+        m_watchOf.erase(found->second.request);
+        m_cancel(found->second.request);
+    }
+    m_watches.erase(found);
+}
+
+// Takes one call from the budget; a second's worth can be saved up.
+bool kv_session::spend(instant now)
+{
+    const auto rate = static_cast<double>(m_settings.callsPerSecond);
+    if (!m_filled) {
+        m_filled = true;
+        m_filledAt = now;
+    }
+    m_tokens = std::min(rate, m_tokens + rate * std::chrono::duration<double>(now - m_filledAt).count());
+    m_filledAt = now;
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+void kv_session::poll(instant now)
+{
+    // Step 1. Watches that are not open.
+    for (auto& [id, watch] : m_watches) {
+        if (watch.request != 0 || now < watch.retryAt || !spend(now))
+            continue;
+        openWatch(watch, now);
+        if (watch.request != 0)
+            m_watchOf[watch.request] = id;
+    }
+
+    // Step 2. Calls, in their order, as far as the budget goes.
+    while (!m_queue.empty()) {
+        auto& front = m_queue.front();
+        if (!front.stamped) {
+            front.stamped = true;
+            front.queuedAt = now;
+        }
+        if (now - front.queuedAt > m_settings.longestQueueing) {
+            auto late = std::move(front);
+            m_queue.pop_front();
+            ++m_counts.unavailable;
+            late.onAnswer(failure(error_code::Unavailable, step, peer_kind::KeyValueService, {}, "waited too long for the rate budget"));
+            continue;
+        }
+        if (!spend(now))
+            break;
+        auto next = std::move(front);
+        m_queue.pop_front();
+        send(std::move(next), now);
+    }
+    for (auto& waiting : m_queue) {
+        if (waiting.stamped)
+            continue;
+        waiting.stamped = true;
+        waiting.queuedAt = now;
+    }
+}
+
+void kv_session::send(waiting_call call, instant now)
+{
+    const auto wire = encodeCall(call.wanted);
+    http::request wanted;
+    wanted.id = ++m_lastId;
+    wanted.method = "POST";
+    wanted.url = m_settings.endpoints[m_endpoint] + wire.path;
+    wanted.headers = { { "Content-Type", "application/json" } };
+    wanted.body = wire.body;
+    wanted.totalTimeout = m_settings.callTimeout;
+    // A write that libcurl repeats by itself would hide an unknown outcome.
+    wanted.reuse = isRead(call.wanted) ? http::connection_reuse::Allowed : http::connection_reuse::Forbidden;
+    const auto id = wanted.id;
+    ++m_counts.calls;
+    open_call open;
+    open.call = std::move(call);
+    const bool started = m_start(std::move(wanted));
+    if (started) {
+        m_open.emplace(id, std::move(open));
+        return;
+    }
+    http::event refused;
+    refused.id = id;
+    refused.detail = "ring full";
+    finish(std::move(open), refused, now);
+}
+
+void kv_session::onEvent(const http::event& event, instant now)
+{
+    if (const auto watching = m_watchOf.find(event.id); watching != m_watchOf.end()) {
+        auto& watch = m_watches.at(watching->second);
+        if (event.what == http::event::kind::Body)
+            onWatchBytes(watching->second, event.bytes, now);
+        else if (event.what == http::event::kind::Done)
+            breakWatch(watch, now);
+        return;
+    }
+    const auto found = m_open.find(event.id);
+    if (found == m_open.end())
+        return;
+    if (event.what == http::event::kind::Body) {
+        found->second.body += event.bytes;
+        return;
+    }
+    if (event.what != http::event::kind::Done)
+        return;
+    auto done = std::move(found->second);
+    m_open.erase(found);
+    finish(std::move(done), event, now);
+}
+
+void kv_session::finish(open_call done, const http::event& event, instant now)
+{
+    // Step 1. The transfer itself.
+    if (const auto wrong = transferError(done.call.wanted, event, m_settings.endpoints[m_endpoint])) {
+        m_available = m_available && wrong->code == error_code::InvalidArgument;
+        m_counts.unknown += wrong->code == error_code::Unknown;
+        m_counts.unavailable += wrong->code == error_code::Unavailable;
+        nextEndpoint();
+        done.call.onAnswer(tl::unexpected<error>(*wrong));
+        return;
+    }
+
+    // Step 2. The body.
+    const auto answer = decodeAnswer(done.call.wanted, done.body);
+    if (!answer) {
+        done.call.onAnswer(answer);
+        return;
+    }
+    m_available = true;
+    m_lastAnswer = now;
+
+    // Step 3. A replica that lags must not take us back: ask another one.
+    const bool stale = answer->at < m_highest;
+    if (stale && isRead(done.call.wanted)) {
+        ++m_counts.stale;
+        nextEndpoint();
+        if (++done.call.staleTries <= mostStaleTries) {
+            m_queue.push_front(std::move(done.call));
+            return;
+        }
+        done.call.onAnswer(failure(error_code::Unavailable, step, peer_kind::KeyValueService, {}, "all replicas answer with an old revision"));
+        return;
+    }
+    m_highest = std::max(m_highest, answer->at);
+    done.call.onAnswer(answer);
+}
+
+void kv_session::openWatch(watch_state& watch, instant now)
+{
+    const auto wire = encodeWatch(watch.key, watch.rangeEnd, watch.next);
+    http::request wanted;
+    wanted.id = ++m_lastId;
+    wanted.method = "POST";
+    wanted.url = m_settings.endpoints[m_endpoint] + wire.path;
+    wanted.headers = { { "Content-Type", "application/json" } };
+    wanted.body = wire.body;
+    wanted.reuse = http::connection_reuse::Forbidden;
+    ++m_counts.watches;
+    const auto id = wanted.id;
+    watch.line.clear();
+    if (m_start(std::move(wanted)))
+        watch.request = id;
+    else
+        watch.retryAt = now + firstBackoff;
+}
+
+// Splits the stream into lines; each is one news.
+void kv_session::onWatchBytes(std::uint64_t id, const std::string& bytes, instant now)
+{
+    auto* watch = &m_watches.at(id);
+    watch->line += bytes;
+    std::size_t begin = 0;
+    for (auto end = watch->line.find('\n'); end != std::string::npos; end = watch->line.find('\n', begin)) {
+        const std::string line = watch->line.substr(begin, end - begin);
+        begin = end + 1;
+        if (line.empty())
+            continue;
+        auto news = decodeNews(line);
+        if (!news)
+            continue;
+        news->watch = id;
+        watch->backoff = {};
+        m_available = true;
+        m_lastAnswer = now;
+        // A watch on a replica that lags may tell of what is known already; the
+        // consumer's own rule of revisions holds. The session's mark only grows.
+        m_highest = std::max(m_highest, news->at);
+        for (const auto& e : news->events) {
+            if (e.entry.modRevision >= watch->next)
+                watch->next = e.entry.modRevision.next();
+        }
+        const auto onNews = watch->onNews;
+        const bool over = news->compactedTo != revision();
+        onNews(*news);
+        // The consumer may have ended the watch.
+        const auto still = m_watches.find(id);
+        if (still == m_watches.end())
+            return;
+        watch = &still->second;
+        if (over) {
+            endWatch(id);
+            return;
+        }
+    }
+    watch->line.erase(0, begin);
+}
+
+void kv_session::breakWatch(watch_state& watch, instant now)
+{
+    m_watchOf.erase(watch.request);
+    watch.request = 0;
+    watch.line.clear();
+    watch.backoff = std::clamp(watch.backoff * 2, firstBackoff, longestBackoff);
+    watch.retryAt = now + watch.backoff;
+    nextEndpoint();
+}
+
+void kv_session::nextEndpoint()
+{
+    m_endpoint = (m_endpoint + 1) % m_settings.endpoints.size();
+}
+
+} // namespace lovagerail::platform
--- /dev/null
+++ b/src/serving.cpp
@@ -0,0 +1,427 @@
+// Arrivals, refusals, deadlines and knowledge; attempts are in serving_attempt.cpp.
+#include "serving.h"
+
+#include "serving_edge.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdio>
+#include <json/json.h>
+
+namespace lovagerail {
+
+namespace {
+
+    // Above the numbers of all other transfers of a daemon.
+    constexpr std::uint64_t firstAttempt = std::uint64_t(1) << 40;
+    constexpr int statusUnauthorized = 401;
+    constexpr int statusForbidden = 403;
+    constexpr int statusNotFound = 404;
+    constexpr int statusTooLarge = 413;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusDeadline = 504;
+    constexpr duration defaultRetryAfter = std::chrono::seconds(1);
+    constexpr std::string_view trainerPrefix = "/rollout/v1/";
+
+} // namespace
+
+serving::serving(serving_settings settings)
+    : m_settings(std::move(settings))
+    , m_config(std::make_shared<const config>())
+    , m_router([this] {
+        router_settings own;
+        own.instance = m_settings.instance.str();
+        own.failureDomain = m_settings.failureDomain;
+        own.policy = m_settings.policy;
+        return own;
+    }())
+{
+}
+
+// Names are unique over instances and their restarts.
+request_id serving::newRequestId()
+{
+    char text[40];
+    std::snprintf(text, sizeof text, "-%llx-%llx", static_cast<unsigned long long>(m_settings.life.value()), static_cast<unsigned long long>(++m_lastRequest));
+    return request_id(m_settings.instance.str() + text);
+}
+
+attempt_id serving::newAttemptId()
+{
+    const auto number = ++m_lastAttempt;
+    return attempt_id(firstAttempt + number);
+}
+
+std::string serving::attemptName(attempt_id attempt) const
+{
+    char text[40];
+    std::snprintf(text, sizeof text, "-%llx-a%llx", static_cast<unsigned long long>(m_settings.life.value()),
+        static_cast<unsigned long long>(attempt.value() - firstAttempt));
+    return m_settings.instance.str() + text;
+}
+
+// --- Knowledge -----------------------------------------------------------------
+
+// Takes a newer configuration; classes are built again by the next work that needs them.
+void serving::setConfig(config_ptr inForce)
+{
+    m_config = std::move(inForce);
+    m_keys.update(m_config);
+    for (const auto& name : m_classes)
+        m_router.removeClass(name);
+    m_classes.clear();
+    // Work that waits for a target may run elsewhere now.
+    for (const auto& [at, number] : m_waiting) {
+        auto& request = m_requests.at(number);
+        work item;
+        item.account = m_config->findAccount(request.account);
+        item.on = m_config->findRoute(request.route);
+        item.by = m_config->findRun(request.run);
+        if (request.made)
+            item.model = request.made->wanted().model;
+        classify(request, item);
+    }
+}
+
+std::vector<serving_action> serving::deny(const std::vector<deny_mark>& marks, instant now)
+{
+    const auto denied = m_keys.merge(marks);
+    const std::set<key_id> gone(denied.begin(), denied.end());
+    std::vector<request_number> hit;
+    for (const auto& [number, request] : m_requests) {
+        if (gone.contains(request.key))
+            hit.push_back(number);
+    }
+    std::sort(hit.begin(), hit.end());
+    for (const auto number : hit) {
+        auto& request = m_requests.at(number);
+        if (request.attempt)
+            m_actions.push_back(cancel_attempt { request.attempt->id });
+        refuse(request, statusUnauthorized, "key_withdrawn", "the key was withdrawn", {}, now, wall_time {});
+    }
+    return take();
+}
+
+// --- Refusals --------------------------------------------------------------------
+
+void serving::refuse(caller_handle handle, int status, std::string_view outcome, std::string_view reason, std::string_view message, duration retryAfter)
+{
+    ++m_counts.refused;
+    m_actions.push_back(refusalAnswer(handle, {}, status, outcome, reason, message, retryAfter));
+}
+
+// Ends a request that was taken, saying truthfully whether it can have run.
+void serving::refuse(open_request& request, int status, std::string_view reason, std::string_view message, duration retryAfter, instant now, wall_time wall)
+{
+    const bool ranPartly = request.made && request.made->started();
+    const std::string_view outcome = ranPartly ? "ran" : request.mayHaveRun || request.attempt ? "unknown"
+                                                                                               : "not_run";
+    if (request.attempt)
+        endAttempt(request, attempt_outcome::Timeout, usage_heading::Died, now);
+    note(request, "refused", std::string(reason), wall, { { "outcome", std::string(outcome) } });
+    if (request.job) {
+        job_news news;
+        news.job = *request.job;
+        news.notRun = outcome == "not_run";
+        news.reason = std::string(reason);
+        m_actions.push_back(std::move(news));
+    } else if (request.begun) {
+        m_actions.push_back(abort_answer { *request.caller });
+    } else {
+        m_actions.push_back(refusalAnswer(*request.caller, request.id, status, outcome, reason, message, retryAfter));
+    }
+    const bool refused = outcome == "not_run";
+    ++(refused ? m_counts.refused : m_counts.failed);
+    countServed(request, refused ? request_served::outcome::Refused : request_served::outcome::Failed, now);
+    if (refused && !request.account.empty()) {
+        refused_usage event { request.id, request.account, {}, {} };
+        if (request.made)
+            event.model = model_id(request.made->wanted().model);
+        m_actions.push_back(serving_record { std::move(event) });
+    }
+    erase(request.number);
+}
+
+// --- Arrivals ----------------------------------------------------------------------
+
+std::vector<serving_action> serving::arrive(caller_request request, instant now, wall_time wall)
+{
+    ++m_counts.requests;
+    if (m_draining) {
+        refuse(request.handle, statusUnavailable, "not_run", "draining", "this instance is stopping", defaultRetryAfter);
+        return take();
+    }
+    open_request open;
+    if (!admitCaller(request, open, now))
+        return take();
+    open.arrived = now;
+    open.caller = request.handle;
+    open.method = request.method;
+
+    // Step 1. Trainers' calls go to whoever coordinates their run.
+    if (request.path.rfind(trainerPrefix, 0) == 0) {
+        m_actions.push_back(trainer_request { request.handle, open.account, std::move(request.method), std::move(request.path), std::move(request.query), std::move(request.body) });
+        return take();
+    }
+
+    // Step 2. What the route allows and asks for.
+    const route& on = *m_config->findRoute(open.route);
+    if (request.body.size() > on.maxBodyBytes) {
+        refuse(request.handle, statusTooLarge, "not_run", "body_too_large", "the route takes at most " + std::to_string(on.maxBodyBytes) + " bytes", {});
+        return take();
+    }
+    open.routeName = on.meta.name;
+    open.kind = on.kind;
+    open.priority = on.priority;
+    open.idempotent = on.kind == pool_kind::Engine || isIdempotent(on, request.method);
+    open.deadline = now + std::min<duration>(std::chrono::milliseconds(on.deadlineMs), m_settings.longestRequest);
+    if (on.kind == pool_kind::Engine) {
+        if (!readGeneration(request, on, open))
+            return take();
+    } else {
+        readService(request, open);
+    }
+
+    // Step 3. Where it may run.
+    work item;
+    item.account = m_config->findAccount(open.account);
+    item.on = &on;
+    if (open.made)
+        item.model = open.made->wanted().model;
+    classify(open, item);
+    enter(std::move(open), now, wall);
+    return take();
+}
+
+// Route, key and account. Refuses and returns false unless the request may go on.
+bool serving::admitCaller(const caller_request& request, open_request& out, instant)
+{
+    // Step 1. A key anywhere but in its header would reach a target or a log.
+    if (holdsKeyOutsideHeader(request)) {
+        refuse(request.handle, statusBadRequest, "not_run", "key_outside_header", "a key may stand in the Authorization header alone", {});
+        return false;
+    }
+
+    // Step 2. The route; trainers' paths need none.
+    const bool trainer = request.path.rfind(trainerPrefix, 0) == 0;
+    const route* on = trainer ? nullptr : m_config->findRoute(request.method, request.path);
+    if (on == nullptr && !trainer) {
+        refuse(request.handle, statusNotFound, "not_run", "no_route", "no route for this method and path", {});
+        return false;
+    }
+    if (on != nullptr) {
+        out.route = route_id(on->meta.name);
+        if (on->open)
+            return true;
+    }
+
+    // Step 3. The key.
+    if (m_cutOff) {
+        refuse(request.handle, statusUnavailable, "not_run", "cut_off", "this instance can't confirm keys for now", defaultRetryAfter);
+        return false;
+    }
+    const auto who = m_keys.authenticate(findHeader(request.headers, "authorization"));
+    if (const auto* refusal = std::get_if<key_refusal>(&who)) {
+        refuse(request.handle, statusUnauthorized, "not_run", "key_refused", toString(*refusal), {});
+        return false;
+    }
+    const auto& holder = std::get<key_holder>(who);
+    const auto* account = m_config->findAccount(holder.account);
+    if (account == nullptr || (on != nullptr && !on->accounts.matches(account->meta.labels))) {
+        refuse(request.handle, statusForbidden, "not_run", "account_not_allowed", "the key's account may not use this route", {});
+        return false;
+    }
+    out.key = holder.key;
+    out.account = holder.account;
+    return true;
+}
+
+bool serving::readGeneration(caller_request& request, const route&, open_request& out)
+{
+    auto wanted = parseGeneration(request.path, request.body);
+    if (!wanted) {
+        refuse(request.handle, statusBadRequest, "not_run", "bad_request", wanted.error().detail, {});
+        return false;
+    }
+    out.target = request.path;
+    out.blocks = hashPrompt(wanted->prompt);
+    out.made.emplace(std::move(*wanted));
+    return true;
+}
+
+void serving::readService(caller_request& request, open_request& out) const
+{
+    out.target = request.path;
+    if (!request.query.empty())
+        out.target += "?" + request.query;
+    out.headers = allowedHeaders(request.headers);
+    out.body = std::move(request.body);
+}
+
+// Finds the request's class and defines it at the router once.
+void serving::classify(open_request& request, const work& item)
+{
+    auto place = placeWork(m_config, item);
+    request.routingClass = place.name;
+    if (m_classes.insert(place.name).second)
+        m_router.setClass(place.name, std::move(place.allows));
+}
+
+std::vector<serving_action> serving::arrive(generation_job job, instant now, wall_time wall)
+{
+    open_request open;
+    open.arrived = now;
+    open.job = job.job;
+    open.account = job.account;
+    open.run = job.run;
+    open.routeName = "run/" + job.run.str();
+    open.method = "POST";
+    open.target = "/v1/completions";
+    open.kind = pool_kind::Engine;
+    open.idempotent = true;
+    open.priority = job.priority;
+    open.deadline = now + (job.deadline > duration::zero() ? job.deadline : m_settings.longestRequest);
+
+    work item;
+    item.account = m_config->findAccount(job.account);
+    item.by = m_config->findRun(job.run);
+    if (item.by != nullptr)
+        item.model = item.by->model.str();
+    generation_request wanted;
+    wanted.model = item.model;
+    wanted.prompt = job.prompt + job.madeSoFar;
+    wanted.maxTokens = job.maxTokens;
+    wanted.body["prompt"] = wanted.prompt;
+    if (!wanted.model.empty())
+        wanted.body["model"] = wanted.model;
+    open.blocks = hashPrompt(wanted.prompt);
+    open.made.emplace(std::move(wanted));
+    classify(open, item);
+    enter(std::move(open), now, wall);
+    return take();
+}
+
+void serving::enter(open_request request, instant now, wall_time wall)
+{
+    request.number = ++m_lastRequest;
+    request.id = newRequestId();
+    request.retryAt = now;
+    const auto number = request.number;
+    if (request.caller)
+        m_byCaller[*request.caller] = number;
+    if (request.job)
+        m_byJob[*request.job] = number;
+    m_deadlines.emplace(request.deadline, number);
+    auto& held = m_requests.emplace(number, std::move(request)).first->second;
+    m_waiting.emplace(held.retryAt, number);
+    dispatch(held, now, wall);
+}
+
+// --- Ends from outside ---------------------------------------------------------------
+
+std::vector<serving_action> serving::callerGone(caller_handle handle, instant now, wall_time wall)
+{
+    const auto found = m_byCaller.find(handle);
+    if (found == m_byCaller.end())
+        return take();
+    auto& request = m_requests.at(found->second);
+    ++m_counts.cancelled;
+    note(request, "cancelled", "the caller is gone", wall);
+    if (request.attempt) {
+        m_actions.push_back(cancel_attempt { request.attempt->id });
+        endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
+    }
+    erase(request.number);
+    return take();
+}
+
+std::vector<serving_action> serving::cancel(job_id job, instant now, wall_time wall)
+{
+    const auto found = m_byJob.find(job);
+    if (found == m_byJob.end())
+        return take();
+    auto& request = m_requests.at(found->second);
+    if (request.attempt) {
+        m_actions.push_back(cancel_attempt { request.attempt->id });
+        endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
+    }
+    erase(request.number);
+    return take();
+}
+
+std::vector<serving_action> serving::tick(instant now, wall_time wall)
+{
+    m_router.tick(now);
+
+    // Step 1. Requests whose time is over get their final answer.
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        auto& request = m_requests.at(m_deadlines.begin()->second);
+        if (request.attempt)
+            m_actions.push_back(cancel_attempt { request.attempt->id });
+        refuse(request, statusDeadline, "deadline", "the request's time is over", defaultRetryAfter, now, wall);
+    }
+
+    // Step 2. Requests that wait for a target try again.
+    std::vector<request_number> due;
+    for (const auto& [at, number] : m_waiting) {
+        if (at > now)
+            break;
+        due.push_back(number);
+    }
+    for (const auto number : due) {
+        const auto found = m_requests.find(number);
+        if (found != m_requests.end() && !found->second.attempt)
+            dispatch(found->second, now, wall);
+    }
+    return take();
+}
+
+// --- Records -----------------------------------------------------------------------
+
+void serving::countServed(const open_request& request, request_served::outcome how, instant now)
+{
+    if (request.account.empty())
+        return;
+    request_served event;
+    event.scope.account = request.account;
+    if (request.attempt)
+        event.scope.pool = m_router.table().record(request.attempt->choice.slot).listed.pool;
+    event.how = how;
+    if (request.firstToken != instant())
+        event.firstToken = request.firstToken - request.arrived;
+    event.whole = now - request.arrived;
+    event.queued = (request.firstSent == instant() ? now : request.firstSent) - request.arrived;
+    event.attempts = request.attempts;
+    m_actions.push_back(serving_record { std::move(event) });
+}
+
+void serving::note(const open_request& request, std::string decision, std::string reason, wall_time wall, std::vector<journal_fact> facts)
+{
+    journal_entry entry;
+    entry.at = wall;
+    entry.duty = "serving";
+    entry.subject = request.id.str();
+    entry.decision = std::move(decision);
+    entry.reason = std::move(reason);
+    entry.facts = std::move(facts);
+    m_actions.push_back(serving_record { std::move(entry) });
+}
+
+void serving::erase(request_number number)
+{
+    const auto found = m_requests.find(number);
+    assert(found != m_requests.end());
+    auto& request = found->second;
+    if (request.attempt)
+        m_byAttempt.erase(request.attempt->id);
+    if (request.caller)
+        m_byCaller.erase(*request.caller);
+    if (request.job)
+        m_byJob.erase(*request.job);
+    m_waiting.erase({ request.retryAt, number });
+    m_deadlines.erase({ request.deadline, number });
+    m_requests.erase(found);
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/serving_attempt.cpp
@@ -0,0 +1,406 @@
+// The life of an attempt: choice of a target, the bytes that come back, its end.
+#include "serving.h"
+
+#include "serving_edge.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusTooManyRequests = 429;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusBadGateway = 502;
+    constexpr int firstClientError = 400;
+    constexpr int firstServerError = 500;
+    constexpr duration defaultRetryAfter = std::chrono::seconds(1);
+    constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
+    // How soon a request that found no target looks again, and for how long.
+    constexpr duration noTargetDelay = std::chrono::milliseconds(100);
+    constexpr duration noTargetPatience = std::chrono::seconds(2);
+
+    // SplitMix64: spreads consecutive numbers over all 64 bits.
+    std::uint64_t mix(std::uint64_t value)
+    {
+        value += 0x9e3779b97f4a7c15u;
+        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9u;
+        value = (value ^ (value >> 27)) * 0x94d049bb133111ebu;
+        return value ^ (value >> 31);
+    }
+
+    bool sameName(const std::string& pieceId, const std::string& attempt)
+    {
+        return pieceId == "cmpl-" + attempt || pieceId == "chatcmpl-" + attempt;
+    }
+
+} // namespace
+
+serving::open_request* serving::find(attempt_id attempt)
+{
+    const auto found = m_byAttempt.find(attempt);
+    return found == m_byAttempt.end() ? nullptr : &m_requests.at(found->second);
+}
+
+// Chooses a target and sends an attempt, or waits, or refuses.
+void serving::dispatch(open_request& request, instant now, wall_time wall)
+{
+    assert(!request.attempt);
+
+    // Step 1. Ask the router.
+    route_request asked;
+    asked.routingClass = request.routingClass;
+    asked.account = request.account;
+    asked.run = request.run;
+    asked.promptBlocks = request.blocks;
+    if (request.made) {
+        asked.promptTokens = token_count(request.made->wanted().prompt.size() / bytesPerToken);
+        asked.expectedTokens = token_count(request.made->tokensLeft());
+        asked.resumable = true;
+    }
+    asked.idempotent = request.idempotent;
+    asked.deadline = request.deadline;
+    asked.excluded = request.tried;
+    asked.seed = mix(m_settings.life.value() ^ (request.number << 8) ^ request.attempts);
+    const auto decision = m_router.choose(asked, now);
+    if (const auto* choice = std::get_if<route_choice>(&decision)) {
+        sendTo(request, *choice, asked, now);
+        note(request, "dispatched", std::string(toString(choice->reason)), wall,
+            { { "target", choice->target.str() }, { "attempt", attemptName(request.attempt->id) } });
+        return;
+    }
+
+    // Step 2. All targets were tried: each may be tried once more.
+    const auto& none = std::get<no_route>(decision);
+    if (none.reason == no_route_reason::AllExcluded)
+        request.tried.clear();
+
+    // Step 3. A request that was under way waits a little for another target; a
+    // new one is told at once.
+    const bool underWay = request.attempts > 0 || request.job;
+    const bool patient = underWay && now - request.arrived < noTargetPatience + (request.firstSent == instant() ? duration::zero() : now - request.firstSent);
+    if (!patient || none.reason == no_route_reason::CannotMeetDeadline) {
+        const auto retryAfter = none.retryAfter > duration::zero() ? none.retryAfter : defaultRetryAfter;
+        refuse(request, statusUnavailable, toString(none.reason), "no target can take the request now", retryAfter, now, wall);
+        return;
+    }
+    m_waiting.erase({ request.retryAt, request.number });
+    request.retryAt = now + noTargetDelay;
+    m_waiting.emplace(request.retryAt, request.number);
+}
+
+void serving::sendTo(open_request& request, const route_choice& choice, const route_request& asked, instant now)
+{
+    open_attempt attempt;
+    attempt.id = newAttemptId();
+    attempt.choice = choice;
+    attempt.sentAt = now;
+    m_router.started(attempt.id, choice, asked, now);
+    m_waiting.erase({ request.retryAt, request.number });
+    ++request.attempts;
+    if (request.firstSent == instant())
+        request.firstSent = now;
+
+    send_attempt send;
+    send.attempt = attempt.id;
+    send.method = request.method;
+    send.url = choice.address + request.target;
+    send.repeatable = request.idempotent;
+    if (request.made) {
+        send.headers = { { "Content-Type", "application/json" } };
+        send.body = request.made->attemptBody(request.priority);
+    } else {
+        send.headers = request.headers;
+        send.body = request.body;
+    }
+    send.headers.emplace_back("X-Request-Id", attemptName(attempt.id));
+    m_byAttempt[attempt.id] = request.number;
+    request.attempt = std::move(attempt);
+    m_actions.push_back(std::move(send));
+    if (request.job) {
+        job_news news;
+        news.job = *request.job;
+        news.what = job_news::kind::Accepted;
+        m_actions.push_back(std::move(news));
+    }
+}
+
+std::vector<serving_action> serving::head(attempt_id id, int status, const header_list& headers, instant now)
+{
+    auto* request = find(id);
+    if (request == nullptr)
+        return take();
+    auto& attempt = *request->attempt;
+    attempt.headSeen = true;
+    attempt.status = status;
+    attempt.headers = headers;
+    // An answer that names another attempt is somebody else's.
+    if (findHeader(headers, "x-request-id") != attemptName(id)) {
+        attempt.crossed = true;
+        attempt.fault = "the answer names another request";
+        ++m_counts.crossed;
+    }
+    if (status == statusTooManyRequests || (status == statusUnavailable && findHeader(headers, "x-not-run") == "true"))
+        attempt.refusedByTarget = true;
+    if (!request->made && !attempt.crossed && status < firstServerError) {
+        attempt.firstTokenAt = now;
+        m_router.firstToken(id, now);
+    }
+    return take();
+}
+
+std::vector<serving_action> serving::body(attempt_id id, std::string_view bytes, instant now)
+{
+    auto* request = find(id);
+    if (request == nullptr)
+        return take();
+    auto& attempt = *request->attempt;
+    if (attempt.crossed || !attempt.fault.empty())
+        return take();
+
+    // Step 1. Plain services and refusals are kept until they are whole.
+    if (!request->made || attempt.status != statusOk) {
+        if (attempt.bytes.size() + bytes.size() > m_settings.longestBuffered)
+            attempt.fault = "the answer is too long";
+        else
+            attempt.bytes += bytes;
+        return take();
+    }
+
+    // Step 2. An engine's stream.
+    auto pieces = attempt.reader.feed(bytes);
+    if (!pieces) {
+        attempt.fault = pieces.error().detail;
+        return take();
+    }
+    const auto number = request->number;
+    for (const auto& piece : *pieces) {
+        if (!sameName(piece.id, attemptName(id))) {
+            attempt.crossed = true;
+            attempt.fault = "a chunk names another request";
+            ++m_counts.crossed;
+            break;
+        }
+        takePiece(*request, piece, now);
+        if (!m_requests.contains(number))
+            break;
+    }
+    return take();
+}
+
+// Adds one piece to the generation and passes it on.
+void serving::takePiece(open_request& request, const stream_piece& piece, instant now)
+{
+    auto& attempt = *request.attempt;
+    if (attempt.firstTokenAt == instant() && piece.tokens > 0) {
+        attempt.firstTokenAt = now;
+        m_router.firstToken(attempt.id, now);
+        if (request.firstToken == instant())
+            request.firstToken = now;
+    }
+    attempt.tokens += piece.tokens;
+    if (piece.version)
+        attempt.version = *piece.version;
+    if (piece.usage)
+        attempt.usage = piece.usage;
+    request.made->add(piece);
+
+    if (request.job) {
+        job_news news;
+        news.job = *request.job;
+        news.what = job_news::kind::Piece;
+        news.piece = piece;
+        m_actions.push_back(std::move(news));
+        return;
+    }
+    const bool tells = !piece.text.empty() || !piece.finishReason.empty();
+    if (!request.made->wanted().stream || !tells)
+        return;
+    if (!request.begun) {
+        request.begun = true;
+        m_actions.push_back(begin_answer { *request.caller, statusOk,
+            { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-cache" }, { "X-Request-Id", request.id.str() } } });
+    }
+    m_actions.push_back(append_answer { *request.caller, request.made->pieceEvent(request.id, piece) });
+}
+
+std::vector<serving_action> serving::done(attempt_id id, transfer_end end, instant now, wall_time wall)
+{
+    auto* request = find(id);
+    if (request == nullptr)
+        return take();
+    if (request->made)
+        finishEngine(*request, end, now, wall);
+    else
+        finishService(*request, end, now, wall);
+    return take();
+}
+
+void serving::finishEngine(open_request& request, transfer_end end, instant now, wall_time wall)
+{
+    auto& attempt = *request.attempt;
+    const bool clean = end == transfer_end::Whole && !attempt.crossed && attempt.fault.empty();
+
+    // Step 1. Whole: the end reason and the end marker both came.
+    if (clean && attempt.status == statusOk && attempt.reader.done() && request.made->whole()) {
+        answered(request, now, wall);
+        return;
+    }
+
+    // Step 2. The target refused it without running it.
+    if (clean && attempt.refusedByTarget) {
+        attemptFailed(request, attempt_outcome::Refused, true, "refused by the target", now, wall);
+        return;
+    }
+    if (end == transfer_end::NotSent) {
+        attemptFailed(request, attempt_outcome::Reset, true, "not sent", now, wall);
+        return;
+    }
+
+    // Step 3. The request itself is wrong: the caller gets the engine's words.
+    if (clean && attempt.status >= firstClientError && attempt.status < firstServerError && request.caller && !request.begun) {
+        whole_answer answer { *request.caller, attempt.status, { { "Content-Type", "application/json" } }, attempt.bytes };
+        note(request, "answered", "the engine refused the request itself", wall);
+        endAttempt(request, attempt_outcome::Success, usage_heading::Ended, now);
+        m_actions.push_back(std::move(answer));
+        countServed(request, request_served::outcome::Answered, now);
+        erase(request.number);
+        return;
+    }
+
+    // Step 4. Broken: go on elsewhere from the tokens made so far.
+    const auto outcome = end == transfer_end::Whole ? attempt_outcome::Failure : attempt_outcome::Reset;
+    attemptFailed(request, outcome, false, attempt.fault.empty() ? "the stream broke off" : attempt.fault, now, wall);
+}
+
+void serving::finishService(open_request& request, transfer_end end, instant now, wall_time wall)
+{
+    auto& attempt = *request.attempt;
+    const bool clean = end == transfer_end::Whole && !attempt.crossed && attempt.fault.empty();
+    if (end == transfer_end::NotSent || (clean && attempt.refusedByTarget)) {
+        attemptFailed(request, end == transfer_end::NotSent ? attempt_outcome::Reset : attempt_outcome::Refused, true, "not run", now, wall);
+        return;
+    }
+    // An answer of the service is the answer, whatever its status, unless the
+    // work may be repeated and the service failed.
+    const bool serverError = attempt.status >= firstServerError;
+    if (clean && !(serverError && request.idempotent && request.attempts < m_settings.mostAttempts)) {
+        answered(request, now, wall);
+        return;
+    }
+    const auto outcome = end == transfer_end::Whole ? attempt_outcome::Failure : attempt_outcome::Reset;
+    attemptFailed(request, outcome, false, attempt.fault.empty() ? "no whole answer" : attempt.fault, now, wall);
+}
+
+// The request has its whole answer.
+void serving::answered(open_request& request, instant now, wall_time wall)
+{
+    auto& attempt = *request.attempt;
+    ++m_counts.answered;
+    note(request, "answered", "whole", wall, { { "target", attempt.choice.target.str() }, { "attempts", std::to_string(request.attempts) } });
+
+    if (request.job) {
+        job_news news;
+        news.job = *request.job;
+        news.what = job_news::kind::Finished;
+        news.text = request.made->text();
+        m_actions.push_back(std::move(news));
+    } else if (!request.made) {
+        header_list headers { { "X-Request-Id", request.id.str() } };
+        if (const auto type = findHeader(attempt.headers, "content-type"); !type.empty())
+            headers.emplace_back("Content-Type", std::string(type));
+        m_actions.push_back(whole_answer { *request.caller, attempt.status, std::move(headers), std::move(attempt.bytes) });
+    } else if (request.begun) {
+        m_actions.push_back(append_answer { *request.caller, request.made->endEvents(request.id) });
+        m_actions.push_back(end_answer { *request.caller });
+    } else {
+        m_actions.push_back(whole_answer { *request.caller, statusOk,
+            { { "Content-Type", "application/json" }, { "X-Request-Id", request.id.str() } }, request.made->wholeBody(request.id) });
+    }
+    countServed(request, request_served::outcome::Answered, now);
+    endAttempt(request, attempt_outcome::Success, usage_heading::Ended, now);
+    erase(request.number);
+}
+
+// Tries again where that is allowed, else gives the final answer.
+void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, std::string reason, instant now, wall_time wall)
+{
+    const auto target = request.attempt->choice.target;
+    const bool progressed = request.attempt->tokens > 0;
+    request.mayHaveRun = request.mayHaveRun || !notRun;
+    // Tokens that the caller has are kept; what a job made is told piece by piece.
+    const auto heading = progressed ? usage_heading::Resumed : usage_heading::Retried;
+    endAttempt(request, outcome, heading, now);
+    note(request, "attempt_failed", reason, wall, { { "target", target.str() }, { "not_run", notRun ? "yes" : "no" } });
+
+    // A job's owner decides itself how to go on, under its own attempt numbers.
+    if (request.job && !notRun) {
+        refuse(request, statusBadGateway, "attempt_failed", reason, {}, now, wall);
+        return;
+    }
+    const bool allowed = notRun || request.idempotent;
+    if (!allowed || request.attempts >= m_settings.mostAttempts) {
+        refuse(request, allowed ? statusUnavailable : statusBadGateway, notRun ? "not_run" : "attempt_failed", reason, notRun ? defaultRetryAfter : duration::zero(), now, wall);
+        return;
+    }
+    ++(progressed ? m_counts.resumed : m_counts.retried);
+    request.tried.push_back(target);
+
+    // A generation whose tokens are all made lacks its end alone: let one more token be asked for.
+    const auto delay = firstRetryDelay * (std::int64_t(1) << (request.attempts - 1));
+    request.retryAt = progressed ? now : now + delay;
+    m_waiting.emplace(request.retryAt, request.number);
+    if (progressed)
+        dispatch(request, now, wall);
+}
+
+// Closes the attempt in all books. The request has none afterwards.
+void serving::endAttempt(open_request& request, attempt_outcome outcome, usage_heading heading, instant now)
+{
+    assert(request.attempt);
+    auto& attempt = *request.attempt;
+
+    // Step 1. The router's knowledge.
+    attempt_end end;
+    end.outcome = outcome;
+    end.generated = token_count(attempt.tokens);
+    if (attempt.usage)
+        end.cachedTokens = attempt.usage->cached;
+    m_router.ended(attempt.id, end, now);
+
+    // Step 2. What it used.
+    const bool ran = attempt.headSeen || attempt.tokens > 0;
+    if (ran && !request.account.empty() && !attempt.refusedByTarget) {
+        const auto& record = m_router.table().record(attempt.choice.slot);
+        attempt_usage event;
+        event.request = request.id;
+        event.attempt = attempt.id;
+        event.account = request.account;
+        if (request.made)
+            event.model = record.model.empty() ? model_id(request.made->wanted().model) : record.model;
+        event.version = attempt.version;
+        event.pool = record.listed.pool;
+        event.target = attempt.choice.target;
+        event.heading = heading;
+        event.continuesAnswer = request.made && request.made->tokens() > attempt.tokens;
+        event.counted.generated = token_count(attempt.tokens);
+        event.counted.targetTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - attempt.sentAt);
+        if (attempt.usage) {
+            event.counted.prefilled = attempt.usage->prompt - std::min(attempt.usage->cached, attempt.usage->prompt);
+            event.counted.cached = attempt.usage->cached;
+            usage_figures reported = event.counted;
+            reported.generated = attempt.usage->completion;
+            event.reportedByTarget = reported;
+        } else if (request.made) {
+            event.counted.prefilled = token_count(request.made->wanted().prompt.size() / bytesPerToken);
+        }
+        m_actions.push_back(serving_record { std::move(event) });
+    }
+
+    m_byAttempt.erase(attempt.id);
+    request.attempt.reset();
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/target/target_watch.cpp
@@ -0,0 +1,140 @@
+// Which targets are followed, and their polls.
+#include "target/target_watch.h"
+
+#include <algorithm>
+#include <vector>
+#include <xxhash.h>
+
+namespace lovagerail::target {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr duration eventsRetry = std::chrono::seconds(2);
+
+} // namespace
+
+target_watch::target_watch(target_watch_settings settings, start_function start, cancel_function cancel)
+    : m_settings(settings)
+    , m_start(std::move(start))
+    , m_cancel(std::move(cancel))
+{
+}
+
+// Chooses by rendezvous hashing, so that each target is followed by some instances.
+void target_watch::follow(const router& known, std::uint64_t salt)
+{
+    std::vector<std::pair<std::uint64_t, target_id>> ranked;
+    for (const auto slot : known.table().all()) {
+        if (!known.table().isLive(slot))
+            continue;
+        const auto& record = known.table().record(slot);
+        if (record.listed.kind != target_kind::Engine)
+            continue;
+        const auto& name = record.listed.id.str();
+        ranked.emplace_back(XXH64(name.data(), name.size(), salt), record.listed.id);
+    }
+    if (ranked.size() > m_settings.mostTargets) {
+        std::nth_element(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(m_settings.mostTargets), ranked.end());
+        ranked.resize(m_settings.mostTargets);
+    }
+    std::map<target_id, followed> next;
+    for (const auto& [hash, id] : ranked) {
+        const auto before = m_followed.find(id);
+        next[id] = before == m_followed.end() ? followed {} : before->second;
+    }
+    for (const auto& [id, state] : m_followed) {
+        if (next.contains(id) || state.events == 0)
+            continue;
+        m_polls.erase(state.events);
+        m_cancel(state.events);
+    }
+    m_followed = std::move(next);
+}
+
+void target_watch::tick(const router& known, std::uint64_t salt, instant now)
+{
+    follow(known, salt);
+    for (auto& [id, state] : m_followed) {
+        const auto slot = known.table().find(id);
+        if (!slot)
+            continue;
+        const auto& record = known.table().record(*slot);
+        if (state.load == 0 && now >= state.nextLoad)
+            startLoad(record, state, now);
+        if (state.events == 0 && now >= state.nextEvents)
+            startEvents(record, state, now);
+    }
+}
+
+void target_watch::startLoad(const target_record& record, followed& state, instant now)
+{
+    http::request wanted;
+    wanted.id = ++m_lastId;
+    wanted.url = record.listed.address + "/load";
+    wanted.totalTimeout = m_settings.timeout;
+    wanted.connectTimeout = m_settings.timeout;
+    state.nextLoad = now + m_settings.loadEvery;
+    const auto id = wanted.id;
+    if (!m_start(std::move(wanted)))
+        return;
+    state.load = id;
+    m_polls[id] = poll { poll_kind::Load, record.listed.id, {}, {} };
+}
+
+void target_watch::startEvents(const target_record& record, followed& state, instant now)
+{
+    http::request wanted;
+    wanted.id = ++m_lastId;
+    wanted.url = record.listed.address + "/events?after=" + std::to_string(state.lastSeq);
+    state.nextEvents = now + eventsRetry;
+    const auto id = wanted.id;
+    if (!m_start(std::move(wanted)))
+        return;
+    state.events = id;
+    m_polls[id] = poll { poll_kind::Events, record.listed.id, {}, {} };
+}
+
+bool target_watch::onEvent(const http::event& event, router& known, instant now, wall_time wall)
+{
+    const auto found = m_polls.find(event.id);
+    if (found == m_polls.end())
+        return false;
+    auto& open = found->second;
+    const auto state = m_followed.find(open.target);
+
+    // Step 1. Bytes: cache events are applied as they come, a report when whole.
+    if (event.what == http::event::kind::Body) {
+        if (open.kind == poll_kind::Load) {
+            open.body += event.bytes;
+            return true;
+        }
+        const auto events = open.reader.feed(event.bytes);
+        if (!events)
+            return true;
+        for (const auto& item : *events) {
+            known.applyCacheEvent(open.target, item, now);
+            if (state != m_followed.end())
+                state->second.lastSeq = std::max(state->second.lastSeq, item.seq);
+        }
+        return true;
+    }
+    if (event.what != http::event::kind::Done)
+        return true;
+
+    // Step 2. The end.
+    if (open.kind == poll_kind::Load && event.outcome == http::transfer_result::Whole && event.status == statusOk) {
+        if (const auto report = decodeLoad(open.body, open.target, now, wall))
+            known.applyReport(*report, now);
+    }
+    if (state != m_followed.end()) {
+        if (state->second.load == event.id)
+            state->second.load = 0;
+        if (state->second.events == event.id)
+            state->second.events = 0;
+    }
+    m_polls.erase(found);
+    return true;
+}
+
+} // namespace lovagerail::target
