--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,329 @@
+// Snapshots, the rule of revisions, the route index and the codec of changes.
+#include "config.h"
+
+#include "object_codec.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+#include <utility>
+
+namespace lovagerail {
+
+// Routes by their prefix without the closing slash; at one prefix those that
+// name methods first, then by name.
+struct config::route_index {
+    std::map<std::string, std::vector<std::shared_ptr<const route>>, std::less<>> byPrefix;
+};
+
+namespace {
+
+    constexpr std::string_view decodeStep = "config.decode";
+
+    std::string_view withoutClosingSlash(std::string_view path)
+    {
+        while (!path.empty() && path.back() == '/')
+            path.remove_suffix(1);
+        return path;
+    }
+
+    // "." or ".." with each dot plain or as %2e.
+    bool isDotSegment(std::string_view segment)
+    {
+        std::size_t dots = 0;
+        while (!segment.empty()) {
+            const bool encoded = segment.size() >= 3 && segment[0] == '%' && segment[1] == '2' && (segment[2] == 'e' || segment[2] == 'E');
+            if (!encoded && segment[0] != '.')
+                return false;
+            segment.remove_prefix(encoded ? 3 : 1);
+            ++dots;
+        }
+        return dots == 1 || dots == 2;
+    }
+
+    bool hasDotSegment(std::string_view path)
+    {
+        while (!path.empty()) {
+            const auto slash = path.find('/');
+            if (isDotSegment(path.substr(0, slash)))
+                return true;
+            if (slash == std::string_view::npos)
+                return false;
+            path.remove_prefix(slash + 1);
+        }
+        return false;
+    }
+
+    bool allows(const route& on, std::string_view method)
+    {
+        return on.methods.empty() || std::find(on.methods.begin(), on.methods.end(), method) != on.methods.end();
+    }
+
+    bool touchesRoutes(const config_change& change)
+    {
+        const bool put = std::any_of(change.puts.begin(), change.puts.end(), [](const config_object& o) { return kindOf(o) == object_kind::Route; });
+        return put || std::any_of(change.deletes.begin(), change.deletes.end(), [](const object_ref& r) { return r.kind == object_kind::Route; });
+    }
+
+    tl::unexpected<error> corrupt(std::string detail)
+    {
+        return failure(error_code::Corrupt, decodeStep, std::move(detail));
+    }
+
+    result<void> decodePut(const Json::Value& entry, config_change& to)
+    {
+        if (!entry.isObject() || !entry["kind"].isString())
+            return corrupt("puts: expected envelopes");
+        const std::string kind = entry["kind"].asString();
+        if (parseObjectKind(kind)) {
+            auto object = objectFromEnvelope(entry);
+            if (!object)
+                return tl::unexpected(std::move(object.error()));
+            to.puts.push_back(std::move(*object));
+            return {};
+        }
+        const auto& object = entry["object"];
+        if (!object.isObject() || !object["name"].isString())
+            return corrupt("puts: expected a name");
+        const auto at = entry.get("at", Json::UInt64(0));
+        if (!at.isUInt64())
+            return corrupt("puts: expected a revision");
+        to.foreignPuts.push_back({ kind + "/" + object["name"].asString(), toText(entry), revision(at.asUInt64()) });
+        return {};
+    }
+
+    result<void> decodeDelete(const Json::Value& entry, config_change& to)
+    {
+        if (!entry.isString())
+            return corrupt("deletes: expected texts");
+        const std::string path = entry.asString();
+        const auto slash = path.find('/');
+        if (slash == std::string::npos)
+            return corrupt("deletes: expected <kind>/<name>");
+        const auto kind = parseObjectKind(path.substr(0, slash));
+        if (kind)
+            to.deletes.push_back({ *kind, path.substr(slash + 1) });
+        else
+            to.foreignDeletes.push_back(path);
+        return {};
+    }
+
+} // namespace
+
+std::size_t config::size() const
+{
+    return std::apply([](const auto&... shelf) { return (shelf.size() + ...); }, m_shelves);
+}
+
+const route* config::findRoute(std::string_view method, std::string_view path) const
+{
+    if (!m_routes || path.empty() || path.front() != '/' || hasDotSegment(path))
+        return nullptr;
+    path = withoutClosingSlash(path);
+    while (true) {
+        const auto found = m_routes->byPrefix.find(path);
+        if (found != m_routes->byPrefix.end()) {
+            for (const auto& on : found->second) {
+                if (allows(*on, method))
+                    return on.get();
+            }
+        }
+        if (path.empty())
+            return nullptr;
+        path = withoutClosingSlash(path.substr(0, path.rfind('/')));
+    }
+}
+
+std::optional<config_object> config::find(const object_ref& ref) const
+{
+    std::optional<config_object> found;
+    const auto look = [&]<typename Object>(const object_shelf<Object>& shelf) {
+        if (kindOf(config_object(std::in_place_type<Object>)) != ref.kind)
+            return;
+        if (const Object* object = shelf.find(ref.name))
+            found = *object;
+    };
+    std::apply([&](const auto&... shelf) { (look(shelf), ...); }, m_shelves);
+    return found;
+}
+
+std::vector<config_object> config::objects() const
+{
+    std::vector<config_object> all;
+    all.reserve(size());
+    const auto add = [&](const auto& shelf) {
+        for (const auto& object : shelf.sorted())
+            all.emplace_back(*object);
+    };
+    std::apply([&](const auto&... shelf) { (add(shelf), ...); }, m_shelves);
+    return all;
+}
+
+config_change config::full() const
+{
+    config_change change { revision(), m_revision, objects(), {}, {}, {} };
+    if (!m_foreign)
+        return change;
+    for (const auto& [path, object] : *m_foreign)
+        change.foreignPuts.push_back(object);
+    return change;
+}
+
+config_ptr successor(const config& before, const config_change& change)
+{
+    // Step 1. Start from what is there, or from nothing.
+    auto next = change.isFull() ? std::make_shared<config>() : std::make_shared<config>(before);
+    next->m_revision = change.to;
+
+    // Step 2. Deletions and puts; what has no stamp yet gets this revision.
+    const auto erase = [&]<typename Object>(object_shelf<Object>& shelf, const object_ref& ref) {
+        if (kindOf(config_object(std::in_place_type<Object>)) == ref.kind)
+            shelf.erase(ref.name);
+    };
+    for (const auto& ref : change.deletes)
+        std::apply([&](auto&... shelf) { (erase(shelf, ref), ...); }, next->m_shelves);
+    for (const auto& object : change.puts) {
+        std::visit([&]<typename Object>(const Object& held) {
+            auto shared = std::make_shared<Object>(held);
+            if (shared->meta.changed.at == revision())
+                shared->meta.changed.at = change.to;
+            std::get<object_shelf<Object>>(next->m_shelves).put(std::move(shared));
+        },
+            object);
+    }
+
+    // Step 3. Kinds that only newer releases know.
+    if (!change.foreignPuts.empty() || !change.foreignDeletes.empty()) {
+        auto foreign = next->m_foreign ? std::make_shared<config::foreign_objects>(*next->m_foreign) : std::make_shared<config::foreign_objects>();
+        for (const auto& path : change.foreignDeletes)
+            foreign->erase(path);
+        for (const auto& object : change.foreignPuts)
+            foreign->insert_or_assign(object.path, object);
+        next->m_foreign = std::move(foreign);
+    }
+
+    // Step 4. The route index.
+    if (!touchesRoutes(change))
+        return next;
+    auto index = std::make_shared<config::route_index>();
+    for (const auto& on : next->all<route>().sorted())
+        index->byPrefix[std::string(withoutClosingSlash(on->pathPrefix))].push_back(on);
+    for (auto& [prefix, routes] : index->byPrefix)
+        std::stable_partition(routes.begin(), routes.end(), [](const auto& on) { return !on->methods.empty(); });
+    next->m_routes = std::move(index);
+    return next;
+}
+
+std::string_view toString(apply_outcome outcome)
+{
+    switch (outcome) {
+    case apply_outcome::Applied:
+        return "applied";
+    case apply_outcome::Stale:
+        return "stale";
+    case apply_outcome::Gap:
+        return "gap";
+    }
+    return "stale";
+}
+
+apply_result apply(const config_ptr& current, const config_change& change)
+{
+    const revision inForce = current ? current->at() : revision();
+    if (change.to <= inForce || change.to <= change.from)
+        return { apply_outcome::Stale, current };
+    if (!change.isFull() && (!current || change.from > inForce))
+        return { apply_outcome::Gap, current };
+    static const config nothing;
+    return { apply_outcome::Applied, successor(current ? *current : nothing, change) };
+}
+
+config_change compose(const config_change& first, const config_change& second)
+{
+    if (second.isFull())
+        return second;
+    config_change both { first.from, std::max(first.to, second.to), {}, {}, {}, {} };
+
+    // Step 1. The last word on each object.
+    std::map<object_ref, const config_object*> last; // null = deleted
+    std::map<std::string, const foreign_object*> lastForeign;
+    for (const auto* part : { &first, &second }) {
+        for (const auto& ref : part->deletes)
+            last[ref] = nullptr;
+        for (const auto& object : part->puts)
+            last[refOf(object)] = &object;
+        for (const auto& path : part->foreignDeletes)
+            lastForeign[path] = nullptr;
+        for (const auto& object : part->foreignPuts)
+            lastForeign[object.path] = &object;
+    }
+
+    // Step 2. Deletions stay named, also of what `first` had put: a receiver
+    // between the two has it. A full change needs none.
+    for (const auto& [ref, object] : last) {
+        if (object)
+            both.puts.push_back(*object);
+        else if (!both.isFull())
+            both.deletes.push_back(ref);
+    }
+    for (const auto& [path, object] : lastForeign) {
+        if (object)
+            both.foreignPuts.push_back(*object);
+        else if (!both.isFull())
+            both.foreignDeletes.push_back(path);
+    }
+
+    // Step 3. Stamps that the parts would have given.
+    for (auto& object : both.puts) {
+        auto& stamp = metaOf(object).changed;
+        if (stamp.at != revision())
+            continue;
+        const auto ref = refOf(object);
+        const bool bySecond = std::any_of(second.puts.begin(), second.puts.end(), [&](const config_object& o) { return refOf(o) == ref; });
+        stamp.at = bySecond ? second.to : first.to;
+    }
+    return both;
+}
+
+Json::Value toJson(const config_change& change)
+{
+    Json::Value value(Json::objectValue);
+    value["from"] = Json::UInt64(change.from.value());
+    value["to"] = Json::UInt64(change.to.value());
+    value["puts"] = Json::Value(Json::arrayValue);
+    value["deletes"] = Json::Value(Json::arrayValue);
+    for (const auto& object : change.puts)
+        value["puts"].append(toEnvelope(object));
+    for (const auto& object : change.foreignPuts) {
+        auto envelope = parseJson(object.envelope, decodeStep);
+        if (!envelope)
+            continue;
+        (*envelope)["at"] = Json::UInt64(object.at.value());
+        value["puts"].append(std::move(*envelope));
+    }
+    for (const auto& ref : change.deletes)
+        value["deletes"].append(toString(ref));
+    for (const auto& path : change.foreignDeletes)
+        value["deletes"].append(path);
+    return value;
+}
+
+result<config_change> changeFromJson(const Json::Value& value)
+{
+    if (!value.isObject() || !value["from"].isUInt64() || !value["to"].isUInt64() || !value["puts"].isArray() || !value["deletes"].isArray())
+        return corrupt("expected a change with from, to, puts and deletes");
+    config_change change;
+    change.from = revision(value["from"].asUInt64());
+    change.to = revision(value["to"].asUInt64());
+    for (const auto& entry : value["puts"]) {
+        if (auto decoded = decodePut(entry, change); !decoded)
+            return tl::unexpected(std::move(decoded.error()));
+    }
+    for (const auto& entry : value["deletes"]) {
+        if (auto decoded = decodeDelete(entry, change); !decoded)
+            return tl::unexpected(std::move(decoded.error()));
+    }
+    return change;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/config_check.cpp
@@ -0,0 +1,323 @@
+// The rules that a configuration has to keep.
+#include "config_check.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::size_t saltDigits = 32;
+    constexpr std::size_t digestDigits = 64;
+
+    // How surely a selector matches a pool, whose targets' own labels are not known here.
+    enum class pool_match {
+        No,
+        ByOwnLabels, // only if the targets' own labels say so
+        Yes,
+    };
+
+    pool_match matchPool(const selector& wanted, const target_pool& pool, const failure_domain_id& domain)
+    {
+        if (wanted.fault())
+            return pool_match::No;
+        const labels known = targetLabels(pool, domain, {});
+        if (wanted.matches(known))
+            return pool_match::Yes;
+        for (const auto& one : wanted.requirements()) {
+            if (!known.contains(one.key))
+                continue;
+            const bool holds = one.kind == requirement_kind::Exists
+                || (one.kind != requirement_kind::Missing
+                    && std::binary_search(one.values.begin(), one.values.end(), known.at(one.key)) == (one.kind == requirement_kind::In));
+            if (!holds)
+                return pool_match::No;
+        }
+        return pool_match::ByOwnLabels;
+    }
+
+    pool_match matchPool(const selector& wanted, const target_pool& pool)
+    {
+        auto best = pool_match::No;
+        for (const auto& domain : pool.failureDomains)
+            best = std::max(best, matchPool(wanted, pool, domain));
+        return best;
+    }
+
+    bool isHex(std::string_view text, std::size_t digits)
+    {
+        return text.size() == digits && std::all_of(text.begin(), text.end(), [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+    }
+
+    bool isMethod(std::string_view text)
+    {
+        return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+    }
+
+    std::string normalPrefix(std::string prefix)
+    {
+        while (!prefix.empty() && prefix.back() == '/')
+            prefix.pop_back();
+        return prefix;
+    }
+
+    // Collects faults over one candidate. Label sets that many objects share are
+    // judged once, so that 1,000 accounts of a few tiers cost no more than the tiers.
+    class checker {
+    public:
+        explicit checker(const config& candidate)
+            : m_config(candidate)
+            , m_accounts(candidate.all<client_account>().sorted())
+            , m_pools(candidate.all<target_pool>().sorted())
+            , m_routes(candidate.all<route>().sorted())
+            , m_runs(candidate.all<run>().sorted())
+        {
+            for (const auto& account : m_accounts)
+                m_accountLabels.insert(account->meta.labels);
+        }
+
+        std::vector<config_fault> checkAll()
+        {
+            for (const auto& object : m_config.objects()) {
+                m_ref = refOf(object);
+                checkMeta(metaOf(object));
+                std::visit([this](const auto& held) { check(held); }, object);
+            }
+            std::stable_sort(m_faults.begin(), m_faults.end(), [](const config_fault& a, const config_fault& b) {
+                return std::tie(a.severity, a.object) < std::tie(b.severity, b.object);
+            });
+            return std::move(m_faults);
+        }
+
+    private:
+        void add(fault_severity severity, std::string field, std::string detail)
+        {
+            m_faults.push_back({ severity, m_ref, std::move(field), std::move(detail) });
+        }
+
+        void require(bool holds, const char* field, const std::string& detail)
+        {
+            if (!holds)
+                add(fault_severity::Error, field, detail);
+        }
+
+        void advise(bool holds, const char* field, const std::string& detail)
+        {
+            if (!holds)
+                add(fault_severity::Warning, field, detail);
+        }
+
+        // A selector that matches nothing is a fault if there is something to match.
+        void requireMatch(bool matched, bool anyToMatch, const char* field, const std::string& what)
+        {
+            if (!matched)
+                add(anyToMatch ? fault_severity::Error : fault_severity::Warning, field, "matches no " + what);
+        }
+
+        bool parses(const selector& wanted, const char* field)
+        {
+            if (wanted.fault())
+                add(fault_severity::Error, field, wanted.fault()->detail);
+            return !wanted.fault();
+        }
+
+        void checkMeta(const object_meta& meta)
+        {
+            require(isObjectName(meta.name), "name", "must be letters, digits, '-', '_' and '.'");
+            for (const auto& [key, value] : meta.labels)
+                require(isLabelKey(key) && isLabelValue(value), "labels", "\"" + key + "\" or its value is no legal label");
+        }
+
+        void check(const client_account& account)
+        {
+            require(account.weight >= 1, "weight", "must be at least 1");
+            require(account.objectives.availability >= 0 && account.objectives.availability < 1, "objectives.availability",
+                "must be at least 0 and below 1");
+            advise(account.limits.burst == 0 || account.limits.requestsPerSecond > 0, "limits.burst", "has no effect without requests_per_second");
+        }
+
+        void check(const api_key& key)
+        {
+            const bool forOperator = !key.scopes.empty();
+            require(forOperator == key.account.empty(), "account", "must be an account, or scopes of an operator, and not both");
+            require(isHex(key.salt, saltDigits), "salt", "must be " + std::to_string(saltDigits) + " hex digits");
+            require(isHex(key.digest, digestDigits), "digest", "must be " + std::to_string(digestDigits) + " hex digits");
+            if (!key.withdrawn && !key.account.empty())
+                require(m_config.findAccount(key.account), "account", "no client account \"" + key.account.str() + "\"");
+        }
+
+        void check(const model_version& version)
+        {
+            require(!version.model.empty(), "model", "must not be empty");
+            require(!version.source.empty(), "source", "must not be empty");
+            const auto [first, added] = m_versions.try_emplace({ version.model, version.version }, version.meta.name);
+            require(added, "version", "is the same as that of model_version/" + first->second);
+        }
+
+        void check(const target_pool& pool)
+        {
+            require(pool.ceiling >= 1, "ceiling", "must be at least 1");
+            require(pool.floor <= pool.ceiling, "floor", "must not be above the ceiling");
+            require(!pool.failureDomains.empty(), "failure_domains", "must not be empty");
+            const std::set<failure_domain_id> distinct(pool.failureDomains.begin(), pool.failureDomains.end());
+            require(distinct.size() == pool.failureDomains.size(), "failure_domains", "must not name one twice");
+            require(pool.kind == pool_kind::Service || !pool.model.empty(), "model", "an engine pool needs one");
+            require(pool.firmPricePerHour >= micro_price(), "firm_price_micro_per_hour", "must not be negative");
+            require(pool.cheapPricePerHour >= micro_price(), "cheap_price_micro_per_hour", "must not be negative");
+            advise(!pool.allowCheap || pool.cheapPricePerHour <= pool.firmPricePerHour, "cheap_price_micro_per_hour", "is above the firm price");
+            if (parses(pool.accepts, "accepts"))
+                requireMatch(acceptsAny(pool), !m_routes.empty() || !m_runs.empty(), "accepts", "work of any route or run");
+        }
+
+        bool acceptsAny(const target_pool& pool) const
+        {
+            if (pool.accepts.matchesAll())
+                return true;
+            const bool byRoute = std::any_of(m_routes.begin(), m_routes.end(), [&](const auto& on) { return acceptsRoute(pool, *on); });
+            return byRoute || std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& of) { return acceptsRun(pool, *of); });
+        }
+
+        bool acceptsRoute(const target_pool& pool, const route& on) const
+        {
+            if (pool.accepts.matchesAll() || (on.open && pool.accepts.matches(workLabels(nullptr, &on, nullptr))))
+                return true;
+            for (const auto& set : m_accountLabels) {
+                if (!on.accounts.matches(set))
+                    continue;
+                client_account account;
+                account.meta.labels = set;
+                if (pool.accepts.matches(workLabels(&account, &on, nullptr)))
+                    return true;
+            }
+            return false;
+        }
+
+        bool acceptsRun(const target_pool& pool, const run& of) const
+        {
+            return pool.accepts.matches(workLabels(m_config.findAccount(of.account), nullptr, &of));
+        }
+
+        void check(const route& on)
+        {
+            checkPath(on);
+            for (const auto& method : on.methods)
+                require(isMethod(method), "methods", "\"" + method + "\" is no method in capitals");
+            for (const auto& method : on.idempotentMethods) {
+                require(isMethod(method), "idempotent_methods", "\"" + method + "\" is no method in capitals");
+                advise(on.methods.empty() || std::find(on.methods.begin(), on.methods.end(), method) != on.methods.end(), "idempotent_methods",
+                    "\"" + method + "\" is not among methods");
+            }
+            require(on.deadlineMs >= 1, "deadline_ms", "must be at least 1");
+            require(on.maxBodyBytes >= 1, "max_body_bytes", "must be at least 1");
+            if (parses(on.accounts, "accounts") && !on.open) {
+                const bool matched = std::any_of(m_accountLabels.begin(), m_accountLabels.end(), [&](const labels& set) { return on.accounts.matches(set); });
+                requireMatch(matched, !m_accounts.empty(), "accounts", "client account");
+            }
+            if (parses(on.targets, "targets"))
+                checkPools(
+                    on.targets, [&](const target_pool& pool) { return pool.kind == on.kind; }, [&](const target_pool& pool) { return m_accounts.empty() || acceptsRoute(pool, on); });
+        }
+
+        void checkPath(const route& on)
+        {
+            const bool plain = on.pathPrefix.find_first_of("?#% ") == std::string::npos && on.pathPrefix.find("//") == std::string::npos
+                && on.pathPrefix.find("/.") == std::string::npos;
+            require(on.pathPrefix.starts_with('/') && plain, "path_prefix", "must start with '/' and be plain");
+            for (const auto& method : on.methods.empty() ? std::vector<std::string> { "" } : on.methods) {
+                const auto [first, added] = m_paths.try_emplace({ normalPrefix(on.pathPrefix), method }, on.meta.name);
+                require(added, "path_prefix", "is the same as that of route/" + first->second + (method.empty() ? "" : " for " + method));
+            }
+        }
+
+        // A route or run needs a pool of its sort, that its selector matches and that accepts its work.
+        template <typename Fits, typename Accepts>
+        void checkPools(const selector& wanted, Fits&& fits, Accepts&& accepts)
+        {
+            auto best = pool_match::No;
+            bool accepted = false;
+            for (const auto& pool : m_pools) {
+                const auto match = fits(*pool) ? matchPool(wanted, *pool) : pool_match::No;
+                best = std::max(best, match);
+                accepted = accepted || (match != pool_match::No && accepts(*pool));
+            }
+            require(best != pool_match::No, "targets", "matches no target pool that could serve it");
+            advise(best != pool_match::ByOwnLabels, "targets", "matches only if targets have labels of their own to suit");
+            require(best == pool_match::No || accepted, "targets", "no target pool that it matches accepts its work");
+        }
+
+        void check(const run& of)
+        {
+            require(m_config.findAccount(of.account), "account", "no client account \"" + of.account.str() + "\"");
+            require(!of.model.empty(), "model", "must not be empty");
+            require(of.groupSize >= 1, "group_size", "must be at least 1");
+            require(of.groupsPerStep >= 1, "groups_per_step", "must be at least 1");
+            require(of.weight >= 1, "weight", "must be at least 1");
+            require(of.maxTokens >= 1, "max_tokens", "must be at least 1");
+            require(of.judge.empty() || m_config.findRoute(of.judge), "judge", "no route \"" + of.judge.str() + "\"");
+            if (parses(of.targets, "targets"))
+                checkPools(
+                    of.targets, [&](const target_pool& pool) { return pool.kind == pool_kind::Engine && pool.model == of.model; }, [&](const target_pool& pool) { return acceptsRun(pool, of); });
+        }
+
+        const config& m_config;
+        std::vector<std::shared_ptr<const client_account>> m_accounts;
+        std::vector<std::shared_ptr<const target_pool>> m_pools;
+        std::vector<std::shared_ptr<const route>> m_routes;
+        std::vector<std::shared_ptr<const run>> m_runs;
+        std::set<labels> m_accountLabels; // each set once
+        std::map<std::pair<model_id, weight_version>, std::string> m_versions; // first holder's name
+        std::map<std::pair<std::string, std::string>, std::string> m_paths; // prefix and method to first holder
+        object_ref m_ref; // the object being checked
+        std::vector<config_fault> m_faults;
+    };
+
+} // namespace
+
+std::string toString(const config_fault& fault)
+{
+    std::string text = fault.severity == fault_severity::Error ? "error: " : "warning: ";
+    text += toString(fault.object) + ": ";
+    if (!fault.field.empty())
+        text += fault.field + ": ";
+    return text + fault.detail;
+}
+
+std::vector<config_fault> checkConfig(const config& candidate)
+{
+    return checker(candidate).checkAll();
+}
+
+std::vector<config_fault> checkChange(const config& before, const config_change& change)
+{
+    std::vector<config_fault> faults;
+    const auto add = [&](const object_ref& ref, std::string field, std::string detail) {
+        faults.push_back({ fault_severity::Error, ref, std::move(field), std::move(detail) });
+    };
+    for (const auto& object : change.puts) {
+        const auto* key = std::get_if<api_key>(&object);
+        const auto* old = key ? before.findKey(key_id(key->meta.name)) : nullptr;
+        if (!old)
+            continue;
+        if (old->withdrawn && !key->withdrawn)
+            add(refOf(object), "withdrawn", "a withdrawn key stays withdrawn; grant a new one");
+        if (old->account != key->account || old->digest != key->digest || old->salt != key->salt)
+            add(refOf(object), "digest", "account, salt and digest of a key never change; grant a new one");
+    }
+    for (const auto& ref : change.deletes) {
+        const auto* old = ref.kind == object_kind::ApiKey ? before.findKey(key_id(ref.name)) : nullptr;
+        if (old && !old->withdrawn)
+            add(ref, "withdrawn", "withdraw the key before it is deleted");
+    }
+    return faults;
+}
+
+bool hasErrors(const std::vector<config_fault>& faults)
+{
+    return std::any_of(faults.begin(), faults.end(), [](const config_fault& fault) { return fault.severity == fault_severity::Error; });
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/config_edit.cpp
@@ -0,0 +1,359 @@
+// Planner of configuration changes.
+#include "config_edit.h"
+
+#include "object_codec.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::string_view step = "config.edit";
+    constexpr std::string_view historyStep = "config.history";
+
+    error invalid(std::string detail)
+    {
+        return { error_code::InvalidArgument, std::string(step), peer_kind::None, {}, std::move(detail) };
+    }
+
+    revision stampOf(const std::optional<config_object>& object)
+    {
+        return object ? metaOf(*object).changed.at : revision();
+    }
+
+    // The first object that the edit names twice, if any.
+    std::optional<object_ref> namedTwice(const config_edit& wanted)
+    {
+        std::set<object_ref> seen;
+        for (const auto& object : wanted.puts) {
+            if (!seen.insert(refOf(object)).second)
+                return refOf(object);
+        }
+        for (const auto& ref : wanted.deletes) {
+            if (!seen.insert(ref).second)
+                return ref;
+        }
+        return std::nullopt;
+    }
+
+    const config_object* findIn(const std::vector<config_object>& objects, const object_ref& ref)
+    {
+        const auto found = std::find_if(objects.begin(), objects.end(), [&](const config_object& o) { return refOf(o) == ref; });
+        return found == objects.end() ? nullptr : &*found;
+    }
+
+    // What others did to an object since `base`, as far as `recent` tells.
+    std::vector<std::string> changesSince(const object_ref& ref, revision base, std::span<const history_entry> recent)
+    {
+        std::vector<std::string> lines;
+        for (const auto& entry : recent) {
+            if (entry.at <= base)
+                continue;
+            const std::string by = " (" + entry.who + ", revision " + std::to_string(entry.at.value()) + ")";
+            const auto* before = findIn(entry.before, ref);
+            const auto* after = findIn(entry.puts, ref);
+            if (before && after) {
+                for (const auto& line : fieldDifferences(*before, *after))
+                    lines.push_back(line + by);
+            } else if (after) {
+                lines.push_back("created" + by);
+            } else if (before) {
+                lines.push_back("deleted" + by);
+            }
+        }
+        return lines;
+    }
+
+    edit_conflict conflictOn(const object_ref& ref, const std::optional<config_object>& now, revision base, std::span<const history_entry> recent)
+    {
+        edit_conflict conflict { ref, stampOf(now), now ? metaOf(*now).changed.by : std::string(), changesSince(ref, base, recent) };
+        if (!now) {
+            // The last one who deleted it.
+            for (const auto& entry : recent) {
+                if (entry.at <= conflict.changedAt || std::find(entry.deletes.begin(), entry.deletes.end(), ref) == entry.deletes.end())
+                    continue;
+                conflict.changedAt = entry.at;
+                conflict.who = entry.who;
+            }
+        }
+        if (conflict.what.empty())
+            conflict.what.emplace_back(!now ? "deleted" : base == revision() ? "created"
+                                                                             : "changed");
+        return conflict;
+    }
+
+    std::vector<edit_conflict> findConflicts(const config& current, const config_edit& wanted, std::span<const history_entry> recent)
+    {
+        std::vector<edit_conflict> conflicts;
+        for (const auto& [ref, base] : wanted.bases) {
+            const auto now = current.find(ref);
+            if (stampOf(now) == base)
+                continue;
+            // Somebody did the same already: nothing is lost.
+            const auto* put = findIn(wanted.puts, ref);
+            if (put ? now && sameContent(*now, *put) : !now)
+                continue;
+            conflicts.push_back(conflictOn(ref, now, base, recent));
+        }
+        return conflicts;
+    }
+
+    // The part of an edit that changes something.
+    config_change effectOf(const config& current, const config_edit& wanted)
+    {
+        config_change change { current.at(), current.at().next(), {}, {}, {}, {} };
+        for (const auto& object : wanted.puts) {
+            const auto now = current.find(refOf(object));
+            if (now && sameContent(*now, object))
+                continue;
+            change.puts.push_back(object);
+            metaOf(change.puts.back()).changed = { revision(), wanted.who, wanted.when };
+        }
+        for (const auto& ref : wanted.deletes) {
+            if (current.find(ref))
+                change.deletes.push_back(ref);
+        }
+        return change;
+    }
+
+    edit_plan planTransaction(const config& current, const config_head& head, const config_edit& wanted, const config_change& change)
+    {
+        edit_plan plan;
+        plan.audit = { head.count + 1, revision(), wanted.who, wanted.when, wanted.summary, change.puts, change.deletes, {} };
+
+        // Step 1. Everything rests on head, and on the version of each object touched.
+        auto& transaction = plan.transaction;
+        transaction.compares.push_back({ std::string(headKey), current.at() });
+        const auto compareWith = [&](const object_ref& ref) {
+            const auto now = current.find(ref);
+            transaction.compares.push_back({ objectKey(ref), stampOf(now) });
+            if (now)
+                plan.audit.before.push_back(*now);
+        };
+
+        // Step 2. The objects.
+        for (const auto& object : change.puts) {
+            compareWith(refOf(object));
+            transaction.puts.push_back({ objectKey(refOf(object)), toText(toEnvelope(object)) });
+        }
+        for (const auto& ref : change.deletes) {
+            compareWith(ref);
+            transaction.deletes.push_back(objectKey(ref));
+        }
+
+        // Step 3. Head and history.
+        const config_head next { plan.audit.number, current.at(), wanted.who, wanted.when, wanted.summary };
+        transaction.puts.push_back({ std::string(headKey), encodeHead(next) });
+        transaction.puts.push_back({ historyKey(plan.audit.number), encodeHistory(plan.audit) });
+        if (plan.audit.number > historyKept)
+            transaction.deletes.push_back(historyKey(plan.audit.number - historyKept));
+        return plan;
+    }
+
+    Json::Value toJson(const std::vector<config_object>& objects)
+    {
+        Json::Value list(Json::arrayValue);
+        for (const auto& object : objects)
+            list.append(toEnvelope(object));
+        return list;
+    }
+
+    result<std::vector<config_object>> objectsFromJson(const Json::Value& list)
+    {
+        std::vector<config_object> objects;
+        if (!list.isArray())
+            return failure(error_code::Corrupt, historyStep, "expected a list of objects");
+        for (const auto& entry : list) {
+            auto object = objectFromEnvelope(entry);
+            if (!object)
+                return tl::unexpected(std::move(object.error()));
+            objects.push_back(std::move(*object));
+        }
+        return objects;
+    }
+
+} // namespace
+
+std::string toString(const edit_conflict& conflict)
+{
+    std::string text = toString(conflict.object) + ": changed at revision " + std::to_string(conflict.changedAt.value());
+    if (!conflict.who.empty())
+        text += " by " + conflict.who;
+    for (const auto& line : conflict.what)
+        text += "\n  " + line;
+    return text;
+}
+
+std::string encodeHistory(const history_entry& entry)
+{
+    Json::Value value(Json::objectValue);
+    value["number"] = Json::UInt64(entry.number);
+    value["who"] = entry.who;
+    value["when"] = Json::Int64(entry.when.time_since_epoch().count());
+    value["summary"] = entry.summary;
+    value["puts"] = toJson(entry.puts);
+    value["before"] = toJson(entry.before);
+    value["deletes"] = Json::Value(Json::arrayValue);
+    for (const auto& ref : entry.deletes)
+        value["deletes"].append(toString(ref));
+    return toText(value);
+}
+
+result<history_entry> decodeHistory(const stored_value& stored)
+{
+    const auto parsed = parseJson(stored.value, historyStep);
+    if (!parsed)
+        return tl::unexpected(parsed.error());
+    const Json::Value& value = *parsed;
+    const bool fits = value.isObject() && value["number"].isUInt64() && value["who"].isString() && value["when"].isInt64()
+        && value["summary"].isString() && value["deletes"].isArray();
+    if (!fits)
+        return failure(error_code::Corrupt, historyStep, stored.key + ": expected a history entry");
+    history_entry entry;
+    entry.number = value["number"].asUInt64();
+    entry.at = stored.modRevision;
+    entry.who = value["who"].asString();
+    entry.when = wall_time(std::chrono::milliseconds(value["when"].asInt64()));
+    entry.summary = value["summary"].asString();
+    auto puts = objectsFromJson(value["puts"]);
+    auto before = objectsFromJson(value["before"]);
+    if (!puts || !before)
+        return tl::unexpected(puts ? before.error() : puts.error());
+    entry.puts = std::move(*puts);
+    entry.before = std::move(*before);
+    for (const auto& text : value["deletes"]) {
+        const auto ref = parseObjectKey(std::string(objectPrefix) + (text.isString() ? text.asString() : std::string()));
+        if (!ref)
+            return failure(error_code::Corrupt, historyStep, stored.key + ": expected <kind>/<name>");
+        entry.deletes.push_back(*ref);
+    }
+    return entry;
+}
+
+edit_outcome planEdit(const config& current, const config_head& head, const config_edit& wanted, std::span<const history_entry> recent)
+{
+    // Step 1. What makes no sense on any configuration.
+    if (wanted.who.empty())
+        return invalid("an edit needs the name of its operator");
+    if (const auto twice = namedTwice(wanted))
+        return invalid(toString(*twice) + " is named twice");
+
+    // Step 2. Others who were faster.
+    if (auto conflicts = findConflicts(current, wanted, recent); !conflicts.empty())
+        return conflicts;
+
+    // Step 3. What is left to do.
+    const auto change = effectOf(current, wanted);
+    const auto touched = change.puts.size() + change.deletes.size();
+    if (touched == 0)
+        return no_change {};
+    if (touched > maxObjectsPerChange) {
+        return error { error_code::ResourceExhausted, std::string(step), peer_kind::None, {},
+            "the edit changes " + std::to_string(touched) + " objects; one change holds at most " + std::to_string(maxObjectsPerChange) };
+    }
+
+    // Step 4. The whole as it would be.
+    auto faults = checkChange(current, change);
+    const auto more = checkConfig(*successor(current, change));
+    faults.insert(faults.end(), more.begin(), more.end());
+    if (hasErrors(faults))
+        return faults;
+
+    // Step 5. The transaction.
+    auto plan = planTransaction(current, head, wanted, change);
+    for (const auto& put : plan.transaction.puts) {
+        if (put.value.size() > maxValueBytes)
+            return error { error_code::ResourceExhausted, std::string(step), peer_kind::None, {}, put.key + " would be too large" };
+    }
+    plan.warnings = std::move(faults);
+    return plan;
+}
+
+result<std::vector<config_object>> rewind(const config& current, std::span<const history_entry> newestFirst)
+{
+    if (!newestFirst.empty() && newestFirst.front().at != current.at())
+        return failure(error_code::Conflict, historyStep, "the newest change is not the one in force");
+    std::map<object_ref, config_object> objects;
+    for (auto& object : current.objects())
+        objects.insert_or_assign(refOf(object), std::move(object));
+    std::uint64_t expected = newestFirst.empty() ? 0 : newestFirst.front().number;
+    for (const auto& entry : newestFirst) {
+        if (entry.number != expected)
+            return failure(error_code::InvalidArgument, historyStep, "change " + std::to_string(expected) + " is missing");
+        --expected;
+        for (const auto& object : entry.puts)
+            objects.erase(refOf(object));
+        for (const auto& object : entry.before)
+            objects.insert_or_assign(refOf(object), object);
+    }
+    std::vector<config_object> older;
+    older.reserve(objects.size());
+    for (auto& [ref, object] : objects)
+        older.push_back(std::move(object));
+    return older;
+}
+
+config_edit planRollback(const config& current, const std::vector<config_object>& older, std::string who, wall_time when, std::string summary)
+{
+    config_edit edit;
+    edit.who = std::move(who);
+    edit.when = when;
+    edit.summary = std::move(summary);
+    std::set<object_ref> kept;
+    for (const auto& object : older) {
+        const auto ref = refOf(object);
+        kept.insert(ref);
+        const auto now = current.find(ref);
+        if (ref.kind == object_kind::ApiKey || (now && sameContent(*now, object)))
+            continue;
+        edit.bases[ref] = stampOf(now);
+        edit.puts.push_back(object);
+    }
+    for (const auto& object : current.objects()) {
+        const auto ref = refOf(object);
+        if (ref.kind == object_kind::ApiKey || kept.contains(ref))
+            continue;
+        edit.bases[ref] = metaOf(object).changed.at;
+        edit.deletes.push_back(ref);
+    }
+    return edit;
+}
+
+std::string toString(const diff_line& line)
+{
+    switch (line.kind) {
+    case diff_kind::Added:
+        return "+ " + toString(line.object);
+    case diff_kind::Removed:
+        return "- " + toString(line.object);
+    case diff_kind::Changed:
+        return "~ " + toString(line.object) + ": " + line.detail;
+    }
+    return {};
+}
+
+std::vector<diff_line> diff(const config& before, const config& after)
+{
+    std::map<object_ref, std::pair<std::optional<config_object>, std::optional<config_object>>> both;
+    for (auto& object : before.objects())
+        both[refOf(object)].first = std::move(object);
+    for (auto& object : after.objects())
+        both[refOf(object)].second = std::move(object);
+    std::vector<diff_line> lines;
+    for (const auto& [ref, pair] : both) {
+        if (!pair.first)
+            lines.push_back({ diff_kind::Added, ref, {} });
+        else if (!pair.second)
+            lines.push_back({ diff_kind::Removed, ref, {} });
+        else {
+            for (auto& line : fieldDifferences(*pair.first, *pair.second))
+                lines.push_back({ diff_kind::Changed, ref, std::move(line) });
+        }
+    }
+    return lines;
+}
+
+} // namespace lovagerail
--- a/src/config_layout.h
+++ b/src/config_layout.h
@@ -54,8 +54,9 @@
 std::string encodeHead(const config_head& head);
 result<config_head> decodeHead(std::string_view text);
 
-// A full change from one range read over configPrefix at one revision; other
-// keys there are skipped. NotFound if there is no head yet.
+// A full change from head and all of objectPrefix, read at one revision; other
+// keys are skipped. NotFound if there is no head yet, Corrupt if the values
+// can't have been read at one revision.
 result<config_change> changeFromRange(std::span<const stored_value> values);
 // The change behind the events of one mod_revision; they must include head.
 result<config_change> changeFromEvents(std::span<const stored_event> events);
--- /dev/null
+++ b/src/keys.cpp
@@ -0,0 +1,311 @@
+// Making, parsing and checking keys; deny marks.
+#include "keys.h"
+
+#include "object_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <memory>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <utility>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::string_view rawPrefix = "lr_";
+    constexpr std::size_t longestHeader = 1'024; // bytes
+    constexpr std::size_t longestRaw = 256; // bytes
+    constexpr std::size_t secretLength = 43; // base64url of keySecretBytes, unpadded
+    constexpr std::size_t idLength = 2 * keyIdBytes;
+    constexpr std::size_t mostUnknownMarks = 1'024;
+
+    std::string hex(std::span<const unsigned char> bytes)
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::string text;
+        text.reserve(2 * bytes.size());
+        for (const unsigned char byte : bytes) {
+            text += digits[byte >> 4];
+            text += digits[byte & 15];
+        }
+        return text;
+    }
+
+    int hexDigit(char c)
+    {
+        if (c >= '0' && c <= '9')
+            return c - '0';
+        if (c >= 'a' && c <= 'f')
+            return c - 'a' + 10;
+        return -1;
+    }
+
+    // Empty if the text is no hex.
+    std::vector<unsigned char> unhex(std::string_view text)
+    {
+        std::vector<unsigned char> bytes;
+        if (text.size() % 2 != 0)
+            return bytes;
+        for (std::size_t i = 0; i < text.size(); i += 2) {
+            const int high = hexDigit(text[i]);
+            const int low = hexDigit(text[i + 1]);
+            if (high < 0 || low < 0)
+                return {};
+            bytes.push_back(static_cast<unsigned char>(high * 16 + low));
+        }
+        return bytes;
+    }
+
+    std::string base64url(std::span<const unsigned char> bytes)
+    {
+        constexpr std::string_view digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+        std::string text;
+        std::uint32_t held = 0;
+        int bits = 0;
+        for (const unsigned char byte : bytes) {
+            held = (held << 8) | byte;
+            bits += 8;
+            while (bits >= 6) {
+                bits -= 6;
+                text += digits[(held >> bits) & 63];
+            }
+        }
+        if (bits > 0)
+            text += digits[(held << (6 - bits)) & 63];
+        return text;
+    }
+
+    bool isBase64Url(char c)
+    {
+        return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_';
+    }
+
+    bool isBlank(char c)
+    {
+        return c == ' ' || c == '\t';
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        while (!text.empty() && isBlank(text.front()))
+            text.remove_prefix(1);
+        while (!text.empty() && isBlank(text.back()))
+            text.remove_suffix(1);
+        return text;
+    }
+
+    // Faults never quote what came: it may be a secret in the wrong place.
+    tl::unexpected<error> malformed(std::string_view step, std::string expected)
+    {
+        return failure(error_code::InvalidArgument, step, std::move(expected));
+    }
+
+} // namespace
+
+result<new_key> makeKey(std::span<const unsigned char> random)
+{
+    if (random.size() != keyRandomBytes)
+        return malformed("keys.make", "expected " + std::to_string(keyRandomBytes) + " random bytes");
+    const std::string id = hex(random.first(keyIdBytes));
+    const std::string secret = base64url(random.subspan(keyIdBytes, keySecretBytes));
+    new_key made;
+    made.raw = std::string(rawPrefix) + id + "_" + secret;
+    made.object.meta.name = id;
+    made.object.salt = hex(random.last(keySaltBytes));
+    made.object.digest = keyDigest(made.object.salt, secret);
+    return made;
+}
+
+result<presented_key> parseKey(std::string_view raw)
+{
+    constexpr std::string_view step = "keys.parse";
+    if (raw.size() > longestRaw || !raw.starts_with(rawPrefix))
+        return malformed(step, "expected lr_<id>_<secret>");
+    raw.remove_prefix(rawPrefix.size());
+    const auto id = raw.substr(0, std::min(idLength, raw.size()));
+    const bool idFits = id.size() == idLength && std::all_of(id.begin(), id.end(), [](char c) { return hexDigit(c) >= 0; });
+    if (!idFits || raw.size() <= idLength || raw[idLength] != '_')
+        return malformed(step, "expected an id of " + std::to_string(idLength) + " hex digits");
+    const auto secret = raw.substr(idLength + 1);
+    if (secret.size() != secretLength || !std::all_of(secret.begin(), secret.end(), isBase64Url))
+        return malformed(step, "expected a secret of " + std::to_string(secretLength) + " base64url digits");
+    return presented_key { key_id(std::string(id)), std::string(secret) };
+}
+
+result<std::string_view> bearerToken(std::string_view headerValue)
+{
+    constexpr std::string_view step = "keys.bearer";
+    constexpr std::string_view scheme = "bearer";
+    if (headerValue.size() > longestHeader)
+        return malformed(step, "the header is too long");
+    const auto text = trimmed(headerValue);
+    if (text.empty())
+        return failure(error_code::NotFound, step, "no credential");
+    if (text.size() <= scheme.size() || !isBlank(text[scheme.size()]))
+        return malformed(step, "expected the Bearer scheme and a token");
+    const bool schemeFits = std::equal(scheme.begin(), scheme.end(), text.begin(),
+        [](char wanted, char got) { return wanted == std::tolower(static_cast<unsigned char>(got)); });
+    if (!schemeFits)
+        return malformed(step, "expected the Bearer scheme");
+    const auto token = trimmed(text.substr(scheme.size()));
+    if (!std::all_of(token.begin(), token.end(), isBase64Url))
+        return malformed(step, "expected one token");
+    return token;
+}
+
+std::string keyDigest(std::string_view saltHex, std::string_view secret)
+{
+    const auto salt = unhex(saltHex);
+    if (salt.empty())
+        return {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned int length = 0;
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    const bool done = context
+        && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1
+        && EVP_DigestUpdate(context.get(), salt.data(), salt.size()) == 1
+        && EVP_DigestUpdate(context.get(), secret.data(), secret.size()) == 1
+        && EVP_DigestFinal_ex(context.get(), digest.data(), &length) == 1;
+    return done ? hex({ digest.data(), length }) : std::string();
+}
+
+bool sameDigest(std::string_view left, std::string_view right)
+{
+    // A digest that couldn't be made equals nothing.
+    return !left.empty() && left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+Json::Value toJson(std::span<const deny_mark> marks)
+{
+    Json::Value list(Json::arrayValue);
+    for (const auto& mark : marks) {
+        Json::Value entry(Json::objectValue);
+        entry["key"] = mark.key.str();
+        entry["known_at"] = Json::UInt64(mark.knownAt.value());
+        list.append(std::move(entry));
+    }
+    return list;
+}
+
+result<std::vector<deny_mark>> denyMarksFromJson(const Json::Value& value)
+{
+    constexpr std::string_view step = "keys.marks";
+    if (!value.isArray())
+        return failure(error_code::Corrupt, step, "expected a list");
+    std::vector<deny_mark> marks;
+    for (const auto& entry : value) {
+        if (!entry.isObject() || !entry["key"].isString() || !entry["known_at"].isUInt64())
+            return failure(error_code::Corrupt, step, "expected key and known_at");
+        marks.push_back({ key_id(entry["key"].asString()), revision(entry["known_at"].asUInt64()) });
+    }
+    return marks;
+}
+
+std::string_view toString(key_refusal refusal)
+{
+    switch (refusal) {
+    case key_refusal::Missing:
+        return "no key";
+    case key_refusal::Malformed:
+        return "malformed key";
+    case key_refusal::UnknownKey:
+        return "unknown key";
+    case key_refusal::WrongSecret:
+        return "wrong key";
+    case key_refusal::Withdrawn:
+        return "withdrawn key";
+    }
+    return "unknown key";
+}
+
+bool key_holder::may(operator_scope scope) const
+{
+    return std::find(scopes.begin(), scopes.end(), scope) != scopes.end();
+}
+
+void key_table::update(config_ptr inForce)
+{
+    m_config = std::move(inForce);
+    std::erase_if(m_marks, [this](const auto& entry) { return covers({ entry.first, entry.second }); });
+}
+
+bool key_table::covers(const deny_mark& mark) const
+{
+    if (!m_config)
+        return false;
+    const api_key* known = m_config->findKey(mark.key);
+    return known ? known->withdrawn : m_config->at() >= mark.knownAt;
+}
+
+result<std::optional<deny_mark>> key_table::deny(const key_id& key)
+{
+    const bool known = m_config && m_config->findKey(key);
+    const deny_mark mark { key, known ? m_config->at() : unknownRevision };
+    if (covers(mark))
+        return std::nullopt;
+    if (!known && !m_marks.contains(key)) {
+        const auto unknown = std::count_if(m_marks.begin(), m_marks.end(), [](const auto& entry) { return entry.second == unknownRevision; });
+        if (static_cast<std::size_t>(unknown) >= mostUnknownMarks)
+            return failure(error_code::ResourceExhausted, "keys.deny", "too many marks of keys that nobody knows");
+    }
+    merge({ &mark, 1 });
+    return std::optional(deny_mark { key, m_marks.at(key) });
+}
+
+std::vector<key_id> key_table::merge(std::span<const deny_mark> marks)
+{
+    std::vector<key_id> fresh;
+    for (const auto& mark : marks) {
+        if (covers(mark))
+            continue;
+        const auto [entry, added] = m_marks.try_emplace(mark.key, mark.knownAt);
+        entry->second = std::min(entry->second, mark.knownAt);
+        if (added)
+            fresh.push_back(mark.key);
+    }
+    std::sort(fresh.begin(), fresh.end());
+    return fresh;
+}
+
+std::vector<deny_mark> key_table::marks() const
+{
+    std::vector<deny_mark> all;
+    all.reserve(m_marks.size());
+    for (const auto& [key, knownAt] : m_marks)
+        all.push_back({ key, knownAt });
+    return all;
+}
+
+authentication key_table::authenticate(std::string_view headerValue) const
+{
+    // Step 1. The key as it came.
+    const auto token = bearerToken(headerValue);
+    if (!token)
+        return token.error().code == error_code::NotFound ? key_refusal::Missing : key_refusal::Malformed;
+    const auto presented = parseKey(*token);
+    if (!presented)
+        return key_refusal::Malformed;
+
+    // Step 2. The secret, before anything is told about the key's state.
+    const api_key* known = m_config ? m_config->findKey(presented->id) : nullptr;
+    if (!known)
+        return key_refusal::UnknownKey;
+    if (!sameDigest(keyDigest(known->salt, presented->secret), known->digest))
+        return key_refusal::WrongSecret;
+
+    // Step 3. Withdrawn by the configuration, or ahead of it.
+    if (!isLive(presented->id))
+        return key_refusal::Withdrawn;
+    return key_holder { presented->id, known->account, known->scopes };
+}
+
+bool key_table::isLive(const key_id& key) const
+{
+    const api_key* known = m_config ? m_config->findKey(key) : nullptr;
+    return known && !known->withdrawn && !m_marks.contains(key);
+}
+
+} // namespace lovagerail
--- a/src/keys.h
+++ b/src/keys.h
@@ -6,8 +6,8 @@
 // configuration holds salt and digest only; nothing here prints a secret.
 //
 // A deny mark says "this key is withdrawn" ahead of the configuration. Marks
-// join by taking the larger revision, so any order and any repeats give the
-// same state. A mark is dropped, and not taken in again, once the configuration
+// join by taking the smaller revision, so any order and any repeats give the
+// same state; a real revision goes before unknownRevision. A mark is dropped, and not taken in again, once the configuration
 // in force covers it: it shows the key as withdrawn, or no longer has it though
 // it is not older than the revision that had it. Withdrawal is for good
 // (config_check holds that), so a dropped mark can't be needed again.
--- a/src/object_codec.cpp
+++ b/src/object_codec.cpp
@@ -49,7 +49,7 @@
         void field(const char* name, const name_id<Tag>& value) { m_to[name] = value.str(); }
 
         template <typename Enum>
-            requires std::is_enum_v<Enum>
+        requires std::is_enum_v<Enum>
         void field(const char* name, Enum value) { m_to[name] = std::string(toString(value)); }
 
         template <typename Item>
@@ -159,7 +159,7 @@
         }
 
         template <typename Enum>
-            requires std::is_enum_v<Enum>
+        requires std::is_enum_v<Enum>
         void field(const char* name, Enum& to)
         {
             std::string text(toString(to));
--- a/src/object_fields.h
+++ b/src/object_fields.h
@@ -106,7 +106,6 @@
     visitor.field("fencing", pool.fencing);
     visitor.field("failure_domains", pool.failureDomains);
     visitor.field("accepts", pool.accepts);
-    visitor.field("default", pool.isDefault);
 }
 
 void visitFields(auto& visitor, maybe_const<route> auto& on)
--- a/src/objects.cpp
+++ b/src/objects.cpp
@@ -93,6 +93,30 @@
         [](char c) { return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.'; });
 }
 
+labels workLabels(const client_account* account, const route* on, const run* of)
+{
+    labels all;
+    if (of)
+        all.insert(of->meta.labels.begin(), of->meta.labels.end());
+    if (on)
+        all.insert(on->meta.labels.begin(), on->meta.labels.end());
+    if (account)
+        all.insert(account->meta.labels.begin(), account->meta.labels.end());
+    return all;
+}
+
+labels targetLabels(const target_pool& pool, const failure_domain_id& domain, const labels& own)
+{
+    labels all {
+        { "pool", pool.meta.name },
+        { "failure_domain", domain.str() },
+        { "kind", std::string(toString(pool.kind)) },
+    };
+    all.insert(pool.meta.labels.begin(), pool.meta.labels.end());
+    all.insert(own.begin(), own.end());
+    return all;
+}
+
 bool isIdempotent(const route& on, std::string_view method)
 {
     if (on.idempotent)
--- a/src/objects.h
+++ b/src/objects.h
@@ -105,8 +105,7 @@
     micro_price cheapPricePerHour;
     fencing_support fencing = fencing_support::Ignored;
     std::vector<failure_domain_id> failureDomains;
-    selector accepts; // over the labels of account, route and run together
-    bool isDefault = false; // serves work of its kind whose selector names no pool
+    selector accepts; // over workLabels(); empty = all work
 };
 
 struct route {
@@ -115,7 +114,7 @@
     std::vector<std::string> methods; // empty = all
     pool_kind kind = pool_kind::Engine;
     bool open = false; // needs no key
-    selector targets; // over pool labels, `pool`, `failure_domain`, `kind` and the target's own
+    selector targets; // over targetLabels()
     selector accounts; // over account labels
     bool idempotent = false; // every method may be repeated
     std::vector<std::string> idempotentMethods; // these may be repeated
@@ -175,6 +174,14 @@
 object_ref refOf(const config_object& object);
 bool isObjectName(std::string_view text);
 
+// What a pool's `accepts` is matched against: the labels of account, route and
+// run together; where they name the same key, the run's go first, then the
+// route's. Each may be null.
+labels workLabels(const client_account* account, const route* on, const run* of);
+// What `targets` of a route or run is matched against: the target's own labels,
+// those of its pool, which go first, and `pool`, `failure_domain` and `kind`.
+labels targetLabels(const target_pool& pool, const failure_domain_id& domain, const labels& own);
+
 // Whether a request of this method on this route may be repeated.
 bool isIdempotent(const route& on, std::string_view method);
 
