--- a/src/config_edit.cpp
+++ b/src/config_edit.cpp
@@ -233,6 +233,14 @@
     return entry;
 }
 
+void fillBases(config_edit& wanted, const config& seen)
+{
+    for (const auto& object : wanted.puts)
+        wanted.bases.try_emplace(refOf(object), stampOf(seen.find(refOf(object))));
+    for (const auto& ref : wanted.deletes)
+        wanted.bases.try_emplace(ref, stampOf(seen.find(ref)));
+}
+
 edit_outcome planEdit(const config& current, const config_head& head, const config_edit& wanted, std::span<const history_entry> recent)
 {
     // Step 1. What makes no sense on any configuration.
--- a/src/config_edit.h
+++ b/src/config_edit.h
@@ -86,6 +86,11 @@
 struct no_change { };
 using edit_outcome = std::variant<edit_plan, no_change, std::vector<edit_conflict>, std::vector<config_fault>, error>;
 
+// Fixes the versions that the edit starts from, where the operator named none,
+// to those in `seen`. To be called once, when the edit arrives: what others
+// change between then and a later plan is a conflict, never overwritten.
+void fillBases(config_edit& wanted, const config& seen);
+
 // Plans an edit on the configuration in force and its head. `recent` is used to
 // name who deleted an object; it may be empty.
 edit_outcome planEdit(const config& current, const config_head& head, const config_edit& wanted, std::span<const history_entry> recent = {});
--- /dev/null
+++ b/src/snapshot.cpp
@@ -0,0 +1,220 @@
+// Format of the local copy, and the two functions that touch the disk.
+#include "snapshot.h"
+
+#include "object_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fcntl.h>
+#include <memory>
+#include <openssl/evp.h>
+#include <unistd.h>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::string_view step = "snapshot";
+    constexpr std::string_view magic = "lovagesn";
+    constexpr std::uint64_t formatVersion = 1;
+    constexpr std::size_t numberBytes = 8;
+    constexpr std::size_t digestBytes = 32;
+    constexpr std::size_t checkedHeaderBytes = 4 * numberBytes; // magic, version, revision, length
+    constexpr std::size_t headerBytes = checkedHeaderBytes + digestBytes;
+    constexpr std::size_t readChunkBytes = 65'536;
+
+    void appendNumber(std::string& to, std::uint64_t number)
+    {
+        for (int shift = 56; shift >= 0; shift -= 8)
+            to += static_cast<char>((number >> shift) & 0xffu);
+    }
+
+    std::uint64_t numberAt(std::string_view bytes, std::size_t at)
+    {
+        std::uint64_t number = 0;
+        for (std::size_t i = 0; i < numberBytes; ++i)
+            number = (number << 8) | static_cast<unsigned char>(bytes[at + i]);
+        return number;
+    }
+
+    // Over the header up to the digest, then the body.
+    std::string checksum(std::string_view header, std::string_view body)
+    {
+        std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+        const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+        const bool done = context
+            && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1
+            && EVP_DigestUpdate(context.get(), header.data(), header.size()) == 1
+            && EVP_DigestUpdate(context.get(), body.data(), body.size()) == 1
+            && EVP_DigestFinal_ex(context.get(), digest.data(), nullptr) == 1;
+        return done ? std::string(digest.begin(), digest.begin() + digestBytes) : std::string();
+    }
+
+    tl::unexpected<error> corrupt(std::string detail)
+    {
+        return failure(error_code::Corrupt, step, peer_kind::File, {}, std::move(detail));
+    }
+
+    tl::unexpected<error> fileFailure(const std::string& path, const char* what)
+    {
+        const int reason = errno;
+        const auto code = reason == ENOENT ? error_code::NotFound : error_code::Unavailable;
+        return failure(code, step, peer_kind::File, path, std::string(what) + ": " + std::strerror(reason));
+    }
+
+    // Closes what it holds.
+    struct descriptor {
+        int number = -1;
+
+        explicit descriptor(int held)
+            : number(held)
+        {
+        }
+        descriptor(const descriptor&) = delete;
+        descriptor& operator=(const descriptor&) = delete;
+        ~descriptor()
+        {
+            if (number >= 0)
+                close(number);
+        }
+    };
+
+    bool writeAll(int to, std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const auto written = write(to, bytes.data(), bytes.size());
+            if (written < 0 && errno == EINTR)
+                continue;
+            if (written <= 0)
+                return false;
+            bytes.remove_prefix(static_cast<std::size_t>(written));
+        }
+        return true;
+    }
+
+    std::string folderOf(const std::string& path)
+    {
+        const auto slash = path.rfind('/');
+        if (slash == std::string::npos)
+            return ".";
+        return slash == 0 ? "/" : path.substr(0, slash);
+    }
+
+    error withPath(error failed, const std::string& path)
+    {
+        failed.peer = peer_kind::File;
+        failed.peerName = path;
+        return failed;
+    }
+
+} // namespace
+
+std::string encodeSnapshot(const snapshot& local)
+{
+    Json::Value value(Json::objectValue);
+    value["configuration"] = toJson(local.configuration);
+    value["denied"] = toJson(std::span(local.denied));
+    const std::string body = toText(value);
+
+    std::string bytes(magic);
+    appendNumber(bytes, formatVersion);
+    appendNumber(bytes, local.configuration.to.value());
+    appendNumber(bytes, body.size());
+    bytes += checksum(bytes, body);
+    return bytes + body;
+}
+
+result<snapshot> decodeSnapshot(std::string_view bytes)
+{
+    // Step 1. The header, and bytes that are all there and unharmed.
+    if (bytes.size() < headerBytes || !bytes.starts_with(magic))
+        return corrupt("no snapshot file, or cut off in its header");
+    const auto version = numberAt(bytes, numberBytes);
+    if (version != formatVersion)
+        return failure(error_code::Unsupported, step, peer_kind::File, {}, "format version " + std::to_string(version) + "; this release reads " + std::to_string(formatVersion));
+    const auto body = bytes.substr(headerBytes);
+    if (numberAt(bytes, 3 * numberBytes) != body.size())
+        return corrupt("the body's length is wrong");
+    if (checksum(bytes.substr(0, checkedHeaderBytes), body) != bytes.substr(checkedHeaderBytes, digestBytes))
+        return corrupt("the checksum is wrong");
+
+    // Step 2. The body.
+    const auto value = parseJson(body, step);
+    if (!value)
+        return tl::unexpected(value.error());
+    if (!value->isObject())
+        return corrupt("expected a table");
+    auto configuration = changeFromJson((*value)["configuration"]);
+    if (!configuration)
+        return tl::unexpected(std::move(configuration.error()));
+    auto denied = denyMarksFromJson((*value)["denied"]);
+    if (!denied)
+        return tl::unexpected(std::move(denied.error()));
+    if (!configuration->isFull() || configuration->to.value() != numberAt(bytes, 2 * numberBytes))
+        return corrupt("header and body don't agree");
+    return snapshot { std::move(*configuration), std::move(*denied) };
+}
+
+result<void> writeFileAtomically(const std::string& path, std::string_view bytes)
+{
+    // Step 1. A whole new file beside the old one, safe on the disk.
+    const std::string temporary = path + ".new";
+    {
+        const descriptor file(open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, S_IRUSR | S_IWUSR));
+        if (file.number < 0)
+            return fileFailure(temporary, "open");
+        if (!writeAll(file.number, bytes))
+            return fileFailure(temporary, "write");
+        if (fsync(file.number) != 0)
+            return fileFailure(temporary, "fsync");
+    }
+
+    // Step 2. It takes the old one's name at once, and the name is safe too.
+    if (std::rename(temporary.c_str(), path.c_str()) != 0)
+        return fileFailure(path, "rename");
+    const std::string folderName = folderOf(path);
+    const descriptor folder(open(folderName.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    if (folder.number < 0 || fsync(folder.number) != 0)
+        return fileFailure(folderName, "fsync of the folder");
+    return {};
+}
+
+result<std::string> readWholeFile(const std::string& path)
+{
+    const descriptor file(open(path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (file.number < 0)
+        return fileFailure(path, "open");
+    std::string bytes;
+    std::vector<char> chunk(readChunkBytes);
+    while (true) {
+        const auto got = read(file.number, chunk.data(), chunk.size());
+        if (got < 0 && errno == EINTR)
+            continue;
+        if (got < 0)
+            return fileFailure(path, "read");
+        if (got == 0)
+            return bytes;
+        bytes.append(chunk.data(), static_cast<std::size_t>(got));
+    }
+}
+
+result<void> saveSnapshot(const std::string& path, const snapshot& local)
+{
+    return writeFileAtomically(path, encodeSnapshot(local));
+}
+
+result<snapshot> loadSnapshot(const std::string& path)
+{
+    const auto bytes = readWholeFile(path);
+    if (!bytes)
+        return tl::unexpected(bytes.error());
+    auto decoded = decodeSnapshot(*bytes);
+    if (!decoded)
+        return tl::unexpected(withPath(std::move(decoded.error()), path));
+    return decoded;
+}
+
+} // namespace lovagerail
