Usage: close windows in order, seal create-only, report from sealed values alone

Cause: a window must close on time though instances die or hang, and must never be reported with two figures, whoever is in charge. Change: the closer gathers segments from live instances, from copies and from counters kept in the service; it seals each window in one create-only transaction that requires the window before; sealed values carry each origin's mark, so late segments count once in a later window under the window they belong to.

--- a/src/burn.h
+++ b/src/burn.h
@@ -121,44 +121,44 @@
 
 namespace detail {
 
-// Counts by age in a ring of equal buckets.
-template <typename Count, std::size_t Size>
-class bucket_ring {
-public:
-    // Empties the buckets that `slot`, the current one, has passed. Time never goes back.
-    void moveTo(std::int64_t slot)
-    {
-        if (slot <= m_slot)
-            return;
-        const std::int64_t passed = std::min<std::int64_t>(slot - m_slot, Size);
-        for (std::int64_t i = 1; i <= passed; ++i)
-            at(slot - passed + i) = Count {};
-        m_slot = slot;
-    }
-    Count& current() { return at(m_slot); }
-    const Count& aged(std::size_t age) const { return m_buckets[index(m_slot - static_cast<std::int64_t>(age))]; }
-
-private:
-    static std::size_t index(std::int64_t slot) { return static_cast<std::size_t>((slot % static_cast<std::int64_t>(Size) + Size) % Size); }
-    Count& at(std::int64_t slot) { return m_buckets[index(slot)]; }
-
-    std::array<Count, Size> m_buckets {};
-    std::int64_t m_slot = 0;
-};
+    // Counts by age in a ring of equal buckets.
+    template <typename Count, std::size_t Size>
+    class bucket_ring {
+    public:
+        // Empties the buckets that `slot`, the current one, has passed. Time never goes back.
+        void moveTo(std::int64_t slot)
+        {
+            if (slot <= m_slot)
+                return;
+            const std::int64_t passed = std::min<std::int64_t>(slot - m_slot, Size);
+            for (std::int64_t i = 1; i <= passed; ++i)
+                at(slot - passed + i) = Count {};
+            m_slot = slot;
+        }
+        Count& current() { return at(m_slot); }
+        const Count& aged(std::size_t age) const { return m_buckets[index(m_slot - static_cast<std::int64_t>(age))]; }
+
+    private:
+        static std::size_t index(std::int64_t slot) { return static_cast<std::size_t>((slot % static_cast<std::int64_t>(Size) + Size) % Size); }
+        Count& at(std::int64_t slot) { return m_buckets[index(slot)]; }
+
+        std::array<Count, Size> m_buckets {};
+        std::int64_t m_slot = 0;
+    };
 
-struct small_counts {
-    std::uint32_t good = 0;
-    std::uint32_t bad = 0;
-};
+    struct small_counts {
+        std::uint32_t good = 0;
+        std::uint32_t bad = 0;
+    };
 
-// Invariant: all rings stand at the time of the last event or reading.
-struct burn_cell {
-    bucket_ring<small_counts, 10> halfMinutes; // five minutes
-    bucket_ring<small_counts, burnSeriesLength> fiveMinutes; // half an hour and an hour
-    bucket_ring<small_counts, 6> hours; // six hours
-    bucket_ring<std::array<std::uint32_t, burnCauses>, 2> causes; // of an hour, in halves
-    instant lastUsed;
-};
+    // Invariant: all rings stand at the time of the last event or reading.
+    struct burn_cell {
+        bucket_ring<small_counts, 10> halfMinutes; // five minutes
+        bucket_ring<small_counts, burnSeriesLength> fiveMinutes; // half an hour and an hour
+        bucket_ring<small_counts, 6> hours; // six hours
+        bucket_ring<std::array<std::uint32_t, burnCauses>, 2> causes; // of an hour, in halves
+        instant lastUsed;
+    };
 
 } // namespace detail
 
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -8,55 +8,55 @@
 namespace lovagerail {
 namespace {
 
-// Kinds of remembered facts, folded in the hash of the request.
-enum class memory : std::uint64_t {
-    Attempt,
-    Charge,
-    Refusal,
-};
-
-std::uint64_t hashOf(memory kind, const request_id& request, attempt_id attempt)
-{
-    const std::uint64_t seed = attempt.value() * 4 + static_cast<std::uint64_t>(kind);
-    return XXH64(request.str().data(), request.str().size(), seed);
-}
+    // Kinds of remembered facts, folded in the hash of the request.
+    enum class memory : std::uint64_t {
+        Attempt,
+        Charge,
+        Refusal,
+    };
 
-usage_figures amountsOf(const usage_figures& figures)
-{
-    usage_figures amounts = figures;
-    amounts.requests = 0;
-    amounts.refused = 0;
-    return amounts;
-}
+    std::uint64_t hashOf(memory kind, const request_id& request, attempt_id attempt)
+    {
+        const std::uint64_t seed = attempt.value() * 4 + static_cast<std::uint64_t>(kind);
+        return XXH64(request.str().data(), request.str().size(), seed);
+    }
 
-bool endsRequest(usage_heading heading)
-{
-    return heading == usage_heading::Ended || heading == usage_heading::Cancelled || heading == usage_heading::Died;
-}
+    usage_figures amountsOf(const usage_figures& figures)
+    {
+        usage_figures amounts = figures;
+        amounts.requests = 0;
+        amounts.refused = 0;
+        return amounts;
+    }
 
-usage_ledger ledgerOf(const attempt_usage& event, usage_heading heading)
-{
-    usage_ledger ledger;
-    // Step 1. By account: the repeated prefill of a resumed answer is the operator's.
-    usage_key key { event.account, event.model, event.version, event.pool, heading };
-    usage_figures charged = amountsOf(event.counted);
-    if (event.continuesAnswer && heading != usage_heading::Retried) {
-        usage_figures repeated;
-        std::swap(repeated.prefilled, charged.prefilled);
-        std::swap(repeated.cached, charged.cached);
-        usage_key operators = key;
-        operators.heading = usage_heading::Retried;
-        ledger.accounts[operators] += repeated;
+    bool endsRequest(usage_heading heading)
+    {
+        return heading == usage_heading::Ended || heading == usage_heading::Cancelled || heading == usage_heading::Died;
+    }
+
+    usage_ledger ledgerOf(const attempt_usage& event, usage_heading heading)
+    {
+        usage_ledger ledger;
+        // Step 1. By account: the repeated prefill of a resumed answer is the operator's.
+        usage_key key { event.account, event.model, event.version, event.pool, heading };
+        usage_figures charged = amountsOf(event.counted);
+        if (event.continuesAnswer && heading != usage_heading::Retried) {
+            usage_figures repeated;
+            std::swap(repeated.prefilled, charged.prefilled);
+            std::swap(repeated.cached, charged.cached);
+            usage_key operators = key;
+            operators.heading = usage_heading::Retried;
+            ledger.accounts[operators] += repeated;
+        }
+        charged.requests = endsRequest(heading) ? 1 : 0;
+        ledger.accounts[key] += charged;
+        // Step 2. By target: what it says itself, where it says it.
+        target_usage& target = ledger.targets[event.target];
+        target.counted = amountsOf(event.counted);
+        target.reported = amountsOf(event.reportedByTarget.value_or(event.counted));
+        target.reported.targetTime = event.counted.targetTime; // targets report tokens alone
+        return ledger;
     }
-    charged.requests = endsRequest(heading) ? 1 : 0;
-    ledger.accounts[key] += charged;
-    // Step 2. By target: what it says itself, where it says it.
-    target_usage& target = ledger.targets[event.target];
-    target.counted = amountsOf(event.counted);
-    target.reported = amountsOf(event.reportedByTarget.value_or(event.counted));
-    target.reported.targetTime = event.counted.targetTime; // targets report tokens alone
-    return ledger;
-}
 
 } // namespace
 
--- a/src/usage_json.cpp
+++ b/src/usage_json.cpp
@@ -6,105 +6,105 @@
 namespace lovagerail {
 namespace {
 
-constexpr std::string_view decodeStep = "usage.decode";
+    constexpr std::string_view decodeStep = "usage.decode";
 
-result<std::uint64_t> number(const Json::Value& json)
-{
-    if (!json.isUInt64())
-        return failure(error_code::InvalidArgument, decodeStep, "a number is missing");
-    return json.asUInt64();
-}
+    result<std::uint64_t> number(const Json::Value& json)
+    {
+        if (!json.isUInt64())
+            return failure(error_code::InvalidArgument, decodeStep, "a number is missing");
+        return json.asUInt64();
+    }
 
 } // namespace
 
 namespace detail {
 
-Json::Value figuresJson(const usage_figures& figures)
-{
-    Json::Value json(Json::arrayValue);
-    json.append(Json::UInt64(figures.requests));
-    json.append(Json::UInt64(figures.refused));
-    json.append(Json::UInt64(figures.prefilled.count()));
-    json.append(Json::UInt64(figures.cached.count()));
-    json.append(Json::UInt64(figures.generated.count()));
-    json.append(Json::UInt64(figures.targetTime.count()));
-    return json;
-}
+    Json::Value figuresJson(const usage_figures& figures)
+    {
+        Json::Value json(Json::arrayValue);
+        json.append(Json::UInt64(figures.requests));
+        json.append(Json::UInt64(figures.refused));
+        json.append(Json::UInt64(figures.prefilled.count()));
+        json.append(Json::UInt64(figures.cached.count()));
+        json.append(Json::UInt64(figures.generated.count()));
+        json.append(Json::UInt64(figures.targetTime.count()));
+        return json;
+    }
 
-// Figures stand at json[offset] and the five places after it.
-result<usage_figures> figuresFromJson(const Json::Value& json, Json::ArrayIndex offset)
-{
-    constexpr Json::ArrayIndex fields = 6;
-    if (!json.isArray() || json.size() != offset + fields)
-        return failure(error_code::InvalidArgument, decodeStep, "figures have the wrong length");
-    std::array<std::uint64_t, fields> values {};
-    for (Json::ArrayIndex i = 0; i < fields; ++i) {
-        const auto value = number(json[offset + i]);
-        if (!value)
-            return tl::make_unexpected(value.error());
-        values[i] = *value;
+    // Figures stand at json[offset] and the five places after it.
+    result<usage_figures> figuresFromJson(const Json::Value& json, Json::ArrayIndex offset)
+    {
+        constexpr Json::ArrayIndex fields = 6;
+        if (!json.isArray() || json.size() != offset + fields)
+            return failure(error_code::InvalidArgument, decodeStep, "figures have the wrong length");
+        std::array<std::uint64_t, fields> values {};
+        for (Json::ArrayIndex i = 0; i < fields; ++i) {
+            const auto value = number(json[offset + i]);
+            if (!value)
+                return tl::make_unexpected(value.error());
+            values[i] = *value;
+        }
+        usage_figures figures;
+        figures.requests = values[0];
+        figures.refused = values[1];
+        figures.prefilled = token_count(values[2]);
+        figures.cached = token_count(values[3]);
+        figures.generated = token_count(values[4]);
+        figures.targetTime = std::chrono::milliseconds(values[5]);
+        return figures;
     }
-    usage_figures figures;
-    figures.requests = values[0];
-    figures.refused = values[1];
-    figures.prefilled = token_count(values[2]);
-    figures.cached = token_count(values[3]);
-    figures.generated = token_count(values[4]);
-    figures.targetTime = std::chrono::milliseconds(values[5]);
-    return figures;
-}
 
-// One row: model, version, pool, heading, then the figures.
-Json::Value rowsJson(const std::map<usage_key, usage_figures>& rows)
-{
-    Json::Value json(Json::arrayValue);
-    for (const auto& [key, figures] : rows) {
-        Json::Value row(Json::arrayValue);
-        row.append(key.model.str());
-        row.append(Json::UInt64(key.version.value()));
-        row.append(key.pool.str());
-        row.append(static_cast<unsigned>(key.heading));
-        for (const Json::Value& value : figuresJson(figures))
-            row.append(value);
-        json.append(row);
+    // One row: model, version, pool, heading, then the figures.
+    Json::Value rowsJson(const std::map<usage_key, usage_figures>& rows)
+    {
+        Json::Value json(Json::arrayValue);
+        for (const auto& [key, figures] : rows) {
+            Json::Value row(Json::arrayValue);
+            row.append(key.model.str());
+            row.append(Json::UInt64(key.version.value()));
+            row.append(key.pool.str());
+            row.append(static_cast<unsigned>(key.heading));
+            for (const Json::Value& value : figuresJson(figures))
+                row.append(value);
+            json.append(row);
+        }
+        return json;
     }
-    return json;
-}
 
-result<std::map<usage_key, usage_figures>> rowsFromJson(const client_account_id& account, const Json::Value& json)
-{
-    constexpr Json::ArrayIndex keyFields = 4;
-    std::map<usage_key, usage_figures> rows;
-    if (!json.isArray())
-        return failure(error_code::InvalidArgument, decodeStep, "rows are not a list");
-    for (const Json::Value& row : json) {
-        const auto figures = figuresFromJson(row, keyFields);
-        if (!figures)
-            return tl::make_unexpected(figures.error());
-        if (!row[0].isString() || !row[1].isUInt64() || !row[2].isString() || !row[3].isUInt())
-            return failure(error_code::InvalidArgument, decodeStep, "a row's key is malformed");
-        if (row[3].asUInt() > static_cast<unsigned>(usage_heading::Refused))
-            return failure(error_code::InvalidArgument, decodeStep, "unknown heading");
-        usage_key key { account, model_id(row[0].asString()), weight_version(row[1].asUInt64()), pool_id(row[2].asString()), static_cast<usage_heading>(row[3].asUInt()) };
-        rows[key] += *figures;
+    result<std::map<usage_key, usage_figures>> rowsFromJson(const client_account_id& account, const Json::Value& json)
+    {
+        constexpr Json::ArrayIndex keyFields = 4;
+        std::map<usage_key, usage_figures> rows;
+        if (!json.isArray())
+            return failure(error_code::InvalidArgument, decodeStep, "rows are not a list");
+        for (const Json::Value& row : json) {
+            const auto figures = figuresFromJson(row, keyFields);
+            if (!figures)
+                return tl::make_unexpected(figures.error());
+            if (!row[0].isString() || !row[1].isUInt64() || !row[2].isString() || !row[3].isUInt())
+                return failure(error_code::InvalidArgument, decodeStep, "a row's key is malformed");
+            if (row[3].asUInt() > static_cast<unsigned>(usage_heading::Refused))
+                return failure(error_code::InvalidArgument, decodeStep, "unknown heading");
+            usage_key key { account, model_id(row[0].asString()), weight_version(row[1].asUInt64()), pool_id(row[2].asString()), static_cast<usage_heading>(row[3].asUInt()) };
+            rows[key] += *figures;
+        }
+        return rows;
     }
-    return rows;
-}
 
-Json::Value originJson(const usage_origin& origin)
-{
-    Json::Value json(Json::arrayValue);
-    json.append(origin.instance.str());
-    json.append(Json::UInt64(origin.life.value()));
-    return json;
-}
+    Json::Value originJson(const usage_origin& origin)
+    {
+        Json::Value json(Json::arrayValue);
+        json.append(origin.instance.str());
+        json.append(Json::UInt64(origin.life.value()));
+        return json;
+    }
 
-result<usage_origin> originFromJson(const Json::Value& json)
-{
-    if (!json.isArray() || json.size() != 2 || !json[0].isString() || !json[1].isUInt64())
-        return failure(error_code::InvalidArgument, decodeStep, "an origin is malformed");
-    return usage_origin { instance_id(json[0].asString()), incarnation(json[1].asUInt64()) };
-}
+    result<usage_origin> originFromJson(const Json::Value& json)
+    {
+        if (!json.isArray() || json.size() != 2 || !json[0].isString() || !json[1].isUInt64())
+            return failure(error_code::InvalidArgument, decodeStep, "an origin is malformed");
+        return usage_origin { instance_id(json[0].asString()), incarnation(json[1].asUInt64()) };
+    }
 
 } // namespace detail
 
--- /dev/null
+++ b/src/usage_reporting.cpp
@@ -0,0 +1,88 @@
+// Sending the reports of one sealed window and marking how far they are done.
+#include "usage_keys.h"
+#include "usage_window.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lovagerail::detail {
+
+window_reporting::window_reporting(std::vector<report_usage> reports, std::size_t marked)
+    : m_reports(std::move(reports))
+    , m_done(m_reports.size(), 0)
+    , m_sent(std::min(marked, m_reports.size()))
+    , m_finished(m_sent)
+    , m_marked(m_sent)
+{
+    std::fill(m_done.begin(), m_done.begin() + static_cast<std::ptrdiff_t>(m_sent), 1);
+}
+
+void window_reporting::send(wall_time now, const closer_settings& settings, std::vector<closer_action>& actions)
+{
+    // Step 1. What was lost goes again with the same figures.
+    for (auto it = m_again.begin(); it != m_again.end();) {
+        if (m_inFlight.size() >= settings.reportsInFlight)
+            break;
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        m_inFlight.insert(it->first);
+        actions.emplace_back(m_reports[it->first]);
+        it = m_again.erase(it);
+    }
+    // Step 2. Then the next accounts.
+    while (m_sent < m_reports.size() && m_inFlight.size() + m_again.size() < settings.reportsInFlight) {
+        m_inFlight.insert(m_sent);
+        actions.emplace_back(m_reports[m_sent]);
+        ++m_sent;
+    }
+    // Step 3. Say how far this is, for a successor.
+    mark(now, settings, actions);
+}
+
+void window_reporting::mark(wall_time now, const closer_settings& settings, std::vector<closer_action>& actions)
+{
+    while (m_finished < m_reports.size() && m_done[m_finished] != 0)
+        ++m_finished;
+    const bool all = m_finished == m_reports.size();
+    const bool due = all || m_finished >= m_marked + settings.accountsPerMark;
+    if (!due || m_markWritten || m_marking || now < m_markAgain || m_reports.empty())
+        return;
+    m_marking = m_finished;
+    const std::string value = std::to_string(m_finished) + (all ? " all" : " some");
+    actions.emplace_back(commit_entries { {}, {}, { { reportedKey(m_reports.front().window), value } } });
+}
+
+void window_reporting::onReport(const client_account_id& account, report_outcome outcome, wall_time retryAt)
+{
+    // Reports are sorted by account.
+    const auto found = std::lower_bound(m_reports.begin(), m_reports.end(), account, [](const report_usage& report, const client_account_id& name) {
+        return report.account < name;
+    });
+    if (found == m_reports.end() || found->account != account)
+        return;
+    const auto index = static_cast<std::size_t>(found - m_reports.begin());
+    if (m_inFlight.erase(index) == 0)
+        return;
+    if (outcome == report_outcome::Lost) {
+        m_again[index] = retryAt;
+        return;
+    }
+    m_done[index] = 1;
+}
+
+void window_reporting::onMark(commit_outcome outcome, wall_time retryAt)
+{
+    if (!m_marking)
+        return;
+    if (outcome == commit_outcome::Done) {
+        m_marked = *m_marking;
+        m_markWritten = m_marked == m_reports.size();
+    } else {
+        m_markAgain = retryAt;
+    }
+    m_marking.reset();
+}
+
+} // namespace lovagerail::detail
--- a/src/usage_window.h
+++ b/src/usage_window.h
@@ -3,17 +3,18 @@
 // One closer object serves one term of the duty; make a new one with the new
 // fencing number after each take-over. Windows are sealed in order. Each sealed
 // value says how far every origin's segments are included, so that a segment is
-// in exactly one sealed window: its own, or a later one under `late`. Sealing is
+// in exactly one sealed window: its own, or a later one as late usage. Sealing is
 // create-only and requires the window before, so neither a second closer, nor a
 // delayed write, nor one that lands after old windows were removed can make a
 // second figure. Reports are made from sealed values alone.
 //
 // Calls a window: one pull to each live instance (and a second one to holders of
-// copies where an instance does not answer), one range read, one transaction,
-// one mark for each 128 accounts, and one report for each account with usage.
+// copies where an origin does not answer), one range read, one transaction, one
+// mark for each `accountsPerMark` accounts, one report for each account with usage.
 #pragma once
 
-#include "usage.h"
+#include "usage_pull.h"
+#include "usage_sealed.h"
 
 #include <set>
 #include <string>
@@ -26,105 +27,40 @@
     std::chrono::milliseconds settle { std::chrono::seconds(3) }; // after the end, before the first pull
     std::chrono::milliseconds grace { std::chrono::seconds(30) }; // after the end, before sealing regardless
     std::chrono::milliseconds retryAfter { std::chrono::seconds(2) };
-    std::uint64_t keepWindows = 288; // sealed and reported windows kept
+    std::uint64_t keepWindows = 288; // sealed windows kept, if wholly reported
     std::size_t reportsInFlight = 8;
-    std::size_t accountsPerMark = 128;
+    std::size_t accountsPerMark = 250;
     byte_count valueLimit { 900'000 };
 };
 
-// Sealed figures of one account: its own window, and late ones by the window they belong to.
-struct account_usage {
-    std::map<usage_key, usage_figures> figures;
-    std::map<window_number, std::map<usage_key, usage_figures>> late;
-    friend bool operator==(const account_usage&, const account_usage&) = default;
-};
-
-// Sums that ought to be equal and aren't. Requests aren't compared: a request
-// may take several attempts.
-struct usage_difference {
-    target_id target; // empty: the sum over accounts against the sum over targets
-    usage_figures counted; // by account, or by us at this target
-    usage_figures reported; // by target, or by the target itself
-    friend bool operator==(const usage_difference&, const usage_difference&) = default;
-};
-constexpr std::size_t differencesKept = 64;
-
-struct origin_mark {
-    segment_number next; // segments below are in this or an earlier sealed window
-    window_number changed; // the last window that took a segment; old marks are dropped
-    friend bool operator==(const origin_mark&, const origin_mark&) = default;
-};
-
-struct sealed_window {
-    window_number window;
-    std::map<client_account_id, account_usage> accounts;
-    std::map<usage_origin, origin_mark> included;
-    usage_figures total; // of all accounts, late ones and retries included
-    std::vector<usage_difference> differences; // the first ones, in order of targets
-    std::uint64_t differenceCount = 0;
-    std::vector<instance_id> missing; // live instances that did not answer in time
-    friend bool operator==(const sealed_window&, const sealed_window&) = default;
-};
-
-// The text that goes into the key-value service; equal windows give equal text.
-std::string encodeSealed(const sealed_window& window);
-result<sealed_window> decodeSealed(std::string_view text);
+constexpr std::string_view sealedPrefix = "/lovagerail/usage/sealed/";
+constexpr std::string_view reportedPrefix = "/lovagerail/usage/reported/";
+constexpr std::string_view floorKey = "/lovagerail/usage/floor"; // stands once any window was sealed
 
 struct kv_entry {
     std::string key;
     std::string value;
 };
 
-// --- What the closer asks for --------------------------------------------------
+// --- What the closer asks for; each gets one answer, a lost one included ---------
 
-// Ask one instance for its segments, and for copies it holds where `copies` names them.
-struct pull_usage {
-    instance_id instance;
-    window_number window;
-    std::vector<usage_position> positions; // sealed so far: own incarnations, and copies it is known to hold
-    std::vector<usage_origin> copies; // origins whose copies are wanted
-};
 // Range read of all keys under the prefix; answer with onRead().
 struct read_prefix {
     std::string prefix;
     bool keysOnly = false;
 };
-// One transaction: all of mustExist exist, none of mustNotExist does, then put.
+// One transaction: if all of mustExist exist and none of mustNotExist does, put.
 struct commit_entries {
     std::vector<std::string> mustExist;
     std::vector<std::string> mustNotExist;
     std::vector<kv_entry> puts;
 };
-struct remove_prefix {
-    std::string prefix;
-};
-// One POST /usage. The body is made from the sealed value alone.
-struct report_usage {
-    client_account_id account;
-    window_number window;
-    fencing_number fencing;
-    std::string digest; // SHA-256 in hex of figures and late
-    Json::Value figures;
-    Json::Value late;
+// One range delete of [from, to); needs no answer.
+struct remove_range {
+    std::string from;
+    std::string to;
 };
-using closer_action = std::variant<pull_usage, read_prefix, commit_entries, remove_prefix, report_usage>;
-
-// --- What it is told -----------------------------------------------------------
-
-struct pull_answer {
-    usage_origin from;
-    std::optional<window_number> closedThrough;
-    std::vector<usage_batch> batches; // own and copies
-    std::vector<usage_position> held; // copies it keeps
-};
-Json::Value toJson(const pull_usage& pull);
-result<pull_usage> pullUsageFromJson(const Json::Value& json);
-Json::Value toJson(const pull_answer& answer);
-result<pull_answer> pullAnswerFromJson(const Json::Value& json);
-
-// The instance's side of a pull: cuts, drops what is sealed, and answers.
-// Fresh segments are still to be sent to the copy holders: `fresh` gets them.
-pull_answer answerPull(const pull_usage& pull, usage_counter& counter, usage_copies& copies, wall_time now, std::vector<usage_batch>& fresh);
+using closer_action = std::variant<pull_usage, read_prefix, commit_entries, remove_range, report_usage>;
 
 enum class commit_outcome {
     Done,
@@ -141,10 +77,39 @@
 struct closer_status {
     std::optional<window_number> sealed; // the last one
     std::uint64_t unreportedWindows = 0;
-    std::uint64_t conflicts = 0;
-    std::uint64_t differences = 0;
-    std::uint64_t corrupt = 0;
-};
+    std::uint64_t conflicts = 0; // reports that the sink refused for good
+    std::uint64_t differences = 0; // between sums, of the windows seen in this term
+    std::uint64_t corrupt = 0; // values that did not decode
+};
+
+namespace detail {
+
+    // Sends one sealed window's reports, a bounded number at a time.
+    class window_reporting {
+    public:
+        window_reporting(std::vector<report_usage> reports, std::size_t marked);
+
+        void send(wall_time now, const closer_settings& settings, std::vector<closer_action>& actions);
+        void onReport(const client_account_id& account, report_outcome outcome, wall_time retryAt);
+        void onMark(commit_outcome outcome, wall_time retryAt);
+        bool finished() const { return m_markWritten; }
+
+    private:
+        void mark(wall_time now, const closer_settings& settings, std::vector<closer_action>& actions);
+
+        std::vector<report_usage> m_reports; // in the order of accounts
+        std::vector<char> m_done;
+        std::size_t m_sent; // all below were sent at least once
+        std::size_t m_finished; // all below are done
+        std::size_t m_marked; // all below are done by the mark in the service
+        std::optional<std::size_t> m_marking; // a mark under way
+        bool m_markWritten = false; // the mark of all reports stands
+        std::set<std::size_t> m_inFlight;
+        std::map<std::size_t, wall_time> m_again;
+        wall_time m_markAgain {};
+    };
+
+} // namespace detail
 
 class usage_closer {
 public:
@@ -153,69 +118,73 @@
     // Call about once a second, and after each event below; do what it returns.
     std::vector<closer_action> tick(wall_time now, const std::vector<instance_id>& live);
 
-    void onPull(const instance_id& asked, const result<pull_answer>& answer);
+    void onPull(const pull_usage& asked, const result<pull_answer>& answer);
     void onRead(const std::string& prefix, const result<std::vector<kv_entry>>& entries);
     void onCommit(const commit_entries& commit, commit_outcome outcome);
     void onReport(const report_usage& report, report_outcome outcome);
 
-    const closer_status& status() const { return m_status; }
+    closer_status status() const;
 
 private:
     enum class phase {
-        Starting, // reading what is sealed and reported
+        Starting, // reading which windows are sealed and reported
         Waiting, // for the end of the next window
         Gathering,
         Sealing, // transaction under way
         Checking, // reading back after a conflict or a lost answer
     };
-    struct reporting {
-        std::vector<report_usage> reports; // in the order of accounts
-        std::vector<char> done; // one for each report
-        std::size_t sent = 0; // all below were sent at least once
-        std::size_t finished = 0; // all below are done
-        std::size_t marked = 0; // all below are done by the mark in the service
-        std::size_t marking = 0; // a mark write with this value is under way
-        std::set<std::size_t> inFlight;
-        std::map<std::size_t, wall_time> again;
-        bool markWritten = false; // the full mark stands
+    struct copy_request {
+        wall_time askedAt {};
+        bool answered = false;
     };
-
-    void start(wall_time now, std::vector<closer_action>& actions);
-    void read(const std::string& prefix, bool keysOnly, wall_time now, std::vector<closer_action>& actions);
-    void beginGathering(wall_time now, const std::vector<instance_id>& live, std::vector<closer_action>& actions);
-    void gather(wall_time now, std::vector<closer_action>& actions);
+    using actions = std::vector<closer_action>;
+
+    // Asks until answered; the answer is moved out once.
+    std::optional<std::vector<kv_entry>> read(const std::string& prefix, bool keysOnly, actions& out);
+    void restart();
+    void start(actions& out);
+    void beginGathering(const std::vector<instance_id>& live);
+    void gather(actions& out);
+    void askForCopies(actions& out);
     bool gathered() const;
-    void askForCopies(wall_time now, std::vector<closer_action>& actions);
+    void take(const usage_origin& origin, const std::vector<usage_batch>& chain);
+    void takeAll(const std::vector<usage_batch>& batches);
     sealed_window build() const;
-    void seal(std::vector<closer_action>& actions);
+    void seal(actions& out);
+    void check(actions& out);
     void adopt(const sealed_window& sealed);
-    void report(wall_time now, std::vector<closer_action>& actions);
-    void reportWindow(window_number window, reporting& state, wall_time now, std::vector<closer_action>& actions);
-    void removeOld(std::vector<closer_action>& actions);
-    void take(const usage_batch& batch);
+    std::optional<sealed_window> decode(window_number window, const std::vector<kv_entry>& parts);
+    void prepareReports(const sealed_window& sealed);
+    void report(actions& out);
+    void removeOld(actions& out);
+    segment_number markOf(const usage_origin& origin) const;
     std::vector<usage_position> positionsFor(const instance_id& instance) const;
 
     fencing_number m_term;
     closer_settings m_settings;
-    phase m_phase = phase::Starting;
     closer_status m_status;
-    std::map<std::string, wall_time> m_reading; // prefix -> asked again after this time
+    phase m_phase = phase::Starting;
+    wall_time m_now {};
+    std::map<std::string, wall_time> m_reading; // asked at; asked again if that is long ago
     std::map<std::string, std::vector<kv_entry>> m_read;
-    std::set<window_number> m_sealedKeys; // windows known to stand in the service
-    std::map<window_number, std::size_t> m_marks; // reports done, by the marks read at the start
-    std::set<window_number> m_toLoad; // sealed, not wholly reported, not loaded yet
-    std::map<usage_origin, origin_mark> m_included; // after the last sealed window
+
+    std::set<window_number> m_sealed; // windows that stand in the service
+    std::map<window_number, std::pair<std::size_t, bool>> m_marks; // reports done, and whether all
+    std::map<usage_origin, origin_mark> m_included; // by the last sealed window
     window_number m_window; // the one to seal next
     bool m_first = false; // no window was ever sealed
+
     std::set<instance_id> m_live; // at the start of gathering
-    std::set<instance_id> m_answered; // answered for the whole of m_window
+    std::map<instance_id, usage_origin> m_answered; // for the whole of m_window
     std::map<instance_id, wall_time> m_asked;
-    std::map<instance_id, std::map<usage_origin, segment_number>> m_holders;
-    std::map<instance_id, std::set<usage_origin>> m_copiesAsked;
-    std::map<usage_origin, std::vector<usage_batch>> m_batches; // chains that start at the mark
-    std::map<window_number, reporting> m_reports;
-    std::optional<wall_time> m_commitAgain;
-    wall_time m_now {};
+    std::map<std::pair<instance_id, usage_origin>, copy_request> m_copyRequests;
+    std::map<usage_origin, std::vector<usage_batch>> m_chains; // start at the origin's mark, gapless
+    bool m_keptRead = false; // the counters kept in the service
+    wall_time m_commitAgain {};
+    wall_time m_startAgain {};
+    std::map<instance_id, std::map<usage_origin, segment_number>> m_holders; // who keeps copies of whom
+
+    std::map<window_number, detail::window_reporting> m_reports; // a few at a time, oldest first
 };
 
 } // namespace lovagerail
