Control duties: configuration, keys, targets, peers, operators' API and status

Cause: the serving thread had nobody to tell it of configuration, keys and targets. Change: one class per duty of the control thread, sharing a context; JSON-RPC between instances with libjsonrpccpp's envelopes over our own transfers, so that a hung peer blocks no thread (its client waits inside a call); operators' calls routed by table. Before: no control side. Conclusion: parts are in place for the whole path.

--- /dev/null
+++ b/src/daemon/control_thread.h
@@ -0,0 +1,76 @@
+// The control duty: one thread that owns configuration, keys, membership, leases,
+// reports and rollouts, and joins the key-value service, the platform, other
+// instances, operators and the serving thread by rings.
+#pragma once
+
+#include "daemon/config_duty.h"
+#include "daemon/control_context.h"
+#include "daemon/key_duty.h"
+#include "daemon/operator_duty.h"
+#include "daemon/peer_duty.h"
+#include "daemon/serving_thread.h"
+#include "daemon/status_api.h"
+#include "daemon/target_duty.h"
+#include "http/server.h"
+#include "http/worker.h"
+#include "named_thread.h"
+#include "ring.h"
+
+#include <atomic>
+#include <memory>
+
+namespace lovagerail::daemon {
+
+class control_thread {
+public:
+    control_thread(const settings& values, incarnation life, std::string instanceSecret);
+    ~control_thread();
+
+    result<void> start(const http::tls_files& tls);
+    // Begins the planned stop: no new work, hand over duties, finish what runs.
+    void drain() { m_drainAsked = true; }
+    // True once a planned stop has nothing left to wait for.
+    bool drained() const { return m_drained; }
+    void stop();
+
+private:
+    void run();
+    void turn();
+    void takeServing();
+    void takeExchanges();
+    void tickDuties();
+    void drainTurn();
+    void flushServing();
+
+    settings m_values;
+    wakeup m_wakeup;
+    http::worker m_kvWorker;
+    http::worker m_platformWorker;
+    http::worker m_instanceWorker;
+    http::async_caller m_platform;
+    http::async_caller m_instances;
+    platform::kv_session m_kv;
+    control_context m_context;
+
+    // Duties; each is driven by this thread alone.
+    config_duty m_config;
+    key_duty m_keys;
+    target_duty m_targets;
+    operator_duty m_operators;
+    peer_duty m_peers;
+    status_api m_status;
+
+    serving_thread m_serving;
+    ring<http::exchange_ptr> m_operatorRing;
+    ring<http::exchange_ptr> m_instanceRing;
+    std::unique_ptr<http::server> m_operatorServer;
+    std::unique_ptr<http::server> m_instanceServer;
+    config_ptr m_toldConfig;
+    instant m_nextTick {};
+    std::atomic<bool> m_drainAsked { false };
+    std::atomic<bool> m_drained { false };
+    std::atomic<bool> m_stopping { false };
+    std::unique_ptr<named_thread> m_thread;
+};
+
+} // namespace lovagerail::daemon
--- /dev/null
+++ b/src/daemon/operator_duty.cpp
@@ -0,0 +1,183 @@
+// Finding handlers, checking operators' keys, and the form of answers.
+#include "daemon/operator_duty.h"
+
+#include "object_codec.h"
+#include "serving_edge.h"
+
+namespace lovagerail::daemon {
+
+namespace {
+
+    constexpr int statusBadRequest = 400;
+    constexpr int statusUnauthorized = 401;
+    constexpr int statusForbidden = 403;
+    constexpr int statusNotFound = 404;
+    constexpr int statusConflict = 409;
+    constexpr int statusTooMany = 429;
+    constexpr int statusInternal = 500;
+    constexpr int statusBadGateway = 502;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusTimeout = 504;
+
+    std::string decoded(std::string_view text)
+    {
+        std::string out;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] == '+') {
+                out += ' ';
+            } else if (text[i] == '%' && i + 2 < text.size()) {
+                out += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
+                i += 2;
+            } else {
+                out += text[i];
+            }
+        }
+        return out;
+    }
+
+    std::map<std::string, std::string> parseQuery(std::string_view query)
+    {
+        std::map<std::string, std::string> out;
+        while (!query.empty()) {
+            const auto end = query.find('&');
+            const auto pair = query.substr(0, end);
+            query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+            const auto equals = pair.find('=');
+            if (equals != std::string_view::npos)
+                out[decoded(pair.substr(0, equals))] = decoded(pair.substr(equals + 1));
+        }
+        return out;
+    }
+
+} // namespace
+
+int statusOf(error_code code)
+{
+    switch (code) {
+    case error_code::InvalidArgument:
+        return statusBadRequest;
+    case error_code::NotFound:
+        return statusNotFound;
+    case error_code::Conflict:
+        return statusConflict;
+    case error_code::PermissionDenied:
+        return statusForbidden;
+    case error_code::Unavailable:
+        return statusUnavailable;
+    case error_code::Unknown:
+        return statusBadGateway;
+    case error_code::ResourceExhausted:
+        return statusTooMany;
+    case error_code::DeadlineExceeded:
+        return statusTimeout;
+    case error_code::Corrupt:
+    case error_code::Unsupported:
+    case error_code::Internal:
+        return statusInternal;
+    }
+    return statusInternal;
+}
+
+void answerJson(const http::exchange_ptr& exchange, int status, const Json::Value& body)
+{
+    exchange->answer(status, { { "Content-Type", "application/json" } }, toText(body) + "\n");
+}
+
+void answerError(const http::exchange_ptr& exchange, const error& why)
+{
+    Json::Value body(Json::objectValue);
+    auto& fault = body["error"];
+    fault["code"] = std::string(toString(why.code));
+    fault["step"] = why.step;
+    fault["peer"] = std::string(toString(why.peer));
+    fault["peer_name"] = why.peerName;
+    fault["detail"] = why.detail;
+    answerJson(exchange, statusOf(why.code), body);
+}
+
+operator_duty::operator_duty(control_context& context)
+    : m_context(context)
+{
+}
+
+void operator_duty::add(std::string method, std::string path, operator_scope scope, handler answer)
+{
+    m_endpoints.push_back({ std::move(method), std::move(path), false, scope, std::move(answer) });
+}
+
+void operator_duty::addOpen(std::string path, handler answer)
+{
+    m_endpoints.push_back({ "GET", std::move(path), true, operator_scope::Read, std::move(answer) });
+}
+
+const operator_duty::endpoint* operator_duty::find(const std::string& method, const std::string& path) const
+{
+    for (const auto& candidate : m_endpoints) {
+        if (candidate.method != method)
+            continue;
+        const auto& wanted = candidate.path;
+        const bool open = wanted.size() > 2 && wanted.compare(wanted.size() - 2, 2, "/*") == 0;
+        if (open ? path.rfind(wanted.substr(0, wanted.size() - 1), 0) == 0 : path == wanted)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+// Operators' keys are apart from callers'; the first one's digest is in the settings.
+bool operator_duty::admit(const endpoint& wanted, const http::exchange& exchange, std::string& who, std::string& why) const
+{
+    const auto header = findHeader(exchange.headers, "authorization");
+    const auto& security = m_context.values.security;
+    if (!security.bootstrapOperatorDigest.empty()) {
+        const auto token = bearerToken(header);
+        const auto key = token ? parseKey(*token) : tl::unexpected(error {});
+        if (key && sameDigest(keyDigest(security.bootstrapOperatorSalt, key->secret), security.bootstrapOperatorDigest)) {
+            who = "bootstrap";
+            return true;
+        }
+    }
+    const auto holder = m_keys.authenticate(header);
+    if (const auto* refusal = std::get_if<key_refusal>(&holder)) {
+        why = toString(*refusal);
+        return false;
+    }
+    const auto& known = std::get<key_holder>(holder);
+    if (!known.may(wanted.scope)) {
+        why = "the key lacks the scope " + std::string(toString(wanted.scope));
+        return false;
+    }
+    who = known.key.str();
+    return true;
+}
+
+void operator_duty::onRequest(http::exchange_ptr exchange)
+{
+    const auto* wanted = find(exchange->method, exchange->path);
+    if (wanted == nullptr) {
+        answerError(exchange, { error_code::NotFound, "operator.route", peer_kind::Operator, {}, "no such call: " + exchange->method + " " + exchange->path });
+        return;
+    }
+    operator_call call;
+    std::string why;
+    if (!wanted->open && !admit(*wanted, *exchange, call.who, why)) {
+        Json::Value body(Json::objectValue);
+        body["error"]["code"] = "permission denied";
+        body["error"]["step"] = "operator.admit";
+        body["error"]["detail"] = why;
+        answerJson(exchange, statusUnauthorized, body);
+        return;
+    }
+    if (!exchange->body.empty()) {
+        auto parsed = parseJson(exchange->body, "operator.body");
+        if (!parsed) {
+            answerError(exchange, parsed.error());
+            return;
+        }
+        call.body = std::move(*parsed);
+    }
+    call.query = parseQuery(exchange->query);
+    call.exchange = std::move(exchange);
+    wanted->answer(std::move(call));
+}
+
+} // namespace lovagerail::daemon
--- /dev/null
+++ b/src/daemon/peer_duty.cpp
@@ -0,0 +1,72 @@
+// Proofs, envelopes and transfers between instances.
+#include "daemon/peer_duty.h"
+
+#include "instance/proof.h"
+#include "instance/rpc_envelope.h"
+#include "serving_edge.h"
+
+namespace lovagerail::daemon {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusForbidden = 403;
+    constexpr int statusNotFound = 404;
+    constexpr std::string_view rpcPath = "/rpc";
+    constexpr std::string_view forwardPath = "/forward/";
+
+} // namespace
+
+peer_duty::peer_duty(control_context& context, std::string secret)
+    : m_context(context)
+    , m_secret(std::move(secret))
+{
+}
+
+void peer_duty::onRequest(const http::exchange_ptr& exchange)
+{
+    if (!instance::checkProof(m_secret, exchange->path, exchange->body, findHeader(exchange->headers, instance::proofHeader))) {
+        exchange->answer(statusForbidden, {}, "");
+        return;
+    }
+    if (exchange->path == rpcPath)
+        exchange->answer(statusOk, { { "Content-Type", "application/json" } }, m_server.handle(exchange->body));
+    else if (exchange->path.rfind(forwardPath, 0) == 0 && m_forward)
+        m_forward(exchange);
+    else
+        exchange->answer(statusNotFound, {}, "");
+}
+
+void peer_duty::call(const std::string& address, const std::string& method, const Json::Value& parameters, answer_function onAnswer, std::chrono::milliseconds timeout)
+{
+    pass(address, std::string(rpcPath), instance::encodeCall(method, parameters), timeout, [method, address, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+        const auto fail = [&](error_code code, const std::string& detail) {
+            onAnswer(failure(code, method, peer_kind::Instance, address, detail));
+        };
+        if (answer.outcome == http::transfer_result::NotSent)
+            return fail(error_code::Unavailable, answer.detail);
+        if (answer.outcome != http::transfer_result::Whole)
+            return fail(error_code::Unknown, answer.detail);
+        if (answer.status != statusOk)
+            return fail(error_code::PermissionDenied, "status " + std::to_string(answer.status));
+        auto outcome = instance::decodeOutcome(method, answer.body);
+        if (!outcome.ok)
+            return fail(error_code::Internal, outcome.fault);
+        onAnswer(std::move(outcome.result));
+    });
+}
+
+void peer_duty::pass(const std::string& address, const std::string& path, std::string body, std::chrono::milliseconds timeout,
+    std::function<void(const http::answer&)> onAnswer)
+{
+    http::request wanted;
+    wanted.method = "POST";
+    wanted.url = address + path;
+    wanted.headers = { { "Content-Type", "application/json" }, { std::string(instance::proofHeader), instance::makeProof(m_secret, path, body) } };
+    wanted.body = std::move(body);
+    wanted.totalTimeout = timeout;
+    wanted.connectTimeout = std::min(timeout, std::chrono::milliseconds(500));
+    m_context.instances.call(std::move(wanted), std::move(onAnswer));
+}
+
+} // namespace lovagerail::daemon
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -146,7 +146,7 @@
         else if (auto* job = std::get_if<generation_job>(&message))
             act(m_serving.arrive(std::move(*job), now, wall));
         else if (const auto* cancel = std::get_if<cancel_job>(&message))
-            act(m_serving.cancel(cancel->job, now, wall));
+            act(m_serving.cancel(cancel->job, now));
         else if (const auto* mode = std::get_if<serving_mode>(&message)) {
             m_serving.setCutOff(mode->cutOff);
             m_serving.setDraining(mode->draining);
--- /dev/null
+++ b/src/daemon/status_api.h
@@ -0,0 +1,56 @@
+// Health, readiness, metrics, status, targets, burn and explain, for operators
+// and monitoring; keeps the books that these are made from.
+#pragma once
+
+#include "burn.h"
+#include "daemon/control_context.h"
+#include "daemon/operator_duty.h"
+#include "journal.h"
+
+#include <memory>
+#include <prometheus/registry.h>
+
+namespace lovagerail::daemon {
+
+class config_duty;
+class peer_duty;
+class target_duty;
+
+class status_api {
+public:
+    status_api(control_context& context, config_duty& config, target_duty& targets, peer_duty& peers);
+
+    void addTo(operator_duty& api);
+    void setConfig(const config& inForce);
+
+    // Books.
+    void count(const request_served& event) { m_burn.count(event, m_context.now); }
+    void record(journal_entry entry) { m_journal.record(std::move(entry)); }
+    void setServing(const serving_state& state) { m_serving = state; }
+    burn_tracker& burn() { return m_burn; }
+    decision_journal& journal() { return m_journal; }
+    const serving_state& servingState() const { return m_serving; }
+
+private:
+    using merged_function = std::function<void(const std::vector<Json::Value>&, const std::vector<std::string>& silent)>;
+
+    void status(const operator_call& call);
+    void targets(const operator_call& call);
+    void burnReport(const operator_call& call);
+    void explain(const operator_call& call);
+    void metrics(const operator_call& call);
+    Json::Value ownStatus() const;
+    // Asks all other instances; answers of those that are silent are left out and named.
+    void gather(const std::string& method, const Json::Value& parameters, merged_function onAll);
+    void addMethods();
+
+    control_context& m_context;
+    config_duty& m_config;
+    target_duty& m_targets;
+    peer_duty& m_peers;
+    burn_tracker m_burn;
+    decision_journal m_journal;
+    serving_state m_serving;
+};
+
+} // namespace lovagerail::daemon
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,7 +14,7 @@
     }
 
     // The pools that take this work.
-    std::set<std::string> acceptingPools(const config& inForce, const work& item, bool defaultOnly)
+    std::set<std::string> acceptingPools(const config& inForce, const work& item)
     {
         const auto set = workLabels(item);
         const auto kind = item.on != nullptr ? item.on->kind : pool_kind::Engine;
@@ -24,8 +24,6 @@
                 continue;
             if (!item.model.empty() && !pool->model.empty() && pool->model.str() != item.model)
                 continue;
-            if (defaultOnly && !pool->isDefault)
-                continue;
             names.insert(pool->meta.name);
         }
         return names;
@@ -63,10 +61,7 @@
     const selector& wanted = item.by != nullptr ? item.by->targets : item.on != nullptr ? item.on->targets
                                                                                         : everything;
 
-    // Work whose selector names nothing goes to the default pools, if there are any.
-    auto pools = acceptingPools(*inForce, item, wanted.matchesAll());
-    if (pools.empty())
-        pools = acceptingPools(*inForce, item, false);
+    const auto pools = acceptingPools(*inForce, item);
 
     placement out;
     std::string name = item.by != nullptr ? "run/" + item.by->meta.name : "route/" + (item.on != nullptr ? item.on->meta.name : "");
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -336,7 +336,7 @@
     return take();
 }
 
-std::vector<serving_action> serving::cancel(job_id job, instant now, wall_time wall)
+std::vector<serving_action> serving::cancel(job_id job, instant now)
 {
     const auto found = m_byJob.find(job);
     if (found == m_byJob.end())
--- a/src/serving.h
+++ b/src/serving.h
@@ -177,7 +177,7 @@
 
     // Jobs.
     std::vector<serving_action> arrive(generation_job job, instant now, wall_time wall);
-    std::vector<serving_action> cancel(job_id job, instant now, wall_time wall);
+    std::vector<serving_action> cancel(job_id job, instant now);
 
     // Attempts.
     std::vector<serving_action> head(attempt_id attempt, int status, const header_list& headers, instant now);
