--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,170 @@
+// lovagectl: the operators' tool.
+#include "ctl/commands.h"
+#include "version.h"
+
+#include <cstdlib>
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using namespace lovagerail;
+using namespace lovagerail::ctl;
+using arguments = std::map<std::string, docopt::value>;
+
+constexpr const char* usageText = R"(Operators' tool of the rollout service.
+
+Usage:
+  lovagectl [options] apply -f FILE [--dry-run] [--wait] [--timeout SECONDS]
+  lovagectl [options] diff -f FILE
+  lovagectl [options] get [KIND] [NAME] [-l SELECTOR]
+  lovagectl [options] describe KIND NAME
+  lovagectl [options] label KIND NAME CHANGE...
+  lovagectl [options] delete KIND NAME
+  lovagectl [options] keys grant (--account NAME | --scope SCOPE...)
+  lovagectl [options] keys withdraw ID
+  lovagectl [options] history [--limit N]
+  lovagectl [options] rollback NUMBER
+  lovagectl [options] runs
+  lovagectl [options] targets
+  lovagectl [options] usage [--window N]
+  lovagectl [options] burn [--html FILE]
+  lovagectl [options] explain SUBJECT ID
+  lovagectl [options] log LEVEL
+  lovagectl [options] drain
+  lovagectl [options] status
+  lovagectl version
+  lovagectl (-h | --help)
+
+Options:
+  -s URL --server URL    Operators' address of a daemon [default: http://127.0.0.1:8081].
+  -k FILE --key FILE     File with the operator's key; else LOVAGERAIL_KEY is used.
+  --ca FILE              PEM bundle to trust for https.
+  -o FORMAT              table or json [default: table].
+  -f FILE                Objects in TOML.
+  -l SELECTOR            Only objects whose labels match.
+  --dry-run              Check the change, don't make it.
+  --wait                 Until all live instances have the change in force.
+  --timeout SECONDS      Longest wait [default: 30].
+  --account NAME         Client account that the key is for.
+  --scope SCOPE          read, write or keys, for an operator's key.
+  --limit N              How many of the newest changes [default: 20].
+  --window N             One usage window; all kept ones without it.
+  --html FILE            Write the report as a page.
+
+CHANGE is KEY=VALUE, or KEY- to remove a label. SUBJECT is REQUEST, SAMPLE,
+TARGET or ORDER. A change is accepted when the exit code is 0.
+
+Exit codes: 0 done, 1 refused, 2 bad input, 3 the daemon can't be reached,
+4 the answer was lost and the change may have been made, 5 conflict with
+another operator's change.
+)";
+
+std::string textOf(const arguments& given, const char* name)
+{
+    const auto found = given.find(name);
+    return found != given.end() && found->second.isString() ? found->second.asString() : std::string();
+}
+
+bool isSet(const arguments& given, const char* name)
+{
+    const auto found = given.find(name);
+    return found != given.end() && found->second.isBool() && found->second.asBool();
+}
+
+// A whole number, or -1.
+long numberOf(const arguments& given, const char* name)
+{
+    const auto text = textOf(given, name);
+    if (text.empty() || text.size() > 9 || text.find_first_not_of("0123456789") != std::string::npos)
+        return -1;
+    return std::stol(text);
+}
+
+std::vector<std::string> listOf(const arguments& given, const char* name)
+{
+    const auto found = given.find(name);
+    return found != given.end() && found->second.isStringList() ? found->second.asStringList() : std::vector<std::string>();
+}
+
+int usageFault(const std::string& message)
+{
+    std::cerr << message << "\n";
+    return exitUsage;
+}
+
+int run(const arguments& given, const session& with, output_format format)
+{
+    const auto kind = textOf(given, "KIND");
+    const auto name = textOf(given, "NAME");
+    if (isSet(given, "apply")) {
+        const auto timeout = numberOf(given, "--timeout");
+        if (timeout < 0)
+            return usageFault("--timeout: expected a whole number of seconds");
+        return apply(with, { textOf(given, "-f"), isSet(given, "--dry-run"), isSet(given, "--wait"), timeout }, format);
+    }
+    if (isSet(given, "diff"))
+        return diffFile(with, textOf(given, "-f"), format);
+    if (isSet(given, "get"))
+        return getObjects(with, kind, name, textOf(given, "-l"), format);
+    if (isSet(given, "describe"))
+        return describe(with, kind, name);
+    if (isSet(given, "label"))
+        return label(with, kind, name, listOf(given, "CHANGE"), format);
+    if (isSet(given, "delete"))
+        return deleteObject(with, kind, name, format);
+    if (isSet(given, "grant"))
+        return grantKey(with, textOf(given, "--account"), listOf(given, "--scope"), format);
+    if (isSet(given, "withdraw"))
+        return withdrawKey(with, textOf(given, "ID"), format);
+    if (isSet(given, "history")) {
+        const auto limit = numberOf(given, "--limit");
+        return limit < 0 ? usageFault("--limit: expected a whole number") : history(with, limit, format);
+    }
+    if (isSet(given, "rollback")) {
+        const auto to = numberOf(given, "NUMBER");
+        return to < 0 ? usageFault("NUMBER: expected the number of a change") : rollback(with, to, format);
+    }
+    if (isSet(given, "explain"))
+        return explain(with, textOf(given, "SUBJECT"), textOf(given, "ID"), format);
+    if (isSet(given, "burn"))
+        return burn(with, textOf(given, "--html"), format);
+    if (isSet(given, "log"))
+        return setLogLevel(with, textOf(given, "LEVEL"), format);
+    if (isSet(given, "drain"))
+        return drain(with, format);
+    if (isSet(given, "runs"))
+        return list(with, "/v1/runs", "runs", { "run", "coordinator", "trainer_version", "acknowledged", "open_steps", "queued", "generating", "sealed" }, format);
+    if (isSet(given, "targets"))
+        return list(with, "/v1/targets", "targets", { "id", "pool", "failure_domain", "kind", "state", "incarnation", "address" }, format);
+    if (isSet(given, "usage")) {
+        const auto window = textOf(given, "--window");
+        return list(with, "/v1/usage" + (window.empty() ? "" : "?window=" + encodeQuery(window)), "rows",
+            { "window", "account", "model", "version", "pool", "heading", "requests", "prefilled", "cached", "generated", "target_ms", "late_for" }, format);
+    }
+    return list(with, "/v1/status", "instances", { "instance", "failure_domain", "revision", "draining", "key_value_available", "open_requests", "requests", "resident_bytes" }, format);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto given = docopt::docopt(usageText, { argv + 1, argv + argc }, true, "");
+    if (isSet(given, "version")) {
+        std::cout << "lovagectl " << versionText << "\n";
+        return exitOk;
+    }
+    const auto format = textOf(given, "-o");
+    if (format != "table" && format != "json")
+        return usageFault("-o: expected table or json");
+    session with { textOf(given, "--server"), {}, textOf(given, "--ca") };
+    if (const auto file = textOf(given, "--key"); !file.empty()) {
+        std::ifstream in(file);
+        if (!(in >> with.key))
+            return usageFault(file + ": can't read a key");
+    } else if (const char* key = std::getenv("LOVAGERAIL_KEY")) {
+        with.key = key;
+    }
+    return run(given, with, format == "json" ? output_format::Json : output_format::Table);
+}
--- /dev/null
+++ b/src/daemon/control_thread.cpp
@@ -0,0 +1,195 @@
+// The loop of the control thread.
+#include "daemon/control_thread.h"
+
+#include "daemon/clock.h"
+#include "daemon/config_api.h"
+#include "log.h"
+
+namespace lovagerail::daemon {
+
+namespace {
+
+    constexpr std::size_t transferRing = 1024;
+    constexpr std::size_t exchangeRing = 256;
+    constexpr std::chrono::milliseconds longestSleep { 10 };
+    constexpr duration tickEvery = std::chrono::milliseconds(20);
+    constexpr int statusUnavailable = 503;
+
+    platform::kv_session_settings sessionSettings(const settings& values)
+    {
+        platform::kv_session_settings out;
+        out.endpoints = values.platform.keyValue;
+        out.callsPerSecond = values.platform.keyValueCallsPerSecond;
+        return out;
+    }
+
+    serving_settings servingSettings(const settings& values, incarnation life)
+    {
+        serving_settings out;
+        out.instance = instance_id(values.instance.name);
+        out.life = life;
+        out.failureDomain = failure_domain_id(values.instance.failureDomain);
+        out.longestRequest = values.limits.requestTimeout;
+        return out;
+    }
+
+} // namespace
+
+control_thread::control_thread(const settings& values, incarnation life, std::string instanceSecret)
+    : m_values(values)
+    , m_kvWorker("key-value", transferRing, m_wakeup)
+    , m_platformWorker("platform", transferRing, m_wakeup)
+    , m_instanceWorker("instances", transferRing, m_wakeup)
+    , m_platform(m_platformWorker)
+    , m_instances(m_instanceWorker)
+    , m_kv(
+          sessionSettings(values), [this](http::request wanted) { return m_kvWorker.start(std::move(wanted)); },
+          [this](std::uint64_t id) { m_kvWorker.cancel(id); })
+    , m_context { m_values, instance_id(values.instance.name), life, m_kv, m_platform, m_instances, {}, {}, std::make_shared<const config>(), false, {} }
+    , m_config(m_context)
+    , m_keys(m_context, m_config)
+    , m_targets(m_context)
+    , m_operators(m_context)
+    , m_peers(m_context, std::move(instanceSecret))
+    , m_status(m_context, m_config, m_targets, m_peers)
+    , m_serving(values, servingSettings(values, life), m_wakeup)
+    , m_operatorRing(exchangeRing, m_wakeup)
+    , m_instanceRing(exchangeRing, m_wakeup)
+{
+    addConfigApi(m_operators, m_context, m_config, m_keys);
+    m_status.addTo(m_operators);
+    m_toldConfig = m_context.inForce;
+}
+
+control_thread::~control_thread()
+{
+    stop();
+}
+
+result<void> control_thread::start(const http::tls_files& tls)
+{
+    const auto intake = [](ring<http::exchange_ptr>& to) {
+        return [&to](http::exchange_ptr exchange) {
+            auto kept = exchange;
+            if (!to.tryPush(std::move(exchange)))
+                kept->answer(statusUnavailable, { { "Retry-After", "1" } }, "");
+        };
+    };
+    http::server_limits limits;
+    limits.bodyBytes = 16 << 20;
+    limits.unreadBytes = 16 << 20;
+    limits.connections = 1024;
+    auto operators = http::server::listen(m_values.listen.operators, limits, tls, intake(m_operatorRing));
+    if (!operators)
+        return tl::unexpected(operators.error());
+    m_operatorServer = std::move(*operators);
+    auto instances = http::server::listen(m_values.listen.instances, limits, {}, intake(m_instanceRing));
+    if (!instances)
+        return tl::unexpected(instances.error());
+    m_instanceServer = std::move(*instances);
+    m_thread = std::make_unique<named_thread>("control", [this] { run(); });
+    return m_serving.start(tls);
+}
+
+void control_thread::stop()
+{
+    m_stopping = true;
+    m_wakeup.notify();
+    m_thread.reset();
+    m_serving.stop();
+    m_operatorServer.reset();
+    m_instanceServer.reset();
+}
+
+void control_thread::run()
+{
+    while (!m_stopping) {
+        m_wakeup.wait(longestSleep);
+        turn();
+    }
+}
+
+void control_thread::turn()
+{
+    m_context.now = monotonicNow();
+    m_context.wall = wallNow();
+
+    // Step 1. What others did.
+    http::event event;
+    while (m_kvWorker.tryPop(event))
+        m_kv.onEvent(event, m_context.now);
+    m_platform.poll();
+    m_instances.poll();
+    takeServing();
+    takeExchanges();
+
+    // Step 2. What time asks for.
+    if (m_context.now >= m_nextTick) {
+        m_nextTick = m_context.now + tickEvery;
+        tickDuties();
+    }
+    m_kv.poll(m_context.now);
+
+    // Step 3. All duties learn of a new configuration in the turn that brought it.
+    if (m_toldConfig != m_context.inForce) {
+        m_toldConfig = m_context.inForce;
+        m_keys.setConfig(m_toldConfig);
+        m_operators.setConfig(m_toldConfig);
+        m_status.setConfig(*m_toldConfig);
+    }
+    flushServing();
+}
+
+void control_thread::tickDuties()
+{
+    m_config.tick();
+    m_keys.tick();
+    m_targets.tick();
+    if (m_drainAsked)
+        drainTurn();
+}
+
+void control_thread::takeServing()
+{
+    to_control message;
+    while (m_serving.tryPop(message)) {
+        if (const auto* state = std::get_if<serving_state>(&message)) {
+            m_status.setServing(*state);
+        } else if (auto* record = std::get_if<serving_record>(&message)) {
+            if (const auto* served = std::get_if<request_served>(record))
+                m_status.count(*served);
+            else if (auto* entry = std::get_if<journal_entry>(record))
+                m_status.record(std::move(*entry));
+        }
+    }
+}
+
+void control_thread::takeExchanges()
+{
+    http::exchange_ptr exchange;
+    while (m_operatorRing.tryPop(exchange))
+        m_operators.onRequest(std::move(exchange));
+    while (m_instanceRing.tryPop(exchange))
+        m_peers.onRequest(exchange);
+}
+
+// A planned stop: nothing new is taken, what runs goes on to its end.
+void control_thread::drainTurn()
+{
+    if (!m_context.draining) {
+        m_context.draining = true;
+        m_context.tellServing(serving_mode { false, true });
+        logEvent(log_level::Info, "control", "drain");
+        return;
+    }
+    m_drained = m_status.servingState().open == 0;
+}
+
+void control_thread::flushServing()
+{
+    auto& waiting = m_context.forServing;
+    while (!waiting.empty() && m_serving.tell(std::move(waiting.front())))
+        waiting.pop_front();
+}
+
+} // namespace lovagerail::daemon
--- a/src/daemon/status_api.cpp
+++ b/src/daemon/status_api.cpp
@@ -69,7 +69,8 @@
     api.addOpen("/healthz", [](const operator_call& call) { call.exchange->answer(statusOk, {}, "ok\n"); });
     api.addOpen("/readyz", [this](const operator_call& call) {
         const bool ready = m_config.known() && !m_context.draining;
-        call.exchange->answer(ready ? statusOk : statusUnavailable, {}, ready ? "ready\n" : m_context.draining ? "draining\n" : "no configuration yet\n");
+        call.exchange->answer(ready ? statusOk : statusUnavailable, {}, ready ? "ready\n" : m_context.draining ? "draining\n"
+                                                                                                               : "no configuration yet\n");
     });
     api.addOpen("/metrics", [this](const operator_call& call) { metrics(call); });
     api.add("GET", "/v1/status", operator_scope::Read, [this](const operator_call& call) { status(call); });
@@ -193,13 +194,13 @@
                 merge(table, *other);
         }
         const auto report = makeBurnReport(table);
-        static_cast<void>(silent);
+        const burn_page_header header { m_context.wall, answers.size() + silent.size() + 1, answers.size() + 1 };
         if (format == "html")
-            exchange->answer(statusOk, { { "Content-Type", "text/html; charset=utf-8" } }, burnHtml(report, m_context.wall));
+            exchange->answer(statusOk, { { "Content-Type", "text/html; charset=utf-8" } }, burnHtml(report, header));
         else if (format == "table")
-            exchange->answer(statusOk, { { "Content-Type", "text/plain; charset=utf-8" } }, burnText(report));
+            exchange->answer(statusOk, { { "Content-Type", "text/plain; charset=utf-8" } }, burnText(report, header));
         else
-            answerJson(exchange, statusOk, burnJson(report));
+            answerJson(exchange, statusOk, burnJson(report, header));
     });
 }
 
