--- a/standins/engine.h
+++ b/standins/engine.h
@@ -119,7 +119,7 @@
     http_answer answer(const http_request& request);
     // Requests (engine_requests.cpp).
     http_answer complete(const http_request& request, bool chat);
-    http_answer streamed(std::shared_ptr<generation> work);
+    http_answer streamed(const std::shared_ptr<generation>& work);
     http_answer whole(generation& work);
     void cross(generation& work);
     bool admit(generation& work);
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -163,15 +163,16 @@
 {
     cache_change change;
     // From the last block to the first, so that the head of a prompt is evicted last.
-    for (auto it = blocks.rbegin(); it != blocks.rend(); ++it) {
-        const auto found = m_index.find(*it);
+    for (std::size_t i = blocks.size(); i > 0; --i) {
+        const auto block = blocks[i - 1];
+        const auto found = m_index.find(block);
         if (found != m_index.end()) {
             m_order.splice(m_order.begin(), m_order, found->second);
             continue;
         }
-        m_order.push_front(*it);
-        m_index[*it] = m_order.begin();
-        change.stored.push_back(*it);
+        m_order.push_front(block);
+        m_index[block] = m_order.begin();
+        change.stored.push_back(block);
     }
     while (m_order.size() > m_capacity) {
         change.removed.push_back(m_order.back());
--- a/standins/engine_requests.cpp
+++ b/standins/engine_requests.cpp
@@ -121,7 +121,7 @@
         m_uncrossed = nullptr;
 }
 
-http_answer engine::streamed(std::shared_ptr<generation> work)
+http_answer engine::streamed(const std::shared_ptr<generation>& work)
 {
     // Ends the attempt also where the connection ends before its stream.
     const std::shared_ptr<void> guard(nullptr, [this, work](void*) { finish(*work, m_server.stopping() ? "crashed" : "cancelled"); });
@@ -341,17 +341,15 @@
 {
     const auto id = body["request_id"].asString();
     const std::lock_guard lock(m_mutex);
-    for (auto it = m_attempts.rbegin(); it != m_attempts.rend(); ++it) {
-        if ((*it)->attempt != id)
-            continue;
-        char handle[64];
-        std::snprintf(handle, sizeof handle, "kv-%016llx-%zu", static_cast<unsigned long long>((*it)->promptHash), (*it)->promptBytes);
-        Json::Value value;
-        value["kv_handle"] = handle;
-        value["source"] = "http://" + m_options.address + ":" + std::to_string(m_options.port);
-        return jsonAnswer(value);
-    }
-    return errorAnswer(MHD_HTTP_NOT_FOUND, "no such request");
+    const auto found = std::find_if(m_attempts.rbegin(), m_attempts.rend(), [&](const auto& record) { return record->attempt == id; });
+    if (found == m_attempts.rend())
+        return errorAnswer(MHD_HTTP_NOT_FOUND, "no such request");
+    char handle[64];
+    std::snprintf(handle, sizeof handle, "kv-%016llx-%zu", static_cast<unsigned long long>((*found)->promptHash), (*found)->promptBytes);
+    Json::Value value;
+    value["kv_handle"] = handle;
+    value["source"] = "http://" + m_options.address + ":" + std::to_string(m_options.port);
+    return jsonAnswer(value);
 }
 
 // How many leading blocks a handle brings for a prompt that begins with the one it was made from.
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -131,7 +131,12 @@
             return MHD_YES;
         }
         // Step 3. The last call is answered.
-        return sendAnswer(connection, static_cast<http_server*>(server)->serve(request));
+        try {
+            return sendAnswer(connection, static_cast<http_server*>(server)->serve(request));
+        } catch (const Json::Exception& problem) {
+            // A member of another type than expected.
+            return sendAnswer(connection, errorAnswer(MHD_HTTP_BAD_REQUEST, problem.what()));
+        }
     }
 
 } // namespace
--- /dev/null
+++ b/tests/process/kit.py
@@ -0,0 +1,463 @@
+"""Starts and stops the stand-ins and daemons for process tests.
+
+Standard library only. Programs come from $LOVAGERAIL_BIN (default: build/).
+Everything runs on free loopback ports; a Kit always ends what it started, and
+prints the ends of the logs if the test failed.
+
+    with Kit() as kit:
+        kv = kit.standin("kv")
+        engines = kit.engines(2, chunk_tokens=4)
+        daemon = kit.daemon("one", {"instance": {...}, "listen": {...}, "platform": {...}})
+"""
+
+import base64
+import ctypes
+import http.client
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+import urllib.parse
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BIN = pathlib.Path(os.environ.get("LOVAGERAIL_BIN", ROOT / "build")).resolve()
+
+STARTUP_SECONDS = 20
+STOP_SECONDS = 15
+CALL_SECONDS = 20
+LOG_TAIL_BYTES = 6000
+FIRST_PORT = 20000
+LAST_PORT = 32000  # below the range that the kernel gives to clients
+PR_SET_PDEATHSIG = 1
+READ_BYTES = 65536
+# What a broken connection raises.
+BROKEN = (OSError, http.client.HTTPException)
+
+_taken_ports = set()
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _die_with_parent():
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports(count=1):
+    """The first of `count` ports in a row that nobody has."""
+    chooser = random.Random(os.urandom(8))
+    for _ in range(1000):
+        first = chooser.randrange(FIRST_PORT, LAST_PORT - count)
+        wanted = range(first, first + count)
+        if _taken_ports.isdisjoint(wanted) and all(map(_is_free, wanted)):
+            _taken_ports.update(wanted)
+            return first
+    raise RuntimeError("no free ports")
+
+
+def b64(text):
+    return base64.b64encode(text.encode() if isinstance(text, str) else text).decode()
+
+
+def unb64(text):
+    return base64.b64decode(text)
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def json(self):
+        return json.loads(self.body)
+
+    def __repr__(self):
+        return f"Answer({self.status}, {self.body[:300]!r})"
+
+
+def _connect(url, timeout):
+    parts = urllib.parse.urlsplit(url)
+    target = parts.path + ("?" + parts.query if parts.query else "")
+    return http.client.HTTPConnection(parts.hostname, parts.port, timeout=timeout), target or "/"
+
+
+def _encode(body, headers):
+    headers = dict(headers or {})
+    if body is None or isinstance(body, bytes):
+        return body, headers
+    headers.setdefault("Content-Type", "application/json")
+    return json.dumps(body).encode(), headers
+
+
+def call(method, url, body=None, headers=None, timeout=CALL_SECONDS):
+    """One call on a connection of its own; raises OSError or HTTPException if it breaks."""
+    connection, target = _connect(url, timeout)
+    data, headers = _encode(body, headers)
+    try:
+        connection.request(method, target, data, headers)
+        answer = connection.getresponse()
+        return Answer(answer.status, answer.headers, answer.read())
+    finally:
+        connection.close()
+
+
+def get(url, **more):
+    return call("GET", url, **more)
+
+
+def post(url, body=None, **more):
+    return call("POST", url, body if body is not None else {}, **more)
+
+
+class Stream:
+    """A streamed answer; iterating gives its lines as they arrive."""
+
+    def __init__(self, method, url, body=None, headers=None, timeout=CALL_SECONDS):
+        self._connection, target = _connect(url, timeout)
+        data, headers = _encode(body, headers)
+        self._connection.request(method, target, data, headers)
+        self._answer = self._connection.getresponse()
+        self.status = self._answer.status
+        self.headers = self._answer.headers
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def close(self):
+        """Breaks the connection off."""
+        self._answer.close()
+        self._connection.close()
+
+    def lines(self):
+        """Lines until the end; raises one of BROKEN if the stream breaks off before it."""
+        rest = b""
+        while True:
+            data = self._answer.read1(READ_BYTES)
+            if not data:
+                break
+            *whole, rest = (rest + data).split(b"\n")
+            for line in whole:
+                yield line.decode().rstrip("\r")
+        if rest:
+            yield rest.decode()
+
+    def objects(self):
+        """JSON lines, as a watch sends them."""
+        return (json.loads(line) for line in self.lines() if line)
+
+    def events(self):
+        """Payloads of server-sent events, with "[DONE]" as it is."""
+        for line in self.lines():
+            if line.startswith("data: "):
+                payload = line[len("data: "):]
+                yield payload if payload == "[DONE]" else json.loads(payload)
+
+
+def complete(url, prompt, headers=None, timeout=CALL_SECONDS, **body):
+    """A streamed completion, whole: (text, chunks, whether the end marker came)."""
+    body = {"model": "model", "prompt": prompt, "stream": True, **body}
+    chunks = []
+    done = False
+    with Stream("POST", url + "/v1/completions", body, headers, timeout) as stream:
+        if stream.status != 200:
+            raise AssertionError(f"completion answered {stream.status}: {list(stream.lines())}")
+        try:
+            for event in stream.events():
+                if event == "[DONE]":
+                    done = True
+                else:
+                    chunks.append(event)
+        except BROKEN:
+            pass
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks), chunks, done
+
+
+def wait_until(check, what="condition", seconds=STARTUP_SECONDS, every=0.03):
+    """Waits until check() is true and returns what it gave; failures to connect count as false."""
+    end = time.monotonic() + seconds
+    last = None
+    while time.monotonic() < end:
+        try:
+            last = check()
+            if last:
+                return last
+        except (*BROKEN, ValueError, KeyError) as problem:
+            last = problem
+        time.sleep(every)
+    raise AssertionError(f"{what} didn't come within {seconds} s; last seen: {last!r}")
+
+
+class Program:
+    """A running program whose output goes to a log file."""
+
+    def __init__(self, kit, name, command):
+        self.name = name
+        self.command = [str(part) for part in command]
+        self.log_path = kit.folder / f"{name}.{len(kit.programs)}.log"
+        with open(self.log_path, "wb") as log:
+            self._process = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT,
+                                             stdin=subprocess.DEVNULL, preexec_fn=_die_with_parent)
+        self.pid = self._process.pid
+        kit.programs.append(self)
+
+    @property
+    def running(self):
+        return self._process.poll() is None
+
+    @property
+    def exit_code(self):
+        return self._process.poll()
+
+    def output(self):
+        return self.log_path.read_text(errors="replace")
+
+    def signal(self, number):
+        if self.running:
+            os.kill(self.pid, number)
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self._process.wait()
+
+    def terminate(self):
+        self.signal(signal.SIGTERM)
+
+    def wait(self, seconds=STOP_SECONDS):
+        return self._process.wait(seconds)
+
+    def stop(self, seconds=STOP_SECONDS):
+        """Asks it to end and returns the exit code; kills it if it doesn't."""
+        self.resume()
+        self.terminate()
+        try:
+            return self._process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self._process.returncode
+
+    def status(self, field):
+        """A number from /proc/<pid>/status, e.g. VmRSS (kB) or Threads."""
+        for line in pathlib.Path(f"/proc/{self.pid}/status").read_text().splitlines():
+            if line.startswith(field + ":"):
+                return int(line.split()[1])
+        raise KeyError(field)
+
+
+class Controlled:
+    """Something with control calls below a URL."""
+
+    control = ""
+
+    def faults(self, **faults):
+        answer = post(self.control + "/faults", faults)
+        assert answer.status == 200, answer
+        return answer.json
+
+    def clear(self):
+        return self.faults(clear=True)
+
+    def stats(self):
+        return get(self.control + "/stats").json
+
+    def log(self, after=0):
+        return get(f"{self.control}/log?after={after}").json
+
+
+class Standin(Program, Controlled):
+    def __init__(self, kit, kind, name, port, flags):
+        self.kind = kind
+        self.port = port
+        self.address = f"127.0.0.1:{port}"
+        self.url = f"http://{self.address}"
+        self.control = self.url + "/control"
+        super().__init__(kit, name, [BIN / "lovage-standin", kind, *flags])
+
+
+class Target(Controlled):
+    """One engine or service of a process that hosts several."""
+
+    def __init__(self, program, path, name, port, control_port):
+        self.program = program
+        self.name = name
+        self.port = port
+        self.address = f"127.0.0.1:{port}"
+        self.url = f"http://{self.address}"
+        self.control = f"http://127.0.0.1:{control_port}/control/{path}/{name}"
+
+    def crash(self):
+        self.faults(crash=True)
+        wait_until(lambda: self.stats()["down"], f"crash of {self.name}")
+
+    def restart(self):
+        self.faults(restart=True)
+        wait_until(lambda: not self.stats()["down"], f"restart of {self.name}")
+
+
+class Daemon(Program):
+    def __init__(self, kit, name, config_path, sections):
+        self.sections = sections
+        listen = sections.get("listen", {})
+        self.callers = "http://" + listen["callers"] if "callers" in listen else None
+        self.operators = "http://" + listen["operators"] if "operators" in listen else None
+        self.config_path = config_path
+        super().__init__(kit, name, [BIN / "lovageraild", "--config", config_path])
+
+
+def toml_value(value):
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, (int, float)):
+        return str(value)
+    if isinstance(value, (list, tuple)):
+        return "[" + ", ".join(toml_value(item) for item in value) + "]"
+    return json.dumps(str(value))
+
+
+def toml_text(sections):
+    lines = []
+    for section, entries in sections.items():
+        lines.append(f"[{section}]")
+        lines += [f"{key} = {toml_value(value)}" for key, value in entries.items()]
+        lines.append("")
+    return "\n".join(lines)
+
+
+def flag_list(flags):
+    """Python's keyword arguments as flags: chunk_tokens=4 is --chunk-tokens=4, True is the bare flag."""
+    given = []
+    for key, value in flags.items():
+        name = "--" + key.replace("_", "-")
+        if value is True:
+            given.append(name)
+        elif value is not False and value is not None:
+            given.append(f"{name}={json.dumps(value) if isinstance(value, (dict, list)) else value}")
+    return given
+
+
+class Kit:
+    def __init__(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="lovagerail-test-"))
+        self.programs = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, *_):
+        self.close(failed=kind is not None)
+
+    def close(self, failed=False):
+        """Ends all programs, newest first; prints their logs if the test failed."""
+        for program in reversed(self.programs):
+            program.resume()
+            program.terminate()
+        for program in reversed(self.programs):
+            program.stop()
+        if failed:
+            for program in self.programs:
+                tail = program.output()[-LOG_TAIL_BYTES:]
+                print(f"--- {program.name} (exit {program.exit_code}): {' '.join(program.command)[:200]}\n{tail}", flush=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _ready(self, program, url):
+        def check():
+            if not program.running:
+                raise AssertionError(f"{program.name} ended with {program.exit_code}: {program.output()[-LOG_TAIL_BYTES:]}")
+            return get(url).status == 200
+        wait_until(check, f"start of {program.name}")
+        return program
+
+    def standin(self, kind, name=None, port=None, **flags):
+        """Starts a server: kv, engine, service, judge, weights or platform."""
+        port = port or free_ports()
+        if kind in ("engine", "service"):
+            flags.setdefault("name", name or kind)
+        program = Standin(self, kind, name or kind, port, [f"--port={port}", *flag_list(flags)])
+        return self._ready(program, program.control + "/stats")
+
+    def _many(self, kind, path, count, name, flags):
+        base = free_ports(count + 1)
+        program = Standin(self, kind, kind, base, flag_list({
+            "count": count, "base_port": base, "control_port": base + count, "name": name, **flags}))
+        self._ready(program, f"http://127.0.0.1:{base + count}/control/stats")
+        names = [name] if kind == "service" and count == 1 else [f"{name}-{i}" for i in range(count)]
+        return [Target(program, path, one, base + i, base + count) for i, one in enumerate(names)]
+
+    def engines(self, count, name="engine", **flags):
+        """Many engines in one process, named <name>-0 and so on."""
+        return self._many("engines", "engines", count, name, flags)
+
+    def services(self, count, name="service", **flags):
+        return self._many("service", "services", count, name, flags)
+
+    def daemon(self, name, sections, ready="/readyz", wait=True):
+        """Starts lovageraild with settings given as {section: {key: value}}."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(toml_text(sections))
+        daemon = Daemon(self, name, path, sections)
+        if wait and daemon.operators:
+            self._ready(daemon, daemon.operators + ready)
+        return daemon
+
+    def start_client(self, kind, **flags):
+        """Starts `load` or `trainer` in the background."""
+        if isinstance(flags.get("entries"), (list, tuple)):
+            flags["entries"] = ",".join(flags["entries"])
+        if isinstance(flags.get("keys"), (list, tuple)):
+            flags["keys"] = ",".join(flags["keys"])
+        return Program(self, kind, [BIN / "lovage-standin", kind, *flag_list(flags)])
+
+    def load(self, seconds=60, **flags):
+        """Runs the load client to its end and returns its summary."""
+        client = self.start_client("load", **flags)
+        client.wait(seconds)
+        return json.loads(client.output().strip().splitlines()[-1])
+
+    def trainer(self, seconds=90, **flags):
+        """Runs a trainer to its end: (samples, summary)."""
+        client = self.start_client("trainer", **flags)
+        client.wait(seconds)
+        lines = [json.loads(line) for line in client.output().splitlines() if line.startswith("{")]
+        return [line for line in lines if not line.get("summary")], lines[-1]
+
+    def run(self, program, *arguments, seconds=60):
+        """Runs a program of the project to its end."""
+        return subprocess.run([str(BIN / program), *map(str, arguments)], capture_output=True, text=True,
+                              timeout=seconds, check=False)
+
+
+class KitTest(unittest.TestCase):
+    """A test case with a kit of its own, whose logs are printed if the test fails."""
+
+    def setUp(self):
+        self.kit = Kit()
+
+    def tearDown(self):
+        outcome = getattr(self, "_outcome", None)
+        failed = outcome is not None and not outcome.success
+        self.kit.close(failed=failed)
