--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -20,7 +20,6 @@
     constexpr std::size_t longestRaw = 256; // bytes
     constexpr std::size_t secretLength = 43; // base64url of keySecretBytes, unpadded
     constexpr std::size_t idLength = 2 * keyIdBytes;
-    constexpr std::size_t mostUnknownMarks = 1'024;
 
     std::string hex(std::span<const unsigned char> bytes)
     {
@@ -242,15 +241,11 @@
 
 result<std::optional<deny_mark>> key_table::deny(const key_id& key)
 {
-    const bool known = m_config && m_config->findKey(key);
-    const deny_mark mark { key, known ? m_config->at() : unknownRevision };
+    if (!m_config || !m_config->findKey(key))
+        return failure(error_code::NotFound, "keys.deny", "no key " + key.str() + " in the configuration in force");
+    const deny_mark mark { key, m_config->at() };
     if (covers(mark))
         return std::nullopt;
-    if (!known && !m_marks.contains(key)) {
-        const auto unknown = std::count_if(m_marks.begin(), m_marks.end(), [](const auto& entry) { return entry.second == unknownRevision; });
-        if (static_cast<std::size_t>(unknown) >= mostUnknownMarks)
-            return failure(error_code::ResourceExhausted, "keys.deny", "too many marks of keys that nobody knows");
-    }
     merge({ &mark, 1 });
     return std::optional(deny_mark { key, m_marks.at(key) });
 }
--- a/src/keys.h
+++ b/src/keys.h
@@ -7,7 +7,7 @@
 //
 // A deny mark says "this key is withdrawn" ahead of the configuration. Marks
 // join by taking the smaller revision, so any order and any repeats give the
-// same state; a real revision goes before unknownRevision. A mark is dropped, and not taken in again, once the configuration
+// same state. A mark is dropped, and not taken in again, once the configuration
 // in force covers it: it shows the key as withdrawn, or no longer has it though
 // it is not older than the revision that had it. Withdrawal is for good
 // (config_check holds that), so a dropped mark can't be needed again.
@@ -15,7 +15,6 @@
 
 #include "config.h"
 
-#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -53,9 +52,6 @@
 // Takes the same time wherever the texts differ.
 bool sameDigest(std::string_view left, std::string_view right);
 
-// A revision that no configuration reaches: the marker didn't know the key.
-constexpr revision unknownRevision = revision(std::numeric_limits<std::uint64_t>::max());
-
 struct deny_mark {
     key_id key;
     revision knownAt; // a revision of the configuration that had the key
@@ -89,9 +85,11 @@
     // Takes the configuration in force and drops the marks that it covers.
     void update(config_ptr inForce);
 
-    // Marks one key as withdrawn from now on, with the revision in force if it
-    // has the key. Returns the mark to pass on, or nothing if it is covered
-    // already. ResourceExhausted if too many unknown keys are marked.
+    // Marks one key as withdrawn from now on. Returns the mark to pass on, or
+    // nothing if it is covered already. NotFound if the configuration in force
+    // doesn't have the key: a mark must name a revision that had it, or nobody
+    // could tell when to drop it. An instance that is behind reads the key from
+    // the service and merges a mark with the revision it read.
     result<std::optional<deny_mark>> deny(const key_id& key);
     // Joins marks from others; returns the keys that are newly denied, sorted,
     // whose streams have to be cancelled. Costs O(marks x log marks).
--- /dev/null
+++ b/tests/test_config.cpp
@@ -0,0 +1,216 @@
+// Configuration in force: the rule of revisions under any arrival, lookups, the whole-config checks.
+#include "config_check.h"
+#include "config_samples.h"
+#include "object_codec.h"
+#include "property.h"
+
+using namespace lovagerail;
+using namespace lovagerail::test;
+
+namespace {
+
+// A generated line of accepted changes, and what each made of the configuration.
+struct history {
+    std::vector<config_change> changes;
+    std::vector<config_ptr> states;
+};
+
+config_object anySmallObject()
+{
+    const auto name = *rc::gen::element(std::string("a"), std::string("b"), std::string("c"));
+    if (*rc::gen::arbitrary<bool>())
+        return sampleRoute(name, "/" + name + std::to_string(*rc::gen::inRange(0, 3)));
+    return sampleAccount(name, *rc::gen::inRange<std::uint64_t>(1, 5));
+}
+
+history anyHistory()
+{
+    history made;
+    config_ptr state = std::make_shared<config>();
+    const int length = *rc::gen::inRange(1, 12);
+    std::uint64_t at = 0;
+    for (int i = 0; i < length; ++i) {
+        config_change change;
+        change.from = revision(at);
+        at += *rc::gen::inRange<std::uint64_t>(1, 4);
+        change.to = revision(at);
+        change.puts = { anySmallObject() };
+        const auto deleted = refOf(anySmallObject());
+        if (state->find(deleted) && deleted != refOf(change.puts.front()))
+            change.deletes = { deleted };
+        change.foreignPuts = { { "judge_panel/p" + std::to_string(at % 2), R"({"kind":"judge_panel","object":{"name":"p)" + std::to_string(at % 2) + "\"}}", change.to } };
+        state = successor(*state, change);
+        made.changes.push_back(change);
+        made.states.push_back(state);
+    }
+    return made;
+}
+
+std::string textOf(const config& shown)
+{
+    return toText(toJson(shown.full()));
+}
+
+// Any delta, several in one, or a full change, as it went over the wire.
+config_change anyArrival(const history& past)
+{
+    const auto first = *rc::gen::inRange<std::size_t>(0, past.changes.size());
+    const auto last = *rc::gen::inRange<std::size_t>(first, past.changes.size());
+    auto change = past.changes[first];
+    for (auto i = first + 1; i <= last; ++i)
+        change = compose(change, past.changes[i]);
+    if (*rc::gen::inRange(0, 4) == 0)
+        change = past.states[last]->full();
+    const auto decoded = changeFromJson(*parseJson(toText(toJson(change)), "test"));
+    RC_ASSERT(decoded.has_value());
+    return *decoded;
+}
+
+std::vector<std::string> faultsOf(std::vector<config_object> objects)
+{
+    std::vector<std::string> lines;
+    for (const auto& fault : checkConfig(*configOf(1, std::move(objects))))
+        lines.push_back(toString(fault));
+    return lines;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_suite)
+
+BOOST_AUTO_TEST_CASE(whatever_arrives_the_revision_grows_and_the_state_is_the_accepted_one)
+{
+    checkProperty("arrival in any order", [] {
+        const auto past = anyHistory();
+        config_ptr inForce;
+        const int arrivals = *rc::gen::inRange(0, 25);
+        for (int i = 0; i < arrivals; ++i) {
+            const auto change = anyArrival(past);
+            const auto before = inForce ? inForce->at() : revision();
+            const auto applied = lovagerail::apply(inForce, change);
+            // Step 1. Forward only, and never without need.
+            RC_ASSERT((applied.outcome == apply_outcome::Applied) == (applied.next && applied.next->at() > before));
+            RC_ASSERT((applied.outcome == apply_outcome::Stale) == (change.to <= before));
+            if (applied.outcome == apply_outcome::Applied)
+                RC_ASSERT(applied.next->at() == change.to);
+            else
+                RC_ASSERT(applied.next == inForce);
+            inForce = applied.next;
+            if (!inForce)
+                continue;
+            // Step 2. The state is exactly what was accepted at that revision.
+            for (const auto& state : past.states) {
+                if (state->at() == inForce->at())
+                    RC_ASSERT(textOf(*state) == textOf(*inForce));
+            }
+        }
+        // Step 3. A full change closes any gap.
+        const auto last = lovagerail::apply(inForce, past.states.back()->full());
+        RC_ASSERT(last.next->at() == past.states.back()->at());
+        RC_ASSERT(textOf(*last.next) == textOf(*past.states.back()));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(older_snapshots_stay_as_they_were)
+{
+    const auto first = configOf(1, sampleObjects());
+    const auto text = textOf(*first);
+    const auto second = successor(*first, { revision(1), revision(2), { sampleAccount("mawr", 7) }, { { object_kind::Route, "quotes" } }, {}, {} });
+    BOOST_TEST(textOf(*first) == text);
+    BOOST_TEST(first->findAccount(client_account_id("mawr"))->weight == 1u);
+    BOOST_TEST(second->findAccount(client_account_id("mawr"))->weight == 7u);
+    BOOST_TEST(second->findAccount(client_account_id("mawr"))->meta.changed.at == revision(2));
+    BOOST_TEST((first->findRoute("GET", "/v1") != nullptr && second->findRoute("GET", "/v1") == nullptr));
+    BOOST_TEST(second->size() == first->size() - 1);
+}
+
+BOOST_AUTO_TEST_CASE(longest_prefix_and_method_choose_the_route)
+{
+    auto read = sampleRoute("read", "/stock/");
+    read.methods = { "GET" };
+    auto order = sampleRoute("order", "/stock");
+    auto deep = sampleRoute("deep", "/stock/lines");
+    deep.methods = { "GET" };
+    const auto held = configOf(1, { read, order, deep, sampleRoute("all", "/") });
+    const auto nameOf = [&](std::string_view method, std::string_view path) {
+        const auto* on = held->findRoute(method, path);
+        return on ? on->meta.name : std::string();
+    };
+    BOOST_TEST(nameOf("GET", "/stock/a") == "read");
+    BOOST_TEST(nameOf("POST", "/stock") == "order");
+    BOOST_TEST(nameOf("GET", "/stock/lines/3") == "deep");
+    BOOST_TEST(nameOf("POST", "/stock/lines/3") == "order");
+    BOOST_TEST(nameOf("GET", "/stocks") == "all");
+    BOOST_TEST(nameOf("GET", "/") == "all");
+    for (const char* path : { "", "stock", "/stock/../x", "/stock/%2e%2E/x", "/./stock", "/stock/.%2e" })
+        BOOST_TEST(nameOf("GET", path).empty(), path);
+    BOOST_TEST(nameOf("GET", "/stock/...") == "read");
+}
+
+BOOST_AUTO_TEST_CASE(sample_is_valid)
+{
+    BOOST_TEST(faultsOf(sampleObjects()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(all_faults_are_listed_at_once)
+{
+    auto account = sampleAccount("mawr", 0);
+    auto pool = samplePool("model-pool");
+    pool.floor = 5;
+    pool.accepts = selector::keep("tier=lead");
+    auto on = sampleRoute("quotes", "/v1");
+    on.deadlineMs = 0;
+    on.targets = selector::keep("size=large");
+    auto same = sampleRoute("same", "/v1/");
+    same.accounts = selector::keep("tier>1");
+    same.targets = selector::keep("accelerator=big");
+    auto of = sampleRun("advice");
+    of.account = client_account_id("bach");
+    of.judge = route_id("none");
+    of.groupSize = 0;
+    const auto lines = faultsOf({ account, pool, on, same, of });
+    const std::vector<std::string> expected {
+        "error: client_account/mawr: weight: must be at least 1",
+        "error: target_pool/model-pool: floor: must not be above the ceiling",
+        "error: target_pool/model-pool: accepts: matches no work of any route or run",
+        "error: route/quotes: deadline_ms: must be at least 1",
+        "error: route/quotes: targets: matches no target pool that could serve it",
+        "error: route/same: path_prefix: is the same as that of route/quotes",
+        "error: route/same: accounts: column 5: expected '=', '==', '!=', 'in', 'notin', ',' or the end",
+        "error: route/same: targets: no target pool that it matches accepts its work",
+        "error: run/advice: account: no client account \"bach\"",
+        "error: run/advice: group_size: must be at least 1",
+        "error: run/advice: judge: no route \"none\"",
+        "error: run/advice: targets: no target pool that it matches accepts its work",
+        "warning: route/same: targets: matches only if targets have labels of their own to suit",
+    };
+    BOOST_CHECK_EQUAL_COLLECTIONS(lines.begin(), lines.end(), expected.begin(), expected.end());
+}
+
+BOOST_AUTO_TEST_CASE(a_key_has_one_holder_and_its_account_exists)
+{
+    auto lost = sampleKey(1).object;
+    auto both = sampleKey(2).object;
+    both.scopes = { operator_scope::Read };
+    auto withdrawn = sampleKey(3).object;
+    withdrawn.withdrawn = true;
+    const auto lines = faultsOf({ lost, both, withdrawn });
+    BOOST_REQUIRE(lines.size() == 3u);
+    BOOST_TEST(lines[0] == "error: api_key/0101010101010101: account: no client account \"mawr\"");
+    BOOST_TEST(lines[1] == "error: api_key/0202020202020202: account: must be an account, or scopes of an operator, and not both");
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawn_key_never_comes_back)
+{
+    auto key = sampleKey(1).object;
+    key.withdrawn = true;
+    const auto before = configOf(1, { key, sampleKey(2).object });
+    key.withdrawn = false;
+    const object_ref live { object_kind::ApiKey, sampleKey(2).object.meta.name };
+    const object_ref dead { object_kind::ApiKey, key.meta.name };
+    BOOST_TEST(hasErrors(checkChange(*before, { revision(1), revision(2), { key }, {}, {}, {} })));
+    BOOST_TEST(hasErrors(checkChange(*before, { revision(1), revision(2), {}, { live }, {}, {} })));
+    BOOST_TEST(!hasErrors(checkChange(*before, { revision(1), revision(2), {}, { dead }, {}, {} })));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
