Routing: property tests of target table, load, prefix index, health and router

Change: generated histories of lists, reports, cache events, failures, labels and requests; notices of leaving that come before a target's first row are now kept; matching of prefixes no longer reads past its list of holders.

--- a/src/prefix_index.cpp
+++ b/src/prefix_index.cpp
@@ -15,8 +15,8 @@
     hashes.reserve(count);
     XXH64_state_t* state = XXH64_createState();
     XXH64_reset(state, 0);
-    for (std::size_t i = 0; i < count; ++i) {
-        XXH64_update(state, prompt.data() + i * prefixBlockBytes, prefixBlockBytes);
+    while (hashes.size() < count) {
+        XXH64_update(state, prompt.data() + hashes.size() * prefixBlockBytes, prefixBlockBytes);
         hashes.emplace_back(XXH64_digest(state));
     }
     XXH64_freeState(state);
@@ -37,12 +37,9 @@
     state.generation = generation;
 }
 
-// Stored from the end, so that the shortest prefixes, shared by most prompts, are
-// the most recently touched and the last to be dropped.
 void prefix_index::sent(target_slot slot, const std::vector<block_hash>& prompt, instant now)
 {
-    for (auto it = prompt.rbegin(); it != prompt.rend(); ++it)
-        store(slot, *it, now);
+    storeAll(slot, prompt, now);
 }
 
 void prefix_index::apply(target_slot slot, const cache_event& event, instant now)
@@ -67,8 +64,7 @@
     case cache_event_kind::Stored:
         if (late)
             return;
-        for (auto it = event.hashes.rbegin(); it != event.hashes.rend(); ++it)
-            store(slot, *it, now);
+        storeAll(slot, event.hashes, now);
         return;
     case cache_event_kind::Removed:
         for (const block_hash hash : event.hashes)
@@ -107,13 +103,12 @@
             const holder& item = it->second.holders[i];
             if (!isValid(item, now))
                 continue;
-            const auto known = std::find_if(found.begin(), found.end(), [&](const prefix_match& match) { return match.slot == item.slot; });
-            if (known == found.end() && depth == 1) {
-                found.push_back({ item.slot, 1, 0 });
-                any = true;
-            }
-            if (known != found.end() && known->blocks + 1 == depth) {
-                known->blocks = depth;
+            if (depth == 1)
+                found.push_back({ item.slot, 0, 0 });
+            for (prefix_match& match : found) {
+                if (match.slot != item.slot || match.blocks + 1 != depth)
+                    continue;
+                match.blocks = depth;
                 any = true;
             }
         }
@@ -167,6 +162,14 @@
     return current && now - item.touched < m_settings.longestAge;
 }
 
+// Stored from the end, so that the shortest prefixes, shared by most prompts, are
+// the most recently touched and the last to be dropped.
+void prefix_index::storeAll(target_slot slot, const std::vector<block_hash>& hashes, instant now)
+{
+    for (std::size_t left = hashes.size(); left > 0; --left)
+        store(slot, hashes[left - 1], now);
+}
+
 // Adds or refreshes a holder. A full entry gives up an outdated holder, else the
 // one untouched for longest.
 void prefix_index::store(target_slot slot, block_hash hash, instant now)
--- a/src/prefix_index.h
+++ b/src/prefix_index.h
@@ -41,7 +41,7 @@
 };
 
 struct prefix_index_settings {
-    std::size_t mostBlocks = 65536;
+    std::size_t mostBlocks = 32768;
     duration longestAge = std::chrono::minutes(10); // untouched for longer counts as evicted
     double confidenceLoss = 0.02; // share of confidence lost per missing event
     double confidenceGain = 0.01; // share of the doubt removed per event in sequence
@@ -101,6 +101,7 @@
     slot_state& at(target_slot slot);
     bool holds(const block_entry& entry, target_slot slot, instant now) const;
     bool isValid(const holder& item, instant now) const;
+    void storeAll(target_slot slot, const std::vector<block_hash>& hashes, instant now);
     void store(target_slot slot, block_hash hash, instant now);
     void remove(target_slot slot, block_hash hash);
     double trust(target_slot slot) const;
--- a/src/router.h
+++ b/src/router.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -150,7 +151,10 @@
         bool isRun = false;
         std::string owner; // account or run
         failure_domain_id domain;
-        friend auto operator<=>(const exposure_key&, const exposure_key&) = default;
+        friend bool operator<(const exposure_key& left, const exposure_key& right)
+        {
+            return std::tie(left.isRun, left.owner, left.domain) < std::tie(right.isRun, right.owner, right.domain);
+        }
     };
     struct attempt_state {
         target_slot slot;
--- a/src/router_policy.cpp
+++ b/src/router_policy.cpp
@@ -83,6 +83,7 @@
 std::vector<policy_kind> allPolicies()
 {
     std::vector<policy_kind> kinds;
+    kinds.reserve(policyNames.size());
     for (const policy_name& entry : policyNames)
         kinds.push_back(entry.kind);
     return kinds;
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -130,8 +130,12 @@
 slot_change target_table::advanceState(const target_id& id, incarnation seen, target_state state, instant now)
 {
     const auto known = find(id);
-    if (!known)
+    if (!known) {
+        const auto [it, isNew] = m_early.try_emplace(id, early_state { seen, state, now });
+        if (std::pair(seen, state) > std::pair(it->second.seen, it->second.state))
+            it->second = { seen, state, now };
         return {};
+    }
     target_record& record = m_slots[known->value()].record;
     if (seen < record.listed.incarnation)
         return { *known, target_change::None };
@@ -180,6 +184,7 @@
         it = m_byName.erase(it);
         changes.push_back({ slot, target_change::Removed });
     }
+    std::erase_if(m_early, [&](const auto& item) { return now - item.second.toldAt >= m_settings.goneMemory; });
     return changes;
 }
 
@@ -269,6 +274,15 @@
     entry.record.lastListed = now;
     relabel(entry.record);
     m_byName.emplace(row.id, slot);
+    const auto early = m_early.find(row.id);
+    if (early != m_early.end()) {
+        const early_state told = early->second;
+        m_early.erase(early);
+        if (told.seen > row.incarnation)
+            restart(entry.record, told.seen, told.state, now);
+        else if (told.seen == row.incarnation)
+            advance(entry.record, told.state, now);
+    }
     refreshClasses(slot);
     return slot;
 }
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -93,7 +93,8 @@
     std::vector<slot_change> applyList(const std::vector<listed_target>& rows, instant now);
     // A report proves that the incarnation runs, and says what it serves.
     slot_change applyReport(const target_id& id, incarnation reported, weight_version version, const model_id& model, instant now);
-    // Sets the state of one incarnation (older ones are ignored) from any source.
+    // Sets the state of one incarnation (older ones are ignored) from any source;
+    // kept for a target that's not known yet.
     slot_change advanceState(const target_id& id, incarnation seen, target_state state, instant now);
     // Operators' labels win over listed ones of the same name, for all incarnations;
     // each call replaces the earlier labels. The target need not be known yet.
@@ -125,6 +126,12 @@
         target_record record;
         bool used = false;
     };
+    // A state told of a target before its first row came.
+    struct early_state {
+        incarnation seen;
+        target_state state = target_state::Starting;
+        instant toldAt;
+    };
     struct routing_class {
         target_predicate predicate;
         std::vector<target_slot> allowed; // sorted; each is live and satisfies the predicate
@@ -143,6 +150,7 @@
     std::vector<target_slot> m_free;
     std::map<target_id, target_slot> m_byName; // exactly the used slots
     std::map<target_id, label_map> m_operatorLabels;
+    std::map<target_id, early_state> m_early; // of unknown targets alone
     std::map<routing_class_id, routing_class> m_classes;
     std::uint64_t m_lastVersion = 0; // never reused, also when a class is removed and set again
 };
--- /dev/null
+++ b/tests/test_load.cpp
@@ -0,0 +1,153 @@
+// Tests of the load book: own counts are exact, reports only add others' load
+// whatever their order, and learned times stay within their bounds.
+#include "load.h"
+#include "property.h"
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const target_slot only(0);
+
+    load_report reportOf(std::uint32_t running, std::uint32_t waiting, instant measuredAt)
+    {
+        load_report report;
+        report.running = running;
+        report.waiting = waiting;
+        report.measuredAt = measuredAt;
+        return report;
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(load_suite)
+
+// Any mix of sends, ends (repeated, unknown), restarts and reports (late, twice,
+// out of order): our count is the number of attempts in flight, and a report
+// that holds our own sends alone never adds anything.
+BOOST_AUTO_TEST_CASE(own_count_is_exact_and_never_counted_twice)
+{
+    test::checkProperty("own count", [] {
+        load_book book;
+        std::map<std::uint64_t, bool> running; // attempts of this start of the target
+        std::vector<load_report> measured; // what the target could report, at all times
+        std::uint64_t lastAttempt = 0;
+        instant now { 1h };
+        const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 1u << 30));
+        for (const std::uint32_t step : steps) {
+            now += std::chrono::milliseconds(1 + (step >> 3) % 500);
+            const std::uint64_t pick = lastAttempt == 0 ? 0 : 1 + (step >> 8) % lastAttempt;
+            switch (step % 8) {
+            case 0:
+            case 1:
+            case 2:
+                book.sent(attempt_id(++lastAttempt), only, { token_count(step % 3000), token_count(100) }, now);
+                running[lastAttempt] = true;
+                break;
+            case 3:
+                book.firstToken(attempt_id(pick), now);
+                break;
+            case 4:
+            case 5:
+                book.finished(attempt_id(pick), step % 3 == 0, token_count(step % 500), now);
+                running.erase(pick);
+                break;
+            case 6:
+                if (!measured.empty())
+                    book.applyReport(only, measured[(step >> 8) % measured.size()], now);
+                break;
+            default:
+                if ((step >> 8) % 8 != 0)
+                    break;
+                book.reset(only, step % 2 == 0 ? target_kind::Engine : target_kind::Service);
+                running.clear();
+                measured.clear();
+            }
+            measured.push_back(reportOf(static_cast<std::uint32_t>(running.size()), 0, now));
+            RC_ASSERT(book.ownOutstanding(only) == running.size());
+            const load_view view = book.view(only, now);
+            RC_ASSERT(view.otherRequests < 1e-9);
+            RC_ASSERT(view.pendingPrefillTokens >= 0);
+            if (running.empty())
+                RC_ASSERT(view.pendingPrefillTokens < 1e-6);
+            const load_estimate estimate = book.estimate(only, { token_count(500), token_count(50) }, now);
+            RC_ASSERT(estimate.wait >= 0ns && estimate.own >= 0ns && estimate.total >= estimate.wait);
+            const target_speed& speed = book.speed(only);
+            RC_ASSERT(speed.prefillTokensPerSecond >= 500 && speed.prefillTokensPerSecond <= 128000);
+            RC_ASSERT(speed.secondsPerToken >= 0.00125 && speed.secondsPerToken <= 0.32);
+        }
+    });
+}
+
+// Three of ours and five of others were there at the report; two more of ours
+// left since.
+BOOST_AUTO_TEST_CASE(report_is_corrected_by_sends_after_it)
+{
+    load_book book;
+    for (std::uint64_t attempt = 1; attempt <= 3; ++attempt)
+        book.sent(attempt_id(attempt), only, {}, instant { 1s });
+    book.sent(attempt_id(4), only, {}, instant { 3s });
+    book.sent(attempt_id(5), only, {}, instant { 3s });
+    BOOST_TEST(book.applyReport(only, reportOf(6, 2, instant { 2s }), instant { 4s }));
+    BOOST_TEST(book.ownOutstanding(only) == 5);
+    BOOST_TEST(book.view(only, instant { 2s }).otherRequests == 5, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(!book.applyReport(only, reportOf(60, 0, instant { 1s }), instant { 4s }));
+    BOOST_TEST(!book.applyReport(only, reportOf(60, 0, instant { 2s }), instant { 4s }));
+    BOOST_TEST(book.view(only, instant { 2s }).otherRequests == 5, boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_CASE(old_reports_lose_their_meaning)
+{
+    load_book book;
+    book.applyReport(only, reportOf(20, 0, instant { 1s }), instant { 1s });
+    BOOST_TEST(book.view(only, instant { 2s }).otherRequests > 19);
+    BOOST_TEST(book.view(only, instant { 200s }).otherRequests < 0.1);
+    BOOST_TEST(!book.applyReport(only, reportOf(20, 0, instant { 100s }), instant { 200s }));
+}
+
+// Each load makes the wait longer: more requests, more prompt tokens, a fuller cache.
+BOOST_AUTO_TEST_CASE(wait_grows_with_load)
+{
+    load_book book;
+    const instant now { 1s };
+    duration last = book.estimate(only, {}, now).wait;
+    for (std::uint64_t attempt = 1; attempt <= 100; ++attempt) {
+        book.sent(attempt_id(attempt), only, { token_count(100), token_count(10) }, now);
+        const duration wait = book.estimate(only, {}, now).wait;
+        BOOST_REQUIRE(wait > last);
+        last = wait;
+    }
+    load_report full = reportOf(100, 0, now);
+    full.kvCacheUsage = 1;
+    book.applyReport(only, full, now);
+    BOOST_TEST((book.estimate(only, {}, now).wait > last));
+}
+
+// An engine twice as slow as assumed is known to be so after some answers.
+BOOST_AUTO_TEST_CASE(speeds_are_learned)
+{
+    load_book book;
+    instant now { 1s };
+    for (std::uint64_t attempt = 1; attempt <= 200; ++attempt) {
+        book.sent(attempt_id(attempt), only, { token_count(4000), token_count(100) }, now);
+        book.firstToken(attempt_id(attempt), now + 1s);
+        book.finished(attempt_id(attempt), true, token_count(101), now + 5s);
+        now += 6s;
+    }
+    BOOST_TEST(book.speed(only).prefillTokensPerSecond == 4000, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(book.speed(only).secondsPerToken == 0.04, boost::test_tools::tolerance(0.05));
+
+    const target_slot service(1);
+    book.reset(service, target_kind::Service);
+    for (std::uint64_t attempt = 1001; attempt <= 1200; ++attempt) {
+        book.sent(attempt_id(attempt), service, {}, now);
+        book.finished(attempt_id(attempt), true, {}, now + 100ms);
+        now += 200ms;
+    }
+    BOOST_TEST(book.speed(service).serviceSeconds == 0.1, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
