--- /dev/null
+++ b/bench/serving_replay.h
@@ -0,0 +1,41 @@
+// Replays a trace through independent routers of several instances against the
+// queue model, and measures what callers would see.
+#pragma once
+
+#include "bench.h"
+#include "router.h"
+#include "serving_trace.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace lovagerail::bench {
+
+struct replay_plan {
+    trace_plan trace;
+    policy_kind policy = policy_kind::ExpectedCost;
+    duration reportDelay = std::chrono::seconds(1);
+    std::uint32_t eventLossPercent = 0; // of cache events, for each instance by itself
+    router_settings settings; // instance, failure domain and policy are set by the replay
+};
+
+struct replay_result {
+    std::vector<duration> firstToken; // of engine requests, sorted
+    std::array<std::vector<duration>, accountCount> firstTokenByAccount; // sorted
+    std::vector<duration> calls; // whole time of plain service calls, sorted
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t failed = 0; // given up, or reset with an unknown outcome
+    std::uint64_t decisions = 0;
+    double engineSpread = 1; // largest busy time of an engine that never failed over their mean
+};
+
+replay_result replay(const replay_plan& plan, const std::vector<arrival>& trace, fingerprint& decisions);
+
+// The value that a share of the sorted times doesn't exceed.
+duration percentile(const std::vector<duration>& sorted, double share);
+// The highest 99th percentile of any account.
+duration worstAccount(const replay_result& result);
+
+} // namespace lovagerail::bench
