--- a/src/burn.cpp
+++ b/src/burn.cpp
@@ -7,100 +7,100 @@
 namespace lovagerail {
 namespace {
 
-constexpr duration halfMinute = std::chrono::seconds(30);
-constexpr duration fiveMinutes = std::chrono::minutes(5);
-constexpr duration halfHour = std::chrono::minutes(30);
-constexpr duration oneHour = std::chrono::hours(1);
-constexpr duration sixHours = std::chrono::hours(6);
-constexpr std::uint64_t million = 1'000'000;
-constexpr std::uint64_t thousand = 1'000;
-constexpr std::uint64_t pageBurnMilli = 14'400;
-constexpr std::uint64_t ticketBurnMilli = 6'000;
-// An account with fewer events in the last hour isn't named the worst: one bad
-// answer out of two says nothing.
-constexpr std::uint64_t eventsToJudge = 10;
+    constexpr duration halfMinute = std::chrono::seconds(30);
+    constexpr duration fiveMinutes = std::chrono::minutes(5);
+    constexpr duration halfHour = std::chrono::minutes(30);
+    constexpr duration oneHour = std::chrono::hours(1);
+    constexpr duration sixHours = std::chrono::hours(6);
+    constexpr std::uint64_t million = 1'000'000;
+    constexpr std::uint64_t thousand = 1'000;
+    constexpr std::uint64_t pageBurnMilli = 14'400;
+    constexpr std::uint64_t ticketBurnMilli = 6'000;
+    // An account with fewer events in the last hour isn't named the worst: one bad
+    // answer out of two says nothing.
+    constexpr std::uint64_t eventsToJudge = 10;
 
-std::int64_t slotOf(instant now, duration length)
-{
-    return now.time_since_epoch() / length;
-}
+    std::int64_t slotOf(instant now, duration length)
+    {
+        return now.time_since_epoch() / length;
+    }
 
-void moveTo(detail::burn_cell& cell, instant now)
-{
-    cell.halfMinutes.moveTo(slotOf(now, halfMinute));
-    cell.fiveMinutes.moveTo(slotOf(now, fiveMinutes));
-    cell.hours.moveTo(slotOf(now, oneHour));
-    cell.causes.moveTo(slotOf(now, halfHour));
-}
+    void moveTo(detail::burn_cell& cell, instant now)
+    {
+        cell.halfMinutes.moveTo(slotOf(now, halfMinute));
+        cell.fiveMinutes.moveTo(slotOf(now, fiveMinutes));
+        cell.hours.moveTo(slotOf(now, oneHour));
+        cell.causes.moveTo(slotOf(now, halfHour));
+    }
 
-template <std::size_t Size>
-burn_counts sumOf(const detail::bucket_ring<detail::small_counts, Size>& ring, std::size_t buckets)
-{
-    burn_counts sum;
-    for (std::size_t age = 0; age < buckets; ++age)
-        sum += { ring.aged(age).good, ring.aged(age).bad };
-    return sum;
-}
+    template <std::size_t Size>
+    burn_counts sumOf(const detail::bucket_ring<detail::small_counts, Size>& ring, std::size_t buckets)
+    {
+        burn_counts sum;
+        for (std::size_t age = 0; age < buckets; ++age)
+            sum += { ring.aged(age).good, ring.aged(age).bad };
+        return sum;
+    }
 
-void addTo(detail::small_counts& counts, bool good)
-{
-    if (good)
-        ++counts.good;
-    else
-        ++counts.bad;
-}
+    void addTo(detail::small_counts& counts, bool good)
+    {
+        if (good)
+            ++counts.good;
+        else
+            ++counts.bad;
+    }
 
-// Why an answer was late: what took most of its time.
-burn_cause causeOfDelay(const request_served& event)
-{
-    if (event.attempts > 1)
-        return burn_cause::Retried;
-    if (event.queued * 2 >= event.whole)
-        return burn_cause::Queued;
-    return burn_cause::SlowTarget;
-}
+    // Why an answer was late: what took most of its time.
+    burn_cause causeOfDelay(const request_served& event)
+    {
+        if (event.attempts > 1)
+            return burn_cause::Retried;
+        if (event.queued * 2 >= event.whole)
+            return burn_cause::Queued;
+        return burn_cause::SlowTarget;
+    }
 
-std::size_t indexOf(burn_window window) { return static_cast<std::size_t>(window); }
+    std::size_t indexOf(burn_window window) { return static_cast<std::size_t>(window); }
 
-std::optional<burn_cause> mainCauseOf(const burn_figures& figures)
-{
-    const auto most = std::max_element(figures.causes.begin(), figures.causes.end());
-    if (*most == 0)
-        return std::nullopt;
-    return static_cast<burn_cause>(most - figures.causes.begin());
-}
+    std::optional<burn_cause> mainCauseOf(const burn_figures& figures)
+    {
+        const auto most = std::max_element(figures.causes.begin(), figures.causes.end());
+        if (*most == 0)
+            return std::nullopt;
+        return static_cast<burn_cause>(most - figures.causes.begin());
+    }
 
-burn_alert alertOf(const std::array<std::uint64_t, burnWindows>& burn)
-{
-    const auto over = [&burn](burn_window window, std::uint64_t limit) { return burn[indexOf(window)] > limit; };
-    if (over(burn_window::OneHour, pageBurnMilli) && over(burn_window::FiveMinutes, pageBurnMilli))
-        return burn_alert::Page;
-    if (over(burn_window::SixHours, ticketBurnMilli) && over(burn_window::ThirtyMinutes, ticketBurnMilli))
-        return burn_alert::Ticket;
-    return burn_alert::None;
-}
+    burn_alert alertOf(const std::array<std::uint64_t, burnWindows>& burn)
+    {
+        const auto over = [&burn](burn_window window, std::uint64_t limit) { return burn[indexOf(window)] > limit; };
+        if (over(burn_window::OneHour, pageBurnMilli) && over(burn_window::FiveMinutes, pageBurnMilli))
+            return burn_alert::Page;
+        if (over(burn_window::SixHours, ticketBurnMilli) && over(burn_window::ThirtyMinutes, ticketBurnMilli))
+            return burn_alert::Ticket;
+        return burn_alert::None;
+    }
 
-burn_row rowOf(const burn_key& key, const burn_figures& figures)
-{
-    burn_row row { key, figures, {}, 0, burn_alert::None, mainCauseOf(figures) };
-    for (std::size_t i = 0; i < burnWindows; ++i)
-        row.burnMilli[i] = burnRateMilli(figures.windows[i], figures.bound);
-    // Six hours at burn rate one are their share of the period.
-    const std::uint64_t shares = static_cast<std::uint64_t>(budgetPeriod / sixHours);
-    row.budgetSpentPerMillion = row.burnMilli[indexOf(burn_window::SixHours)] * (million / thousand) / shares;
-    row.alert = alertOf(row.burnMilli);
-    return row;
-}
+    burn_row rowOf(const burn_key& key, const burn_figures& figures)
+    {
+        burn_row row { key, figures, {}, 0, burn_alert::None, mainCauseOf(figures) };
+        for (std::size_t i = 0; i < burnWindows; ++i)
+            row.burnMilli[i] = burnRateMilli(figures.windows[i], figures.bound);
+        // Six hours at burn rate one are their share of the period.
+        const std::uint64_t shares = static_cast<std::uint64_t>(budgetPeriod / sixHours);
+        row.budgetSpentPerMillion = row.burnMilli[indexOf(burn_window::SixHours)] * (million / thousand) / shares;
+        row.alert = alertOf(row.burnMilli);
+        return row;
+    }
 
-bool worse(const burn_row& left, const burn_row& right)
-{
-    const auto rank = [](const burn_row& row) {
-        return std::make_tuple(row.burnMilli[indexOf(burn_window::OneHour)], row.burnMilli[indexOf(burn_window::SixHours)]);
-    };
-    if (rank(left) != rank(right))
-        return rank(left) > rank(right);
-    return left.key < right.key;
-}
+    bool worse(const burn_row& left, const burn_row& right)
+    {
+        const auto rank = [](const burn_row& row) {
+            return std::make_tuple(row.burnMilli[indexOf(burn_window::OneHour)], row.burnMilli[indexOf(burn_window::SixHours)]);
+        };
+        if (rank(left) != rank(right))
+            return rank(left) > rank(right);
+        return left.key < right.key;
+    }
 
 } // namespace
 
--- a/src/burn_html.cpp
+++ b/src/burn_html.cpp
@@ -9,14 +9,14 @@
 namespace lovagerail {
 namespace {
 
-constexpr std::size_t linesInPlot = 5; // one for each colour class below
-constexpr std::size_t barsInPlot = 10;
-constexpr std::size_t rowsInTable = 200;
-constexpr std::size_t longestLabel = 34;
-constexpr std::uint64_t minutesPerBucket = 5;
+    constexpr std::size_t linesInPlot = 5; // one for each colour class below
+    constexpr std::size_t barsInPlot = 10;
+    constexpr std::size_t rowsInTable = 200;
+    constexpr std::size_t longestLabel = 34;
+    constexpr std::uint64_t minutesPerBucket = 5;
 
-// Colours keep their contrast on both backgrounds; each line has its own marks too.
-constexpr std::string_view style = R"css(
+    // Colours keep their contrast on both backgrounds; each line has its own marks too.
+    constexpr std::string_view style = R"css(
 :root { color-scheme: light dark; --bg: #ffffff; --ink: #1a1c20; --soft: #5b616b; --rule: #d5d9e0; --panel: #f6f7f9;
   --c0: #0b62c4; --c1: #b8460e; --c2: #17794a; --c3: #8a3ab9; --c4: #7a6a00; --page: #b3261e; --ticket: #9a6700; }
 @media (prefers-color-scheme: dark) { :root { --bg: #14161a; --ink: #e8eaed; --soft: #a3a9b3; --rule: #3a3f47; --panel: #1c1f24;
@@ -37,239 +37,239 @@
 svg rect.k0, svg rect.k1 { stroke: none; }
 )css";
 
-// Whole pixels and tenths, the same on every machine.
-std::string px(double value)
-{
-    const auto tenths = static_cast<long long>(std::lround(value * 10));
-    const long long positive = std::abs(tenths);
-    return (tenths < 0 ? "-" : "") + std::to_string(positive / 10) + "." + std::to_string(positive % 10);
-}
-
-std::string clip(const std::string& text, std::size_t limit)
-{
-    std::string clipped;
-    std::size_t characters = 0;
-    for (const char c : text) {
-        const bool starts = (static_cast<unsigned char>(c) & 0xc0u) != 0x80u;
-        if (starts && ++characters > limit)
-            return clipped + "\u2026";
-        clipped += c;
+    // Whole pixels and tenths, the same on every machine.
+    std::string px(double value)
+    {
+        const auto tenths = static_cast<long long>(std::lround(value * 10));
+        const long long positive = std::abs(tenths);
+        return (tenths < 0 ? "-" : "") + std::to_string(positive / 10) + "." + std::to_string(positive % 10);
     }
-    return clipped;
-}
 
-std::string labelOf(const burn_key& key)
-{
-    std::string label = key.scope.account.str();
-    if (!key.scope.pool.empty())
-        label += " \u00b7 " + key.scope.pool.str();
-    return label;
-}
+    std::string clip(const std::string& text, std::size_t limit)
+    {
+        std::string clipped;
+        std::size_t characters = 0;
+        for (const char c : text) {
+            const bool starts = (static_cast<unsigned char>(c) & 0xc0u) != 0x80u;
+            if (starts && ++characters > limit)
+                return clipped + "\u2026";
+            clipped += c;
+        }
+        return clipped;
+    }
 
-std::string svgText(double x, double y, std::string_view anchor, std::string_view cssClass, const std::string& text)
-{
-    return "<text x=\"" + px(x) + "\" y=\"" + px(y) + "\" text-anchor=\"" + std::string(anchor) + "\" class=\"" + std::string(cssClass) + "\">" + escapeHtml(text)
-        + "</text>";
-}
+    std::string labelOf(const burn_key& key)
+    {
+        std::string label = key.scope.account.str();
+        if (!key.scope.pool.empty())
+            label += " \u00b7 " + key.scope.pool.str();
+        return label;
+    }
 
-std::string svgLine(double x1, double y1, double x2, double y2, std::string_view cssClass)
-{
-    return "<line x1=\"" + px(x1) + "\" y1=\"" + px(y1) + "\" x2=\"" + px(x2) + "\" y2=\"" + px(y2) + "\" class=\"" + std::string(cssClass) + "\"/>";
-}
+    std::string svgText(double x, double y, std::string_view anchor, std::string_view cssClass, const std::string& text)
+    {
+        return "<text x=\"" + px(x) + "\" y=\"" + px(y) + "\" text-anchor=\"" + std::string(anchor) + "\" class=\"" + std::string(cssClass) + "\">" + escapeHtml(text)
+            + "</text>";
+    }
 
-// Rounds up to 1, 2 or 5 times a power of ten, so that ticks are round numbers.
-double niceTop(double value)
-{
-    const double power = std::pow(10.0, std::floor(std::log10(std::max(value, 1.0))));
-    for (const double step : { 1.0, 2.0, 5.0, 10.0 }) {
-        if (value <= step * power)
-            return step * power;
+    std::string svgLine(double x1, double y1, double x2, double y2, std::string_view cssClass)
+    {
+        return "<line x1=\"" + px(x1) + "\" y1=\"" + px(y1) + "\" x2=\"" + px(x2) + "\" y2=\"" + px(y2) + "\" class=\"" + std::string(cssClass) + "\"/>";
     }
-    return 10 * power;
-}
 
-std::string tickText(double value)
-{
-    return formatBurn(static_cast<std::uint64_t>(std::lround(value * 1000)));
-}
+    // Rounds up to 1, 2 or 5 times a power of ten, so that ticks are round numbers.
+    double niceTop(double value)
+    {
+        const double power = std::pow(10.0, std::floor(std::log10(std::max(value, 1.0))));
+        for (const double step : { 1.0, 2.0, 5.0, 10.0 }) {
+            if (value <= step * power)
+                return step * power;
+        }
+        return 10 * power;
+    }
 
-// A mark whose shape differs by line, for readers who don't see the colours.
-std::string svgMark(double x, double y, std::size_t kind)
-{
-    const std::string cssClass = "class=\"k" + std::to_string(kind) + "\"";
-    constexpr double r = 4;
-    if (kind == 0)
-        return "<circle cx=\"" + px(x) + "\" cy=\"" + px(y) + "\" r=\"4\" " + cssClass + "/>";
-    if (kind == 1)
-        return "<rect x=\"" + px(x - r) + "\" y=\"" + px(y - r) + "\" width=\"8\" height=\"8\" " + cssClass + "/>";
-    const auto point = [&](double dx, double dy) { return px(x + dx) + "," + px(y + dy) + " "; };
-    std::string points = point(0, -5) + point(5, 4) + point(-5, 4);
-    if (kind == 3)
-        points = point(0, 5) + point(5, -4) + point(-5, -4);
-    if (kind == 4)
-        points = point(0, -5) + point(5, 0) + point(0, 5) + point(-5, 0);
-    return "<polygon points=\"" + points + "\" " + cssClass + "/>";
-}
+    std::string tickText(double value)
+    {
+        return formatBurn(static_cast<std::uint64_t>(std::lround(value * 1000)));
+    }
 
-// --- Burn over the last hour, one line for each of the worst rows ---------------
+    // A mark whose shape differs by line, for readers who don't see the colours.
+    std::string svgMark(double x, double y, std::size_t kind)
+    {
+        const std::string cssClass = "class=\"k" + std::to_string(kind) + "\"";
+        constexpr double r = 4;
+        if (kind == 0)
+            return "<circle cx=\"" + px(x) + "\" cy=\"" + px(y) + "\" r=\"4\" " + cssClass + "/>";
+        if (kind == 1)
+            return "<rect x=\"" + px(x - r) + "\" y=\"" + px(y - r) + "\" width=\"8\" height=\"8\" " + cssClass + "/>";
+        const auto point = [&](double dx, double dy) { return px(x + dx) + "," + px(y + dy) + " "; };
+        std::string points = point(0, -5) + point(5, 4) + point(-5, 4);
+        if (kind == 3)
+            points = point(0, 5) + point(5, -4) + point(-5, -4);
+        if (kind == 4)
+            points = point(0, -5) + point(5, 0) + point(0, 5) + point(-5, 0);
+        return "<polygon points=\"" + points + "\" " + cssClass + "/>";
+    }
 
-struct line_frame {
-    double left = 64;
-    double right = 940;
-    double top = 24;
-    double bottom = 280;
-    double highest = 1; // burn rate at the top
+    // --- Burn over the last hour, one line for each of the worst rows ---------------
 
-    double x(std::size_t age) const { return right - (right - left) * static_cast<double>(age) / (burnSeriesLength - 1); }
-    double y(double burn) const { return bottom - (bottom - top) * std::min(burn, highest) / highest; }
-};
+    struct line_frame {
+        double left = 64;
+        double right = 940;
+        double top = 24;
+        double bottom = 280;
+        double highest = 1; // burn rate at the top
 
-double burnAt(const burn_row& row, std::size_t age)
-{
-    return static_cast<double>(burnRateMilli(row.figures.series[age], row.figures.bound)) / 1000;
-}
+        double x(std::size_t age) const { return right - (right - left) * static_cast<double>(age) / (burnSeriesLength - 1); }
+        double y(double burn) const { return bottom - (bottom - top) * std::min(burn, highest) / highest; }
+    };
 
-std::string lineAxes(const line_frame& frame, wall_time at)
-{
-    constexpr int ticks = 5;
-    constexpr double pageBurn = 14.4;
-    std::string svg;
-    for (int i = 0; i <= ticks; ++i) {
-        const double burn = frame.highest * i / ticks;
-        svg += svgLine(frame.left, frame.y(burn), frame.right, frame.y(burn), i == 0 ? "axis" : "grid");
-        svg += svgText(frame.left - 8, frame.y(burn) + 4, "end", "soft", tickText(burn));
+    double burnAt(const burn_row& row, std::size_t age)
+    {
+        return static_cast<double>(burnRateMilli(row.figures.series[age], row.figures.bound)) / 1000;
     }
-    for (std::size_t age = 0; age < burnSeriesLength; age += 3) {
-        const auto minutes = std::chrono::minutes(minutesPerBucket * age);
-        svg += svgText(frame.x(age), frame.bottom + 20, "middle", "soft", formatClock(at - minutes));
-    }
-    svg += svgText((frame.left + frame.right) / 2, frame.bottom + 42, "middle", "", "Time of day (UTC), in buckets of 5 minutes");
-    svg += "<text transform=\"translate(16 " + px((frame.top + frame.bottom) / 2) + ") rotate(-90)\" text-anchor=\"middle\">Burn rate (budget = 1)</text>";
-    if (frame.highest >= pageBurn) {
-        svg += svgLine(frame.left, frame.y(pageBurn), frame.right, frame.y(pageBurn), "limit");
-        svg += svgText(frame.left + 6, frame.y(pageBurn) - 6, "start", "limit", "page above 14.4");
-    }
-    return svg;
-}
 
-std::string linePlot(const std::vector<burn_row>& rows, wall_time at)
-{
-    line_frame frame;
-    for (const burn_row& row : rows) {
-        for (std::size_t age = 0; age < burnSeriesLength; ++age)
-            frame.highest = std::max(frame.highest, burnAt(row, age));
+    std::string lineAxes(const line_frame& frame, wall_time at)
+    {
+        constexpr int ticks = 5;
+        constexpr double pageBurn = 14.4;
+        std::string svg;
+        for (int i = 0; i <= ticks; ++i) {
+            const double burn = frame.highest * i / ticks;
+            svg += svgLine(frame.left, frame.y(burn), frame.right, frame.y(burn), i == 0 ? "axis" : "grid");
+            svg += svgText(frame.left - 8, frame.y(burn) + 4, "end", "soft", tickText(burn));
+        }
+        for (std::size_t age = 0; age < burnSeriesLength; age += 3) {
+            const auto minutes = std::chrono::minutes(minutesPerBucket * age);
+            svg += svgText(frame.x(age), frame.bottom + 20, "middle", "soft", formatClock(at - minutes));
+        }
+        svg += svgText((frame.left + frame.right) / 2, frame.bottom + 42, "middle", "", "Time of day (UTC), in buckets of 5 minutes");
+        svg += "<text transform=\"translate(16 " + px((frame.top + frame.bottom) / 2) + ") rotate(-90)\" text-anchor=\"middle\">Burn rate (budget = 1)</text>";
+        if (frame.highest >= pageBurn) {
+            svg += svgLine(frame.left, frame.y(pageBurn), frame.right, frame.y(pageBurn), "limit");
+            svg += svgText(frame.left + 6, frame.y(pageBurn) - 6, "start", "limit", "page above 14.4");
+        }
+        return svg;
     }
-    frame.highest = niceTop(frame.highest);
-    const double legendTop = frame.bottom + 70;
-    const double height = legendTop + 22 * static_cast<double>(rows.size());
-    std::string svg = "<svg viewBox=\"0 0 960 " + px(height) + "\" role=\"img\" aria-label=\"Burn rate over the last hour\">" + lineAxes(frame, at);
-    for (std::size_t i = 0; i < rows.size(); ++i) {
-        std::string path;
-        std::string marks;
-        for (std::size_t age = burnSeriesLength; age-- > 0;) {
-            const double y = frame.y(burnAt(rows[i], age));
-            path += (path.empty() ? "M" : " L") + px(frame.x(age)) + " " + px(y);
-            marks += svgMark(frame.x(age), y, i);
+
+    std::string linePlot(const std::vector<burn_row>& rows, wall_time at)
+    {
+        line_frame frame;
+        for (const burn_row& row : rows) {
+            for (std::size_t age = 0; age < burnSeriesLength; ++age)
+                frame.highest = std::max(frame.highest, burnAt(row, age));
+        }
+        frame.highest = niceTop(frame.highest);
+        const double legendTop = frame.bottom + 70;
+        const double height = legendTop + 22 * static_cast<double>(rows.size());
+        std::string svg = "<svg viewBox=\"0 0 960 " + px(height) + "\" role=\"img\" aria-label=\"Burn rate over the last hour\">" + lineAxes(frame, at);
+        for (std::size_t i = 0; i < rows.size(); ++i) {
+            std::string path;
+            std::string marks;
+            for (std::size_t age = burnSeriesLength; age-- > 0;) {
+                const double y = frame.y(burnAt(rows[i], age));
+                path += (path.empty() ? "M" : " L") + px(frame.x(age)) + " " + px(y);
+                marks += svgMark(frame.x(age), y, i);
+            }
+            svg += "<path d=\"" + path + "\" class=\"line k" + std::to_string(i) + "\" style=\"fill:none\"/>" + marks;
+            const double y = legendTop + 22 * static_cast<double>(i);
+            svg += svgMark(frame.left + 8, y - 4, i);
+            svg += svgText(frame.left + 24, y, "start", "", clip(labelOf(rows[i].key), 70) + ", " + std::string(toString(rows[i].key.objective)));
         }
-        svg += "<path d=\"" + path + "\" class=\"line k" + std::to_string(i) + "\" style=\"fill:none\"/>" + marks;
-        const double y = legendTop + 22 * static_cast<double>(i);
-        svg += svgMark(frame.left + 8, y - 4, i);
-        svg += svgText(frame.left + 24, y, "start", "", clip(labelOf(rows[i].key), 70) + ", " + std::string(toString(rows[i].key.objective)));
+        return svg + "</svg>";
     }
-    return svg + "</svg>";
-}
 
-// --- Worst burn of each account, long and short window ---------------------------
+    // --- Worst burn of each account, long and short window ---------------------------
 
-std::string barPlot(const std::vector<burn_row>& rows)
-{
-    constexpr double left = 250;
-    constexpr double right = 890;
-    constexpr double top = 34;
-    constexpr double pitch = 40;
-    const auto burn = [](const burn_row& row, burn_window window) { return static_cast<double>(row.burnMilli[static_cast<std::size_t>(window)]) / 1000; };
-    double highest = 1;
-    for (const burn_row& row : rows)
-        highest = std::max({ highest, burn(row, burn_window::OneHour), burn(row, burn_window::FiveMinutes) });
-    highest = niceTop(highest);
-    const auto x = [&](double value) { return left + (right - left) * value / highest; };
-    const double bottom = top + pitch * static_cast<double>(rows.size());
-    // Step 1. Legend and axes.
-    std::string svg = "<svg viewBox=\"0 0 960 " + px(bottom + 50) + "\" role=\"img\" aria-label=\"Worst burn rate of each account\">";
-    svg += "<rect x=\"250\" y=\"6\" width=\"14\" height=\"12\" class=\"k0\"/>" + svgText(270, 17, "start", "", "last hour");
-    svg += "<rect x=\"360\" y=\"6\" width=\"14\" height=\"12\" class=\"k1\"/>" + svgText(380, 17, "start", "", "last 5 minutes");
-    for (int i = 0; i <= 5; ++i) {
-        const double value = highest * i / 5;
-        svg += svgLine(x(value), top, x(value), bottom, i == 0 ? "axis" : "grid");
-        svg += svgText(x(value), bottom + 18, "middle", "soft", tickText(value));
-    }
-    svg += svgText((left + right) / 2, bottom + 40, "middle", "", "Burn rate (budget = 1)");
-    // Step 2. Two bars for each account.
-    for (std::size_t i = 0; i < rows.size(); ++i) {
-        const double y = top + pitch * static_cast<double>(i) + 5;
-        svg += svgText(left - 8, y + 11, "end", "", clip(rows[i].key.scope.account.str(), longestLabel));
-        svg += svgText(left - 8, y + 26, "end", "soft", std::string(toString(rows[i].key.objective)));
-        double barTop = y;
-        std::size_t kind = 0;
-        for (const burn_window window : { burn_window::OneHour, burn_window::FiveMinutes }) {
-            const double value = burn(rows[i], window);
-            svg += "<rect x=\"" + px(left) + "\" y=\"" + px(barTop) + "\" width=\"" + px(std::max(1.0, x(value) - left)) + "\" height=\"13\" class=\"k"
-                + std::to_string(kind++) + "\"/>";
-            svg += svgText(x(value) + 6, barTop + 11, "start", "soft", tickText(value));
-            barTop += 15;
+    std::string barPlot(const std::vector<burn_row>& rows)
+    {
+        constexpr double left = 250;
+        constexpr double right = 890;
+        constexpr double top = 34;
+        constexpr double pitch = 40;
+        const auto burn = [](const burn_row& row, burn_window window) { return static_cast<double>(row.burnMilli[static_cast<std::size_t>(window)]) / 1000; };
+        double highest = 1;
+        for (const burn_row& row : rows)
+            highest = std::max({ highest, burn(row, burn_window::OneHour), burn(row, burn_window::FiveMinutes) });
+        highest = niceTop(highest);
+        const auto x = [&](double value) { return left + (right - left) * value / highest; };
+        const double bottom = top + pitch * static_cast<double>(rows.size());
+        // Step 1. Legend and axes.
+        std::string svg = "<svg viewBox=\"0 0 960 " + px(bottom + 50) + "\" role=\"img\" aria-label=\"Worst burn rate of each account\">";
+        svg += "<rect x=\"250\" y=\"6\" width=\"14\" height=\"12\" class=\"k0\"/>" + svgText(270, 17, "start", "", "last hour");
+        svg += "<rect x=\"360\" y=\"6\" width=\"14\" height=\"12\" class=\"k1\"/>" + svgText(380, 17, "start", "", "last 5 minutes");
+        for (int i = 0; i <= 5; ++i) {
+            const double value = highest * i / 5;
+            svg += svgLine(x(value), top, x(value), bottom, i == 0 ? "axis" : "grid");
+            svg += svgText(x(value), bottom + 18, "middle", "soft", tickText(value));
+        }
+        svg += svgText((left + right) / 2, bottom + 40, "middle", "", "Burn rate (budget = 1)");
+        // Step 2. Two bars for each account.
+        for (std::size_t i = 0; i < rows.size(); ++i) {
+            const double y = top + pitch * static_cast<double>(i) + 5;
+            svg += svgText(left - 8, y + 11, "end", "", clip(rows[i].key.scope.account.str(), longestLabel));
+            svg += svgText(left - 8, y + 26, "end", "soft", std::string(toString(rows[i].key.objective)));
+            double barTop = y;
+            std::size_t kind = 0;
+            for (const burn_window window : { burn_window::OneHour, burn_window::FiveMinutes }) {
+                const double value = burn(rows[i], window);
+                svg += "<rect x=\"" + px(left) + "\" y=\"" + px(barTop) + "\" width=\"" + px(std::max(1.0, x(value) - left)) + "\" height=\"13\" class=\"k"
+                    + std::to_string(kind++) + "\"/>";
+                svg += svgText(x(value) + 6, barTop + 11, "start", "soft", tickText(value));
+                barTop += 15;
+            }
         }
+        return svg + "</svg>";
     }
-    return svg + "</svg>";
-}
 
-// The worst row of each account, as the report's rows are sorted.
-std::vector<burn_row> worstOfAccounts(const burn_report& report)
-{
-    std::vector<burn_row> rows;
-    std::set<client_account_id> seen;
-    for (const burn_row& row : report.rows) {
-        if (rows.size() == barsInPlot)
-            break;
-        if (row.key.scope.account.empty() || !seen.insert(row.key.scope.account).second)
-            continue;
-        rows.push_back(row);
+    // The worst row of each account, as the report's rows are sorted.
+    std::vector<burn_row> worstOfAccounts(const burn_report& report)
+    {
+        std::vector<burn_row> rows;
+        std::set<client_account_id> seen;
+        for (const burn_row& row : report.rows) {
+            if (rows.size() == barsInPlot)
+                break;
+            if (row.key.scope.account.empty() || !seen.insert(row.key.scope.account).second)
+                continue;
+            rows.push_back(row);
+        }
+        return rows;
     }
-    return rows;
-}
 
-std::string cell(std::string_view cssClass, const std::string& text)
-{
-    return "<td class=\"" + std::string(cssClass) + "\">" + escapeHtml(text) + "</td>";
-}
+    std::string cell(std::string_view cssClass, const std::string& text)
+    {
+        return "<td class=\"" + std::string(cssClass) + "\">" + escapeHtml(text) + "</td>";
+    }
 
-std::string tableRow(const burn_row& row)
-{
-    std::string html = "<tr>" + cell("name", row.key.scope.account.str()) + cell("name", row.key.scope.pool.str())
-        + cell("", std::string(toString(row.key.objective))) + cell("", describeBound(row.key.objective, row.figures.bound));
-    for (const std::uint64_t burn : row.burnMilli)
-        html += cell("figure", formatBurn(burn));
-    html += cell("figure", formatShare(row.budgetSpentPerMillion));
-    const std::string alert(toString(row.alert));
-    html += row.alert == burn_alert::None ? cell("", "") : cell("badge-" + alert, alert);
-    return html + cell("", row.mainCause ? std::string(toString(*row.mainCause)) : "") + "</tr>\n";
-}
+    std::string tableRow(const burn_row& row)
+    {
+        std::string html = "<tr>" + cell("name", row.key.scope.account.str()) + cell("name", row.key.scope.pool.str())
+            + cell("", std::string(toString(row.key.objective))) + cell("", describeBound(row.key.objective, row.figures.bound));
+        for (const std::uint64_t burn : row.burnMilli)
+            html += cell("figure", formatBurn(burn));
+        html += cell("figure", formatShare(row.budgetSpentPerMillion));
+        const std::string alert(toString(row.alert));
+        html += row.alert == burn_alert::None ? cell("", "") : cell("badge-" + alert, alert);
+        return html + cell("", row.mainCause ? std::string(toString(*row.mainCause)) : "") + "</tr>\n";
+    }
 
-std::string tableHtml(const burn_report& report)
-{
-    std::string html = "<div class=\"scroll\"><table><thead><tr><th>Account</th><th>Pool</th><th>Objective</th><th>Bound</th>"
-                       "<th class=\"figure\">5 min</th><th class=\"figure\">30 min</th><th class=\"figure\">1 h</th><th class=\"figure\">6 h</th>"
-                       "<th class=\"figure\">Budget</th><th>Alert</th><th>Main cause</th></tr></thead><tbody>\n";
-    std::size_t shown = 0;
-    for (const burn_row& row : report.rows) {
-        if (shown++ == rowsInTable)
-            break;
-        html += tableRow(row);
+    std::string tableHtml(const burn_report& report)
+    {
+        std::string html = "<div class=\"scroll\"><table><thead><tr><th>Account</th><th>Pool</th><th>Objective</th><th>Bound</th>"
+                           "<th class=\"figure\">5 min</th><th class=\"figure\">30 min</th><th class=\"figure\">1 h</th><th class=\"figure\">6 h</th>"
+                           "<th class=\"figure\">Budget</th><th>Alert</th><th>Main cause</th></tr></thead><tbody>\n";
+        std::size_t shown = 0;
+        for (const burn_row& row : report.rows) {
+            if (shown++ == rowsInTable)
+                break;
+            html += tableRow(row);
+        }
+        html += "</tbody></table></div>";
+        if (report.rows.size() > rowsInTable)
+            html += "<p class=\"soft\">" + std::to_string(report.rows.size() - rowsInTable) + " more rows are in the JSON report.</p>";
+        return html;
     }
-    html += "</tbody></table></div>";
-    if (report.rows.size() > rowsInTable)
-        html += "<p class=\"soft\">" + std::to_string(report.rows.size() - rowsInTable) + " more rows are in the JSON report.</p>";
-    return html;
-}
 
 } // namespace
 
--- a/src/burn_json.cpp
+++ b/src/burn_json.cpp
@@ -4,53 +4,53 @@
 namespace lovagerail {
 namespace {
 
-constexpr std::string_view burnStep = "burn.decode";
+    constexpr std::string_view burnStep = "burn.decode";
 
-Json::Value countsJson(const burn_counts& counts)
-{
-    Json::Value json(Json::arrayValue);
-    json.append(Json::UInt64(counts.good));
-    json.append(Json::UInt64(counts.bad));
-    return json;
-}
+    Json::Value countsJson(const burn_counts& counts)
+    {
+        Json::Value json(Json::arrayValue);
+        json.append(Json::UInt64(counts.good));
+        json.append(Json::UInt64(counts.bad));
+        return json;
+    }
 
-template <std::size_t Size>
-bool readCounts(const Json::Value& json, std::array<burn_counts, Size>& counts)
-{
-    if (!json.isArray() || json.size() != Size)
-        return false;
-    for (Json::ArrayIndex i = 0; i < Size; ++i) {
-        if (!json[i].isArray() || json[i].size() != 2 || !json[i][0].isUInt64() || !json[i][1].isUInt64())
+    template <std::size_t Size>
+    bool readCounts(const Json::Value& json, std::array<burn_counts, Size>& counts)
+    {
+        if (!json.isArray() || json.size() != Size)
             return false;
-        counts[i] = { json[i][0].asUInt64(), json[i][1].asUInt64() };
+        for (Json::ArrayIndex i = 0; i < Size; ++i) {
+            if (!json[i].isArray() || json[i].size() != 2 || !json[i][0].isUInt64() || !json[i][1].isUInt64())
+                return false;
+            counts[i] = { json[i][0].asUInt64(), json[i][1].asUInt64() };
+        }
+        return true;
     }
-    return true;
-}
 
-bool readRow(const Json::Value& json, burn_table& table)
-{
-    // Step 1. The key.
-    if (!json.isObject() || !json["account"].isString() || !json["pool"].isString() || !json["objective"].isUInt())
-        return false;
-    if (json["objective"].asUInt() >= burnObjectives)
-        return false;
-    const burn_key key { { client_account_id(json["account"].asString()), pool_id(json["pool"].asString()) },
-        static_cast<burn_objective>(json["objective"].asUInt()) };
-    // Step 2. The bound.
-    burn_figures& figures = table[key];
-    if (!json["good_per_million"].isUInt() || !json["within_ns"].isInt64() || !json["versions"].isUInt64())
-        return false;
-    figures.bound = { json["good_per_million"].asUInt(), duration(json["within_ns"].asInt64()), json["versions"].asUInt64() };
-    // Step 3. The counts.
-    if (!json["causes"].isArray() || json["causes"].size() != burnCauses)
-        return false;
-    for (Json::ArrayIndex i = 0; i < burnCauses; ++i) {
-        if (!json["causes"][i].isUInt64())
+    bool readRow(const Json::Value& json, burn_table& table)
+    {
+        // Step 1. The key.
+        if (!json.isObject() || !json["account"].isString() || !json["pool"].isString() || !json["objective"].isUInt())
+            return false;
+        if (json["objective"].asUInt() >= burnObjectives)
             return false;
-        figures.causes[i] = json["causes"][i].asUInt64();
+        const burn_key key { { client_account_id(json["account"].asString()), pool_id(json["pool"].asString()) },
+            static_cast<burn_objective>(json["objective"].asUInt()) };
+        // Step 2. The bound.
+        burn_figures& figures = table[key];
+        if (!json["good_per_million"].isUInt() || !json["within_ns"].isInt64() || !json["versions"].isUInt64())
+            return false;
+        figures.bound = { json["good_per_million"].asUInt(), duration(json["within_ns"].asInt64()), json["versions"].asUInt64() };
+        // Step 3. The counts.
+        if (!json["causes"].isArray() || json["causes"].size() != burnCauses)
+            return false;
+        for (Json::ArrayIndex i = 0; i < burnCauses; ++i) {
+            if (!json["causes"][i].isUInt64())
+                return false;
+            figures.causes[i] = json["causes"][i].asUInt64();
+        }
+        return readCounts(json["windows"], figures.windows) && readCounts(json["series"], figures.series);
     }
-    return readCounts(json["windows"], figures.windows) && readCounts(json["series"], figures.series);
-}
 
 } // namespace
 
--- a/src/burn_report.cpp
+++ b/src/burn_report.cpp
@@ -7,60 +7,60 @@
 namespace lovagerail {
 namespace {
 
-constexpr std::size_t columns = 10;
-using table_line = std::array<std::string, columns>;
+    constexpr std::size_t columns = 10;
+    using table_line = std::array<std::string, columns>;
 
-std::string pad(const std::string& text, std::size_t width, bool right)
-{
-    // Bytes that continue a character take no room.
-    const auto shown = static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char c) { return (static_cast<unsigned char>(c) & 0xc0u) != 0x80u; }));
-    const std::string blank(width > shown ? width - shown : 0, ' ');
-    return right ? blank + text : text + blank;
-}
-
-std::string table(const std::vector<table_line>& lines)
-{
-    constexpr std::size_t firstFigure = 4;
-    constexpr std::size_t lastFigure = 7;
-    std::array<std::size_t, columns> widths {};
-    for (const table_line& line : lines) {
-        for (std::size_t i = 0; i < columns; ++i)
-            widths[i] = std::max(widths[i], line[i].size());
-    }
-    std::string text;
-    for (const table_line& line : lines) {
-        std::string row;
-        for (std::size_t i = 0; i < columns; ++i)
-            row += pad(line[i], widths[i], i >= firstFigure && i <= lastFigure) + "  ";
-        row.erase(row.find_last_not_of(' ') + 1);
-        text += row + "\n";
+    std::string pad(const std::string& text, std::size_t width, bool right)
+    {
+        // Bytes that continue a character take no room.
+        const auto shown = static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char c) { return (static_cast<unsigned char>(c) & 0xc0u) != 0x80u; }));
+        const std::string blank(width > shown ? width - shown : 0, ' ');
+        return right ? blank + text : text + blank;
     }
-    return text;
-}
 
-Json::Value rowJson(const burn_row& row)
-{
-    Json::Value json(Json::objectValue);
-    json["account"] = row.key.scope.account.str();
-    json["pool"] = row.key.scope.pool.str();
-    json["objective"] = std::string(toString(row.key.objective));
-    json["bound"] = describeBound(row.key.objective, row.figures.bound);
-    json["alert"] = std::string(toString(row.alert));
-    if (row.mainCause)
-        json["main_cause"] = std::string(toString(*row.mainCause));
-    json["budget_spent_per_million"] = Json::UInt64(row.budgetSpentPerMillion);
-    for (std::size_t i = 0; i < burnWindows; ++i) {
-        Json::Value& window = json["windows"][std::string(toString(static_cast<burn_window>(i)))];
-        window["good"] = Json::UInt64(row.figures.windows[i].good);
-        window["bad"] = Json::UInt64(row.figures.windows[i].bad);
-        window["burn_rate_milli"] = Json::UInt64(row.burnMilli[i]);
+    std::string table(const std::vector<table_line>& lines)
+    {
+        constexpr std::size_t firstFigure = 4;
+        constexpr std::size_t lastFigure = 7;
+        std::array<std::size_t, columns> widths {};
+        for (const table_line& line : lines) {
+            for (std::size_t i = 0; i < columns; ++i)
+                widths[i] = std::max(widths[i], line[i].size());
+        }
+        std::string text;
+        for (const table_line& line : lines) {
+            std::string row;
+            for (std::size_t i = 0; i < columns; ++i)
+                row += pad(line[i], widths[i], i >= firstFigure && i <= lastFigure) + "  ";
+            row.erase(row.find_last_not_of(' ') + 1);
+            text += row + "\n";
+        }
+        return text;
     }
-    for (std::size_t i = 0; i < burnCauses; ++i) {
-        if (row.figures.causes[i] != 0)
-            json["causes"][std::string(toString(static_cast<burn_cause>(i)))] = Json::UInt64(row.figures.causes[i]);
+
+    Json::Value rowJson(const burn_row& row)
+    {
+        Json::Value json(Json::objectValue);
+        json["account"] = row.key.scope.account.str();
+        json["pool"] = row.key.scope.pool.str();
+        json["objective"] = std::string(toString(row.key.objective));
+        json["bound"] = describeBound(row.key.objective, row.figures.bound);
+        json["alert"] = std::string(toString(row.alert));
+        if (row.mainCause)
+            json["main_cause"] = std::string(toString(*row.mainCause));
+        json["budget_spent_per_million"] = Json::UInt64(row.budgetSpentPerMillion);
+        for (std::size_t i = 0; i < burnWindows; ++i) {
+            Json::Value& window = json["windows"][std::string(toString(static_cast<burn_window>(i)))];
+            window["good"] = Json::UInt64(row.figures.windows[i].good);
+            window["bad"] = Json::UInt64(row.figures.windows[i].bad);
+            window["burn_rate_milli"] = Json::UInt64(row.burnMilli[i]);
+        }
+        for (std::size_t i = 0; i < burnCauses; ++i) {
+            if (row.figures.causes[i] != 0)
+                json["causes"][std::string(toString(static_cast<burn_cause>(i)))] = Json::UInt64(row.figures.causes[i]);
+        }
+        return json;
     }
-    return json;
-}
 
 } // namespace
 
--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -9,99 +9,99 @@
 namespace lovagerail {
 namespace {
 
-constexpr std::string_view journalStep = "journal.decode";
-constexpr std::size_t longestName = 160; // duty, subject, decision, fact keys and values
-constexpr std::size_t longestReason = 240;
-constexpr std::size_t mostFacts = 8;
-constexpr std::size_t entryOverhead = sizeof(journal_entry);
-
-// Cuts a text, and never between the bytes of one character.
-void shorten(std::string& text, std::size_t limit)
-{
-    if (text.size() <= limit)
-        return;
-    while (limit > 0 && (static_cast<unsigned char>(text[limit]) & 0xc0u) == 0x80u)
-        --limit;
-    text.resize(limit);
-    text.shrink_to_fit();
-}
+    constexpr std::string_view journalStep = "journal.decode";
+    constexpr std::size_t longestName = 160; // duty, subject, decision, fact keys and values
+    constexpr std::size_t longestReason = 240;
+    constexpr std::size_t mostFacts = 8;
+    constexpr std::size_t entryOverhead = sizeof(journal_entry);
+
+    // Cuts a text, and never between the bytes of one character.
+    void shorten(std::string& text, std::size_t limit)
+    {
+        if (text.size() <= limit)
+            return;
+        while (limit > 0 && (static_cast<unsigned char>(text[limit]) & 0xc0u) == 0x80u)
+            --limit;
+        text.resize(limit);
+        text.shrink_to_fit();
+    }
 
-void shorten(journal_entry& entry)
-{
-    shorten(entry.duty, longestName);
-    shorten(entry.subject, longestName);
-    shorten(entry.decision, longestName);
-    shorten(entry.reason, longestReason);
-    if (entry.facts.size() > mostFacts)
-        entry.facts.resize(mostFacts);
-    for (journal_fact& fact : entry.facts) {
-        shorten(fact.key, longestName);
-        shorten(fact.value, longestName);
+    void shorten(journal_entry& entry)
+    {
+        shorten(entry.duty, longestName);
+        shorten(entry.subject, longestName);
+        shorten(entry.decision, longestName);
+        shorten(entry.reason, longestReason);
+        if (entry.facts.size() > mostFacts)
+            entry.facts.resize(mostFacts);
+        for (journal_fact& fact : entry.facts) {
+            shorten(fact.key, longestName);
+            shorten(fact.value, longestName);
+        }
     }
-}
 
-std::uint64_t sizeOf(const journal_entry& entry)
-{
-    std::size_t size = entryOverhead + entry.instance.str().capacity() + entry.duty.capacity() + entry.subject.capacity()
-        + entry.decision.capacity() + entry.reason.capacity();
-    for (const journal_fact& fact : entry.facts)
-        size += sizeof(journal_fact) + fact.key.capacity() + fact.value.capacity();
-    return size;
-}
+    std::uint64_t sizeOf(const journal_entry& entry)
+    {
+        std::size_t size = entryOverhead + entry.instance.str().capacity() + entry.duty.capacity() + entry.subject.capacity()
+            + entry.decision.capacity() + entry.reason.capacity();
+        for (const journal_fact& fact : entry.facts)
+            size += sizeof(journal_fact) + fact.key.capacity() + fact.value.capacity();
+        return size;
+    }
 
-bool concerns(const journal_entry& entry, subject_kind kind, std::string_view subject)
-{
-    if (entry.kind == kind && entry.subject == subject)
-        return true;
-    const std::string_view name = toString(kind);
-    return std::any_of(entry.facts.begin(), entry.facts.end(), [&](const journal_fact& fact) {
-        return fact.value == subject && std::equal(fact.key.begin(), fact.key.end(), name.begin(), name.end(), [](char left, char right) {
-            return left == static_cast<char>(right - 'A' + 'a');
+    bool concerns(const journal_entry& entry, subject_kind kind, std::string_view subject)
+    {
+        if (entry.kind == kind && entry.subject == subject)
+            return true;
+        const std::string_view name = toString(kind);
+        return std::any_of(entry.facts.begin(), entry.facts.end(), [&](const journal_fact& fact) {
+            return fact.value == subject && std::equal(fact.key.begin(), fact.key.end(), name.begin(), name.end(), [](char left, char right) {
+                return left == static_cast<char>(right - 'A' + 'a');
+            });
         });
-    });
-}
-
-Json::Value entryJson(const journal_entry& entry)
-{
-    Json::Value json(Json::objectValue);
-    json["at_ms"] = Json::Int64(entry.at.time_since_epoch().count());
-    json["instance"] = entry.instance.str();
-    json["sequence"] = Json::UInt64(entry.sequence);
-    json["duty"] = entry.duty;
-    json["kind"] = std::string(toString(entry.kind));
-    json["subject"] = entry.subject;
-    json["decision"] = entry.decision;
-    json["reason"] = entry.reason;
-    json["facts"] = Json::Value(Json::arrayValue);
-    for (const journal_fact& fact : entry.facts) {
-        Json::Value pair(Json::arrayValue);
-        pair.append(fact.key);
-        pair.append(fact.value);
-        json["facts"].append(pair);
     }
-    return json;
-}
 
-result<journal_entry> entryFromJson(const Json::Value& json)
-{
-    if (!json.isObject() || !json["at_ms"].isInt64() || !json["sequence"].isUInt64() || !json["facts"].isArray())
-        return failure(error_code::InvalidArgument, journalStep, "an entry is malformed");
-    for (const char* field : { "instance", "duty", "kind", "subject", "decision", "reason" }) {
-        if (!json[field].isString())
-            return failure(error_code::InvalidArgument, journalStep, std::string("an entry lacks ") + field);
+    Json::Value entryJson(const journal_entry& entry)
+    {
+        Json::Value json(Json::objectValue);
+        json["at_ms"] = Json::Int64(entry.at.time_since_epoch().count());
+        json["instance"] = entry.instance.str();
+        json["sequence"] = Json::UInt64(entry.sequence);
+        json["duty"] = entry.duty;
+        json["kind"] = std::string(toString(entry.kind));
+        json["subject"] = entry.subject;
+        json["decision"] = entry.decision;
+        json["reason"] = entry.reason;
+        json["facts"] = Json::Value(Json::arrayValue);
+        for (const journal_fact& fact : entry.facts) {
+            Json::Value pair(Json::arrayValue);
+            pair.append(fact.key);
+            pair.append(fact.value);
+            json["facts"].append(pair);
+        }
+        return json;
     }
-    const auto kind = parseSubjectKind(json["kind"].asString());
-    if (!kind)
-        return tl::make_unexpected(kind.error());
-    journal_entry entry { wall_time(std::chrono::milliseconds(json["at_ms"].asInt64())), instance_id(json["instance"].asString()),
-        json["sequence"].asUInt64(), json["duty"].asString(), *kind, json["subject"].asString(), json["decision"].asString(), json["reason"].asString(), {} };
-    for (const Json::Value& pair : json["facts"]) {
-        if (!pair.isArray() || pair.size() != 2 || !pair[0].isString() || !pair[1].isString())
-            return failure(error_code::InvalidArgument, journalStep, "a fact is malformed");
-        entry.facts.push_back({ pair[0].asString(), pair[1].asString() });
+
+    result<journal_entry> entryFromJson(const Json::Value& json)
+    {
+        if (!json.isObject() || !json["at_ms"].isInt64() || !json["sequence"].isUInt64() || !json["facts"].isArray())
+            return failure(error_code::InvalidArgument, journalStep, "an entry is malformed");
+        for (const char* field : { "instance", "duty", "kind", "subject", "decision", "reason" }) {
+            if (!json[field].isString())
+                return failure(error_code::InvalidArgument, journalStep, std::string("an entry lacks ") + field);
+        }
+        const auto kind = parseSubjectKind(json["kind"].asString());
+        if (!kind)
+            return tl::make_unexpected(kind.error());
+        journal_entry entry { wall_time(std::chrono::milliseconds(json["at_ms"].asInt64())), instance_id(json["instance"].asString()),
+            json["sequence"].asUInt64(), json["duty"].asString(), *kind, json["subject"].asString(), json["decision"].asString(), json["reason"].asString(), {} };
+        for (const Json::Value& pair : json["facts"]) {
+            if (!pair.isArray() || pair.size() != 2 || !pair[0].isString() || !pair[1].isString())
+                return failure(error_code::InvalidArgument, journalStep, "a fact is malformed");
+            entry.facts.push_back({ pair[0].asString(), pair[1].asString() });
+        }
+        return entry;
     }
-    return entry;
-}
 
 } // namespace
 
--- a/src/time_text.cpp
+++ b/src/time_text.cpp
@@ -7,16 +7,16 @@
 namespace lovagerail {
 namespace {
 
-std::string format(wall_time at, const char* pattern)
-{
-    const auto seconds = std::chrono::floor<std::chrono::seconds>(at);
-    const std::time_t time = seconds.time_since_epoch().count();
-    std::tm parts {};
-    gmtime_r(&time, &parts);
-    std::array<char, 40> text {};
-    const std::size_t length = std::strftime(text.data(), text.size(), pattern, &parts);
-    return { text.data(), length };
-}
+    std::string format(wall_time at, const char* pattern)
+    {
+        const auto seconds = std::chrono::floor<std::chrono::seconds>(at);
+        const std::time_t time = seconds.time_since_epoch().count();
+        std::tm parts {};
+        gmtime_r(&time, &parts);
+        std::array<char, 40> text {};
+        const std::size_t length = std::strftime(text.data(), text.size(), pattern, &parts);
+        return { text.data(), length };
+    }
 
 } // namespace
 
