--- a/src/burn_html.cpp
+++ b/src/burn_html.cpp
@@ -12,7 +12,7 @@
     constexpr std::size_t linesInPlot = 5; // one for each colour class below
     constexpr std::size_t barsInPlot = 10;
     constexpr std::size_t rowsInTable = 200;
-    constexpr std::size_t longestLabel = 34;
+    constexpr std::size_t longestLabel = 28;
     constexpr std::uint64_t minutesPerBucket = 5;
 
     // Colours keep their contrast on both backgrounds; each line has its own marks too.
@@ -111,6 +111,16 @@
         return "<polygon points=\"" + points + "\" " + cssClass + "/>";
     }
 
+    std::string svgPath(const std::string& path, std::size_t kind)
+    {
+        return "<path d=\"" + path + "\" class=\"line k" + std::to_string(kind) + "\" style=\"fill:none\"/>";
+    }
+
+    std::string svgBar(double x, double y, double width, std::size_t kind)
+    {
+        return "<rect x=\"" + px(x) + "\" y=\"" + px(y) + "\" width=\"" + px(width) + "\" height=\"13\" class=\"k" + std::to_string(kind) + "\"/>";
+    }
+
     // --- Burn over the last hour, one line for each of the worst rows ---------------
 
     struct line_frame {
@@ -168,10 +178,14 @@
             std::string marks;
             for (std::size_t age = burnSeriesLength; age-- > 0;) {
                 const double y = frame.y(burnAt(rows[i], age));
-                path += (path.empty() ? "M" : " L") + px(frame.x(age)) + " " + px(y);
+                path += path.empty() ? "M" : " L";
+                path += px(frame.x(age));
+                path += ' ';
+                path += px(y);
                 marks += svgMark(frame.x(age), y, i);
             }
-            svg += "<path d=\"" + path + "\" class=\"line k" + std::to_string(i) + "\" style=\"fill:none\"/>" + marks;
+            svg += svgPath(path, i);
+            svg += marks;
             const double y = legendTop + 22 * static_cast<double>(i);
             svg += svgMark(frame.left + 8, y - 4, i);
             svg += svgText(frame.left + 24, y, "start", "", clip(labelOf(rows[i].key), 70) + ", " + std::string(toString(rows[i].key.objective)));
@@ -213,8 +227,7 @@
             std::size_t kind = 0;
             for (const burn_window window : { burn_window::OneHour, burn_window::FiveMinutes }) {
                 const double value = burn(rows[i], window);
-                svg += "<rect x=\"" + px(left) + "\" y=\"" + px(barTop) + "\" width=\"" + px(std::max(1.0, x(value) - left)) + "\" height=\"13\" class=\"k"
-                    + std::to_string(kind++) + "\"/>";
+                svg += svgBar(left, barTop, std::max(1.0, x(value) - left), kind++);
                 svg += svgText(x(value) + 6, barTop + 11, "start", "soft", tickText(value));
                 barTop += 15;
             }
--- a/tests/usage_world.h
+++ b/tests/usage_world.h
@@ -38,7 +38,7 @@
         m_settings.reportsInFlight = 2;
         m_settings.valueLimit = byte_count(700); // several parts
         for (std::size_t i = 0; i < instances; ++i)
-            m_instances.push_back(std::make_unique<node>(node_name(i), m_settings.usage));
+            m_instances.push_back(std::make_unique<node>(nodeName(i), m_settings.usage));
         takeOver();
     }
 
@@ -115,7 +115,7 @@
         usage_figures sum;
     };
 
-    usage_origin node_name(std::size_t index) { return { instance_id("i" + std::to_string(index)), incarnation(1) }; }
+    usage_origin nodeName(std::size_t index) { return { instance_id("i" + std::to_string(index)), incarnation(1) }; }
     bool chance(unsigned perCent) { return m_faulty && m_random() % 100 < perCent; }
 
     void live(node& instance)
