--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -4,14 +4,17 @@
 #include "config.h"
 #include "config_edit.h"
 #include "ctl/table.h"
+#include "keys.h"
 #include "object_codec.h"
 #include "object_file.h"
 
+#include <array>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <iterator>
 #include <json/json.h>
+#include <openssl/rand.h>
 #include <thread>
 
 namespace lovagerail::ctl {
@@ -318,6 +321,22 @@
     return exitOk;
 }
 
+int bootstrapKey()
+{
+    std::array<unsigned char, keyRandomBytes> random {};
+    if (RAND_bytes(random.data(), static_cast<int>(random.size())) != 1) {
+        std::cerr << "no randomness\n";
+        return exitFailure;
+    }
+    const auto made = makeKey(random);
+    if (!made)
+        return fail(made.error());
+    std::cout << "# The key; it is shown this once.\n# " << made->raw << "\n"
+              << "[security]\nbootstrap_operator_digest = \"" << made->object.digest << "\"\n"
+              << "bootstrap_operator_salt = \"" << made->object.salt << "\"\n";
+    return exitOk;
+}
+
 int withdrawKey(const session& with, const std::string& id, output_format format)
 {
     Json::Value body(Json::objectValue);
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -34,6 +34,8 @@
 int label(const session& with, const std::string& kind, const std::string& name, const std::vector<std::string>& changes, output_format format);
 int deleteObject(const session& with, const std::string& kind, const std::string& name, output_format format);
 int grantKey(const session& with, const std::string& account, const std::vector<std::string>& scopes, output_format format);
+// Makes the first operator's key and the settings that let it in; asks no daemon.
+int bootstrapKey();
 int withdrawKey(const session& with, const std::string& id, output_format format);
 int history(const session& with, long limit, output_format format);
 int rollback(const session& with, long to, output_format format);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -24,6 +24,7 @@
   lovagectl [options] delete KIND NAME
   lovagectl [options] keys grant (--account NAME | --scope SCOPE...)
   lovagectl [options] keys withdraw ID
+  lovagectl keys bootstrap
   lovagectl [options] history [--limit N]
   lovagectl [options] rollback NUMBER
   lovagectl [options] runs
@@ -151,6 +152,8 @@
 int main(int argc, char** argv)
 {
     const auto given = docopt::docopt(usageText, { argv + 1, argv + argc }, true, "");
+    if (isSet(given, "bootstrap"))
+        return bootstrapKey();
     if (isSet(given, "version")) {
         std::cout << "lovagectl " << versionText << "\n";
         return exitOk;
--- a/src/generation.cpp
+++ b/src/generation.cpp
@@ -276,7 +276,15 @@
 std::string generation::endEvents(const request_id& id) const
 {
     Json::Value out = envelope(id, true);
-    out["choices"] = Json::Value(Json::arrayValue);
+    // Clients that read the first choice of each chunk find an empty one.
+    Json::Value choice(Json::objectValue);
+    choice["index"] = 0;
+    if (m_wanted.chat)
+        choice["delta"] = Json::Value(Json::objectValue);
+    else
+        choice["text"] = "";
+    choice["finish_reason"] = Json::Value();
+    out["choices"].append(choice);
     out["usage"] = usageJson();
     if (attributed())
         out["version_spans"] = toJson(spans());
--- a/tests/process/kit.py
+++ b/tests/process/kit.py
@@ -255,6 +255,10 @@
         """Asks it to end and returns the exit code; kills it if it doesn't."""
         self.resume()
         self.terminate()
+        return self.finish(seconds)
+
+    def finish(self, seconds=STOP_SECONDS):
+        """Waits for the end that was asked for; kills it if it doesn't come."""
         try:
             return self._process.wait(seconds)
         except subprocess.TimeoutExpired:
@@ -377,7 +381,7 @@
             program.resume()
             program.terminate()
         for program in reversed(self.programs):
-            program.stop()
+            program.finish()
         if failed:
             for program in self.programs:
                 tail = program.output()[-LOG_TAIL_BYTES:]
