Leases, usage counting and closing joined to the daemon

Cause: nothing held exclusive duties and nobody reported usage. Change: duties as lease-bound keys in the key-value service, spread by rendezvous hashing and handed over with a hint at a planned stop; counts flow from the serving thread to the books, copies go to two others, the closer seals and reports. Before: no report.

--- a/bench/bench_usage.cpp
+++ b/bench/bench_usage.cpp
@@ -57,14 +57,14 @@
         }
         void carryOut(usage_closer& closer, const read_prefix& read, wall_time /*now*/)
         {
-            std::vector<kv_entry> entries;
+            std::vector<key_text> entries;
             for (auto it = m_store.lower_bound(read.prefix); it != m_store.end() && it->first.starts_with(read.prefix); ++it)
                 entries.push_back({ it->first, read.keysOnly ? "" : it->second });
             closer.onRead(read.prefix, entries);
         }
         void carryOut(usage_closer& closer, const commit_entries& commit, wall_time /*now*/)
         {
-            for (const kv_entry& entry : commit.puts) {
+            for (const key_text& entry : commit.puts) {
                 m_store[entry.key] = entry.value;
                 m_print.fold(entry.key);
                 m_print.fold(entry.value);
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -52,12 +52,15 @@
     , m_operators(m_context)
     , m_peers(m_context, std::move(instanceSecret))
     , m_status(m_context, m_config, m_targets, m_peers)
+    , m_leases(m_context, m_peers)
+    , m_usage(m_context, m_leases, m_peers, m_status)
     , m_serving(values, servingSettings(values, life), m_wakeup)
     , m_operatorRing(exchangeRing, m_wakeup)
     , m_instanceRing(exchangeRing, m_wakeup)
 {
     addConfigApi(m_operators, m_context, m_config, m_keys);
     m_status.addTo(m_operators);
+    m_usage.addTo(m_operators);
     m_toldConfig = m_context.inForce;
 }
 
@@ -145,10 +148,31 @@
     m_config.tick();
     m_keys.tick();
     m_targets.tick();
+    followMembers();
+    m_leases.tick();
+    m_usage.tick();
     if (m_drainAsked)
         drainTurn();
 }
 
+// Duties are spread over the instances that live and are not leaving.
+void control_thread::followMembers()
+{
+    std::vector<live_instance> live;
+    bool listed = false;
+    for (const auto& one : m_targets.instances()) {
+        if (one.state != platform::instance_state::Live)
+            continue;
+        listed = listed || one.id == m_context.self;
+        live.push_back({ one.id, one.address, one.failureDomain });
+    }
+    if (!listed)
+        live.push_back({ m_context.self, platform::withScheme(m_values.listen.instances), failure_domain_id(m_values.instance.failureDomain) });
+    m_leases.setLive(std::move(live));
+    std::set<duty_id> duties { usage_duty::duty() };
+    m_leases.setDuties(duties);
+}
+
 void control_thread::takeServing()
 {
     to_control message;
@@ -160,6 +184,10 @@
                 m_status.count(*served);
             else if (auto* entry = std::get_if<journal_entry>(record))
                 m_status.record(std::move(*entry));
+            else if (const auto* used = std::get_if<attempt_usage>(record))
+                m_usage.count(*used);
+            else if (const auto* refused = std::get_if<refused_usage>(record))
+                m_usage.count(*refused);
         }
     }
 }
@@ -179,10 +207,14 @@
     if (!m_context.draining) {
         m_context.draining = true;
         m_context.tellServing(serving_mode { false, true });
+        m_leases.releaseAll();
         logEvent(log_level::Info, "control", "drain");
         return;
     }
-    m_drained = m_status.servingState().open == 0;
+    if (m_status.servingState().open > 0)
+        return;
+    m_usage.flush();
+    m_drained = m_usage.flushed() && m_leases.idle();
 }
 
 void control_thread::flushServing()
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -6,11 +6,13 @@
 #include "daemon/config_duty.h"
 #include "daemon/control_context.h"
 #include "daemon/key_duty.h"
+#include "daemon/lease_duty.h"
 #include "daemon/operator_duty.h"
 #include "daemon/peer_duty.h"
 #include "daemon/serving_thread.h"
 #include "daemon/status_api.h"
 #include "daemon/target_duty.h"
+#include "daemon/usage_duty.h"
 #include "http/server.h"
 #include "http/worker.h"
 #include "named_thread.h"
@@ -39,6 +41,7 @@
     void takeServing();
     void takeExchanges();
     void tickDuties();
+    void followMembers();
     void drainTurn();
     void flushServing();
 
@@ -59,6 +62,8 @@
     operator_duty m_operators;
     peer_duty m_peers;
     status_api m_status;
+    lease_duty m_leases;
+    usage_duty m_usage;
 
     serving_thread m_serving;
     ring<http::exchange_ptr> m_operatorRing;
--- a/src/kv.h
+++ b/src/kv.h
@@ -46,6 +46,7 @@
     ModRevision, // 0 = the key doesn't exist
     CreateRevision,
     Value,
+    Exists, // number and value are not looked at
 };
 
 struct kv_compare {
--- a/src/platform/kv_codec.cpp
+++ b/src/platform/kv_codec.cpp
@@ -111,6 +111,11 @@
             out["target"] = "VALUE";
             out["value"] = toBase64(compare.value);
             break;
+        case kv_field::Exists:
+            out["target"] = "CREATE";
+            out["result"] = "GREATER";
+            out["create_revision"] = "0";
+            break;
         }
         return out;
     }
--- a/src/usage_window.cpp
+++ b/src/usage_window.cpp
@@ -25,10 +25,10 @@
         return window_number(number);
     }
 
-    result<sealed_window> joinParts(const std::vector<kv_entry>& parts)
+    result<sealed_window> joinParts(const std::vector<key_text>& parts)
     {
         std::string text;
-        for (const kv_entry& part : parts)
+        for (const key_text& part : parts)
             text += part.value;
         return decodeSealed(text);
     }
@@ -78,10 +78,10 @@
     return out;
 }
 
-std::optional<std::vector<kv_entry>> usage_closer::read(const std::string& prefix, bool keysOnly, actions& out)
+std::optional<std::vector<key_text>> usage_closer::read(const std::string& prefix, bool keysOnly, actions& out)
 {
     if (const auto answer = m_read.find(prefix); answer != m_read.end()) {
-        std::vector<kv_entry> entries = std::move(answer->second);
+        std::vector<key_text> entries = std::move(answer->second);
         m_read.erase(answer);
         return entries;
     }
@@ -93,7 +93,7 @@
     return std::nullopt;
 }
 
-void usage_closer::onRead(const std::string& prefix, const result<std::vector<kv_entry>>& entries)
+void usage_closer::onRead(const std::string& prefix, const result<std::vector<key_text>>& entries)
 {
     // A failed read stays in m_reading and is asked again after a while.
     if (!entries || m_reading.erase(prefix) == 0)
@@ -123,7 +123,7 @@
         const auto keys = read(std::string(sealedPrefix), true, out);
         if (!keys)
             return;
-        for (const kv_entry& entry : *keys) {
+        for (const key_text& entry : *keys) {
             if (const auto window = windowOfKey(entry.key, sealedPrefix))
                 m_sealed.insert(*window);
         }
@@ -140,7 +140,7 @@
         const auto marks = read(std::string(reportedPrefix), false, out);
         if (!marks)
             return;
-        for (const kv_entry& entry : *marks) {
+        for (const key_text& entry : *marks) {
             if (const auto window = windowOfKey(entry.key, reportedPrefix))
                 m_marks[*window] = parseMark(entry.value);
         }
@@ -187,7 +187,7 @@
     if (!m_keptRead) {
         if (const auto kept = read(std::string(countersPrefix), false, out)) {
             m_keptRead = true;
-            for (const kv_entry& entry : *kept) {
+            for (const key_text& entry : *kept) {
                 const auto batches = countersFromValue(entry.value);
                 if (!batches) {
                     ++m_status.corrupt;
@@ -399,8 +399,8 @@
         m_phase = phase::Checking;
         return;
     }
-    std::vector<kv_entry> parts = commit.puts;
-    std::erase_if(parts, [](const kv_entry& entry) { return entry.key == floorKey; });
+    std::vector<key_text> parts = commit.puts;
+    std::erase_if(parts, [](const key_text& entry) { return entry.key == floorKey; });
     const auto sealed = joinParts(parts);
     assert(sealed);
     m_marks[m_window] = { 0, false };
@@ -423,7 +423,7 @@
 }
 
 // What can't be decoded is counted and read again after a while.
-std::optional<sealed_window> usage_closer::decode(window_number window, const std::vector<kv_entry>& parts)
+std::optional<sealed_window> usage_closer::decode(window_number window, const std::vector<key_text>& parts)
 {
     auto sealed = joinParts(parts);
     if (sealed && sealed->window == window)
--- a/src/usage_window.h
+++ b/src/usage_window.h
@@ -37,7 +37,7 @@
 constexpr std::string_view reportedPrefix = "/lovagerail/usage/reported/";
 constexpr std::string_view floorKey = "/lovagerail/usage/floor"; // stands once any window was sealed
 
-struct kv_entry {
+struct key_text {
     std::string key;
     std::string value;
 };
@@ -53,7 +53,7 @@
 struct commit_entries {
     std::vector<std::string> mustExist;
     std::vector<std::string> mustNotExist;
-    std::vector<kv_entry> puts;
+    std::vector<key_text> puts;
 };
 // One range delete of [from, to); needs no answer.
 struct remove_range {
@@ -119,7 +119,7 @@
     std::vector<closer_action> tick(wall_time now, const std::vector<instance_id>& live);
 
     void onPull(const pull_usage& asked, const result<pull_answer>& answer);
-    void onRead(const std::string& prefix, const result<std::vector<kv_entry>>& entries);
+    void onRead(const std::string& prefix, const result<std::vector<key_text>>& entries);
     void onCommit(const commit_entries& commit, commit_outcome outcome);
     void onReport(const report_usage& report, report_outcome outcome);
 
@@ -140,7 +140,7 @@
     using actions = std::vector<closer_action>;
 
     // Asks until answered; the answer is moved out once.
-    std::optional<std::vector<kv_entry>> read(const std::string& prefix, bool keysOnly, actions& out);
+    std::optional<std::vector<key_text>> read(const std::string& prefix, bool keysOnly, actions& out);
     void restart();
     void start(actions& out);
     void beginGathering(const std::vector<instance_id>& live);
@@ -153,7 +153,7 @@
     void seal(actions& out);
     void check(actions& out);
     void adopt(const sealed_window& sealed);
-    std::optional<sealed_window> decode(window_number window, const std::vector<kv_entry>& parts);
+    std::optional<sealed_window> decode(window_number window, const std::vector<key_text>& parts);
     void prepareReports(const sealed_window& sealed);
     void report(actions& out);
     void removeOld(actions& out);
@@ -166,7 +166,7 @@
     phase m_phase = phase::Starting;
     wall_time m_now {};
     std::map<std::string, wall_time> m_reading; // asked at; asked again if that is long ago
-    std::map<std::string, std::vector<kv_entry>> m_read;
+    std::map<std::string, std::vector<key_text>> m_read;
 
     std::set<window_number> m_sealed; // windows that stand in the service
     std::map<window_number, std::pair<std::size_t, bool>> m_marks; // reports done, and whether all
--- a/tests/test_usage_window.cpp
+++ b/tests/test_usage_window.cpp
@@ -71,7 +71,7 @@
     const auto answer = [&](const closer_action& action) {
         cost.calls += std::holds_alternative<report_usage>(action) ? 0 : 1;
         if (const auto* read = std::get_if<read_prefix>(&action))
-            closer.onRead(read->prefix, std::vector<kv_entry> {});
+            closer.onRead(read->prefix, std::vector<key_text> {});
         if (const auto* report = std::get_if<report_usage>(&action)) {
             ++cost.reports;
             closer.onReport(*report, report_outcome::Accepted);
@@ -84,7 +84,7 @@
             closer.onPull(*pull, told);
         }
         if (const auto* commit = std::get_if<commit_entries>(&action)) {
-            for (const kv_entry& entry : commit->puts)
+            for (const key_text& entry : commit->puts)
                 cost.sealedBytes += entry.key.starts_with(sealedPrefix) ? entry.value.size() : 0;
             closer.onCommit(*commit, commit_outcome::Done);
         }
--- a/tests/usage_world.h
+++ b/tests/usage_world.h
@@ -231,7 +231,7 @@
             later([closer, read] { closer->onRead(read.prefix, failure(error_code::Unavailable, "read", "down")); });
             return;
         }
-        std::vector<kv_entry> entries;
+        std::vector<key_text> entries;
         for (auto it = m_store.lower_bound(read.prefix); it != m_store.end() && it->first.starts_with(read.prefix); ++it)
             entries.push_back({ it->first, read.keysOnly ? "" : it->second });
         later([closer, read, entries] { closer->onRead(read.prefix, entries); });
@@ -281,7 +281,7 @@
                 return false;
         }
         std::string text;
-        for (const kv_entry& entry : commit.puts) {
+        for (const key_text& entry : commit.puts) {
             m_store[entry.key] = entry.value;
             if (entry.key.starts_with(sealedPrefix))
                 text += entry.value;
