Run: coordinator of a run with its ledger, tested under generated faults

Cause: rollouts need one place that delivers each sample exactly once. Change: a pure state machine of slots, published versions, seals, hand-overs and acknowledgements, all ordered by one compare-and-swap head; after any doubt the ledger is read back and taken as the truth, as at a take-over. The test world lets answers be lost or land late, two coordinators run at once, holders and trainers fail.

--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -444,14 +444,15 @@
     return stepPagesPrefix(prefix, run, step) + std::to_string(number);
 }
 
-// One write for each post of groups, one for each batch of seals (the last one is also
-// the hand-over if the trainer waits, and else one more), one for the acknowledgement
-// and one for the published version.
-std::size_t writesPerStep(std::size_t samples, std::size_t sealBatch, std::size_t posts)
+// One write for each post of groups, one for each full batch of seals, one for each
+// that is sealed for its waiting, and one each for hand-over, acknowledgement and
+// published version. Several of them often share a write, so it's a bound.
+std::size_t writesPerStep(std::size_t samples, std::size_t sealBatch, duration stepTime, duration sealWait, std::size_t posts)
 {
-    assert(sealBatch > 0);
-    const std::size_t seals = (samples + sealBatch - 1) / sealBatch;
-    return posts + seals + 3;
+    assert(sealBatch > 0 && sealWait > duration::zero());
+    const std::size_t full = (samples + sealBatch - 1) / sealBatch;
+    const auto waited = static_cast<std::size_t>(stepTime / sealWait);
+    return posts + full + waited + 3;
 }
 
 } // namespace lovagerail
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -131,7 +131,7 @@
 std::string stepPagesPrefix(std::string_view prefix, const run_id& run, step_number step);
 std::string pageKey(std::string_view prefix, const run_id& run, step_number step, std::size_t number);
 
-// Service writes of one step when the trainer supplies its groups in `posts` calls.
-std::size_t writesPerStep(std::size_t samples, std::size_t sealBatch, std::size_t posts);
+// Most service writes of one undisturbed step of `stepTime`, whose groups come in `posts` calls.
+std::size_t writesPerStep(std::size_t samples, std::size_t sealBatch, duration stepTime, duration sealWait, std::size_t posts);
 
 } // namespace lovagerail
--- /dev/null
+++ b/src/run.cpp
@@ -0,0 +1,577 @@
+// Slots of a run: from queued to judged, and back.
+#include "run.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr unsigned attemptSequenceBits = 32;
+    constexpr unsigned backoffDoublingsMax = 16;
+
+    std::size_t number(slot_state state)
+    {
+        return static_cast<std::size_t>(state);
+    }
+
+    bool isSettled(slot_state state)
+    {
+        return state == slot_state::Sealed || state == slot_state::HandedOver;
+    }
+
+} // namespace
+
+run::run(run_settings settings)
+    : m_settings(std::move(settings))
+{
+    assert(m_settings.groupSize > 0 && m_settings.groupsPerStep > 0 && m_settings.sealBatch > 0);
+}
+
+std::vector<run_action> run::handle(const run_event& event, instant now)
+{
+    ++m_eventNumber;
+    std::visit([&](const auto& item) { on(item, now); }, event);
+    if (!std::holds_alternative<chunk_received>(event)) {
+        plan(now);
+        answerWaiting(now);
+    }
+    return std::exchange(m_actions, {});
+}
+
+// --- Slots ---
+
+run::slot* run::find(const slot_id& id)
+{
+    const auto step = m_steps.find(id.step);
+    if (step == m_steps.end() || id.sample.value() >= m_settings.groupSize)
+        return nullptr;
+    const std::uint32_t index = indexOf(id);
+    return index < step->second.slots.size() ? &step->second.slots[index] : nullptr;
+}
+
+// The slot if this stream is the one that it works with in this state.
+run::slot* run::findStream(const stream_id& stream, slot_state state)
+{
+    slot* item = find(stream.slot);
+    if (!item || item->state != state || item->attempt != stream.attempt || item->leg != stream.leg)
+        return nullptr;
+    return item;
+}
+
+slot_id run::slotAt(step_number step, std::uint32_t index) const
+{
+    return { step, group_number(index / m_settings.groupSize), sample_number(index % m_settings.groupSize) };
+}
+
+std::uint32_t run::indexOf(const slot_id& id) const
+{
+    return id.group.value() * m_settings.groupSize + id.sample.value();
+}
+
+void run::setState(const slot_id& id, slot& item, slot_state state)
+{
+    step_state& step = m_steps.at(id.step);
+    --step.states[number(item.state)];
+    ++step.states[number(state)];
+    item.state = state;
+}
+
+void run::setTimer(const slot_id& id, slot& item, instant due)
+{
+    m_timers.erase({ item.due, id });
+    item.due = due;
+    m_timers.insert({ due, id });
+}
+
+// Earlier steps first; in a step, what was begun, then the longest, since they end last.
+run::queue_entry run::entryOf(const slot_id& id, const slot& item) const
+{
+    const std::optional<group_record>& group = m_steps.at(id.step).groups[id.group.value()];
+    const std::uint32_t longest = group ? group->maxTokens : 0;
+    return { id.step, item.resuming ? 0 : UINT32_MAX - longest, indexOf(id) };
+}
+
+// Makes a Queued slot available, unless its prompt has to be supplied (again).
+void run::enqueue(const slot_id& id, slot& item, instant now)
+{
+    assert(item.state == slot_state::Queued);
+    const std::optional<group_record>& group = m_steps.at(id.step).groups[id.group.value()];
+    if (!group || group->holders.empty())
+        return;
+    if (item.due > now)
+        setTimer(id, item, item.due);
+    else
+        m_queue.insert(entryOf(id, item));
+}
+
+// Ends whatever runs for the slot and takes it out of queue and timers.
+void run::stopWork(const slot_id& id, slot& item)
+{
+    m_timers.erase({ item.due, id });
+    item.due = instant();
+    m_queue.erase(entryOf(id, item));
+    const stream_id stream { id, item.attempt, item.leg };
+    if (item.state == slot_state::Dispatched || item.state == slot_state::Generating)
+        m_actions.emplace_back(cancel_stream { stream });
+    if (item.state == slot_state::Judging && item.judgeCalled)
+        m_actions.emplace_back(cancel_judge { stream });
+    m_steps.at(id.step).ready.erase(indexOf(id));
+    item.judgeCalled = false;
+    item.stored = false;
+    item.resuming = false;
+}
+
+// Gives the present attempt up; the next dispatch is a new one.
+void run::restart(const slot_id& id, slot& item, instant now)
+{
+    stopWork(id, item);
+    m_counts.wastedTokens += item.made.nextToken();
+    item.made = attribution();
+    item.leg = 0;
+    item.judgeTries = 0;
+    item.since = now;
+    setState(id, item, slot_state::Queued);
+    enqueue(id, item, now);
+}
+
+// The same after a fault that could come again at once.
+void run::restartLater(const slot_id& id, slot& item, instant now)
+{
+    restart(id, item, now);
+    m_queue.erase(entryOf(id, item));
+    item.due = now + backoff(item.tries++);
+    enqueue(id, item, now);
+}
+
+duration run::backoff(std::uint32_t tries) const
+{
+    const unsigned doublings = std::min<unsigned>(tries, backoffDoublingsMax);
+    return std::min(m_settings.backoffFloor * (std::int64_t(1) << doublings), m_settings.backoffCeiling);
+}
+
+void run::expire(const slot_id& id, slot& item, instant now)
+{
+    ++m_counts.expired;
+    restart(id, item, now);
+}
+
+// Lets go of everything that is too old for the newest version we know of, whether
+// confirmed or not, except in a step whose batch is fixed.
+void run::expireSlots(instant now)
+{
+    const weight_version version = knownVersion();
+    for (auto& [step, state] : m_steps) {
+        for (std::uint32_t index = 0; index < state.slots.size(); ++index) {
+            slot& item = state.slots[index];
+            if (item.state == slot_state::HandedOver)
+                continue;
+            const bool sealed = item.state == slot_state::Sealed;
+            const std::vector<version_span>& spans = sealed ? item.record->spans : item.made.spans();
+            if (!spans.empty() && ageOf(spans, version) > m_settings.stalenessBound)
+                expire(slotAt(step, index), item, now);
+        }
+    }
+}
+
+// The payload of the slot's record or candidate has no holder any more.
+void run::lose(const slot_id& id, slot& item, instant now)
+{
+    item.lostAttempt = item.attempt;
+    if (item.state == slot_state::HandedOver)
+        return reopenStep(id.step, now);
+    ++m_counts.lost;
+    restart(id, item, now);
+}
+
+std::uint64_t run::predictedAge(step_number step) const
+{
+    age_forecast forecast;
+    forecast.trainer = knownVersion();
+    forecast.served = m_served;
+    forecast.stepsAhead = step.value() - m_head.acknowledged.value();
+    forecast.trainerWaits = m_asked && m_asked->cursor == step;
+    forecast.expected = m_expected.value();
+    forecast.cadence = m_cadence.value();
+    return predictAge(forecast);
+}
+
+bool run::mayStart(step_number step) const
+{
+    if (step < m_head.acknowledged || step.value() > m_head.acknowledged.value() + m_settings.earlySteps)
+        return false;
+    return predictedAge(step) <= m_settings.stalenessBound;
+}
+
+bool run::hasBacklog() const
+{
+    return m_leading && m_loaded && !m_queue.empty() && mayStart(m_queue.begin()->step);
+}
+
+std::optional<dispatch_slot> run::takeDispatch(instant now)
+{
+    if (!hasBacklog())
+        return std::nullopt;
+
+    // Step 1. The first in the queue.
+    const queue_entry entry = *m_queue.begin();
+    m_queue.erase(m_queue.begin());
+    const slot_id id = slotAt(entry.step, entry.index);
+    slot& item = *find(id);
+    const group_record& group = *m_steps.at(id.step).groups[id.group.value()];
+
+    // Step 2. A new attempt, or the next leg of one.
+    if (item.resuming) {
+        ++item.leg;
+        ++m_counts.resumed;
+    } else {
+        item.attempt = attempt_id((m_fencing.value() << attemptSequenceBits) | ++m_sequence);
+        item.leg = 0;
+        item.begun = now;
+        ++m_counts.dispatched;
+    }
+    setState(id, item, slot_state::Dispatched);
+
+    // Step 3. What the engine's side needs to know.
+    const std::uint64_t ahead = id.step.value() - m_head.acknowledged.value();
+    const bool waits = m_asked && m_asked->cursor == id.step;
+    dispatch_slot dispatch;
+    dispatch.stream = { id, item.attempt, item.leg };
+    dispatch.prompt = group.prompt;
+    dispatch.promptHolders = group.holders;
+    dispatch.maxTokens = group.maxTokens;
+    dispatch.resumeFrom = item.made.nextToken();
+    dispatch.priority = dispatchPriority(ahead, waits, now - item.since, m_settings.priorityStep);
+    dispatch.predictedAge = predictedAge(id.step);
+    return dispatch;
+}
+
+std::array<std::uint32_t, slotStates> run::slotsByState(step_number step) const
+{
+    const auto found = m_steps.find(step);
+    return found == m_steps.end() ? std::array<std::uint32_t, slotStates> {} : found->second.states;
+}
+
+// --- Groups ---
+
+// Confirmed by the ledger: the group's slots may start.
+void run::addGroup(step_number step, const group_record& group, instant now)
+{
+    step_state& state = m_steps[step];
+    if (state.slots.empty()) {
+        state.groups.resize(m_settings.groupsPerStep);
+        state.slots.resize(std::size_t(m_settings.groupsPerStep) * m_settings.groupSize);
+        state.states[number(slot_state::Queued)] = static_cast<std::uint32_t>(state.slots.size());
+    }
+    if (group.group.value() >= state.groups.size())
+        return;
+    const std::uint32_t first = group.group.value() * m_settings.groupSize;
+    state.groups[group.group.value()] = group;
+    for (std::uint32_t index = first; index < first + m_settings.groupSize; ++index) {
+        slot& item = state.slots[index];
+        item.since = now;
+        if (item.state == slot_state::Queued)
+            enqueue(slotAt(step, index), item, now);
+    }
+}
+
+// True if each group of the post is in the ledger and its prompt is held.
+bool run::hasGroups(const pending_groups& post) const
+{
+    const auto found = m_steps.find(post.step);
+    if (found == m_steps.end())
+        return false;
+    for (const group_record& group : post.groups) {
+        const std::optional<group_record>& known = found->second.groups[group.group.value()];
+        if (!known || known->holders.empty())
+            return false;
+    }
+    return true;
+}
+
+// True if a group of the post is in the ledger with another prompt.
+bool run::conflicts(const pending_groups& post) const
+{
+    const auto found = m_steps.find(post.step);
+    if (found == m_steps.end())
+        return false;
+    for (const group_record& group : post.groups) {
+        const std::optional<group_record>& known = found->second.groups[group.group.value()];
+        if (known && (known->prompt != group.prompt || known->maxTokens != group.maxTokens))
+            return true;
+    }
+    return false;
+}
+
+std::uint32_t run::missingGroups(step_number step) const
+{
+    const auto found = m_steps.find(step);
+    if (found == m_steps.end())
+        return m_settings.groupsPerStep;
+    std::uint32_t missing = 0;
+    for (const std::optional<group_record>& group : found->second.groups)
+        missing += !group || group->holders.empty();
+    return missing;
+}
+
+void run::on(const groups_supplied& event, instant now)
+{
+    for (const group_record& group : event.groups) {
+        if (group.group.value() >= m_settings.groupsPerStep || group.holders.empty())
+            return refuse(event.call, error_code::InvalidArgument, "no such group, or its prompt isn't held");
+    }
+    m_groups.push_back({ event.call, now, event.step, event.groups });
+}
+
+// --- Trainer ---
+
+weight_version run::knownVersion() const
+{
+    weight_version version = m_head.trainerVersion;
+    for (const pending_version& pending : m_versions)
+        version = std::max(version, pending.version);
+    return version;
+}
+
+void run::on(const version_published& event, instant now)
+{
+    const weight_version known = knownVersion();
+    if (event.version < known)
+        return refuse(event.call, error_code::InvalidArgument, "the trainer's version never falls");
+    m_versions.push_back({ event.call, now, event.version });
+    if (event.version == known)
+        return;
+    if (m_lastPublished)
+        m_cadence.add(now - *m_lastPublished);
+    m_lastPublished = now;
+    expireSlots(now);
+}
+
+// One request of the trainer is kept: the one of the highest cursor, of these the latest.
+void run::on(const batch_asked& event, instant now)
+{
+    if (m_asked && event.cursor < m_asked->cursor) {
+        m_actions.emplace_back(answer_not_yet { event.call, m_settings.backoffFloor, 0 });
+        return;
+    }
+    if (m_asked)
+        m_actions.emplace_back(answer_not_yet { m_asked->call, m_settings.backoffFloor, 0 });
+    m_asked = asked_batch { event.call, event.cursor, m_eventNumber, now };
+}
+
+// --- Streams ---
+
+void run::on(const served_version& event, instant)
+{
+    m_served = event.version;
+}
+
+void run::on(const dispatch_accepted& event, instant)
+{
+    slot* item = findStream(event.stream, slot_state::Dispatched);
+    if (item)
+        setState(event.stream.slot, *item, slot_state::Generating);
+}
+
+// Nothing ran. A first leg keeps its number for no one: the next dispatch takes a new one.
+void run::on(const dispatch_refused& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Dispatched);
+    if (!item)
+        return;
+    item->resuming = item->made.nextToken() > 0;
+    item->due = now + m_settings.backoffFloor;
+    setState(event.stream.slot, *item, slot_state::Queued);
+    enqueue(event.stream.slot, *item, now);
+}
+
+void run::on(const chunk_received& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Dispatched);
+    if (item)
+        setState(event.stream.slot, *item, slot_state::Generating);
+    else
+        item = findStream(event.stream, slot_state::Generating);
+    if (!item)
+        return;
+    if (item->made.append(event.chunk)) {
+        ++m_counts.unusable;
+        return restartLater(event.stream.slot, *item, now);
+    }
+    const std::vector<version_span>& spans = item->made.spans();
+    if (!spans.empty() && ageOf(spans, knownVersion()) > m_settings.stalenessBound) {
+        ++m_counts.expired;
+        restartLater(event.stream.slot, *item, now);
+    }
+}
+
+void run::on(const generation_finished& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Generating);
+    if (!item)
+        item = findStream(event.stream, slot_state::Dispatched);
+    if (!item)
+        return;
+    if (item->made.finish(event.tokens)) {
+        ++m_counts.unusable;
+        return restartLater(event.stream.slot, *item, now);
+    }
+    startJudge(event.stream.slot, *item, now);
+}
+
+void run::on(const generation_failed& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Generating);
+    if (!item)
+        item = findStream(event.stream, slot_state::Dispatched);
+    if (!item)
+        return;
+    if (!event.resumable || item->made.nextToken() == 0)
+        return restartLater(event.stream.slot, *item, now);
+    item->resuming = true;
+    item->due = now + backoff(item->tries++);
+    setState(event.stream.slot, *item, slot_state::Queued);
+    enqueue(event.stream.slot, *item, now);
+}
+
+// --- Judge ---
+
+void run::startJudge(const slot_id& id, slot& item, instant now)
+{
+    setState(id, item, slot_state::Judging);
+    item.judgeCalled = true;
+    setTimer(id, item, now + m_settings.judgeTimeout);
+    m_actions.emplace_back(call_judge { { id, item.attempt, item.leg } });
+}
+
+void run::on(const sample_judged& event, instant)
+{
+    slot* item = findStream(event.stream, slot_state::Judging);
+    if (!item || !item->judgeCalled)
+        return;
+    m_timers.erase({ item->due, event.stream.slot });
+    item->judgeCalled = false;
+    setState(event.stream.slot, *item, slot_state::Judged);
+    m_actions.emplace_back(store_payload { event.stream, item->made.spans() });
+}
+
+void run::on(const judge_failed& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Judging);
+    if (item && item->judgeCalled)
+        judgeEnded(event.stream.slot, *item, event.outcome, now);
+}
+
+// A judge that may not be repeated is called again only if it surely hasn't run. Else
+// the sample is given up: a successor of ours doesn't know the attempt either, so no
+// attempt is judged twice, and no intent has to be written before each call.
+void run::judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now)
+{
+    item.judgeCalled = false;
+    ++item.judgeTries;
+    const bool again = outcome == call_outcome::NotRun || (m_settings.judgeRepeatable && item.judgeTries < m_settings.judgeTries);
+    if (again)
+        return setTimer(id, item, now + backoff(item.judgeTries));
+    ++m_counts.judgeUnknown;
+    restartLater(id, item, now);
+}
+
+// --- Payloads ---
+
+void run::on(const payload_stored& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Judged);
+    if (!item || item->stored)
+        return;
+    if (event.holders.empty())
+        return on(payload_refused { event.stream }, now);
+    m_timers.erase({ item->due, event.stream.slot });
+    const slot_id& id = event.stream.slot;
+    item->stored = true;
+    item->candidate = { id.group, id.sample, item->attempt, event.payload, item->made.spans(), event.holders };
+    m_expected.add(now - item->begun);
+    step_state& step = m_steps.at(id.step);
+    if (step.ready.empty())
+        step.readySince = now;
+    step.ready.insert(indexOf(id));
+}
+
+void run::on(const payload_refused& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Judged);
+    if (item && !item->stored)
+        setTimer(event.stream.slot, *item, now + backoff(item->tries++));
+}
+
+void run::on(const payload_lost& event, instant now)
+{
+    slot* item = find(event.slot);
+    if (!item || item->attempt != event.attempt)
+        return;
+    if (isSettled(item->state) || (item->state == slot_state::Judged && item->stored))
+        lose(event.slot, *item, now);
+}
+
+void run::on(const holder_lost& event, instant now)
+{
+    for (auto& [step, state] : m_steps) {
+        // Step 1. Prompts: without a holder the trainer is asked to supply them again.
+        for (std::optional<group_record>& group : state.groups) {
+            if (!group || std::erase(group->holders, event.holder) == 0 || !group->holders.empty())
+                continue;
+            const std::uint32_t first = group->group.value() * m_settings.groupSize;
+            for (std::uint32_t index = first; index < first + m_settings.groupSize; ++index)
+                m_queue.erase(entryOf(slotAt(step, index), state.slots[index]));
+        }
+
+        // Step 2. Samples.
+        for (std::uint32_t index = 0; index < state.slots.size(); ++index) {
+            slot& item = state.slots[index];
+            if (item.record)
+                std::erase(item.record->holders, event.holder);
+            std::erase(item.candidate.holders, event.holder);
+            const bool sealedUnheld = isSettled(item.state) && item.record->holders.empty();
+            const bool readyUnheld = item.state == slot_state::Judged && item.stored && item.candidate.holders.empty();
+            if (sealedUnheld || readyUnheld)
+                lose(slotAt(step, index), item, now);
+        }
+    }
+}
+
+// --- Time ---
+
+void run::on(const tick&, instant now)
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        const slot_id id = m_timers.begin()->second;
+        m_timers.erase(m_timers.begin());
+        slot* item = find(id);
+        if (item)
+            runTimer(id, *item, now);
+    }
+}
+
+void run::runTimer(const slot_id& id, slot& item, instant now)
+{
+    const stream_id stream { id, item.attempt, item.leg };
+    switch (item.state) {
+    case slot_state::Queued:
+        enqueue(id, item, now);
+        break;
+    case slot_state::Judging:
+        if (!item.judgeCalled)
+            return startJudge(id, item, now);
+        m_actions.emplace_back(cancel_judge { stream });
+        judgeEnded(id, item, call_outcome::Unknown, now);
+        break;
+    case slot_state::Judged:
+        if (!item.stored)
+            m_actions.emplace_back(store_payload { stream, item.made.spans() });
+        break;
+    default:
+        break;
+    }
+}
+
+} // namespace lovagerail
--- a/src/run.h
+++ b/src/run.h
@@ -14,7 +14,9 @@
 #pragma once
 
 #include "run_state.h"
+#include "stragglers.h"
 
+#include <array>
 #include <map>
 #include <set>
 
@@ -28,39 +30,39 @@
 
     // The next slot to generate, if any may start; asked for when engines have room.
     std::optional<dispatch_slot> takeDispatch(instant now);
-    bool hasBacklog(instant now) const;
+    bool hasBacklog() const;
 
     bool leading() const { return m_leading; }
     const ledger_head& head() const { return m_head; }
     const run_counts& counts() const { return m_counts; }
     const run_settings& settings() const { return m_settings; }
     // Slots of an open step in each state, by the order of slot_state.
-    std::vector<std::uint64_t> slotsByState(step_number step) const;
+    std::array<std::uint32_t, slotStates> slotsByState(step_number step) const;
 
 private:
     struct slot {
         slot_state state = slot_state::Queued;
-        bool queued = false; // in m_queue
+        attempt_id attempt; // of the newest try; dead while Queued, unless `resuming`
+        bool resuming = false; // Queued with a stream to go on with
         bool stored = false; // Judged, with its payload held
-        attempt_id attempt; // of the newest try; dead while Queued unless `resuming`
-        bool resuming = false;
+        bool judgeCalled = false; // Judging, and its answer is awaited
         std::uint32_t leg = 0;
         std::uint32_t judgeTries = 0;
-        std::uint32_t tries = 0;
+        std::uint32_t tries = 0; // attempts that came to nothing since the last seal
         attempt_id lostAttempt; // its payload is known to be lost
-        instant due {}; // Queued: not before; Judging: judge's deadline or next try
-        instant since {}; // when the slot was supplied
-        bool judgeCalled = false;
+        instant due {}; // next timer: retry, or the judge's deadline
+        instant since {}; // supplied, or started again
+        instant begun {}; // dispatched
         attribution made;
         sample_record candidate; // what the next page will say
         std::optional<sample_record> record; // what the ledger says
     };
 
     struct step_state {
-        std::vector<std::optional<group_record>> groups;
+        std::vector<std::optional<group_record>> groups; // without holders: to be supplied again
         std::vector<slot> slots; // group * groupSize + sample
-        std::uint32_t supplied = 0;
-        std::set<std::uint32_t> ready; // stored, to be sealed
+        std::array<std::uint32_t, slotStates> states {}; // slots in each state; adds up to slots.size()
+        std::set<std::uint32_t> ready; // Judged and stored, to be sealed
         instant readySince {};
         bool reopen = false; // handed over, but a payload is lost
     };
@@ -81,12 +83,14 @@
 
     struct pending_groups {
         trainer_call call;
+        instant since {};
         step_number step;
         std::vector<group_record> groups;
     };
 
     struct pending_version {
         trainer_call call;
+        instant since {};
         weight_version version;
     };
 
@@ -96,14 +100,22 @@
         Confirm,
     };
 
+    // What the head says to the trainer's request.
+    enum class asked_verdict {
+        Wait,
+        Batch,
+        Closed, // acknowledged already
+        TooFar, // the batch before was never handed over
+    };
+
     // The one call to the service that is in flight.
     struct service_call {
         ledger_call id;
         call_kind kind = call_kind::Read;
         std::uint64_t begun = 0; // event number, to compare with arrivals
         ledger_head planned;
-        std::vector<std::pair<slot_id, attempt_id>> sealed;
-        std::size_t groups = 0; // pending posts that it covers
+        std::vector<std::pair<slot_id, sample_record>> sealed;
+        std::vector<std::pair<step_number, group_record>> groups;
     };
 
     void on(const groups_supplied& event, instant now);
@@ -133,32 +145,53 @@
     slot* findStream(const stream_id& stream, slot_state state);
     slot_id slotAt(step_number step, std::uint32_t index) const;
     std::uint32_t indexOf(const slot_id& id) const;
-    void enqueue(const slot_id& id, slot& item, instant due);
-    void dequeue(const slot_id& id, slot& item);
+    void setState(const slot_id& id, slot& item, slot_state state);
+    void setTimer(const slot_id& id, slot& item, instant due);
+    queue_entry entryOf(const slot_id& id, const slot& item) const;
+    void enqueue(const slot_id& id, slot& item, instant now);
     void restart(const slot_id& id, slot& item, instant now);
+    void restartLater(const slot_id& id, slot& item, instant now);
     void stopWork(const slot_id& id, slot& item);
-    duration backoff(std::uint32_t tries) const;
-    bool mayStart(step_number step) const;
-    std::uint64_t predictedAge(step_number step) const;
-    void addGroups(step_number step, const std::vector<group_record>& groups, instant now);
-    void checkJudge(const slot_id& id, slot& item, instant now);
+    void startJudge(const slot_id& id, slot& item, instant now);
+    void judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now);
+    void runTimer(const slot_id& id, slot& item, instant now);
+    void expire(const slot_id& id, slot& item, instant now);
     void expireSlots(instant now);
-    void loseIfUnheld(const slot_id& id, slot& item, instant now);
     void lose(const slot_id& id, slot& item, instant now);
+    duration backoff(std::uint32_t tries) const;
+    std::uint64_t predictedAge(step_number step) const;
+    bool mayStart(step_number step) const;
+    bool complete(const step_state& state, std::size_t sealing) const;
+    void addGroup(step_number step, const group_record& group, instant now);
+    bool hasGroups(const pending_groups& post) const;
+    std::uint32_t missingGroups(step_number step) const;
 
     // The ledger.
     void plan(instant now);
     void planAcknowledge(ledger_head& next, write_ledger& write) const;
     void planGroups(ledger_head& next, write_ledger& write, service_call& call) const;
+    void planReopen(ledger_head& next) const;
     void planSeal(ledger_head& next, write_ledger& write, service_call& call, instant now) const;
     void planHandOver(ledger_head& next, const service_call& call) const;
-    void addPage(ledger_step& step, const ledger_page& page, write_ledger& write) const;
+    void addPage(ledger_head& head, step_number step, const ledger_page& page, write_ledger& write) const;
+    service_call beginCall(call_kind kind);
     void sendRead();
-    void adopt(const ledger_content& content, instant now);
-    bool adoptStep(const ledger_step& step, const std::map<std::string, std::string>& pages, instant now);
-    void applyHead(const ledger_head& head, instant now);
+    void callFailed(instant now, bool wait);
+    bool adoptPages(const ledger_content& content, instant now);
+    void adoptSample(const slot_id& id, sample_record record, bool handedOver, instant now);
+    void applyHead(const ledger_head& before, instant now);
+    void dropAcknowledged();
+    void sealRecord(const slot_id& id, sample_record record);
     void settleHandedOver(const ledger_step& step, instant now);
+    void reopenStep(step_number step, instant now);
     void answerWaiting(instant now);
+    bool isFixed(step_number step) const;
+    asked_verdict verdict() const;
+    void answerPosts(instant now);
+    bool conflicts(const pending_groups& post) const;
+    void turnAwayAll();
+    void answerAsked(instant now);
+    void refuse(trainer_call call, error_code code, std::string detail);
     weight_version knownVersion() const;
 
     run_settings m_settings;
@@ -178,6 +211,9 @@
     std::vector<pending_groups> m_groups;
     std::vector<pending_version> m_versions;
     std::optional<service_call> m_call;
+    smoothed_duration m_expected; // from dispatch to stored payload
+    smoothed_duration m_cadence; // between published versions
+    std::optional<instant> m_lastPublished;
     std::map<step_number, step_state> m_steps;
     std::set<queue_entry> m_queue;
     std::set<std::pair<instant, slot_id>> m_timers;
--- a/src/run_state.h
+++ b/src/run_state.h
@@ -29,6 +29,8 @@
     HandedOver,
 };
 
+constexpr std::size_t slotStates = 7;
+
 // What became of a call that ended without an answer we can use.
 enum class call_outcome {
     NotRun,
@@ -48,7 +50,7 @@
     // A page is written when so many records wait ...
     std::uint32_t sealBatch = 1'024;
     // ... or when one has waited so long.
-    duration sealWait = std::chrono::seconds(20);
+    duration sealWait = std::chrono::seconds(60);
     bool judgeRepeatable = false;
     duration judgeTimeout = std::chrono::seconds(60);
     std::uint32_t judgeTries = 3;
--- /dev/null
+++ b/tests/rollout_world.cpp
@@ -0,0 +1,475 @@
+// Moves, faults and checks of the rollout world.
+#include "rollout_world.h"
+
+namespace lovagerail::test {
+
+namespace {
+
+    constexpr std::size_t holderCount = 4;
+    constexpr std::size_t settleRounds = 400;
+
+    payload_digest payloadOf(attempt_id attempt)
+    {
+        return digestOf("sample " + std::to_string(attempt.value()));
+    }
+
+} // namespace
+
+run_settings rollout_world::smallRun()
+{
+    run_settings settings;
+    settings.run = run_id("valves");
+    settings.groupSize = 2;
+    settings.groupsPerStep = 2;
+    settings.sealBatch = 2;
+    settings.sealWait = std::chrono::seconds(2);
+    settings.judgeTimeout = std::chrono::seconds(5);
+    settings.backoffCeiling = std::chrono::seconds(2);
+    settings.longestWait = std::chrono::seconds(10);
+    return settings;
+}
+
+rollout_world::rollout_world(std::uint64_t seed, run_settings settings)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+{
+    m_calm = 1 + 4 * draw(6);
+    for (std::size_t i = 0; i < holderCount; ++i)
+        m_holders.push_back({ instance_id("i" + std::to_string(i)), incarnation(1) });
+    takeOver();
+}
+
+run_counts rollout_world::counts() const
+{
+    return m_coordinators.back().machine->counts();
+}
+
+void rollout_world::takeOver()
+{
+    m_coordinators.push_back({ std::make_unique<run>(m_settings), true, {} });
+    const std::size_t who = m_coordinators.size() - 1;
+    send(who, taken_over { fencing_number(++m_fencing) });
+    send(who, served_version { m_engineVersion });
+}
+
+void rollout_world::send(std::size_t who, const run_event& event)
+{
+    if (!m_coordinators[who].alive)
+        return;
+    for (const run_action& action : m_coordinators[who].machine->handle(event, m_now))
+        std::visit([&](const auto& typed) { act(who, typed); }, action);
+}
+
+void rollout_world::runPending(std::size_t index)
+{
+    const item next = std::move(m_pending[index]);
+    m_pending.erase(m_pending.begin() + static_cast<std::ptrdiff_t>(index));
+    next();
+}
+
+std::size_t rollout_world::anyAlive()
+{
+    std::vector<std::size_t> alive;
+    for (std::size_t i = 0; i < m_coordinators.size(); ++i) {
+        if (m_coordinators[i].alive)
+            alive.push_back(i);
+    }
+    if (alive.empty()) {
+        takeOver();
+        return m_coordinators.size() - 1;
+    }
+    return draw(4) > 0 ? alive.back() : alive[draw(static_cast<std::uint32_t>(alive.size()))];
+}
+
+void rollout_world::move()
+{
+    const std::uint32_t kind = draw(100);
+    if (kind < 62 && !m_pending.empty())
+        return runPending(draw(static_cast<std::uint32_t>(m_pending.size())));
+    if (kind < 74)
+        return dispatch(anyAlive());
+    if (kind < 80)
+        return supply();
+    if (kind < 86)
+        return ask();
+    if (kind < 89)
+        return publish();
+    if (kind < 91 && m_engineVersion < m_published) {
+        m_engineVersion = m_engineVersion.next();
+        return send(anyAlive(), served_version { m_engineVersion });
+    }
+    if (kind == 91 && crashes && draw(m_calm) == 0)
+        return loseHolders();
+    if (kind == 92 && crashes && draw(m_calm) == 0)
+        return takeOver(); // the one before goes on, not knowing
+    if (kind == 93 && crashes && draw(m_calm) == 0) {
+        m_coordinators[anyAlive()].alive = false;
+        return;
+    }
+    if (kind == 94 && faults) {
+        m_request.reset(); // the trainer gives up and will ask again
+        return;
+    }
+    m_now += std::chrono::milliseconds(draw(1'500));
+    send(anyAlive(), tick {});
+}
+
+void rollout_world::settle(std::uint64_t steps)
+{
+    faults = false;
+    crashes = false;
+    for (coordinator& old : m_coordinators)
+        old.alive = false;
+    takeOver();
+    m_request.reset();
+    const std::uint64_t goal = m_acknowledged + steps;
+    for (std::size_t round = 0; round < settleRounds && m_acknowledged < goal; ++round) {
+        for (std::size_t left = m_pending.size(); left > 0; --left)
+            runPending(0);
+        m_engineVersion = m_published;
+        const std::size_t who = anyAlive();
+        send(who, served_version { m_engineVersion });
+        for (int i = 0; i < 8; ++i)
+            dispatch(who);
+        supply();
+        supply();
+        ask();
+        m_now += std::chrono::milliseconds(500);
+        send(who, tick {});
+    }
+    require(m_acknowledged >= goal, "no progress once faults stopped");
+}
+
+// --- Engines ---
+
+void rollout_world::dispatch(std::size_t who)
+{
+    const std::optional<dispatch_slot> order = m_coordinators[who].machine->takeDispatch(m_now);
+    if (!order)
+        return;
+    require(order->predictedAge <= m_settings.stalenessBound, "started what can't be in time");
+    const attempt_id attempt = order->stream.attempt;
+    if (order->stream.leg == 0)
+        require(m_attempts.insert(attempt).second, "an attempt's number was used twice");
+    m_made[attempt].resize(order->resumeFrom);
+    const std::uint32_t length = 2 + draw(5);
+    later([this, who, order, length] {
+        if (fault(10))
+            return send(who, dispatch_refused { order->stream });
+        send(who, dispatch_accepted { order->stream });
+        generate(who, *order, order->resumeFrom, order->resumeFrom + length);
+    });
+}
+
+void rollout_world::generate(std::size_t who, dispatch_slot order, std::uint32_t next, std::uint32_t length)
+{
+    later([this, who, order = std::move(order), next, length] {
+        const stream_id& stream = order.stream;
+        if (m_coordinators[who].cancelled.contains(stream) && !fault(4))
+            return;
+        if (fault(12))
+            return send(who, generation_failed { stream, draw(2) == 0 });
+        if (next >= length)
+            return send(who, generation_finished { stream, fault(20) ? next + 1 : next });
+        std::vector<weight_version>& made = m_made[stream.attempt];
+        const std::uint32_t tokens = 1 + draw(2);
+        if (made.size() == next)
+            made.insert(made.end(), tokens, m_engineVersion);
+        engine_chunk chunk { m_engineVersion, next, tokens };
+        if (fault(30))
+            chunk.version.reset();
+        if (fault(30))
+            chunk.firstToken += 1;
+        send(who, chunk_received { stream, chunk });
+        if (fault(40))
+            send(who, chunk_received { stream, chunk }); // twice
+        generate(who, order, next + tokens, length);
+    });
+}
+
+// --- Judge and payloads ---
+
+void rollout_world::act(std::size_t who, const call_judge& action)
+{
+    later([this, who, stream = action.stream] {
+        if (fault(8))
+            return send(who, judge_failed { stream, call_outcome::NotRun });
+        require(++m_judged[stream.attempt] == 1 || m_settings.judgeRepeatable, "a call that may not be repeated was repeated");
+        if (fault(8))
+            return send(who, judge_failed { stream, draw(2) == 0 ? call_outcome::Ran : call_outcome::Unknown });
+        if (fault(10))
+            return; // it hangs
+        send(who, sample_judged { stream });
+    });
+}
+
+std::vector<payload_holder> rollout_world::hold(const payload_digest& digest)
+{
+    const std::size_t first = draw(holderCount);
+    const std::size_t second = (first + 1 + draw(holderCount - 1)) % holderCount;
+    m_copies[m_holders[first]].insert(digest);
+    m_copies[m_holders[second]].insert(digest);
+    return { m_holders[first], m_holders[second] };
+}
+
+bool rollout_world::held(const std::vector<payload_holder>& holders, const payload_digest& digest) const
+{
+    for (const payload_holder& holder : holders) {
+        const auto copies = m_copies.find(holder);
+        if (copies != m_copies.end() && copies->second.contains(digest))
+            return true;
+    }
+    return false;
+}
+
+void rollout_world::loseHolders()
+{
+    const std::size_t count = 1 + draw(3);
+    for (std::size_t i = 0; i < count; ++i) {
+        payload_holder& holder = m_holders[draw(holderCount)];
+        const payload_holder gone = holder;
+        m_copies.erase(gone);
+        holder.started = holder.started.next();
+        for (std::size_t who = 0; who < m_coordinators.size(); ++who)
+            later([this, who, gone] { send(who, holder_lost { gone }); });
+    }
+}
+
+void rollout_world::act(std::size_t who, const store_payload& action)
+{
+    later([this, who, stream = action.stream] {
+        if (fault(10))
+            return send(who, payload_refused { stream });
+        const payload_digest digest = payloadOf(stream.attempt);
+        const std::vector<payload_holder> holders = hold(digest);
+        later([this, who, stream, digest, holders] { send(who, payload_stored { stream, digest, holders }); });
+    });
+}
+
+// --- Key-value service ---
+
+void rollout_world::act(std::size_t who, const write_ledger& action)
+{
+    later([this, who, action] {
+        if (fault(8)) {
+            if (draw(2) == 0)
+                later([this, action] { apply(action); }); // lands later, if it still can
+            return send(who, ledger_unknown { action.call });
+        }
+        const bool done = apply(action);
+        if (fault(8))
+            return send(who, ledger_unknown { action.call });
+        const revision now(m_headRevision);
+        later([this, who, call = action.call, done, now] {
+            if (done)
+                return send(who, ledger_confirmed { call, now });
+            send(who, ledger_conflict { call });
+        });
+    });
+}
+
+void rollout_world::act(std::size_t who, const confirm_ledger& action)
+{
+    later([this, who, action] {
+        if (fault(8))
+            return send(who, ledger_unknown { action.call });
+        const bool same = action.expected.value() == m_headRevision;
+        later([this, who, action, same] {
+            if (same)
+                return send(who, ledger_confirmed { action.call, action.expected });
+            send(who, ledger_conflict { action.call });
+        });
+    });
+}
+
+void rollout_world::act(std::size_t who, const read_ledger& action)
+{
+    later([this, who, action] {
+        if (fault(8))
+            return send(who, ledger_unknown { action.call });
+        ledger_content content { action.call, revision(m_headRevision), {}, {}, m_holders };
+        const auto head = m_values.find(action.headKey);
+        if (head != m_values.end())
+            content.head = head->second;
+        for (const auto& [key, value] : m_values) {
+            if (key.starts_with(action.pagesPrefix))
+                content.pages.emplace_back(key, value);
+        }
+        later([this, who, content] { send(who, content); });
+    });
+}
+
+bool rollout_world::apply(const write_ledger& write)
+{
+    if (write.expected.value() != m_headRevision)
+        return false;
+    for (const auto& [key, value] : write.pages)
+        require(m_values.emplace(key, value).second, "a page was written over");
+    const ledger_head after = decodeHead(write.head).value();
+    const ledger_head before = std::exchange(m_head, after);
+    checkHead(before, after);
+    for (const std::string& prefix : write.removedPrefixes)
+        std::erase_if(m_values, [&](const auto& entry) { return entry.first.starts_with(prefix); });
+    m_values[write.headKey] = write.head;
+    m_headRevision = ++m_revision;
+    return true;
+}
+
+void rollout_world::checkHead(const ledger_head& before, const ledger_head& after)
+{
+    require(after.fencing >= before.fencing, "a coordinator wrote after its successor");
+    require(after.trainerVersion >= m_accepted, "an accepted version was lost");
+
+    // Step 1. Acknowledged once, in order, and only what the trainer has.
+    if (after.acknowledged != before.acknowledged) {
+        require(after.acknowledged == before.acknowledged.next(), "a step was skipped");
+        require(m_received.contains(before.acknowledged), "acknowledged what the trainer never got");
+        require(m_cursor > before.acknowledged, "acknowledged what the trainer still wants");
+        ++m_acknowledged;
+    }
+
+    // Step 2. Handed over whole, fresh and truly attributed; then fixed.
+    for (const ledger_step& step : after.steps) {
+        const ledger_step* earlier = before.find(step.step);
+        if (earlier && earlier->generation != step.generation)
+            ++m_reopened;
+        if (earlier && earlier->phase == step_phase::HandedOver && step.phase == step_phase::HandedOver && earlier->generation == step.generation)
+            require(*earlier == step, "a batch that was handed over changed");
+        const bool handed = step.phase == step_phase::HandedOver && (!earlier || earlier->phase == step_phase::Open || earlier->generation != step.generation);
+        if (!handed)
+            continue;
+        require(step.step == after.acknowledged, "handed over out of turn");
+        const std::map<slot_id, sample_record> records = recordsOf(step);
+        require(records.size() == std::size_t(m_settings.groupSize) * m_settings.groupsPerStep, "handed over in part");
+        for (const auto& [id, sample] : records)
+            checkSample(id, sample, after.trainerVersion);
+    }
+}
+
+std::map<slot_id, sample_record> rollout_world::recordsOf(const ledger_step& step) const
+{
+    std::map<slot_id, sample_record> records;
+    for (std::size_t number = 0; number < step.pages.size(); ++number) {
+        const std::string& bytes = m_values.at(pageKey(m_settings.keyPrefix, m_settings.run, step.step, number));
+        const ledger_page page = decodePage(bytes).value();
+        for (const sample_record& sample : page.samples)
+            records[{ step.step, sample.group, sample.sample }] = sample;
+    }
+    return records;
+}
+
+void rollout_world::checkSample(const slot_id&, const sample_record& sample, weight_version version) const
+{
+    require(ageOf(sample.spans, version) <= m_settings.stalenessBound, "older than the bound");
+    require(sample.payload == payloadOf(sample.attempt), "another attempt's payload");
+    std::vector<weight_version> claimed;
+    for (const version_span& span : sample.spans)
+        claimed.insert(claimed.end(), span.last - span.first + 1, span.version);
+    require(claimed == m_made.at(sample.attempt), "spans differ from what the engine made");
+}
+
+// --- Trainer ---
+
+void rollout_world::supply()
+{
+    const step_number step(m_cursor.value() + draw(2));
+    std::vector<group_record> groups;
+    for (std::uint32_t i = 0; i < m_settings.groupsPerStep; ++i) {
+        const payload_digest prompt = digestOf("prompt " + std::to_string(step.value()) + "/" + std::to_string(i));
+        groups.push_back({ group_number(i), prompt, 10 + i, hold(prompt) });
+    }
+    send(anyAlive(), groups_supplied { trainer_call(++m_calls), step, groups });
+}
+
+void rollout_world::publish()
+{
+    if (m_published.value() > m_engineVersion.value() + 1)
+        return;
+    if (!fault(4))
+        m_published = m_published.next();
+    const trainer_call call(++m_calls);
+    m_versionCalls[call] = m_published;
+    send(anyAlive(), version_published { call, m_published });
+}
+
+void rollout_world::ask()
+{
+    if (m_request)
+        return;
+    trainer_request request { trainer_call(++m_calls), m_cursor, 0 };
+    const ledger_step* step = m_head.find(m_cursor);
+    request.generation = step ? step->generation : 0;
+    m_request = request;
+    const std::size_t who = anyAlive();
+    later([this, who, request] { send(who, batch_asked { request.call, request.cursor }); });
+}
+
+void rollout_world::act(std::size_t who, const answer_batch& action)
+{
+    later([this, who, action] {
+        for (const sample_record& sample : action.samples) {
+            if (held(sample.holders, sample.payload))
+                continue;
+            if (m_request && m_request->call == action.call)
+                m_request.reset();
+            return send(who, payload_lost { { action.cursor, sample.group, sample.sample }, sample.attempt });
+        }
+        receive(action);
+    });
+}
+
+void rollout_world::receive(const answer_batch& batch)
+{
+    // Step 1. Only the answer to the request that the trainer waits on is read.
+    if (!m_request || m_request->call != batch.call)
+        return;
+    const trainer_request request = *std::exchange(m_request, std::nullopt);
+    if (faults && draw(4) == 0)
+        return; // the answer was lost
+    require(batch.cursor == request.cursor, "another batch than asked for");
+    require(batch.generation >= request.generation, "a payload came after its replacement");
+
+    // Step 2. The samples.
+    received_batch got { batch.generation, {} };
+    for (const sample_record& sample : batch.samples) {
+        const slot_id id { batch.cursor, sample.group, sample.sample };
+        require(got.attempts.emplace(id, sample.attempt).second, "a slot twice in a batch");
+        checkSample(id, sample, batch.handedVersion);
+    }
+    require(got.attempts.size() == std::size_t(m_settings.groupSize) * m_settings.groupsPerStep, "a batch in part");
+
+    // Step 3. A repeat is identical, and generations never fall.
+    const auto known = m_received.find(batch.cursor);
+    if (known != m_received.end()) {
+        require(got.generation >= known->second.generation, "an older generation came back");
+        if (got.generation == known->second.generation) {
+            require(got.attempts == known->second.attempts, "a repeated batch differs");
+            ++m_repeats;
+        }
+    }
+    m_received[batch.cursor] = got;
+    if (faults && draw(4) == 0)
+        return; // the trainer crashed and asks again
+    m_cursor = batch.cursor.next();
+    publish();
+}
+
+void rollout_world::act(std::size_t, const answer_not_yet& action)
+{
+    if (m_request && m_request->call == action.call)
+        m_request.reset();
+}
+
+void rollout_world::act(std::size_t, const answer_accepted& action)
+{
+    const auto call = m_versionCalls.find(action.call);
+    if (call != m_versionCalls.end())
+        m_accepted = std::max(m_accepted, call->second);
+}
+
+void rollout_world::act(std::size_t, const answer_refused& action)
+{
+    require(!m_request || m_request->call != action.call, "a rightful request was refused");
+}
+
+} // namespace lovagerail::test
