--- a/tests/rollout_world.cpp
+++ b/tests/rollout_world.cpp
@@ -123,7 +123,9 @@
     takeOver();
     m_request.reset();
     const std::uint64_t goal = m_acknowledged + steps;
-    for (std::size_t round = 0; round < settleRounds && m_acknowledged < goal; ++round) {
+    const weight_version goalVersion = m_published;
+    const auto done = [&] { return m_acknowledged >= goal && m_accepted >= goalVersion; };
+    for (std::size_t round = 0; round < settleRounds && !done(); ++round) {
         for (std::size_t left = m_pending.size(); left > 0; --left)
             runPending(0);
         m_engineVersion = m_published;
@@ -137,7 +139,7 @@
         m_now += std::chrono::milliseconds(500);
         send(who, tick {});
     }
-    require(m_acknowledged >= goal, "no progress once faults stopped");
+    require(done(), "no progress once faults stopped");
 }
 
 // --- Engines ---
@@ -151,7 +153,11 @@
     const attempt_id attempt = order->stream.attempt;
     if (order->stream.leg == 0)
         require(m_attempts.insert(attempt).second, "an attempt's number was used twice");
-    m_made[attempt].resize(order->resumeFrom);
+    m_leg[attempt] = order->stream.leg;
+    if (order->resumeFrom > 0) {
+        m_made[order->stream] = m_made.at(m_lastKept.at(attempt));
+        m_made[order->stream].resize(order->resumeFrom);
+    }
     const std::uint32_t length = 2 + draw(5);
     later([this, who, order, length] {
         if (fault(10))
@@ -167,11 +173,15 @@
         const stream_id& stream = order.stream;
         if (m_coordinators[who].cancelled.contains(stream) && !fault(4))
             return;
-        if (fault(12))
-            return send(who, generation_failed { stream, draw(2) == 0 });
+        if (fault(12)) {
+            m_lastKept[stream.attempt] = stream;
+            if (draw(2) == 0)
+                generate(who, order, next, length); // only we think that it ended
+            return send(who, generation_failed { stream, draw(3) > 0 });
+        }
         if (next >= length)
             return send(who, generation_finished { stream, fault(20) ? next + 1 : next });
-        std::vector<weight_version>& made = m_made[stream.attempt];
+        std::vector<weight_version>& made = m_made[stream];
         const std::uint32_t tokens = 1 + draw(2);
         if (made.size() == next)
             made.insert(made.end(), tokens, m_engineVersion);
@@ -253,10 +263,10 @@
     later([this, who, action] {
         if (fault(8)) {
             if (draw(2) == 0)
-                later([this, action] { apply(action); }); // lands later, if it still can
+                later([this, who, action] { apply(who, action); }); // lands later, if it still can
             return send(who, ledger_unknown { action.call });
         }
-        const bool done = apply(action);
+        const bool done = apply(who, action);
         if (fault(8))
             return send(who, ledger_unknown { action.call });
         const revision now(m_headRevision);
@@ -299,7 +309,7 @@
     });
 }
 
-bool rollout_world::apply(const write_ledger& write)
+bool rollout_world::apply(std::size_t who, const write_ledger& write)
 {
     if (write.expected.value() != m_headRevision)
         return false;
@@ -307,7 +317,7 @@
         require(m_values.emplace(key, value).second, "a page was written over");
     const ledger_head after = decodeHead(write.head).value();
     const ledger_head before = std::exchange(m_head, after);
-    checkHead(before, after);
+    checkHead(before, after, fencing_number(who + 1));
     for (const std::string& prefix : write.removedPrefixes)
         std::erase_if(m_values, [&](const auto& entry) { return entry.first.starts_with(prefix); });
     m_values[write.headKey] = write.head;
@@ -315,8 +325,9 @@
     return true;
 }
 
-void rollout_world::checkHead(const ledger_head& before, const ledger_head& after)
+void rollout_world::checkHead(const ledger_head& before, const ledger_head& after, fencing_number writer)
 {
+    require(after.fencing == writer, "a write without its writer's number");
     require(after.fencing >= before.fencing, "a coordinator wrote after its successor");
     require(after.trainerVersion >= m_accepted, "an accepted version was lost");
 
@@ -358,14 +369,14 @@
     return records;
 }
 
-void rollout_world::checkSample(const slot_id&, const sample_record& sample, weight_version version) const
+void rollout_world::checkSample(const slot_id& id, const sample_record& sample, weight_version version) const
 {
     require(ageOf(sample.spans, version) <= m_settings.stalenessBound, "older than the bound");
     require(sample.payload == payloadOf(sample.attempt), "another attempt's payload");
     std::vector<weight_version> claimed;
     for (const version_span& span : sample.spans)
         claimed.insert(claimed.end(), span.last - span.first + 1, span.version);
-    require(claimed == m_made.at(sample.attempt), "spans differ from what the engine made");
+    require(claimed == m_made.at({ id, sample.attempt, m_leg.at(sample.attempt) }), "spans differ from what the engine made");
 }
 
 // --- Trainer ---
--- a/tests/rollout_world.h
+++ b/tests/rollout_world.h
@@ -82,8 +82,8 @@
     void act(std::size_t, const drop_payloads& action) { m_dropped = std::max(m_dropped, action.below); }
     void act(std::size_t who, const resign&) { m_coordinators[who].alive = false; }
 
-    bool apply(const write_ledger& write);
-    void checkHead(const ledger_head& before, const ledger_head& after);
+    bool apply(std::size_t who, const write_ledger& write);
+    void checkHead(const ledger_head& before, const ledger_head& after, fencing_number writer);
     std::map<slot_id, sample_record> recordsOf(const ledger_step& step) const;
     void checkSample(const slot_id& id, const sample_record& sample, weight_version version) const;
     bool held(const std::vector<payload_holder>& holders, const payload_digest& digest) const;
@@ -108,7 +108,9 @@
     ledger_head m_head;
 
     weight_version m_engineVersion { 1 };
-    std::map<attempt_id, std::vector<weight_version>> m_made; // version of each token
+    std::map<stream_id, std::vector<weight_version>> m_made; // version of each token
+    std::map<attempt_id, stream_id> m_lastKept; // the stream that a resumed one goes on from
+    std::map<attempt_id, std::uint32_t> m_leg; // the newest
     std::set<attempt_id> m_attempts;
     std::map<attempt_id, std::uint32_t> m_judged; // calls that ran or may have run
     std::vector<payload_holder> m_holders;
--- /dev/null
+++ b/tests/test_attribution.cpp
@@ -0,0 +1,88 @@
+// Version spans: what append() builds, what it refuses, and their codec.
+#include "attribution.h"
+#include "property.h"
+
+#include <sstream>
+
+namespace lovagerail::test {
+
+namespace {
+
+    // A version and a number of tokens.
+    using generated_chunk = std::pair<std::uint64_t, std::uint32_t>;
+
+    std::vector<generated_chunk> anyChunks()
+    {
+        const auto chunk = rc::gen::pair(rc::gen::inRange<std::uint64_t>(1, 5), rc::gen::inRange<std::uint32_t>(0, 6));
+        return *rc::gen::container<std::vector<generated_chunk>>(chunk);
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(attribution_suite)
+
+BOOST_AUTO_TEST_CASE(spansSayWhichVersionMadeEachToken)
+{
+    checkProperty("spans", [] {
+        attribution made;
+        std::vector<weight_version> truth;
+        for (const auto& [version, tokens] : anyChunks()) {
+            RC_ASSERT(!made.append({ weight_version(version), made.nextToken(), tokens }));
+            truth.insert(truth.end(), tokens, weight_version(version));
+        }
+        std::vector<weight_version> claimed;
+        for (const version_span& span : made.spans())
+            claimed.insert(claimed.end(), span.last - span.first + 1, span.version);
+        RC_ASSERT(claimed == truth);
+        RC_ASSERT(spansFromJson(toJson(made.spans())).value() == made.spans());
+        RC_PRE(!truth.empty());
+        RC_ASSERT(!made.finish(static_cast<std::uint32_t>(truth.size())));
+        RC_ASSERT(oldestVersion(made.spans()) == *std::min_element(truth.begin(), truth.end()));
+        RC_ASSERT(newestVersion(made.spans()) == *std::max_element(truth.begin(), truth.end()));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotBeProvedIsUnusableForGood)
+{
+    const auto started = [] {
+        attribution made;
+        made.append({ weight_version(3), 0, 4 });
+        return made;
+    };
+    attribution missing = started();
+    BOOST_TEST((missing.append({ std::nullopt, 4, 1 }) == unusable_reason::MissingVersion));
+    BOOST_TEST((missing.append({ weight_version(3), 4, 1 }) == unusable_reason::MissingVersion));
+    attribution gap = started();
+    BOOST_TEST((gap.append({ weight_version(3), 5, 1 }) == unusable_reason::TokenGap));
+    attribution overlap = started();
+    BOOST_TEST((overlap.append({ weight_version(3), 3, 1 }) == unusable_reason::TokenOverlap));
+    attribution length = started();
+    BOOST_TEST((length.finish(5) == unusable_reason::LengthMismatch));
+    BOOST_TEST((attribution().finish(0) == unusable_reason::NoTokens));
+}
+
+BOOST_AUTO_TEST_CASE(ageCountsFromTheOldestSpan)
+{
+    const std::vector<version_span> spans { { weight_version(7), 0, 3 }, { weight_version(5), 4, 4 }, { weight_version(9), 5, 8 } };
+    BOOST_TEST(ageOf(spans, weight_version(9)) == 4u);
+    BOOST_TEST(ageOf(spans, weight_version(4)) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(decodingRefusesWhatAppendCouldNotBuild)
+{
+    const auto decode = [](const std::string& text) {
+        Json::Value json;
+        std::istringstream(text) >> json;
+        return spansFromJson(json).has_value();
+    };
+    BOOST_TEST(decode("[[1,0,3],[2,4,4]]"));
+    BOOST_TEST(!decode("[[1,0,3],[2,5,5]]"));
+    BOOST_TEST(!decode("[[1,0,3],[1,4,5]]"));
+    BOOST_TEST(!decode("[[1,2,1]]"));
+    BOOST_TEST(!decode("[[1,0]]"));
+    BOOST_TEST(!decode("{}"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail::test
--- a/tests/test_run.cpp
+++ b/tests/test_run.cpp
@@ -52,6 +52,25 @@
     });
 }
 
+// Asking for a batch whose predecessor was never handed over acknowledges nothing.
+BOOST_AUTO_TEST_CASE(anAskedBatchOutOfTurnIsRefused)
+{
+    run machine(rollout_world::smallRun());
+    const auto first = [&](const run_event& event) { return machine.handle(event, instant()).at(0); };
+    const auto read = std::get<read_ledger>(first(taken_over { fencing_number(1) }));
+    const auto claim = std::get<write_ledger>(first(ledger_content { read.call, revision(), {}, {}, {} }));
+    machine.handle(ledger_confirmed { claim.call, revision(1) }, instant());
+    const group_record group { group_number(0), digestOf("p"), 10, { { instance_id("i"), incarnation(1) } } };
+    const auto page = std::get<write_ledger>(first(groups_supplied { trainer_call(1), step_number(0), { group } }));
+    machine.handle(ledger_confirmed { page.call, revision(2) }, instant());
+
+    const auto confirm = std::get<confirm_ledger>(first(batch_asked { trainer_call(2), step_number(1) }));
+    BOOST_TEST(confirm.expected == revision(2));
+    const auto refused = std::get<answer_refused>(first(ledger_confirmed { confirm.call, revision(2) }));
+    BOOST_TEST((refused.reason.code == error_code::InvalidArgument));
+    BOOST_TEST(machine.head().acknowledged == step_number(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail::test
