--- /dev/null
+++ b/bench/bench_ledger.cpp
@@ -0,0 +1,46 @@
+// Replays the coding of a step's page: 8,192 samples of two versions each.
+#include "bench.h"
+#include "ledger.h"
+
+namespace lovagerail::bench {
+
+namespace {
+
+    constexpr std::uint32_t samplesPerStep = 8'192;
+    constexpr std::uint32_t groupSize = 8;
+
+    ledger_page stepPage(std::uint64_t seed)
+    {
+        ledger_page page;
+        for (std::uint32_t i = 0; i < samplesPerStep; ++i) {
+            sample_record sample;
+            sample.group = group_number(i / groupSize);
+            sample.sample = sample_number(i % groupSize);
+            sample.attempt = attempt_id((seed << 32) | i);
+            sample.payload = digestOf(std::to_string(seed + i));
+            const std::uint32_t middle = 1 + (i * 37) % 900;
+            sample.spans = { { weight_version(seed), 0, middle - 1 }, { weight_version(seed + 1), middle, 2 * middle } };
+            sample.holders = { { instance_id("entry-1"), incarnation(i % 4) }, { instance_id("entry-2"), incarnation(1) } };
+            page.samples.push_back(sample);
+        }
+        return page;
+    }
+
+    std::uint64_t replay(fingerprint& print)
+    {
+        std::uint64_t records = 0;
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            const std::string bytes = encodePage(stepPage(seed));
+            print.fold(bytes);
+            const result<ledger_page> back = decodePage(bytes);
+            records += back ? back->samples.size() : 0;
+        }
+        print.fold(records);
+        return records;
+    }
+
+    const registration part("ledger", replay);
+
+} // namespace
+
+} // namespace lovagerail::bench
