--- /dev/null
+++ b/tests/test_run.cpp
@@ -0,0 +1,76 @@
+// The coordinator of a run under generated histories: crashes and take-overs at any
+// point, two coordinators at once, lost and late answers, versions published at any
+// moment, holders lost. rollout_world checks what must hold; here are the histories.
+#include "property.h"
+#include "rollout_world.h"
+
+namespace lovagerail::test {
+
+namespace {
+
+    std::uint64_t anySeed()
+    {
+        return *rc::gen::noShrink(rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(run_suite)
+
+BOOST_AUTO_TEST_CASE(everyPromiseHoldsUnderFaults)
+{
+    std::uint64_t steps = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t reopened = 0;
+    checkProperty("faults and crashes", [&] {
+        rollout_world world(anySeed());
+        for (int i = 0; i < 6'000; ++i)
+            world.move();
+        world.settle(2);
+        steps += world.acknowledgedSteps();
+        repeats += world.repeats();
+        reopened += world.reopened();
+    });
+    BOOST_TEST_MESSAGE("steps " << steps << ", repeats " << repeats << ", reopened " << reopened);
+    BOOST_TEST(steps > 800);
+    BOOST_TEST(repeats > 100);
+    BOOST_TEST(reopened > 10);
+}
+
+BOOST_AUTO_TEST_CASE(quietHistoriesWasteNothing)
+{
+    checkProperty("no faults", [] {
+        rollout_world world(anySeed());
+        world.faults = false;
+        world.crashes = false;
+        world.settle(4);
+        const run_counts counts = world.counts();
+        RC_ASSERT(counts.unusable == 0u);
+        RC_ASSERT(counts.lost == 0u);
+        RC_ASSERT(counts.judgeUnknown == 0u);
+        RC_ASSERT(world.acknowledgedSteps() == 4u);
+    });
+}
+
+// Asking for a batch whose predecessor was never handed over acknowledges nothing.
+BOOST_AUTO_TEST_CASE(anAskedBatchOutOfTurnIsRefused)
+{
+    run machine(rollout_world::smallRun());
+    const auto first = [&](const run_event& event) { return machine.handle(event, instant()).at(0); };
+    const auto read = std::get<read_ledger>(first(taken_over { fencing_number(1) }));
+    const auto claim = std::get<write_ledger>(first(ledger_content { read.call, revision(), {}, {}, {} }));
+    machine.handle(ledger_confirmed { claim.call, revision(1) }, instant());
+    const group_record group { group_number(0), digestOf("p"), 10, { { instance_id("i"), incarnation(1) } } };
+    const auto page = std::get<write_ledger>(first(groups_supplied { trainer_call(1), step_number(0), { group } }));
+    machine.handle(ledger_confirmed { page.call, revision(2) }, instant());
+
+    const auto confirm = std::get<confirm_ledger>(first(batch_asked { trainer_call(2), step_number(1) }));
+    BOOST_TEST(confirm.expected == revision(2));
+    const auto refused = std::get<answer_refused>(first(ledger_confirmed { confirm.call, revision(2) }));
+    BOOST_TEST((refused.reason.code == error_code::InvalidArgument));
+    BOOST_TEST(machine.head().acknowledged == step_number(0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail::test
