--- a/standins/load_checks.h
+++ b/standins/load_checks.h
@@ -26,8 +26,9 @@
     const std::string& id() const { return m_id; }
     const std::string& finishReason() const { return m_finishReason; }
     bool done() const { return m_done; }
+    // What an error event in the stream says; empty if there was none.
+    const std::string& problem() const { return m_problem; }
     bool mixedIds() const { return m_mixedIds; }
-    int unversioned() const { return m_unversioned; }
 
 private:
     void addEvent(const std::string& payload);
@@ -37,9 +38,9 @@
     std::string m_text;
     std::string m_id; // of the first chunk
     std::string m_finishReason;
+    std::string m_problem;
     bool m_done = false;
     bool m_mixedIds = false;
-    int m_unversioned = 0;
 };
 
 struct request_outcome {
@@ -80,6 +81,7 @@
     std::int64_t m_notRun = 0;
     std::int64_t m_tokens = 0;
     std::vector<double> m_latencies; // milliseconds, of answers that are ok
+    std::map<std::size_t, std::vector<double>> m_latenciesByKey;
     std::vector<double> m_firstTokens;
 };
 
