--- a/standins/http_client.cpp
+++ b/standins/http_client.cpp
@@ -61,8 +61,11 @@
     call_state state { request, {} };
     curl_easy_reset(m_handle);
     curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-    for (const auto& [name, value] : request.headers)
-        headers = curl_slist_append(headers, (name + ": " + value).c_str());
+    for (const auto& [name, value] : request.headers) {
+        auto line = name;
+        line.append(": ").append(value);
+        headers = curl_slist_append(headers, line.c_str());
+    }
     curl_easy_setopt(m_handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(m_handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, headers);
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
-#include <cstring>
 #include <memory>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -78,7 +77,7 @@
         }
         // Step 2. Hand out as much as fits.
         const auto count = std::min(size, stream.rest.size() - stream.offset);
-        std::memcpy(buffer, stream.rest.data() + stream.offset, count);
+        std::copy_n(stream.rest.data() + stream.offset, count, buffer);
         stream.offset += count;
         return static_cast<ssize_t>(count);
     }
--- a/standins/kv_store.cpp
+++ b/standins/kv_store.cpp
@@ -61,12 +61,14 @@
     const auto found = m_keys.find(key);
     if (found == m_keys.end())
         return nullptr;
+    // The newest version that is no newer than the revision.
     const auto& versions = found->second;
-    for (auto it = versions.rbegin(); it != versions.rend(); ++it) {
-        if (it->modified <= revision)
-            return it->version ? &*it : nullptr;
-    }
-    return nullptr;
+    const auto after = std::upper_bound(versions.begin(), versions.end(), revision,
+        [](std::int64_t limit, const key_version& version) { return limit < version.modified; });
+    if (after == versions.begin())
+        return nullptr;
+    const auto& newest = *std::prev(after);
+    return newest.version ? &newest : nullptr;
 }
 
 Json::Value kv_store::toJson(const std::string& key, const key_version& found) const
