--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
-#include <cstring>
 #include <memory>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -78,7 +77,7 @@
         }
         // Step 2. Hand out as much as fits.
         const auto count = std::min(size, stream.rest.size() - stream.offset);
-        std::memcpy(buffer, stream.rest.data() + stream.offset, count);
+        std::copy_n(stream.rest.data() + stream.offset, count, buffer);
         stream.offset += count;
         return static_cast<ssize_t>(count);
     }
@@ -198,7 +197,6 @@
         MHD_OPTION_THREAD_STACK_SIZE, connectionStackBytes,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemoryBytes,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, longestQueue,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
         MHD_OPTION_END);
     return m_daemon != nullptr;
 }
--- a/tests/process/kit.py
+++ b/tests/process/kit.py
@@ -31,11 +31,13 @@
 
 STARTUP_SECONDS = 20
 STOP_SECONDS = 15
+START_ATTEMPTS = 5
 CALL_SECONDS = 20
 LOG_TAIL_BYTES = 6000
 FIRST_PORT = 20000
 LAST_PORT = 32000  # below the range that the kernel gives to clients
 PR_SET_PDEATHSIG = 1
+ENDED_ON_ORDER = {0, -signal.SIGTERM, -signal.SIGKILL}
 READ_BYTES = 65536
 # What a broken connection raises.
 BROKEN = (OSError, http.client.HTTPException)
@@ -44,6 +46,11 @@
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
+def is_sanitized():
+    """Whether the programs are built with AddressSanitizer, which takes memory and threads of its own."""
+    return b"__asan_init" in (BIN / "lovage-standin").read_bytes()
+
+
 def _die_with_parent():
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -212,6 +219,7 @@
 
     def __init__(self, kit, name, command):
         self.name = name
+        self.allowed_exits = None  # any
         self.command = [str(part) for part in command]
         self.log_path = kit.folder / f"{name}.{len(kit.programs)}.log"
         with open(self.log_path, "wb") as log:
@@ -301,6 +309,7 @@
         self.url = f"http://{self.address}"
         self.control = self.url + "/control"
         super().__init__(kit, name, [BIN / "lovage-standin", kind, *flags])
+        self.allowed_exits = ENDED_ON_ORDER
 
 
 class Target(Controlled):
@@ -331,6 +340,7 @@
         self.operators = "http://" + listen["operators"] if "operators" in listen else None
         self.config_path = config_path
         super().__init__(kit, name, [BIN / "lovageraild", "--config", config_path])
+        self.allowed_exits = ENDED_ON_ORDER
 
 
 def toml_value(value):
@@ -376,17 +386,25 @@
         self.close(failed=kind is not None)
 
     def close(self, failed=False):
-        """Ends all programs, newest first; prints their logs if the test failed."""
+        """Ends all programs, newest first, and prints their logs if the test failed.
+
+        A server that ended in another way than on order (a crash of its own, a
+        sanitizer's finding, a leak) makes it a failure.
+        """
         for program in reversed(self.programs):
             program.resume()
             program.terminate()
         for program in reversed(self.programs):
             program.finish()
-        if failed:
+        odd = [program for program in self.programs if program.allowed_exits and program.exit_code not in program.allowed_exits]
+        if failed or odd:
             for program in self.programs:
                 tail = program.output()[-LOG_TAIL_BYTES:]
                 print(f"--- {program.name} (exit {program.exit_code}): {' '.join(program.command)[:200]}\n{tail}", flush=True)
         shutil.rmtree(self.folder, ignore_errors=True)
+        self.programs = []
+        if odd and not failed:
+            raise AssertionError("ended with an error: " + ", ".join(f"{program.name} ({program.exit_code})" for program in odd))
 
     def _ready(self, program, url):
         def check():
@@ -396,19 +414,34 @@
         wait_until(check, f"start of {program.name}")
         return program
 
+    def _start(self, make, url):
+        """Starts a stand-in that picks a port of its own; again if somebody else took that port meanwhile."""
+        for attempt in range(START_ATTEMPTS):
+            program = make()
+            try:
+                return self._ready(program, url(program))
+            except AssertionError:
+                program.allowed_exits = None
+                if attempt + 1 == START_ATTEMPTS or "can't listen" not in program.output():
+                    raise
+
     def standin(self, kind, name=None, port=None, **flags):
         """Starts a server: kv, engine, service, judge, weights or platform."""
-        port = port or free_ports()
         if kind in ("engine", "service"):
             flags.setdefault("name", name or kind)
-        program = Standin(self, kind, name or kind, port, [f"--port={port}", *flag_list(flags)])
-        return self._ready(program, program.control + "/stats")
+
+        def make():
+            own = port or free_ports()
+            return Standin(self, kind, name or kind, own, [f"--port={own}", *flag_list(flags)])
+        return self._start(make, lambda program: program.control + "/stats")
 
     def _many(self, kind, path, count, name, flags):
-        base = free_ports(count + 1)
-        program = Standin(self, kind, kind, base, flag_list({
-            "count": count, "base_port": base, "control_port": base + count, "name": name, **flags}))
-        self._ready(program, f"http://127.0.0.1:{base + count}/control/stats")
+        def make():
+            base = free_ports(count + 1)
+            return Standin(self, kind, kind, base, flag_list({
+                "count": count, "base_port": base, "control_port": base + count, "name": name, **flags}))
+        program = self._start(make, lambda started: f"http://127.0.0.1:{started.port + count}/control/stats")
+        base = program.port
         names = [name] if kind == "service" and count == 1 else [f"{name}-{i}" for i in range(count)]
         return [Target(program, path, one, base + i, base + count) for i, one in enumerate(names)]
 
