The run's machine is run_coordinator: run names the configured object

Cause: two types named lovagerail::run, one of the configuration, one of the coordinator: a breach of the one-definition rule. Ruled out: an inline namespace, which makes every plain use ambiguous. Change: rename the machine. Before: both compiled, in different files. After: one name each; tests green. Conclusion: no behaviour depends on it.

No change of behaviour.

--- a/bench/bench_run.cpp
+++ b/bench/bench_run.cpp
@@ -92,7 +92,7 @@
         }
 
         fingerprint& m_print;
-        run m_run;
+        run_coordinator m_run;
         instant m_now {};
         payload_holder m_holder { instance_id("entry-1"), incarnation(1) };
         std::deque<run_event> m_todo;
--- a/bench/rollout_model.cpp
+++ b/bench/rollout_model.cpp
@@ -310,7 +310,7 @@
 
         const rollout_deployment& m_deployment;
         const rollout_policy& m_policy;
-        run m_run;
+        run_coordinator m_run;
         std::vector<model_engine> m_engines;
         rollout_figures m_figures;
         payload_holder m_holder { instance_id("entry-1"), incarnation(1) };
--- a/src/run.cpp
+++ b/src/run.cpp
@@ -23,13 +23,13 @@
 
 } // namespace
 
-run::run(run_settings settings)
+run_coordinator::run_coordinator(run_settings settings)
     : m_settings(std::move(settings))
 {
     assert(m_settings.groupSize > 0 && m_settings.groupsPerStep > 0 && m_settings.sealBatch > 0);
 }
 
-std::vector<run_action> run::handle(const run_event& event, instant now)
+std::vector<run_action> run_coordinator::handle(const run_event& event, instant now)
 {
     ++m_eventNumber;
     std::visit([&](const auto& item) { on(item, now); }, event);
@@ -42,7 +42,7 @@
 
 // --- Slots ---
 
-run::slot* run::find(const slot_id& id)
+run_coordinator::slot* run_coordinator::find(const slot_id& id)
 {
     const auto step = m_steps.find(id.step);
     if (step == m_steps.end() || id.sample.value() >= m_settings.groupSize)
@@ -52,7 +52,7 @@
 }
 
 // The slot if this stream is the one that it works with in this state.
-run::slot* run::findStream(const stream_id& stream, slot_state state)
+run_coordinator::slot* run_coordinator::findStream(const stream_id& stream, slot_state state)
 {
     slot* item = find(stream.slot);
     if (!item || item->state != state || item->attempt != stream.attempt || item->leg != stream.leg)
@@ -60,17 +60,17 @@
     return item;
 }
 
-slot_id run::slotAt(step_number step, std::uint32_t index) const
+slot_id run_coordinator::slotAt(step_number step, std::uint32_t index) const
 {
     return { step, group_number(index / m_settings.groupSize), sample_number(index % m_settings.groupSize) };
 }
 
-std::uint32_t run::indexOf(const slot_id& id) const
+std::uint32_t run_coordinator::indexOf(const slot_id& id) const
 {
     return id.group.value() * m_settings.groupSize + id.sample.value();
 }
 
-void run::setState(const slot_id& id, slot& item, slot_state state)
+void run_coordinator::setState(const slot_id& id, slot& item, slot_state state)
 {
     step_state& step = m_steps.at(id.step);
     --step.states[number(item.state)];
@@ -78,7 +78,7 @@
     item.state = state;
 }
 
-void run::setTimer(const slot_id& id, slot& item, instant due)
+void run_coordinator::setTimer(const slot_id& id, slot& item, instant due)
 {
     m_timers.erase({ item.due, id });
     item.due = due;
@@ -86,7 +86,7 @@
 }
 
 // Earlier steps first; in a step, what was begun, then the longest, since they end last.
-run::queue_entry run::entryOf(const slot_id& id, const slot& item) const
+run_coordinator::queue_entry run_coordinator::entryOf(const slot_id& id, const slot& item) const
 {
     const std::optional<group_record>& group = m_steps.at(id.step).groups[id.group.value()];
     const std::uint32_t longest = group ? group->maxTokens : 0;
@@ -94,7 +94,7 @@
 }
 
 // Makes a Queued slot available, unless its prompt has to be supplied (again).
-void run::enqueue(const slot_id& id, slot& item, instant now)
+void run_coordinator::enqueue(const slot_id& id, slot& item, instant now)
 {
     assert(item.state == slot_state::Queued);
     const std::optional<group_record>& group = m_steps.at(id.step).groups[id.group.value()];
@@ -107,7 +107,7 @@
 }
 
 // Ends whatever runs for the slot and takes it out of queue and timers.
-void run::stopWork(const slot_id& id, slot& item)
+void run_coordinator::stopWork(const slot_id& id, slot& item)
 {
     m_timers.erase({ item.due, id });
     item.due = instant();
@@ -124,7 +124,7 @@
 }
 
 // Gives the present attempt up; the next dispatch is a new one.
-void run::restart(const slot_id& id, slot& item, instant now)
+void run_coordinator::restart(const slot_id& id, slot& item, instant now)
 {
     stopWork(id, item);
     m_counts.wastedTokens += item.made.nextToken();
@@ -137,7 +137,7 @@
 }
 
 // The same after a fault that could come again at once.
-void run::restartLater(const slot_id& id, slot& item, instant now)
+void run_coordinator::restartLater(const slot_id& id, slot& item, instant now)
 {
     restart(id, item, now);
     m_queue.erase(entryOf(id, item));
@@ -145,13 +145,13 @@
     enqueue(id, item, now);
 }
 
-duration run::backoff(std::uint32_t tries) const
+duration run_coordinator::backoff(std::uint32_t tries) const
 {
     const unsigned doublings = std::min<unsigned>(tries, backoffDoublingsMax);
     return std::min(m_settings.backoffFloor * (std::int64_t(1) << doublings), m_settings.backoffCeiling);
 }
 
-void run::expire(const slot_id& id, slot& item, instant now)
+void run_coordinator::expire(const slot_id& id, slot& item, instant now)
 {
     ++m_counts.expired;
     restart(id, item, now);
@@ -159,7 +159,7 @@
 
 // Lets go of everything that is too old for the newest version we know of, whether
 // confirmed or not, except in a step whose batch is fixed.
-void run::expireSlots(instant now)
+void run_coordinator::expireSlots(instant now)
 {
     const weight_version version = knownVersion();
     for (auto& [step, state] : m_steps) {
@@ -176,7 +176,7 @@
 }
 
 // The payload of the slot's record or candidate has no holder any more.
-void run::lose(const slot_id& id, slot& item, instant now)
+void run_coordinator::lose(const slot_id& id, slot& item, instant now)
 {
     item.lostAttempt = item.attempt;
     if (item.state == slot_state::HandedOver)
@@ -185,7 +185,7 @@
     restart(id, item, now);
 }
 
-std::uint64_t run::predictedAge(step_number step) const
+std::uint64_t run_coordinator::predictedAge(step_number step) const
 {
     age_forecast forecast;
     forecast.trainer = knownVersion();
@@ -197,19 +197,19 @@
     return predictAge(forecast);
 }
 
-bool run::mayStart(step_number step) const
+bool run_coordinator::mayStart(step_number step) const
 {
     if (step < m_head.acknowledged || step.value() > m_head.acknowledged.value() + m_settings.earlySteps)
         return false;
     return predictedAge(step) <= m_settings.stalenessBound;
 }
 
-bool run::hasBacklog() const
+bool run_coordinator::hasBacklog() const
 {
     return m_leading && m_loaded && !m_queue.empty() && mayStart(m_queue.begin()->step);
 }
 
-std::optional<dispatch_slot> run::takeDispatch(instant now)
+std::optional<dispatch_slot> run_coordinator::takeDispatch(instant now)
 {
     if (!hasBacklog())
         return std::nullopt;
@@ -247,7 +247,7 @@
     return dispatch;
 }
 
-std::array<std::uint32_t, slotStates> run::slotsByState(step_number step) const
+std::array<std::uint32_t, slotStates> run_coordinator::slotsByState(step_number step) const
 {
     const auto found = m_steps.find(step);
     return found == m_steps.end() ? std::array<std::uint32_t, slotStates> {} : found->second.states;
@@ -256,7 +256,7 @@
 // --- Groups ---
 
 // Confirmed by the ledger: the group's slots may start.
-void run::addGroup(step_number step, const group_record& group, instant now)
+void run_coordinator::addGroup(step_number step, const group_record& group, instant now)
 {
     step_state& state = m_steps[step];
     if (state.slots.empty()) {
@@ -277,7 +277,7 @@
 }
 
 // True if each group of the post is in the ledger and its prompt is held.
-bool run::hasGroups(const pending_groups& post) const
+bool run_coordinator::hasGroups(const pending_groups& post) const
 {
     const auto found = m_steps.find(post.step);
     if (found == m_steps.end())
@@ -291,7 +291,7 @@
 }
 
 // True if a group of the post is in the ledger with another prompt.
-bool run::conflicts(const pending_groups& post) const
+bool run_coordinator::conflicts(const pending_groups& post) const
 {
     const auto found = m_steps.find(post.step);
     if (found == m_steps.end())
@@ -304,7 +304,7 @@
     return false;
 }
 
-std::uint32_t run::missingGroups(step_number step) const
+std::uint32_t run_coordinator::missingGroups(step_number step) const
 {
     const auto found = m_steps.find(step);
     if (found == m_steps.end())
@@ -315,7 +315,7 @@
     return missing;
 }
 
-void run::on(const groups_supplied& event, instant now)
+void run_coordinator::on(const groups_supplied& event, instant now)
 {
     for (const group_record& group : event.groups) {
         if (group.group.value() >= m_settings.groupsPerStep || group.holders.empty())
@@ -326,7 +326,7 @@
 
 // --- Trainer ---
 
-weight_version run::knownVersion() const
+weight_version run_coordinator::knownVersion() const
 {
     weight_version version = m_head.trainerVersion;
     for (const pending_version& pending : m_versions)
@@ -334,7 +334,7 @@
     return version;
 }
 
-void run::on(const version_published& event, instant now)
+void run_coordinator::on(const version_published& event, instant now)
 {
     const weight_version known = knownVersion();
     if (event.version < known)
@@ -349,7 +349,7 @@
 }
 
 // One request of the trainer is kept: the one of the highest cursor, of these the latest.
-void run::on(const batch_asked& event, instant now)
+void run_coordinator::on(const batch_asked& event, instant now)
 {
     if (m_asked && event.cursor < m_asked->cursor) {
         m_actions.emplace_back(answer_not_yet { event.call, m_settings.backoffFloor, 0 });
@@ -362,12 +362,12 @@
 
 // --- Streams ---
 
-void run::on(const served_version& event, instant)
+void run_coordinator::on(const served_version& event, instant)
 {
     m_served = event.version;
 }
 
-void run::on(const dispatch_accepted& event, instant)
+void run_coordinator::on(const dispatch_accepted& event, instant)
 {
     slot* item = findStream(event.stream, slot_state::Dispatched);
     if (item)
@@ -375,7 +375,7 @@
 }
 
 // Nothing ran. A first leg keeps its number for no one: the next dispatch takes a new one.
-void run::on(const dispatch_refused& event, instant now)
+void run_coordinator::on(const dispatch_refused& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Dispatched);
     if (!item)
@@ -386,7 +386,7 @@
     enqueue(event.stream.slot, *item, now);
 }
 
-void run::on(const chunk_received& event, instant now)
+void run_coordinator::on(const chunk_received& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Dispatched);
     if (item)
@@ -406,7 +406,7 @@
     }
 }
 
-void run::on(const generation_finished& event, instant now)
+void run_coordinator::on(const generation_finished& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Generating);
     if (!item)
@@ -420,7 +420,7 @@
     startJudge(event.stream.slot, *item, now);
 }
 
-void run::on(const generation_failed& event, instant now)
+void run_coordinator::on(const generation_failed& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Generating);
     if (!item)
@@ -437,7 +437,7 @@
 
 // --- Judge ---
 
-void run::startJudge(const slot_id& id, slot& item, instant now)
+void run_coordinator::startJudge(const slot_id& id, slot& item, instant now)
 {
     setState(id, item, slot_state::Judging);
     item.judgeCalled = true;
@@ -445,7 +445,7 @@
     m_actions.emplace_back(call_judge { { id, item.attempt, item.leg } });
 }
 
-void run::on(const sample_judged& event, instant)
+void run_coordinator::on(const sample_judged& event, instant)
 {
     slot* item = findStream(event.stream, slot_state::Judging);
     if (!item || !item->judgeCalled)
@@ -456,7 +456,7 @@
     m_actions.emplace_back(store_payload { event.stream, item->made.spans() });
 }
 
-void run::on(const judge_failed& event, instant now)
+void run_coordinator::on(const judge_failed& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Judging);
     if (item && item->judgeCalled)
@@ -466,7 +466,7 @@
 // A judge that may not be repeated is called again only if it surely hasn't run. Else
 // the sample is given up: a successor of ours doesn't know the attempt either, so no
 // attempt is judged twice, and no intent has to be written before each call.
-void run::judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now)
+void run_coordinator::judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now)
 {
     item.judgeCalled = false;
     ++item.judgeTries;
@@ -479,7 +479,7 @@
 
 // --- Payloads ---
 
-void run::on(const payload_stored& event, instant now)
+void run_coordinator::on(const payload_stored& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Judged);
     if (!item || item->stored)
@@ -497,14 +497,14 @@
     step.ready.insert(indexOf(id));
 }
 
-void run::on(const payload_refused& event, instant now)
+void run_coordinator::on(const payload_refused& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Judged);
     if (item && !item->stored)
         setTimer(event.stream.slot, *item, now + backoff(item->tries++));
 }
 
-void run::on(const payload_lost& event, instant now)
+void run_coordinator::on(const payload_lost& event, instant now)
 {
     slot* item = find(event.slot);
     if (!item || item->attempt != event.attempt)
@@ -513,7 +513,7 @@
         lose(event.slot, *item, now);
 }
 
-void run::on(const holder_lost& event, instant now)
+void run_coordinator::on(const holder_lost& event, instant now)
 {
     for (auto& [step, state] : m_steps) {
         // Step 1. Prompts: without a holder the trainer is asked to supply them again.
@@ -541,7 +541,7 @@
 
 // --- Time ---
 
-void run::on(const tick&, instant now)
+void run_coordinator::on(const tick&, instant now)
 {
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
         const slot_id id = m_timers.begin()->second;
@@ -552,7 +552,7 @@
     }
 }
 
-void run::runTimer(const slot_id& id, slot& item, instant now)
+void run_coordinator::runTimer(const slot_id& id, slot& item, instant now)
 {
     const stream_id stream { id, item.attempt, item.leg };
     switch (item.state) {
--- a/src/run.h
+++ b/src/run.h
@@ -22,9 +22,9 @@
 
 namespace lovagerail {
 
-class run {
+class run_coordinator {
 public:
-    explicit run(run_settings settings);
+    explicit run_coordinator(run_settings settings);
 
     std::vector<run_action> handle(const run_event& event, instant now);
 
--- a/src/run_ledger.cpp
+++ b/src/run_ledger.cpp
@@ -24,7 +24,7 @@
 // Builds the next head from all that waits and sends it as one write. The order of the
 // steps is the order in which they count: a published version before the hand-over
 // that it may forbid, an acknowledgement before the next batch.
-void run::plan(instant now)
+void run_coordinator::plan(instant now)
 {
     // Step 1. One call at a time.
     if (!m_leading || m_call || now < m_retryAt)
@@ -65,7 +65,7 @@
     }
 }
 
-run::service_call run::beginCall(call_kind kind)
+run_coordinator::service_call run_coordinator::beginCall(call_kind kind)
 {
     ++m_counts.ledgerCalls;
     service_call call;
@@ -75,13 +75,13 @@
     return call;
 }
 
-void run::sendRead()
+void run_coordinator::sendRead()
 {
     m_call = beginCall(call_kind::Read);
     m_actions.emplace_back(read_ledger { m_call->id, headKey(m_settings.keyPrefix, m_settings.run), pagesPrefix(m_settings.keyPrefix, m_settings.run) });
 }
 
-void run::planAcknowledge(ledger_head& next, write_ledger& write) const
+void run_coordinator::planAcknowledge(ledger_head& next, write_ledger& write) const
 {
     const ledger_step* step = next.find(next.acknowledged);
     if (!m_asked || m_asked->cursor != next.acknowledged.next() || !step || !step->everHandedOver)
@@ -91,7 +91,7 @@
     next.acknowledged = next.acknowledged.next();
 }
 
-void run::planGroups(ledger_head& next, write_ledger& write, service_call& call) const
+void run_coordinator::planGroups(ledger_head& next, write_ledger& write, service_call& call) const
 {
     std::map<step_number, std::map<group_number, group_record>> added;
     for (const pending_groups& post : m_groups) {
@@ -112,7 +112,7 @@
     }
 }
 
-void run::planReopen(ledger_head& next) const
+void run_coordinator::planReopen(ledger_head& next) const
 {
     for (ledger_step& step : next.steps) {
         const auto state = m_steps.find(step.step);
@@ -123,12 +123,12 @@
     }
 }
 
-bool run::complete(const step_state& state, std::size_t sealing) const
+bool run_coordinator::complete(const step_state& state, std::size_t sealing) const
 {
     return state.states[static_cast<std::size_t>(slot_state::Sealed)] + sealing == state.slots.size();
 }
 
-void run::planSeal(ledger_head& next, write_ledger& write, service_call& call, instant now) const
+void run_coordinator::planSeal(ledger_head& next, write_ledger& write, service_call& call, instant now) const
 {
     for (const auto& [step, state] : m_steps) {
         const ledger_step* known = next.find(step);
@@ -151,7 +151,7 @@
 
 // Hands the whole step over if the trainer asks for it and no sample is beyond the
 // bound under the version that this very write holds.
-void run::planHandOver(ledger_head& next, const service_call& call) const
+void run_coordinator::planHandOver(ledger_head& next, const service_call& call) const
 {
     // Step 1. Asked for, and open.
     ledger_step* step = next.find(next.acknowledged);
@@ -177,7 +177,7 @@
     step->handedVersion = next.trainerVersion;
 }
 
-void run::addPage(ledger_head& head, step_number step, const ledger_page& page, write_ledger& write) const
+void run_coordinator::addPage(ledger_head& head, step_number step, const ledger_page& page, write_ledger& write) const
 {
     // Step 1. The step's place in the head.
     ledger_step* item = head.find(step);
@@ -196,7 +196,7 @@
 
 // --- Answers of the service ---
 
-void run::on(const taken_over& event, instant now)
+void run_coordinator::on(const taken_over& event, instant now)
 {
     for (auto& [step, state] : m_steps) {
         for (std::uint32_t index = 0; index < state.slots.size(); ++index)
@@ -217,7 +217,7 @@
     m_retryAt = now;
 }
 
-void run::on(const ledger_confirmed& event, instant now)
+void run_coordinator::on(const ledger_confirmed& event, instant now)
 {
     if (!m_call || m_call->id != event.call || m_call->kind == call_kind::Read)
         return;
@@ -237,7 +237,7 @@
 }
 
 // The ledger has the record. The slot may have moved on meanwhile.
-void run::sealRecord(const slot_id& id, sample_record record)
+void run_coordinator::sealRecord(const slot_id& id, sample_record record)
 {
     slot* item = find(id);
     if (!item)
@@ -252,20 +252,20 @@
     setState(id, *item, slot_state::Sealed);
 }
 
-void run::on(const ledger_unknown& event, instant now)
+void run_coordinator::on(const ledger_unknown& event, instant now)
 {
     if (m_call && m_call->id == event.call)
         callFailed(now, true);
 }
 
-void run::on(const ledger_conflict& event, instant now)
+void run_coordinator::on(const ledger_conflict& event, instant now)
 {
     if (m_call && m_call->id == event.call)
         callFailed(now, false);
 }
 
 // Nothing is concluded from a failed call: the ledger is read next.
-void run::callFailed(instant now, bool wait)
+void run_coordinator::callFailed(instant now, bool wait)
 {
     m_call.reset();
     m_loaded = false;
@@ -274,7 +274,7 @@
 }
 
 // The ledger's word is the truth, after a take-over and after any doubt.
-void run::on(const ledger_content& event, instant now)
+void run_coordinator::on(const ledger_content& event, instant now)
 {
     if (!m_call || m_call->id != event.call || m_call->kind != call_kind::Read)
         return;
@@ -313,7 +313,7 @@
 }
 
 // False, with nothing changed, if a page is missing or damaged.
-bool run::adoptPages(const ledger_content& content, instant now)
+bool run_coordinator::adoptPages(const ledger_content& content, instant now)
 {
     // Step 1. Check and decode all; later records replace earlier ones.
     const std::map<std::string, std::string> pages(content.pages.begin(), content.pages.end());
@@ -350,7 +350,7 @@
     return true;
 }
 
-void run::adoptSample(const slot_id& id, sample_record record, bool handedOver, instant now)
+void run_coordinator::adoptSample(const slot_id& id, sample_record record, bool handedOver, instant now)
 {
     slot* item = find(id);
     if (!item)
@@ -374,7 +374,7 @@
 
 // --- What follows from a new head ---
 
-void run::applyHead(const ledger_head& before, instant now)
+void run_coordinator::applyHead(const ledger_head& before, instant now)
 {
     dropAcknowledged();
     for (const ledger_step& step : m_head.steps) {
@@ -392,7 +392,7 @@
     }
 }
 
-void run::dropAcknowledged()
+void run_coordinator::dropAcknowledged()
 {
     if (m_steps.empty() || m_steps.begin()->first >= m_head.acknowledged)
         return;
@@ -408,7 +408,7 @@
 }
 
 // The batch is fixed, whatever was begun anew while the write was on its way.
-void run::settleHandedOver(const ledger_step& step, instant now)
+void run_coordinator::settleHandedOver(const ledger_step& step, instant now)
 {
     step_state& state = m_steps.at(step.step);
     if (state.reopen || state.states[static_cast<std::size_t>(slot_state::HandedOver)] == state.slots.size())
@@ -432,7 +432,7 @@
 
 // A payload of a batch that was handed over is lost before its acknowledgement. The
 // batch gets a new generation with new attempts of what is lost or too old by now.
-void run::reopenStep(step_number step, instant now)
+void run_coordinator::reopenStep(step_number step, instant now)
 {
     step_state& state = m_steps.at(step);
     state.reopen = true;
@@ -451,12 +451,12 @@
 
 // --- Answers to the trainer ---
 
-void run::refuse(trainer_call call, error_code code, std::string detail)
+void run_coordinator::refuse(trainer_call call, error_code code, std::string detail)
 {
     m_actions.emplace_back(answer_refused { call, error { code, "run.answer", peer_kind::Trainer, m_settings.run.str(), std::move(detail) } });
 }
 
-void run::answerWaiting(instant now)
+void run_coordinator::answerWaiting(instant now)
 {
     if (!m_leading)
         return turnAwayAll();
@@ -464,7 +464,7 @@
     answerAsked(now);
 }
 
-void run::turnAwayAll()
+void run_coordinator::turnAwayAll()
 {
     for (const pending_groups& post : m_groups)
         m_actions.emplace_back(answer_not_yet { post.call, m_settings.backoffFloor, 0 });
@@ -478,7 +478,7 @@
 }
 
 // Groups and versions are accepted once the ledger has them.
-void run::answerPosts(instant now)
+void run_coordinator::answerPosts(instant now)
 {
     const auto answerGroups = [&](const pending_groups& post) {
         if (m_loaded && post.step < m_head.acknowledged)
@@ -509,14 +509,14 @@
 }
 
 // True if the step's batch was handed over and stands.
-bool run::isFixed(step_number step) const
+bool run_coordinator::isFixed(step_number step) const
 {
     const ledger_step* known = m_head.find(step);
     const auto state = m_steps.find(step);
     return known && known->phase == step_phase::HandedOver && state != m_steps.end() && !state->second.reopen;
 }
 
-run::asked_verdict run::verdict() const
+run_coordinator::asked_verdict run_coordinator::verdict() const
 {
     if (m_asked->cursor < m_head.acknowledged)
         return asked_verdict::Closed;
@@ -530,7 +530,7 @@
 
 // Answers under a head that was confirmed after the request came, so that nothing of
 // an earlier generation or coordinator can follow what the trainer got since.
-void run::answerAsked(instant now)
+void run_coordinator::answerAsked(instant now)
 {
     if (!m_asked)
         return;
--- a/tests/rollout_world.cpp
+++ b/tests/rollout_world.cpp
@@ -46,7 +46,7 @@
 
 void rollout_world::takeOver()
 {
-    m_coordinators.push_back({ std::make_unique<run>(m_settings), true, {} });
+    m_coordinators.push_back({ std::make_unique<run_coordinator>(m_settings), true, {} });
     const std::size_t who = m_coordinators.size() - 1;
     send(who, taken_over { fencing_number(++m_fencing) });
     send(who, served_version { m_engineVersion });
--- a/tests/rollout_world.h
+++ b/tests/rollout_world.h
@@ -43,7 +43,7 @@
     using item = std::function<void()>;
 
     struct coordinator {
-        std::unique_ptr<run> machine;
+        std::unique_ptr<run_coordinator> machine;
         bool alive = true;
         std::set<stream_id> cancelled;
     };
--- a/tests/test_run.cpp
+++ b/tests/test_run.cpp
@@ -55,7 +55,7 @@
 // Asking for a batch whose predecessor was never handed over acknowledges nothing.
 BOOST_AUTO_TEST_CASE(anAskedBatchOutOfTurnIsRefused)
 {
-    run machine(rollout_world::smallRun());
+    run_coordinator machine(rollout_world::smallRun());
     const auto first = [&](const run_event& event) { return machine.handle(event, instant()).at(0); };
     const auto read = std::get<read_ledger>(first(taken_over { fencing_number(1) }));
     const auto claim = std::get<write_ledger>(first(ledger_content { read.call, revision(), {}, {}, {} }));
