Rollouts joined to the daemon: the whole path runs

Cause: the run's machine had no trainer, engines or ledger. Change: payloads in the memory of two instances, trainers' calls at any entry passed on to the coordinator, generation and judging as jobs of the serving thread, the ledger in the key-value service; spans are objects in JSON; a trainer that waits no longer is told so at its time (seen: a pull with wait_ms=0 waited 30 s). Before: no sample. Conclusion: callers, trainers and reports are served end to end.

--- a/src/attribution.cpp
+++ b/src/attribution.cpp
@@ -97,10 +97,10 @@
 {
     Json::Value json(Json::arrayValue);
     for (const version_span& span : spans) {
-        Json::Value entry(Json::arrayValue);
-        entry.append(Json::UInt64(span.version.value()));
-        entry.append(span.first);
-        entry.append(span.last);
+        Json::Value entry(Json::objectValue);
+        entry["version"] = Json::UInt64(span.version.value());
+        entry["first"] = span.first;
+        entry["last"] = span.last;
         json.append(entry);
     }
     return json;
@@ -115,11 +115,11 @@
     std::vector<version_span> spans;
     std::uint32_t next = 0;
     for (const Json::Value& entry : json) {
-        if (!entry.isArray() || entry.size() != 3)
-            return failure(error_code::Corrupt, step, "a span is not a triple");
-        if (!entry[0].isUInt64() || !entry[1].isUInt() || !entry[2].isUInt())
+        if (!entry.isObject())
+            return failure(error_code::Corrupt, step, "a span is not an object");
+        if (!entry["version"].isUInt64() || !entry["first"].isUInt() || !entry["last"].isUInt())
             return failure(error_code::Corrupt, step, "a span holds something else than numbers");
-        const version_span span { weight_version(entry[0].asUInt64()), entry[1].asUInt(), entry[2].asUInt() };
+        const version_span span { weight_version(entry["version"].asUInt64()), entry["first"].asUInt(), entry["last"].asUInt() };
         if (span.first != next || span.last < span.first || span.last == UINT32_MAX)
             return failure(error_code::Corrupt, step, "spans have a gap or an overlap");
         if (!spans.empty() && spans.back().version == span.version)
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -54,6 +54,8 @@
     , m_status(m_context, m_config, m_targets, m_peers)
     , m_leases(m_context, m_peers)
     , m_usage(m_context, m_leases, m_peers, m_status)
+    , m_payloads(m_context, m_leases, m_peers)
+    , m_runs(m_context, m_leases, m_peers, m_payloads, m_status)
     , m_serving(values, servingSettings(values, life), m_wakeup)
     , m_operatorRing(exchangeRing, m_wakeup)
     , m_instanceRing(exchangeRing, m_wakeup)
@@ -61,6 +63,8 @@
     addConfigApi(m_operators, m_context, m_config, m_keys);
     m_status.addTo(m_operators);
     m_usage.addTo(m_operators);
+    m_runs.addTo(m_operators);
+    m_peers.server().add("hello", [this](const Json::Value&) -> result<Json::Value> { return Json::Value(Json::UInt64(m_context.life.value())); });
     m_toldConfig = m_context.inForce;
 }
 
@@ -151,6 +155,7 @@
     followMembers();
     m_leases.tick();
     m_usage.tick();
+    m_runs.tick();
     if (m_drainAsked)
         drainTurn();
 }
@@ -164,21 +169,46 @@
         if (one.state != platform::instance_state::Live)
             continue;
         listed = listed || one.id == m_context.self;
-        live.push_back({ one.id, one.address, one.failureDomain });
+        const auto life = one.id == m_context.self ? m_context.life : m_lives[one.id];
+        live.push_back({ one.id, one.address, one.failureDomain, life });
     }
     if (!listed)
-        live.push_back({ m_context.self, platform::withScheme(m_values.listen.instances), failure_domain_id(m_values.instance.failureDomain) });
+        live.push_back({ m_context.self, platform::withScheme(m_values.listen.instances), failure_domain_id(m_values.instance.failureDomain), m_context.life });
+    greet(live);
     m_leases.setLive(std::move(live));
-    std::set<duty_id> duties { usage_duty::duty() };
+    auto duties = m_runs.duties();
+    duties.insert(usage_duty::duty());
     m_leases.setDuties(duties);
 }
 
+// Learns the incarnations of the others.
+void control_thread::greet(const std::vector<live_instance>& live)
+{
+    if (m_context.now < m_nextGreeting)
+        return;
+    m_nextGreeting = m_context.now + m_values.timing.heartbeat;
+    for (const auto& one : live) {
+        if (one.id == m_context.self)
+            continue;
+        m_peers.call(one.address, "hello", Json::Value(Json::objectValue), [this, id = one.id](const result<Json::Value>& answer) {
+            if (answer && answer->isUInt64())
+                m_lives[id] = incarnation(answer->asUInt64());
+        });
+    }
+}
+
 void control_thread::takeServing()
 {
     to_control message;
     while (m_serving.tryPop(message)) {
         if (const auto* state = std::get_if<serving_state>(&message)) {
             m_status.setServing(*state);
+        } else if (const auto* news = std::get_if<job_news>(&message)) {
+            m_runs.onJob(*news);
+        } else if (const auto* call = std::get_if<trainer_call_in>(&message)) {
+            m_runs.onTrainer(*call);
+        } else if (const auto* versions = std::get_if<served_versions>(&message)) {
+            m_runs.onVersions(*versions);
         } else if (auto* record = std::get_if<serving_record>(&message)) {
             if (const auto* served = std::get_if<request_served>(record))
                 m_status.count(*served);
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -8,7 +8,9 @@
 #include "daemon/key_duty.h"
 #include "daemon/lease_duty.h"
 #include "daemon/operator_duty.h"
+#include "daemon/payload_duty.h"
 #include "daemon/peer_duty.h"
+#include "daemon/run_duty.h"
 #include "daemon/serving_thread.h"
 #include "daemon/status_api.h"
 #include "daemon/target_duty.h"
@@ -42,6 +44,7 @@
     void takeExchanges();
     void tickDuties();
     void followMembers();
+    void greet(const std::vector<live_instance>& live);
     void drainTurn();
     void flushServing();
 
@@ -64,6 +67,8 @@
     status_api m_status;
     lease_duty m_leases;
     usage_duty m_usage;
+    payload_duty m_payloads;
+    run_duty m_runs;
 
     serving_thread m_serving;
     ring<http::exchange_ptr> m_operatorRing;
@@ -72,6 +77,8 @@
     std::unique_ptr<http::server> m_instanceServer;
     config_ptr m_toldConfig;
     instant m_nextTick {};
+    instant m_nextGreeting {};
+    std::map<instance_id, incarnation> m_lives; // of the others, as they said last
     std::atomic<bool> m_drainAsked { false };
     std::atomic<bool> m_drained { false };
     std::atomic<bool> m_stopping { false };
--- a/src/daemon/lease_duty.h
+++ b/src/daemon/lease_duty.h
@@ -17,6 +17,7 @@
     instance_id id;
     std::string address; // base URL of its instances' listener
     failure_domain_id failureDomain;
+    incarnation life; // 0 until it is known
 };
 
 class lease_duty {
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -27,7 +27,7 @@
     bool cutOff = false;
     bool draining = false;
 };
-using to_serving = std::variant<new_config, new_denials, new_targets, generation_job, cancel_job, serving_mode>;
+using to_serving = std::variant<new_config, new_denials, new_targets, generation_job, service_job, cancel_job, serving_mode>;
 
 // --- Serving to control ---
 
--- /dev/null
+++ b/src/daemon/run_calls.cpp
@@ -0,0 +1,396 @@
+// Trainers' calls: taken here, or passed on to the run's coordinator.
+#include "daemon/run_duty.h"
+#include "daemon/status_api.h"
+#include "log.h"
+#include "object_codec.h"
+
+#include <algorithm>
+
+namespace lovagerail::daemon {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusForbidden = 403;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusBadGateway = 502;
+    constexpr std::string_view trainerPrefix = "/rollout/v1/runs/";
+    constexpr std::string_view forwardPath = "/forward/trainer";
+    constexpr std::chrono::milliseconds forwardTimeout { 35'000 };
+    constexpr std::int64_t longestWaitMs = 30'000;
+
+    void answerJsonTo(const http::exchange_ptr& exchange, int status, const Json::Value& body)
+    {
+        exchange->answer(status, { { "Content-Type", "application/json" } }, toText(body) + "\n");
+    }
+
+    void refuseCall(const http::exchange_ptr& exchange, int status, const std::string& outcome, const std::string& reason, const std::string& message, std::int64_t retryAfterMs = 0)
+    {
+        Json::Value body(Json::objectValue);
+        body["error"]["outcome"] = outcome;
+        body["error"]["reason"] = reason;
+        body["error"]["message"] = message;
+        header_list headers { { "Content-Type", "application/json" } };
+        if (retryAfterMs > 0) {
+            body["error"]["retry_after_ms"] = Json::Int64(retryAfterMs);
+            headers.emplace_back("Retry-After", std::to_string((retryAfterMs + 999) / 1000));
+        }
+        exchange->answer(status, headers, toText(body) + "\n");
+    }
+
+    // The whole number of a query's member.
+    std::optional<std::uint64_t> queryNumber(const std::string& query, const std::string& name)
+    {
+        const auto padded = "&" + query;
+        const auto at = padded.find("&" + name + "=");
+        if (at == std::string::npos)
+            return std::nullopt;
+        const auto begin = at + name.size() + 2;
+        const auto text = padded.substr(begin, padded.find('&', begin) - begin);
+        constexpr std::size_t mostDigits = 18;
+        if (text.empty() || text.size() > mostDigits || text.find_first_not_of("0123456789") != std::string::npos)
+            return std::nullopt;
+        return std::stoull(text);
+    }
+
+} // namespace
+
+void run_duty::onTrainer(const trainer_call_in& in)
+{
+    call_in call;
+    call.exchange = in.answer;
+    call.method = in.request.method;
+    call.query = in.request.query;
+    call.body = in.request.body;
+    const auto& path = in.request.path;
+    if (path.rfind(trainerPrefix, 0) == 0) {
+        const auto rest = path.substr(trainerPrefix.size());
+        const auto slash = rest.find('/');
+        call.run = rest.substr(0, slash);
+        call.verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    }
+    const auto* configured = m_context.inForce->findRun(run_id(call.run));
+    if (configured == nullptr) {
+        refuseCall(call.exchange, statusNotFound, "not_run", "no_run", "no run of this name is configured");
+        return;
+    }
+    if (configured->account != in.request.account) {
+        refuseCall(call.exchange, statusForbidden, "not_run", "account_not_allowed", "the key's account does not own the run");
+        return;
+    }
+    handle(call);
+}
+
+void run_duty::handle(const call_in& call)
+{
+    const auto found = m_runs.find(call.run);
+    if (found == m_runs.end() || !m_leases.holds(dutyOf(call.run))) {
+        passOn(call);
+        return;
+    }
+    const auto item = found->second;
+    if (call.method == "POST" && call.verb == "groups")
+        onGroups(item, call);
+    else if (call.method == "POST" && call.verb == "versions")
+        onVersion(item, call);
+    else if (call.method == "GET" && call.verb == "batches")
+        onBatch(item, call);
+    else if (call.method == "GET" && call.verb.empty())
+        onState(item, call);
+    else
+        refuseCall(call.exchange, statusNotFound, "not_run", "no_call", "expected groups, versions, batches or the run itself");
+}
+
+// All trainers' calls may be repeated, so a lost answer is no harm.
+void run_duty::passOn(const call_in& call)
+{
+    m_leases.findHolder(dutyOf(call.run), [this, call](const result<duty_holder>& holder) {
+        constexpr std::int64_t retryMs = 300;
+        if (!holder) {
+            refuseCall(call.exchange, statusUnavailable, "not_run", "no_coordinator", toString(holder.error()), retryMs);
+            return;
+        }
+        const auto address = m_leases.addressOf(holder->instance);
+        if (!address || holder->instance == m_context.self) {
+            refuseCall(call.exchange, statusUnavailable, "not_run", "no_coordinator", "the run's coordinator is changing", retryMs);
+            return;
+        }
+        Json::Value body(Json::objectValue);
+        body["method"] = call.method;
+        body["run"] = call.run;
+        body["verb"] = call.verb;
+        body["query"] = call.query;
+        body["body"] = call.body;
+        m_peers.pass(*address, std::string(forwardPath), toText(body), forwardTimeout, [exchange = call.exchange](const http::answer& answer) {
+            if (answer.outcome == http::transfer_result::Whole) {
+                exchange->answer(answer.status, { { "Content-Type", "application/json" } }, answer.body);
+                return;
+            }
+            const bool notSent = answer.outcome == http::transfer_result::NotSent;
+            refuseCall(exchange, notSent ? statusUnavailable : statusBadGateway, notSent ? "not_run" : "unknown", "coordinator_lost", "ask again: the call may be repeated", retryMs);
+        });
+    });
+}
+
+void run_duty::onForward(const http::exchange_ptr& exchange)
+{
+    const auto parsed = parseJson(exchange->body, "run.forward");
+    if (!parsed) {
+        refuseCall(exchange, statusBadRequest, "not_run", "bad_request", toString(parsed.error()));
+        return;
+    }
+    call_in call;
+    call.exchange = exchange;
+    call.method = (*parsed)["method"].asString();
+    call.run = (*parsed)["run"].asString();
+    call.verb = (*parsed)["verb"].asString();
+    call.query = (*parsed)["query"].asString();
+    call.body = (*parsed)["body"].asString();
+    if (!m_runs.contains(call.run) || !m_leases.holds(dutyOf(call.run))) {
+        constexpr std::int64_t retryMs = 300;
+        refuseCall(exchange, statusUnavailable, "not_run", "no_coordinator", "this instance does not coordinate the run", retryMs);
+        return;
+    }
+    handle(call);
+}
+
+trainer_call run_duty::hold(const run_ptr& item, const call_in& call)
+{
+    const trainer_call id(++m_lastCall);
+    item->calls[id] = call;
+    return id;
+}
+
+std::optional<run_duty::call_in> run_duty::finishCall(const run_ptr& item, trainer_call call)
+{
+    auto node = item->calls.extract(call);
+    if (!node)
+        return std::nullopt;
+    return std::move(node.mapped());
+}
+
+// Answers "not yet" to those who wanted to wait no longer. What the machine says
+// to such a call later is for nobody; the trainer's next call gets the same batch.
+void run_duty::giveUp(const run_ptr& item)
+{
+    std::vector<trainer_call> late;
+    for (const auto& [id, call] : item->calls) {
+        if (call.verb == "batches" && m_context.now >= call.giveUpAt)
+            late.push_back(id);
+    }
+    for (const auto id : late)
+        act(item, answer_not_yet { id, std::chrono::milliseconds(100), 0 });
+}
+
+void run_duty::onGroups(const run_ptr& item, const call_in& call)
+{
+    // Step 1. Read them whole before anything is stored.
+    const auto body = parseJson(call.body, "run.groups");
+    if (!body || !(*body)["step"].isUInt64() || !(*body)["groups"].isArray()) {
+        refuseCall(call.exchange, statusBadRequest, "not_run", "bad_request", "expected {step, groups: [{group, prompt, max_tokens}]}");
+        return;
+    }
+    const auto* configured = m_context.inForce->findRun(run_id(item->name));
+    const step_number step((*body)["step"].asUInt64());
+    std::vector<std::string> prompts;
+    std::vector<group_record> groups;
+    for (const auto& one : (*body)["groups"]) {
+        if (!one.isObject() || !one["group"].isUInt() || !one["prompt"].isString() || !(one["max_tokens"].isNull() || one["max_tokens"].isUInt())) {
+            refuseCall(call.exchange, statusBadRequest, "not_run", "bad_request", "groups: expected {group, prompt, max_tokens}");
+            return;
+        }
+        group_record group;
+        group.group = group_number(one["group"].asUInt());
+        prompts.push_back(one["prompt"].asString());
+        group.prompt = digestOf(prompts.back());
+        const auto longest = configured == nullptr ? defaultMaxTokens : static_cast<std::uint32_t>(configured->maxTokens);
+        group.maxTokens = one["max_tokens"].isUInt() ? std::min(one["max_tokens"].asUInt(), longest) : longest;
+        groups.push_back(std::move(group));
+    }
+
+    // Step 2. The prompts are held by instances before the ledger names them.
+    m_payloads.put(run_id(item->name), step, prompts, [this, item, call, step, groups](const std::vector<payload_holder>& holders) {
+        if (!ours(item) || holders.empty()) {
+            constexpr std::int64_t retryMs = 500;
+            refuseCall(call.exchange, statusUnavailable, "not_run", "no_holder", "the prompts could not be stored", retryMs);
+            return;
+        }
+        groups_supplied event;
+        event.step = step;
+        event.groups = groups;
+        for (auto& group : event.groups)
+            group.holders = holders;
+        event.call = hold(item, call);
+        feed(item, event);
+    });
+}
+
+void run_duty::onVersion(const run_ptr& item, const call_in& call)
+{
+    const auto body = parseJson(call.body, "run.versions");
+    if (!body || !(*body)["version"].isUInt64()) {
+        refuseCall(call.exchange, statusBadRequest, "not_run", "bad_request", "expected {version}");
+        return;
+    }
+    const auto id = hold(item, call);
+    feed(item, version_published { id, weight_version((*body)["version"].asUInt64()) });
+}
+
+void run_duty::onBatch(const run_ptr& item, call_in call)
+{
+    const auto cursor = queryNumber(call.query, "cursor");
+    if (!cursor) {
+        refuseCall(call.exchange, statusBadRequest, "not_run", "bad_request", "cursor: expected a whole number");
+        return;
+    }
+    const auto wait = std::min<std::int64_t>(static_cast<std::int64_t>(queryNumber(call.query, "wait_ms").value_or(0)), longestWaitMs);
+    call.giveUpAt = m_context.now + std::chrono::milliseconds(wait);
+    const auto id = hold(item, call);
+    feed(item, batch_asked { id, step_number(*cursor) });
+}
+
+void run_duty::onState(const run_ptr& item, const call_in& call) const
+{
+    answerJsonTo(call.exchange, statusOk, stateOf(*item));
+}
+
+Json::Value run_duty::stateOf(const active_run& item) const
+{
+    const auto& head = item.machine.head();
+    const auto& counts = item.machine.counts();
+    Json::Value out(Json::objectValue);
+    out["run"] = item.name;
+    out["coordinator"] = m_context.self.str();
+    out["fencing_number"] = Json::UInt64(item.fencing.value());
+    out["trainer_version"] = Json::UInt64(head.trainerVersion.value());
+    out["acknowledged"] = Json::UInt64(head.acknowledged.value());
+    out["open_steps"] = Json::UInt64(head.steps.size());
+    const auto slots = item.machine.slotsByState(head.acknowledged);
+    constexpr std::array<const char*, slotStates> names { "queued", "dispatched", "generating", "judging", "judged", "sealed", "handed_over" };
+    for (std::size_t i = 0; i < slots.size(); ++i)
+        out[names[i]] = slots[i];
+    out["counts"]["dispatched"] = Json::UInt64(counts.dispatched);
+    out["counts"]["resumed"] = Json::UInt64(counts.resumed);
+    out["counts"]["unusable"] = Json::UInt64(counts.unusable);
+    out["counts"]["expired"] = Json::UInt64(counts.expired);
+    out["counts"]["lost"] = Json::UInt64(counts.lost);
+    out["counts"]["handed_over"] = Json::UInt64(counts.handedOver);
+    out["counts"]["acknowledged"] = Json::UInt64(counts.acknowledged);
+    out["counts"]["wasted_tokens"] = Json::UInt64(counts.wastedTokens);
+    out["counts"]["ledger_calls"] = Json::UInt64(counts.ledgerCalls);
+    return out;
+}
+
+void run_duty::addTo(operator_duty& api)
+{
+    m_peers.server().add("runs", [this](const Json::Value&) -> result<Json::Value> {
+        Json::Value out(Json::arrayValue);
+        for (const auto& [name, item] : m_runs)
+            out.append(stateOf(*item));
+        return out;
+    });
+    api.add("GET", "/v1/runs", operator_scope::Read, [this](const operator_call& call) {
+        m_status.gather("runs", Json::Value(Json::objectValue), [this, exchange = call.exchange](const std::vector<Json::Value>& answers, const std::vector<std::string>& silent) {
+            Json::Value body(Json::objectValue);
+            body["runs"] = Json::Value(Json::arrayValue);
+            for (const auto& [name, item] : m_runs)
+                body["runs"].append(stateOf(*item));
+            for (const auto& answer : answers) {
+                for (const auto& one : answer)
+                    body["runs"].append(one);
+            }
+            for (const auto& name : silent)
+                body["silent"].append(name);
+            answerJson(exchange, statusOk, body);
+        });
+    });
+}
+
+// --- Answers -----------------------------------------------------------------------
+
+// Gathers the payloads; a lost one is made again and the trainer asks again.
+void run_duty::act(const run_ptr& item, const answer_batch& action)
+{
+    struct gathering {
+        std::size_t open = 1;
+        std::vector<std::string> payloads;
+        bool lost = false;
+    };
+    auto call = finishCall(item, action.call);
+    if (!call)
+        return;
+    auto state = std::make_shared<gathering>();
+    state->payloads.resize(action.samples.size());
+    const auto close = [this, item, state, action, call = *call] {
+        if (--state->open > 0)
+            return;
+        if (state->lost) {
+            constexpr std::int64_t retryMs = 200;
+            refuseCall(call.exchange, statusUnavailable, "not_run", "payload_lost", "samples are made again", retryMs);
+            return;
+        }
+        Json::Value body(Json::objectValue);
+        body["cursor"] = Json::UInt64(action.cursor.value());
+        body["generation"] = action.generation;
+        body["version"] = Json::UInt64(action.handedVersion.value());
+        body["samples"] = Json::Value(Json::arrayValue);
+        for (std::size_t i = 0; i < action.samples.size(); ++i) {
+            const auto& record = action.samples[i];
+            auto sample = parseJson(state->payloads[i], "run.payload").value_or(Json::Value(Json::objectValue));
+            sample["step"] = Json::UInt64(action.cursor.value());
+            sample["group"] = record.group.value();
+            sample["index"] = record.sample.value();
+            sample["attempt"] = Json::UInt64(record.attempt.value());
+            sample["digest"] = toHex(record.payload);
+            sample["spans"] = toJson(record.spans);
+            sample["age"] = Json::UInt64(ageOf(record.spans, action.handedVersion));
+            body["samples"].append(std::move(sample));
+            m_status.count(sample_delivered { { m_context.inForce->findRun(run_id(item->name)) == nullptr ? client_account_id() : m_context.inForce->findRun(run_id(item->name))->account, {} }, ageOf(record.spans, action.handedVersion) });
+        }
+        answerJsonTo(call.exchange, statusOk, body);
+    };
+    for (std::size_t i = 0; i < action.samples.size(); ++i) {
+        const auto& record = action.samples[i];
+        ++state->open;
+        m_payloads.get(run_id(item->name), action.cursor, record.payload, record.holders, [this, item, state, close, i, action](const result<std::string>& payload) {
+            const auto& lost = action.samples[i];
+            if (payload) {
+                state->payloads[i] = *payload;
+            } else {
+                state->lost = true;
+                if (payload.error().code == error_code::NotFound)
+                    feed(item, payload_lost { { action.cursor, lost.group, lost.sample }, lost.attempt });
+            }
+            close();
+        });
+    }
+    close();
+}
+
+void run_duty::act(const run_ptr& item, const answer_not_yet& action)
+{
+    const auto call = finishCall(item, action.call);
+    if (!call)
+        return;
+    Json::Value body(Json::objectValue);
+    body["samples"] = Json::Value(Json::arrayValue);
+    body["missing_groups"] = action.missingGroups;
+    body["retry_after_ms"] = Json::Int64(std::chrono::ceil<std::chrono::milliseconds>(action.retryAfter).count());
+    answerJsonTo(call->exchange, statusOk, body);
+}
+
+void run_duty::act(const run_ptr& item, const answer_accepted& action)
+{
+    if (const auto call = finishCall(item, action.call))
+        answerJsonTo(call->exchange, statusOk, Json::Value(Json::objectValue));
+}
+
+void run_duty::act(const run_ptr& item, const answer_refused& action)
+{
+    if (const auto call = finishCall(item, action.call))
+        refuseCall(call->exchange, statusOf(action.reason.code), "not_run", "refused", toString(action.reason));
+}
+
+} // namespace lovagerail::daemon
--- /dev/null
+++ b/src/daemon/run_duty.cpp
@@ -0,0 +1,463 @@
+// Events into the runs' machines and their actions out; trainers' calls are in
+// run_calls.cpp.
+#include "daemon/run_duty.h"
+
+#include "daemon/status_api.h"
+#include "log.h"
+#include "object_codec.h"
+
+#include <algorithm>
+
+namespace lovagerail::daemon {
+
+namespace {
+
+    constexpr duration tickEvery = std::chrono::milliseconds(50);
+    // Generations under way for each live engine, over all runs of this instance.
+    constexpr std::size_t jobsPerEngine = 8;
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+
+} // namespace
+
+run_duty::run_duty(control_context& context, lease_duty& leases, peer_duty& peers, payload_duty& payloads, status_api& status)
+    : m_context(context)
+    , m_leases(leases)
+    , m_peers(peers)
+    , m_payloads(payloads)
+    , m_status(status)
+{
+    constexpr std::size_t prefixLength = 4; // "run-"
+    m_leases.onGained([this](const duty_id& duty, fencing_number fencing) {
+        if (duty.str().rfind("run-", 0) == 0)
+            start(duty.str().substr(prefixLength), fencing);
+    });
+    m_leases.onLost([this](const duty_id& duty, fencing_number) {
+        if (duty.str().rfind("run-", 0) == 0)
+            stop(duty.str().substr(prefixLength));
+    });
+    m_peers.setForward([this](const http::exchange_ptr& exchange) { onForward(exchange); });
+}
+
+std::set<duty_id> run_duty::duties() const
+{
+    std::set<duty_id> out;
+    for (const auto& configured : m_context.inForce->all<run>().sorted())
+        out.insert(dutyOf(configured->meta.name));
+    return out;
+}
+
+run_settings run_duty::settingsOf(const run& configured) const
+{
+    run_settings out;
+    out.run = run_id(configured.meta.name);
+    out.groupSize = configured.groupSize;
+    out.groupsPerStep = configured.groupsPerStep;
+    out.stalenessBound = configured.stalenessBound;
+    // A lost seal costs the samples since the last one: at most a quarter of a step.
+    out.sealBatch = std::clamp<std::uint32_t>(configured.groupSize * configured.groupsPerStep / 4, 1, out.sealBatch);
+    if (const auto* on = m_context.inForce->findRoute(configured.judge))
+        out.judgeRepeatable = isIdempotent(*on, "POST");
+    return out;
+}
+
+void run_duty::start(const std::string& name, fencing_number fencing)
+{
+    const auto* configured = m_context.inForce->findRun(run_id(name));
+    if (configured == nullptr)
+        return;
+    auto item = std::make_shared<active_run>(active_run { name, fencing, run_coordinator(settingsOf(*configured)), {}, {}, {}, {}, {}, {} });
+    m_runs[name] = item;
+    m_share.setWeight(run_id(name), static_cast<std::uint32_t>(configured->weight));
+    feed(item, taken_over { fencing });
+}
+
+// Work under way is cancelled; the ledger has what counts.
+void run_duty::stop(const std::string& name)
+{
+    const auto found = m_runs.find(name);
+    if (found == m_runs.end())
+        return;
+    const auto item = found->second;
+    m_runs.erase(found);
+    m_share.remove(run_id(name));
+    for (auto job = m_jobs.begin(); job != m_jobs.end();) {
+        if (job->second.run != name) {
+            ++job;
+            continue;
+        }
+        m_context.tellServing(cancel_job { job->first });
+        job = m_jobs.erase(job);
+    }
+    for (const auto& [id, call] : item->calls)
+        call.exchange->answer(statusUnavailable, { { "Content-Type", "application/json" }, { "Retry-After", "1" } },
+            R"({"error":{"outcome":"unknown","reason":"coordinator_changed","message":"ask again","retry_after_ms":200}})");
+    item->calls.clear();
+}
+
+bool run_duty::ours(const run_ptr& item) const
+{
+    const auto found = m_runs.find(item->name);
+    return found != m_runs.end() && found->second == item;
+}
+
+void run_duty::feed(const run_ptr& item, const run_event& event)
+{
+    if (!ours(item))
+        return;
+    act(item, item->machine.handle(event, m_context.now));
+}
+
+void run_duty::act(const run_ptr& item, std::vector<run_action> actions)
+{
+    for (const auto& action : actions) {
+        if (!ours(item))
+            return;
+        std::visit([this, &item](const auto& wanted) { act(item, wanted); }, action);
+    }
+}
+
+void run_duty::tick()
+{
+    if (m_context.now < m_nextTick)
+        return;
+    m_nextTick = m_context.now + tickEvery;
+    const auto runs = m_runs;
+    for (const auto& [name, item] : runs) {
+        noteHolders(item);
+        feed(item, lovagerail::tick {});
+        giveUp(item);
+    }
+    dispatch();
+}
+
+// Tells the machine of holders that are gone or came back empty.
+void run_duty::noteHolders(const run_ptr& item)
+{
+    const auto live = m_payloads.liveHolders();
+    const std::set<payload_holder> now(live.begin(), live.end());
+    const auto before = std::exchange(item->holders, now);
+    for (const auto& holder : before) {
+        if (!now.contains(holder) && holder.started != incarnation())
+            feed(item, holder_lost { holder });
+    }
+}
+
+void run_duty::onVersions(const served_versions& versions)
+{
+    m_versions = { versions.versions.begin(), versions.versions.end() };
+    std::optional<weight_version> oldest;
+    for (const auto& [target, version] : m_versions) {
+        if (version != weight_version() && (!oldest || version < *oldest))
+            oldest = version;
+    }
+    if (!oldest)
+        return;
+    const auto runs = m_runs;
+    for (const auto& [name, item] : runs)
+        feed(item, served_version { *oldest });
+}
+
+// --- Generating ----------------------------------------------------------------------
+
+// Starts slots while there is room, shared between runs by weight.
+void run_duty::dispatch()
+{
+    const auto room = std::max<std::size_t>(1, m_versions.size()) * jobsPerEngine;
+    std::size_t underWay = m_jobs.size();
+    for (const auto& [name, item] : m_runs)
+        underWay += item->preparing.size();
+    std::set<run_id> empty;
+    while (underWay < room && !m_context.draining) {
+        std::vector<run_id> backlogged;
+        for (const auto& [name, item] : m_runs) {
+            if (item->machine.hasBacklog() && !empty.contains(run_id(name)))
+                backlogged.emplace_back(name);
+        }
+        const auto next = m_share.pick(backlogged);
+        if (!next)
+            return;
+        const auto item = m_runs.at(next->str());
+        const auto slot = item->machine.takeDispatch(m_context.now);
+        if (!slot) {
+            empty.insert(*next);
+            continue;
+        }
+        m_share.charge(*next, token_count(slot->maxTokens));
+        prepare(item, *slot);
+        ++underWay;
+    }
+}
+
+// Fetches the prompt, then starts the generation.
+void run_duty::prepare(const run_ptr& item, const dispatch_slot& slot)
+{
+    item->preparing.insert(slot.stream);
+    m_payloads.get(run_id(item->name), slot.stream.slot.step, slot.prompt, slot.promptHolders, [this, item, slot](const result<std::string>& prompt) {
+        if (!ours(item) || item->preparing.erase(slot.stream) == 0)
+            return;
+        if (prompt)
+            sendJob(item, slot, *prompt);
+        else
+            feed(item, dispatch_refused { slot.stream });
+    });
+}
+
+void run_duty::sendJob(const run_ptr& item, const dispatch_slot& slot, std::string prompt)
+{
+    const auto* configured = m_context.inForce->findRun(run_id(item->name));
+    if (configured == nullptr)
+        return;
+    auto& text = item->texts[slot.stream.slot];
+    if (slot.resumeFrom == 0 || text.stream.attempt != slot.stream.attempt)
+        text = sample_text {};
+    text.stream = slot.stream;
+    text.prompt = prompt;
+
+    generation_job job;
+    job.job = job_id(++m_lastJob);
+    job.account = configured->account;
+    job.run = run_id(item->name);
+    job.prompt = std::move(prompt);
+    job.madeSoFar = text.text;
+    job.maxTokens = slot.maxTokens > slot.resumeFrom ? slot.maxTokens - slot.resumeFrom : 1;
+    job.priority = slot.priority;
+    m_jobs[job.job] = job_state { item->name, slot.stream, false };
+    item->generating[slot.stream] = job.job;
+    m_context.tellServing(std::move(job));
+}
+
+void run_duty::onJob(const job_news& news)
+{
+    const auto found = m_jobs.find(news.job);
+    if (found == m_jobs.end())
+        return;
+    const auto job = found->second;
+    const auto running = m_runs.find(job.run);
+    if (running == m_runs.end()) {
+        m_jobs.erase(found);
+        return;
+    }
+    const auto item = running->second;
+    if (news.what == job_news::kind::Accepted) {
+        if (!job.judge)
+            feed(item, dispatch_accepted { job.stream });
+        return;
+    }
+    if (news.what == job_news::kind::Piece) {
+        onPiece(item, job, news.piece);
+        return;
+    }
+    m_jobs.erase(found);
+    if (job.judge)
+        onJudged(item, job, news);
+    else
+        onGenerated(item, job, news);
+}
+
+void run_duty::onPiece(const run_ptr& item, const job_state& job, const stream_piece& piece)
+{
+    const auto found = item->texts.find(job.stream.slot);
+    if (found == item->texts.end() || found->second.stream != job.stream)
+        return;
+    auto& text = found->second;
+    text.text += piece.text;
+    if (!piece.finishReason.empty())
+        text.finishReason = piece.finishReason;
+    if (piece.tokens == 0)
+        return;
+    engine_chunk chunk { piece.version, text.tokens, piece.tokens };
+    text.tokens += piece.tokens;
+    feed(item, chunk_received { job.stream, chunk });
+}
+
+void run_duty::onGenerated(const run_ptr& item, const job_state& job, const job_news& news)
+{
+    item->generating.erase(job.stream);
+    const auto text = item->texts.find(job.stream.slot);
+    const bool known = text != item->texts.end() && text->second.stream == job.stream;
+    if (news.what == job_news::kind::Finished && known)
+        feed(item, generation_finished { job.stream, text->second.tokens });
+    else if (news.notRun)
+        feed(item, dispatch_refused { job.stream });
+    else
+        feed(item, generation_failed { job.stream, known && text->second.tokens > 0 });
+}
+
+void run_duty::act(const run_ptr& item, const cancel_stream& action)
+{
+    item->preparing.erase(action.stream);
+    const auto found = item->generating.find(action.stream);
+    if (found == item->generating.end())
+        return;
+    m_context.tellServing(cancel_job { found->second });
+    m_jobs.erase(found->second);
+    item->generating.erase(found);
+}
+
+// --- Judging -------------------------------------------------------------------------
+
+void run_duty::act(const run_ptr& item, const call_judge& action)
+{
+    const auto* configured = m_context.inForce->findRun(run_id(item->name));
+    const auto text = item->texts.find(action.stream.slot);
+    if (configured == nullptr || text == item->texts.end()) {
+        feed(item, judge_failed { action.stream, call_outcome::NotRun });
+        return;
+    }
+    // A run without a judge takes every whole sample.
+    if (configured->judge.empty()) {
+        feed(item, sample_judged { action.stream });
+        return;
+    }
+    const auto* on = m_context.inForce->findRoute(configured->judge);
+    const auto& slot = action.stream.slot;
+    const auto name = item->name + "/" + std::to_string(slot.step.value()) + "/" + std::to_string(slot.group.value()) + "/" + std::to_string(slot.sample.value())
+        + "/" + std::to_string(action.stream.attempt.value());
+    Json::Value body(Json::objectValue);
+    body["prompt"] = text->second.prompt;
+    body["completion"] = text->second.text;
+    body["sample"] = name;
+    service_job job;
+    job.job = job_id(++m_lastJob);
+    job.account = configured->account;
+    job.route = configured->judge;
+    job.path = on == nullptr ? "/judge" : on->pathPrefix;
+    job.body = toText(body);
+    job.idempotencyKey = name;
+    job.deadline = item->machine.settings().judgeTimeout;
+    m_jobs[job.job] = job_state { item->name, action.stream, true };
+    item->judging[action.stream] = job.job;
+    m_context.tellServing(std::move(job));
+}
+
+void run_duty::act(const run_ptr& item, const cancel_judge& action)
+{
+    const auto found = item->judging.find(action.stream);
+    if (found == item->judging.end())
+        return;
+    m_context.tellServing(cancel_job { found->second });
+    m_jobs.erase(found->second);
+    item->judging.erase(found);
+}
+
+void run_duty::onJudged(const run_ptr& item, const job_state& job, const job_news& news)
+{
+    item->judging.erase(job.stream);
+    const auto text = item->texts.find(job.stream.slot);
+    if (news.what == job_news::kind::Finished && news.status == statusOk && text != item->texts.end()) {
+        const auto answer = parseJson(news.text, "judge.answer");
+        if (answer && (*answer)["score"].isNumeric()) {
+            text->second.score = (*answer)["score"].asDouble();
+            text->second.judged = true;
+            feed(item, sample_judged { job.stream });
+            return;
+        }
+        feed(item, judge_failed { job.stream, call_outcome::Ran });
+        return;
+    }
+    if (news.what == job_news::kind::Finished)
+        feed(item, judge_failed { job.stream, call_outcome::Ran });
+    else
+        feed(item, judge_failed { job.stream, news.notRun ? call_outcome::NotRun : call_outcome::Unknown });
+}
+
+// --- Payloads and the ledger -----------------------------------------------------------
+
+void run_duty::act(const run_ptr& item, const store_payload& action)
+{
+    const auto found = item->texts.find(action.stream.slot);
+    if (found == item->texts.end()) {
+        feed(item, payload_refused { action.stream });
+        return;
+    }
+    const auto& text = found->second;
+    Json::Value body(Json::objectValue);
+    body["text"] = text.text;
+    body["finish_reason"] = text.finishReason;
+    if (text.judged)
+        body["score"] = text.score;
+    const auto payload = toText(body);
+    const auto digest = digestOf(payload);
+    m_payloads.put(run_id(item->name), action.stream.slot.step, { payload }, [this, item, stream = action.stream, digest](const std::vector<payload_holder>& holders) {
+        if (holders.empty()) {
+            feed(item, payload_refused { stream });
+            return;
+        }
+        item->texts.erase(stream.slot);
+        feed(item, payload_stored { stream, digest, holders });
+    });
+}
+
+void run_duty::act(const run_ptr& item, const write_ledger& action)
+{
+    kv_transaction write;
+    write.compares.push_back({ action.headKey, kv_field::ModRevision, action.expected, {} });
+    write.then.emplace_back(kv_put { action.headKey, action.head, {} });
+    for (const auto& [key, value] : action.pages)
+        write.then.emplace_back(kv_put { key, value, {} });
+    for (const auto& prefix : action.removedPrefixes)
+        write.then.emplace_back(kv_delete { prefix, prefixEnd(prefix) });
+    m_context.kv.call(write, [this, item, call = action.call](const result<kv_answer>& answer) {
+        if (!answer)
+            feed(item, ledger_unknown { call });
+        else if (answer->succeeded)
+            feed(item, ledger_confirmed { call, answer->at });
+        else
+            feed(item, ledger_conflict { call });
+    });
+}
+
+void run_duty::act(const run_ptr& item, const confirm_ledger& action)
+{
+    kv_transaction confirm;
+    confirm.compares.push_back({ action.headKey, kv_field::ModRevision, action.expected, {} });
+    m_context.kv.call(confirm, [this, item, call = action.call, expected = action.expected](const result<kv_answer>& answer) {
+        if (!answer)
+            feed(item, ledger_unknown { call });
+        else if (answer->succeeded)
+            feed(item, ledger_confirmed { call, expected });
+        else
+            feed(item, ledger_conflict { call });
+    });
+}
+
+void run_duty::act(const run_ptr& item, const read_ledger& action)
+{
+    // A transaction without compares reads both at one revision.
+    kv_transaction read;
+    read.then.emplace_back(kv_range { action.headKey, {}, 0, {}, false });
+    read.then.emplace_back(kv_range { action.pagesPrefix, prefixEnd(action.pagesPrefix), 0, {}, false });
+    m_context.kv.call(read, [this, item, action](const result<kv_answer>& answer) {
+        if (!answer) {
+            feed(item, ledger_unknown { action.call });
+            return;
+        }
+        ledger_content content;
+        content.call = action.call;
+        content.holders = m_payloads.liveHolders();
+        for (const auto& entry : answer->entries) {
+            if (entry.key == action.headKey) {
+                content.headRevision = entry.modRevision;
+                content.head = entry.value;
+            } else {
+                content.pages.emplace_back(entry.key, entry.value);
+            }
+        }
+        feed(item, content);
+    });
+}
+
+void run_duty::act(const run_ptr& item, const drop_payloads& action)
+{
+    m_payloads.dropBelow(run_id(item->name), action.below);
+    std::erase_if(item->texts, [&action](const auto& entry) { return entry.first.step < action.below; });
+}
+
+void run_duty::act(const run_ptr& item, const resign&)
+{
+    logEvent(log_level::Warning, "run", "resign", { { "run", item->name } });
+    stop(item->name);
+}
+
+} // namespace lovagerail::daemon
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -145,6 +145,8 @@
             m_serving.targets().applyList(targets->rows, now);
         else if (auto* job = std::get_if<generation_job>(&message))
             act(m_serving.arrive(std::move(*job), now, wall));
+        else if (auto* call = std::get_if<service_job>(&message))
+            act(m_serving.arrive(std::move(*call), now, wall));
         else if (const auto* cancel = std::get_if<cancel_job>(&message))
             act(m_serving.cancel(cancel->job, now));
         else if (const auto* mode = std::get_if<serving_mode>(&message)) {
--- a/src/daemon/status_api.h
+++ b/src/daemon/status_api.h
@@ -25,23 +25,24 @@
 
     // Books.
     void count(const request_served& event) { m_burn.count(event, m_context.now); }
+    void count(const sample_delivered& event) { m_burn.count(event, m_context.now); }
     void record(journal_entry entry) { m_journal.record(std::move(entry)); }
     void setServing(const serving_state& state) { m_serving = state; }
     burn_tracker& burn() { return m_burn; }
     decision_journal& journal() { return m_journal; }
     const serving_state& servingState() const { return m_serving; }
 
-private:
     using merged_function = std::function<void(const std::vector<Json::Value>&, const std::vector<std::string>& silent)>;
+    // Asks all other instances; answers of those that are silent are left out and named.
+    void gather(const std::string& method, const Json::Value& parameters, merged_function onAll);
 
+private:
     void status(const operator_call& call);
     void targets(const operator_call& call);
     void burnReport(const operator_call& call);
     void explain(const operator_call& call);
     void metrics(const operator_call& call);
     Json::Value ownStatus() const;
-    // Asks all other instances; answers of those that are silent are left out and named.
-    void gather(const std::string& method, const Json::Value& parameters, merged_function onAll);
     void addMethods();
 
     control_context& m_context;
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -299,7 +299,7 @@
     return const_cast<ledger_head*>(this)->find(step);
 }
 
-std::string encodeHead(const ledger_head& head)
+std::string encodeLedgerHead(const ledger_head& head)
 {
     Json::Value json;
     json["fencing_number"] = Json::UInt64(head.fencing.value());
@@ -313,7 +313,7 @@
     return Json::writeString(builder, json);
 }
 
-result<ledger_head> decodeHead(std::string_view bytes)
+result<ledger_head> decodeLedgerHead(std::string_view bytes)
 {
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     Json::Value json;
@@ -424,7 +424,7 @@
     return fixed + spans * (varintBytesMax + smallVarintBytesMax);
 }
 
-std::string headKey(std::string_view prefix, const run_id& run)
+std::string ledgerHeadKey(std::string_view prefix, const run_id& run)
 {
     return runPrefix(prefix, run) + "head";
 }
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -115,8 +115,8 @@
     friend bool operator==(const ledger_head&, const ledger_head&) = default;
 };
 
-std::string encodeHead(const ledger_head& head);
-result<ledger_head> decodeHead(std::string_view bytes);
+std::string encodeLedgerHead(const ledger_head& head);
+result<ledger_head> decodeLedgerHead(std::string_view bytes);
 
 // Compact: holders once per page, numbers as varints, checksum at the end.
 std::string encodePage(const ledger_page& page);
@@ -126,7 +126,7 @@
 std::size_t bytesPerSlotBound(std::size_t spans);
 
 // Keys: "<prefix>runs/<run>/head" and "<prefix>runs/<run>/pages/<step>/<number>".
-std::string headKey(std::string_view prefix, const run_id& run);
+std::string ledgerHeadKey(std::string_view prefix, const run_id& run);
 std::string pagesPrefix(std::string_view prefix, const run_id& run);
 std::string stepPagesPrefix(std::string_view prefix, const run_id& run, step_number step);
 std::string pageKey(std::string_view prefix, const run_id& run, step_number step, std::size_t number);
--- a/src/run_ledger.cpp
+++ b/src/run_ledger.cpp
@@ -45,7 +45,7 @@
     planHandOver(next, call);
 
     // Step 3. Write it, or confirm the present one for a request that came since.
-    const std::string key = headKey(m_settings.keyPrefix, m_settings.run);
+    const std::string key = ledgerHeadKey(m_settings.keyPrefix, m_settings.run);
     if (next != m_head) {
         service_call begun = beginCall(call_kind::Write);
         begun.planned = next;
@@ -54,7 +54,7 @@
         write.call = begun.id;
         write.expected = m_headRevision;
         write.headKey = key;
-        write.head = encodeHead(next);
+        write.head = encodeLedgerHead(next);
         m_call = std::move(begun);
         m_actions.emplace_back(std::move(write));
         return;
@@ -78,7 +78,7 @@
 void run_coordinator::sendRead()
 {
     m_call = beginCall(call_kind::Read);
-    m_actions.emplace_back(read_ledger { m_call->id, headKey(m_settings.keyPrefix, m_settings.run), pagesPrefix(m_settings.keyPrefix, m_settings.run) });
+    m_actions.emplace_back(read_ledger { m_call->id, ledgerHeadKey(m_settings.keyPrefix, m_settings.run), pagesPrefix(m_settings.keyPrefix, m_settings.run) });
 }
 
 void run_coordinator::planAcknowledge(ledger_head& next, write_ledger& write) const
@@ -282,7 +282,7 @@
     // Step 1. The head; a later coordinator's number ends our lead.
     ledger_head head;
     if (!event.head.empty()) {
-        const result<ledger_head> decoded = decodeHead(event.head);
+        const result<ledger_head> decoded = decodeLedgerHead(event.head);
         if (!decoded)
             return callFailed(now, true);
         head = *decoded;
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -302,6 +302,39 @@
     return take();
 }
 
+std::vector<serving_action> serving::arrive(service_job job, instant now, wall_time wall)
+{
+    const route* on = m_config->findRoute(job.route);
+    if (on == nullptr || on->kind != pool_kind::Service) {
+        job_news news;
+        news.job = job.job;
+        news.notRun = true;
+        news.reason = "no such route to a plain service";
+        m_actions.push_back(std::move(news));
+        return take();
+    }
+    open_request open;
+    open.arrived = now;
+    open.job = job.job;
+    open.account = job.account;
+    open.route = job.route;
+    open.routeName = on->meta.name;
+    open.method = std::move(job.method);
+    open.target = std::move(job.path);
+    open.kind = pool_kind::Service;
+    open.idempotent = isIdempotent(*on, open.method);
+    open.priority = on->priority;
+    open.headers = { { "Content-Type", "application/json" }, { "Idempotency-Key", job.idempotencyKey } };
+    open.body = std::move(job.body);
+    open.deadline = now + std::min<duration>(job.deadline, std::chrono::milliseconds(on->deadlineMs));
+    work item;
+    item.account = m_config->findAccount(job.account);
+    item.on = on;
+    classify(open, item);
+    enter(std::move(open), now, wall);
+    return take();
+}
+
 void serving::enter(open_request request, instant now, wall_time wall)
 {
     request.number = ++m_lastRequest;
--- a/src/serving.h
+++ b/src/serving.h
@@ -60,6 +60,18 @@
     duration deadline {}; // from now; 0 = the longest request time
 };
 
+// A call of our own to a plain service, such as a judge.
+struct service_job {
+    job_id job;
+    client_account_id account;
+    route_id route;
+    std::string method = "POST";
+    std::string path;
+    std::string body;
+    std::string idempotencyKey;
+    duration deadline {}; // from now
+};
+
 // What the transfer of an attempt came to, in the words of http::transfer_result.
 enum class transfer_end {
     Whole,
@@ -123,7 +135,8 @@
     job_id job;
     kind what = kind::Failed;
     stream_piece piece;
-    std::string text; // Finished: all text made under this job
+    std::string text; // Finished: all text made under this job, or the service's answer
+    int status = 0; // Finished: of the service's answer
     bool notRun = false;
     std::string reason;
 };
@@ -177,6 +190,7 @@
 
     // Jobs.
     std::vector<serving_action> arrive(generation_job job, instant now, wall_time wall);
+    std::vector<serving_action> arrive(service_job job, instant now, wall_time wall);
     std::vector<serving_action> cancel(job_id job, instant now);
 
     // Attempts.
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -305,7 +305,8 @@
         job_news news;
         news.job = *request.job;
         news.what = job_news::kind::Finished;
-        news.text = request.made->text();
+        news.text = request.made ? request.made->text() : attempt.bytes;
+        news.status = attempt.status;
         m_actions.push_back(std::move(news));
     } else if (!request.made) {
         header_list headers { { "X-Request-Id", request.id.str() } };
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -41,6 +41,22 @@
 failure_domains = ["caerdydd", "abertawe", "wrecsam"]
 ceiling = 3
 
+[[target_pool]]
+name = "judges"
+kind = "service"
+labels = { work = "judging" }
+failure_domains = ["caerdydd"]
+
+[[route]]
+name = "judge"
+path_prefix = "/judge"
+kind = "service"
+methods = ["POST"]
+targets = "work=judging"
+accounts = "tier=training"
+idempotent = true
+deadline_ms = 5000
+
 [[route]]
 name = "completions"
 path_prefix = "/v1/completions"
@@ -84,6 +100,7 @@
 groups_per_step = 4
 staleness_bound = 2
 targets = "work=models"
+judge = "judge"
 max_tokens = 64
 """
 
@@ -101,6 +118,8 @@
         self.ports = {name: free_ports(3) for name in self.names}
         slots = [self._slot(t, "model-pool", i) for i, t in enumerate(self.engines)]
         slots += [self._slot(t, "trade-app", i) for i, t in enumerate(self.services)]
+        slots.append({"id": "judge-0", "address": self.judge.address, "pool": "judges", "kind": "firm", "failure_domain": DOMAINS[0],
+                      "started": True, "price_micro_per_hour": 1_000_000})
         instances = [{"id": name, "address": f"127.0.0.1:{self.ports[name] + 2}", "failure_domain": DOMAINS[i % 3], "state": "live"}
                      for i, name in enumerate(self.names)]
         self.platform = kit.standin("platform", setup={"slots": slots, "instances": instances}, **{"lag_ms": 100, **(platform_flags or {})})
--- a/tests/rollout_world.cpp
+++ b/tests/rollout_world.cpp
@@ -315,7 +315,7 @@
         return false;
     for (const auto& [key, value] : write.pages)
         require(m_values.emplace(key, value).second, "a page was written over");
-    const ledger_head after = decodeHead(write.head).value();
+    const ledger_head after = decodeLedgerHead(write.head).value();
     const ledger_head before = std::exchange(m_head, after);
     checkHead(before, after, fencing_number(who + 1));
     for (const std::string& prefix : write.removedPrefixes)
--- a/tests/test_attribution.cpp
+++ b/tests/test_attribution.cpp
@@ -75,11 +75,12 @@
         std::istringstream(text) >> json;
         return spansFromJson(json).has_value();
     };
-    BOOST_TEST(decode("[[1,0,3],[2,4,4]]"));
-    BOOST_TEST(!decode("[[1,0,3],[2,5,5]]"));
-    BOOST_TEST(!decode("[[1,0,3],[1,4,5]]"));
-    BOOST_TEST(!decode("[[1,2,1]]"));
-    BOOST_TEST(!decode("[[1,0]]"));
+    BOOST_TEST(decode(R"([{"version":1,"first":0,"last":3},{"version":2,"first":4,"last":4}])"));
+    BOOST_TEST(!decode(R"([{"version":1,"first":0,"last":3},{"version":2,"first":5,"last":5}])"));
+    BOOST_TEST(!decode(R"([{"version":1,"first":0,"last":3},{"version":1,"first":4,"last":5}])"));
+    BOOST_TEST(!decode(R"([{"version":1,"first":2,"last":1}])"));
+    BOOST_TEST(!decode(R"([{"version":1,"first":0}])"));
+    BOOST_TEST(!decode("[[1,0,3]]"));
     BOOST_TEST(!decode("{}"));
 }
 
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -80,11 +80,11 @@
             const bool handed = *rc::gen::arbitrary<bool>();
             head.steps.push_back({ step_number(i), handed ? step_phase::HandedOver : step_phase::Open, i, handed, weight_version(i), { digestOf("a"), digestOf("b") } });
         }
-        RC_ASSERT(decodeHead(encodeHead(head)).value() == head);
+        RC_ASSERT(decodeLedgerHead(encodeLedgerHead(head)).value() == head);
     });
-    BOOST_TEST(!decodeHead("").has_value());
-    BOOST_TEST(!decodeHead("[]").has_value());
-    BOOST_TEST(!decodeHead("{\"acknowledged\":1}").has_value());
+    BOOST_TEST(!decodeLedgerHead("").has_value());
+    BOOST_TEST(!decodeLedgerHead("[]").has_value());
+    BOOST_TEST(!decodeLedgerHead("{\"acknowledged\":1}").has_value());
 }
 
 // A whole step of 8,192 samples in one page, three versions in each sample.
