--- a/src/config.cpp
+++ b/src/config.cpp
@@ -70,28 +70,6 @@
         return failure(error_code::Corrupt, decodeStep, std::move(detail));
     }
 
-    result<void> decodePut(const Json::Value& entry, config_change& to)
-    {
-        if (!entry.isObject() || !entry["kind"].isString())
-            return corrupt("puts: expected envelopes");
-        const std::string kind = entry["kind"].asString();
-        if (parseObjectKind(kind)) {
-            auto object = objectFromEnvelope(entry);
-            if (!object)
-                return tl::unexpected(std::move(object.error()));
-            to.puts.push_back(std::move(*object));
-            return {};
-        }
-        const auto& object = entry["object"];
-        if (!object.isObject() || !object["name"].isString())
-            return corrupt("puts: expected a name");
-        const auto at = entry.get("at", Json::UInt64(0));
-        if (!at.isUInt64())
-            return corrupt("puts: expected a revision");
-        to.foreignPuts.push_back({ kind + "/" + object["name"].asString(), toText(entry), revision(at.asUInt64()) });
-        return {};
-    }
-
     result<void> decodeDelete(const Json::Value& entry, config_change& to)
     {
         if (!entry.isString())
@@ -138,7 +116,7 @@
 {
     std::optional<config_object> found;
     const auto look = [&]<typename Object>(const object_shelf<Object>& shelf) {
-        if (kindOf(config_object(std::in_place_type<Object>)) != ref.kind)
+        if (kindFor<Object>() != ref.kind)
             return;
         if (const Object* object = shelf.find(ref.name))
             found = *object;
@@ -151,11 +129,7 @@
 {
     std::vector<config_object> all;
     all.reserve(size());
-    const auto add = [&](const auto& shelf) {
-        for (const auto& object : shelf.sorted())
-            all.emplace_back(*object);
-    };
-    std::apply([&](const auto&... shelf) { (add(shelf), ...); }, m_shelves);
+    forEach([&](const auto& object) { all.emplace_back(object); });
     return all;
 }
 
@@ -177,7 +151,7 @@
 
     // Step 2. Deletions and puts; what has no stamp yet gets this revision.
     const auto erase = [&]<typename Object>(object_shelf<Object>& shelf, const object_ref& ref) {
-        if (kindOf(config_object(std::in_place_type<Object>)) == ref.kind)
+        if (kindFor<Object>() == ref.kind)
             shelf.erase(ref.name);
     };
     for (const auto& ref : change.deletes)
@@ -285,6 +259,37 @@
     return both;
 }
 
+result<void> addEnvelope(const Json::Value& entry, config_change& to)
+{
+    if (!entry.isObject() || !entry["kind"].isString())
+        return corrupt("puts: expected envelopes");
+    const std::string kind = entry["kind"].asString();
+    if (parseObjectKind(kind)) {
+        auto object = objectFromEnvelope(entry);
+        if (!object)
+            return tl::unexpected(std::move(object.error()));
+        to.puts.push_back(std::move(*object));
+        return {};
+    }
+    const auto& object = entry["object"];
+    if (!object.isObject() || !object["name"].isString())
+        return corrupt("puts: expected a name");
+    const auto at = entry.get("at", Json::UInt64(0));
+    if (!at.isUInt64())
+        return corrupt("puts: expected a revision");
+    to.foreignPuts.push_back({ kind + "/" + object["name"].asString(), toText(entry), revision(at.asUInt64()) });
+    return {};
+}
+
+Json::Value toEnvelope(const foreign_object& object)
+{
+    auto envelope = parseJson(object.envelope, decodeStep);
+    if (!envelope || !envelope->isObject())
+        return Json::Value();
+    (*envelope)["at"] = Json::UInt64(object.at.value());
+    return std::move(*envelope);
+}
+
 Json::Value toJson(const config_change& change)
 {
     Json::Value value(Json::objectValue);
@@ -294,13 +299,8 @@
     value["deletes"] = Json::Value(Json::arrayValue);
     for (const auto& object : change.puts)
         value["puts"].append(toEnvelope(object));
-    for (const auto& object : change.foreignPuts) {
-        auto envelope = parseJson(object.envelope, decodeStep);
-        if (!envelope)
-            continue;
-        (*envelope)["at"] = Json::UInt64(object.at.value());
-        value["puts"].append(std::move(*envelope));
-    }
+    for (const auto& object : change.foreignPuts)
+        value["puts"].append(toEnvelope(object));
     for (const auto& ref : change.deletes)
         value["deletes"].append(toString(ref));
     for (const auto& path : change.foreignDeletes)
@@ -316,7 +316,7 @@
     change.from = revision(value["from"].asUInt64());
     change.to = revision(value["to"].asUInt64());
     for (const auto& entry : value["puts"]) {
-        if (auto decoded = decodePut(entry, change); !decoded)
+        if (auto decoded = addEnvelope(entry, change); !decoded)
             return tl::unexpected(std::move(decoded.error()));
     }
     for (const auto& entry : value["deletes"]) {
--- a/src/config.h
+++ b/src/config.h
@@ -44,6 +44,9 @@
 };
 
 Json::Value toJson(const config_change& change);
+// One object of either sort in its envelope with its stamp; the second adds it to a change's puts.
+Json::Value toEnvelope(const foreign_object& object);
+result<void> addEnvelope(const Json::Value& envelope, config_change& to);
 result<config_change> changeFromJson(const Json::Value& value);
 // One change in place of two: `second` must start at or before where `first` ends.
 config_change compose(const config_change& first, const config_change& second);
@@ -72,7 +75,17 @@
     const route* findRoute(std::string_view method, std::string_view path) const;
 
     std::optional<config_object> find(const object_ref& ref) const;
-    // All objects, by kind and name.
+    // Calls visit(const Object&) for all objects, by kind and name, without copies.
+    template <typename Visit>
+    void forEach(Visit&& visit) const
+    {
+        const auto walk = [&](const auto& shelf) {
+            for (const auto& object : shelf.sorted())
+                visit(*object);
+        };
+        std::apply([&](const auto&... shelf) { (walk(shelf), ...); }, m_shelves);
+    }
+    // Copies of all objects, by kind and name.
     std::vector<config_object> objects() const;
     // The snapshot as a change that any instance can start from.
     config_change full() const;
--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -82,11 +82,11 @@
 
         std::vector<config_fault> checkAll()
         {
-            for (const auto& object : m_config.objects()) {
-                m_ref = refOf(object);
-                checkMeta(metaOf(object));
-                std::visit([this](const auto& held) { check(held); }, object);
-            }
+            m_config.forEach([this]<typename Object>(const Object& object) {
+                m_ref = { kindFor<Object>(), object.meta.name };
+                checkMeta(object.meta);
+                check(object);
+            });
             std::stable_sort(m_faults.begin(), m_faults.end(), [](const config_fault& a, const config_fault& b) {
                 return std::tie(a.severity, a.object) < std::tie(b.severity, b.object);
             });
--- a/src/object_codec.cpp
+++ b/src/object_codec.cpp
@@ -351,25 +351,27 @@
 
 std::string toText(const Json::Value& value)
 {
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder made;
-        made["indentation"] = "";
-        made["emitUTF8"] = true;
-        return made;
+    // Making a writer costs more than a small object's text; one a thread is kept.
+    thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        builder["emitUTF8"] = true;
+        return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
     }();
-    return Json::writeString(builder, value);
+    std::ostringstream text;
+    writer->write(value, &text);
+    return std::move(text).str();
 }
 
 result<Json::Value> parseJson(std::string_view text, std::string_view atStep)
 {
-    static const Json::CharReaderBuilder builder = [] {
-        Json::CharReaderBuilder made;
-        Json::CharReaderBuilder::strictMode(&made.settings_);
-        made["strictRoot"] = false;
-        made["stackLimit"] = nestingLimit;
-        return made;
+    thread_local const std::unique_ptr<Json::CharReader> reader = [] {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["strictRoot"] = false;
+        builder["stackLimit"] = nestingLimit;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
     }();
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value value;
     std::string faults;
     try {
--- a/src/objects.h
+++ b/src/objects.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -151,6 +152,16 @@
 };
 constexpr std::size_t objectKindCount = std::variant_size_v<config_object>;
 
+// The kind of a type, e.g. kindFor<route>().
+template <typename Object, std::size_t Index = 0>
+constexpr object_kind kindFor()
+{
+    if constexpr (std::is_same_v<Object, std::variant_alternative_t<Index, config_object>>)
+        return static_cast<object_kind>(Index);
+    else
+        return kindFor<Object, Index + 1>();
+}
+
 struct object_ref {
     object_kind kind = object_kind::ClientAccount;
     std::string name;
--- a/src/snapshot.cpp
+++ b/src/snapshot.cpp
@@ -58,6 +58,44 @@
         return failure(error_code::Corrupt, step, peer_kind::File, {}, std::move(detail));
     }
 
+    // Takes the next line off the text, without its line feed.
+    std::string_view takeLine(std::string_view& text)
+    {
+        const auto end = text.find('\n');
+        const auto line = text.substr(0, end);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        return line;
+    }
+
+    result<snapshot> decodeBody(std::string_view body, revision at)
+    {
+        // Step 1. What the first line says of the rest.
+        const auto first = parseJson(takeLine(body), step);
+        if (!first)
+            return tl::unexpected(first.error());
+        const Json::Value& head = *first;
+        if (!head.isObject() || !head["to"].isUInt64() || !head["objects"].isUInt64())
+            return corrupt("expected to, objects and denied");
+        auto denied = denyMarksFromJson(head["denied"]);
+        if (!denied)
+            return tl::unexpected(std::move(denied.error()));
+
+        // Step 2. One object a line.
+        snapshot local { {}, std::move(*denied) };
+        local.configuration.to = revision(head["to"].asUInt64());
+        while (!body.empty()) {
+            const auto envelope = parseJson(takeLine(body), step);
+            if (!envelope)
+                return tl::unexpected(envelope.error());
+            if (auto added = addEnvelope(*envelope, local.configuration); !added)
+                return tl::unexpected(std::move(added.error()));
+        }
+        const auto count = local.configuration.puts.size() + local.configuration.foreignPuts.size();
+        if (count != head["objects"].asUInt64() || local.configuration.to != at)
+            return corrupt("header and body don't agree");
+        return local;
+    }
+
     tl::unexpected<error> fileFailure(const std::string& path, const char* what)
     {
         const int reason = errno;
@@ -114,10 +152,15 @@
 
 std::string encodeSnapshot(const snapshot& local)
 {
-    Json::Value value(Json::objectValue);
-    value["configuration"] = toJson(local.configuration);
-    value["denied"] = toJson(std::span(local.denied));
-    const std::string body = toText(value);
+    Json::Value first(Json::objectValue);
+    first["to"] = Json::UInt64(local.configuration.to.value());
+    first["objects"] = Json::UInt64(local.configuration.puts.size() + local.configuration.foreignPuts.size());
+    first["denied"] = toJson(std::span(local.denied));
+    std::string body = toText(first) + "\n";
+    for (const auto& object : local.configuration.puts)
+        body += toText(toEnvelope(object)) + "\n";
+    for (const auto& object : local.configuration.foreignPuts)
+        body += toText(toEnvelope(object)) + "\n";
 
     std::string bytes(magic);
     appendNumber(bytes, formatVersion);
@@ -141,21 +184,7 @@
     if (checksum(bytes.substr(0, checkedHeaderBytes), body) != bytes.substr(checkedHeaderBytes, digestBytes))
         return corrupt("the checksum is wrong");
 
-    // Step 2. The body.
-    const auto value = parseJson(body, step);
-    if (!value)
-        return tl::unexpected(value.error());
-    if (!value->isObject())
-        return corrupt("expected a table");
-    auto configuration = changeFromJson((*value)["configuration"]);
-    if (!configuration)
-        return tl::unexpected(std::move(configuration.error()));
-    auto denied = denyMarksFromJson((*value)["denied"]);
-    if (!denied)
-        return tl::unexpected(std::move(denied.error()));
-    if (!configuration->isFull() || configuration->to.value() != numberAt(bytes, 2 * numberBytes))
-        return corrupt("header and body don't agree");
-    return snapshot { std::move(*configuration), std::move(*denied) };
+    return decodeBody(body, revision(numberAt(bytes, 2 * numberBytes)));
 }
 
 result<void> writeFileAtomically(const std::string& path, std::string_view bytes)
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -2,8 +2,12 @@
 // an instance with a small disk starts while the key-value service is away.
 //
 // Layout: 64 bytes of header (magic, format version, revision, body length,
-// SHA-256 over the rest of the header and the body), then a JSON body. Any
-// byte that is flipped, cut off or added makes the file fail as a whole.
+// SHA-256 over the rest of the header and the body), then the body: a line of
+// JSON {to, objects, denied}, and a line for each object's envelope, so that
+// no more than one object is held as a JSON tree at a time. Any byte that is
+// flipped, cut off or added makes the file fail as a whole.
+//
+// Encoding costs O(objects); write at most every few seconds, not at each change.
 #pragma once
 
 #include "keys.h"
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -40,7 +40,10 @@
         const auto deleted = refOf(anySmallObject());
         if (state->find(deleted) && deleted != refOf(change.puts.front()))
             change.deletes = { deleted };
-        change.foreignPuts = { { "judge_panel/p" + std::to_string(at % 2), R"({"kind":"judge_panel","object":{"name":"p)" + std::to_string(at % 2) + "\"}}", change.to } };
+        const std::string foreignName = "p" + std::to_string(at % 2);
+        change.foreignPuts = { { "judge_panel/" + foreignName, R"({"kind":"judge_panel","object":{"name":")" + foreignName + R"("}})", change.to } };
+        if (at % 3 == 0)
+            change.foreignDeletes = { "judge_panel/p" + std::to_string((at + 1) % 2) };
         state = successor(*state, change);
         made.changes.push_back(change);
         made.states.push_back(state);
@@ -62,7 +65,7 @@
     for (auto i = first + 1; i <= last; ++i)
         change = compose(change, past.changes[i]);
     if (pick(0, 10) == 0)
-        change = past.states[last]->full();
+        change = pick(0, 2) == 0 ? past.states[last]->full() : compose(change, past.states[last]->full());
     const auto decoded = changeFromJson(*parseJson(toText(toJson(change)), "test"));
     RC_ASSERT(decoded.has_value());
     return *decoded;
--- a/tests/test_snapshot.cpp
+++ b/tests/test_snapshot.cpp
@@ -14,7 +14,9 @@
 
 snapshot sampleSnapshot()
 {
-    return { configOf(9, sampleObjects())->full(), { { key_id("00ff"), revision(8) }, { key_id("01ff"), revision(9) } } };
+    auto full = configOf(9, sampleObjects())->full();
+    full.foreignPuts = { { "judge_panel/p", R"({"kind":"judge_panel","object":{"name":"p","lines":"a\nb"}})", revision(4) } };
+    return { full, { { key_id("00ff"), revision(8) }, { key_id("01ff"), revision(9) } } };
 }
 
 } // namespace
