--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -65,7 +65,7 @@
     for (auto i = first + 1; i <= last; ++i)
         change = compose(change, past.changes[i]);
     if (pick(0, 10) == 0)
-        change = pick(0, 2) == 0 ? past.states[last]->full() : compose(change, past.states[last]->full());
+        change = pick(0, 2) == 0 ? past.states[last]->full() : compose(change, past.states.back()->full());
     const auto decoded = changeFromJson(*parseJson(toText(toJson(change)), "test"));
     RC_ASSERT(decoded.has_value());
     return *decoded;
--- a/tests/test_config_edit.cpp
+++ b/tests/test_config_edit.cpp
@@ -335,7 +335,7 @@
     auto values = service.read();
     for (auto& value : values) {
         if (value.key.starts_with(objectPrefix))
-            value.modRevision = revision(9);
+            value.modRevision = revision(2);
     }
     BOOST_TEST((changeFromRange(values).error().code == error_code::Corrupt));
     auto events = service.events().front();
