--- a/tests/test_usage.cpp
+++ b/tests/test_usage.cpp
@@ -184,6 +184,28 @@
     BOOST_CHECK(!countersFromValue("{"));
 }
 
+BOOST_AUTO_TEST_CASE(copiesWithoutTheirStartAreNotGivenOut)
+{
+    usage_settings settings;
+    settings.copyRetention = 2;
+    usage_counter counter(self, settings);
+    usage_copies holder(settings);
+    wall_time now = start;
+    copy_push push { self, segment_number(), {} };
+    for (unsigned i = 0; i < 5; ++i) {
+        counter.count(attempt(i, i, usage_heading::Ended, 1), now);
+        for (const usage_batch& segment : counter.cut(now))
+            push.segments.push_back(segment);
+        now += settings.windowLength;
+    }
+    holder.add(push, now);
+    const window_number window = windowOf(now, settings);
+    BOOST_CHECK_EQUAL(holder.batches(self, segment_number(), window).size(), 5U);
+    holder.expire(now);
+    BOOST_CHECK(holder.batches(self, segment_number(), window).empty());
+    BOOST_CHECK(!holder.batches(self, segment_number(4), window).empty());
+}
+
 BOOST_AUTO_TEST_CASE(copiesGoToOtherFailureDomainsFirst)
 {
     const copy_candidate own { instance_id("i0"), failure_domain_id("a") };
--- a/tests/test_usage_window.cpp
+++ b/tests/test_usage_window.cpp
@@ -138,7 +138,7 @@
 BOOST_AUTO_TEST_CASE(oneDeathLosesAtMostTwoFlushIntervals)
 {
     test::checkProperty("loss bound", [](std::uint64_t seed) {
-        const test::fault_rates calm { 0, 0, 0, 0, 0, 0 };
+        const test::fault_rates calm { 0, 0, 0, 0, 0, 0, 1 };
         usage_world world(seed, calm);
         for (unsigned i = 0; i < 30 + seed % 40; ++i)
             world.advance();
@@ -157,6 +157,46 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(aWriteThatLandsAfterRemovalSealsNothing)
+{
+    // Three windows of twenty seconds are kept; writes land up to 200 s late.
+    for (std::uint64_t seed = 0; seed < 8; ++seed) {
+        usage_world world(seed, { .lateCommit = 30, .death = 0, .longestDelay = 200 });
+        for (int i = 0; i < 400; ++i)
+            world.advance();
+        BOOST_CHECK_EQUAL(world.violation(), "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aChainWithAGapIsNotSealed)
+{
+    const wall_time start { std::chrono::hours(1000) };
+    const instance_id instance("i");
+    const usage_origin origin { instance, incarnation(1) };
+    usage_closer closer(fencing_number(1), {});
+    std::optional<sealed_window> sealed;
+    const auto drive = [&](wall_time now) {
+        for (auto actions = closer.tick(now, { instance }); !actions.empty() && !sealed; actions = closer.tick(now, { instance })) {
+            for (const closer_action& action : actions) {
+                if (const auto* read = std::get_if<read_prefix>(&action))
+                    closer.onRead(read->prefix, std::vector<kv_entry> {});
+                if (const auto* pull = std::get_if<pull_usage>(&action)) {
+                    usage_batch batch { origin, segment_number(5), segment_number(8), pull->window, {} };
+                    batch.figures.accounts[{ client_account_id("a"), {}, {}, {}, {} }].requests = 1;
+                    closer.onPull(*pull, pull_answer { origin, pull->window, { batch }, {}, {} });
+                }
+                if (const auto* commit = std::get_if<commit_entries>(&action))
+                    sealed = *decodeSealed(commit->puts.back().value);
+            }
+        }
+    };
+    drive(start);
+    drive(start + std::chrono::minutes(6));
+    BOOST_REQUIRE(sealed);
+    BOOST_CHECK(sealed->accounts.empty());
+    BOOST_CHECK(sealed->included.empty()); // so segments 0 to 4 may still come
+}
+
 BOOST_AUTO_TEST_CASE(lateUsageIsNamed)
 {
     std::size_t late = 0;
--- a/tests/usage_world.h
+++ b/tests/usage_world.h
@@ -15,10 +15,11 @@
 struct fault_rates { // in per cent
     unsigned lostAnswer = 15;
     unsigned refused = 10;
-    unsigned lateCommit = 10; // lands up to 70 s after its answer was lost
+    unsigned lateCommit = 10; // lands after its answer was lost
     unsigned death = 2;
     unsigned cutOff = 3;
     unsigned takeOver = 4;
+    unsigned longestDelay = 70; // seconds until a late commit lands
 };
 
 class usage_world {
@@ -243,7 +244,7 @@
             return;
         }
         if (chance(m_faults.lateCommit)) {
-            m_queue.emplace(m_now + step * static_cast<int>(1 + m_random() % 70), [this, commit] { apply(commit); });
+            m_queue.emplace(m_now + step * static_cast<int>(1 + m_random() % m_faults.longestDelay), [this, commit] { apply(commit); });
             later([closer, commit] { closer->onCommit(commit, commit_outcome::Unknown); });
             return;
         }
