Usage: a closer that comes late still asks before it seals

Cause: the grace time ran from the window's end alone, so a closer that took over after it sealed overdue windows without the figures; all of them became late. Change: the grace time runs from the first pull if that is later.

--- a/src/usage_window.cpp
+++ b/src/usage_window.cpp
@@ -159,6 +159,8 @@
 void usage_closer::beginGathering(const std::vector<instance_id>& live)
 {
     m_phase = phase::Gathering;
+    // A closer that comes late gives instances as long to answer as one in time.
+    m_deadline = std::max(windowEnd(m_window, m_settings.usage) + m_settings.settle, m_now) + m_settings.grace - m_settings.settle;
     m_live = { live.begin(), live.end() };
     m_answered.clear();
     m_asked.clear();
@@ -200,14 +202,13 @@
     // Step 3. Copies of those that don't answer.
     askForCopies(out);
     // Step 4. Seal when all is there, or when the time is up.
-    const bool timeUp = m_now >= windowEnd(m_window, m_settings.usage) + m_settings.grace;
-    if ((gathered() || timeUp) && m_now >= m_commitAgain)
+    if ((gathered() || m_now >= m_deadline) && m_now >= m_commitAgain)
         seal(out);
 }
 
 void usage_closer::askForCopies(actions& out)
 {
-    const bool overdue = m_now >= windowEnd(m_window, m_settings.usage) + m_settings.settle + (m_settings.grace - m_settings.settle) / 2;
+    const bool overdue = m_now >= m_deadline - (m_settings.grace - m_settings.settle) / 2;
     for (const auto& [holder, origins] : m_holders) {
         pull_usage pull { holder, m_window, {}, {} };
         for (const auto& [origin, next] : origins) {
--- a/src/usage_window.h
+++ b/src/usage_window.h
@@ -180,6 +180,7 @@
     std::map<std::pair<instance_id, usage_origin>, copy_request> m_copyRequests;
     std::map<usage_origin, std::vector<usage_batch>> m_chains; // start at the origin's mark, gapless
     bool m_keptRead = false; // the counters kept in the service
+    wall_time m_deadline {}; // seal with what is there
     wall_time m_commitAgain {};
     wall_time m_startAgain {};
     std::map<instance_id, std::map<usage_origin, segment_number>> m_holders; // who keeps copies of whom
