Tests: conditions with || in parentheses

RC_ASSERT takes the left side apart, so that || ran its right side always and asked an error of a selector that had parsed; AddressSanitizer found it. The check is the same.

No change of behaviour.

--- a/tests/test_selector.cpp
+++ b/tests/test_selector.cpp
@@ -137,7 +137,7 @@
     checkProperty("selector noise", [] {
         const auto text = *rc::gen::container<std::string>(rc::gen::elementOf(std::string("abin=!(), \t-")));
         const auto parsed = selector::parse(text);
-        RC_ASSERT(parsed.has_value() || parsed.error().detail.starts_with("column "));
+        RC_ASSERT((parsed.has_value() || parsed.error().detail.starts_with("column ")));
     });
 }
 
--- a/tests/test_snapshot.cpp
+++ b/tests/test_snapshot.cpp
@@ -58,7 +58,7 @@
         const auto begin = *rc::gen::inRange<std::size_t>(0, bytes.size());
         const auto noise = *rc::gen::arbitrary<std::string>();
         bytes.replace(begin, noise.size(), noise);
-        RC_ASSERT(bytes == original || !decodeSnapshot(bytes));
+        RC_ASSERT((bytes == original || !decodeSnapshot(bytes)));
     });
 }
 
