--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -24,7 +24,7 @@
         plain_service(const arguments& given, std::string name, std::uint16_t port)
             : m_name(std::move(name))
             , m_workTime(numberOf(given, "--work-ms"))
-            , m_restartTime(numberOf(given, "--restart-ms"))
+            , m_restartTime(std::chrono::milliseconds(numberOf(given, "--restart-ms")))
             , m_server(
                   textOf(given, "--address"), port, [this](const http_request& request) { return answer(request); },
                   [this](const http_request& request) { return control(request); })
@@ -42,7 +42,7 @@
                 m_server.stop();
                 m_crash = false;
                 m_down = true;
-                m_restartAt = m_restartTime.count() > 0 ? now + m_restartTime : clock::time_point::max();
+                m_restartAt = m_restartTime.load().count() > 0 ? now + m_restartTime.load() : clock::time_point::max();
             }
             if (!m_down || now < m_restartAt.load())
                 return;
@@ -197,7 +197,7 @@
 
         std::string m_name;
         std::chrono::milliseconds m_workTime;
-        std::chrono::milliseconds m_restartTime;
+        std::atomic<std::chrono::milliseconds> m_restartTime;
         std::mutex m_mutex; // guards the records and the crossing
         std::condition_variable m_crossed;
         std::map<std::string, std::int64_t> m_runs;
