--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -81,6 +81,7 @@
   --run=<name>              Run [default: run].
   --steps=<n>               Steps to train [default: 2].
   --first-step=<n>          Number of the first step [default: 1].
+  --first-cursor=<n>        Cursor of the first batch [default: 1].
   --groups=<n>              Groups a step [default: 4].
   --group-size=<n>          Samples expected of a group [default: 4].
   --max-tokens=<n>          Longest answer in tokens; 0 is the natural length [default: 0].
