--- a/bench/bench_run.cpp
+++ b/bench/bench_run.cpp
@@ -1,7 +1,10 @@
 // Replays three steps of 8,192 samples through one coordinator with a prompt world.
+// With LOVAGERAIL_TABLE=rollouts the calls to the service are printed as well.
 #include "bench.h"
 #include "run.h"
 
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 
 namespace lovagerail::bench {
@@ -29,6 +32,9 @@
                     generate(*order);
                 feed(batch_asked { trainer_call(++m_calls), step_number(step) });
             }
+            const char* wanted = std::getenv("LOVAGERAIL_TABLE");
+            if (wanted && std::string(wanted) == "rollouts")
+                std::printf("%llu service calls and %llu bytes in %llu steps of 8,192 samples\n", static_cast<unsigned long long>(m_run.counts().ledgerCalls), static_cast<unsigned long long>(m_bytes), static_cast<unsigned long long>(steps));
             m_print.fold(m_run.counts().ledgerCalls);
             m_print.fold(m_run.counts().handedOver);
             return m_events;
@@ -81,6 +87,9 @@
         void act(const write_ledger& action)
         {
             m_print.fold(action.head);
+            m_bytes += action.head.size();
+            for (const auto& [key, value] : action.pages)
+                m_bytes += value.size();
             m_todo.emplace_back(ledger_confirmed { action.call, revision(++m_revision) });
         }
         void act(const confirm_ledger& action) { m_todo.emplace_back(ledger_confirmed { action.call, action.expected }); }
@@ -99,6 +108,7 @@
         std::uint64_t m_calls = 0;
         std::uint64_t m_revision = 0;
         std::uint64_t m_events = 0;
+        std::uint64_t m_bytes = 0; // put into the service
     };
 
     std::uint64_t replay(fingerprint& print)
--- a/src/run_ledger.cpp
+++ b/src/run_ledger.cpp
@@ -249,6 +249,7 @@
         return;
     stopWork(id, *item);
     item->tries = 0;
+    item->candidate = sample_record();
     setState(id, *item, slot_state::Sealed);
 }
 
@@ -366,7 +367,7 @@
         return;
     stopWork(id, *item);
     item->attempt = attempt;
-    item->candidate = *item->record;
+    item->candidate = sample_record();
     setState(id, *item, slot_state::Sealed);
     if (item->record->holders.empty())
         lose(id, *item, now);
