--- a/src/run.cpp
+++ b/src/run.cpp
@@ -513,16 +513,34 @@
         lose(event.slot, *item, now);
 }
 
+// The trainer is asked to supply the group again; until then its slots don't start.
+void run::losePrompt(step_number step, group_record& group)
+{
+    group.holders.clear();
+    const std::uint32_t first = group.group.value() * m_settings.groupSize;
+    for (std::uint32_t index = first; index < first + m_settings.groupSize; ++index) {
+        const slot_id id = slotAt(step, index);
+        m_queue.erase(entryOf(id, *find(id)));
+    }
+}
+
+void run::on(const prompt_lost& event, instant)
+{
+    const auto found = m_steps.find(event.step);
+    if (found == m_steps.end() || event.group.value() >= found->second.groups.size())
+        return;
+    std::optional<group_record>& group = found->second.groups[event.group.value()];
+    if (group)
+        losePrompt(event.step, *group);
+}
+
 void run::on(const holder_lost& event, instant now)
 {
     for (auto& [step, state] : m_steps) {
-        // Step 1. Prompts: without a holder the trainer is asked to supply them again.
+        // Step 1. Prompts.
         for (std::optional<group_record>& group : state.groups) {
-            if (!group || std::erase(group->holders, event.holder) == 0 || !group->holders.empty())
-                continue;
-            const std::uint32_t first = group->group.value() * m_settings.groupSize;
-            for (std::uint32_t index = first; index < first + m_settings.groupSize; ++index)
-                m_queue.erase(entryOf(slotAt(step, index), state.slots[index]));
+            if (group && std::erase(group->holders, event.holder) > 0 && group->holders.empty())
+                losePrompt(step, *group);
         }
 
         // Step 2. Samples.
--- a/src/run.h
+++ b/src/run.h
@@ -131,6 +131,7 @@
     void on(const payload_stored& event, instant now);
     void on(const payload_refused& event, instant now);
     void on(const payload_lost& event, instant now);
+    void on(const prompt_lost& event, instant now);
     void on(const holder_lost& event, instant now);
     void on(const ledger_confirmed& event, instant now);
     void on(const ledger_unknown& event, instant now);
@@ -163,6 +164,7 @@
     bool mayStart(step_number step) const;
     bool complete(const step_state& state, std::size_t sealing) const;
     void addGroup(step_number step, const group_record& group, instant now);
+    void losePrompt(step_number step, group_record& group);
     bool hasGroups(const pending_groups& post) const;
     std::uint32_t missingGroups(step_number step) const;
 
--- a/src/run_state.h
+++ b/src/run_state.h
@@ -133,6 +133,11 @@
     slot_id slot;
     attempt_id attempt;
 };
+// No holder has this group's prompt any more; sent before the dispatch is refused.
+struct prompt_lost {
+    step_number step;
+    group_number group;
+};
 // A holder's copies are gone.
 struct holder_lost {
     payload_holder holder;
@@ -169,7 +174,7 @@
 
 using run_event = std::variant<groups_supplied, version_published, batch_asked, dispatch_accepted, dispatch_refused,
     chunk_received, generation_finished, generation_failed, sample_judged, judge_failed, payload_stored, payload_refused,
-    payload_lost, holder_lost, ledger_confirmed, ledger_unknown, ledger_conflict, ledger_content, taken_over,
+    payload_lost, prompt_lost, holder_lost, ledger_confirmed, ledger_unknown, ledger_conflict, ledger_content, taken_over,
     served_version, tick>;
 
 // --- Actions ---
--- a/tests/rollout_world.cpp
+++ b/tests/rollout_world.cpp
@@ -160,7 +160,11 @@
     }
     const std::uint32_t length = 2 + draw(5);
     later([this, who, order, length] {
-        if (fault(10))
+        const slot_id& id = order->stream.slot;
+        const bool promptHeld = held(order->promptHolders, order->prompt);
+        if (!promptHeld)
+            send(who, prompt_lost { id.step, id.group });
+        if (!promptHeld || fault(10))
             return send(who, dispatch_refused { order->stream });
         send(who, dispatch_accepted { order->stream });
         generate(who, *order, order->resumeFrom, order->resumeFrom + length);
