Run: one file for each side of it, attempts numbered for large fencing numbers

Change: slots, events, planning, adoption and answers are files of their own; an attempt's number has 36 bits of fencing number and 28 of sequence, and a lead that has used its sequence up resigns.

--- a/src/run.h
+++ b/src/run.h
@@ -200,7 +200,7 @@
     bool m_leading = false;
     bool m_loaded = false; // the ledger was read since the take-over
     fencing_number m_fencing;
-    std::uint32_t m_sequence = 0;
+    std::uint64_t m_sequence = 0; // at most attemptsPerLead
     std::uint64_t m_eventNumber = 0;
     std::uint64_t m_ledgerCalls = 0;
     std::uint64_t m_confirmed = 0; // a call begun at this event confirmed m_head
--- /dev/null
+++ b/src/run_events.cpp
@@ -0,0 +1,285 @@
+// What a run does on the events of trainer, engines, judge, payload holders and time.
+#include "run.h"
+
+#include <algorithm>
+
+namespace lovagerail {
+
+namespace {
+
+    bool isSettled(slot_state state)
+    {
+        return state == slot_state::Sealed || state == slot_state::HandedOver;
+    }
+
+} // namespace
+
+// --- Trainer ---
+
+weight_version run::knownVersion() const
+{
+    weight_version version = m_head.trainerVersion;
+    for (const pending_version& pending : m_versions)
+        version = std::max(version, pending.version);
+    return version;
+}
+
+void run::on(const version_published& event, instant now)
+{
+    const weight_version known = knownVersion();
+    if (event.version < known)
+        return refuse(event.call, error_code::InvalidArgument, "the trainer's version never falls");
+    m_versions.push_back({ event.call, now, event.version });
+    if (event.version == known)
+        return;
+    if (m_lastPublished)
+        m_cadence.add(now - *m_lastPublished);
+    m_lastPublished = now;
+    expireSlots(now);
+}
+
+// One request of the trainer is kept: the one of the highest cursor, of these the latest.
+void run::on(const batch_asked& event, instant now)
+{
+    if (m_asked && event.cursor < m_asked->cursor) {
+        m_actions.emplace_back(answer_not_yet { event.call, m_settings.backoffFloor, 0 });
+        return;
+    }
+    if (m_asked)
+        m_actions.emplace_back(answer_not_yet { m_asked->call, m_settings.backoffFloor, 0 });
+    m_asked = asked_batch { event.call, event.cursor, m_eventNumber, now };
+}
+
+// --- Streams ---
+
+void run::on(const served_version& event, instant)
+{
+    m_served = event.version;
+}
+
+void run::on(const dispatch_accepted& event, instant)
+{
+    slot* item = findStream(event.stream, slot_state::Dispatched);
+    if (item)
+        setState(event.stream.slot, *item, slot_state::Generating);
+}
+
+// Nothing ran. A first leg keeps its number for no one: the next dispatch takes a new one.
+void run::on(const dispatch_refused& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Dispatched);
+    if (!item)
+        return;
+    item->resuming = item->made.nextToken() > 0;
+    item->due = now + m_settings.backoffFloor;
+    setState(event.stream.slot, *item, slot_state::Queued);
+    enqueue(event.stream.slot, *item, now);
+}
+
+void run::on(const chunk_received& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Dispatched);
+    if (item)
+        setState(event.stream.slot, *item, slot_state::Generating);
+    else
+        item = findStream(event.stream, slot_state::Generating);
+    if (!item)
+        return;
+    if (item->made.append(event.chunk)) {
+        ++m_counts.unusable;
+        return restartLater(event.stream.slot, *item, now);
+    }
+    const std::vector<version_span>& spans = item->made.spans();
+    if (!spans.empty() && ageOf(spans, knownVersion()) > m_settings.stalenessBound) {
+        ++m_counts.expired;
+        restartLater(event.stream.slot, *item, now);
+    }
+}
+
+void run::on(const generation_finished& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Generating);
+    if (!item)
+        item = findStream(event.stream, slot_state::Dispatched);
+    if (!item)
+        return;
+    if (item->made.finish(event.tokens)) {
+        ++m_counts.unusable;
+        return restartLater(event.stream.slot, *item, now);
+    }
+    startJudge(event.stream.slot, *item, now);
+}
+
+void run::on(const generation_failed& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Generating);
+    if (!item)
+        item = findStream(event.stream, slot_state::Dispatched);
+    if (!item)
+        return;
+    if (!event.resumable || item->made.nextToken() == 0)
+        return restartLater(event.stream.slot, *item, now);
+    item->resuming = true;
+    item->due = now + backoff(item->tries++);
+    setState(event.stream.slot, *item, slot_state::Queued);
+    enqueue(event.stream.slot, *item, now);
+}
+
+// --- Judge ---
+
+void run::startJudge(const slot_id& id, slot& item, instant now)
+{
+    setState(id, item, slot_state::Judging);
+    item.judgeCalled = true;
+    setTimer(id, item, now + m_settings.judgeTimeout);
+    m_actions.emplace_back(call_judge { { id, item.attempt, item.leg } });
+}
+
+void run::on(const sample_judged& event, instant)
+{
+    slot* item = findStream(event.stream, slot_state::Judging);
+    if (!item || !item->judgeCalled)
+        return;
+    m_timers.erase({ item->due, event.stream.slot });
+    item->judgeCalled = false;
+    setState(event.stream.slot, *item, slot_state::Judged);
+    m_actions.emplace_back(store_payload { event.stream, item->made.spans() });
+}
+
+void run::on(const judge_failed& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Judging);
+    if (item && item->judgeCalled)
+        judgeEnded(event.stream.slot, *item, event.outcome, now);
+}
+
+// A judge that may not be repeated is called again only if it surely hasn't run. Else
+// the sample is given up: a successor of ours doesn't know the attempt either, so no
+// attempt is judged twice, and no intent has to be written before each call.
+void run::judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now)
+{
+    item.judgeCalled = false;
+    ++item.judgeTries;
+    const bool again = outcome == call_outcome::NotRun || (m_settings.judgeRepeatable && item.judgeTries < m_settings.judgeTries);
+    if (again)
+        return setTimer(id, item, now + backoff(item.judgeTries));
+    ++m_counts.judgeUnknown;
+    restartLater(id, item, now);
+}
+
+// --- Payloads ---
+
+void run::on(const payload_stored& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Judged);
+    if (!item || item->stored)
+        return;
+    if (event.holders.empty())
+        return on(payload_refused { event.stream }, now);
+    m_timers.erase({ item->due, event.stream.slot });
+    const slot_id& id = event.stream.slot;
+    item->stored = true;
+    item->candidate = { id.group, id.sample, item->attempt, event.payload, item->made.spans(), event.holders };
+    m_expected.add(now - item->begun);
+    step_state& step = m_steps.at(id.step);
+    if (step.ready.empty())
+        step.readySince = now;
+    step.ready.insert(indexOf(id));
+}
+
+void run::on(const payload_refused& event, instant now)
+{
+    slot* item = findStream(event.stream, slot_state::Judged);
+    if (item && !item->stored)
+        setTimer(event.stream.slot, *item, now + backoff(item->tries++));
+}
+
+void run::on(const payload_lost& event, instant now)
+{
+    slot* item = find(event.slot);
+    if (!item || item->attempt != event.attempt)
+        return;
+    if (isSettled(item->state) || (item->state == slot_state::Judged && item->stored))
+        lose(event.slot, *item, now);
+}
+
+// The trainer is asked to supply the group again; until then its slots don't start.
+void run::losePrompt(step_number step, group_record& group)
+{
+    group.holders.clear();
+    const std::uint32_t first = group.group.value() * m_settings.groupSize;
+    for (std::uint32_t index = first; index < first + m_settings.groupSize; ++index) {
+        const slot_id id = slotAt(step, index);
+        m_queue.erase(entryOf(id, *find(id)));
+    }
+}
+
+void run::on(const prompt_lost& event, instant)
+{
+    const auto found = m_steps.find(event.step);
+    if (found == m_steps.end() || event.group.value() >= found->second.groups.size())
+        return;
+    std::optional<group_record>& group = found->second.groups[event.group.value()];
+    if (group)
+        losePrompt(event.step, *group);
+}
+
+void run::on(const holder_lost& event, instant now)
+{
+    for (auto& [step, state] : m_steps) {
+        // Step 1. Prompts.
+        for (std::optional<group_record>& group : state.groups) {
+            if (group && std::erase(group->holders, event.holder) > 0 && group->holders.empty())
+                losePrompt(step, *group);
+        }
+
+        // Step 2. Samples.
+        for (std::uint32_t index = 0; index < state.slots.size(); ++index) {
+            slot& item = state.slots[index];
+            if (item.record)
+                std::erase(item.record->holders, event.holder);
+            std::erase(item.candidate.holders, event.holder);
+            const bool sealedUnheld = isSettled(item.state) && item.record->holders.empty();
+            const bool readyUnheld = item.state == slot_state::Judged && item.stored && item.candidate.holders.empty();
+            if (sealedUnheld || readyUnheld)
+                lose(slotAt(step, index), item, now);
+        }
+    }
+}
+
+// --- Time ---
+
+void run::on(const tick&, instant now)
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        const slot_id id = m_timers.begin()->second;
+        m_timers.erase(m_timers.begin());
+        slot* item = find(id);
+        if (item)
+            runTimer(id, *item, now);
+    }
+}
+
+void run::runTimer(const slot_id& id, slot& item, instant now)
+{
+    const stream_id stream { id, item.attempt, item.leg };
+    switch (item.state) {
+    case slot_state::Queued:
+        enqueue(id, item, now);
+        break;
+    case slot_state::Judging:
+        if (!item.judgeCalled)
+            return startJudge(id, item, now);
+        m_actions.emplace_back(cancel_judge { stream });
+        judgeEnded(id, item, call_outcome::Unknown, now);
+        break;
+    case slot_state::Judged:
+        if (!item.stored)
+            m_actions.emplace_back(store_payload { stream, item.made.spans() });
+        break;
+    default:
+        break;
+    }
+}
+
+} // namespace lovagerail
--- a/src/run_state.h
+++ b/src/run_state.h
@@ -63,6 +63,14 @@
     duration priorityStep = std::chrono::seconds(30);
 };
 
+// Steps beyond the acknowledged one for which groups are taken.
+constexpr std::uint64_t suppliedAhead = 8;
+
+// An attempt's number is the fencing number, then a sequence of so many bits. A lead
+// whose sequence is used up resigns; at 8,192 attempts in 6 minutes after 4 months.
+constexpr unsigned attemptSequenceBits = 28;
+constexpr std::uint64_t attemptsPerLead = (std::uint64_t(1) << attemptSequenceBits) - 1;
+
 // Identity of one stream: late events of an earlier one are ignored.
 struct stream_id {
     slot_id slot;
