--- a/src/run_adopt.cpp
+++ b/src/run_adopt.cpp
@@ -18,7 +18,7 @@
 
 // --- Answers of the service ---
 
-void run::on(const taken_over& event, instant now)
+void run_coordinator::on(const taken_over& event, instant now)
 {
     for (auto& [step, state] : m_steps) {
         for (std::uint32_t index = 0; index < state.slots.size(); ++index)
@@ -39,7 +39,7 @@
     m_retryAt = now;
 }
 
-void run::on(const ledger_confirmed& event, instant now)
+void run_coordinator::on(const ledger_confirmed& event, instant now)
 {
     if (!m_call || m_call->id != event.call || m_call->kind == call_kind::Read)
         return;
@@ -59,7 +59,7 @@
 }
 
 // The ledger has the record. The slot may have moved on meanwhile.
-void run::sealRecord(const slot_id& id, sample_record record)
+void run_coordinator::sealRecord(const slot_id& id, sample_record record)
 {
     slot* item = find(id);
     if (!item)
@@ -75,20 +75,20 @@
     setState(id, *item, slot_state::Sealed);
 }
 
-void run::on(const ledger_unknown& event, instant now)
+void run_coordinator::on(const ledger_unknown& event, instant now)
 {
     if (m_call && m_call->id == event.call)
         callFailed(now, true);
 }
 
-void run::on(const ledger_conflict& event, instant now)
+void run_coordinator::on(const ledger_conflict& event, instant now)
 {
     if (m_call && m_call->id == event.call)
         callFailed(now, false);
 }
 
 // Nothing is concluded from a failed call: the ledger is read next.
-void run::callFailed(instant now, bool wait)
+void run_coordinator::callFailed(instant now, bool wait)
 {
     m_call.reset();
     m_loaded = false;
@@ -97,7 +97,7 @@
 }
 
 // The ledger's word is the truth, after a take-over and after any doubt.
-void run::on(const ledger_content& event, instant now)
+void run_coordinator::on(const ledger_content& event, instant now)
 {
     if (!m_call || m_call->id != event.call || m_call->kind != call_kind::Read)
         return;
@@ -105,7 +105,7 @@
     // Step 1. The head; a later coordinator's number ends our lead.
     ledger_head head;
     if (!event.head.empty()) {
-        const result<ledger_head> decoded = decodeHead(event.head);
+        const result<ledger_head> decoded = decodeLedgerHead(event.head);
         if (!decoded)
             return callFailed(now, true);
         head = *decoded;
@@ -136,7 +136,7 @@
 }
 
 // False, with nothing changed, if a page is missing or damaged.
-bool run::adoptPages(const ledger_content& content, instant now)
+bool run_coordinator::adoptPages(const ledger_content& content, instant now)
 {
     // Step 1. Check and decode all; later records replace earlier ones.
     const std::map<std::string, std::string> pages(content.pages.begin(), content.pages.end());
@@ -173,7 +173,7 @@
     return true;
 }
 
-void run::adoptSample(const slot_id& id, sample_record record, bool handedOver, instant now)
+void run_coordinator::adoptSample(const slot_id& id, sample_record record, bool handedOver, instant now)
 {
     slot* item = find(id);
     if (!item)
@@ -197,7 +197,7 @@
 
 // --- What follows from a new head ---
 
-void run::applyHead(const ledger_head& before, instant now)
+void run_coordinator::applyHead(const ledger_head& before, instant now)
 {
     dropAcknowledged();
     for (const ledger_step& step : m_head.steps) {
@@ -215,7 +215,7 @@
     }
 }
 
-void run::dropAcknowledged()
+void run_coordinator::dropAcknowledged()
 {
     if (m_steps.empty() || m_steps.begin()->first >= m_head.acknowledged)
         return;
@@ -231,7 +231,7 @@
 }
 
 // The batch is fixed, whatever was begun anew while the write was on its way.
-void run::settleHandedOver(const ledger_step& step, instant now)
+void run_coordinator::settleHandedOver(const ledger_step& step, instant now)
 {
     step_state& state = m_steps.at(step.step);
     if (state.reopen || state.states[static_cast<std::size_t>(slot_state::HandedOver)] == state.slots.size())
@@ -255,7 +255,7 @@
 
 // A payload of a batch that was handed over is lost before its acknowledgement. The
 // batch gets a new generation with new attempts of what is lost or too old by now.
-void run::reopenStep(step_number step, instant now)
+void run_coordinator::reopenStep(step_number step, instant now)
 {
     step_state& state = m_steps.at(step);
     state.reopen = true;
--- a/src/run_answers.cpp
+++ b/src/run_answers.cpp
@@ -5,12 +5,12 @@
 
 // --- Answers to the trainer ---
 
-void run::refuse(trainer_call call, error_code code, std::string detail)
+void run_coordinator::refuse(trainer_call call, error_code code, std::string detail)
 {
     m_actions.emplace_back(answer_refused { call, error { code, "run.answer", peer_kind::Trainer, m_settings.run.str(), std::move(detail) } });
 }
 
-void run::answerWaiting(instant now)
+void run_coordinator::answerWaiting(instant now)
 {
     if (!m_leading)
         return turnAwayAll();
@@ -18,7 +18,7 @@
     answerAsked(now);
 }
 
-void run::turnAwayAll()
+void run_coordinator::turnAwayAll()
 {
     for (const pending_groups& post : m_groups)
         m_actions.emplace_back(answer_not_yet { post.call, m_settings.backoffFloor, 0 });
@@ -32,7 +32,7 @@
 }
 
 // Groups and versions are accepted once the ledger has them.
-void run::answerPosts(instant now)
+void run_coordinator::answerPosts(instant now)
 {
     const auto answerGroups = [&](const pending_groups& post) {
         if (m_loaded && post.step < m_head.acknowledged)
@@ -63,14 +63,14 @@
 }
 
 // True if the step's batch was handed over and stands.
-bool run::isFixed(step_number step) const
+bool run_coordinator::isFixed(step_number step) const
 {
     const ledger_step* known = m_head.find(step);
     const auto state = m_steps.find(step);
     return known && known->phase == step_phase::HandedOver && state != m_steps.end() && !state->second.reopen;
 }
 
-run::asked_verdict run::verdict() const
+run_coordinator::asked_verdict run_coordinator::verdict() const
 {
     if (m_asked->cursor < m_head.acknowledged)
         return asked_verdict::Closed;
@@ -84,7 +84,7 @@
 
 // Answers under a head that was confirmed after the request came, so that nothing of
 // an earlier generation or coordinator can follow what the trainer got since.
-void run::answerAsked(instant now)
+void run_coordinator::answerAsked(instant now)
 {
     if (!m_asked)
         return;
--- a/src/run_events.cpp
+++ b/src/run_events.cpp
@@ -16,7 +16,7 @@
 
 // --- Trainer ---
 
-weight_version run::knownVersion() const
+weight_version run_coordinator::knownVersion() const
 {
     weight_version version = m_head.trainerVersion;
     for (const pending_version& pending : m_versions)
@@ -24,7 +24,7 @@
     return version;
 }
 
-void run::on(const version_published& event, instant now)
+void run_coordinator::on(const version_published& event, instant now)
 {
     const weight_version known = knownVersion();
     if (event.version < known)
@@ -39,7 +39,7 @@
 }
 
 // One request of the trainer is kept: the one of the highest cursor, of these the latest.
-void run::on(const batch_asked& event, instant now)
+void run_coordinator::on(const batch_asked& event, instant now)
 {
     if (m_asked && event.cursor < m_asked->cursor) {
         m_actions.emplace_back(answer_not_yet { event.call, m_settings.backoffFloor, 0 });
@@ -52,12 +52,12 @@
 
 // --- Streams ---
 
-void run::on(const served_version& event, instant)
+void run_coordinator::on(const served_version& event, instant)
 {
     m_served = event.version;
 }
 
-void run::on(const dispatch_accepted& event, instant)
+void run_coordinator::on(const dispatch_accepted& event, instant)
 {
     slot* item = findStream(event.stream, slot_state::Dispatched);
     if (item)
@@ -65,7 +65,7 @@
 }
 
 // Nothing ran. A first leg keeps its number for no one: the next dispatch takes a new one.
-void run::on(const dispatch_refused& event, instant now)
+void run_coordinator::on(const dispatch_refused& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Dispatched);
     if (!item)
@@ -76,7 +76,7 @@
     enqueue(event.stream.slot, *item, now);
 }
 
-void run::on(const chunk_received& event, instant now)
+void run_coordinator::on(const chunk_received& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Dispatched);
     if (item)
@@ -96,7 +96,7 @@
     }
 }
 
-void run::on(const generation_finished& event, instant now)
+void run_coordinator::on(const generation_finished& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Generating);
     if (!item)
@@ -110,7 +110,7 @@
     startJudge(event.stream.slot, *item, now);
 }
 
-void run::on(const generation_failed& event, instant now)
+void run_coordinator::on(const generation_failed& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Generating);
     if (!item)
@@ -127,7 +127,7 @@
 
 // --- Judge ---
 
-void run::startJudge(const slot_id& id, slot& item, instant now)
+void run_coordinator::startJudge(const slot_id& id, slot& item, instant now)
 {
     setState(id, item, slot_state::Judging);
     item.judgeCalled = true;
@@ -135,7 +135,7 @@
     m_actions.emplace_back(call_judge { { id, item.attempt, item.leg } });
 }
 
-void run::on(const sample_judged& event, instant)
+void run_coordinator::on(const sample_judged& event, instant)
 {
     slot* item = findStream(event.stream, slot_state::Judging);
     if (!item || !item->judgeCalled)
@@ -146,7 +146,7 @@
     m_actions.emplace_back(store_payload { event.stream, item->made.spans() });
 }
 
-void run::on(const judge_failed& event, instant now)
+void run_coordinator::on(const judge_failed& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Judging);
     if (item && item->judgeCalled)
@@ -156,7 +156,7 @@
 // A judge that may not be repeated is called again only if it surely hasn't run. Else
 // the sample is given up: a successor of ours doesn't know the attempt either, so no
 // attempt is judged twice, and no intent has to be written before each call.
-void run::judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now)
+void run_coordinator::judgeEnded(const slot_id& id, slot& item, call_outcome outcome, instant now)
 {
     item.judgeCalled = false;
     ++item.judgeTries;
@@ -169,7 +169,7 @@
 
 // --- Payloads ---
 
-void run::on(const payload_stored& event, instant now)
+void run_coordinator::on(const payload_stored& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Judged);
     if (!item || item->stored)
@@ -187,14 +187,14 @@
     step.ready.insert(indexOf(id));
 }
 
-void run::on(const payload_refused& event, instant now)
+void run_coordinator::on(const payload_refused& event, instant now)
 {
     slot* item = findStream(event.stream, slot_state::Judged);
     if (item && !item->stored)
         setTimer(event.stream.slot, *item, now + backoff(item->tries++));
 }
 
-void run::on(const payload_lost& event, instant now)
+void run_coordinator::on(const payload_lost& event, instant now)
 {
     slot* item = find(event.slot);
     if (!item || item->attempt != event.attempt)
@@ -204,7 +204,7 @@
 }
 
 // The trainer is asked to supply the group again; until then its slots don't start.
-void run::losePrompt(step_number step, group_record& group)
+void run_coordinator::losePrompt(step_number step, group_record& group)
 {
     group.holders.clear();
     const std::uint32_t first = group.group.value() * m_settings.groupSize;
@@ -214,7 +214,7 @@
     }
 }
 
-void run::on(const prompt_lost& event, instant)
+void run_coordinator::on(const prompt_lost& event, instant)
 {
     const auto found = m_steps.find(event.step);
     if (found == m_steps.end() || event.group.value() >= found->second.groups.size())
@@ -224,7 +224,7 @@
         losePrompt(event.step, *group);
 }
 
-void run::on(const holder_lost& event, instant now)
+void run_coordinator::on(const holder_lost& event, instant now)
 {
     for (auto& [step, state] : m_steps) {
         // Step 1. Prompts.
@@ -249,7 +249,7 @@
 
 // --- Time ---
 
-void run::on(const tick&, instant now)
+void run_coordinator::on(const tick&, instant now)
 {
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
         const slot_id id = m_timers.begin()->second;
@@ -260,7 +260,7 @@
     }
 }
 
-void run::runTimer(const slot_id& id, slot& item, instant now)
+void run_coordinator::runTimer(const slot_id& id, slot& item, instant now)
 {
     const stream_id stream { id, item.attempt, item.leg };
     switch (item.state) {
--- a/src/run_ledger.cpp
+++ b/src/run_ledger.cpp
@@ -11,7 +11,7 @@
 // Builds the next head from all that waits and sends it as one write. The order of the
 // steps is the order in which they count: a published version before the hand-over
 // that it may forbid, an acknowledgement before the next batch.
-void run::plan(instant now)
+void run_coordinator::plan(instant now)
 {
     // Step 1. One call at a time.
     if (!m_leading || m_call || now < m_retryAt)
@@ -37,7 +37,7 @@
     planHandOver(next, call);
 
     // Step 3. Write it, or confirm the present one for a request that came since.
-    const std::string key = headKey(m_settings.keyPrefix, m_settings.run);
+    const std::string key = ledgerHeadKey(m_settings.keyPrefix, m_settings.run);
     if (next != m_head) {
         service_call begun = beginCall(call_kind::Write);
         begun.planned = next;
@@ -46,7 +46,7 @@
         write.call = begun.id;
         write.expected = m_headRevision;
         write.headKey = key;
-        write.head = encodeHead(next);
+        write.head = encodeLedgerHead(next);
         m_call = std::move(begun);
         m_actions.emplace_back(std::move(write));
         return;
@@ -57,7 +57,7 @@
     }
 }
 
-run::service_call run::beginCall(call_kind kind)
+run_coordinator::service_call run_coordinator::beginCall(call_kind kind)
 {
     ++m_counts.ledgerCalls;
     service_call call;
@@ -67,13 +67,13 @@
     return call;
 }
 
-void run::sendRead()
+void run_coordinator::sendRead()
 {
     m_call = beginCall(call_kind::Read);
-    m_actions.emplace_back(read_ledger { m_call->id, headKey(m_settings.keyPrefix, m_settings.run), pagesPrefix(m_settings.keyPrefix, m_settings.run) });
+    m_actions.emplace_back(read_ledger { m_call->id, ledgerHeadKey(m_settings.keyPrefix, m_settings.run), pagesPrefix(m_settings.keyPrefix, m_settings.run) });
 }
 
-void run::planAcknowledge(ledger_head& next, write_ledger& write) const
+void run_coordinator::planAcknowledge(ledger_head& next, write_ledger& write) const
 {
     const ledger_step* step = next.find(next.acknowledged);
     if (!m_asked || m_asked->cursor != next.acknowledged.next() || !step || !step->everHandedOver)
@@ -83,7 +83,7 @@
     next.acknowledged = next.acknowledged.next();
 }
 
-void run::planGroups(ledger_head& next, write_ledger& write, service_call& call) const
+void run_coordinator::planGroups(ledger_head& next, write_ledger& write, service_call& call) const
 {
     std::map<step_number, std::map<group_number, group_record>> added;
     for (const pending_groups& post : m_groups) {
@@ -104,7 +104,7 @@
     }
 }
 
-void run::planReopen(ledger_head& next) const
+void run_coordinator::planReopen(ledger_head& next) const
 {
     for (ledger_step& step : next.steps) {
         const auto state = m_steps.find(step.step);
@@ -115,12 +115,12 @@
     }
 }
 
-bool run::complete(const step_state& state, std::size_t sealing) const
+bool run_coordinator::complete(const step_state& state, std::size_t sealing) const
 {
     return state.states[static_cast<std::size_t>(slot_state::Sealed)] + sealing == state.slots.size();
 }
 
-void run::planSeal(ledger_head& next, write_ledger& write, service_call& call, instant now) const
+void run_coordinator::planSeal(ledger_head& next, write_ledger& write, service_call& call, instant now) const
 {
     for (const auto& [step, state] : m_steps) {
         const ledger_step* known = next.find(step);
@@ -143,7 +143,7 @@
 
 // Hands the whole step over if the trainer asks for it and no sample is beyond the
 // bound under the version that this very write holds.
-void run::planHandOver(ledger_head& next, const service_call& call) const
+void run_coordinator::planHandOver(ledger_head& next, const service_call& call) const
 {
     // Step 1. Asked for, and open.
     ledger_step* step = next.find(next.acknowledged);
@@ -169,7 +169,7 @@
     step->handedVersion = next.trainerVersion;
 }
 
-void run::addPage(ledger_head& head, step_number step, const ledger_page& page, write_ledger& write) const
+void run_coordinator::addPage(ledger_head& head, step_number step, const ledger_page& page, write_ledger& write) const
 {
     // Step 1. The step's place in the head.
     ledger_step* item = head.find(step);
--- a/tests/rollout_world.cpp
+++ b/tests/rollout_world.cpp
@@ -46,7 +46,7 @@
 
 void rollout_world::takeOver()
 {
-    m_coordinators.push_back({ std::make_unique<run>(m_settings), true, {} });
+    m_coordinators.push_back({ std::make_unique<run_coordinator>(m_settings), true, {} });
     const std::size_t who = m_coordinators.size() - 1;
     send(who, taken_over { fencing_number(++m_fencing) });
     send(who, served_version { m_engineVersion });
@@ -319,7 +319,7 @@
         return false;
     for (const auto& [key, value] : write.pages)
         require(m_values.emplace(key, value).second, "a page was written over");
-    const ledger_head after = decodeHead(write.head).value();
+    const ledger_head after = decodeLedgerHead(write.head).value();
     const ledger_head before = std::exchange(m_head, after);
     checkHead(before, after, fencing_number(who + 1));
     for (const std::string& prefix : write.removedPrefixes)
--- a/tests/test_attribution.cpp
+++ b/tests/test_attribution.cpp
@@ -2,8 +2,6 @@
 #include "attribution.h"
 #include "property.h"
 
-#include <sstream>
-
 namespace lovagerail::test {
 
 namespace {
@@ -70,17 +68,28 @@
 
 BOOST_AUTO_TEST_CASE(decodingRefusesWhatAppendCouldNotBuild)
 {
-    const auto decode = [](const std::string& text) {
+    const auto span = [](std::uint32_t version, std::uint32_t first, std::uint32_t last) {
         Json::Value json;
-        std::istringstream(text) >> json;
+        json["version"] = version;
+        json["first"] = first;
+        json["last"] = last;
+        return json;
+    };
+    const auto decode = [](const std::vector<Json::Value>& spans) {
+        Json::Value json(Json::arrayValue);
+        for (const Json::Value& item : spans)
+            json.append(item);
         return spansFromJson(json).has_value();
     };
-    BOOST_TEST(decode("[[1,0,3],[2,4,4]]"));
-    BOOST_TEST(!decode("[[1,0,3],[2,5,5]]"));
-    BOOST_TEST(!decode("[[1,0,3],[1,4,5]]"));
-    BOOST_TEST(!decode("[[1,2,1]]"));
-    BOOST_TEST(!decode("[[1,0]]"));
-    BOOST_TEST(!decode("{}"));
+    Json::Value unnumbered = span(1, 0, 3);
+    unnumbered["last"] = "3";
+    BOOST_TEST(decode({ span(1, 0, 3), span(2, 4, 4) }));
+    BOOST_TEST(!decode({ span(1, 0, 3), span(2, 5, 5) }));
+    BOOST_TEST(!decode({ span(1, 0, 3), span(1, 4, 5) }));
+    BOOST_TEST(!decode({ span(1, 2, 1) }));
+    BOOST_TEST(!decode({ unnumbered }));
+    BOOST_TEST(!decode({ Json::Value(1) }));
+    BOOST_TEST(!spansFromJson(Json::Value(Json::objectValue)).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_run.cpp
+++ b/tests/test_run.cpp
@@ -14,9 +14,9 @@
     }
 
     // A run whose first group of step 0 is in the ledger at revision 2.
-    run startedRun()
+    run_coordinator startedRun()
     {
-        run machine(rollout_world::smallRun());
+        run_coordinator machine(rollout_world::smallRun());
         const auto first = [&](const run_event& event) { return machine.handle(event, instant()).at(0); };
         const auto read = std::get<read_ledger>(first(taken_over { fencing_number(1) }));
         const auto claim = std::get<write_ledger>(first(ledger_content { read.call, revision(), {}, {}, {} }));
@@ -69,7 +69,7 @@
 // Asking for a batch whose predecessor was never handed over acknowledges nothing.
 BOOST_AUTO_TEST_CASE(anAskedBatchOutOfTurnIsRefused)
 {
-    run machine = startedRun();
+    run_coordinator machine = startedRun();
     const auto first = [&](const run_event& event) { return machine.handle(event, instant()).at(0); };
     const auto confirm = std::get<confirm_ledger>(first(batch_asked { trainer_call(2), step_number(1) }));
     BOOST_TEST(confirm.expected == revision(2));
@@ -81,7 +81,7 @@
 // What an earlier leg still sends neither counts nor harms the one that goes on.
 BOOST_AUTO_TEST_CASE(anEarlierLegIsIgnored)
 {
-    run machine = startedRun();
+    run_coordinator machine = startedRun();
     const instant later = instant() + std::chrono::seconds(5);
     const dispatch_slot whole = machine.takeDispatch(instant()).value();
     machine.handle(chunk_received { whole.stream, { weight_version(1), 0, 4 } }, instant());
