--- a/src/attribution.cpp
+++ b/src/attribution.cpp
@@ -92,7 +92,7 @@
     return oldest >= trainerVersion ? 0 : trainerVersion.value() - oldest.value();
 }
 
-// An array of [version, first, last].
+// An array of objects with version, first and last.
 Json::Value toJson(const std::vector<version_span>& spans)
 {
     Json::Value json(Json::arrayValue);
--- a/src/run.h
+++ b/src/run.h
@@ -131,6 +131,7 @@
     void on(const payload_stored& event, instant now);
     void on(const payload_refused& event, instant now);
     void on(const payload_lost& event, instant now);
+    void on(const prompt_lost& event, instant now);
     void on(const holder_lost& event, instant now);
     void on(const ledger_confirmed& event, instant now);
     void on(const ledger_unknown& event, instant now);
@@ -163,6 +164,7 @@
     bool mayStart(step_number step) const;
     bool complete(const step_state& state, std::size_t sealing) const;
     void addGroup(step_number step, const group_record& group, instant now);
+    void losePrompt(step_number step, group_record& group);
     bool hasGroups(const pending_groups& post) const;
     std::uint32_t missingGroups(step_number step) const;
 
@@ -198,7 +200,7 @@
     bool m_leading = false;
     bool m_loaded = false; // the ledger was read since the take-over
     fencing_number m_fencing;
-    std::uint32_t m_sequence = 0;
+    std::uint64_t m_sequence = 0; // at most attemptsPerLead
     std::uint64_t m_eventNumber = 0;
     std::uint64_t m_ledgerCalls = 0;
     std::uint64_t m_confirmed = 0; // a call begun at this event confirmed m_head
--- a/src/run_state.h
+++ b/src/run_state.h
@@ -63,6 +63,14 @@
     duration priorityStep = std::chrono::seconds(30);
 };
 
+// Steps beyond the acknowledged one for which groups are taken.
+constexpr std::uint64_t suppliedAhead = 8;
+
+// An attempt's number is the fencing number, then a sequence of so many bits. A lead
+// whose sequence is used up resigns; at 8,192 attempts in 6 minutes after 4 months.
+constexpr unsigned attemptSequenceBits = 28;
+constexpr std::uint64_t attemptsPerLead = (std::uint64_t(1) << attemptSequenceBits) - 1;
+
 // Identity of one stream: late events of an earlier one are ignored.
 struct stream_id {
     slot_id slot;
@@ -133,6 +141,11 @@
     slot_id slot;
     attempt_id attempt;
 };
+// No holder has this group's prompt any more; sent before the dispatch is refused.
+struct prompt_lost {
+    step_number step;
+    group_number group;
+};
 // A holder's copies are gone.
 struct holder_lost {
     payload_holder holder;
@@ -169,7 +182,7 @@
 
 using run_event = std::variant<groups_supplied, version_published, batch_asked, dispatch_accepted, dispatch_refused,
     chunk_received, generation_finished, generation_failed, sample_judged, judge_failed, payload_stored, payload_refused,
-    payload_lost, holder_lost, ledger_confirmed, ledger_unknown, ledger_conflict, ledger_content, taken_over,
+    payload_lost, prompt_lost, holder_lost, ledger_confirmed, ledger_unknown, ledger_conflict, ledger_content, taken_over,
     served_version, tick>;
 
 // --- Actions ---
