--- a/src/journal.h
+++ b/src/journal.h
@@ -52,7 +52,8 @@
     explicit decision_journal(instance_id self, byte_count limit = journalLimit);
 
     void record(journal_entry entry);
-    // Entries about the subject, or that name it in a fact, oldest first.
+    // Entries about the subject, or that name it in a fact whose key is the kind in
+    // lower case ("target"), oldest first.
     std::vector<journal_entry> about(subject_kind kind, std::string_view subject) const;
     byte_count size() const { return m_size; }
     std::size_t entries() const { return m_entries.size(); }
