--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -7,16 +7,10 @@
 
 namespace {
 
-    void overlay(labels& below, const labels& above)
-    {
-        for (const auto& [key, value] : above)
-            below[key] = value;
-    }
-
     // The pools that take this work.
     std::set<std::string> acceptingPools(const config& inForce, const work& item)
     {
-        const auto set = workLabels(item);
+        const auto set = workLabels(item.account, item.on, item.by);
         const auto kind = item.on != nullptr ? item.on->kind : pool_kind::Engine;
         std::set<std::string> names;
         for (const auto& pool : inForce.all<target_pool>().sorted()) {
@@ -31,30 +25,6 @@
 
 } // namespace
 
-labels workLabels(const work& item)
-{
-    labels set;
-    if (item.account != nullptr)
-        overlay(set, item.account->meta.labels);
-    if (item.on != nullptr)
-        overlay(set, item.on->meta.labels);
-    if (item.by != nullptr)
-        overlay(set, item.by->meta.labels);
-    return set;
-}
-
-labels targetLabels(const config& inForce, const target_record& target)
-{
-    labels set;
-    if (const auto* pool = inForce.findPool(target.listed.pool))
-        set = pool->meta.labels;
-    overlay(set, target.labels);
-    set["pool"] = target.listed.pool.str();
-    set["failure_domain"] = target.listed.failureDomain.str();
-    set["kind"] = target.listed.supply == supply_kind::Cheap ? "cheap" : "firm";
-    return set;
-}
-
 placement placeWork(const config_ptr& inForce, const work& item)
 {
     static const selector everything;
@@ -69,7 +39,8 @@
         name += "|" + pool;
     out.name = routing_class_id(name);
     out.allows = [inForce, wanted, pools](const target_record& target) {
-        return pools.contains(target.listed.pool.str()) && wanted.matches(targetLabels(*inForce, target));
+        const auto* pool = inForce->findPool(target.listed.pool);
+        return pool != nullptr && pools.contains(pool->meta.name) && wanted.matches(targetLabels(*pool, target.listed.failureDomain, target.labels));
     };
     return out;
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -25,13 +25,7 @@
     target_predicate allows;
 };
 
-// The labels of account, route and run together; the run's win, then the route's.
-labels workLabels(const work& item);
 // The class of a piece of work under one configuration. The predicate keeps that
 // configuration alive.
 placement placeWork(const config_ptr& inForce, const work& item);
-// The labels that a target's selector sees: the pool's, overlaid by the target's
-// own, and `pool`, `failure_domain`, `kind` (firm or cheap).
-labels targetLabels(const config& inForce, const target_record& target);
-
 } // namespace lovagerail
--- a/src/types.h
+++ b/src/types.h
@@ -127,7 +127,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<decision_clock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): clocks must have this name
 };
 using instant = decision_clock::time_point;
 
