Quarantine: suspects of a target's death, and who is refused

A request that brings down its target would be sent to the next one. Marks are merged by union, so instances may tell each other in any order.

Over generated histories with two poison requests and targets that die of themselves, no poison request ran at more than two targets.

No change of behaviour.

--- /dev/null
+++ b/tests/test_quarantine.cpp
@@ -0,0 +1,162 @@
+// Tests of quarantine: what a request may cost, who is blamed, and that marks merge.
+#include "property.h"
+#include "quarantine.h"
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const wall_time start { 1h };
+
+    request_fingerprint print(std::uint64_t number)
+    {
+        return request_fingerprint(number);
+    }
+
+    target_id target(std::uint64_t number)
+    {
+        return target_id("t" + std::to_string(number));
+    }
+
+    // Targets that die of poison requests, and also of themselves.
+    struct world {
+        quarantine subject;
+        wall_time now = start;
+        std::map<std::uint64_t, std::set<std::uint64_t>> killed; // targets by poison request
+        std::uint64_t lastRun = 0;
+        std::uint64_t lives = 0;
+
+        bool isPoison(std::uint64_t number) const { return number < 2; }
+
+        // One run of a request in the company of innocent ones.
+        void run(std::uint64_t number, std::uint64_t at, std::uint64_t company, bool diesOfItself)
+        {
+            const auto verdict = subject.judge(print(number), now);
+            if (verdict == quarantine_verdict::Refused)
+                return;
+            const bool suspect = verdict == quarantine_verdict::RunAlone;
+            const std::string name = suspect ? "a" + std::to_string(++lastRun) : "";
+            if (!isPoison(number) && !diesOfItself) {
+                subject.completed(print(number), now);
+                return;
+            }
+            const incarnation life(++lives);
+            subject.broke(print(number), target(at), life, name, now);
+            if (!suspect)
+                subject.broke(print(company), target(at), life, "", now);
+            subject.seen(target(at), life.next(), now);
+            if (isPoison(number))
+                killed[number].insert(lives);
+        }
+    };
+
+    std::vector<blame_mark> generated(const std::vector<std::uint32_t>& seeds)
+    {
+        std::vector<blame_mark> out;
+        for (const auto seed : seeds) {
+            blame_mark mark;
+            mark.of = print(seed % 3);
+            mark.by = { target((seed >> 2) % 3), incarnation((seed >> 4) % 2), (seed >> 5) % 2 == 0 ? "" : "run" };
+            mark.until = start + std::chrono::milliseconds(seed % 1000);
+            mark.cleared = (seed >> 7) % 4 == 0;
+            out.push_back(mark);
+        }
+        return out;
+    }
+
+    BOOST_AUTO_TEST_SUITE(quarantine_suite)
+
+    BOOST_AUTO_TEST_CASE(a_poison_request_costs_at_most_two_targets)
+    {
+        test::checkProperty("two targets", [](const std::vector<std::uint32_t>& steps) {
+            world all;
+            for (const auto step : steps) {
+                all.now += std::chrono::milliseconds(step % 200);
+                all.run((step >> 8) % 6, (step >> 12) % 4, 2 + (step >> 16) % 4, (step >> 20) % 8 == 0);
+            }
+            for (const auto& [number, targets] : all.killed)
+                RC_ASSERT(targets.size() <= 2U);
+        });
+    }
+
+    BOOST_AUTO_TEST_CASE(a_request_that_was_near_is_cleared_by_completing)
+    {
+        quarantine subject;
+        subject.broke(print(1), target(1), incarnation(1), "", start);
+        subject.broke(print(2), target(1), incarnation(1), "", start);
+        BOOST_CHECK(subject.judge(print(2), start) == quarantine_verdict::RunAlone);
+        subject.completed(print(2), start);
+        BOOST_CHECK(subject.judge(print(2), start) == quarantine_verdict::Clear);
+        BOOST_CHECK(subject.judge(print(1), start) == quarantine_verdict::RunAlone);
+    }
+
+    BOOST_AUTO_TEST_CASE(copies_side_by_side_are_blamed_once)
+    {
+        quarantine subject;
+        for (int i = 0; i < 5; ++i)
+            subject.broke(print(1), target(1), incarnation(1), "", start);
+        BOOST_CHECK(subject.judge(print(1), start) == quarantine_verdict::RunAlone);
+    }
+
+    BOOST_AUTO_TEST_CASE(a_suspect_runs_once_at_a_time_and_its_target_is_its_own)
+    {
+        quarantine subject;
+        subject.broke(print(1), target(1), incarnation(1), "", start);
+        subject.suspectBegan(print(1), target(2));
+        BOOST_CHECK(subject.judge(print(1), start) == quarantine_verdict::Wait);
+        BOOST_TEST(subject.occupied().size() == 1U);
+        subject.suspectEnded(print(1));
+        subject.broke(print(1), target(2), incarnation(1), "a1", start);
+        BOOST_CHECK(subject.judge(print(1), start) == quarantine_verdict::Refused);
+        BOOST_TEST(subject.occupied().empty());
+    }
+
+    BOOST_AUTO_TEST_CASE(deaths_not_confirmed_count_for_a_short_time)
+    {
+        quarantine subject;
+        subject.broke(print(1), target(1), incarnation(1), "", start);
+        subject.broke(print(1), target(2), incarnation(1), "a1", start);
+        BOOST_CHECK(subject.judge(print(1), start + 29s) == quarantine_verdict::Refused);
+        BOOST_CHECK(subject.retryAfter(print(1), start) == 30s);
+        subject.died(target(1), incarnation(1), start + 1s);
+        subject.seen(target(2), incarnation(2), start + 1s);
+        BOOST_CHECK(subject.judge(print(1), start + 9min) == quarantine_verdict::Refused);
+        BOOST_CHECK(subject.judge(print(1), start + 11min) == quarantine_verdict::Clear);
+    }
+
+    BOOST_AUTO_TEST_CASE(marks_merge_in_any_order_and_as_often_as_told)
+    {
+        test::checkProperty("merge", [](const std::vector<std::uint32_t>& first, const std::vector<std::uint32_t>& second) {
+            const auto left = generated(first);
+            const auto right = generated(second);
+            quarantine one;
+            one.onNews(left, start);
+            one.onNews(right, start);
+            quarantine two;
+            two.onNews(right, start);
+            two.onNews(left, start);
+            two.onNews(right, start);
+            RC_ASSERT(one.marks() == two.marks());
+            quarantine three;
+            three.onNews(blameMarksFromJson(toJson(one.marks())), start);
+            RC_ASSERT(three.marks() == one.marks());
+        });
+    }
+
+    BOOST_AUTO_TEST_CASE(memory_is_bounded_and_old_marks_go)
+    {
+        quarantine_settings settings;
+        settings.mostMarks = 100;
+        quarantine subject(settings);
+        for (std::uint64_t i = 0; i < 1000; ++i)
+            subject.broke(print(i), target(i), incarnation(1), "", start + std::chrono::milliseconds(i));
+        BOOST_TEST(subject.marks().size() == 100U);
+        subject.dropOld(start + 1h);
+        BOOST_TEST(subject.marks().empty());
+    }
+
+    BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace lovagerail
