--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -13,6 +13,7 @@
     constexpr std::size_t exchangeRing = 256;
     constexpr std::chrono::milliseconds longestSleep { 10 };
     constexpr duration tickEvery = std::chrono::milliseconds(20);
+    constexpr int statusOk = 200;
     constexpr int statusUnavailable = 503;
 
     platform::kv_session_settings sessionSettings(const settings& values)
@@ -64,6 +65,12 @@
     m_status.addTo(m_operators);
     m_usage.addTo(m_operators);
     m_runs.addTo(m_operators);
+    m_operators.add("POST", "/v1/drain", operator_scope::Write, [this](const operator_call& call) {
+        m_drainAsked = true;
+        Json::Value body(Json::objectValue);
+        body["instance"] = m_context.self.str();
+        answerJson(call.exchange, statusOk, body);
+    });
     m_peers.server().add("hello", [this](const Json::Value&) -> result<Json::Value> { return Json::Value(Json::UInt64(m_context.life.value())); });
     m_toldConfig = m_context.inForce;
 }
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -33,6 +33,7 @@
     result<void> start(const http::tls_files& tls);
     // Begins the planned stop: no new work, hand over duties, finish what runs.
     void drain() { m_drainAsked = true; }
+    bool draining() const { return m_drainAsked; }
     // True once a planned stop has nothing left to wait for.
     bool drained() const { return m_drained; }
     void stop();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -120,8 +120,9 @@
             exitCode = exitFailure;
         } else {
             logEvent(log_level::Info, "main", "started", { { "callers", values.listen.callers }, { "operators", values.listen.operators } });
-            constexpr int forever = -1;
-            waitForSignal(signals, forever);
+            // A signal or an operator asks for the planned stop.
+            constexpr int pollMs = 100;
+            while (!control.draining() && !waitForSignal(signals, pollMs)) { }
             logEvent(log_level::Info, "main", "stopping");
             drain(control, values, signals);
         }
