--- a/tests/usage_world.h
+++ b/tests/usage_world.h
@@ -15,10 +15,11 @@
 struct fault_rates { // in per cent
     unsigned lostAnswer = 15;
     unsigned refused = 10;
-    unsigned lateCommit = 10; // lands up to 70 s after its answer was lost
+    unsigned lateCommit = 10; // lands after its answer was lost
     unsigned death = 2;
     unsigned cutOff = 3;
     unsigned takeOver = 4;
+    unsigned longestDelay = 70; // seconds until a late commit lands
 };
 
 class usage_world {
@@ -52,7 +53,8 @@
         if (chance(m_faults.takeOver))
             takeOver();
         deliver();
-        for (std::size_t i = 0; i < m_closers.size(); ++i) {
+        const bool vacant = m_now < m_vacantUntil && m_now > m_vacantUntil - step * m_vacantFor;
+        for (std::size_t i = 0; !vacant && i < m_closers.size(); ++i) {
             const bool holder = i + 1 == m_closers.size();
             if (!holder && !chance(50) && faulty)
                 continue; // paused
@@ -95,6 +97,12 @@
     std::size_t lateReports() const { return m_late; }
     std::size_t reports() const { return m_sink.size(); }
     std::size_t calls() const { return m_calls; }
+    // No closer acts for so many seconds, once the first window is under way.
+    void vacate(int seconds)
+    {
+        m_vacantUntil = m_now + step * (10 + seconds);
+        m_vacantFor = seconds;
+    }
     void kill(std::size_t index) { die(*m_instances[index]); }
     wall_time now() const { return m_now; }
 
@@ -243,7 +251,7 @@
             return;
         }
         if (chance(m_faults.lateCommit)) {
-            m_queue.emplace(m_now + step * static_cast<int>(1 + m_random() % 70), [this, commit] { apply(commit); });
+            m_queue.emplace(m_now + step * static_cast<int>(1 + m_random() % m_faults.longestDelay), [this, commit] { apply(commit); });
             later([closer, commit] { closer->onCommit(commit, commit_outcome::Unknown); });
             return;
         }
@@ -349,6 +357,8 @@
     std::vector<std::unique_ptr<node>> m_instances;
     std::vector<closer_ptr> m_closers; // the last one is in charge
     std::uint64_t m_term = 0;
+    wall_time m_vacantUntil {};
+    int m_vacantFor = 0;
     std::uint64_t m_requests = 0;
     std::map<std::string, std::string> m_store;
     std::multimap<wall_time, std::function<void()>> m_queue;
