Run: a request that the trainer has given up is withdrawn

Cause: a request whose caller had stopped waiting stayed with the machine, which then handed its batch over to nobody; what the trainer published since would age the batch before it was received. Change: the event batch_withdrawn; the test world sends it half of the times its trainer gives up. Conclusion: the daemon has to send the event when it stops waiting.

--- a/src/run_events.cpp
+++ b/src/run_events.cpp
@@ -50,6 +50,12 @@
     m_asked = asked_batch { event.call, event.cursor, m_eventNumber, now };
 }
 
+void run_coordinator::on(const batch_withdrawn& event, instant)
+{
+    if (m_asked && m_asked->call == event.call)
+        m_asked.reset();
+}
+
 // --- Streams ---
 
 void run_coordinator::on(const served_version& event, instant)
--- a/src/run_state.h
+++ b/src/run_state.h
@@ -102,6 +102,10 @@
     trainer_call call;
     step_number cursor;
 };
+// The trainer waits no longer: nothing is handed over to a request that is gone.
+struct batch_withdrawn {
+    trainer_call call;
+};
 struct dispatch_accepted {
     stream_id stream;
 };
@@ -180,7 +184,7 @@
 struct tick {
 };
 
-using run_event = std::variant<groups_supplied, version_published, batch_asked, dispatch_accepted, dispatch_refused,
+using run_event = std::variant<groups_supplied, version_published, batch_asked, batch_withdrawn, dispatch_accepted, dispatch_refused,
     chunk_received, generation_finished, generation_failed, sample_judged, judge_failed, payload_stored, payload_refused,
     payload_lost, prompt_lost, holder_lost, ledger_confirmed, ledger_unknown, ledger_conflict, ledger_content, taken_over,
     served_version, tick>;
--- a/tests/rollout_world.cpp
+++ b/tests/rollout_world.cpp
@@ -107,8 +107,10 @@
         return;
     }
     if (kind == 94 && faults) {
-        m_request.reset(); // the trainer gives up and will ask again
-        return;
+        const std::optional<trainer_request> gone = std::exchange(m_request, std::nullopt);
+        if (gone && draw(2) == 0)
+            send(anyAlive(), batch_withdrawn { gone->call });
+        return; // it will ask again
     }
     m_now += std::chrono::milliseconds(draw(1'500));
     send(anyAlive(), tick {});
