--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -70,7 +70,7 @@
 def stop_and_crash(fleet, checks):
     title("One daemon is stopped gracefully and one killed in mid-traffic")
     keys = [fleet.keys["mawr"], fleet.keys["bach"]]
-    client = fleet.kit.start_client("load", entries=fleet.callers(), keys=keys, rate_per_second=40, duration_ms=4000, stream_share=0.7)
+    client = fleet.kit.start_client("load", entries=fleet.callers(), keys=keys, rate_per_second=40, duration_ms=4000, stream_share=0.7, failover=True)
     time.sleep(1.0)
     stopped = fleet.daemons["entry-3"]
     stopped.terminate()
@@ -79,6 +79,7 @@
     time.sleep(0.7)
     killed = fleet.daemons["entry-2"]
     open_before = kit.get(killed.operators + "/metrics").body.decode()
+    # Requests that arrive between this look and the kill are allowed for below.
     open_before = float([line for line in open_before.splitlines() if line.startswith("lovagerail_open_requests ")][0].split()[1])
     killed.kill()
     client.wait(40)
@@ -87,9 +88,9 @@
     print(f"  {summary['requests']} requests: {outcomes}; {open_before:.0f} were open on the killed daemon")
     checks.hold("no answer was crossed, gapped or repeated", outcomes["crossed"] + outcomes["gap"] + outcomes["repeat"] == 0)
     checks.hold("every request was settled", sum(outcomes.values()) == summary["requests"])
-    lost = outcomes["truncated"] + outcomes["failed"]
-    # Callers of the killed daemon see a broken connection, as do those who still try it.
-    checks.hold("most answers were whole", outcomes["ok"] >= summary["requests"] - lost - outcomes["refused"] - outcomes["timeout"] and outcomes["ok"] > summary["requests"] / 2, outcomes["ok"])
+    lost = summary["requests"] - outcomes["ok"]
+    # A caller whose own daemon dies sees a broken connection; nobody else loses anything.
+    checks.hold("only requests that were open on the killed daemon were lost", lost <= open_before + 3, f"{lost} of {summary['requests']}")
     for name in ("entry-2", "entry-3"):
         fleet.start(name)
     kit.wait_until(lambda: all(fleet.serves(url) for url in fleet.callers()), "restarted daemons serve")
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -22,6 +22,7 @@
 
     struct load_options {
         std::vector<std::string> entries;
+        bool failover = false;
         std::vector<std::string> keys;
         std::string model;
         std::string marker;
@@ -147,7 +148,19 @@
             }
         }
 
-        request_outcome perform(http_client& client, const planned_request& planned)
+        // Like a balancer: an entry that can't be reached or is draining is passed over.
+        request_outcome perform(http_client& client, planned_request planned)
+        {
+            for (std::size_t tries = 1;; ++tries) {
+                bool passOver = false;
+                auto outcome = performOnce(client, planned, passOver);
+                if (!m_options.failover || !passOver || tries >= m_options.entries.size())
+                    return outcome;
+                planned.entry = (planned.entry + 1) % m_options.entries.size();
+            }
+        }
+
+        request_outcome performOnce(http_client& client, const planned_request& planned, bool& passOver)
         {
             const auto prompt = promptFor(m_options, planned, m_seed);
             auto request = requestFor(m_options, planned, prompt);
@@ -163,6 +176,8 @@
                 return true;
             };
             const auto answer = client.call(request);
+            passOver = (answer.status == 0 && answer.problem.find("connect to") != std::string::npos)
+                || (answer.status == 503 && whole.find("\"draining\"") != std::string::npos);
             request_outcome outcome;
             outcome.number = planned.number;
             outcome.key = planned.key;
@@ -195,6 +210,7 @@
 {
     load_options options;
     options.entries = listOf(given, "--entries");
+    options.failover = isSet(given, "--failover");
     options.keys = listOf(given, "--keys");
     options.model = textOf(given, "--model-name");
     options.marker = textOf(given, "--marker");
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -99,6 +99,7 @@
   --shared-prefixes=<n>     Prompts begin with one of so many prefixes; 0 for none [default: 8].
   --marker=<text>           Text that every prompt holds, e.g. to poison it [default: ].
   --path=<path>             Plain service calls to this path in place of completions [default: ].
+  --failover                Pass over entries that can't be reached or are draining.
   --direct                  Speak to the targets in --entries directly, without keys.
   --lines                   Print a JSON line for each request too.
 )";
