Serving: limits, fair queue, retry budget and quarantine on the data path

Requests went straight to a target, a retry cost nothing, and a request that brought its target down was sent to the next one. Each request now passes quarantine, its account's limits and the fair queue of its pools, which keeps a bounded number at the targets; retries spend a budget of the pool (100 saved up, so that the requests in flight on one lost target can move), streams that go on from tokens made so far spend none.

Found by the generated histories' harness while reading: a stream that broke after its last token asked another target for one token more; it is now whole.

--- a/src/account_limiter.cpp
+++ b/src/account_limiter.cpp
@@ -57,7 +57,7 @@
 
 // --- Enforcement ---------------------------------------------------------------
 
-account_limiter::account_limiter(limit_settings settings)
+account_limiter::account_limiter(limiter_settings settings)
     : m_settings(settings)
 {
 }
@@ -187,7 +187,7 @@
 
 // --- Division -------------------------------------------------------------------
 
-share_divider::share_divider(limit_settings settings)
+share_divider::share_divider(limiter_settings settings)
     : m_settings(settings)
 {
 }
--- a/src/account_limiter.h
+++ b/src/account_limiter.h
@@ -26,7 +26,7 @@
 
 constexpr std::uint32_t wholeLimit = 1'000'000;
 
-struct limit_settings {
+struct limiter_settings {
     std::uint32_t reserve = 100'000; // of each limit, divided evenly between all instances, never leased
     duration lease = std::chrono::seconds(5);
     duration demandMemory = std::chrono::seconds(10); // an instance not heard for so long gets no lease
@@ -77,7 +77,7 @@
 
 class account_limiter {
 public:
-    explicit account_limiter(limit_settings settings = {});
+    explicit account_limiter(limiter_settings settings = {});
 
     // How many instances there are; alone, an instance has the whole limit.
     void setInstances(std::uint32_t count);
@@ -111,7 +111,7 @@
     void refill(account_state& state, const account_limits& limits, double share, instant now) const;
     std::uint32_t shareOf(const account_state* state, instant now) const;
 
-    limit_settings m_settings;
+    limiter_settings m_settings;
     std::uint32_t m_instances = 1;
     std::map<client_account_id, account_state> m_accounts;
     std::uint64_t m_lastReport = 0;
@@ -122,7 +122,7 @@
 
 class share_divider {
 public:
-    explicit share_divider(limit_settings settings = {});
+    explicit share_divider(limiter_settings settings = {});
 
     // Starts the duty. What an earlier holder leased may be in use for one lease.
     void begin(instant now);
@@ -141,7 +141,7 @@
     using holders = std::map<instance_id, holder_state>;
     void divide(const client_account_id& account, holders& held, instant now, std::vector<account_share>& out) const;
 
-    limit_settings m_settings;
+    limiter_settings m_settings;
     instant m_begins; // no lease before
     std::map<client_account_id, holders> m_accounts;
 };
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -230,6 +230,14 @@
     }
 }
 
+std::vector<target_id> quarantine::blamedTargets() const
+{
+    std::vector<target_id> out;
+    for (const auto& [target, marks] : m_byTarget)
+        out.push_back(target);
+    return out;
+}
+
 void quarantine::completed(request_fingerprint of, wall_time now)
 {
     const auto found = m_suspects.find(of);
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -88,6 +88,8 @@
     void died(const target_id& target, incarnation life, wall_time now);
     // The target is known to run under this incarnation, so earlier ones died.
     void seen(const target_id& target, incarnation life, wall_time now);
+    // Targets that marks name.
+    std::vector<target_id> blamedTargets() const;
     // The request completed whole at some target.
     void completed(request_fingerprint of, wall_time now);
 
--- a/src/retry.cpp
+++ b/src/retry.cpp
@@ -107,6 +107,8 @@
         return { retry_verdict::NoTime, {} };
 
     // Step 3. The budget.
+    if (question.progressed)
+        return { retry_verdict::Retry, {} };
     auto& held = refill(pool, now);
     if (held.retries < whole)
         return { retry_verdict::NoBudget, {} };
--- a/src/retry.h
+++ b/src/retry.h
@@ -25,7 +25,7 @@
 
 struct retry_settings {
     std::uint32_t earnedPerMille = 200; // of a retry, for each success
-    std::uint32_t largestBudget = 20; // retries saved up at most; a pool starts with them
+    std::uint32_t largestBudget = 100; // retries saved up at most; a pool starts with them
     std::uint32_t earnedPerSecondPerMille = 500; // so that a pool without any success can still be tried
     std::uint32_t hedgesPerMille = 20; // of a hedge, for each success
     std::uint32_t largestHedgeBudget = 5;
@@ -38,7 +38,7 @@
     run_outcome outcome = run_outcome::Unknown;
     bool idempotent = false;
     std::uint32_t attempts = 1; // made so far
-    bool progressed = false; // it goes on from tokens made so far: no delay
+    bool progressed = false; // it goes on from tokens made so far: no delay, and no budget, as little is done twice
     instant deadline;
     std::uint64_t seed = 0; // of the jitter
 };
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -22,6 +22,7 @@
     constexpr int statusUnavailable = 503;
     constexpr int statusDeadline = 504;
     constexpr duration defaultRetryAfter = std::chrono::seconds(1);
+    constexpr duration cleaningEvery = std::chrono::seconds(1);
     constexpr std::string_view trainerPrefix = "/rollout/v1/";
 
 } // namespace
@@ -36,6 +37,9 @@
         own.policy = m_settings.policy;
         return own;
     }())
+    , m_quarantine(m_settings.quarantine)
+    , m_retries(m_settings.retries)
+    , m_limiter(m_settings.limits)
 {
 }
 
@@ -72,16 +76,20 @@
         m_router.removeClass(name);
     m_classes.clear();
     // Work that waits for a target may run elsewhere now.
-    for (const auto& [at, number] : m_waiting) {
-        auto& request = m_requests.at(number);
-        work item;
-        item.account = m_config->findAccount(request.account);
-        item.on = m_config->findRoute(request.route);
-        item.by = m_config->findRun(request.run);
-        if (request.made)
-            item.model = request.made->wanted().model;
-        classify(request, item);
-    }
+    for (const auto& [at, number] : m_waiting)
+        reclassify(m_requests.at(number));
+}
+
+// Finds the class of a request under the configuration in force now.
+void serving::reclassify(open_request& request)
+{
+    work item;
+    item.account = m_config->findAccount(request.account);
+    item.on = m_config->findRoute(request.route);
+    item.by = m_config->findRun(request.run);
+    if (request.made)
+        item.model = request.made->wanted().model;
+    classify(request, item);
 }
 
 std::vector<serving_action> serving::deny(const std::vector<deny_mark>& marks, instant now)
@@ -140,7 +148,7 @@
             event.model = model_id(request.made->wanted().model);
         m_actions.push_back(serving_record { std::move(event) });
     }
-    erase(request.number);
+    erase(request.number, now);
 }
 
 // --- Arrivals ----------------------------------------------------------------------
@@ -176,6 +184,7 @@
     open.priority = on.priority;
     open.idempotent = on.kind == pool_kind::Engine || isIdempotent(on, request.method);
     open.deadline = now + std::min<duration>(std::chrono::milliseconds(on.deadlineMs), m_settings.longestRequest);
+    open.fingerprint = fingerprintOf(open.account, request.method, request.path + "?" + request.query, request.body);
     if (on.kind == pool_kind::Engine) {
         if (!readGeneration(request, on, open))
             return take();
@@ -191,7 +200,7 @@
         item.model = open.made->wanted().model;
     classify(open, item);
     enter(std::move(open), now, wall);
-    return take();
+    return settle(now, wall);
 }
 
 // Route, key and account. Refuses and returns false unless the request may go on.
@@ -286,6 +295,7 @@
     work item;
     item.account = m_config->findAccount(job.account);
     item.by = m_config->findRun(job.run);
+    open.fingerprint = fingerprintOf(job.account, open.method, open.routeName, job.prompt);
     if (item.by != nullptr)
         item.model = item.by->model.str();
     generation_request wanted;
@@ -299,7 +309,7 @@
     open.made.emplace(std::move(wanted));
     classify(open, item);
     enter(std::move(open), now, wall);
-    return take();
+    return settle(now, wall);
 }
 
 std::vector<serving_action> serving::arrive(service_job job, instant now, wall_time wall)
@@ -325,6 +335,7 @@
     open.idempotent = isIdempotent(*on, open.method);
     open.priority = on->priority;
     open.headers = { { "Content-Type", "application/json" }, { "Idempotency-Key", job.idempotencyKey } };
+    open.fingerprint = fingerprintOf(job.account, open.method, open.target, job.body);
     open.body = std::move(job.body);
     open.deadline = now + std::min<duration>(job.deadline, std::chrono::milliseconds(on->deadlineMs));
     work item;
@@ -332,23 +343,7 @@
     item.on = on;
     classify(open, item);
     enter(std::move(open), now, wall);
-    return take();
-}
-
-void serving::enter(open_request request, instant now, wall_time wall)
-{
-    request.number = ++m_lastRequest;
-    request.id = newRequestId();
-    request.retryAt = now;
-    const auto number = request.number;
-    if (request.caller)
-        m_byCaller[*request.caller] = number;
-    if (request.job)
-        m_byJob[*request.job] = number;
-    m_deadlines.emplace(request.deadline, number);
-    auto& held = m_requests.emplace(number, std::move(request)).first->second;
-    m_waiting.emplace(held.retryAt, number);
-    dispatch(held, now, wall);
+    return settle(now, wall);
 }
 
 // --- Ends from outside ---------------------------------------------------------------
@@ -365,8 +360,8 @@
         m_actions.push_back(cancel_attempt { request.attempt->id });
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
-    erase(request.number);
-    return take();
+    erase(request.number, now);
+    return settle(now, wall);
 }
 
 std::vector<serving_action> serving::cancel(job_id job, instant now)
@@ -379,13 +374,20 @@
         m_actions.push_back(cancel_attempt { request.attempt->id });
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
-    erase(request.number);
+    erase(request.number, now);
     return take();
 }
 
 std::vector<serving_action> serving::tick(instant now, wall_time wall)
 {
     m_router.tick(now);
+    if (now >= m_nextCleaning) {
+        m_nextCleaning = now + cleaningEvery;
+        noticeRestarts(wall);
+        m_quarantine.dropOld(wall);
+        m_limiter.dropIdle(now);
+        m_retries.dropQuiet(now);
+    }
 
     // Step 1. Requests whose time is over get their final answer.
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
@@ -407,7 +409,7 @@
         if (found != m_requests.end() && !found->second.attempt)
             dispatch(found->second, now, wall);
     }
-    return take();
+    return settle(now, wall);
 }
 
 // --- Records -----------------------------------------------------------------------
@@ -441,7 +443,7 @@
     m_actions.push_back(serving_record { std::move(entry) });
 }
 
-void serving::erase(request_number number)
+void serving::erase(request_number number, instant now)
 {
     const auto found = m_requests.find(number);
     assert(found != m_requests.end());
@@ -452,6 +454,7 @@
         m_byCaller.erase(*request.caller);
     if (request.job)
         m_byJob.erase(*request.job);
+    leaveQueue(request, now);
     m_waiting.erase({ request.retryAt, number });
     m_deadlines.erase({ request.deadline, number });
     m_requests.erase(found);
--- a/src/serving.h
+++ b/src/serving.h
@@ -10,16 +10,21 @@
 // if the work is idempotent.
 #pragma once
 
+#include "account_limiter.h"
 #include "burn.h"
 #include "config.h"
+#include "fairness.h"
 #include "generation.h"
 #include "journal.h"
 #include "keys.h"
 #include "placement.h"
+#include "quarantine.h"
+#include "retry.h"
 #include "router.h"
 #include "types.h"
 #include "usage.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -155,7 +160,12 @@
     failure_domain_id failureDomain;
     duration longestRequest = std::chrono::seconds(120);
     std::size_t longestBuffered = 8 << 20; // bytes of a plain service's answer
-    std::uint32_t mostAttempts = 3;
+    std::size_t mostPerTarget = 32; // requests that all instances together have at a target, on average
+    std::size_t leastWindow = 8; // requests that one instance may have at a class of targets at least
+    fairness_settings fairness;
+    limiter_settings limits;
+    quarantine_settings quarantine;
+    retry_settings retries;
     policy_kind policy = policy_kind::ExpectedCost;
 };
 
@@ -168,6 +178,8 @@
     std::uint64_t retried = 0;
     std::uint64_t crossed = 0; // answers that named another attempt
     std::uint64_t cancelled = 0;
+    std::uint64_t quarantined = 0;
+    std::uint64_t limited = 0;
 };
 
 class serving {
@@ -183,6 +195,10 @@
     // No new requests; those under way go on.
     void setDraining(bool draining) { m_draining = draining; }
     router& targets() { return m_router; }
+    // How many instances share the limits and the targets.
+    void setInstances(std::uint32_t count);
+    account_limiter& limiter() { return m_limiter; }
+    quarantine& suspects() { return m_quarantine; }
 
     // Callers.
     std::vector<serving_action> arrive(caller_request request, instant now, wall_time wall);
@@ -226,6 +242,7 @@
         std::optional<engine_usage> usage;
         weight_version version;
         std::string fault; // why its stream can't be used
+        bool asSuspect = false; // it's the second run of a suspect
     };
     struct open_request {
         request_number number = 0;
@@ -257,6 +274,13 @@
         bool begun = false; // the head of the answer is sent
         std::vector<target_id> tried;
         instant retryAt;
+        request_fingerprint fingerprint;
+        std::uint64_t weight = 1; // in the fair queue
+        std::string queue; // in front of its targets; empty before it's pushed
+        instant leftQueue;
+        service_cost spent; // at targets so far
+        std::uint64_t estimatedTokens = 0;
+        bool admitted = false; // by the account's limits
     };
 
     request_id newRequestId();
@@ -270,9 +294,21 @@
     bool readGeneration(caller_request& request, const route& on, open_request& out);
     void readService(caller_request& request, open_request& out) const;
     void classify(open_request& request, const work& item);
+    void reclassify(open_request& request);
     void enter(open_request request, instant now, wall_time wall);
+    bool admitByLimits(open_request& request, instant now, wall_time wall);
+    bool admitToQueue(open_request& request, instant now, wall_time wall);
+    void pump(instant now, wall_time wall);
+    std::vector<serving_action> settle(instant now, wall_time wall);
+    bool refuseIfQuarantined(open_request& request, instant now, wall_time wall);
+    void blame(const open_request& request, transfer_end end, wall_time wall);
+    static service_cost costOf(const open_request& request, instant now);
+    void leaveQueue(const open_request& request, instant now);
+    void noticeRestarts(wall_time wall);
     void dispatch(open_request& request, instant now, wall_time wall);
-    void sendTo(open_request& request, const route_choice& choice, const route_request& asked, instant now);
+    void waitForTarget(open_request& request, instant now);
+    route_decision chooseTarget(route_request& asked, bool asSuspect, instant now);
+    void sendTo(open_request& request, const route_choice& choice, const route_request& asked, bool asSuspect, instant now);
     void takePiece(open_request& request, const stream_piece& piece, instant now);
     void finishEngine(open_request& request, transfer_end end, instant now, wall_time wall);
     void finishService(open_request& request, transfer_end end, instant now, wall_time wall);
@@ -281,13 +317,20 @@
     void answered(open_request& request, instant now, wall_time wall);
     void countServed(const open_request& request, request_served::outcome how, instant now);
     void note(const open_request& request, std::string decision, std::string reason, wall_time wall, std::vector<journal_fact> facts = {});
-    void erase(request_number number);
+    void erase(request_number number, instant now);
     std::vector<serving_action> take() { return std::exchange(m_actions, {}); }
 
     serving_settings m_settings;
     config_ptr m_config; // never null
     key_table m_keys;
     router m_router;
+    quarantine m_quarantine;
+    retry_policy m_retries;
+    account_limiter m_limiter;
+    std::map<std::string, fair_queue> m_queues; // by the pools behind them
+    std::set<std::string> m_dirtyQueues; // may have something to send
+    std::uint32_t m_instances = 1;
+    instant m_nextCleaning;
     bool m_cutOff = false;
     bool m_draining = false;
     std::uint64_t m_lastRequest = 0;
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -17,8 +17,7 @@
     constexpr int firstClientError = 400;
     constexpr int firstServerError = 500;
     constexpr duration defaultRetryAfter = std::chrono::seconds(1);
-    constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
-    // How soon a request that found no target looks again, and for how long.
+    // How soon a request that found no target looks again, and how long a job does.
     constexpr duration noTargetDelay = std::chrono::milliseconds(100);
     constexpr duration noTargetPatience = std::chrono::seconds(2);
 
@@ -49,7 +48,17 @@
 {
     assert(!request.attempt);
 
-    // Step 1. Ask the router.
+    // Step 1. A suspect runs once more, apart from others, or not at all.
+    if (refuseIfQuarantined(request, now, wall))
+        return;
+    const auto verdict = m_quarantine.judge(request.fingerprint, wall);
+    if (verdict == quarantine_verdict::Wait) {
+        waitForTarget(request, now);
+        return;
+    }
+    const bool asSuspect = verdict == quarantine_verdict::RunAlone;
+
+    // Step 2. Ask the router.
     route_request asked;
     asked.routingClass = request.routingClass;
     asked.account = request.account;
@@ -63,40 +72,73 @@
     asked.idempotent = request.idempotent;
     asked.deadline = request.deadline;
     asked.excluded = request.tried;
+    const auto occupied = m_quarantine.occupied();
+    asked.excluded.insert(asked.excluded.end(), occupied.begin(), occupied.end());
     asked.seed = mix(m_settings.life.value() ^ (request.number << 8) ^ request.attempts);
-    const auto decision = m_router.choose(asked, now);
+    const auto decision = chooseTarget(asked, asSuspect, now);
     if (const auto* choice = std::get_if<route_choice>(&decision)) {
-        sendTo(request, *choice, asked, now);
+        sendTo(request, *choice, asked, asSuspect, now);
         note(request, "dispatched", std::string(toString(choice->reason)), wall,
             { { "target", choice->target.str() }, { "attempt", attemptName(request.attempt->id) } });
         return;
     }
 
-    // Step 2. All targets were tried: each may be tried once more.
+    // Step 3. All targets were tried: each may be tried once more.
     const auto& none = std::get<no_route>(decision);
     if (none.reason == no_route_reason::AllExcluded)
         request.tried.clear();
 
-    // Step 3. A request that was under way waits a little for another target; a
-    // new one is told at once.
-    const bool underWay = request.attempts > 0 || request.job;
-    const bool patient = underWay && now - request.arrived < noTargetPatience + (request.firstSent == instant() ? duration::zero() : now - request.firstSent);
+    // Step 4. A request that was under way, or is kept from targets by a suspect that
+    // runs there, waits until its deadline, a job for a while; any other is told at once.
+    const bool kept = none.reason == no_route_reason::AllExcluded && !occupied.empty();
+    const bool patient = kept || request.attempts > 0 || (request.job && now - request.leftQueue < noTargetPatience);
     if (!patient || none.reason == no_route_reason::CannotMeetDeadline) {
         const auto retryAfter = none.retryAfter > duration::zero() ? none.retryAfter : defaultRetryAfter;
         refuse(request, statusUnavailable, toString(none.reason), "no target can take the request now", retryAfter, now, wall);
         return;
     }
+    waitForTarget(request, now);
+}
+
+// Looks for a target again a little later.
+void serving::waitForTarget(open_request& request, instant now)
+{
     m_waiting.erase({ request.retryAt, request.number });
     request.retryAt = now + noTargetDelay;
     m_waiting.emplace(request.retryAt, request.number);
 }
 
-void serving::sendTo(open_request& request, const route_choice& choice, const route_request& asked, instant now)
+// A suspect goes to a cheap target if one can take it, since it may cost the target.
+route_decision serving::chooseTarget(route_request& asked, bool asSuspect, instant now)
+{
+    if (asSuspect) {
+        route_request cheap = asked;
+        bool any = false;
+        for (const auto slot : m_router.table().allowed(asked.routingClass)) {
+            const auto& listed = m_router.table().record(slot).listed;
+            if (listed.supply == supply_kind::Cheap)
+                any = true;
+            else
+                cheap.excluded.push_back(listed.id);
+        }
+        if (any) {
+            const auto decision = m_router.choose(cheap, now);
+            if (std::holds_alternative<route_choice>(decision))
+                return decision;
+        }
+    }
+    return m_router.choose(asked, now);
+}
+
+void serving::sendTo(open_request& request, const route_choice& choice, const route_request& asked, bool asSuspect, instant now)
 {
     open_attempt attempt;
     attempt.id = newAttemptId();
     attempt.choice = choice;
     attempt.sentAt = now;
+    attempt.asSuspect = asSuspect;
+    if (asSuspect)
+        m_quarantine.suspectBegan(request.fingerprint, choice.target);
     m_router.started(attempt.id, choice, asked, now);
     m_waiting.erase({ request.retryAt, request.number });
     ++request.attempts;
@@ -231,11 +273,12 @@
     auto* request = find(id);
     if (request == nullptr)
         return take();
+    blame(*request, end, wall);
     if (request->made)
         finishEngine(*request, end, now, wall);
     else
         finishService(*request, end, now, wall);
-    return take();
+    return settle(now, wall);
 }
 
 void serving::finishEngine(open_request& request, transfer_end end, instant now, wall_time wall)
@@ -243,8 +286,15 @@
     auto& attempt = *request.attempt;
     const bool clean = end == transfer_end::Whole && !attempt.crossed && attempt.fault.empty();
 
-    // Step 1. Whole: the end reason and the end marker both came.
-    if (clean && attempt.status == statusOk && attempt.reader.done() && request.made->whole()) {
+    // Step 1. Whole: the end reason came. If the stream broke off after all tokens
+    // that were asked for, the reason is known; asking for more would make one too many.
+    const bool own = !attempt.crossed && attempt.fault.empty() && attempt.status == statusOk;
+    if (own && attempt.tokens > 0 && !request.made->whole() && request.made->tokensLeft() == 0) {
+        stream_piece last;
+        last.finishReason = "length";
+        takePiece(request, last, now);
+    }
+    if (own && request.made->whole()) {
         answered(request, now, wall);
         return;
     }
@@ -266,7 +316,7 @@
         endAttempt(request, attempt_outcome::Success, usage_heading::Ended, now);
         m_actions.push_back(std::move(answer));
         countServed(request, request_served::outcome::Answered, now);
-        erase(request.number);
+        erase(request.number, now);
         return;
     }
 
@@ -286,7 +336,7 @@
     // An answer of the service is the answer, whatever its status, unless the
     // work may be repeated and the service failed.
     const bool serverError = attempt.status >= firstServerError;
-    if (clean && !(serverError && request.idempotent && request.attempts < m_settings.mostAttempts)) {
+    if (clean && !(serverError && request.idempotent && request.attempts < m_settings.retries.mostAttempts)) {
         answered(request, now, wall);
         return;
     }
@@ -299,6 +349,8 @@
 {
     auto& attempt = *request.attempt;
     ++m_counts.answered;
+    m_quarantine.completed(request.fingerprint, wall);
+    m_retries.succeeded(m_router.table().record(attempt.choice.slot).listed.pool.str(), now);
     note(request, "answered", "whole", wall, { { "target", attempt.choice.target.str() }, { "attempts", std::to_string(request.attempts) } });
 
     if (request.job) {
@@ -322,13 +374,14 @@
     }
     countServed(request, request_served::outcome::Answered, now);
     endAttempt(request, attempt_outcome::Success, usage_heading::Ended, now);
-    erase(request.number);
+    erase(request.number, now);
 }
 
 // Tries again where that is allowed, else gives the final answer.
 void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, std::string reason, instant now, wall_time wall)
 {
     const auto target = request.attempt->choice.target;
+    const auto pool = m_router.table().record(request.attempt->choice.slot).listed.pool.str();
     const bool progressed = request.attempt->tokens > 0;
     request.mayHaveRun = request.mayHaveRun || !notRun;
     // Tokens that the caller has are kept; what a job made is told piece by piece.
@@ -336,22 +389,36 @@
     endAttempt(request, outcome, heading, now);
     note(request, "attempt_failed", reason, wall, { { "target", target.str() }, { "not_run", notRun ? "yes" : "no" } });
 
-    // A job's owner decides itself how to go on, under its own attempt numbers.
+    // Step 1. A job's owner decides itself how to go on, under its own attempt numbers.
     if (request.job && !notRun) {
         refuse(request, statusBadGateway, "attempt_failed", reason, {}, now, wall);
         return;
     }
-    const bool allowed = notRun || request.idempotent;
-    if (!allowed || request.attempts >= m_settings.mostAttempts) {
-        refuse(request, allowed ? statusUnavailable : statusBadGateway, notRun ? "not_run" : "attempt_failed", reason, notRun ? defaultRetryAfter : duration::zero(), now, wall);
+    if (refuseIfQuarantined(request, now, wall))
+        return;
+
+    // Step 2. Whether it may be tried again.
+    retry_question question;
+    question.outcome = notRun ? run_outcome::NotRun : progressed ? run_outcome::Ran
+                                                                 : run_outcome::Unknown;
+    question.idempotent = request.idempotent;
+    question.attempts = request.attempts;
+    question.progressed = progressed;
+    question.deadline = request.deadline;
+    question.seed = mix(m_settings.life.value() ^ (request.number << 8) ^ request.attempts);
+    const auto decision = m_retries.decide(pool, question, now);
+    if (decision.verdict != retry_verdict::Retry) {
+        const auto status = decision.verdict == retry_verdict::MayHaveRun ? statusBadGateway : statusUnavailable;
+        const std::string_view why = decision.verdict == retry_verdict::NoBudget ? toString(decision.verdict) : notRun ? "not_run"
+                                                                                                                       : "attempt_failed";
+        refuse(request, status, why, reason, notRun ? defaultRetryAfter : duration::zero(), now, wall);
         return;
     }
     ++(progressed ? m_counts.resumed : m_counts.retried);
     request.tried.push_back(target);
 
-    // A generation whose tokens are all made lacks its end alone: let one more token be asked for.
-    const auto delay = firstRetryDelay * (std::int64_t(1) << (request.attempts - 1));
-    request.retryAt = progressed ? now : now + delay;
+    // Step 3. A generation whose tokens are all made lacks its end alone: let one more token be asked for.
+    request.retryAt = now + decision.delay;
     m_waiting.emplace(request.retryAt, request.number);
     if (progressed)
         dispatch(request, now, wall);
@@ -371,8 +438,13 @@
         end.cachedTokens = attempt.usage->cached;
     m_router.ended(attempt.id, end, now);
 
+    if (attempt.asSuspect)
+        m_quarantine.suspectEnded(request.fingerprint);
+
     // Step 2. What it used.
     const bool ran = attempt.headSeen || attempt.tokens > 0;
+    if (ran && outcome != attempt_outcome::Reset)
+        request.spent += costOf(request, now);
     if (ran && !request.account.empty() && !attempt.refusedByTarget) {
         const auto& record = m_router.table().record(attempt.choice.slot);
         attempt_usage event;
--- /dev/null
+++ b/tests/test_serving.cpp
@@ -0,0 +1,107 @@
+// Tests of the whole serving machine: its promises over generated histories of
+// arrivals, crashes, lost, late, crossed and truncated answers, withdrawn keys and
+// leaving targets.
+#include "property.h"
+#include "serving_world.h"
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+    using test::serving_world;
+
+    BOOST_AUTO_TEST_SUITE(serving_suite)
+
+    BOOST_AUTO_TEST_CASE(promises_hold_over_generated_histories)
+    {
+        std::uint64_t answered = 0;
+        std::uint64_t sent = 0;
+        test::checkProperty("promises", [&](std::uint64_t seed) {
+            constexpr int steps = 300;
+            serving_world world;
+            std::uint64_t state = seed;
+            for (int i = 0; i < steps; ++i) {
+                state = state * 6364136223846793005u + 1442695040888963407u;
+                world.step(static_cast<std::uint32_t>(state >> 32));
+            }
+            world.check();
+            world.finish();
+            world.check();
+            answered += world.answeredCount();
+            sent += world.attemptsSeen();
+        });
+        // The histories must not be empty ones.
+        BOOST_TEST(answered > 2000U);
+        BOOST_TEST(sent > answered);
+    }
+
+    BOOST_AUTO_TEST_CASE(a_crash_loses_no_stream_and_blames_none_for_good)
+    {
+        serving_world world;
+        std::vector<std::uint64_t> asked;
+        for (int i = 0; i < 40; ++i)
+            asked.push_back(world.askEngine(0, true));
+        world.crash("e0");
+        world.finish();
+        world.check();
+        for (const auto number : asked)
+            BOOST_TEST(world.isWhole(number), world.reason(number));
+        BOOST_TEST(world.subject().counts().quarantined == 0U);
+    }
+
+    BOOST_AUTO_TEST_CASE(poison_costs_two_targets_and_no_other_request)
+    {
+        serving_world world;
+        std::vector<std::uint64_t> others;
+        for (int round = 0; round < 20; ++round) {
+            for (std::uint32_t i = 0; i < 5; ++i)
+                others.push_back(world.askEngine(i % 3, true));
+            world.askPoison(0, 0);
+            world.askPoison(1, 1);
+            for (int i = 0; i < 8; ++i)
+                world.workOne(static_cast<std::size_t>(3 * round + i));
+            world.passTime(100ms);
+        }
+        world.finish();
+        world.check();
+        BOOST_TEST(world.killedBy().size() == 2U);
+        for (const auto number : others)
+            BOOST_TEST(world.isWhole(number), world.reason(number));
+        const auto again = world.askPoison(0, 0);
+        BOOST_TEST(world.status(again) == 503);
+        BOOST_TEST(world.reason(again) == "quarantined");
+        BOOST_TEST(world.outcome(again) == "not_run");
+    }
+
+    BOOST_AUTO_TEST_CASE(a_flooding_account_does_not_starve_another)
+    {
+        serving_settings settings;
+        settings.mostPerTarget = 1;
+        settings.leastWindow = 4;
+        serving_world world(settings);
+        for (int i = 0; i < 400; ++i)
+            world.askEngine(0, false);
+        const auto small = world.askEngine(1, false);
+        for (int i = 0; i < 12; ++i)
+            world.workOne(0);
+        BOOST_TEST(world.isWhole(small));
+        world.finish();
+        world.check();
+    }
+
+    BOOST_AUTO_TEST_CASE(no_more_than_the_window_is_at_targets)
+    {
+        serving_settings settings;
+        settings.mostPerTarget = 2;
+        serving_world world(settings);
+        for (int i = 0; i < 100; ++i)
+            world.askEngine(0, false);
+        BOOST_TEST(world.openAttempts() == 2 * test::engineCount);
+        world.finish();
+        BOOST_TEST(world.answeredCount() == 100U);
+    }
+
+    BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace lovagerail
