Threads pass on marks of suspects, demand, shares and the count of instances

The serving thread tells what it learned of suspects and what accounts asked of it, and takes in the same from others; how instances exchange them is the control thread's part.

--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -27,7 +27,20 @@
     bool cutOff = false;
     bool draining = false;
 };
-using to_serving = std::variant<new_config, new_denials, new_targets, generation_job, service_job, cancel_job, serving_mode>;
+// Marks of suspects that other instances told.
+struct suspect_marks_in {
+    std::vector<blame_mark> marks;
+};
+// Leased shares of accounts' limits, for this instance among others.
+struct account_shares_in {
+    std::vector<account_share> shares;
+};
+// How many instances are live; limits without leased shares are divided by it.
+struct instance_count {
+    std::uint32_t count = 1;
+};
+using to_serving = std::variant<new_config, new_denials, new_targets, generation_job, service_job, cancel_job, serving_mode, suspect_marks_in,
+    account_shares_in, instance_count>;
 
 // --- Serving to control ---
 
@@ -43,6 +56,14 @@
     std::size_t open = 0;
     serving_counts counts;
 };
-using to_control = std::variant<trainer_call_in, job_news, serving_record, served_versions, serving_state>;
+// Marks of suspects that changed here, for all other instances.
+struct suspect_marks_out {
+    std::vector<blame_mark> marks;
+};
+// What accounts asked of this instance, for the instance that divides limits.
+struct account_demand_out {
+    demand_report report;
+};
+using to_control = std::variant<trainer_call_in, job_news, serving_record, served_versions, serving_state, suspect_marks_out, account_demand_out>;
 
 } // namespace lovagerail::daemon
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -106,10 +106,13 @@
             noticeGone(now, wall);
             act(m_serving.tick(now, wall));
             m_watch.tick(m_serving.targets(), salt, now);
+            if (auto marks = m_serving.suspects().news(); !marks.empty())
+                tellControl(suspect_marks_out { std::move(marks) });
         }
         if (now >= nextState) {
             nextState = now + stateEvery;
             reportState();
+            tellControl(account_demand_out { m_serving.limiter().takeDemand(now) });
         }
         flushControl();
     }
@@ -152,7 +155,12 @@
         else if (const auto* mode = std::get_if<serving_mode>(&message)) {
             m_serving.setCutOff(mode->cutOff);
             m_serving.setDraining(mode->draining);
-        }
+        } else if (const auto* suspects = std::get_if<suspect_marks_in>(&message))
+            m_serving.suspects().onNews(suspects->marks, wall);
+        else if (const auto* leased = std::get_if<account_shares_in>(&message))
+            m_serving.limiter().onShares(instance_id(m_values.instance.name), leased->shares);
+        else if (const auto* live = std::get_if<instance_count>(&message))
+            m_serving.setInstances(live->count);
     }
 }
 
