--- a/tests/test_target_table.cpp
+++ b/tests/test_target_table.cpp
@@ -171,6 +171,16 @@
     BOOST_TEST(table.allowed(everything).size() == 1);
 }
 
+// A late report of the start before says nothing about the present one.
+BOOST_AUTO_TEST_CASE(report_of_an_older_incarnation_is_ignored)
+{
+    target_table table = tableWithClasses();
+    table.applyRow(row(1, 2, target_state::Starting, true), instant { 1s });
+    table.applyReport(target_id("t1"), incarnation(1), weight_version(3), model_id("old"), instant { 2s });
+    BOOST_TEST(table.allowed(everything).empty());
+    BOOST_TEST(table.record(target_slot(0)).model.empty());
+}
+
 // Operators' labels win over the list's, also when the list repeats its own.
 BOOST_AUTO_TEST_CASE(labels_move_a_live_target)
 {
