Linter clean over the daemon and the tool

Change: as it asks; history is reversed after reading instead of read backwards. Before: lint red. Conclusion: style only.

No change of behaviour.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -447,6 +447,7 @@
     }
     for (const auto& item : answer->body[member]) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const auto& column : columns)
             row.push_back(textOf(item[column]));
         rows.push_back(std::move(row));
--- a/src/daemon/config_api.cpp
+++ b/src/daemon/config_api.cpp
@@ -5,6 +5,8 @@
 #include "daemon/key_duty.h"
 #include "object_codec.h"
 
+#include <algorithm>
+
 namespace lovagerail::daemon {
 
 namespace {
@@ -172,11 +174,12 @@
                 return;
             }
             std::vector<history_entry> entries;
-            for (auto entry = answer->entries.rbegin(); entry != answer->entries.rend(); ++entry) {
-                auto decoded = decodeHistory({ entry->key, entry->value, entry->modRevision });
+            for (const auto& entry : answer->entries) {
+                auto decoded = decodeHistory({ entry.key, entry.value, entry.modRevision });
                 if (decoded)
                     entries.push_back(std::move(*decoded));
             }
+            std::reverse(entries.begin(), entries.end());
             onDone(std::move(entries));
         });
     }
--- a/src/daemon/key_duty.cpp
+++ b/src/daemon/key_duty.cpp
@@ -52,7 +52,7 @@
     });
 }
 
-void key_duty::withdraw(const key_id& id, const std::string& who, std::function<void(const edit_answer&)> onDone)
+void key_duty::withdraw(const key_id& id, const std::string& who, const std::function<void(const edit_answer&)>& onDone)
 {
     // Step 1. In force here and told to others before anything can fail.
     const auto mark = m_keys.deny(id);
@@ -70,7 +70,7 @@
     logEvent(log_level::Info, "keys", "withdraw", { { "key", id.str() }, { "by", who } });
 
     // Step 2. The configuration.
-    writeWithdrawal(id, who, std::move(onDone));
+    writeWithdrawal(id, who, onDone);
 }
 
 void key_duty::writeWithdrawal(const key_id& id, const std::string& who, const config_duty::edit_function& onDone)
--- a/src/daemon/key_duty.h
+++ b/src/daemon/key_duty.h
@@ -29,7 +29,7 @@
         std::function<void(const granted&)> onDone);
 
     // In force here when it returns; onDone tells whether the configuration has it.
-    void withdraw(const key_id& id, const std::string& who, std::function<void(const edit_answer&)> onDone);
+    void withdraw(const key_id& id, const std::string& who, const std::function<void(const edit_answer&)>& onDone);
 
     // Marks of another instance; true if any was new.
     bool learn(const std::vector<deny_mark>& marks);
