--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,6 +11,7 @@
 #include <docopt/docopt.h>
 #include <fstream>
 #include <iterator>
+#include <malloc.h>
 #include <poll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -86,6 +87,9 @@
 
 int serve(const settings& values)
 {
+    // Few arenas: each would keep its own freed memory, and control has a small share.
+    constexpr int mostArenas = 2;
+    mallopt(M_ARENA_MAX, mostArenas);
     const int signals = openSignals();
     log_level level = log_level::Info;
     parseLogLevel(values.log.level, level);
--- a/src/daemon/run_calls.cpp
+++ b/src/daemon/run_calls.cpp
@@ -172,17 +172,19 @@
     return std::move(node.mapped());
 }
 
-// Answers "not yet" to those who wanted to wait no longer. What the machine says
-// to such a call later is for nobody; the trainer's next call gets the same batch.
+// Answers "not yet" to those who wanted to wait no longer, and to none whose caller is gone.
 void run_duty::giveUp(const run_ptr& item)
 {
     std::vector<trainer_call> late;
     for (const auto& [id, call] : item->calls) {
-        if (call.verb == "batches" && m_context.now >= call.giveUpAt)
+        if (call.verb == "batches" && (m_context.now >= call.giveUpAt || call.exchange->callerGone()))
             late.push_back(id);
     }
-    for (const auto id : late)
+    for (const auto id : late) {
+        // First, so that no batch is handed over to nobody and ages meanwhile.
+        feed(item, batch_withdrawn { id });
         act(item, answer_not_yet { id, std::chrono::milliseconds(100), 0 });
+    }
 }
 
 void run_duty::onGroups(const run_ptr& item, const call_in& call)
--- a/src/daemon/run_duty.cpp
+++ b/src/daemon/run_duty.cpp
@@ -197,10 +197,14 @@
     m_payloads.get(run_id(item->name), slot.stream.slot.step, slot.prompt, slot.promptHolders, [this, item, slot](const result<std::string>& prompt) {
         if (!ours(item) || item->preparing.erase(slot.stream) == 0)
             return;
-        if (prompt)
+        if (prompt) {
             sendJob(item, slot, *prompt);
-        else
-            feed(item, dispatch_refused { slot.stream });
+            return;
+        }
+        // A prompt that no holder has any more is asked of the trainer again.
+        if (prompt.error().code == error_code::NotFound)
+            feed(item, prompt_lost { slot.stream.slot.step, slot.stream.slot.group });
+        feed(item, dispatch_refused { slot.stream });
     });
 }
 
--- a/src/weights.h
+++ b/src/weights.h
@@ -82,7 +82,8 @@
     std::size_t replicas() const { return m_replicas.size(); }
     // Replicas whose own report shows the wanted version.
     std::size_t current() const;
-    bool complete() const { return current() == m_replicas.size(); }
+    // False while no replica is known.
+    bool complete() const { return !m_replicas.empty() && current() == m_replicas.size(); }
     // A peer knew a newer holder; nothing is ordered any more.
     bool deposed() const { return m_deposed; }
 
