Weights: sources are gathered once a tick

Cause: each order searched all replicas for a source. Change: one pass lists the free sources, orders take them in turn. Conclusion: a tick is O(n log n).

--- a/src/weights.cpp
+++ b/src/weights.cpp
@@ -53,8 +53,9 @@
     return std::max<std::size_t>(1, share);
 }
 
-// A replica that has the version and passes it to few others, else the store.
-std::optional<std::string> version_rollout::chooseSource(bool& fromStore) const
+// Sources with room for another load: replicas that have the version first, each
+// as often as it may pass it on, then the store.
+std::vector<version_rollout::load_source> version_rollout::freeSources() const
 {
     std::map<std::string, std::size_t> busy;
     std::size_t atStore = 0;
@@ -64,24 +65,20 @@
         ++busy[replica.order->source];
         atStore += replica.order->fromStore;
     }
-    const std::string* best = nullptr;
-    std::size_t fewest = m_settings.fromReplica;
-    for (const auto& [id, replica] : m_replicas) {
-        if (!isCurrent(replica) || replica.order)
-            continue;
-        const auto found = busy.find(replica.report.address);
-        const auto count = found == busy.end() ? 0 : found->second;
-        if (count >= fewest)
-            continue;
-        fewest = count;
-        best = &replica.report.address;
+    std::vector<load_source> out;
+    for (std::size_t round = 0; round < m_settings.fromReplica; ++round) {
+        for (const auto& [id, replica] : m_replicas) {
+            if (!isCurrent(replica) || replica.order)
+                continue;
+            const auto found = busy.find(replica.report.address);
+            const auto used = found == busy.end() ? 0 : found->second;
+            if (used + round < m_settings.fromReplica)
+                out.push_back({ replica.report.address, false });
+        }
     }
-    fromStore = best == nullptr;
-    if (best != nullptr)
-        return *best;
-    if (atStore < m_settings.fromStore && !m_store.empty())
-        return m_store;
-    return std::nullopt;
+    for (auto used = atStore; used < m_settings.fromStore && !m_store.empty(); ++used)
+        out.push_back({ m_store, true });
+    return out;
 }
 
 std::vector<rollout_action> version_rollout::tick(instant now)
@@ -100,22 +97,22 @@
     }
 
     // Step 2. New ones, as far as the share and the sources go.
+    if (complete() || underWay >= swapLimit())
+        return actions;
+    const auto sources = freeSources();
+    auto source = sources.begin();
     for (auto& [id, replica] : m_replicas) {
-        if (underWay >= swapLimit())
+        if (underWay >= swapLimit() || source == sources.end())
             break;
         if (replica.order || isCurrent(replica) || now < replica.retryAt)
             continue;
-        bool fromStore = false;
-        // After a failure the store is the one source that is not in doubt.
-        auto source = chooseSource(fromStore);
-        if (!source)
-            break;
         order_state order;
         ++replica.tries;
         order.id = "weights/" + m_settings.model.str() + "/" + std::to_string(m_wanted.value()) + "/" + id.str() + "/"
             + std::to_string(replica.report.life.value()) + "/" + std::to_string(m_settings.fencing.value()) + "/" + std::to_string(replica.tries);
-        order.source = *source;
-        order.fromStore = fromStore;
+        order.source = source->address;
+        order.fromStore = source->isStore;
+        ++source;
         order.sentAt = now;
         order.nextAsk = now + m_settings.askEvery;
         actions.emplace_back(swap_order { id, replica.report.address, order.id, m_wanted, order.source });
--- a/src/weights.h
+++ b/src/weights.h
@@ -7,7 +7,7 @@
 // that failed, was half done or was undone by a restart is ordered again.
 //
 // Pure; owned by the duty of the model. Every event is O(log n) for n replicas, a
-// tick is O(n).
+// tick is O(n log n).
 #pragma once
 
 #include "types.h"
@@ -104,9 +104,14 @@
         instant retryAt {};
     };
 
+    struct load_source {
+        std::string address;
+        bool isStore = false;
+    };
+
     bool isCurrent(const replica_state& replica) const { return replica.report.version == m_wanted; }
     std::size_t swapLimit() const;
-    std::optional<std::string> chooseSource(bool& fromStore) const;
+    std::vector<load_source> freeSources() const;
     void endOrder(replica_state& replica, bool failed, instant now);
     void drive(replica_state& replica, instant now, std::vector<rollout_action>& actions);
 
