Idempotency keys: records on two instances, claims, answers and doubts

A repeat of a keyed call could run again. The record of a key lives on the two instances that come first for it by rendezvous hashing; a run needs the claim noted by both, so askers whose views differ by one instance can't both run. Records are kept for ten minutes; a lost asker's claims become unknown.

In generated histories with lost messages, views behind by one change, one lost instance and one that joins, no key ran twice.

No change of behaviour.

--- /dev/null
+++ b/tests/test_idempotency.cpp
@@ -0,0 +1,192 @@
+// Tests of idempotency keys: over generated histories of repeats from any instance,
+// lost messages, a lost instance and one that joins, no key runs twice.
+#include "idempotency.h"
+#include "property.h"
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const instant start { 1h };
+    const idempotency_id key("k");
+
+    instance_id name(std::uint64_t number)
+    {
+        return instance_id("i" + std::to_string(number));
+    }
+
+    // Some instances with their stores. Views of the membership lag, but by one change.
+    struct world {
+        struct running {
+            std::uint64_t asker = 0;
+            std::uint64_t claim = 0;
+            std::vector<instance_id> holders;
+        };
+        std::map<instance_id, idempotency_store> stores;
+        std::vector<instance_id> view;
+        std::vector<instance_id> viewBefore;
+        std::vector<running> runs; // under way
+        std::uint64_t runCount = 0;
+        std::uint64_t lastClaim = 0;
+        bool lost = false;
+        instant now = start;
+
+        world()
+        {
+            for (std::uint64_t i = 0; i < 4; ++i) {
+                stores[name(i)];
+                view.push_back(name(i));
+            }
+            viewBefore = view;
+        }
+
+        // One try; bits of `luck` say which answers are lost.
+        void ask(std::uint64_t from, bool oldView, std::uint32_t luck)
+        {
+            if (!stores.contains(name(from)))
+                return;
+            const auto holders = holdersOf(key, oldView ? viewBefore : view);
+            idempotency_asker asker(holders);
+            const auto claim = ++lastClaim;
+            for (std::size_t i = 0; i < holders.size(); ++i) {
+                const auto at = stores.find(holders[i]);
+                std::optional<claim_answer> answer;
+                if (at != stores.end() && ((luck >> (2 * i)) & 3U) != 0)
+                    answer = at->second.claim(key, 1, name(from), claim, now);
+                if (((luck >> (2 * i)) & 3U) == 1)
+                    answer.reset();
+                asker.onAnswer(holders[i], answer);
+            }
+            if (asker.verdict() == ask_verdict::Run) {
+                ++runCount;
+                runs.push_back({ from, claim, holders });
+                return;
+            }
+            for (const auto& holder : holders) {
+                if (const auto at = stores.find(holder); at != stores.end())
+                    at->second.release(key, name(from), claim);
+            }
+        }
+
+        // A run is over; the end may reach only one holder.
+        void end(std::uint32_t luck)
+        {
+            if (runs.empty())
+                return;
+            const auto run = runs.back();
+            runs.pop_back();
+            for (std::size_t i = 0; i < run.holders.size(); ++i) {
+                const auto at = stores.find(run.holders[i]);
+                if (at == stores.end() || ((luck >> i) & 1U) == 0)
+                    continue;
+                if ((luck & 4U) != 0)
+                    at->second.answered(key, name(run.asker), run.claim, keepAnswer(200, "", "first", {}), now);
+                else
+                    at->second.unknown(key, name(run.asker), run.claim, now);
+            }
+        }
+
+        void handOver()
+        {
+            for (auto& [from, store] : stores) {
+                for (const auto& holder : holdersOf(key, view)) {
+                    for (const auto& [id, record] : store.records())
+                        stores.at(holder).merge(id, record, now);
+                }
+            }
+        }
+
+        void lose(std::uint64_t which)
+        {
+            if (lost)
+                return;
+            lost = true;
+            stores.erase(name(which));
+            viewBefore = view;
+            view.erase(std::find(view.begin(), view.end(), name(which)));
+            for (auto& [other, store] : stores)
+                store.lost(name(which), now);
+            handOver();
+        }
+
+        void join()
+        {
+            if (view.size() > 4 || !lost)
+                return;
+            viewBefore = view;
+            stores[name(9)];
+            if (std::find(view.begin(), view.end(), name(9)) == view.end())
+                view.push_back(name(9));
+            handOver();
+        }
+    };
+
+    BOOST_AUTO_TEST_SUITE(idempotency_suite)
+
+    BOOST_AUTO_TEST_CASE(no_key_runs_twice)
+    {
+        std::uint64_t ran = 0;
+        test::checkProperty("once", [&ran](const std::vector<std::uint32_t>& steps) {
+            world all;
+            for (const auto step : steps) {
+                all.now += std::chrono::milliseconds(step % 1000);
+                const auto what = (step >> 10) % 8;
+                if (what < 4)
+                    all.ask((step >> 13) % 4, (step >> 15) % 4 == 0, step >> 17);
+                else if (what < 6)
+                    all.end(step >> 17);
+                else if (what == 6)
+                    all.lose((step >> 13) % 4);
+                else
+                    all.join();
+                RC_ASSERT(all.runCount <= 1U);
+            }
+            ran += all.runCount;
+        });
+        BOOST_TEST(ran > 20U);
+    }
+
+    BOOST_AUTO_TEST_CASE(a_repeat_gets_the_first_answer)
+    {
+        idempotency_store store;
+        BOOST_CHECK(store.claim(key, 1, name(1), 1, start).verdict == claim_verdict::Claimed);
+        BOOST_CHECK(store.claim(key, 1, name(2), 1, start).verdict == claim_verdict::InProgress);
+        BOOST_CHECK(store.claim(key, 2, name(2), 1, start).verdict == claim_verdict::OtherRequest);
+        const auto answer = keepAnswer(201, "text/plain", "made", {});
+        store.answered(key, name(1), 1, answer, start);
+        const auto repeat = store.claim(key, 1, name(2), 1, start + 9min);
+        BOOST_CHECK(repeat.verdict == claim_verdict::Answered);
+        BOOST_CHECK(repeat.answer == answer);
+        BOOST_CHECK(store.claim(key, 1, name(2), 1, start + 11min).verdict == claim_verdict::Claimed);
+    }
+
+    BOOST_AUTO_TEST_CASE(what_was_not_run_may_run_again_and_a_lost_asker_is_unknown)
+    {
+        idempotency_store store;
+        store.claim(key, 1, name(1), 1, start);
+        store.release(key, name(1), 1);
+        BOOST_CHECK(store.claim(key, 1, name(1), 2, start).verdict == claim_verdict::Claimed);
+        store.release(key, name(1), 1); // late, of the claim before
+        store.lost(name(1), start);
+        BOOST_CHECK(store.claim(key, 1, name(2), 1, start).verdict == claim_verdict::Unknown);
+    }
+
+    BOOST_AUTO_TEST_CASE(memory_is_bounded_without_forgetting)
+    {
+        idempotency_settings settings;
+        settings.mostRecords = 2;
+        settings.longestBody = 3;
+        idempotency_store store(settings);
+        store.claim(idempotency_id("a"), 1, name(1), 1, start);
+        store.claim(idempotency_id("b"), 1, name(1), 1, start);
+        BOOST_CHECK(store.claim(key, 1, name(1), 1, start).verdict == claim_verdict::Full);
+        BOOST_CHECK(store.claim(key, 1, name(1), 1, start + 10min).verdict == claim_verdict::Claimed);
+        BOOST_CHECK(!keepAnswer(200, "", "long", settings).bodyKept);
+        BOOST_CHECK(idempotencyIdOf(client_account_id("a"), route_id("b"), "c") != idempotencyIdOf(client_account_id("ab"), route_id(""), "c"));
+    }
+
+    BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace lovagerail
