Serving: a keyed call that isn't idempotent runs once at this instance

Keyed calls of plain services are claimed before they are queued: a repeat gets the first answer (Idempotent-Replayed), or hears that the first is in progress, unknown, or was for another request. A request that ended without an answer frees its key only if nothing ran. Records are this instance's own; holders on other instances are not asked yet.

--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -40,6 +40,7 @@
     , m_quarantine(m_settings.quarantine)
     , m_retries(m_settings.retries)
     , m_limiter(m_settings.limits)
+    , m_keyed(m_settings.keyed)
 {
 }
 
@@ -125,8 +126,10 @@
     const bool ranPartly = request.made && request.made->started();
     const std::string_view outcome = ranPartly ? "ran" : request.mayHaveRun || request.attempt ? "unknown"
                                                                                                : "not_run";
-    if (request.attempt)
+    if (request.attempt) {
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Timeout, usage_heading::Died, now);
+    }
     note(request, "refused", std::string(reason), wall, { { "outcome", std::string(outcome) } });
     if (request.job) {
         job_news news;
@@ -189,6 +192,8 @@
         if (!readGeneration(request, on, open))
             return take();
     } else {
+        if (!claimKey(request, open, now))
+            return take();
         readService(request, open);
     }
 
@@ -358,6 +363,7 @@
     note(request, "cancelled", "the caller is gone", wall);
     if (request.attempt) {
         m_actions.push_back(cancel_attempt { request.attempt->id });
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
     erase(request.number, now);
@@ -372,6 +378,7 @@
     auto& request = m_requests.at(found->second);
     if (request.attempt) {
         m_actions.push_back(cancel_attempt { request.attempt->id });
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
     erase(request.number, now);
@@ -386,6 +393,7 @@
         noticeRestarts(wall);
         m_quarantine.dropOld(wall);
         m_limiter.dropIdle(now);
+        m_keyed.expire(now);
         m_retries.dropQuiet(now);
     }
 
@@ -454,6 +462,7 @@
         m_byCaller.erase(*request.caller);
     if (request.job)
         m_byJob.erase(*request.job);
+    noteNotAnswered(request, now);
     leaveQueue(request, now);
     m_waiting.erase({ request.retryAt, number });
     m_deadlines.erase({ request.deadline, number });
--- a/src/serving.h
+++ b/src/serving.h
@@ -15,6 +15,7 @@
 #include "config.h"
 #include "fairness.h"
 #include "generation.h"
+#include "idempotency.h"
 #include "journal.h"
 #include "keys.h"
 #include "placement.h"
@@ -164,6 +165,7 @@
     std::size_t leastWindow = 8; // requests that one instance may have at a class of targets at least
     fairness_settings fairness;
     limiter_settings limits;
+    idempotency_settings keyed;
     quarantine_settings quarantine;
     retry_settings retries;
     policy_kind policy = policy_kind::ExpectedCost;
@@ -281,6 +283,8 @@
         service_cost spent; // at targets so far
         std::uint64_t estimatedTokens = 0;
         bool admitted = false; // by the account's limits
+        idempotency_id keyedBy; // its record; empty without an Idempotency-Key, or once the end is noted
+        std::uint64_t claim = 0;
     };
 
     request_id newRequestId();
@@ -296,6 +300,9 @@
     void classify(open_request& request, const work& item);
     void reclassify(open_request& request);
     void enter(open_request request, instant now, wall_time wall);
+    bool claimKey(const caller_request& request, open_request& out, instant now);
+    void noteAnswered(open_request& request, int status, std::string_view contentType, std::string_view body, instant now);
+    void noteNotAnswered(open_request& request, instant now);
     bool admitByLimits(open_request& request, instant now, wall_time wall);
     bool admitToQueue(open_request& request, instant now, wall_time wall);
     void pump(instant now, wall_time wall);
@@ -329,6 +336,8 @@
     account_limiter m_limiter;
     std::map<std::string, fair_queue> m_queues; // by the pools behind them
     std::set<std::string> m_dirtyQueues; // may have something to send
+    idempotency_store m_keyed;
+    std::uint64_t m_lastClaim = 0;
     std::uint32_t m_instances = 1;
     instant m_nextCleaning;
     bool m_cutOff = false;
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -364,6 +364,7 @@
         header_list headers { { "X-Request-Id", request.id.str() } };
         if (const auto type = findHeader(attempt.headers, "content-type"); !type.empty())
             headers.emplace_back("Content-Type", std::string(type));
+        noteAnswered(request, attempt.status, findHeader(attempt.headers, "content-type"), attempt.bytes, now);
         m_actions.push_back(whole_answer { *request.caller, attempt.status, std::move(headers), std::move(attempt.bytes) });
     } else if (request.begun) {
         m_actions.push_back(append_answer { *request.caller, request.made->endEvents(request.id) });
--- a/tests/serving_world.cpp
+++ b/tests/serving_world.cpp
@@ -198,6 +198,19 @@
     return arrive(std::move(state), std::move(request));
 }
 
+std::uint64_t serving_world::askKeyed(std::uint32_t account, std::uint32_t key)
+{
+    request_state state;
+    state.account = account;
+    state.marker = "keyed " + std::to_string(account) + "-" + std::to_string(key);
+    caller_request request;
+    request.method = "POST";
+    request.path = "/stock/orders";
+    request.headers.emplace_back("idempotency-key", "key-" + std::to_string(key));
+    request.body = state.marker;
+    return arrive(std::move(state), std::move(request));
+}
+
 void serving_world::take(std::vector<serving_action> actions)
 {
     for (const auto& action : actions) {
@@ -277,6 +290,11 @@
             fail("an attempt goes on from another text");
         if (marker.rfind("poison", 0) == 0)
             attempt.poison = static_cast<std::uint32_t>(marker.back() - '0') + 1;
+    } else if (sent.body.rfind("keyed", 0) == 0) {
+        for (const auto& [number, request] : m_requests) {
+            if (request.marker == sent.body && request.ends == 0 && !request.gone)
+                attempt.request = number;
+        }
     } else {
         const auto at = sent.url.find("n=");
         attempt.request = std::stoull(sent.url.substr(at + 2));
@@ -307,7 +325,7 @@
     if (notRun)
         headers.emplace_back("x-not-run", "true");
     else
-        ++m_requests.at(attempt.request).runs;
+        noteRun(attempt);
     take(m_subject.head(id, status, headers, m_now));
 }
 
@@ -334,6 +352,14 @@
     end(id, transfer_end::Whole);
 }
 
+void serving_world::noteRun(const attempt_at_target& attempt)
+{
+    auto& request = m_requests.at(attempt.request);
+    ++request.runs;
+    if (request.marker.rfind("keyed", 0) == 0 && ++m_keyedRuns[request.marker] > 1)
+        fail(request.marker + " ran twice");
+}
+
 bool serving_world::workOne(std::size_t which)
 {
     if (m_attempts.empty())
@@ -361,7 +387,7 @@
     for (const auto id : there) {
         const auto& attempt = m_attempts.at(id);
         if (!attempt.headSent)
-            ++m_requests.at(attempt.request).runs; // it may have
+            noteRun(attempt); // it may have
         end(id, attempt.headSent ? transfer_end::Truncated : transfer_end::NoAnswer);
     }
 }
@@ -389,7 +415,7 @@
         return;
     case 3: // lost after it ran, or before
         if (!attempt.headSent)
-            ++m_requests.at(attempt.request).runs;
+            noteRun(attempt);
         end(id, attempt.headSent ? transfer_end::Truncated : transfer_end::NoAnswer);
         return;
     case 4: // a part, then a clean end
@@ -440,7 +466,10 @@
         askEngine(account, more % 2 == 0);
         return;
     case 2:
-        askService(account, more % 2 == 0);
+        if (more % 3 == 0)
+            askKeyed(more / 3 % accountCount, more / 9 % 8);
+        else
+            askService(account, more % 2 == 0);
         return;
     case 3:
         if (more % 4 == 0 && !isOpen("poison " + std::string(8, '0') + std::to_string(account)))
--- a/tests/serving_world.h
+++ b/tests/serving_world.h
@@ -25,6 +25,8 @@
     // Callers' requests; the number names it in its body and prompt.
     std::uint64_t askEngine(std::uint32_t account, bool stream);
     std::uint64_t askService(std::uint32_t account, bool idempotent);
+    // The same call each time, under one Idempotency-Key.
+    std::uint64_t askKeyed(std::uint32_t account, std::uint32_t key);
     // A prompt that brings down each engine that runs it; the same text each time.
     std::uint64_t askPoison(std::uint32_t account, std::uint32_t which);
 
@@ -57,7 +59,7 @@
         bool idempotent = false;
         bool gone = false; // the caller hung up
         std::uint32_t account = 0;
-        std::string marker; // of its tokens
+        std::string marker; // of its tokens or body
         std::uint32_t runs = 0; // how often a target truly ran it
         std::string received;
         bool begun = false;
@@ -79,6 +81,7 @@
 
     void take(std::vector<serving_action> actions);
     void take(const send_attempt& sent);
+    void noteRun(const attempt_at_target& attempt);
     void take(const whole_answer& answer);
     void listTargets();
     std::uint64_t arrive(request_state state, caller_request request);
@@ -102,6 +105,7 @@
     std::map<std::string, std::uint64_t> m_lives; // incarnations by target
     std::set<std::string> m_leaving;
     std::map<std::uint32_t, std::set<std::string>> m_killedBy; // incarnations, by poison
+    std::map<std::string, std::uint32_t> m_keyedRuns; // by marker
     mutable std::string m_fault; // the first broken promise
 };
 
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -89,6 +89,26 @@
         world.check();
     }
 
+    BOOST_AUTO_TEST_CASE(a_keyed_call_runs_once)
+    {
+        serving_world world;
+        const auto first = world.askKeyed(0, 1);
+        const auto during = world.askKeyed(0, 1);
+        BOOST_TEST(world.reason(during) == "idempotency_in_progress");
+        world.finish();
+        const auto repeat = world.askKeyed(0, 1);
+        BOOST_TEST(world.isWhole(first));
+        BOOST_TEST(world.isWhole(repeat));
+        const auto cut = world.askKeyed(0, 2);
+        for (std::size_t i = 0; i < test::serviceCount; ++i)
+            world.crash("s" + std::to_string(i));
+        BOOST_TEST(world.outcome(cut) == "unknown");
+        const auto after = world.askKeyed(0, 2);
+        BOOST_TEST(world.reason(after) == "idempotency_unknown");
+        BOOST_TEST(world.attemptsSeen() == 2U);
+        world.check();
+    }
+
     BOOST_AUTO_TEST_CASE(no_more_than_the_window_is_at_targets)
     {
         serving_settings settings;
