--- a/tests/test_fairness.cpp
+++ b/tests/test_fairness.cpp
@@ -126,6 +126,28 @@
         BOOST_TEST(std::abs(served[0] - served[1]) <= 2);
     }
 
+    BOOST_AUTO_TEST_CASE(an_idle_account_saves_up_nothing)
+    {
+        fair_queue subject;
+        subject.setWindow(1);
+        std::uint64_t id = 0;
+        for (int i = 0; i < 500; ++i) {
+            BOOST_REQUIRE(subject.push(request(++id, 1, 1, 1000), start) == queue_verdict::Queued);
+            if (i < 400)
+                subject.finished(*subject.pop(), service_cost(1000), start);
+        }
+        const auto firstOfOther = id + 1;
+        for (int i = 0; i < 100; ++i)
+            BOOST_REQUIRE(subject.push(request(++id, 2, 1, 1000), start) == queue_verdict::Queued);
+        int other = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto next = subject.pop();
+            other += next->value() >= firstOfOther ? 1 : 0;
+            subject.finished(*next, service_cost(1000), start);
+        }
+        BOOST_TEST(std::abs(other - 10) <= 1);
+    }
+
     BOOST_AUTO_TEST_CASE(rollouts_get_their_floor_and_no_more_while_trade_waits)
     {
         fair_queue subject;
