Rollouts under failure with real daemons

Cause: no process test killed coordinators, engines or holders; a trainer that gave up waiting was not told that prompts were lost with both holders (seen: a run that stood still for 60 s). Ruled out: the machine, which tells it when asked longer. Change: five process tests; the answer at give-up names missing groups; the trainer stand-in supplies them again. Conclusion: exactly once and attribution hold in these cases.

No change of behaviour for callers.

--- a/src/daemon/run_calls.cpp
+++ b/src/daemon/run_calls.cpp
@@ -181,9 +181,10 @@
             late.push_back(id);
     }
     for (const auto id : late) {
-        // First, so that no batch is handed over to nobody and ages meanwhile.
+        // Withdrawn first, so that no batch is handed over to nobody and ages meanwhile.
+        const step_number step(queryNumber(item->calls.at(id).query, "cursor").value_or(0));
         feed(item, batch_withdrawn { id });
-        act(item, answer_not_yet { id, std::chrono::milliseconds(100), 0 });
+        act(item, answer_not_yet { id, std::chrono::milliseconds(100), item->machine.missingGroups(step) });
     }
 }
 
--- a/src/run.h
+++ b/src/run.h
@@ -32,6 +32,8 @@
     std::optional<dispatch_slot> takeDispatch(instant now);
     bool hasBacklog() const;
 
+    // Groups of an open step that the trainer has still to supply, or to supply again.
+    std::uint32_t missingGroups(step_number step) const;
     bool leading() const { return m_leading; }
     const ledger_head& head() const { return m_head; }
     const run_counts& counts() const { return m_counts; }
@@ -167,7 +169,6 @@
     void addGroup(step_number step, const group_record& group, instant now);
     void losePrompt(step_number step, group_record& group);
     bool hasGroups(const pending_groups& post) const;
-    std::uint32_t missingGroups(step_number step) const;
 
     // The ledger.
     void plan(instant now);
--- a/standins/trainer.cpp
+++ b/standins/trainer.cpp
@@ -177,7 +177,7 @@
     }
 
     // Pulls one batch; asking for the next one later acknowledges it.
-    bool pullBatch(trainer_state& state)
+    bool pullBatch(trainer_state& state, const arguments& given, std::int64_t step)
     {
         const auto path = "/batches?cursor=" + std::to_string(state.cursor) + "&wait_ms=" + std::to_string(waitForBatch.count());
         const auto answer = callAny(state, "GET", path, {});
@@ -186,6 +186,11 @@
         auto batch = parseJson(answer.body);
         if (answer.status != 200 || !batch.isObject() || !batch["samples"].isArray() || batch["samples"].empty()) {
             waitAfterEmpty(state, answer, batch);
+            // Prompts that all their holders lost have to come again.
+            if (batch.isObject() && toNumber(batch["missing_groups"]) > 0) {
+                state.count("supplied_again");
+                return supplyGroups(state, given, step);
+            }
             return true;
         }
         if (state.random() % asksAgainOneIn == 0)
@@ -225,7 +230,7 @@
         // Step 3. Waiting for the step's samples is the trainer's idle time.
         const auto idleFrom = clock::now();
         while (going && state.received[step] < expected)
-            going = pullBatch(state);
+            going = pullBatch(state, given, step);
         state.count("idle_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - idleFrom).count());
         if (!going)
             break;
--- /dev/null
+++ b/tests/process/test_rollouts.py
@@ -0,0 +1,99 @@
+"""Rollouts under failure, with real daemons: the coordinator killed, an engine killed
+in mid-stream, swaps that fail, a payload holder lost. The trainer's own account and
+the engines' logs are compared; no daemon is asked."""
+
+import json
+import time
+import unittest
+
+from fleet import Fleet
+from kit import KitTest, wait_until
+
+STALENESS_BOUND = 2
+
+
+class Rollouts(KitTest):
+    def fleet(self, **more):
+        flags = {"tokens_per_second": 150, "chunk_tokens": 2, **more.pop("engine_flags", {})}
+        return Fleet(self.kit, engine_flags=flags, **more).ready()
+
+    def start_trainer(self, fleet, steps=4, **more):
+        return self.kit.start_client("trainer", entries=fleet.callers(), keys=[fleet.keys["trainer"]], run="quotes", first_step=0, first_cursor=0,
+                                     steps=steps, groups=4, group_size=4, deadline_ms=60000, train_ms=100, timeout_ms=5000, **more)
+
+    def check(self, fleet, trainer, steps=4):
+        """Each slot once, whole texts, spans as engines recorded, ages within the bound."""
+        trainer.wait(75)
+        lines = [json.loads(line) for line in trainer.output().splitlines() if line.startswith("{")]
+        samples, summary = [line for line in lines if not line.get("summary")], lines[-1]
+        self.assertTrue(summary["whole"], summary)
+        slots = {(s["step"], s["group"], s["index"]) for s in samples}
+        self.assertEqual(len(slots), steps * 16, summary)
+        for name in ("duplicates", "differing_repeats", "broken_texts", "spans_unlike_text", "without_spans"):
+            self.assertEqual(summary[name], 0, summary)
+        self.assertLessEqual(summary["oldest"], STALENESS_BOUND)
+        for sample in samples:
+            self.assertLessEqual(sample["age"], STALENESS_BOUND)
+        return samples, summary
+
+    def coordinator(self, fleet):
+        runs = fleet.ctl_json("runs", on=next(name for name, d in fleet.daemons.items() if d.running))["runs"]
+        return runs[0]["coordinator"] if runs else None
+
+    def test_coordinator_killed_in_every_phase(self):
+        fleet = self.fleet()
+        trainer = self.start_trainer(fleet, steps=6)
+        killed = 0
+        for pause in (0.3, 1.2, 0.7):
+            time.sleep(pause)
+            name = wait_until(lambda: self.coordinator(fleet), "a coordinator", seconds=10)
+            fleet.daemons[name].kill()
+            killed += 1
+            time.sleep(0.2)
+            fleet.start(name)
+        samples, summary = self.check(fleet, trainer, steps=6)
+        print(f"\ncoordinators killed: {killed}; samples {len(samples)}, failovers {summary['failovers']}, idle {summary['idle_ms']} ms of {summary['total_ms']} ms")
+
+    def test_engine_killed_in_mid_stream(self):
+        fleet = self.fleet()
+        trainer = self.start_trainer(fleet)
+        for engine in fleet.engines[:2]:
+            wait_until(lambda e=engine: e.stats().get("running", 0) > 0, "streams under way", seconds=20)
+            engine.crash()
+            time.sleep(0.4)
+            engine.restart()
+        self.check(fleet, trainer)
+
+    def test_swaps_that_fail_on_a_third_of_the_engines(self):
+        fleet = self.fleet(engines=6)
+        for engine in fleet.engines[:2]:
+            engine.faults(fail_swaps=2)
+        trainer = self.start_trainer(fleet, steps=3)
+        samples, summary = self.check(fleet, trainer, steps=3)
+        made = {(span["version"], span["tokens"]) for engine in fleet.engines for attempt in engine.log()["attempts"] for span in attempt["spans"]}
+        for sample in samples:
+            for span in sample["spans"]:
+                self.assertTrue(any(v == span["version"] for v, _ in made))
+        self.assertTrue(fleet.wait_version(summary["version"], seconds=20), fleet.engine_versions())
+
+    def test_chunks_without_a_version_are_made_again(self):
+        fleet = self.fleet()
+        for engine in fleet.engines:
+            engine.faults(unversioned_chunks=3)
+        trainer = self.start_trainer(fleet, steps=2)
+        self.check(fleet, trainer, steps=2)
+
+    def test_both_payload_holders_killed(self):
+        fleet = self.fleet()
+        trainer = self.start_trainer(fleet, steps=4)
+        time.sleep(0.8)
+        for name in list(fleet.daemons)[:2]:
+            fleet.daemons[name].kill()
+        time.sleep(0.3)
+        for name in list(fleet.daemons)[:2]:
+            fleet.start(name)
+        self.check(fleet, trainer)
+
+
+if __name__ == "__main__":
+    unittest.main()
