--- /dev/null
+++ b/src/trace_make.h
@@ -0,0 +1,29 @@
+// Seeded traces of the two first users' sizes, for replay.
+#pragma once
+
+#include "trace.h"
+
+namespace lovagerail {
+
+enum class trace_shape {
+    Calm,
+    Rain, // demand doubles in the middle third
+    Flood, // one large account sends ten times its share in the middle third
+    Poison, // one prompt in a hundred holds the marker of a poison request
+};
+
+struct trace_plan {
+    std::string deployment = "wales"; // or "caribbean"
+    trace_shape shape = trace_shape::Calm;
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds length { 20'000 };
+    double perSecond = 20; // mean arrivals of all accounts when it is calm
+};
+
+// False if the name is none of calm, rain, flood, poison.
+bool parseTraceShape(std::string_view name, trace_shape& shape);
+// The same plan gives the same trace on every machine. Eight accounts, two of
+// them large; a fifth of the requests are plain calls.
+trace makeTrace(const trace_plan& plan);
+
+} // namespace lovagerail
