lovagectl replay and trace: open-loop replay, stated outcomes, two sides at once

Cause: no way to state what traffic should meet. Before: none. Conclusion: figures are callers' own, no daemon is asked.

No change of behaviour.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,11 +1,15 @@
 // lovagectl: the operators' tool.
 #include "ctl/commands.h"
+#include "ctl/replay.h"
+#include "trace_make.h"
 #include "version.h"
 
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
+#include <iterator>
+#include <sstream>
 
 namespace {
 
@@ -35,6 +39,8 @@
   lovagectl [options] log LEVEL
   lovagectl [options] drain
   lovagectl [options] status
+  lovagectl replay TRACE --entries URLS --keys FILE [--outcomes FILE] [--entries-b URLS] [--speed X]
+  lovagectl trace SHAPE [--deployment NAME] [--seed N] [--seconds N] [--rate X]
   lovagectl version
   lovagectl (-h | --help)
 
@@ -53,9 +59,18 @@
   --limit N              How many of the newest changes [default: 20].
   --window N             One usage window; all kept ones without it.
   --html FILE            Write the report as a page.
+  --entries URLS         Callers' addresses to replay to, with commas between.
+  --entries-b URLS       The other side of a comparison; each request goes to both.
+  --keys FILE            TOML: [keys] account = "key", [paths] route = "path".
+  --outcomes FILE        TOML: [[outcome]] metric, at_most, at_least.
+  --speed X              Arrivals that much closer together [default: 1].
+  --deployment NAME      wales or caribbean [default: wales].
+  --seed N               Seed of a generated trace [default: 1].
+  --seconds N            Length of a generated trace [default: 20].
+  --rate X               Its mean arrivals a second [default: 20].
 
 CHANGE is KEY=VALUE, or KEY- to remove a label. SUBJECT is REQUEST, SAMPLE,
-TARGET or ORDER. A change is accepted when the exit code is 0.
+TARGET or ORDER. SHAPE is calm, rain, flood or poison. A change is accepted when the exit code is 0.
 
 Exit codes: 0 done, 1 refused, 2 bad input, 3 the daemon can't be reached,
 4 the answer was lost and the change may have been made, 5 conflict with
@@ -95,6 +110,76 @@
     return exitUsage;
 }
 
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> out;
+    std::stringstream in(text);
+    for (std::string item; std::getline(in, item, ',');)
+        out.push_back(item);
+    return out;
+}
+
+// A number above zero, or 0.
+double realOf(const arguments& given, const char* name)
+{
+    const auto text = textOf(given, name);
+    char* end = nullptr;
+    const double value = std::strtod(text.c_str(), &end);
+    return end != nullptr && *end == '\0' && value > 0 ? value : 0;
+}
+
+int replay(const arguments& given)
+{
+    std::ifstream in(textOf(given, "TRACE"), std::ios::binary);
+    const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    const auto wanted = decodeTrace(text);
+    if (!wanted)
+        return usageFault(textOf(given, "TRACE") + ": " + toString(wanted.error()));
+    replay_options options;
+    options.entries = split(textOf(given, "--entries"));
+    options.entriesB = split(textOf(given, "--entries-b"));
+    options.speed = realOf(given, "--speed");
+    if (options.speed == 0 || options.entries.empty())
+        return usageFault("--speed: expected a number above 0; --entries: expected URLs");
+    if (const auto keys = readReplayKeys(textOf(given, "--keys"), options); !keys)
+        return usageFault(toString(keys.error()));
+    std::vector<stated_outcome> outcomes;
+    if (const auto file = textOf(given, "--outcomes"); !file.empty()) {
+        auto stated = readOutcomes(file);
+        if (!stated)
+            return usageFault(toString(stated.error()));
+        outcomes = std::move(*stated);
+    }
+    const auto sides = replayTrace(*wanted, options);
+    if (sides.size() > 1)
+        compareSides(sides);
+    if (outcomes.empty()) {
+        for (const auto& name : metricNames())
+            outcomes.push_back({ name, std::nullopt, std::nullopt });
+    }
+    return checkOutcomes(sides[0], outcomes) ? exitOk : exitFailure;
+}
+
+int writeTrace(const arguments& given)
+{
+    trace_plan plan;
+    plan.deployment = textOf(given, "--deployment");
+    if (plan.deployment != "wales" && plan.deployment != "caribbean")
+        return usageFault("--deployment: expected wales or caribbean");
+    const auto seed = numberOf(given, "--seed");
+    const auto seconds = numberOf(given, "--seconds");
+    plan.perSecond = realOf(given, "--rate");
+    if (!parseTraceShape(textOf(given, "SHAPE"), plan.shape) || seed < 0 || seconds <= 0 || plan.perSecond == 0)
+        return usageFault("expected calm, rain, flood or poison, and whole numbers above 0");
+    plan.seed = static_cast<std::uint64_t>(seed);
+    plan.length = std::chrono::seconds(seconds);
+    const auto made = makeTrace(plan);
+    std::cout << encodeTraceHead(made.deployment);
+    for (const auto& record : made.records)
+        std::cout << encodeTraceRecord(record);
+    return exitOk;
+}
+
 int run(const arguments& given, const session& with, output_format format)
 {
     const auto kind = textOf(given, "KIND");
@@ -154,6 +239,10 @@
     const auto given = docopt::docopt(usageText, { argv + 1, argv + argc }, true, "");
     if (isSet(given, "bootstrap"))
         return bootstrapKey();
+    if (isSet(given, "replay"))
+        return replay(given);
+    if (isSet(given, "trace"))
+        return writeTrace(given);
     if (isSet(given, "version")) {
         std::cout << "lovagectl " << versionText << "\n";
         return exitOk;
--- /dev/null
+++ b/src/ctl/replay.cpp
@@ -0,0 +1,288 @@
+// An open loop over one client, and the figures that callers see.
+#include "ctl/replay.h"
+
+#include "ctl/table.h"
+#include "http/client.h"
+#include "object_codec.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+#include <json/json.h>
+#include <toml++/toml.h>
+
+namespace lovagerail::ctl {
+
+namespace {
+
+    using clock = std::chrono::steady_clock;
+
+    constexpr int statusOk = 200;
+    constexpr std::chrono::milliseconds pollTime { 2 };
+    constexpr std::chrono::milliseconds progressEvery { 1000 };
+    constexpr std::chrono::milliseconds slack { 5000 }; // beyond a request's deadline
+
+    struct open_request {
+        std::size_t side = 0;
+        const trace_record* record = nullptr;
+        clock::time_point due;
+        clock::time_point firstByte;
+        std::string body;
+        int status = 0;
+    };
+
+    struct side_counts {
+        std::uint64_t requests = 0;
+        std::uint64_t answered = 0;
+        std::uint64_t notRun = 0;
+        std::uint64_t failed = 0;
+        std::uint64_t truncated = 0;
+        std::vector<double> firstToken;
+        std::vector<double> total;
+        std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> accounts; // requests and answered in time
+        std::map<std::string, std::vector<double>> accountTotal;
+    };
+
+    double quantile(std::vector<double> values, double share)
+    {
+        if (values.empty())
+            return 0;
+        std::sort(values.begin(), values.end());
+        const auto at = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+        return values[at];
+    }
+
+    http::request requestOf(const trace_record& record, const std::string& entry, const replay_options& options)
+    {
+        http::request out;
+        out.method = "POST";
+        const auto path = options.paths.find(record.route.str());
+        const auto key = options.keys.find(record.account.str());
+        out.url = entry + (path == options.paths.end() ? "/" + record.route.str() : path->second);
+        out.headers = { { "Content-Type", "application/json" } };
+        if (key != options.keys.end())
+            out.headers.emplace_back("Authorization", "Bearer " + key->second);
+        Json::Value body(Json::objectValue);
+        if (record.kind == traced_kind::Plain) {
+            body["enquiry"] = promptFor(record);
+        } else {
+            body["model"] = options.model;
+            body["prompt"] = promptFor(record);
+            body["stream"] = record.kind == traced_kind::Stream;
+            if (record.maxTokens > 0)
+                body["max_tokens"] = record.maxTokens;
+        }
+        out.body = toText(body);
+        out.totalTimeout = record.deadline + slack;
+        out.reuse = http::connection_reuse::Forbidden;
+        return out;
+    }
+
+    // Whether the answer has its end: a stream its marker, JSON its closing.
+    bool isWhole(const open_request& done, http::transfer_result outcome)
+    {
+        if (outcome != http::transfer_result::Whole || done.status != statusOk)
+            return false;
+        if (done.record->kind == traced_kind::Stream)
+            return done.body.find("data: [DONE]") != std::string::npos;
+        return parseJson(done.body, "replay.answer").has_value();
+    }
+
+    void count(side_counts& side, const open_request& done, http::transfer_result outcome)
+    {
+        const std::chrono::duration<double, std::milli> total = clock::now() - done.due;
+        const auto& account = done.record->account.str();
+        ++side.requests;
+        ++side.accounts[account].first;
+        if (isWhole(done, outcome)) {
+            ++side.answered;
+            side.total.push_back(total.count());
+            side.accountTotal[account].push_back(total.count());
+            side.accounts[account].second += total.count() <= static_cast<double>(done.record->deadline.count());
+            if (done.record->kind == traced_kind::Stream && done.firstByte != clock::time_point())
+                side.firstToken.push_back(std::chrono::duration<double, std::milli>(done.firstByte - done.due).count());
+            return;
+        }
+        if (outcome == http::transfer_result::NotSent || done.body.find(R"("outcome":"not_run")") != std::string::npos)
+            ++side.notRun;
+        else
+            ++side.failed;
+        side.truncated += outcome == http::transfer_result::Truncated;
+    }
+
+    replay_figures figuresOf(const side_counts& side)
+    {
+        replay_figures out;
+        const auto share = [](std::uint64_t part, std::uint64_t whole) { return whole == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole); };
+        out.values["requests"] = static_cast<double>(side.requests);
+        out.values["answered"] = static_cast<double>(side.answered);
+        out.values["not_run"] = static_cast<double>(side.notRun);
+        out.values["failed"] = static_cast<double>(side.failed);
+        out.values["truncated"] = static_cast<double>(side.truncated);
+        out.values["answered_share"] = share(side.answered, side.requests);
+        out.values["p50_first_token_ms"] = quantile(side.firstToken, 0.5);
+        out.values["p99_first_token_ms"] = quantile(side.firstToken, 0.99);
+        out.values["p99_total_ms"] = quantile(side.total, 0.99);
+        double worstShare = 1;
+        double worstTotal = 0;
+        for (const auto& [account, counts] : side.accounts) {
+            worstShare = std::min(worstShare, share(counts.second, counts.first));
+            const auto times = side.accountTotal.find(account);
+            if (times != side.accountTotal.end())
+                worstTotal = std::max(worstTotal, quantile(times->second, 0.99));
+        }
+        out.values["worst_account_share"] = worstShare;
+        out.values["worst_account_p99_ms"] = worstTotal;
+        return out;
+    }
+
+    std::string numberText(double value)
+    {
+        char text[40];
+        std::snprintf(text, sizeof text, value == std::floor(value) ? "%.0f" : "%.3f", value);
+        return text;
+    }
+
+} // namespace
+
+std::vector<std::string> metricNames()
+{
+    return { "requests", "answered", "not_run", "failed", "truncated", "answered_share", "worst_account_share", "p50_first_token_ms",
+        "p99_first_token_ms", "p99_total_ms", "worst_account_p99_ms" };
+}
+
+result<std::vector<stated_outcome>> readOutcomes(const std::string& file)
+{
+    constexpr std::string_view step = "replay.outcomes";
+    std::vector<stated_outcome> out;
+    try {
+        const auto root = toml::parse_file(file);
+        const auto* list = root["outcome"].as_array();
+        if (list == nullptr || list->empty())
+            return failure(error_code::InvalidArgument, step, peer_kind::File, file, "expected [[outcome]] tables");
+        const auto known = metricNames();
+        for (const auto& item : *list) {
+            const auto* table = item.as_table();
+            stated_outcome one;
+            one.metric = table == nullptr ? "" : (*table)["metric"].value_or(std::string());
+            if (std::find(known.begin(), known.end(), one.metric) == known.end())
+                return failure(error_code::InvalidArgument, step, peer_kind::File, file, "unknown metric: " + one.metric);
+            one.atMost = (*table)["at_most"].value<double>();
+            one.atLeast = (*table)["at_least"].value<double>();
+            if (!one.atMost && !one.atLeast)
+                return failure(error_code::InvalidArgument, step, peer_kind::File, file, one.metric + ": expected at_most or at_least");
+            out.push_back(std::move(one));
+        }
+    } catch (const toml::parse_error& e) {
+        return failure(error_code::InvalidArgument, step, peer_kind::File, file, std::string(e.description()));
+    }
+    return out;
+}
+
+result<void> readReplayKeys(const std::string& file, replay_options& options)
+{
+    try {
+        const auto root = toml::parse_file(file);
+        const auto read = [&root](const char* section, std::map<std::string, std::string>& out) {
+            const auto* table = root[section].as_table();
+            if (table == nullptr)
+                return;
+            for (const auto& [name, value] : *table)
+                out[std::string(name.str())] = value.value_or(std::string());
+        };
+        read("keys", options.keys);
+        read("paths", options.paths);
+    } catch (const toml::parse_error& e) {
+        return failure(error_code::InvalidArgument, "replay.keys", peer_kind::File, file, std::string(e.description()));
+    }
+    return {};
+}
+
+std::vector<replay_figures> replayTrace(const trace& wanted, const replay_options& options)
+{
+    const std::size_t sides = options.entriesB.empty() ? 1 : 2;
+    std::vector<side_counts> counts(sides);
+    std::map<std::uint64_t, open_request> open;
+    http::client transfers;
+    std::uint64_t lastId = 0;
+    std::size_t next = 0;
+    const auto begin = clock::now();
+    auto nextProgress = begin + progressEvery;
+
+    while (next < wanted.records.size() || !open.empty()) {
+        // Step 1. Arrivals that are due, each to all sides.
+        const auto now = clock::now();
+        while (next < wanted.records.size()) {
+            const auto& record = wanted.records[next];
+            const auto due = begin + std::chrono::duration_cast<clock::duration>(std::chrono::duration<double, std::milli>(static_cast<double>(record.arrival.count()) / options.speed));
+            if (due > now)
+                break;
+            for (std::size_t i = 0; i < sides; ++i) {
+                const std::size_t side = (i + next) % sides;
+                const auto& entries = side == 0 ? options.entries : options.entriesB;
+                auto request = requestOf(record, entries[next % entries.size()], options);
+                request.id = ++lastId;
+                open[request.id] = open_request { side, &record, due, {}, {}, 0 };
+                transfers.start(std::move(request));
+            }
+            ++next;
+        }
+
+        // Step 2. Answers.
+        for (auto& event : transfers.poll(pollTime)) {
+            auto& item = open.at(event.id);
+            if (event.what == http::event::kind::Head) {
+                item.status = event.status;
+            } else if (event.what == http::event::kind::Body) {
+                if (item.firstByte == clock::time_point())
+                    item.firstByte = clock::now();
+                item.body += event.bytes;
+            } else {
+                count(counts[item.side], item, event.outcome);
+                open.erase(event.id);
+            }
+        }
+
+        // Step 3. Progress for who watches.
+        if (options.progress && clock::now() >= nextProgress) {
+            nextProgress += progressEvery;
+            std::cerr << next << " of " << wanted.records.size() << " sent, " << open.size() << " open\n";
+        }
+    }
+    std::vector<replay_figures> out;
+    for (const auto& side : counts)
+        out.push_back(figuresOf(side));
+    return out;
+}
+
+bool checkOutcomes(const replay_figures& figures, const std::vector<stated_outcome>& outcomes)
+{
+    bool all = true;
+    std::vector<std::vector<std::string>> rows { { "METRIC", "SEEN", "STATED", "HOLDS" } };
+    for (const auto& outcome : outcomes) {
+        const auto seen = figures.values.at(outcome.metric);
+        const bool holds = (!outcome.atMost || seen <= *outcome.atMost) && (!outcome.atLeast || seen >= *outcome.atLeast);
+        all = all && holds;
+        std::string stated;
+        if (outcome.atLeast)
+            stated += "at least " + numberText(*outcome.atLeast);
+        if (outcome.atMost)
+            stated += (stated.empty() ? "at most " : ", at most ") + numberText(*outcome.atMost);
+        rows.push_back({ outcome.metric, numberText(seen), stated, holds ? "yes" : "NO" });
+    }
+    std::cout << renderTable(rows);
+    return all;
+}
+
+void compareSides(const std::vector<replay_figures>& sides)
+{
+    std::vector<std::vector<std::string>> rows { { "METRIC", "A", "B", "B/A" } };
+    for (const auto& name : metricNames()) {
+        const auto a = sides[0].values.at(name);
+        const auto b = sides[1].values.at(name);
+        rows.push_back({ name, numberText(a), numberText(b), a == 0 ? "-" : numberText(b / a) });
+    }
+    std::cout << renderTable(rows);
+}
+
+} // namespace lovagerail::ctl
