Orders: a guard closes the pause between the check and the send

A process that is stopped right after it checked its lease sends its order when it goes on, beside its successor. Orders now leave by a thread of their own that arms a timer aimed at that thread; at the end of the right the handler shuts down the order's sockets before the thread runs any further instruction.

--- /dev/null
+++ b/src/order_guard.cpp
@@ -0,0 +1,147 @@
+// The timer, its signal and the handler.
+#include "order_guard.h"
+
+#include <cerrno>
+#include <pthread.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#ifndef sigev_notify_thread_id
+#define sigev_notify_thread_id _sigev_un._tid // glibc has no name for it
+#endif
+
+namespace lovagerail {
+
+namespace {
+
+    // Beside those that the C library keeps for itself.
+    int guardSignal() { return SIGRTMIN + 3; }
+
+    instant clockNow()
+    {
+        timespec now {};
+        clock_gettime(CLOCK_MONOTONIC, &now);
+        return instant(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+    }
+
+    itimerspec timeOf(instant until)
+    {
+        constexpr duration second = std::chrono::seconds(1);
+        itimerspec out {};
+        out.it_value.tv_sec = until.time_since_epoch() / second;
+        out.it_value.tv_nsec = (until.time_since_epoch() % second).count();
+        return out;
+    }
+
+} // namespace
+
+result<std::unique_ptr<order_guard>> order_guard::make()
+{
+    constexpr std::string_view step = "orders.guard";
+    std::unique_ptr<order_guard> out(new order_guard());
+    for (auto& socket : out->m_sockets)
+        socket = none;
+
+    // Step 1. One handler serves all guards; the signal names the guard.
+    struct sigaction action { };
+    action.sa_sigaction = onSignal;
+    action.sa_flags = SA_SIGINFO | SA_RESTART;
+    sigemptyset(&action.sa_mask);
+    if (sigaction(guardSignal(), &action, nullptr) != 0)
+        return failure(error_code::Internal, step, "sigaction");
+
+    // Step 2. Threads start with all signals blocked.
+    sigset_t mine;
+    sigemptyset(&mine);
+    sigaddset(&mine, guardSignal());
+    if (pthread_sigmask(SIG_UNBLOCK, &mine, nullptr) != 0)
+        return failure(error_code::Internal, step, "pthread_sigmask");
+
+    // Step 3. A timer aimed at this thread.
+    sigevent event {};
+    event.sigev_notify = SIGEV_THREAD_ID;
+    event.sigev_signo = guardSignal();
+    event.sigev_value.sival_ptr = out.get();
+    event.sigev_notify_thread_id = static_cast<pid_t>(syscall(SYS_gettid));
+    if (timer_create(CLOCK_MONOTONIC, &event, &out->m_timer) != 0)
+        return failure(error_code::Internal, step, "timer_create");
+    out->m_made = true;
+    return out;
+}
+
+order_guard::~order_guard()
+{
+    if (m_made)
+        timer_delete(m_timer);
+}
+
+bool order_guard::arm(instant until)
+{
+    m_over = false;
+    const auto time = timeOf(until);
+    if (until.time_since_epoch() <= duration(0) || timer_settime(m_timer, TIMER_ABSTIME, &time, nullptr) != 0) {
+        m_over = true;
+        return false;
+    }
+    // The clock is read after the timer was set: if the end is still to come here,
+    // the timer is sure to see it.
+    if (clockNow() < until && !over())
+        return true;
+    disarm();
+    return false;
+}
+
+bool order_guard::adopt(int socket)
+{
+    for (auto& slot : m_sockets) {
+        int expected = none;
+        if (!slot.compare_exchange_strong(expected, socket))
+            continue;
+        // The handler may have run before the socket was noted.
+        if (!over())
+            return true;
+        shutdown(socket, SHUT_RDWR);
+        slot = none;
+        return false;
+    }
+    return false;
+}
+
+void order_guard::abandon(int socket)
+{
+    for (auto& slot : m_sockets) {
+        int expected = socket;
+        slot.compare_exchange_strong(expected, none);
+    }
+}
+
+void order_guard::disarm()
+{
+    const itimerspec never {};
+    timer_settime(m_timer, 0, &never, nullptr);
+    m_over = true;
+    for (auto& slot : m_sockets)
+        slot = none;
+}
+
+// Runs in the signal handler: only what is safe there.
+void order_guard::end()
+{
+    m_over = true;
+    for (auto& slot : m_sockets) {
+        const int socket = slot;
+        if (socket != none)
+            shutdown(socket, SHUT_RDWR);
+    }
+}
+
+void order_guard::onSignal(int, siginfo_t* info, void*)
+{
+    const int before = errno;
+    if (info->si_code == SI_TIMER && info->si_value.sival_ptr)
+        static_cast<order_guard*>(info->si_value.sival_ptr)->end();
+    errno = before;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/tests/test_order_thread.cpp
@@ -0,0 +1,192 @@
+// Tests of the guard around the send: a real process that is stopped between its
+// check and its send sends nothing after the end of its right; the order thread
+// tells apart what was sent, cut off and never begun.
+#include "http/server.h"
+#include "platform/order_thread.h"
+#include "property.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <mutex>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto rightTime = 20ms;
+    constexpr auto stopTime = 30ms;
+
+    instant clockNow() { return instant(std::chrono::steady_clock::now().time_since_epoch()); }
+
+    // What the stopped process does all the time: a right, a check, a moment, a send.
+    // With the guard the socket is gone once the right is over.
+    [[noreturn]] void sendForEver(int socket, bool guarded)
+    {
+        auto guard = order_guard::make();
+        if (!guard)
+            _exit(1);
+        for (;;) {
+            const auto until = clockNow() + rightTime;
+            if (guarded && (!(*guard)->arm(until) || !(*guard)->adopt(socket)))
+                continue;
+            for (auto now = clockNow(); clockNow() < now + 2ms;) { }
+            if (clockNow() < until) {
+                // The window between the check and the send, widened.
+                for (auto now = clockNow(); clockNow() < now + 2ms;) { }
+                const auto text = until.time_since_epoch().count();
+                if (send(socket, &text, sizeof text, MSG_NOSIGNAL) != sizeof text)
+                    _exit(0);
+            }
+            if (guarded)
+                (*guard)->disarm();
+        }
+    }
+
+    // Orders whose right was over when the process went on. A new process each
+    // round, as a guarded one loses its socket.
+    std::size_t lateSends(bool guarded, int rounds)
+    {
+        std::size_t late = 0;
+        for (int round = 0; round < rounds; ++round) {
+            int sockets[2] = {};
+            BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, sockets) == 0);
+            const pid_t child = fork();
+            if (child == 0)
+                sendForEver(sockets[1], guarded);
+            close(sockets[1]);
+            std::int64_t until = 0;
+            BOOST_REQUIRE(recv(sockets[0], &until, sizeof until, 0) == sizeof until);
+            std::this_thread::sleep_for(std::chrono::microseconds(613 * (round % 13)));
+
+            // Step 1. Stop it, and take what it sent before.
+            kill(child, SIGSTOP);
+            int status = 0;
+            BOOST_REQUIRE(waitpid(child, &status, WUNTRACED) == child && WIFSTOPPED(status));
+            while (recv(sockets[0], &until, sizeof until, MSG_DONTWAIT) == sizeof until) { }
+
+            // Step 2. Let it go on after its right is over; its next message is of
+            // the right it had when it was stopped, or of a new one.
+            std::this_thread::sleep_for(stopTime);
+            const auto goesOn = clockNow();
+            kill(child, SIGCONT);
+            if (recv(sockets[0], &until, sizeof until, 0) == sizeof until && instant(duration(until)) < goesOn)
+                ++late;
+            kill(child, SIGKILL);
+            waitpid(child, &status, 0);
+            close(sockets[0]);
+        }
+        return late;
+    }
+
+    struct fake_platform {
+        std::atomic<int> orders { 0 };
+        std::atomic<bool> answers { true };
+        std::mutex mutex; // guards waiting
+        std::vector<http::exchange_ptr> waiting;
+        std::string address;
+        std::unique_ptr<http::server> server;
+
+        fake_platform()
+        {
+            for (int port = 33000; !server && port < 33200; ++port) {
+                address = "127.0.0.1:" + std::to_string(port);
+                auto made = http::server::listen(address, {}, {}, [this](const http::exchange_ptr& exchange) {
+                    ++orders;
+                    if (answers)
+                        exchange->answer(200, {}, exchange->body);
+                    const std::lock_guard lock(mutex);
+                    waiting.push_back(exchange);
+                });
+                if (made)
+                    server = std::move(*made);
+            }
+        }
+        // The server may end once nobody waits for an answer.
+        ~fake_platform()
+        {
+            const std::lock_guard lock(mutex);
+            for (const auto& exchange : waiting)
+                exchange->abort();
+        }
+    };
+
+    platform::order_reply sendOne(platform::order_thread& orders, wakeup& owner, const std::string& address, duration right)
+    {
+        platform::order_reply reply;
+        BOOST_REQUIRE(orders.send({ 7, "http://" + address + "/orders", "{}", clockNow() + right }));
+        for (int i = 0; i < 400 && !orders.tryPop(reply); ++i)
+            owner.wait(10ms);
+        BOOST_REQUIRE(reply.id == 7u);
+        return reply;
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(order_thread_suite)
+
+// The same rounds without and with the guard: the first shows that the test sees
+// the fault, the second that it is closed.
+BOOST_AUTO_TEST_CASE(stopped_process_sends_nothing_after_its_right)
+{
+    constexpr int rounds = 60;
+    const auto without = lateSends(false, rounds);
+    const auto with = lateSends(true, rounds);
+    BOOST_TEST_MESSAGE("late sends in " << rounds << " rounds: " << without << " without the guard, " << with << " with it");
+    BOOST_CHECK_GT(without, 5u);
+    BOOST_CHECK_EQUAL(with, 0u);
+}
+
+BOOST_AUTO_TEST_CASE(guard_refuses_once_the_time_is_over)
+{
+    auto guard = order_guard::make();
+    BOOST_REQUIRE(guard);
+    BOOST_TEST(!(*guard)->arm(clockNow() - 1ms));
+    BOOST_TEST((*guard)->arm(clockNow() + 10ms));
+    std::this_thread::sleep_for(20ms);
+    BOOST_TEST((*guard)->over());
+    int sockets[2] = {};
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets) == 0);
+    BOOST_TEST(!(*guard)->adopt(sockets[0]));
+    BOOST_TEST(send(sockets[0], "x", 1, MSG_NOSIGNAL) < 0);
+    // A new time serves new sockets.
+    BOOST_TEST((*guard)->arm(clockNow() + 10s));
+    BOOST_TEST((*guard)->adopt(sockets[1]));
+    (*guard)->disarm();
+    close(sockets[0]);
+    close(sockets[1]);
+}
+
+BOOST_AUTO_TEST_CASE(thread_tells_outcomes_apart)
+{
+    fake_platform platform;
+    BOOST_REQUIRE(platform.server);
+    wakeup owner;
+    platform::order_thread orders(4, owner);
+
+    const auto done = sendOne(orders, owner, platform.address, 5s);
+    BOOST_TEST((done.answer.outcome == http::transfer_result::Whole && done.answer.status == 200 && !done.cutOff));
+
+    const auto late = sendOne(orders, owner, platform.address, -1ms);
+    BOOST_TEST((late.answer.outcome == http::transfer_result::NotSent && late.cutOff));
+    BOOST_TEST(platform.orders == 1);
+
+    // Sent, and the right ends while the answer is awaited.
+    platform.answers = false;
+    const auto cut = sendOne(orders, owner, platform.address, 200ms);
+    BOOST_TEST((cut.answer.outcome != http::transfer_result::Whole && cut.cutOff));
+    BOOST_TEST(platform.orders == 2);
+
+    // Nobody listens.
+    const auto refused = sendOne(orders, owner, "127.0.0.1:9", 1s);
+    BOOST_TEST((refused.answer.outcome == http::transfer_result::NotSent && !refused.cutOff));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
