--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -55,6 +55,7 @@
     , m_status(m_context, m_config, m_targets, m_peers)
     , m_leases(m_context, m_peers)
     , m_usage(m_context, m_leases, m_peers, m_status)
+    , m_orders(m_context, m_leases, m_peers, m_status, m_targets, m_wakeup)
     , m_payloads(m_context, m_leases, m_peers)
     , m_weights(m_context, m_leases, m_peers, m_targets)
     , m_runs(m_context, m_leases, m_peers, m_payloads, m_status, m_weights)
@@ -65,6 +66,7 @@
     addConfigApi(m_operators, m_context, m_config, m_keys);
     m_status.addTo(m_operators);
     m_usage.addTo(m_operators);
+    m_orders.addTo(m_operators);
     m_weights.addTo(m_operators);
     m_runs.addTo(m_operators);
     m_operators.add("POST", "/v1/drain", operator_scope::Write, [this](const operator_call& call) {
@@ -164,6 +166,7 @@
     followMembers();
     m_leases.tick();
     m_usage.tick();
+    m_orders.tick();
     m_weights.tick();
     m_runs.tick();
     if (m_drainAsked)
@@ -188,6 +191,8 @@
     m_leases.setLive(std::move(live));
     auto duties = m_runs.duties();
     duties.insert(usage_duty::duty());
+    if (m_orders.isWanted())
+        duties.insert(order_duty::duty());
     duties.merge(m_weights.duties());
     m_leases.setDuties(duties);
 }
@@ -225,9 +230,10 @@
                 m_status.count(*served);
             else if (auto* entry = std::get_if<journal_entry>(record))
                 m_status.record(std::move(*entry));
-            else if (const auto* used = std::get_if<attempt_usage>(record))
+            else if (const auto* used = std::get_if<attempt_usage>(record)) {
                 m_usage.count(*used);
-            else if (const auto* refused = std::get_if<refused_usage>(record))
+                m_orders.count(*used);
+            } else if (const auto* refused = std::get_if<refused_usage>(record))
                 m_usage.count(*refused);
         }
     }
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -8,6 +8,7 @@
 #include "daemon/key_duty.h"
 #include "daemon/lease_duty.h"
 #include "daemon/operator_duty.h"
+#include "daemon/order_duty.h"
 #include "daemon/payload_duty.h"
 #include "daemon/peer_duty.h"
 #include "daemon/run_duty.h"
@@ -69,6 +70,7 @@
     status_api m_status;
     lease_duty m_leases;
     usage_duty m_usage;
+    order_duty m_orders;
     payload_duty m_payloads;
     weight_duty m_weights;
     run_duty m_runs;
--- a/src/daemon/lease_duty.h
+++ b/src/daemon/lease_duty.h
@@ -36,6 +36,7 @@
     const std::vector<live_instance>& live() const { return m_live; }
 
     void tick();
+    void release(const duty_id& duty) { m_leases.release(duty); }
     // A planned stop gives up all duties.
     void releaseAll() { m_leases.releaseAll(); }
     bool idle() const { return m_leases.idle(); }
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -39,9 +39,16 @@
     // What live targets report, for the rollouts that they may serve.
     std::vector<std::pair<target_id, weight_version>> versions;
 };
+// Work of this instance at one target.
+struct target_work {
+    target_id target;
+    std::uint32_t open = 0; // above 0
+    double perTarget = 1; // requests that it does at a time, as learned
+};
 struct serving_state {
     std::size_t open = 0;
     serving_counts counts;
+    std::vector<target_work> work; // by target, those with work alone
 };
 using to_control = std::variant<trainer_call_in, job_news, serving_record, served_versions, serving_state>;
 
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -253,13 +253,20 @@
 
 void serving_thread::reportState()
 {
-    tellControl(serving_state { m_serving.open(), m_serving.counts() });
+    serving_state state { m_serving.open(), m_serving.counts(), {} };
     served_versions versions;
     const auto& table = m_serving.targets().table();
+    const auto& load = m_serving.targets().load();
     for (const auto slot : table.all()) {
+        const auto& record = table.record(slot);
+        const auto open = load.ownOutstanding(slot);
+        const auto& speed = load.speed(slot);
+        if (open > 0)
+            state.work.push_back({ record.listed.id, open, record.listed.kind == target_kind::Engine ? speed.batchLimit : speed.serviceWorkers });
         if (table.isLive(slot))
             versions.versions.emplace_back(table.record(slot).listed.id, table.record(slot).version);
     }
+    tellControl(std::move(state));
     tellControl(std::move(versions));
 }
 
--- a/src/daemon/target_duty.cpp
+++ b/src/daemon/target_duty.cpp
@@ -3,6 +3,8 @@
 
 #include "log.h"
 
+#include <algorithm>
+
 namespace lovagerail::daemon {
 
 namespace {
@@ -35,7 +37,7 @@
     http::request wanted;
     wanted.url = m_context.values.platform.platform + "/targets";
     wanted.totalTimeout = listTimeout;
-    m_context.platform.call(std::move(wanted), [this](const http::answer& answer) {
+    m_context.platform.call(std::move(wanted), [this, askedAt = m_context.now](const http::answer& answer) {
         m_readingTargets = false;
         if (answer.outcome != http::transfer_result::Whole || answer.status != statusOk) {
             logEvent(log_level::Warning, "targets", "read", { { "peer", "platform" }, { "error", answer.detail }, { "status", std::to_string(answer.status) } });
@@ -47,6 +49,8 @@
             return;
         }
         m_targets = std::move(list->targets);
+        m_listAskedAt = askedAt;
+        forgetLeft();
         tellServing();
     });
 }
@@ -73,9 +77,25 @@
     listed_target out = row.routing;
     const auto* pool = m_context.inForce->findPool(out.pool);
     out.kind = pool != nullptr && pool->kind == pool_kind::Service ? target_kind::Service : target_kind::Engine;
+    const auto leaving = m_leaving.find(out.id);
+    if (leaving != m_leaving.end() && leaving->second == out.incarnation)
+        out.state = target_state::Leaving;
     return out;
 }
 
+void target_duty::markLeaving(const target_id& target, incarnation seen)
+{
+    if (m_leaving.insert_or_assign(target, seen).second)
+        tellServing();
+}
+
+void target_duty::forgetLeft()
+{
+    std::erase_if(m_leaving, [this](const auto& entry) {
+        return std::none_of(m_targets.begin(), m_targets.end(), [&entry](const auto& row) { return row.routing.id == entry.first && row.routing.incarnation == entry.second; });
+    });
+}
+
 void target_duty::tellServing()
 {
     m_toldUnder = m_context.inForce;
--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -159,7 +159,7 @@
             return;
         order.state = order_state::Asking;
         order.calling = true;
-        m_acts.emplace_back(ask_order { order.intent.id });
+        m_acts.emplace_back(ask_about_order { order.intent.id });
         break;
     case order_state::Accepted:
         if (now >= order.acceptedAt + m_settings.ghostAfter) {
@@ -169,7 +169,7 @@
             return;
         }
         order.calling = true;
-        m_acts.emplace_back(ask_order { order.intent.id });
+        m_acts.emplace_back(ask_about_order { order.intent.id });
         break;
     case order_state::Settled: {
         order.state = order_state::Removing;
--- a/src/orders.h
+++ b/src/orders.h
@@ -86,7 +86,7 @@
     order_intent intent;
     fencing_number fencing;
 };
-struct ask_order {
+struct ask_about_order {
     order_id id;
 };
 // Somebody else has the duty: give it up and order nothing more.
@@ -100,7 +100,7 @@
     std::string decision;
     std::string reason;
 };
-using order_act = std::variant<read_intents, write_intent, remove_intent, send_order, ask_order, resign_orders, order_note>;
+using order_act = std::variant<read_intents, write_intent, remove_intent, send_order, ask_about_order, resign_orders, order_note>;
 
 // --- What came of it ---
 
--- /dev/null
+++ b/src/platform/order_api.cpp
@@ -0,0 +1,100 @@
+// JSON of orders.
+#include "platform/order_api.h"
+
+#include <json/json.h>
+#include <memory>
+
+namespace lovagerail::platform {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusConflict = 409;
+    constexpr int firstServerError = 500;
+    constexpr int statusUnavailable = 503;
+    constexpr std::chrono::milliseconds askTimeout { 2000 };
+
+    Json::Value parse(const std::string& text)
+    {
+        Json::CharReaderBuilder builder;
+        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+        Json::Value value;
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
+            return Json::Value(Json::objectValue);
+        return value;
+    }
+
+    target_id targetOf(const Json::Value& body)
+    {
+        return target_id(body["target"].isString() ? body["target"].asString() : "");
+    }
+
+} // namespace
+
+order_send orderRequest(const std::string& url, const send_order& wanted)
+{
+    const auto& intent = wanted.intent;
+    Json::Value body(Json::objectValue);
+    body["order_id"] = intent.id.str();
+    body["fencing_number"] = Json::UInt64(wanted.fencing.value());
+    body["action"] = std::string(toString(intent.action));
+    body["pool"] = intent.pool.str();
+    body["kind"] = intent.kind == supply_kind::Cheap ? "cheap" : "firm";
+    body["failure_domain"] = intent.failureDomain.str();
+    if (intent.action == order_action::Stop)
+        body["target"] = intent.target.str();
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    order_send out;
+    out.url = url + "/orders";
+    out.body = Json::writeString(writer, body);
+    return out;
+}
+
+http::request askRequest(const std::string& url, const order_id& id)
+{
+    http::request out;
+    out.url = url + "/orders/" + id.str();
+    out.totalTimeout = askTimeout;
+    return out;
+}
+
+order_news decodeSent(const http::answer& answer)
+{
+    if (answer.outcome == http::transfer_result::NotSent)
+        return { order_outcome::NotSent, {} };
+    if (answer.outcome != http::transfer_result::Whole)
+        return { order_outcome::Lost, {} };
+    const auto body = parse(answer.body);
+    if (answer.status == statusOk)
+        return { order_outcome::Accepted, targetOf(body) };
+    if (answer.status == statusConflict)
+        return { order_outcome::OldFencing, {} };
+    if (answer.status == statusUnavailable && body["unobtainable"].isBool() && body["unobtainable"].asBool())
+        return { order_outcome::Unobtainable, {} };
+    // A server in trouble may have carried it out.
+    return { answer.status >= firstServerError ? order_outcome::Lost : order_outcome::Failed, {} };
+}
+
+order_news decodeAsked(const http::answer& answer)
+{
+    if (answer.outcome != http::transfer_result::Whole)
+        return { order_outcome::Lost, {} };
+    if (answer.status == statusNotFound)
+        return { order_outcome::NotFound, {} };
+    if (answer.status != statusOk)
+        return { order_outcome::Lost, {} };
+    const auto body = parse(answer.body);
+    const std::string state = body["state"].isString() ? body["state"].asString() : "";
+    if (state == "failed")
+        return { order_outcome::Failed, targetOf(body) };
+    return { state == "done" ? order_outcome::Done : order_outcome::Accepted, targetOf(body) };
+}
+
+ordered_target orderedTarget(const platform_target& row)
+{
+    return { row.routing.id, row.routing.pool, row.routing.supply, row.routing.failureDomain, row.routing.state, order_id(row.orderId) };
+}
+
+} // namespace lovagerail::platform
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -126,6 +126,8 @@
         "usage_window", 1000, msPerDay, [](s& v) -> auto& { return v.timing.usageWindow; }),
     timeField(
         "usage_grace", 100, msPerHour, [](s& v) -> auto& { return v.timing.usageGrace; }),
+    timeField(
+        "capacity_idle", 1000, msPerHour, [](s& v) -> auto& { return v.timing.capacityIdle; }),
     timeField(
         "cut_off", 500, msPerHour, [](s& v) -> auto& { return v.timing.cutOff; }),
     textField(
--- a/src/settings.h
+++ b/src/settings.h
@@ -57,6 +57,7 @@
     std::chrono::milliseconds targetList { 1000 };
     std::chrono::milliseconds usageWindow { 60'000 };
     std::chrono::milliseconds usageGrace { 5000 };
+    std::chrono::milliseconds capacityIdle { 600'000 }; // demand was lower for so long before a target is stopped
     std::chrono::milliseconds cutOff { 10'000 }; // without service and peers: stop taking keyed requests
 };
 
--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -242,7 +242,7 @@
             if (term == m_term)
                 act(m_book->onSent(id, outcome, target, m_now));
         }
-        void act(const ask_order& ask)
+        void act(const ask_about_order& ask)
         {
             auto outcome = m_platform.taken.contains(ask.id) ? order_outcome::Done : order_outcome::NotFound;
             if (m_random.below(1000) < m_faults)
