--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -24,11 +24,6 @@
         return text;
     }
 
-    std::int64_t wallMilliseconds()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    }
-
 } // namespace
 
 engine::engine(engine_options options)
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -49,6 +49,8 @@
     std::string head;
     std::uint64_t promptHash = 0;
     std::size_t promptBytes = 0;
+    std::string promptStart; // enough to tell whose request it is
+    std::int64_t receivedMilliseconds = 0;
     std::uint32_t firstToken = 0; // index of the first token made here
     std::uint32_t tokens = 0;
     std::size_t promptTokens = 0;
--- a/standins/engine_requests.cpp
+++ b/standins/engine_requests.cpp
@@ -16,6 +16,7 @@
     constexpr std::chrono::milliseconds crossPatience { 2000 };
     constexpr std::size_t longestLog = 20000;
     constexpr std::int64_t tokensBeforeCut = 3;
+    constexpr std::size_t promptStartBytes = 120;
 
     std::string eventOf(const Json::Value& value) { return "data: " + toLine(value) + "\n\n"; }
 
@@ -35,6 +36,8 @@
     char text[17];
     std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(promptHash));
     value["prompt_hash"] = text;
+    value["prompt_start"] = promptStart;
+    value["received_at_ms"] = Json::Int64(receivedMilliseconds);
     value["first_token"] = firstToken;
     value["tokens"] = tokens;
     value["prompt_tokens"] = Json::UInt64(promptTokens);
@@ -70,6 +73,8 @@
     work->record->head = request.head;
     work->record->promptHash = XXH64(work->prompt.data(), work->prompt.size(), 0);
     work->record->promptBytes = work->prompt.size();
+    work->record->promptStart = work->prompt.substr(0, promptStartBytes);
+    work->record->receivedMilliseconds = wallMilliseconds();
     work->record->firstToken = work->chain.next;
     work->record->promptTokens = work->chain.promptTokens;
     work->record->priority = toNumber(body["priority"]);
--- a/standins/faults.cpp
+++ b/standins/faults.cpp
@@ -2,6 +2,7 @@
 #include "faults.h"
 
 #include <charconv>
+#include <chrono>
 #include <memory>
 
 namespace lovagerail::standin {
@@ -95,4 +96,9 @@
     return number;
 }
 
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 } // namespace lovagerail::standin
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -46,5 +46,7 @@
 Json::Value parseJson(const std::string& text);
 // A 64-bit number given as a JSON number or string; 0 if absent.
 std::int64_t toNumber(const Json::Value& value);
+// Milliseconds since 1970, for records.
+std::int64_t wallMilliseconds();
 
 } // namespace lovagerail::standin
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -221,6 +221,7 @@
         const auto fencing = toNumber(body["fencing_number"]);
         Json::Value entry = body;
         entry["stale"] = fencing < highest;
+        entry["received_at_ms"] = Json::Int64(wallMilliseconds());
         const auto known = state.orders.find(body["order_id"].asString());
         http_answer answer;
         if (fencing < highest && !state.options.ignoresFencing) {
@@ -265,6 +266,7 @@
         const bool other = !first && (window.digest != body["digest"].asString() || window.figures != body["figures"] || window.late != body["late"]);
         entry["differing"] = other;
         entry["stale"] = fencing < window.fencing;
+        entry["received_at_ms"] = Json::Int64(wallMilliseconds());
         state.reports.append(entry);
         state.differing += other ? 1 : 0;
         state.staleReports += fencing < window.fencing ? 1 : 0;
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -18,6 +18,7 @@
 
     constexpr std::chrono::milliseconds tendTick { 20 };
     constexpr std::chrono::milliseconds crossPatience { 2000 };
+    constexpr std::size_t bodyStartBytes = 120;
 
     class plain_service {
     public:
@@ -102,9 +103,7 @@
             value["model"] = "";
             value["role"] = "service";
             value["adapters"] = Json::Value(Json::arrayValue);
-            value["measured_at_ms"] = Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
-                                                      .count());
+            value["measured_at_ms"] = Json::Int64(wallMilliseconds());
             return jsonAnswer(value);
         }
 
@@ -119,6 +118,8 @@
             entry["method"] = request.method;
             entry["uri"] = request.uri;
             entry["ran"] = ran;
+            entry["body_start"] = request.body.substr(0, bodyStartBytes);
+            entry["received_at_ms"] = Json::Int64(wallMilliseconds());
             m_log.append(entry);
             m_server.counters.add(ran ? "runs" : "refusals");
             return ran ? ++m_runs[key] : 0;
