An answer whose tokens all came is whole; a server ends while requests wait

Change: a generation with no tokens left is answered with the end reason "length". The server breaks open requests off before it stops.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -90,6 +90,8 @@
 
         // Step 1. The head has come.
         if (x.m_connection == nullptr && !slot.handedOver && x.method.empty()) {
+            if (!self.enter(slot.shared))
+                return MHD_NO;
             x.method = method;
             x.m_unreadLimit = self.m_limits.unreadBytes;
             x.m_connection = connection;
@@ -165,11 +167,12 @@
 
     static void onFree(void* user) { delete static_cast<exchange_ptr*>(user); }
 
-    static void onCompleted(void*, MHD_Connection*, void** context, MHD_RequestTerminationCode)
+    static void onCompleted(void* user, MHD_Connection*, void** context, MHD_RequestTerminationCode)
     {
         auto* slot = static_cast<request_slot*>(*context);
         if (slot == nullptr)
             return;
+        static_cast<server*>(user)->leave(slot->shared);
         {
             std::lock_guard lock(slot->shared->m_mutex);
             slot->shared->m_connection = nullptr;
@@ -267,7 +270,7 @@
         { MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, nullptr },
         { MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress, nullptr },
         { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(threadStackBytes), nullptr },
-        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), nullptr },
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), self.get() },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), nullptr },
     };
     if (!tls.certificatePem.empty()) {
@@ -284,8 +287,31 @@
     return self;
 }
 
+bool server::enter(const exchange_ptr& one)
+{
+    const std::lock_guard lock(m_openMutex);
+    if (!m_ending)
+        m_open.insert(one);
+    return !m_ending;
+}
+
+void server::leave(const exchange_ptr& one)
+{
+    const std::lock_guard lock(m_openMutex);
+    m_open.erase(one);
+}
+
 server::~server()
 {
+    // libmicrohttpd can't end while a connection sleeps: wake what nobody answered.
+    std::set<exchange_ptr> left;
+    {
+        const std::lock_guard lock(m_openMutex);
+        m_ending = true;
+        left = m_open;
+    }
+    for (const auto& one : left)
+        one->abort();
     if (m_daemon != nullptr)
         MHD_stop_daemon(m_daemon);
     if (m_listener >= 0)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -94,18 +95,25 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
-    // Takes no more connections; open ones go on.
+    // Takes no more connections; open ones go on. Those still open when the server
+    // ends are broken off.
     void stopListening();
     unsigned openConnections() const;
 
 private:
     friend struct server_callbacks;
     server() = default;
+    // False once the server ends.
+    bool enter(const exchange_ptr& one);
+    void leave(const exchange_ptr& one);
 
     server_limits m_limits;
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
     int m_listener = -1;
+    std::mutex m_openMutex; // guards the next two
+    std::set<exchange_ptr> m_open; // requests whose head has come
+    bool m_ending = false; // m_open doesn't grow any more
 };
 
 } // namespace lovagerail::http
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -249,7 +249,19 @@
         return;
     }
 
-    // Step 2. The target refused it without running it.
+    // Step 2. All tokens that were asked for came, and the end alone is missing: going
+    // on elsewhere would make one too many.
+    if (!attempt.crossed && request.made->started() && request.made->tokensLeft() == 0) {
+        if (!request.made->whole()) {
+            stream_piece last;
+            last.finishReason = "length";
+            takePiece(request, last, now);
+        }
+        answered(request, now, wall);
+        return;
+    }
+
+    // Step 3. The target refused it without running it.
     if (clean && attempt.refusedByTarget) {
         attemptFailed(request, attempt_outcome::Refused, true, "refused by the target", now, wall);
         return;
@@ -259,7 +271,7 @@
         return;
     }
 
-    // Step 3. The request itself is wrong: the caller gets the engine's words.
+    // Step 4. The request itself is wrong: the caller gets the engine's words.
     if (clean && attempt.status >= firstClientError && attempt.status < firstServerError && request.caller && !request.begun) {
         whole_answer answer { *request.caller, attempt.status, { { "Content-Type", "application/json" } }, attempt.bytes };
         note(request, "answered", "the engine refused the request itself", wall);
@@ -270,7 +282,7 @@
         return;
     }
 
-    // Step 4. Broken: go on elsewhere from the tokens made so far.
+    // Step 5. Broken: go on elsewhere from the tokens made so far.
     const auto outcome = end == transfer_end::Whole ? attempt_outcome::Failure : attempt_outcome::Reset;
     attemptFailed(request, outcome, false, attempt.fault.empty() ? "the stream broke off" : attempt.fault, now, wall);
 }
@@ -349,7 +361,6 @@
     ++(progressed ? m_counts.resumed : m_counts.retried);
     request.tried.push_back(target);
 
-    // A generation whose tokens are all made lacks its end alone: let one more token be asked for.
     const auto delay = firstRetryDelay * (std::int64_t(1) << (request.attempts - 1));
     request.retryAt = progressed ? now : now + delay;
     m_waiting.emplace(request.retryAt, request.number);
--- a/tests/process/checker.py
+++ b/tests/process/checker.py
@@ -101,11 +101,13 @@
 
 
 def samples_of(seen):
-    """(run, sample) of each batch that the trainer took; asking again gives nothing new."""
-    taken = {}
+    """(run, sample) of all batches; a batch asked for again counts only if it differs."""
+    taken = collections.defaultdict(list)
     for batch in seen.batches:
-        taken[batch["run"], batch["cursor"]] = batch
-    return [(run, sample) for (run, _), batch in sorted(taken.items()) for sample in batch["samples"]]
+        known = taken[batch["run"], batch["cursor"]]
+        if batch["samples"] not in known:
+            known.append(batch["samples"])
+    return [(run, sample) for (run, _), lists in sorted(taken.items()) for samples in lists for sample in samples]
 
 
 def slot_name(run, sample):
