--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -1,9 +1,13 @@
 // Runs all parts, prints decisions per second of each and, last, the fingerprint of all.
+// With LOVAGERAIL_TABLE=capacity-slopes it prints costs at growing sizes instead.
 #include "bench.h"
+#include "slopes.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
+#include <string_view>
 
 namespace lovagerail::bench {
 
@@ -53,6 +57,11 @@
 int main()
 {
     using namespace lovagerail::bench;
+    const char* table = std::getenv("LOVAGERAIL_TABLE");
+    if (table != nullptr && std::string_view(table) == "capacity-slopes") {
+        printSlopes();
+        return 0;
+    }
     fingerprint all;
     for (const auto& part : allParts()) {
         fingerprint own;
--- a/src/instance/rpc_envelope.h
+++ b/src/instance/rpc_envelope.h
@@ -9,14 +9,14 @@
 namespace lovagerail {
 namespace instance {
 
-std::string encodeCall(const std::string& method, const Json::Value& parameters);
+    std::string encodeCall(const std::string& method, const Json::Value& parameters);
 
-struct rpc_outcome {
-    bool ok = false;
-    Json::Value result; // if ok
-    std::string fault; // else: what the peer or the parser said
-};
-rpc_outcome decodeOutcome(const std::string& method, const std::string& response);
+    struct rpc_outcome {
+        bool ok = false;
+        Json::Value result; // if ok
+        std::string fault; // else: what the peer or the parser said
+    };
+    rpc_outcome decodeOutcome(const std::string& method, const std::string& response);
 
 } // namespace instance
 } // namespace lovagerail
