Weights: reports are merged into the replicas in place

Each tick built the table of replicas anew, 20 times a second for the duration of the duty. Reports are merged in place, those no longer named are swept by round.

--- a/src/weights.cpp
+++ b/src/weights.cpp
@@ -28,18 +28,17 @@
 
 void version_rollout::setReplicas(const std::vector<replica_report>& replicas, instant now)
 {
-    std::map<target_id, replica_state> next;
+    ++m_round;
     for (const auto& report : replicas) {
-        replica_state state;
-        const auto before = m_replicas.find(report.target);
-        if (before != m_replicas.end() && before->second.report.life == report.life)
-            state = before->second;
+        auto& state = m_replicas[report.target];
+        if (state.report.life != report.life)
+            state = replica_state();
         state.report = report;
+        state.round = m_round;
         if (isCurrent(state) && state.order)
             endOrder(state, false, now);
-        next[report.target] = std::move(state);
     }
-    m_replicas = std::move(next);
+    std::erase_if(m_replicas, [this](const auto& entry) { return entry.second.round != m_round; });
 }
 
 std::size_t version_rollout::current() const
--- a/src/weights.h
+++ b/src/weights.h
@@ -102,6 +102,7 @@
         std::optional<order_state> order;
         std::uint32_t tries = 0; // orders of the wanted version so far
         instant retryAt {};
+        std::uint64_t round = 0; // of the last setReplicas() that named it
     };
 
     struct load_source {
@@ -118,7 +119,8 @@
     rollout_settings m_settings;
     weight_version m_wanted;
     std::string m_store;
-    std::map<target_id, replica_state> m_replicas;
+    std::map<target_id, replica_state> m_replicas; // between calls all of round m_round
+    std::uint64_t m_round = 0;
     bool m_deposed = false;
 };
 
