--- a/bench/bench_fairness.cpp
+++ b/bench/bench_fairness.cpp
@@ -35,6 +35,14 @@
     constexpr std::array<scenario, 6> scenarios { { { "calm", 60, 0 }, { "calm, one floods", 60, 1 }, { "calm, two flood", 60, 2 },
         { "rain", 120, 0 }, { "rain, one floods", 120, 1 }, { "rain, two flood", 120, 2 } } };
 
+    struct variant {
+        const char* name;
+        fairness_policy policy;
+        bool refusesEarly; // what can't be done in time
+    };
+    constexpr std::array<variant, 4> variants { { { "FIFO", fairness_policy::Fifo, false }, { "round robin", fairness_policy::RoundRobin, false },
+        { "weighted, without early refusal", fairness_policy::Weighted, false }, { "weighted", fairness_policy::Weighted, true } } };
+
     struct traced_request {
         instant at;
         std::uint32_t account = 0;
@@ -78,10 +86,10 @@
     using all_results = std::array<account_result, accounts>;
 
     // Runs the trace through one queue in front of equal slots.
-    all_results replay(const std::vector<traced_request>& trace, fairness_policy policy, fingerprint& decisions)
+    all_results replay(const std::vector<traced_request>& trace, const variant& by, fingerprint& decisions)
     {
         fairness_settings settings;
-        settings.policy = policy;
+        settings.policy = by.policy;
         fair_queue queue(settings);
         queue.setWindow(slots);
         all_results out;
@@ -118,8 +126,7 @@
             wanted.id = queued_id(i);
             wanted.account = client_account_id("account-" + std::to_string(request.account));
             wanted.estimate = engineCost(token_count(request.prompt), {}, token_count(2 * request.answer));
-            // The baselines don't refuse early.
-            wanted.deadline = request.at + (policy == fairness_policy::Weighted ? deadline : duration(24h));
+            wanted.deadline = request.at + (by.refusesEarly ? deadline : duration(24h));
             decisions.fold(static_cast<std::uint64_t>(queue.push(wanted, request.at)));
             fill(request.at);
         }
@@ -133,7 +140,7 @@
         return whole == 0 ? 0 : static_cast<double>(hundred * part) / static_cast<double>(whole);
     }
 
-    void printRow(const scenario& plan, fairness_policy policy, all_results results)
+    void printRow(const scenario& plan, const variant& by, all_results results)
     {
         double worstShare = hundred;
         duration worstWait {};
@@ -153,7 +160,7 @@
             if (!one.waits.empty())
                 worstWait = std::max(worstWait, one.waits[one.waits.size() * 99 / hundred]);
         }
-        std::printf("| %s | %s | %.1f %% | %.2f s | %s | %llu |\n", plan.name, std::string(toString(policy)).c_str(), worstShare,
+        std::printf("| %s | %s | %.1f %% | %.2f s | %s | %llu |\n", plan.name, by.name, worstShare,
             std::chrono::duration<double>(worstWait).count(),
             flooded == 0 ? "-" : (std::to_string(static_cast<int>(percentOf(floodInTime, flooded))) + " %").c_str(), static_cast<unsigned long long>(inTime));
     }
@@ -195,8 +202,8 @@
         fingerprint unused;
         for (const auto& plan : scenarios) {
             const auto trace = makeTrace(plan, 300s);
-            for (const auto policy : { fairness_policy::Fifo, fairness_policy::RoundRobin, fairness_policy::Weighted })
-                printRow(plan, policy, replay(trace, policy, unused));
+            for (const auto& by : variants)
+                printRow(plan, by, replay(trace, by, unused));
         }
         std::printf("\n| accounts waiting | ns per request (push, pop, end) |\n|---|---|\n");
         for (const std::uint32_t count : { 8U, 64U, 256U, 1000U })
@@ -211,8 +218,8 @@
         std::uint64_t count = 0;
         for (const auto& plan : scenarios) {
             const auto trace = makeTrace(plan, 20s);
-            for (const auto policy : { fairness_policy::Fifo, fairness_policy::RoundRobin, fairness_policy::Weighted }) {
-                replay(trace, policy, decisions);
+            for (const auto& by : variants) {
+                replay(trace, by, decisions);
                 count += trace.size();
             }
         }
