--- /dev/null
+++ b/src/gossip.cpp
@@ -0,0 +1,178 @@
+// Joining, telling and dropping news.
+#include "gossip.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+#include <xxhash.h>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::size_t entryOverhead = 16; // of codec and numbers
+
+    std::size_t bucketOf(const std::string& key)
+    {
+        return XXH64(key.data(), key.size(), 0) % newsBuckets;
+    }
+
+    std::uint32_t hashOf(const std::string& key, std::uint64_t version, const std::string& value)
+    {
+        const auto seed = XXH64(key.data(), key.size(), version);
+        return static_cast<std::uint32_t>(XXH64(value.data(), value.size(), seed));
+    }
+
+    std::size_t sizeOf(const std::string& key, const std::string& value)
+    {
+        return key.size() + value.size() + entryOverhead;
+    }
+
+    std::chrono::milliseconds ageOf(instant born, instant now)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - born);
+    }
+
+} // namespace
+
+result<void> news_board::put(const std::string& key, std::uint64_t version, const std::string& value, std::chrono::milliseconds keepFor, instant now)
+{
+    if (key.empty() || key.size() > mostKeyBytes || value.size() > mostValueBytes)
+        return failure(error_code::InvalidArgument, "gossip.put", "key or value too long: " + key);
+    join({ key, version, value, keepFor, std::chrono::milliseconds(0) }, now);
+    return {};
+}
+
+std::vector<news_entry> news_board::merge(const std::vector<news_entry>& told, instant now)
+{
+    std::vector<news_entry> out;
+    for (const auto& entry : told) {
+        if (entry.key.empty() || entry.key.size() > mostKeyBytes || entry.value.size() > mostValueBytes)
+            continue;
+        if (join(entry, now))
+            out.push_back(entry);
+    }
+    return out;
+}
+
+// The greater (version, value) wins; of equal ones the elder age.
+bool news_board::join(const news_entry& entry, instant now)
+{
+    if (entry.age >= entry.keepFor)
+        return false;
+    const auto born = now - std::max(entry.age, std::chrono::milliseconds(0));
+    const auto [found, isNew] = m_entries.try_emplace(entry.key);
+    auto& known = found->second;
+    if (!isNew) {
+        const auto order = std::tie(entry.version, entry.value) <=> std::tie(known.version, known.value);
+        if (order == 0)
+            known.born = std::min(known.born, born);
+        if (order <= 0)
+            return false;
+    }
+    auto& digest = m_digests[bucketOf(entry.key)];
+    if (!isNew)
+        digest ^= hashOf(entry.key, known.version, known.value);
+    m_fresh.erase({ known.told, entry.key });
+    known = { entry.version, entry.value, entry.keepFor, born, 0 };
+    digest ^= hashOf(entry.key, known.version, known.value);
+    m_buckets[bucketOf(entry.key)].insert(entry.key);
+    m_fresh.emplace(0, entry.key);
+    return true;
+}
+
+void news_board::drop(entries::iterator entry)
+{
+    const auto& [key, known] = *entry;
+    m_digests[bucketOf(key)] ^= hashOf(key, known.version, known.value);
+    m_buckets[bucketOf(key)].erase(key);
+    m_fresh.erase({ known.told, key });
+    m_entries.erase(entry);
+}
+
+void news_board::expire(instant now)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const auto next = std::next(entry);
+        if (ageOf(entry->second.born, now) >= entry->second.keepFor)
+            drop(entry);
+        entry = next;
+    }
+}
+
+news_entry news_board::outward(const entries::value_type& entry, instant now)
+{
+    const auto& [key, known] = entry;
+    return { key, known.version, known.value, known.keepFor, ageOf(known.born, now) };
+}
+
+news_part news_board::compose(const news_digests* theirs, std::size_t members, instant now)
+{
+    news_part out;
+    std::size_t bytes = 0;
+    std::set<std::string> chosen;
+    const auto add = [&](const std::string& key) {
+        const auto& entry = *m_entries.find(key);
+        const auto size = sizeOf(key, entry.second.value);
+        if (bytes + size > mostNewsBytes)
+            return false;
+        if (chosen.insert(key).second) {
+            out.entries.push_back(outward(entry, now));
+            bytes += size;
+        }
+        return true;
+    };
+
+    // Step 1. Fresh entries, unless the receiver's bucket shows that it has them.
+    const auto limit = static_cast<std::uint32_t>(std::bit_width(members + 1));
+    std::vector<std::string> told;
+    for (const auto& [count, key] : m_fresh) {
+        const auto bucket = bucketOf(key);
+        const bool hasIt = theirs != nullptr && (*theirs)[bucket] == m_digests[bucket];
+        if (!hasIt && !add(key))
+            break;
+        told.push_back(key);
+    }
+    for (const auto& key : told) {
+        auto& known = m_entries.at(key);
+        m_fresh.erase({ known.told, key });
+        if (++known.told < limit)
+            m_fresh.emplace(known.told, key);
+    }
+
+    // Step 2. Buckets that differ, from where the last such message ended.
+    for (std::size_t bucket = 0; theirs != nullptr && bucket < newsBuckets; ++bucket) {
+        const auto& keys = m_buckets[bucket];
+        if ((*theirs)[bucket] == m_digests[bucket])
+            continue;
+        auto next = keys.upper_bound(m_cursors[bucket]);
+        for (std::size_t seen = 0; seen < keys.size(); ++seen) {
+            if (next == keys.end())
+                next = keys.begin();
+            if (!add(*next))
+                break;
+            m_cursors[bucket] = *next;
+            ++next;
+        }
+    }
+    out.digests = m_digests;
+    return out;
+}
+
+news_entry news_board::find(const std::string& key) const
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end())
+        return {};
+    return outward(*found, found->second.born);
+}
+
+std::vector<news_entry> news_board::withPrefix(const std::string& prefix) const
+{
+    std::vector<news_entry> out;
+    for (auto entry = m_entries.lower_bound(prefix); entry != m_entries.end() && entry->first.rfind(prefix, 0) == 0; ++entry)
+        out.push_back(outward(*entry, entry->second.born));
+    return out;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/gossip_codec.cpp
@@ -0,0 +1,182 @@
+// MessagePack of messages between instances, and base64 around it.
+#include "gossip_codec.h"
+
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+#include <openssl/evp.h>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr std::uint32_t formatVersion = 1;
+    constexpr std::size_t mostBytes = 16 * 1024;
+    constexpr std::uint32_t memberFields = 7;
+    constexpr std::uint32_t entryFields = 5;
+    constexpr std::uint32_t messageFields = 9;
+    constexpr std::size_t base64Group = 4;
+    constexpr std::size_t byteGroup = 3;
+
+    using packer = msgpack::packer<msgpack::sbuffer>;
+
+    void pack(packer& out, const member_update& one)
+    {
+        out.pack_array(memberFields);
+        out.pack(one.id.str());
+        out.pack(one.address);
+        out.pack(one.failureDomain.str());
+        out.pack(one.life.value());
+        out.pack(one.counter);
+        out.pack(static_cast<std::uint8_t>(one.state));
+        out.pack(one.leaving);
+    }
+
+    void pack(packer& out, const news_entry& entry)
+    {
+        out.pack_array(entryFields);
+        out.pack(entry.key);
+        out.pack(entry.version);
+        out.pack(entry.value);
+        out.pack(static_cast<std::int64_t>(entry.keepFor.count()));
+        out.pack(static_cast<std::int64_t>(entry.age.count()));
+    }
+
+    // Throws msgpack::type_error on another shape; decodeGossip catches it.
+    const msgpack::object_array& arrayOf(const msgpack::object& value, std::uint32_t fields)
+    {
+        if (value.type != msgpack::type::ARRAY || value.via.array.size < fields)
+            throw msgpack::type_error();
+        return value.via.array;
+    }
+
+    std::string shortText(const msgpack::object& value, std::size_t most)
+    {
+        auto text = value.as<std::string>();
+        if (text.size() > most)
+            throw msgpack::type_error();
+        return text;
+    }
+
+    member_update memberOf(const msgpack::object& value)
+    {
+        const auto& fields = arrayOf(value, memberFields);
+        member_update out;
+        out.id = instance_id(shortText(fields.ptr[0], mostNameBytes));
+        out.address = shortText(fields.ptr[1], mostAddressBytes);
+        out.failureDomain = failure_domain_id(shortText(fields.ptr[2], mostNameBytes));
+        out.life = incarnation(fields.ptr[3].as<std::uint64_t>());
+        out.counter = fields.ptr[4].as<std::uint32_t>();
+        const auto state = fields.ptr[5].as<std::uint8_t>();
+        if (state > static_cast<std::uint8_t>(member_state::Dead) || out.id.empty())
+            throw msgpack::type_error();
+        out.state = static_cast<member_state>(state);
+        out.leaving = fields.ptr[6].as<bool>();
+        return out;
+    }
+
+    news_entry entryOf(const msgpack::object& value)
+    {
+        const auto& fields = arrayOf(value, entryFields);
+        news_entry out;
+        out.key = shortText(fields.ptr[0], mostKeyBytes);
+        out.version = fields.ptr[1].as<std::uint64_t>();
+        out.value = shortText(fields.ptr[2], mostValueBytes);
+        out.keepFor = std::chrono::milliseconds(fields.ptr[3].as<std::int64_t>());
+        out.age = std::chrono::milliseconds(fields.ptr[4].as<std::int64_t>());
+        return out;
+    }
+
+    gossip_message messageOf(const msgpack::object& value)
+    {
+        const auto& fields = arrayOf(value, messageFields);
+        if (fields.ptr[0].as<std::uint32_t>() != formatVersion)
+            throw msgpack::type_error();
+        gossip_message out;
+        const auto kind = fields.ptr[1].as<std::uint8_t>();
+        if (kind > static_cast<std::uint8_t>(message_kind::Reached))
+            throw msgpack::type_error();
+        out.members.kind = static_cast<message_kind>(kind);
+        out.members.from = memberOf(fields.ptr[2]);
+        out.members.about = instance_id(shortText(fields.ptr[3], mostNameBytes));
+        out.members.digest = fields.ptr[4].as<std::uint64_t>();
+        const auto& updates = arrayOf(fields.ptr[5], 0);
+        if (updates.size > mostUpdates)
+            throw msgpack::type_error();
+        for (std::uint32_t i = 0; i < updates.size; ++i)
+            out.members.updates.push_back(memberOf(updates.ptr[i]));
+        const auto digests = shortText(fields.ptr[6], sizeof(news_digests));
+        if (digests.size() != sizeof(news_digests))
+            throw msgpack::type_error();
+        std::copy(digests.begin(), digests.end(), reinterpret_cast<char*>(out.news.digests.data()));
+        const auto& entries = arrayOf(fields.ptr[7], 0);
+        for (std::uint32_t i = 0; i < entries.size; ++i)
+            out.news.entries.push_back(entryOf(entries.ptr[i]));
+        const auto& own = arrayOf(fields.ptr[8], 2);
+        out.inForce = revision(own.ptr[0].as<std::uint64_t>());
+        out.confirmedAgo = std::chrono::milliseconds(own.ptr[1].as<std::int64_t>());
+        return out;
+    }
+
+} // namespace
+
+std::string encodeGossip(const gossip_message& message)
+{
+    msgpack::sbuffer buffer;
+    packer out(buffer);
+    out.pack_array(messageFields);
+    out.pack(formatVersion);
+    out.pack(static_cast<std::uint8_t>(message.members.kind));
+    pack(out, message.members.from);
+    out.pack(message.members.about.str());
+    out.pack(message.members.digest);
+    out.pack_array(static_cast<std::uint32_t>(message.members.updates.size()));
+    for (const auto& update : message.members.updates)
+        pack(out, update);
+    const auto& digests = message.news.digests;
+    out.pack_bin(sizeof digests);
+    out.pack_bin_body(reinterpret_cast<const char*>(digests.data()), sizeof digests);
+    out.pack_array(static_cast<std::uint32_t>(message.news.entries.size()));
+    for (const auto& entry : message.news.entries)
+        pack(out, entry);
+    out.pack_array(2);
+    out.pack(message.inForce.value());
+    out.pack(static_cast<std::int64_t>(message.confirmedAgo.count()));
+    return { buffer.data(), buffer.size() };
+}
+
+result<gossip_message> decodeGossip(std::string_view bytes)
+{
+    if (bytes.size() > mostBytes)
+        return failure(error_code::Corrupt, "gossip.decode", "too long");
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return messageOf(handle.get());
+    } catch (const std::exception& problem) {
+        return failure(error_code::Corrupt, "gossip.decode", problem.what());
+    }
+}
+
+std::string toBase64(std::string_view bytes)
+{
+    std::string out((bytes.size() + byteGroup - 1) / byteGroup * base64Group + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(length));
+    return out;
+}
+
+result<std::string> fromBase64(std::string_view text)
+{
+    if (text.empty() || text.size() % base64Group != 0 || text.size() > 2 * mostBytes)
+        return failure(error_code::Corrupt, "gossip.base64", "length");
+    std::string out(text.size() / base64Group * byteGroup, '\0');
+    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    if (length < 0)
+        return failure(error_code::Corrupt, "gossip.base64", "alphabet");
+    std::size_t padding = 0;
+    while (padding < 2 && text[text.size() - 1 - padding] == '=')
+        ++padding;
+    out.resize(static_cast<std::size_t>(length) - padding);
+    return out;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/tests/test_gossip.cpp
@@ -0,0 +1,176 @@
+// Tests of news and of the messages' codec: any order and repeats give the same
+// board, all instances come to the same news, dropped news don't come back, and
+// no bytes make the decoder do harm.
+#include "membership_world.h"
+#include "property.h"
+
+#include <algorithm>
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+    using test::membership_world;
+
+    constexpr instant start { 1h };
+
+    std::vector<news_entry> anyNews()
+    {
+        const auto numbers = *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(0, 1u << 20));
+        std::vector<news_entry> out;
+        for (const auto number : numbers)
+            out.push_back({ "deny/" + std::to_string(number % 7), (number >> 4) % 5, std::to_string((number >> 8) % 3), 1h, std::chrono::milliseconds(number % 1000) });
+        return out;
+    }
+
+    gossip_message anyMessage()
+    {
+        membership_world world(5, *rc::gen::inRange<std::uint64_t>(0, 1u << 20));
+        world.runPeriods(8);
+        auto& node = world.nodes()[0];
+        gossip_message out;
+        out.members = node.members->compose(message_kind::ProbeRequest, membership_world::name(1));
+        out.members.about = membership_world::name(3);
+        for (const auto& entry : anyNews())
+            node.news.merge({ entry }, start);
+        out.news = node.news.compose(nullptr, 5, start + 3s);
+        out.inForce = revision(812);
+        out.confirmedAgo = 1500ms;
+        return out;
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gossip_suite)
+
+BOOST_AUTO_TEST_CASE(boards_do_not_depend_on_order_or_repeats)
+{
+    test::checkProperty("order", [] {
+        auto told = anyNews();
+        news_board left;
+        left.merge(told, start);
+        auto shuffled = told;
+        std::reverse(shuffled.begin(), shuffled.end());
+        news_board right;
+        for (const auto& entry : shuffled)
+            right.merge({ entry }, start);
+        right.merge(told, start + 1s);
+        RC_ASSERT(left.digests() == right.digests());
+        RC_ASSERT(left.size() == right.size());
+        RC_ASSERT(left.merge(shuffled, start).empty());
+        for (const auto& entry : told)
+            RC_ASSERT(left.find(entry.key).version >= entry.version);
+    });
+}
+
+// News written anywhere reach all, through loss and while nodes restart.
+BOOST_AUTO_TEST_CASE(all_come_to_the_same_news)
+{
+    test::checkProperty("spread", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(2, 17);
+        membership_world world(size, *rc::gen::inRange<std::uint64_t>(0, 1u << 30));
+        world.setPasses([&world](std::size_t, std::size_t) { return world.random() % 10 >= 2; });
+        for (std::size_t i = 0; i < 40; ++i) {
+            auto& node = world.nodes()[world.random() % size];
+            RC_ASSERT(node.news.put("load/" + std::to_string(i % 25), i, std::string(60, 'x'), 1h, world.now()).has_value());
+            if (i % 4 == 0)
+                world.runPeriods(1);
+        }
+        world.start(0, 2);
+        world.setPasses({});
+        world.runPeriods(50);
+        std::size_t known = 0;
+        for (std::size_t i = 1; i < size; ++i)
+            known = std::max(known, world.nodes()[i].news.size());
+        for (const auto& node : world.nodes()) {
+            RC_ASSERT(node.news.digests() == world.nodes()[0].news.digests());
+            RC_ASSERT(node.news.size() >= known);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(what_is_past_its_time_does_not_come_back)
+{
+    membership_world world(6, 11);
+    world.runPeriods(20);
+    BOOST_REQUIRE(world.nodes()[0].news.put("load/a", 1, "7", 8s, world.now()).has_value());
+    // One learns of it late.
+    world.setPasses([](std::size_t from, std::size_t to) { return from != 5 && to != 5; });
+    world.runPeriods(3);
+    world.setPasses({});
+    world.runPeriods(3);
+    for (const auto& node : world.nodes())
+        BOOST_TEST(node.news.size() == 1u);
+    world.runPeriods(4);
+    for (const auto& node : world.nodes())
+        BOOST_TEST(node.news.size() == 0u);
+    world.runPeriods(20);
+    for (const auto& node : world.nodes())
+        BOOST_TEST(node.news.size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(what_both_have_is_not_told_again)
+{
+    news_board one;
+    news_board other;
+    for (int i = 0; i < 100; ++i)
+        BOOST_REQUIRE(one.put("deny/" + std::to_string(i), 1, "5", 1h, start).has_value());
+    for (int round = 0; round < 40; ++round)
+        other.merge(one.compose(&other.digests(), 2, start).entries, start);
+    BOOST_TEST((one.digests() == other.digests()));
+    BOOST_TEST(one.compose(&other.digests(), 2, start).entries.empty());
+    BOOST_TEST(!one.put(std::string(mostKeyBytes + 1, 'k'), 1, "", 1h, start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_one_message_are_bounded)
+{
+    news_board board;
+    for (int i = 0; i < 100; ++i)
+        BOOST_REQUIRE(board.put("load/" + std::to_string(i), 1, std::string(mostValueBytes, 'v'), 1h, start).has_value());
+    const news_digests nothing {};
+    std::size_t bytes = 0;
+    for (const auto& entry : board.compose(&nothing, 4, start).entries)
+        bytes += entry.key.size() + entry.value.size();
+    BOOST_TEST(bytes > 0u);
+    BOOST_TEST(bytes <= mostNewsBytes);
+}
+
+BOOST_AUTO_TEST_CASE(messages_come_back_as_they_were)
+{
+    test::checkProperty("codec", [] {
+        const auto message = anyMessage();
+        const auto text = toBase64(encodeGossip(message));
+        const auto bytes = fromBase64(text);
+        RC_ASSERT(bytes.has_value());
+        const auto back = decodeGossip(*bytes);
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(back->members.from == message.members.from);
+        RC_ASSERT(back->members.updates == message.members.updates);
+        RC_ASSERT(back->members.about == message.members.about);
+        RC_ASSERT(back->members.digest == message.members.digest);
+        RC_ASSERT(back->news.digests == message.news.digests);
+        RC_ASSERT(back->news.entries == message.news.entries);
+        RC_ASSERT(back->inForce == message.inForce);
+        RC_ASSERT(back->confirmedAgo == message.confirmedAgo);
+    });
+}
+
+// Bytes that are cut off are refused; altered ones never do harm.
+BOOST_AUTO_TEST_CASE(damaged_messages_are_refused)
+{
+    test::checkProperty("damage", [] {
+        const auto bytes = encodeGossip(anyMessage());
+        const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        RC_ASSERT(!decodeGossip(std::string_view(bytes).substr(0, cut)).has_value());
+        auto altered = bytes;
+        altered[cut] = static_cast<char>(*rc::gen::inRange(0, 256));
+        const auto back = decodeGossip(altered);
+        RC_ASSERT(!back || back->members.updates.size() <= mostUpdates);
+    });
+    BOOST_TEST(!fromBase64("ab!=").has_value());
+    BOOST_TEST(!fromBase64("abc").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
--- /dev/null
+++ b/tests/test_membership.cpp
@@ -0,0 +1,220 @@
+// Tests of membership over generated histories: loss, one-way loss, partitions,
+// pauses, restarts and planned stops. All live instances agree in the end, none
+// that can be reached stays declared dead, and an older life never wins.
+#include "membership_world.h"
+#include "property.h"
+
+namespace lovagerail {
+namespace {
+
+    using test::membership_world;
+
+    // Periods within which a dead one is found and all agree, for fleets of up to 16:
+    // a round (16), suspicion (4 and log2 of 16), spreading and a margin.
+    constexpr std::size_t findPeriods = 45;
+    // After any history: those held for dead are tried every fourth period.
+    constexpr std::size_t healPeriods = 120;
+
+    member_update anyUpdate()
+    {
+        member_update out;
+        out.id = instance_id("one");
+        out.life = incarnation(*rc::gen::inRange<std::uint64_t>(1, 4));
+        out.address = "http://life-" + std::to_string(out.life.value());
+        out.counter = *rc::gen::inRange<std::uint32_t>(0, 3);
+        out.state = static_cast<member_state>(*rc::gen::inRange(0, 3));
+        out.leaving = *rc::gen::inRange(0, 4) == 0;
+        return out;
+    }
+
+    std::size_t anyNode(membership_world& world)
+    {
+        return world.random() % world.nodes().size();
+    }
+
+    // One event of a history.
+    void disturb(membership_world& world, std::uint64_t kind)
+    {
+        const auto i = anyNode(world);
+        const auto j = anyNode(world);
+        auto& node = world.nodes()[i];
+        if (kind == 0) {
+            node.paused = !node.paused;
+        } else if (kind == 1) {
+            world.stop(i);
+        } else if (kind == 2) {
+            world.start(i, node.life + 1);
+        } else if (kind == 3 && node.running) {
+            world.leave(i);
+        } else if (kind == 4) {
+            world.setPasses([i, j](std::size_t from, std::size_t to) { return from != i || to != j; });
+        } else if (kind == 5) {
+            world.setPasses([i](std::size_t from, std::size_t to) { return (membership_world::domain(from) == i % 3) == (membership_world::domain(to) == i % 3); });
+        } else if (kind == 6) {
+            world.setPasses([&world](std::size_t, std::size_t) { return world.random() % 10 >= 3; });
+        } else {
+            world.setPasses({});
+        }
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(membership_suite)
+
+BOOST_AUTO_TEST_CASE(joining_what_is_told_does_not_depend_on_order_or_repeats)
+{
+    test::checkProperty("join", [] {
+        const auto a = anyUpdate();
+        const auto b = anyUpdate();
+        const auto c = anyUpdate();
+        auto left = a;
+        merge(left, b);
+        merge(left, c);
+        auto right = c;
+        merge(right, b);
+        merge(right, a);
+        RC_ASSERT(left == right);
+        RC_ASSERT(!merge(left, b));
+        RC_ASSERT(left.life >= std::max({ a.life, b.life, c.life }));
+    });
+}
+
+// Whatever happened, once the network is whole again all running ones agree.
+BOOST_AUTO_TEST_CASE(all_live_agree_after_any_history)
+{
+    test::checkProperty("agree", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(2, 17);
+        membership_world world(size, *rc::gen::inRange<std::uint64_t>(0, 1u << 30));
+        const auto events = *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(0, 8));
+        for (const auto kind : events) {
+            disturb(world, kind);
+            world.runPeriods(1 + world.random() % 6);
+        }
+        world.setPasses({});
+        for (auto& node : world.nodes())
+            node.paused = false;
+        RC_ASSERT(world.periodsUntilAgreed(healPeriods) < healPeriods);
+        RC_ASSERT(!world.hasLifeGoneBack());
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_one_is_found_within_the_stated_periods)
+{
+    test::checkProperty("found", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(3, 17);
+        membership_world world(size, *rc::gen::inRange<std::uint64_t>(0, 1u << 30));
+        RC_ASSERT(world.periodsUntilAgreed(healPeriods) < healPeriods);
+        world.stop(anyNode(world));
+        RC_ASSERT(world.periodsUntilAgreed(findPeriods) < findPeriods);
+    });
+}
+
+// A broken link, even both ways, and light loss: paths around it are found, so
+// nobody is declared dead for longer than a few periods.
+BOOST_AUTO_TEST_CASE(one_that_can_be_reached_does_not_stay_dead)
+{
+    test::checkProperty("reachable", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(5, 17);
+        membership_world world(size, *rc::gen::inRange<std::uint64_t>(0, 1u << 30));
+        RC_ASSERT(world.periodsUntilAgreed(healPeriods) < healPeriods);
+        const bool isOneWay = *rc::gen::arbitrary<bool>();
+        world.setPasses([&world, isOneWay](std::size_t from, std::size_t to) {
+            const bool isCut = (from == 0 && to == 1) || (!isOneWay && from == 1 && to == 0);
+            return !isCut && world.random() % 100 >= 5;
+        });
+        std::map<std::pair<std::size_t, std::size_t>, std::size_t> deadFor;
+        constexpr std::size_t mostDeadPeriods = 8;
+        for (std::size_t passed = 0; passed < 60; ++passed) {
+            world.runPeriods(1);
+            for (std::size_t i = 0; i < size; ++i) {
+                for (std::size_t other = 0; other < size; ++other) {
+                    auto& periods = deadFor[{ i, other }];
+                    const auto* known = world.nodes()[i].members->find(membership_world::name(other));
+                    periods = known != nullptr && known->state == member_state::Dead ? periods + 1 : 0;
+                    RC_ASSERT(periods <= mostDeadPeriods);
+                }
+            }
+        }
+    });
+}
+
+// A broken link between two, others whole: paths around it are found in time.
+BOOST_AUTO_TEST_CASE(a_broken_link_alone_brings_no_suspicion)
+{
+    test::checkProperty("relays", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(5, 17);
+        membership_world world(size, *rc::gen::inRange<std::uint64_t>(0, 1u << 30));
+        RC_ASSERT(world.periodsUntilAgreed(healPeriods) < healPeriods);
+        world.setPasses([](std::size_t from, std::size_t to) { return from + to != 1; });
+        for (std::size_t passed = 0; passed < 40; ++passed) {
+            world.runPeriods(1);
+            RC_ASSERT(world.isAgreed());
+        }
+    });
+}
+
+// A pause of its own between ping and answer is nobody else's fault.
+BOOST_AUTO_TEST_CASE(own_pause_is_not_held_against_others)
+{
+    using namespace std::chrono_literals;
+    membership_settings settings;
+    settings.self = { instance_id("a"), "http://a", failure_domain_id("x"), incarnation(1), 0, member_state::Alive, false };
+    membership one(settings, 1);
+    member_message hello;
+    hello.from = { instance_id("b"), "http://b", failure_domain_id("x"), incarnation(1), 0, member_state::Alive, false };
+    one.onMessage(hello, instant { 10s });
+    BOOST_TEST(one.tick(instant { 11s }).size() == 1u);
+    one.tick(instant { 11s + 200ms });
+    one.tick(instant { 41s });
+    BOOST_TEST((one.find(hello.from.id)->state == member_state::Alive));
+    // Without a pause, silence counts.
+    for (int i = 1; i < 15; ++i)
+        one.tick(instant { 41s + i * 200ms });
+    BOOST_TEST((one.find(hello.from.id)->state == member_state::Suspect));
+}
+
+// Paused for long, it is declared dead; it comes back under its own life.
+BOOST_AUTO_TEST_CASE(a_paused_one_refutes_its_death)
+{
+    membership_world world(8, 3);
+    BOOST_REQUIRE_LT(world.periodsUntilAgreed(healPeriods), healPeriods);
+    world.nodes()[2].paused = true;
+    world.runPeriods(findPeriods);
+    BOOST_TEST((world.nodes()[0].members->find(membership_world::name(2))->state == member_state::Dead));
+    world.nodes()[2].paused = false;
+    world.runPeriods(1);
+    // It doesn't blame the others for its own pause.
+    for (const auto& one : world.nodes()[2].members->live())
+        BOOST_TEST((one.state == member_state::Alive));
+    BOOST_TEST(world.periodsUntilAgreed(10) < 10u);
+    BOOST_TEST(world.nodes()[0].members->find(membership_world::name(2))->life.value() == 1u);
+    BOOST_TEST(world.nodes()[0].members->find(membership_world::name(2))->counter > 0u);
+}
+
+// One that hears nobody can't tell who is dead, and knows that it reaches none.
+BOOST_AUTO_TEST_CASE(one_cut_off_from_all_declares_nobody_dead)
+{
+    membership_world world(8, 5);
+    BOOST_REQUIRE_LT(world.periodsUntilAgreed(healPeriods), healPeriods);
+    world.setPasses([](std::size_t from, std::size_t to) { return from != 4 && to != 4; });
+    world.runPeriods(findPeriods);
+    auto& lonely = *world.nodes()[4].members;
+    BOOST_TEST(lonely.reachable(world.now()) == 1u);
+    for (const auto& one : lonely.live())
+        BOOST_TEST((one.state != member_state::Dead));
+    BOOST_TEST(lonely.liveCount() == 7u);
+    BOOST_TEST(world.nodes()[0].members->reachable(world.now()) == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(a_fleet_of_410_comes_together_and_messages_stay_bounded)
+{
+    membership_world world(410, 7, true, false);
+    BOOST_TEST(world.periodsUntilAgreed(healPeriods) < healPeriods);
+    world.stop(17);
+    BOOST_TEST(world.periodsUntilAgreed(findPeriods) < findPeriods);
+    BOOST_TEST(world.counts().largest < 5000u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
