--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -15,6 +15,7 @@
 #include "daemon/status_api.h"
 #include "daemon/target_duty.h"
 #include "daemon/usage_duty.h"
+#include "daemon/weight_duty.h"
 #include "http/server.h"
 #include "http/worker.h"
 #include "named_thread.h"
@@ -33,6 +34,7 @@
     result<void> start(const http::tls_files& tls);
     // Begins the planned stop: no new work, hand over duties, finish what runs.
     void drain() { m_drainAsked = true; }
+    bool draining() const { return m_drainAsked; }
     // True once a planned stop has nothing left to wait for.
     bool drained() const { return m_drained; }
     void stop();
@@ -68,6 +70,7 @@
     lease_duty m_leases;
     usage_duty m_usage;
     payload_duty m_payloads;
+    weight_duty m_weights;
     run_duty m_runs;
 
     serving_thread m_serving;
--- a/src/daemon/run_duty.cpp
+++ b/src/daemon/run_duty.cpp
@@ -20,12 +20,13 @@
 
 } // namespace
 
-run_duty::run_duty(control_context& context, lease_duty& leases, peer_duty& peers, payload_duty& payloads, status_api& status)
+run_duty::run_duty(control_context& context, lease_duty& leases, peer_duty& peers, payload_duty& payloads, status_api& status, weight_duty& weights)
     : m_context(context)
     , m_leases(leases)
     , m_peers(peers)
     , m_payloads(payloads)
     , m_status(status)
+    , m_weights(weights)
 {
     constexpr std::size_t prefixLength = 4; // "run-"
     m_leases.onGained([this](const duty_id& duty, fencing_number fencing) {
@@ -196,10 +197,14 @@
     m_payloads.get(run_id(item->name), slot.stream.slot.step, slot.prompt, slot.promptHolders, [this, item, slot](const result<std::string>& prompt) {
         if (!ours(item) || item->preparing.erase(slot.stream) == 0)
             return;
-        if (prompt)
+        if (prompt) {
             sendJob(item, slot, *prompt);
-        else
-            feed(item, dispatch_refused { slot.stream });
+            return;
+        }
+        // A prompt that no holder has any more is asked of the trainer again.
+        if (prompt.error().code == error_code::NotFound)
+            feed(item, prompt_lost { slot.stream.slot.step, slot.stream.slot.group });
+        feed(item, dispatch_refused { slot.stream });
     });
 }
 
