Membership joined to the daemon: spreading, outages, local copy

Instances were greeted one by one each heartbeat, each kept a watch of its own at the key-value service, deny marks stayed where they were made, and nothing told 'service down' from 'cut off'.

member_duty sends heartbeats that carry members, news and the sender's revision; who hears of a newer revision pulls a delta (a bounded log) or the whole, and tells three others at once. Three instances chosen by rendezvous hashing watch and look at head; the rest learn from them and read only after long silence, at times of their own. Deny marks are pushed to all and ride as news; holders of duties ride too. A keyed request is refused as not run while marks may be missing after a start, or while neither the service nor a majority confirms. With a data folder the configuration and marks are kept and start the next one.

The test found that an instance started from its copy took a withdrawn key for a moment; hence the wait for marks.

--- a/src/daemon/config_duty.cpp
+++ b/src/daemon/config_duty.cpp
@@ -9,6 +9,13 @@
 namespace {
 
     constexpr duration readRetry = std::chrono::milliseconds(500);
+    constexpr int mostDoublings = 6; // of readRetry while the service fails
+    // A watcher looks at head this often, to know that the watch missed nothing.
+    constexpr duration leastConfirm = std::chrono::seconds(1);
+    constexpr std::int64_t confirmBeats = 2;
+    // The others ask the service themselves after this many heartbeats without word.
+    constexpr duration leastSilence = std::chrono::seconds(3);
+    constexpr std::int64_t silentBeats = 10;
     // Races that an edit survives before it is reported as a conflict.
     constexpr int mostEditTries = 20;
 
@@ -42,10 +49,64 @@
 
 void config_duty::tick()
 {
-    if (!m_watching && !m_reading && m_context.now >= m_nextRead)
+    if (m_startedAt == instant())
+        m_startedAt = m_context.now;
+    if (m_reading || !m_isPlaced || m_context.now < m_nextRead)
+        return;
+    if (m_isWatcher && m_watching) {
+        confirm();
+        return;
+    }
+    const bool isSilent = m_context.now - std::max(m_confirmedAt, m_startedAt) > silence();
+    if (m_isWatcher || isSilent)
         readAll();
 }
 
+void config_duty::setWatcher(bool isWatcher, std::size_t place)
+{
+    m_isPlaced = true;
+    m_isWatcher = isWatcher;
+    m_place = place;
+    if (isWatcher || !m_watching)
+        return;
+    m_context.kv.endWatch(m_watch);
+    m_watching = false;
+}
+
+void config_duty::confirmedByPeer(instant at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, at);
+    m_emptyConfirmed = true;
+}
+
+// Spread over twice the least, so that instances cut off together don't ask together.
+duration config_duty::silence() const
+{
+    const auto least = std::max<duration>(leastSilence, m_context.values.timing.heartbeat * silentBeats);
+    const auto share = static_cast<std::int64_t>(std::hash<std::string>()(m_context.self.str()) % 1000);
+    return least + least * share / 1000;
+}
+
+// The first watcher asks; the next ones do if it seems to fail.
+void config_duty::confirm()
+{
+    const auto every = std::max<duration>(leastConfirm, m_context.values.timing.heartbeat * confirmBeats);
+    if (m_confirming || m_context.now - m_confirmedAt < every * static_cast<std::int64_t>(1 + m_place))
+        return;
+    m_confirming = true;
+    m_nextRead = m_context.now + every;
+    m_context.kv.call(kv_range { std::string(headKey), {}, 0, {}, true }, [this](const result<kv_answer>& answer) {
+        m_confirming = false;
+        if (!answer)
+            return;
+        const auto newest = answer->entries.empty() ? revision() : answer->entries.front().modRevision;
+        if (newest <= m_context.inForce->at())
+            m_confirmedAt = m_context.now;
+        else if (!m_reading)
+            readAll();
+    });
+}
+
 void config_duty::readAll()
 {
     m_reading = true;
@@ -66,10 +127,12 @@
             next(outcome);
     };
     if (!answer) {
+        m_nextRead = m_context.now + readRetry * (1 << std::min(m_failedReads++, mostDoublings));
         logEvent(log_level::Warning, "config", "read", { { "error", toString(answer.error()) } });
         tell(tl::unexpected(answer.error()));
         return;
     }
+    m_failedReads = 0;
     const auto change = changeFromRange(storedValues(answer->entries));
     if (change) {
         for (const auto& entry : answer->entries) {
@@ -85,7 +148,7 @@
         logEvent(log_level::Error, "config", "read", { { "error", toString(change.error()) } });
     }
     m_confirmedAt = m_context.now;
-    if (!m_watching)
+    if (m_isWatcher && !m_watching)
         startWatch();
     tell({});
 }
@@ -94,7 +157,7 @@
 {
     m_watching = true;
     const auto from = m_context.inForce->at() == revision() ? revision() : m_context.inForce->at().next();
-    m_context.kv.watch(std::string(configPrefix), prefixEnd(std::string(configPrefix)), from, [this](const kv_news& news) { onNews(news); });
+    m_watch = m_context.kv.watch(std::string(configPrefix), prefixEnd(std::string(configPrefix)), from, [this](const kv_news& news) { onNews(news); });
 }
 
 void config_duty::onNews(const kv_news& news)
@@ -144,7 +207,9 @@
     }
     if (applied.outcome != apply_outcome::Applied)
         return;
-    m_context.inForce = applied.next;
+    const auto before = std::exchange(m_context.inForce, applied.next);
+    if (m_applied)
+        m_applied(before, change);
     m_context.tellServing(new_config { applied.next });
     logEvent(log_level::Info, "config", "in_force", { { "revision", std::to_string(applied.next->at().value()) } });
 }
--- a/src/daemon/config_duty.h
+++ b/src/daemon/config_duty.h
@@ -31,7 +31,19 @@
     // A change told by another instance; true if it moved us forward.
     bool learn(const config_change& change);
 
-    // The revision was confirmed by the service or a majority at this time.
+    // Whether this instance is one of the few that keep a watch open; the others
+    // read only if nothing was confirmed for a while. `place` orders who confirms.
+    void setWatcher(bool isWatcher, std::size_t place);
+    bool isWatcher() const { return m_isWatcher; }
+    // Another instance had the service's word at that time, for what is in force here.
+    void confirmedByPeer(instant at);
+    // Head of a change that another instance told.
+    void setHead(const config_head& head) { m_head = head; }
+    // Called with each change that came in force.
+    using applied_function = std::function<void(const config_ptr& before, const config_change&)>;
+    void onApplied(applied_function tell) { m_applied = std::move(tell); }
+
+    // The revision was confirmed by the service at this time, here or at another instance.
     instant confirmedAt() const { return m_confirmedAt; }
     bool known() const { return m_context.inForce->at() != revision() || m_emptyConfirmed; }
     const config_head& head() const { return m_head; }
@@ -49,6 +61,8 @@
     void readAll();
     void onAll(const result<kv_answer>& answer);
     void startWatch();
+    void confirm();
+    duration silence() const;
     void onNews(const kv_news& news);
     void take(const config_change& change);
     void plan(const edit_ptr& edit);
@@ -63,6 +77,14 @@
     bool m_reading = false;
     bool m_emptyConfirmed = false; // the service holds no configuration yet
     bool m_watching = false;
+    std::uint64_t m_watch = 0; // 0 = none
+    bool m_isWatcher = false;
+    bool m_isPlaced = false; // setWatcher() was called
+    bool m_confirming = false;
+    std::size_t m_place = 0;
+    int m_failedReads = 0; // in a row
+    applied_function m_applied;
+    instant m_startedAt {};
     instant m_confirmedAt {};
     instant m_nextRead {};
     std::vector<std::function<void(const result<void>&)>> m_afterRead;
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -54,6 +54,7 @@
     , m_peers(m_context, std::move(instanceSecret))
     , m_status(m_context, m_config, m_targets, m_peers)
     , m_leases(m_context, m_peers)
+    , m_members(m_context, m_config, m_keys, m_targets, m_peers, m_leases)
     , m_usage(m_context, m_leases, m_peers, m_status)
     , m_payloads(m_context, m_leases, m_peers)
     , m_weights(m_context, m_leases, m_peers, m_targets)
@@ -73,7 +74,6 @@
         body["instance"] = m_context.self.str();
         answerJson(call.exchange, statusOk, body);
     });
-    m_peers.server().add("hello", [this](const Json::Value&) -> result<Json::Value> { return Json::Value(Json::UInt64(m_context.life.value())); });
     m_toldConfig = m_context.inForce;
 }
 
@@ -152,16 +152,18 @@
         m_keys.setConfig(m_toldConfig);
         m_operators.setConfig(m_toldConfig);
         m_status.setConfig(*m_toldConfig);
+        m_members.onInForce();
     }
     flushServing();
 }
 
 void control_thread::tickDuties()
 {
+    m_members.tick();
     m_config.tick();
     m_keys.tick();
     m_targets.tick();
-    followMembers();
+    followDuties();
     m_leases.tick();
     m_usage.tick();
     m_weights.tick();
@@ -170,44 +172,14 @@
         drainTurn();
 }
 
-// Duties are spread over the instances that live and are not leaving.
-void control_thread::followMembers()
+void control_thread::followDuties()
 {
-    std::vector<live_instance> live;
-    bool listed = false;
-    for (const auto& one : m_targets.instances()) {
-        if (one.state != platform::instance_state::Live)
-            continue;
-        listed = listed || one.id == m_context.self;
-        const auto life = one.id == m_context.self ? m_context.life : m_lives[one.id];
-        live.push_back({ one.id, one.address, one.failureDomain, life });
-    }
-    if (!listed)
-        live.push_back({ m_context.self, platform::withScheme(m_values.listen.instances), failure_domain_id(m_values.instance.failureDomain), m_context.life });
-    greet(live);
-    m_leases.setLive(std::move(live));
     auto duties = m_runs.duties();
     duties.insert(usage_duty::duty());
     duties.merge(m_weights.duties());
     m_leases.setDuties(duties);
 }
 
-// Learns the incarnations of the others.
-void control_thread::greet(const std::vector<live_instance>& live)
-{
-    if (m_context.now < m_nextGreeting)
-        return;
-    m_nextGreeting = m_context.now + m_values.timing.heartbeat;
-    for (const auto& one : live) {
-        if (one.id == m_context.self)
-            continue;
-        m_peers.call(one.address, "hello", Json::Value(Json::objectValue), [this, id = one.id](const result<Json::Value>& answer) {
-            if (answer && answer->isUInt64())
-                m_lives[id] = incarnation(answer->asUInt64());
-        });
-    }
-}
-
 void control_thread::takeServing()
 {
     to_control message;
@@ -247,7 +219,7 @@
 {
     if (!m_context.draining) {
         m_context.draining = true;
-        m_context.tellServing(serving_mode { false, true });
+        m_members.leave();
         m_leases.releaseAll();
         logEvent(log_level::Info, "control", "drain");
         return;
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -7,6 +7,7 @@
 #include "daemon/control_context.h"
 #include "daemon/key_duty.h"
 #include "daemon/lease_duty.h"
+#include "daemon/member_duty.h"
 #include "daemon/operator_duty.h"
 #include "daemon/payload_duty.h"
 #include "daemon/peer_duty.h"
@@ -45,8 +46,7 @@
     void takeServing();
     void takeExchanges();
     void tickDuties();
-    void followMembers();
-    void greet(const std::vector<live_instance>& live);
+    void followDuties();
     void drainTurn();
     void flushServing();
 
@@ -68,6 +68,7 @@
     peer_duty m_peers;
     status_api m_status;
     lease_duty m_leases;
+    member_duty m_members;
     usage_duty m_usage;
     payload_duty m_payloads;
     weight_duty m_weights;
@@ -80,8 +81,6 @@
     std::unique_ptr<http::server> m_instanceServer;
     config_ptr m_toldConfig;
     instant m_nextTick {};
-    instant m_nextGreeting {};
-    std::map<instance_id, incarnation> m_lives; // of the others, as they said last
     std::atomic<bool> m_drainAsked { false };
     std::atomic<bool> m_drained { false };
     std::atomic<bool> m_stopping { false };
--- a/src/daemon/key_duty.cpp
+++ b/src/daemon/key_duty.cpp
@@ -66,6 +66,7 @@
         if (m_spread)
             m_spread(marks);
         m_writeAgain[id] = m_context.now + writeRetry;
+        m_asked.insert(id);
     }
     logEvent(log_level::Info, "keys", "withdraw", { { "key", id.str() }, { "by", who } });
 
@@ -113,10 +114,13 @@
         open.insert(mark.key);
     for (auto entry = m_writeAgain.begin(); entry != m_writeAgain.end();) {
         if (!open.contains(entry->first)) {
+            m_asked.erase(entry->first);
             entry = m_writeAgain.erase(entry);
             continue;
         }
-        if (m_context.now >= entry->second) {
+        // Of those that only heard of it, the few that watch the service write.
+        const bool mayWrite = m_config.isWatcher() || m_asked.contains(entry->first);
+        if (mayWrite && m_context.now >= entry->second) {
             entry->second = m_context.now + writeRetry;
             writeWithdrawal(entry->first, m_context.self.str(), {});
         }
--- a/src/daemon/key_duty.h
+++ b/src/daemon/key_duty.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace lovagerail::daemon {
 
@@ -45,6 +46,7 @@
     key_table m_keys;
     std::function<void(const std::vector<deny_mark>&)> m_spread;
     std::map<key_id, instant> m_writeAgain; // marks that the configuration lacks
+    std::set<key_id> m_asked; // of these, the ones that an operator asked this instance for
 };
 
 } // namespace lovagerail::daemon
--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -107,6 +107,12 @@
 
 void lease_duty::findHolder(const duty_id& duty, std::function<void(const result<duty_holder>&)> onFound)
 {
+    if (m_holderNews) {
+        if (const auto told = m_holderNews(duty)) {
+            onFound(*told);
+            return;
+        }
+    }
     const auto known = m_cache.find(duty);
     if (known != m_cache.end() && m_context.now - known->second.at < holderMemory) {
         onFound(known->second.holder);
--- a/src/daemon/lease_duty.h
+++ b/src/daemon/lease_duty.h
@@ -42,7 +42,11 @@
 
     std::optional<held_duty> holds(const duty_id& duty) const { return m_leases.holds(duty, m_context.now); }
     std::vector<duty_id> held() const { return m_leases.held(m_context.now); }
-    // Asks the service who holds a duty, unless that was learned a moment ago.
+    // What other instances told of a duty's holder; nothing if that is in doubt.
+    using holder_function = std::function<std::optional<duty_holder>(const duty_id&)>;
+    void setHolderNews(holder_function holderNews) { m_holderNews = std::move(holderNews); }
+    // Who holds a duty: by the news of other instances, or asked of the service
+    // unless that was learned a moment ago.
     void findHolder(const duty_id& duty, std::function<void(const result<duty_holder>&)> onFound);
     // The address of a live instance, or nothing.
     std::optional<std::string> addressOf(const instance_id& instance) const;
@@ -59,6 +63,7 @@
     std::vector<live_instance> m_live;
     std::vector<gained_function> m_gained;
     std::vector<lost_function> m_lost;
+    holder_function m_holderNews;
     struct cached_holder {
         duty_holder holder;
         instant at {};
