--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -112,8 +112,11 @@
             if (slot.tooLarge)
                 x.answer(413, { { "content-type", "application/json" } },
                     R"({"error":{"outcome":"not_run","reason":"body_too_large"}})");
-            else
+            else if (self.keep(slot.shared))
                 self.m_handler(slot.shared);
+            else
+                x.answer(503, { { "content-type", "application/json" } },
+                    R"({"error":{"outcome":"not_run","reason":"stopping"}})");
         }
 
         // Step 4. Answer if the head of the answer is there, else sleep until it is.
@@ -243,6 +246,12 @@
     resumeLocked();
 }
 
+bool exchange::hasEnded() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_ended;
+}
+
 bool exchange::callerGone() const
 {
     std::lock_guard lock(m_mutex);
@@ -284,8 +293,35 @@
     return self;
 }
 
+bool server::keep(const exchange_ptr& taken)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_ending)
+        return false;
+    if (m_taken.size() >= m_pruneAt) {
+        std::erase_if(m_taken, [](const auto& one) { return one.expired(); });
+        m_pruneAt = std::max<std::size_t>(64, 2 * m_taken.size());
+    }
+    m_taken.push_back(taken);
+    return true;
+}
+
+// libmicrohttpd ends the process if a connection is still suspended: those that
+// nobody has answered are broken off first.
 server::~server()
 {
+    std::vector<std::weak_ptr<exchange>> taken;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ending = true;
+        taken.swap(m_taken);
+    }
+    for (const auto& one : taken) {
+        const auto open = one.lock();
+        if (!open || open->hasEnded())
+            continue;
+        open->abort();
+    }
     if (m_daemon != nullptr)
         MHD_stop_daemon(m_daemon);
     if (m_listener >= 0)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
 struct MHD_Connection;
 struct MHD_Daemon;
@@ -62,6 +63,7 @@
     void answer(int status, header_list answerHeaders, std::string whole);
 
     bool callerGone() const;
+    bool hasEnded() const;
 
 private:
     friend class server;
@@ -101,10 +103,16 @@
 private:
     friend struct server_callbacks;
     server() = default;
+    // False once the server ends; the exchange is then not handed over.
+    bool keep(const exchange_ptr& taken);
 
     server_limits m_limits;
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
+    std::mutex m_mutex; // guards the three below
+    bool m_ending = false;
+    std::vector<std::weak_ptr<exchange>> m_taken; // whose connections may be suspended
+    std::size_t m_pruneAt = 64; // when m_taken is so long, those that are over are dropped
     int m_listener = -1;
 };
 
--- a/tests/test_order_thread.cpp
+++ b/tests/test_order_thread.cpp
@@ -8,7 +8,6 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
-#include <mutex>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -87,8 +86,6 @@
     struct fake_platform {
         std::atomic<int> orders { 0 };
         std::atomic<bool> answers { true };
-        std::mutex mutex; // guards waiting
-        std::vector<http::exchange_ptr> waiting;
         std::string address;
         std::unique_ptr<http::server> server;
 
@@ -100,20 +97,11 @@
                     ++orders;
                     if (answers)
                         exchange->answer(200, {}, exchange->body);
-                    const std::lock_guard lock(mutex);
-                    waiting.push_back(exchange);
                 });
                 if (made)
                     server = std::move(*made);
             }
         }
-        // The server may end once nobody waits for an answer.
-        ~fake_platform()
-        {
-            const std::lock_guard lock(mutex);
-            for (const auto& exchange : waiting)
-                exchange->abort();
-        }
     };
 
     platform::order_reply sendOne(platform::order_thread& orders, wakeup& owner, const std::string& address, duration right)
