Capacity: room for a loss is kept by place, firm targets give way to cheap ones

Room for the loss of the fullest failure domain was reckoned as if targets were spread evenly; after a domain of cheap targets had been taken away they weren't. It is now checked against where targets run, for starts and for stops. What is foretold counts at 0.85 of a target instead of 0.7, as its growth is in it already. A firm target above need is replaced by a cheap one. The last target of a pool is kept.

--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -57,6 +57,18 @@
         }
         std::uint32_t firm() const { return m_firm; }
         std::uint32_t all() const { return m_firm + m_cheap; }
+        std::uint32_t fullest() const
+        {
+            std::uint32_t most = 0;
+            for (const auto& [domain, count] : m_domains)
+                most = std::max(most, count);
+            return most;
+        }
+        void remove(const capacity_place& place)
+        {
+            --m_domains[place.failureDomain];
+            --(place.kind == supply_kind::Cheap ? m_cheap : m_firm);
+        }
         std::uint32_t fewestIn(const std::vector<failure_domain_id>& domains) const
         {
             auto fewest = all();
@@ -120,18 +132,6 @@
     return std::max(seen, m_level * (1 + growth));
 }
 
-// Targets so that the rest bears the work when the fullest failure domain is lost.
-std::uint32_t capacity_planner::withLoss(double targets, std::size_t domains) const
-{
-    auto count = std::max<std::uint32_t>(1, wholeTargets(targets));
-    if (domains < 2)
-        return count;
-    const auto kinds = static_cast<std::uint32_t>(domains);
-    while (count - (count + kinds - 1) / kinds < wholeTargets(targets))
-        ++count;
-    return count;
-}
-
 // `scale` reckons with so many times the demand seen.
 capacity_planner::need capacity_planner::reckon(const target_pool& pool, double scale) const
 {
@@ -151,10 +151,10 @@
     case capacity_policy::Forecast: {
         // Step 1. What comes, at the utilisation aimed at.
         const double coming = scale * expected(std::chrono::seconds(pool.startUpS));
-        out.up = wholeTargets(coming / (perTarget * m_settings.utilisation));
-        // Step 2. What is here now, with one failure domain gone.
-        if (work > 0)
-            out.up = std::max(out.up, withLoss(scale * m_level / (perTarget * m_settings.afterLoss), pool.failureDomains.size()));
+        out.up = wholeTargets(coming / (perTarget * m_settings.forecastUtilisation));
+        // Step 2. What is here now, with the fullest failure domain gone.
+        if (pool.failureDomains.size() > 1)
+            out.afterLoss = wholeTargets(scale * m_level / (perTarget * m_settings.afterLoss));
         // Step 3. Accounts that burn their budgets while targets have a queue need more.
         if (m_last.burn > 1 && m_last.queued > 0)
             out.up += 1;
@@ -171,15 +171,14 @@
     return out;
 }
 
-// The most that was needed within idleTime: a queue of falling needs.
-std::uint32_t capacity_planner::highestLately(std::uint32_t current, instant now)
+std::uint32_t capacity_planner::recent_most::add(std::uint32_t value, instant now, duration span)
 {
-    while (!m_past.empty() && m_past.back().targets <= current)
-        m_past.pop_back();
-    m_past.push_back({ now, current });
-    while (now - m_past.front().at > m_settings.idleTime)
-        m_past.pop_front();
-    return m_past.front().targets;
+    while (!past.empty() && past.back().second <= value)
+        past.pop_back();
+    past.emplace_back(now, value);
+    while (now - past.front().first > span)
+        past.pop_front();
+    return past.front().second;
 }
 
 capacity_plan capacity_planner::plan(const target_pool& pool, const capacity_view& view, instant now)
@@ -187,20 +186,50 @@
     capacity_plan out;
     if (!m_seen || pool.ceiling == 0 || pool.failureDomains.empty())
         return out;
+    // Step 1. What is needed now is started at once.
     const auto needed = reckon(pool, 1);
-    const auto highest = highestLately(reckon(pool, m_settings.stopMargin).up, now);
+    const auto spare = reckon(pool, m_settings.stopMargin);
+    const auto most = m_need.add(spare.up, now, m_settings.idleTime);
+    const auto mostFirm = m_firmNeed.add(spare.firm, now, m_settings.idleTime);
+    const auto mostAfterLoss = m_lossNeed.add(spare.afterLoss, now, m_settings.idleTime);
     out.wanted = needed.up;
     out.wantedFirm = needed.firm;
+    out.wantedAfterLoss = needed.afterLoss;
     planStarts(pool, view, out);
-    // Nothing is stopped before a whole idleTime was seen.
-    const bool isKnown = now - m_firstAt >= m_settings.idleTime;
-    if (out.starts.empty() && isKnown && place_counts(view).all() > highest) {
-        out.wanted = highest;
+
+    // Step 2. Less only after a whole idleTime was seen, while nothing else changes.
+    const bool isStarting = !out.starts.empty() || !view.starting.empty()
+        || std::any_of(view.targets.begin(), view.targets.end(), [](const auto& one) { return one.state == target_state::Starting; });
+    const bool isStopping = std::any_of(view.targets.begin(), view.targets.end(), [](const auto& one) { return one.stopping; });
+    if (now - m_firstAt < m_settings.idleTime || isStarting || isStopping || now < m_nextStop)
+        return out;
+    out.wanted = std::max(out.wanted, most);
+    out.wantedFirm = std::max(out.wantedFirm, mostFirm);
+    out.wantedAfterLoss = std::max(out.wantedAfterLoss, mostAfterLoss);
+    if (place_counts(view).all() > out.wanted)
         planStop(pool, view, out, now);
-    }
+    else
+        planSwap(pool, view, out, now);
     return out;
 }
 
+// A cheap target more; once it is there, a firm one is above need and is stopped.
+void capacity_planner::planSwap(const target_pool& pool, const capacity_view& view, capacity_plan& out, instant now)
+{
+    const place_counts counts(view);
+    if (!isCheapWorth(pool) || m_last.cheapShare <= 0 || counts.firm() <= out.wantedFirm || counts.all() >= pool.ceiling)
+        return;
+    capacity_plan cheap;
+    cheap.wanted = counts.all() + 1;
+    cheap.wantedFirm = out.wantedFirm;
+    planStarts(pool, view, cheap);
+    if (cheap.starts.empty() || cheap.starts.front().where.kind != supply_kind::Cheap)
+        return;
+    m_nextStop = now + m_settings.stopEvery;
+    cheap.starts.front().reason = "takes the place of a firm target";
+    out.starts = cheap.starts;
+}
+
 // Each start goes to the emptiest failure domain where the kind can be had.
 void capacity_planner::planStarts(const target_pool& pool, const capacity_view& view, capacity_plan& out) const
 {
@@ -217,11 +246,12 @@
         }
         return best;
     };
-    while (counts.all() < out.wanted && counts.all() + stopping < pool.ceiling) {
+    const auto isShort = [&] { return counts.all() < out.wanted || counts.all() - counts.fullest() < out.wantedAfterLoss; };
+    while (isShort() && counts.all() + stopping < pool.ceiling) {
         // Step 1. Cheap, once the firm ones are enough, else firm; the other kind if
         // there is none to be had. Firm stands in for cheap, and cheap for firm only
         // if the pool's work may run there.
-        const bool cheapFirst = isCheapWorth(pool) && counts.firm() >= out.wantedFirm;
+        const bool cheapFirst = isCheapWorth(pool) && m_last.cheapShare > 0 && counts.firm() >= out.wantedFirm;
         auto kind = cheapFirst ? supply_kind::Cheap : supply_kind::Firm;
         auto domain = emptiest(kind);
         // Cheap targets that are piled up in one failure domain are lost as a whole.
@@ -236,31 +266,39 @@
         // Step 2. One more there.
         const capacity_place where { kind, *domain };
         out.starts.push_back({ where, "needs " + std::to_string(out.wanted) + ", has " + std::to_string(counts.all()) });
+        const bool helps = counts.all() < out.wanted || counts.in(*domain) < counts.fullest();
+        if (!helps && counts.in(*domain) > 0) {
+            out.starts.pop_back();
+            return;
+        }
         counts.add(where);
     }
 }
 
-// The cheapest to lose: in the fullest failure domain, firm ones above need first
-// as they cost more, then the one with the least work.
+// The cheapest to lose: firm ones above need first, as they cost more, then one in
+// the fullest failure domain, then the one with the least work.
 void capacity_planner::planStop(const target_pool& pool, const capacity_view& view, capacity_plan& out, instant now)
 {
     const place_counts counts(view);
-    if (now < m_nextStop || counts.all() <= pool.floor)
+    // The last one is kept: with none running no demand would be seen.
+    if (counts.all() <= std::max<std::uint32_t>(pool.floor, 1))
         return;
     const capacity_target* best = nullptr;
     const auto rank = [&](const capacity_target& one) {
         const bool dear = one.kind == supply_kind::Firm && counts.firm() > out.wantedFirm && isCheapWorth(pool);
-        return std::tuple(one.kind == supply_kind::Firm && counts.firm() <= out.wantedFirm, -static_cast<int>(counts.in(one.failureDomain)), !dear, one.open, one.id);
+        return std::tuple(one.kind == supply_kind::Firm && counts.firm() <= out.wantedFirm, !dear, -static_cast<int>(counts.in(one.failureDomain)), one.open, one.id);
     };
     for (const auto& one : view.targets) {
         if (one.stopping || one.state != target_state::Live)
             continue;
-        // Only one stop at a time.
+        auto rest = counts;
+        rest.remove({ one.kind, one.failureDomain });
+        if (rest.all() - rest.fullest() < out.wantedAfterLoss)
+            continue;
         if (!best || rank(one) < rank(*best))
             best = &one;
     }
-    const bool isStopping = std::any_of(view.targets.begin(), view.targets.end(), [](const auto& one) { return one.stopping; });
-    if (!best || isStopping)
+    if (!best)
         return;
     m_nextStop = now + m_settings.stopEvery;
     out.stop = stop_target { best->id, "needed " + std::to_string(out.wanted) + " at most for a while, has " + std::to_string(counts.all()) };
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -4,7 +4,8 @@
 // from its level and trend over the start-up time; there is room for the loss of
 // the fullest failure domain and for demand that doubles within `doubling`. More is
 // started at once; fewer run only after demand was lower for the whole of
-// `idleTime`, and one at a time. Cheap targets carry at most the share of work that
+// `idleTime`, and one at a time. A firm target that isn't needed as such is
+// replaced by a cheap one where that is to be had. Cheap targets carry at most the share of work that
 // may run there, and never what the loss of one failure domain would take.
 //
 // Baselines for comparison: a fixed size, plain target utilisation, queue length.
@@ -33,7 +34,8 @@
 struct capacity_settings {
     capacity_policy policy = capacity_policy::Forecast;
     std::uint32_t fixedSize = 0; // of the policy Fixed; 0 = the ceiling
-    double utilisation = 0.7; // of a target's concurrent work, aimed at
+    double utilisation = 0.7; // of a target's concurrent work, aimed at by the policy Utilisation
+    double forecastUtilisation = 0.85; // the same for work that is foretold, growth included
     double afterLoss = 1.0; // the same, with the fullest failure domain lost
     duration doubling = std::chrono::minutes(3); // demand can double in so long
     duration levelTime = std::chrono::seconds(15); // over which demand is smoothed
@@ -83,6 +85,7 @@
 struct capacity_plan {
     std::uint32_t wanted = 0; // targets in all
     std::uint32_t wantedFirm = 0; // of these at least
+    std::uint32_t wantedAfterLoss = 0; // beside those of the fullest failure domain
     std::vector<start_target> starts;
     std::optional<stop_target> stop;
 };
@@ -101,17 +104,18 @@
     struct need {
         std::uint32_t up = 0; // start until so many run
         std::uint32_t firm = 0; // of these firm
+        std::uint32_t afterLoss = 0; // beside those of the fullest failure domain
     };
-    struct past_need {
-        instant at {};
-        std::uint32_t targets = 0;
+    // The most within a time, kept as a queue of falling values.
+    struct recent_most {
+        std::deque<std::pair<instant, std::uint32_t>> past; // newest last
+        std::uint32_t add(std::uint32_t value, instant now, duration span);
     };
 
     need reckon(const target_pool& pool, double scale) const;
     double expected(duration startUp) const;
-    std::uint32_t withLoss(double targets, std::size_t domains) const;
-    std::uint32_t highestLately(std::uint32_t current, instant now);
     void planStarts(const target_pool& pool, const capacity_view& view, capacity_plan& out) const;
+    void planSwap(const target_pool& pool, const capacity_view& view, capacity_plan& out, instant now);
     void planStop(const target_pool& pool, const capacity_view& view, capacity_plan& out, instant now);
 
     capacity_settings m_settings;
@@ -121,7 +125,9 @@
     instant m_firstAt {};
     double m_level = 0; // smoothed work
     double m_slow = 0; // smoothed over the trend's time
-    std::deque<past_need> m_past; // falling needs within idleTime, newest last
+    recent_most m_need; // of targets, within idleTime
+    recent_most m_firmNeed;
+    recent_most m_lossNeed;
     instant m_nextStop {};
 };
 
