A target that restarted by itself leaves when the list says so

Cause: the platform's list and the target's own reports count incarnations apart when an engine is restarted by itself. Change: a row that says "leaving" of an older incarnation holds the target out until the list says otherwise. The table keeps it apart from the state, so that a lagging list costs its lag and never more.

--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -49,10 +49,13 @@
     }
     target_record& record = m_slots[known->value()].record;
     record.lastListed = now;
-    const bool returned = std::exchange(record.absent, false);
-
-    // Step 1. An older incarnation is over, whatever the list still says.
-    if (row.incarnation < record.listed.incarnation) {
+    // Step 1. An older incarnation is over, whatever the list still says. But a target
+    // that restarted by itself leaves with all its incarnations.
+    const bool older = row.incarnation < record.listed.incarnation;
+    const bool leaves = older && row.state == target_state::Leaving;
+    const bool leavingChanged = std::exchange(record.leavingInList, leaves) != leaves;
+    const bool returned = std::exchange(record.absent, false) || leavingChanged;
+    if (older) {
         if (returned)
             refreshClasses(*known);
         return { *known, target_change::None };
@@ -243,7 +246,7 @@
     if (slot.value() >= m_slots.size())
         return false;
     const slot_entry& entry = m_slots[slot.value()];
-    return entry.used && !entry.record.absent && entry.record.listed.state == target_state::Live;
+    return entry.used && !entry.record.absent && !entry.record.leavingInList && entry.record.listed.state == target_state::Live;
 }
 
 std::vector<target_slot> target_table::all() const
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -54,6 +54,9 @@
     listed_target listed; // incarnation and state are the merged ones
     label_map labels; // the listed ones, overlaid by operators' own
     bool absent = false; // neither listed nor heard of lately; ends when it's seen again
+    // The list says that an older incarnation than the reported one leaves: it lags, or
+    // the target restarted while leaving. Ends when the list says otherwise.
+    bool leavingInList = false;
     weight_version version; // last reported; zero before the first report
     model_id model; // last reported
     instant stateSince;
--- a/tests/process/observations.py
+++ b/tests/process/observations.py
@@ -14,6 +14,7 @@
     staleness: int = 2
     withdrawal_s: float = 3.0
     configuration_s: float = 4.0
+    configuration_disturbed_s: float = 9.0  # with the key-value service or daemons disturbed
     leaving_s: float = 3.0
     stop_s: float = 12.0
     usage_loss_s: float = 5.0  # two flush intervals of 2 s, and one request's time
--- a/tests/test_target_table.cpp
+++ b/tests/test_target_table.cpp
@@ -121,6 +121,24 @@
     BOOST_TEST(table.allowed(everything).size() == 1);
 }
 
+// A target that restarted by itself counts further than the list; it leaves all the
+// same when the list says so, and is back when the list takes it back.
+BOOST_AUTO_TEST_CASE(list_ends_a_target_that_restarted_by_itself)
+{
+    target_table table = tableWithClasses();
+    table.applyList({ row(1, 1, target_state::Live, true) }, instant { 1s });
+    table.applyReport(target_id("t1"), incarnation(4), {}, {}, instant { 2s });
+    table.applyList({ row(1, 1, target_state::Live, true) }, instant { 3s });
+    BOOST_TEST(table.allowed(everything).size() == 1);
+    table.applyList({ row(1, 1, target_state::Leaving, true) }, instant { 4s });
+    BOOST_TEST(table.allowed(everything).empty());
+    table.applyReport(target_id("t1"), incarnation(5), {}, {}, instant { 5s });
+    table.applyList({ row(1, 1, target_state::Leaving, true) }, instant { 6s });
+    BOOST_TEST(table.allowed(everything).empty());
+    table.applyList({ row(1, 2, target_state::Live, true) }, instant { 7s });
+    BOOST_TEST(table.allowed(everything).size() == 1);
+}
+
 // A list that comes back empty for long ends no target that still reports, and
 // those that fell silent come back with the next list.
 BOOST_AUTO_TEST_CASE(short_list_is_no_farewell)
