Capacity script: a daemon that ends oddly is told in one line

A daemon that died at its stop ended the measurement with the logs of the whole fleet. The fault is printed on stderr, and the next size is measured.

No change of behaviour.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -12,6 +12,8 @@
 """
 
 import argparse
+import contextlib
+import io
 import json
 import os
 import pathlib
@@ -126,10 +128,28 @@
           f"| {seen['platform']:.1f} | {seen['load']:.1f} | {busiest} |", flush=True)
 
 
+@contextlib.contextmanager
+def measured_kit():
+    """A Kit whose programs' odd ends are printed in one line and don't end the measurement."""
+    kit = Kit()
+    try:
+        yield kit
+    except BaseException:
+        kit.close(failed=True)
+        raise
+    logs = io.StringIO()
+    try:
+        with contextlib.redirect_stdout(logs):
+            kit.close()
+    except AssertionError as problem:
+        fatal = sorted(set(line for line in logs.getvalue().splitlines() if line.startswith("Fatal")))
+        print(f"fault at the stop: {str(problem)[:200]}; {'; '.join(fatal)}", file=sys.stderr, flush=True)
+
+
 def idle_fleets(sizes):
     print("\n## Idle daemons, 4 engines\n\n" + HEAD.format("daemons"), flush=True)
     for size in sizes:
-        with Kit() as kit:
+        with measured_kit() as kit:
             fleet = Fleet(kit, daemons=size, settings=SETTINGS)
             fleet.apply()
             time.sleep(SETTLE_SECONDS)
@@ -143,7 +163,7 @@
 def listed_targets(sizes):
     print("\n## 4 idle daemons, rows in the platform's list (not followed)\n\n" + HEAD.format("rows"), flush=True)
     for size in sizes:
-        with Kit() as kit:
+        with measured_kit() as kit:
             fleet = Fleet(kit, settings=SETTINGS)
             fleet.apply()
             slots = [{"id": f"listed-{i}", "address": f"10.1.{i // 250}.{i % 250 + 1}:9000", "pool": "trade-app", "kind": "firm",
@@ -157,7 +177,7 @@
 def followed_engines(sizes):
     print("\n## 4 idle daemons, engines that each follows\n\n" + HEAD.format("engines"), flush=True)
     for size in sizes:
-        with Kit() as kit:
+        with measured_kit() as kit:
             fleet = Fleet(kit, engines=size, settings=SETTINGS)
             fleet.apply()
             time.sleep(SETTLE_SECONDS)
@@ -170,7 +190,7 @@
           "|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|", flush=True)
     for length in tokens:
         for rate in rates:
-            with Kit() as kit:
+            with measured_kit() as kit:
                 fleet = Fleet(kit, daemons=1, engines=8, settings=SETTINGS, engine_flags={
                     "tokens_per_second": 800, "max_running": 64, "batch_slowdown": 0, "chunk_tokens": 4, "shortest": length, "longest": length})
                 fleet.ready()
