Configuration: the watch begins where the whole was read

A daemon that found no configuration opened its watch from "now": a change accepted between the read and the opening of the watch was never told to it, until the next change came. Seen as "not in force everywhere after 30 s" in a fleet of 4 that started on a busy machine.

The watch begins at the revision after the one that the whole was read at. A process test with watches that open 3 s late failed after 30 s before, and passes in 4.9 s.

--- a/src/daemon/config_duty.cpp
+++ b/src/daemon/config_duty.cpp
@@ -86,15 +86,16 @@
     }
     m_confirmedAt = m_context.now;
     if (!m_watching)
-        startWatch();
+        startWatch(answer->at);
     tell({});
 }
 
-void config_duty::startWatch()
+// From the revision that the whole was read at: what is accepted before the watch is
+// open is told as well, also where there was no configuration yet.
+void config_duty::startWatch(revision readAt)
 {
     m_watching = true;
-    const auto from = m_context.inForce->at() == revision() ? revision() : m_context.inForce->at().next();
-    m_context.kv.watch(std::string(configPrefix), prefixEnd(std::string(configPrefix)), from, [this](const kv_news& news) { onNews(news); });
+    m_context.kv.watch(std::string(configPrefix), prefixEnd(std::string(configPrefix)), readAt.next(), [this](const kv_news& news) { onNews(news); });
 }
 
 void config_duty::onNews(const kv_news& news)
--- a/src/daemon/config_duty.h
+++ b/src/daemon/config_duty.h
@@ -48,7 +48,7 @@
 
     void readAll();
     void onAll(const result<kv_answer>& answer);
-    void startWatch();
+    void startWatch(revision readAt);
     void onNews(const kv_news& news);
     void take(const config_change& change);
     void plan(const edit_ptr& edit);
