--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -37,6 +37,7 @@
     printConfigSlopes();
     printRunSlopes();
     printWeightSlopes();
+    printCapacitySlopes();
     printUsageSlopes();
 }
 
--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -48,6 +48,7 @@
 void printConfigSlopes();
 void printRunSlopes();
 void printWeightSlopes();
+void printCapacitySlopes();
 void printUsageSlopes();
 
 // All of the above.
