Suspects and shares of limits pass between instances

Cause: a poison request sent to all four daemons cost four engines (seen: quarantine test, 4 engines down), since marks stayed where they arose; limits had no divider. Change: marks are pushed to all live instances as they arise; the holder of a duty divides limits by demand and leases shares. Before: 4 engines. After: test_quarantine passes, 2 of 2. Conclusion: the bound of two targets holds over all instances in that test.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -56,6 +56,7 @@
     , m_leases(m_context, m_peers)
     , m_members(m_context, m_config, m_keys, m_targets, m_peers, m_leases)
     , m_usage(m_context, m_leases, m_peers, m_status)
+    , m_shares(m_context, m_leases, m_peers)
     , m_orders(m_context, m_leases, m_peers, m_status, m_targets, m_wakeup)
     , m_payloads(m_context, m_leases, m_peers)
     , m_weights(m_context, m_leases, m_peers, m_targets)
@@ -168,6 +169,7 @@
     followDuties();
     m_leases.tick();
     m_usage.tick();
+    m_shares.tick();
     m_orders.tick();
     m_weights.tick();
     m_runs.tick();
@@ -179,6 +181,7 @@
 {
     auto duties = m_runs.duties();
     duties.insert(usage_duty::duty());
+    duties.insert(share_duty::duty());
     if (m_orders.isWanted())
         duties.insert(order_duty::duty());
     duties.merge(m_weights.duties());
@@ -191,6 +194,10 @@
     while (m_serving.tryPop(message)) {
         if (const auto* state = std::get_if<serving_state>(&message)) {
             m_status.setServing(*state);
+        } else if (const auto* suspects = std::get_if<suspect_marks_out>(&message)) {
+            m_shares.onMarks(suspects->marks);
+        } else if (const auto* demand = std::get_if<account_demand_out>(&message)) {
+            m_shares.onDemand(demand->report);
         } else if (const auto* news = std::get_if<job_news>(&message)) {
             m_runs.onJob(*news);
         } else if (const auto* call = std::get_if<trainer_call_in>(&message)) {
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -14,6 +14,7 @@
 #include "daemon/peer_duty.h"
 #include "daemon/run_duty.h"
 #include "daemon/serving_thread.h"
+#include "daemon/share_duty.h"
 #include "daemon/status_api.h"
 #include "daemon/target_duty.h"
 #include "daemon/usage_duty.h"
@@ -71,6 +72,7 @@
     lease_duty m_leases;
     member_duty m_members;
     usage_duty m_usage;
+    share_duty m_shares;
     order_duty m_orders;
     payload_duty m_payloads;
     weight_duty m_weights;
--- /dev/null
+++ b/src/daemon/share_duty.h
@@ -0,0 +1,34 @@
+// Tells other instances of suspects, and divides the limits of accounts between
+// instances while this one holds that duty.
+#pragma once
+
+#include "account_limiter.h"
+#include "daemon/control_context.h"
+#include "daemon/lease_duty.h"
+#include "daemon/peer_duty.h"
+
+namespace lovagerail::daemon {
+
+class share_duty {
+public:
+    share_duty(control_context& context, lease_duty& leases, peer_duty& peers);
+
+    static const duty_id& duty();
+
+    void tick();
+    // From the serving thread.
+    void onMarks(const std::vector<blame_mark>& marks);
+    void onDemand(const demand_report& report);
+
+private:
+    void tellShares();
+
+    control_context& m_context;
+    lease_duty& m_leases;
+    peer_duty& m_peers;
+    share_divider m_divider;
+    instant m_nextShares {};
+    std::uint32_t m_toldCount = 0; // live instances as the serving thread knows them
+};
+
+} // namespace lovagerail::daemon
