Quarantine: an engine that falls silent confirms a death

A lone poison request's deaths were never confirmed while the engines stayed down, so its quarantine lasted 30 s instead of 10 min (seen in the process test: retry_after_ms 25654 four seconds later). No report for 5 s counts now.

--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -390,7 +390,7 @@
     m_router.tick(now);
     if (now >= m_nextCleaning) {
         m_nextCleaning = now + cleaningEvery;
-        noticeRestarts(wall);
+        noticeDeaths(now, wall);
         m_quarantine.dropOld(wall);
         m_limiter.dropIdle(now);
         m_keyed.expire(now);
--- a/src/serving.h
+++ b/src/serving.h
@@ -311,7 +311,7 @@
     void blame(const open_request& request, transfer_end end, wall_time wall);
     static service_cost costOf(const open_request& request, instant now);
     void leaveQueue(const open_request& request, instant now);
-    void noticeRestarts(wall_time wall);
+    void noticeDeaths(instant now, wall_time wall);
     void dispatch(open_request& request, instant now, wall_time wall);
     void waitForTarget(open_request& request, instant now);
     route_decision chooseTarget(route_request& asked, bool asSuspect, instant now);
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -11,6 +11,7 @@
 
     constexpr int statusTooManyRequests = 429;
     constexpr int statusUnavailable = 503;
+    constexpr duration silenceOfDeath = std::chrono::seconds(5); // longer than reports lag
     constexpr duration queueRetryAfter = std::chrono::seconds(1);
     // Of a plain service, before its answer is known.
     constexpr std::chrono::milliseconds usualServiceTime { 20 };
@@ -181,14 +182,19 @@
         m_quarantine.broke(request.fingerprint, choice.target, choice.incarnation, attempt.asSuspect ? attemptName(attempt.id) : "", wall);
 }
 
-// A target that runs under a new incarnation has died before.
-void serving::noticeRestarts(wall_time wall)
+// A blamed target that runs under a new incarnation, or an engine whose reports
+// have stopped, has died. Plain services may be quiet for other reasons.
+void serving::noticeDeaths(instant now, wall_time wall)
 {
     const auto& table = m_router.table();
     for (const auto& target : m_quarantine.blamedTargets()) {
         const auto slot = table.find(target);
-        if (slot)
-            m_quarantine.seen(target, table.record(*slot).listed.incarnation, wall);
+        if (!slot)
+            continue;
+        const auto& record = table.record(*slot);
+        m_quarantine.seen(target, record.listed.incarnation, wall);
+        if (record.listed.kind == target_kind::Engine && now - record.lastHeard > silenceOfDeath)
+            m_quarantine.died(target, record.listed.incarnation, wall);
     }
 }
 
--- a/tests/serving_world.cpp
+++ b/tests/serving_world.cpp
@@ -211,7 +211,7 @@
     return arrive(std::move(state), std::move(request));
 }
 
-void serving_world::take(std::vector<serving_action> actions)
+void serving_world::take(const std::vector<serving_action>& actions)
 {
     for (const auto& action : actions) {
         if (const auto* sent = std::get_if<send_attempt>(&action)) {
@@ -266,7 +266,7 @@
     // Step 1. No key reaches a target.
     std::string bytes = sent.method + sent.url + sent.body;
     for (const auto& [name, value] : sent.headers) {
-        bytes += name + ": " + value + "\n";
+        bytes.append(name).append(": ").append(value).append("\n");
         if (name == "X-Request-Id")
             attempt.name = value;
         if (name.size() >= 13 && (name[0] == 'p' || name[0] == 'P') && name.find("uthorization") != std::string::npos)
@@ -582,7 +582,7 @@
             text = parsed(request.received)["choices"][0]["text"].asString();
         }
         if (text != wholeText(request.marker) || !done)
-            fail(name + "not its whole text: " + text);
+            fail(std::string(name).append("not its whole text: ").append(text));
     }
     for (const auto& [which, targets] : m_killedBy) {
         if (targets.size() > 2)
--- a/tests/serving_world.h
+++ b/tests/serving_world.h
@@ -79,7 +79,7 @@
         std::uint32_t poison = 0; // 0 = none
     };
 
-    void take(std::vector<serving_action> actions);
+    void take(const std::vector<serving_action>& actions);
     void take(const send_attempt& sent);
     void noteRun(const attempt_at_target& attempt);
     void take(const whole_answer& answer);
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -38,9 +38,9 @@
     BOOST_AUTO_TEST_CASE(a_crash_loses_no_stream_and_blames_none_for_good)
     {
         serving_world world;
-        std::vector<std::uint64_t> asked;
-        for (int i = 0; i < 40; ++i)
-            asked.push_back(world.askEngine(0, true));
+        std::vector<std::uint64_t> asked(40);
+        for (auto& number : asked)
+            number = world.askEngine(0, true);
         world.crash("e0");
         world.finish();
         world.check();
@@ -53,13 +53,13 @@
     {
         serving_world world;
         std::vector<std::uint64_t> others;
-        for (int round = 0; round < 20; ++round) {
+        for (std::size_t round = 0; round < 20; ++round) {
             for (std::uint32_t i = 0; i < 5; ++i)
                 others.push_back(world.askEngine(i % 3, true));
             world.askPoison(0, 0);
             world.askPoison(1, 1);
-            for (int i = 0; i < 8; ++i)
-                world.workOne(static_cast<std::size_t>(3 * round + i));
+            for (std::size_t i = 0; i < 8; ++i)
+                world.workOne(3 * round + i);
             world.passTime(100ms);
         }
         world.finish();
@@ -73,6 +73,21 @@
         BOOST_TEST(world.outcome(again) == "not_run");
     }
 
+    BOOST_AUTO_TEST_CASE(engines_that_fall_silent_count_as_dead)
+    {
+        serving_world world;
+        world.askPoison(0, 0);
+        while (world.workOne(0) || !world.subject().idle())
+            world.passTime(50ms);
+        BOOST_TEST(world.killedBy().at(1).size() == 2U);
+        for (int i = 0; i < 10; ++i)
+            world.passTime(1s);
+        world.passTime(5min);
+        BOOST_TEST(world.reason(world.askPoison(0, 0)) == "quarantined");
+        world.passTime(6min);
+        BOOST_TEST(world.reason(world.askPoison(0, 0)).empty()); // it waits or runs again
+    }
+
     BOOST_AUTO_TEST_CASE(a_flooding_account_does_not_starve_another)
     {
         serving_settings settings;
