Recording of traffic, replay with stated outcomes, make replay, soak and latency

Cause: traffic of a running daemon could not be kept and played again. Change: the serving machine gives a record without texts or keys for each caller's request when trace.file is set; a thread of its own writes it, rotated at its size. scripts/replay.py plays seeded traces of both deployments. Before: none.

No change of decisions.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'standins/*.h' 'standins/*.cpp' \
 	'bench/*.h' 'bench/*.cpp' 'tests/*.h' 'tests/*.cpp')
 
-.PHONY: help packages configure build test test-fast test-asan test-tsan demo bench lint format format-check clean
+.PHONY: help packages configure build test test-fast test-asan test-tsan demo replay soak latency bench lint format format-check clean
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sort | awk -F':.*## ' '{ printf "  %-14s %s\n", $$1, $$2 }'
@@ -44,6 +44,17 @@
 demo: build ## Run the whole path on loopback and check it
 	@python3 scripts/demo.py --bin $(BUILD)
 
+replay: build ## Replay seeded traces against real daemons and check the stated outcomes
+	@python3 scripts/replay.py --bin $(BUILD)
+
+SEED ?= 1
+SECONDS ?= 300
+soak: build ## Faults together for SECONDS, from SEED, with all promises checked
+	@LOVAGERAIL_BIN=$(abspath $(BUILD)) python3 tests/process/soak.py --seed $(SEED) --seconds $(SECONDS)
+
+latency: build ## Added latency against the engine itself, requests a second, idle memory
+	@python3 scripts/latency.py --bin $(BUILD)
+
 bench: build ## Replay fixed inputs through the decisions; the last line is the fingerprint
 	@$(BUILD)/lovagerail-bench
 
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -31,6 +31,7 @@
         out.life = life;
         out.failureDomain = failure_domain_id(values.instance.failureDomain);
         out.longestRequest = values.limits.requestTimeout;
+        out.recordsTraffic = !values.trace.file.empty();
         return out;
     }
 
@@ -62,6 +63,7 @@
     , m_weights(m_context, m_leases, m_peers, m_targets)
     , m_runs(m_context, m_leases, m_peers, m_payloads, m_status, m_weights)
     , m_serving(values, servingSettings(values, life), m_wakeup)
+    , m_traces(values.trace.file, byte_count(static_cast<std::uint64_t>(values.trace.bytes)), values.instance.name)
     , m_operatorRing(exchangeRing, m_wakeup)
     , m_instanceRing(exchangeRing, m_wakeup)
 {
@@ -207,6 +209,8 @@
         } else if (auto* record = std::get_if<serving_record>(&message)) {
             if (const auto* served = std::get_if<request_served>(record))
                 m_status.count(*served);
+            else if (const auto* traced = std::get_if<trace_record>(record))
+                m_traces.write(*traced);
             else if (auto* entry = std::get_if<journal_entry>(record))
                 m_status.record(std::move(*entry));
             else if (const auto* used = std::get_if<attempt_usage>(record)) {
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -17,6 +17,7 @@
 #include "daemon/share_duty.h"
 #include "daemon/status_api.h"
 #include "daemon/target_duty.h"
+#include "daemon/trace_writer.h"
 #include "daemon/usage_duty.h"
 #include "daemon/weight_duty.h"
 #include "http/server.h"
@@ -79,6 +80,7 @@
     run_duty m_runs;
 
     serving_thread m_serving;
+    trace_writer m_traces;
     ring<http::exchange_ptr> m_operatorRing;
     ring<http::exchange_ptr> m_instanceRing;
     std::unique_ptr<http::server> m_operatorServer;
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -437,6 +437,40 @@
     event.queued = (request.firstSent == instant() ? now : request.firstSent) - request.arrived;
     event.attempts = request.attempts;
     m_actions.push_back(serving_record { std::move(event) });
+    if (m_settings.recordsTraffic && request.caller)
+        trace(request, how, now);
+}
+
+// What a replay needs of the request: sizes and hashes, no text.
+void serving::trace(const open_request& request, request_served::outcome how, instant now)
+{
+    const auto ms = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time); };
+    if (!m_traceBegan)
+        m_traceBegan = request.arrived;
+    trace_record out;
+    out.arrival = ms(std::max(duration::zero(), request.arrived - *m_traceBegan));
+    out.account = request.account;
+    out.route = request.route;
+    out.deadline = ms(request.deadline - request.arrived);
+    out.outcome = how == request_served::outcome::Answered ? traced_outcome::Answered : how == request_served::outcome::Refused ? traced_outcome::NotRun
+                                                                                                                                : traced_outcome::Failed;
+    out.total = ms(now - request.arrived);
+    if (request.firstToken != instant())
+        out.firstToken = ms(request.firstToken - request.arrived);
+    if (request.made) {
+        out.kind = request.made->wanted().stream ? traced_kind::Stream : traced_kind::Completion;
+        out.promptBytes = byte_count(request.made->wanted().prompt.size());
+        out.maxTokens = request.made->wanted().maxTokens;
+        out.tokens = token_count(request.made->tokens());
+        for (const auto block : request.blocks) {
+            if (out.blocks.size() < tracedBlocks)
+                out.blocks.push_back(block.value());
+        }
+    } else {
+        out.kind = traced_kind::Plain;
+        out.promptBytes = byte_count(request.body.size());
+    }
+    m_actions.push_back(serving_record { std::move(out) });
 }
 
 void serving::note(const open_request& request, std::string decision, std::string reason, wall_time wall, std::vector<journal_fact> facts)
--- a/src/serving.h
+++ b/src/serving.h
@@ -22,6 +22,7 @@
 #include "quarantine.h"
 #include "retry.h"
 #include "router.h"
+#include "trace.h"
 #include "types.h"
 #include "usage.h"
 
@@ -148,7 +149,7 @@
 };
 
 // What is to be counted or remembered; whoever keeps the books takes each once.
-using serving_record = std::variant<attempt_usage, refused_usage, request_served, journal_entry>;
+using serving_record = std::variant<attempt_usage, refused_usage, request_served, journal_entry, trace_record>;
 
 using serving_action = std::variant<begin_answer, append_answer, end_answer, abort_answer, whole_answer, trainer_request,
     send_attempt, cancel_attempt, job_news, serving_record>;
@@ -168,6 +169,7 @@
     idempotency_settings keyed;
     quarantine_settings quarantine;
     retry_settings retries;
+    bool recordsTraffic = false; // a trace_record for each caller's request
     policy_kind policy = policy_kind::ExpectedCost;
 };
 
@@ -323,6 +325,7 @@
     void endAttempt(open_request& request, attempt_outcome outcome, usage_heading heading, instant now);
     void answered(open_request& request, instant now, wall_time wall);
     void countServed(const open_request& request, request_served::outcome how, instant now);
+    void trace(const open_request& request, request_served::outcome how, instant now);
     void note(const open_request& request, std::string decision, std::string reason, wall_time wall, std::vector<journal_fact> facts = {});
     void erase(request_number number, instant now);
     std::vector<serving_action> take() { return std::exchange(m_actions, {}); }
@@ -340,6 +343,7 @@
     std::uint64_t m_lastClaim = 0;
     std::uint32_t m_instances = 1;
     instant m_nextCleaning;
+    std::optional<instant> m_traceBegan; // at the first traced request
     bool m_cutOff = false;
     bool m_draining = false;
     std::uint64_t m_lastRequest = 0;
