Instances push marks of suspects to each other and know their number

A poison request sent to four daemons in turn cost four engines of four, since each daemon learned alone.

Process test of the poison request over four daemons: failed with 4 engines lost before, passes (at most 2) after.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -31,6 +31,8 @@
         out.life = life;
         out.failureDomain = failure_domain_id(values.instance.failureDomain);
         out.longestRequest = values.limits.requestTimeout;
+        // Nobody divides limits by demand yet: each instance has an even part.
+        out.limits.reserve = wholeLimit;
         return out;
     }
 
@@ -197,6 +199,8 @@
             m_runs.onTrainer(*call);
         } else if (const auto* versions = std::get_if<served_versions>(&message)) {
             m_runs.onVersions(*versions);
+        } else if (const auto* suspects = std::get_if<suspect_marks_out>(&message)) {
+            m_members.pushSuspects(suspects->marks);
         } else if (auto* record = std::get_if<serving_record>(&message)) {
             if (const auto* served = std::get_if<request_served>(record))
                 m_status.count(*served);
--- a/src/daemon/member_duty.cpp
+++ b/src/daemon/member_duty.cpp
@@ -97,6 +97,10 @@
         putMarks();
         return Json::Value(true);
     });
+    m_peers.server().add("suspects", [this](const Json::Value& told) -> result<Json::Value> {
+        m_context.tellServing(suspect_marks_in { blameMarksFromJson(told["marks"]) });
+        return Json::Value(true);
+    });
     m_config.onApplied([this](const config_ptr& before, const config_change& change) { logChange(*before, change); });
     m_keys.onNewMarks([this](const std::vector<deny_mark>& marks) { pushMarks(marks); });
     m_leases.setHolderNews([this](const duty_id& duty) { return holderOf(duty); });
@@ -345,6 +349,14 @@
         m_peers.call(addressOf(one.id, one.address), "deny", told, [](const result<Json::Value>&) {});
 }
 
+void member_duty::pushSuspects(const std::vector<blame_mark>& marks)
+{
+    Json::Value told(Json::objectValue);
+    told["marks"] = toJson(marks);
+    for (const auto& one : m_members.live())
+        m_peers.call(addressOf(one.id, one.address), "suspects", told, [](const result<Json::Value>&) {});
+}
+
 // All that hold a mark renew its news under the same version, until the
 // configuration covers it.
 void member_duty::putMarks()
@@ -382,6 +394,7 @@
             live.push_back({ one.id, addressOf(one.id, one.address), one.failureDomain, one.life });
     }
     logEvent(log_level::Info, "members", "live", { { "count", std::to_string(live.size()) } });
+    m_context.tellServing(instance_count { static_cast<std::uint32_t>(live.size()) });
     m_leases.setLive(std::move(live));
 }
 
--- a/src/daemon/member_duty.h
+++ b/src/daemon/member_duty.h
@@ -31,6 +31,9 @@
     void tick();
     // A new configuration is in force here: others learn of it at once.
     void onInForce();
+    // Marks of suspects that changed here: others learn of them at once. Deaths of
+    // targets are rare, so this costs a call to each instance for each.
+    void pushSuspects(const std::vector<blame_mark>& marks);
     // Announces the planned stop.
     void leave();
 
