--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -216,8 +216,8 @@
     given.add_argument("--daemons", type=numbers, default=[4, 16, 64, 96], help="sizes of idle fleets")
     given.add_argument("--rows", type=numbers, default=[8, 800, 8000], help="targets in the platform's list")
     given.add_argument("--engines", type=numbers, default=[4, 16, 64], help="engines that each daemon follows")
-    given.add_argument("--rates", type=numbers, default=[5, 10, 20], help="requests a second at one daemon")
-    given.add_argument("--tokens", type=numbers, default=[16, 500], help="tokens a request")
+    given.add_argument("--rates", type=numbers, default=[5, 20], help="requests a second at one daemon")
+    given.add_argument("--tokens", type=numbers, default=[16, 240], help="tokens a request, at most 256: what the load client asks for")
     chosen = given.parse_args()
     os.environ["LOVAGERAIL_BIN"] = str(pathlib.Path(chosen.bin).resolve())
     # The kit reads where the programs are when it is imported.
--- a/tests/test_rendezvous.cpp
+++ b/tests/test_rendezvous.cpp
@@ -17,6 +17,7 @@
 std::vector<instance_id> membersOf(const std::set<std::uint8_t>& numbers)
 {
     std::vector<instance_id> members;
+    members.reserve(numbers.size());
     for (const auto number : numbers)
         members.emplace_back("entry-" + std::to_string(number));
     return members;
