--- a/bench/slopes_routing.cpp
+++ b/bench/slopes_routing.cpp
@@ -155,6 +155,7 @@
     void measurePrefixes(std::uint32_t blocks)
     {
         constexpr std::uint32_t perEvent = 64;
+        const std::uint32_t events = blocks / perEvent;
         const auto before = heapBytes();
         prefix_index index;
         const auto begin = threadNanoseconds();
@@ -165,7 +166,7 @@
                 event.hashes.emplace_back((from + i) * 0x9e3779b97f4a7c15u);
             index.apply(target_slot(from / perEvent % 64), event, instant { 60s });
         }
-        const auto took = static_cast<double>(threadNanoseconds() - begin) / static_cast<double>(blocks / perEvent);
+        const auto took = static_cast<double>(threadNanoseconds() - begin) / static_cast<double>(events);
         print({ "prefixes", "one cache event of 64 blocks", blocks, heapBytes() - before, took, "" });
     }
 
