--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -7,14 +7,17 @@
 #include "daemon/control_context.h"
 #include "daemon/key_duty.h"
 #include "daemon/lease_duty.h"
+#include "daemon/member_duty.h"
 #include "daemon/operator_duty.h"
 #include "daemon/order_duty.h"
 #include "daemon/payload_duty.h"
 #include "daemon/peer_duty.h"
 #include "daemon/run_duty.h"
 #include "daemon/serving_thread.h"
+#include "daemon/share_duty.h"
 #include "daemon/status_api.h"
 #include "daemon/target_duty.h"
+#include "daemon/trace_writer.h"
 #include "daemon/usage_duty.h"
 #include "daemon/weight_duty.h"
 #include "http/server.h"
@@ -46,8 +49,7 @@
     void takeServing();
     void takeExchanges();
     void tickDuties();
-    void followMembers();
-    void greet(const std::vector<live_instance>& live);
+    void followDuties();
     void drainTurn();
     void flushServing();
 
@@ -69,21 +71,22 @@
     peer_duty m_peers;
     status_api m_status;
     lease_duty m_leases;
+    member_duty m_members;
     usage_duty m_usage;
+    share_duty m_shares;
     order_duty m_orders;
     payload_duty m_payloads;
     weight_duty m_weights;
     run_duty m_runs;
 
     serving_thread m_serving;
+    trace_writer m_traces;
     ring<http::exchange_ptr> m_operatorRing;
     ring<http::exchange_ptr> m_instanceRing;
     std::unique_ptr<http::server> m_operatorServer;
     std::unique_ptr<http::server> m_instanceServer;
     config_ptr m_toldConfig;
     instant m_nextTick {};
-    instant m_nextGreeting {};
-    std::map<instance_id, incarnation> m_lives; // of the others, as they said last
     std::atomic<bool> m_drainAsked { false };
     std::atomic<bool> m_drained { false };
     std::atomic<bool> m_stopping { false };
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -40,6 +40,7 @@
     , m_quarantine(m_settings.quarantine)
     , m_retries(m_settings.retries)
     , m_limiter(m_settings.limits)
+    , m_keyed(m_settings.keyed)
 {
 }
 
@@ -125,8 +126,10 @@
     const bool ranPartly = request.made && request.made->started();
     const std::string_view outcome = ranPartly ? "ran" : request.mayHaveRun || request.attempt ? "unknown"
                                                                                                : "not_run";
-    if (request.attempt)
+    if (request.attempt) {
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Timeout, usage_heading::Died, now);
+    }
     note(request, "refused", std::string(reason), wall, { { "outcome", std::string(outcome) } });
     if (request.job) {
         job_news news;
@@ -189,6 +192,8 @@
         if (!readGeneration(request, on, open))
             return take();
     } else {
+        if (!claimKey(request, open, now))
+            return take();
         readService(request, open);
     }
 
@@ -358,6 +363,7 @@
     note(request, "cancelled", "the caller is gone", wall);
     if (request.attempt) {
         m_actions.push_back(cancel_attempt { request.attempt->id });
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
     erase(request.number, now);
@@ -372,6 +378,7 @@
     auto& request = m_requests.at(found->second);
     if (request.attempt) {
         m_actions.push_back(cancel_attempt { request.attempt->id });
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
     erase(request.number, now);
@@ -383,9 +390,10 @@
     m_router.tick(now);
     if (now >= m_nextCleaning) {
         m_nextCleaning = now + cleaningEvery;
-        noticeRestarts(wall);
+        noticeDeaths(now, wall);
         m_quarantine.dropOld(wall);
         m_limiter.dropIdle(now);
+        m_keyed.expire(now);
         m_retries.dropQuiet(now);
     }
 
@@ -429,6 +437,40 @@
     event.queued = (request.firstSent == instant() ? now : request.firstSent) - request.arrived;
     event.attempts = request.attempts;
     m_actions.push_back(serving_record { std::move(event) });
+    if (m_settings.recordsTraffic && request.caller)
+        trace(request, how, now);
+}
+
+// What a replay needs of the request: sizes and hashes, no text.
+void serving::trace(const open_request& request, request_served::outcome how, instant now)
+{
+    const auto ms = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time); };
+    if (!m_traceBegan)
+        m_traceBegan = request.arrived;
+    trace_record out;
+    out.arrival = ms(std::max(duration::zero(), request.arrived - *m_traceBegan));
+    out.account = request.account;
+    out.route = request.route;
+    out.deadline = ms(request.deadline - request.arrived);
+    out.outcome = how == request_served::outcome::Answered ? traced_outcome::Answered : how == request_served::outcome::Refused ? traced_outcome::NotRun
+                                                                                                                                : traced_outcome::Failed;
+    out.total = ms(now - request.arrived);
+    if (request.firstToken != instant())
+        out.firstToken = ms(request.firstToken - request.arrived);
+    if (request.made) {
+        out.kind = request.made->wanted().stream ? traced_kind::Stream : traced_kind::Completion;
+        out.promptBytes = byte_count(request.made->wanted().prompt.size());
+        out.maxTokens = request.made->wanted().maxTokens;
+        out.tokens = token_count(request.made->tokens());
+        for (const auto block : request.blocks) {
+            if (out.blocks.size() < tracedBlocks)
+                out.blocks.push_back(block.value());
+        }
+    } else {
+        out.kind = traced_kind::Plain;
+        out.promptBytes = byte_count(request.body.size());
+    }
+    m_actions.push_back(serving_record { std::move(out) });
 }
 
 void serving::note(const open_request& request, std::string decision, std::string reason, wall_time wall, std::vector<journal_fact> facts)
@@ -454,6 +496,7 @@
         m_byCaller.erase(*request.caller);
     if (request.job)
         m_byJob.erase(*request.job);
+    noteNotAnswered(request, now);
     leaveQueue(request, now);
     m_waiting.erase({ request.retryAt, number });
     m_deadlines.erase({ request.deadline, number });
--- a/src/serving.h
+++ b/src/serving.h
@@ -15,12 +15,14 @@
 #include "config.h"
 #include "fairness.h"
 #include "generation.h"
+#include "idempotency.h"
 #include "journal.h"
 #include "keys.h"
 #include "placement.h"
 #include "quarantine.h"
 #include "retry.h"
 #include "router.h"
+#include "trace.h"
 #include "types.h"
 #include "usage.h"
 
@@ -147,7 +149,7 @@
 };
 
 // What is to be counted or remembered; whoever keeps the books takes each once.
-using serving_record = std::variant<attempt_usage, refused_usage, request_served, journal_entry>;
+using serving_record = std::variant<attempt_usage, refused_usage, request_served, journal_entry, trace_record>;
 
 using serving_action = std::variant<begin_answer, append_answer, end_answer, abort_answer, whole_answer, trainer_request,
     send_attempt, cancel_attempt, job_news, serving_record>;
@@ -164,8 +166,10 @@
     std::size_t leastWindow = 8; // requests that one instance may have at a class of targets at least
     fairness_settings fairness;
     limiter_settings limits;
+    idempotency_settings keyed;
     quarantine_settings quarantine;
     retry_settings retries;
+    bool recordsTraffic = false; // a trace_record for each caller's request
     policy_kind policy = policy_kind::ExpectedCost;
 };
 
@@ -281,6 +285,8 @@
         service_cost spent; // at targets so far
         std::uint64_t estimatedTokens = 0;
         bool admitted = false; // by the account's limits
+        idempotency_id keyedBy; // its record; empty without an Idempotency-Key, or once the end is noted
+        std::uint64_t claim = 0;
     };
 
     request_id newRequestId();
@@ -296,6 +302,9 @@
     void classify(open_request& request, const work& item);
     void reclassify(open_request& request);
     void enter(open_request request, instant now, wall_time wall);
+    bool claimKey(const caller_request& request, open_request& out, instant now);
+    void noteAnswered(open_request& request, int status, std::string_view contentType, std::string_view body, instant now);
+    void noteNotAnswered(open_request& request, instant now);
     bool admitByLimits(open_request& request, instant now, wall_time wall);
     bool admitToQueue(open_request& request, instant now, wall_time wall);
     void pump(instant now, wall_time wall);
@@ -304,7 +313,7 @@
     void blame(const open_request& request, transfer_end end, wall_time wall);
     static service_cost costOf(const open_request& request, instant now);
     void leaveQueue(const open_request& request, instant now);
-    void noticeRestarts(wall_time wall);
+    void noticeDeaths(instant now, wall_time wall);
     void dispatch(open_request& request, instant now, wall_time wall);
     void waitForTarget(open_request& request, instant now);
     route_decision chooseTarget(route_request& asked, bool asSuspect, instant now);
@@ -316,6 +325,7 @@
     void endAttempt(open_request& request, attempt_outcome outcome, usage_heading heading, instant now);
     void answered(open_request& request, instant now, wall_time wall);
     void countServed(const open_request& request, request_served::outcome how, instant now);
+    void trace(const open_request& request, request_served::outcome how, instant now);
     void note(const open_request& request, std::string decision, std::string reason, wall_time wall, std::vector<journal_fact> facts = {});
     void erase(request_number number, instant now);
     std::vector<serving_action> take() { return std::exchange(m_actions, {}); }
@@ -329,8 +339,11 @@
     account_limiter m_limiter;
     std::map<std::string, fair_queue> m_queues; // by the pools behind them
     std::set<std::string> m_dirtyQueues; // may have something to send
+    idempotency_store m_keyed;
+    std::uint64_t m_lastClaim = 0;
     std::uint32_t m_instances = 1;
     instant m_nextCleaning;
+    std::optional<instant> m_traceBegan; // at the first traced request
     bool m_cutOff = false;
     bool m_draining = false;
     std::uint64_t m_lastRequest = 0;
