HTTP server: stop while requests wait

The server now knows its open exchanges, wakes them when it stops (503 if nothing was sent, else broken off) and hands over nothing more.

The new test aborted before the change and passes after it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -112,8 +112,10 @@
             if (slot.tooLarge)
                 x.answer(413, { { "content-type", "application/json" } },
                     R"({"error":{"outcome":"not_run","reason":"body_too_large"}})");
-            else
+            else if (self.keepOpen(slot.shared))
                 self.m_handler(slot.shared);
+            else
+                x.answer(503, { { "retry-after", "1" } }, "");
         }
 
         // Step 4. Answer if the head of the answer is there, else sleep until it is.
@@ -165,7 +167,7 @@
 
     static void onFree(void* user) { delete static_cast<exchange_ptr*>(user); }
 
-    static void onCompleted(void*, MHD_Connection*, void** context, MHD_RequestTerminationCode)
+    static void onCompleted(void* user, MHD_Connection*, void** context, MHD_RequestTerminationCode)
     {
         auto* slot = static_cast<request_slot*>(*context);
         if (slot == nullptr)
@@ -174,6 +176,7 @@
             std::lock_guard lock(slot->shared->m_mutex);
             slot->shared->m_connection = nullptr;
         }
+        static_cast<server*>(user)->forget(slot->shared.get());
         delete slot;
         *context = nullptr;
     }
@@ -267,7 +270,7 @@
         { MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, nullptr },
         { MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress, nullptr },
         { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(threadStackBytes), nullptr },
-        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), nullptr },
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), self.get() },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), nullptr },
     };
     if (!tls.certificatePem.empty()) {
@@ -284,8 +287,43 @@
     return self;
 }
 
+// False once the server is stopping.
+bool server::keepOpen(const exchange_ptr& exchange)
+{
+    std::lock_guard lock(m_openMutex);
+    if (!m_closing)
+        m_open.emplace(exchange.get(), exchange);
+    return !m_closing;
+}
+
+void server::forget(const exchange* done)
+{
+    std::lock_guard lock(m_openMutex);
+    m_open.erase(done);
+}
+
+// libmicrohttpd ends the process if it is stopped while a connection sleeps, so
+// all that wait are woken with an answer: 503 if nothing was sent, else broken off.
+void server::endAll()
+{
+    std::vector<exchange_ptr> open;
+    {
+        std::lock_guard lock(m_openMutex);
+        m_closing = true;
+        for (const auto& [key, kept] : m_open) {
+            if (auto exchange = kept.lock())
+                open.push_back(std::move(exchange));
+        }
+    }
+    for (const auto& exchange : open) {
+        exchange->answer(503, { { "retry-after", "1" } }, "");
+        exchange->abort();
+    }
+}
+
 server::~server()
 {
+    endAll();
     if (m_daemon != nullptr)
         MHD_stop_daemon(m_daemon);
     if (m_listener >= 0)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 struct MHD_Connection;
 struct MHD_Daemon;
@@ -101,7 +102,13 @@
 private:
     friend struct server_callbacks;
     server() = default;
+    bool keepOpen(const exchange_ptr& exchange);
+    void forget(const exchange* done);
+    void endAll();
 
+    std::mutex m_openMutex; // of the two below
+    std::unordered_map<const exchange*, std::weak_ptr<exchange>> m_open; // handed over, not completed
+    bool m_closing = false; // nothing more is handed over
     server_limits m_limits;
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
--- /dev/null
+++ b/tests/test_server.cpp
@@ -0,0 +1,59 @@
+// Tests of the HTTP server: it may be stopped while requests wait for their answers.
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace lovagerail {
+namespace {
+
+    int connectTo(std::uint16_t port)
+    {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE_EQUAL(connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+        return descriptor;
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(server_suite)
+
+BOOST_AUTO_TEST_CASE(it_stops_while_a_request_waits_and_answers_it)
+{
+    std::atomic<int> waiting { 0 };
+    http::exchange_ptr kept;
+    std::unique_ptr<http::server> server;
+    std::uint16_t port = 38211;
+    for (; port < 38300 && !server; ++port) {
+        auto made = http::server::listen("127.0.0.1:" + std::to_string(port), {}, {}, [&](http::exchange_ptr exchange) {
+            kept = std::move(exchange);
+            ++waiting;
+        });
+        if (made)
+            server = std::move(*made);
+    }
+    BOOST_REQUIRE(server);
+    const int descriptor = connectTo(static_cast<std::uint16_t>(port - 1));
+    const std::string request = "GET /never HTTP/1.1\r\nHost: a\r\n\r\n";
+    BOOST_REQUIRE_EQUAL(send(descriptor, request.data(), request.size(), 0), static_cast<ssize_t>(request.size()));
+    while (waiting == 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    // Long enough for the connection to be put to sleep.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    server.reset();
+    BOOST_TEST(kept->callerGone());
+    close(descriptor);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
