--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -146,8 +146,8 @@
             act(m_serving.deny(denials->marks, now));
         else if (const auto* targets = std::get_if<new_targets>(&message))
             m_serving.targets().applyList(targets->rows, now);
-        else if (auto* job = std::get_if<generation_job>(&message))
-            act(m_serving.arrive(std::move(*job), now, wall));
+        else if (const auto* job = std::get_if<generation_job>(&message))
+            act(m_serving.arrive(*job, now, wall));
         else if (auto* call = std::get_if<service_job>(&message))
             act(m_serving.arrive(std::move(*call), now, wall));
         else if (const auto* cancel = std::get_if<cancel_job>(&message))
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -282,7 +282,7 @@
         m_router.setClass(place.name, std::move(place.allows));
 }
 
-std::vector<serving_action> serving::arrive(generation_job job, instant now, wall_time wall)
+std::vector<serving_action> serving::arrive(const generation_job& job, instant now, wall_time wall)
 {
     open_request open;
     open.arrived = now;
--- a/src/serving.h
+++ b/src/serving.h
@@ -207,7 +207,7 @@
     std::vector<serving_action> callerGone(caller_handle handle, instant now, wall_time wall);
 
     // Jobs.
-    std::vector<serving_action> arrive(generation_job job, instant now, wall_time wall);
+    std::vector<serving_action> arrive(const generation_job& job, instant now, wall_time wall);
     std::vector<serving_action> arrive(service_job job, instant now, wall_time wall);
     std::vector<serving_action> cancel(job_id job, instant now);
 
@@ -319,7 +319,7 @@
     void takePiece(open_request& request, const stream_piece& piece, instant now);
     void finishEngine(open_request& request, transfer_end end, instant now, wall_time wall);
     void finishService(open_request& request, transfer_end end, instant now, wall_time wall);
-    void attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, std::string reason, instant now, wall_time wall);
+    void attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, const std::string& reason, instant now, wall_time wall);
     void endAttempt(open_request& request, attempt_outcome outcome, usage_heading heading, instant now);
     void answered(open_request& request, instant now, wall_time wall);
     void countServed(const open_request& request, request_served::outcome how, instant now);
