--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -132,7 +132,7 @@
             cheapApart.excluded.push_back(listed.id);
     }
     for (const auto* wanted : { &cheapApart, &apart }) {
-        const auto decision = m_router.choose(*wanted, now);
+        auto decision = m_router.choose(*wanted, now);
         if (std::holds_alternative<route_choice>(decision))
             return decision;
     }
@@ -400,7 +400,7 @@
 }
 
 // Tries again where that is allowed, else gives the final answer.
-void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, std::string reason, instant now, wall_time wall)
+void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, const std::string& reason, instant now, wall_time wall)
 {
     const auto target = request.attempt->choice.target;
     const auto pool = m_router.table().record(request.attempt->choice.slot).listed.pool.str();
