--- a/src/daemon/config_duty.h
+++ b/src/daemon/config_duty.h
@@ -60,7 +60,7 @@
 
     void readAll();
     void onAll(const result<kv_answer>& answer);
-    void startWatch();
+    void startWatch(revision readAt);
     void confirm();
     duration silence() const;
     void onNews(const kv_news& news);
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -56,6 +56,8 @@
     , m_leases(m_context, m_peers)
     , m_members(m_context, m_config, m_keys, m_targets, m_peers, m_leases)
     , m_usage(m_context, m_leases, m_peers, m_status)
+    , m_shares(m_context, m_leases, m_peers)
+    , m_orders(m_context, m_leases, m_peers, m_status, m_targets, m_wakeup)
     , m_payloads(m_context, m_leases, m_peers)
     , m_weights(m_context, m_leases, m_peers, m_targets)
     , m_runs(m_context, m_leases, m_peers, m_payloads, m_status, m_weights)
@@ -66,6 +68,7 @@
     addConfigApi(m_operators, m_context, m_config, m_keys);
     m_status.addTo(m_operators);
     m_usage.addTo(m_operators);
+    m_orders.addTo(m_operators);
     m_weights.addTo(m_operators);
     m_runs.addTo(m_operators);
     m_operators.add("POST", "/v1/drain", operator_scope::Write, [this](const operator_call& call) {
@@ -166,6 +169,8 @@
     followDuties();
     m_leases.tick();
     m_usage.tick();
+    m_shares.tick();
+    m_orders.tick();
     m_weights.tick();
     m_runs.tick();
     if (m_drainAsked)
@@ -176,6 +181,9 @@
 {
     auto duties = m_runs.duties();
     duties.insert(usage_duty::duty());
+    duties.insert(share_duty::duty());
+    if (m_orders.isWanted())
+        duties.insert(order_duty::duty());
     duties.merge(m_weights.duties());
     m_leases.setDuties(duties);
 }
@@ -186,6 +194,10 @@
     while (m_serving.tryPop(message)) {
         if (const auto* state = std::get_if<serving_state>(&message)) {
             m_status.setServing(*state);
+        } else if (const auto* suspects = std::get_if<suspect_marks_out>(&message)) {
+            m_shares.onMarks(suspects->marks);
+        } else if (const auto* demand = std::get_if<account_demand_out>(&message)) {
+            m_shares.onDemand(demand->report);
         } else if (const auto* news = std::get_if<job_news>(&message)) {
             m_runs.onJob(*news);
         } else if (const auto* call = std::get_if<trainer_call_in>(&message)) {
@@ -197,9 +209,10 @@
                 m_status.count(*served);
             else if (auto* entry = std::get_if<journal_entry>(record))
                 m_status.record(std::move(*entry));
-            else if (const auto* used = std::get_if<attempt_usage>(record))
+            else if (const auto* used = std::get_if<attempt_usage>(record)) {
                 m_usage.count(*used);
-            else if (const auto* refused = std::get_if<refused_usage>(record))
+                m_orders.count(*used);
+            } else if (const auto* refused = std::get_if<refused_usage>(record))
                 m_usage.count(*refused);
         }
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -90,6 +90,8 @@
 
         // Step 1. The head has come.
         if (x.m_connection == nullptr && !slot.handedOver && x.method.empty()) {
+            if (!self.enter(slot.shared))
+                return MHD_NO;
             x.method = method;
             x.m_unreadLimit = self.m_limits.unreadBytes;
             x.m_connection = connection;
@@ -112,10 +114,8 @@
             if (slot.tooLarge)
                 x.answer(413, { { "content-type", "application/json" } },
                     R"({"error":{"outcome":"not_run","reason":"body_too_large"}})");
-            else if (self.keepOpen(slot.shared))
-                self.m_handler(slot.shared);
             else
-                x.answer(503, { { "retry-after", "1" } }, "");
+                self.m_handler(slot.shared);
         }
 
         // Step 4. Answer if the head of the answer is there, else sleep until it is.
@@ -172,11 +172,11 @@
         auto* slot = static_cast<request_slot*>(*context);
         if (slot == nullptr)
             return;
+        static_cast<server*>(user)->leave(slot->shared);
         {
             std::lock_guard lock(slot->shared->m_mutex);
             slot->shared->m_connection = nullptr;
         }
-        static_cast<server*>(user)->forget(slot->shared.get());
         delete slot;
         *context = nullptr;
     }
@@ -287,43 +287,31 @@
     return self;
 }
 
-// False once the server is stopping.
-bool server::keepOpen(const exchange_ptr& exchange)
+bool server::enter(const exchange_ptr& one)
 {
-    std::lock_guard lock(m_openMutex);
-    if (!m_closing)
-        m_open.emplace(exchange.get(), exchange);
-    return !m_closing;
+    const std::lock_guard lock(m_openMutex);
+    if (!m_ending)
+        m_open.insert(one);
+    return !m_ending;
 }
 
-void server::forget(const exchange* done)
+void server::leave(const exchange_ptr& one)
 {
-    std::lock_guard lock(m_openMutex);
-    m_open.erase(done);
+    const std::lock_guard lock(m_openMutex);
+    m_open.erase(one);
 }
 
-// libmicrohttpd ends the process if it is stopped while a connection sleeps, so
-// all that wait are woken with an answer: 503 if nothing was sent, else broken off.
-void server::endAll()
+server::~server()
 {
-    std::vector<exchange_ptr> open;
+    // libmicrohttpd can't end while a connection sleeps: wake what nobody answered.
+    std::set<exchange_ptr> left;
     {
-        std::lock_guard lock(m_openMutex);
-        m_closing = true;
-        for (const auto& [key, kept] : m_open) {
-            if (auto exchange = kept.lock())
-                open.push_back(std::move(exchange));
-        }
-    }
-    for (const auto& exchange : open) {
-        exchange->answer(503, { { "retry-after", "1" } }, "");
-        exchange->abort();
+        const std::lock_guard lock(m_openMutex);
+        m_ending = true;
+        left = m_open;
     }
-}
-
-server::~server()
-{
-    endAll();
+    for (const auto& one : left)
+        one->abort();
     if (m_daemon != nullptr)
         MHD_stop_daemon(m_daemon);
     if (m_listener >= 0)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,9 +10,9 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 struct MHD_Connection;
 struct MHD_Daemon;
@@ -95,24 +95,25 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
-    // Takes no more connections; open ones go on.
+    // Takes no more connections; open ones go on. Those still open when the server
+    // ends are broken off.
     void stopListening();
     unsigned openConnections() const;
 
 private:
     friend struct server_callbacks;
     server() = default;
-    bool keepOpen(const exchange_ptr& exchange);
-    void forget(const exchange* done);
-    void endAll();
+    // False once the server ends.
+    bool enter(const exchange_ptr& one);
+    void leave(const exchange_ptr& one);
 
-    std::mutex m_openMutex; // of the two below
-    std::unordered_map<const exchange*, std::weak_ptr<exchange>> m_open; // handed over, not completed
-    bool m_closing = false; // nothing more is handed over
     server_limits m_limits;
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
     int m_listener = -1;
+    std::mutex m_openMutex; // guards the next two
+    std::set<exchange_ptr> m_open; // requests whose head has come
+    bool m_ending = false; // m_open doesn't grow any more
 };
 
 } // namespace lovagerail::http
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -22,6 +22,7 @@
     constexpr int statusUnavailable = 503;
     constexpr int statusDeadline = 504;
     constexpr duration defaultRetryAfter = std::chrono::seconds(1);
+    constexpr duration cleaningEvery = std::chrono::seconds(1);
     constexpr std::string_view trainerPrefix = "/rollout/v1/";
 
 } // namespace
@@ -36,6 +37,10 @@
         own.policy = m_settings.policy;
         return own;
     }())
+    , m_quarantine(m_settings.quarantine)
+    , m_retries(m_settings.retries)
+    , m_limiter(m_settings.limits)
+    , m_keyed(m_settings.keyed)
 {
 }
 
@@ -72,16 +77,20 @@
         m_router.removeClass(name);
     m_classes.clear();
     // Work that waits for a target may run elsewhere now.
-    for (const auto& [at, number] : m_waiting) {
-        auto& request = m_requests.at(number);
-        work item;
-        item.account = m_config->findAccount(request.account);
-        item.on = m_config->findRoute(request.route);
-        item.by = m_config->findRun(request.run);
-        if (request.made)
-            item.model = request.made->wanted().model;
-        classify(request, item);
-    }
+    for (const auto& [at, number] : m_waiting)
+        reclassify(m_requests.at(number));
+}
+
+// Finds the class of a request under the configuration in force now.
+void serving::reclassify(open_request& request)
+{
+    work item;
+    item.account = m_config->findAccount(request.account);
+    item.on = m_config->findRoute(request.route);
+    item.by = m_config->findRun(request.run);
+    if (request.made)
+        item.model = request.made->wanted().model;
+    classify(request, item);
 }
 
 std::vector<serving_action> serving::deny(const std::vector<deny_mark>& marks, instant now)
@@ -117,8 +126,10 @@
     const bool ranPartly = request.made && request.made->started();
     const std::string_view outcome = ranPartly ? "ran" : request.mayHaveRun || request.attempt ? "unknown"
                                                                                                : "not_run";
-    if (request.attempt)
+    if (request.attempt) {
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Timeout, usage_heading::Died, now);
+    }
     note(request, "refused", std::string(reason), wall, { { "outcome", std::string(outcome) } });
     if (request.job) {
         job_news news;
@@ -140,7 +151,7 @@
             event.model = model_id(request.made->wanted().model);
         m_actions.push_back(serving_record { std::move(event) });
     }
-    erase(request.number);
+    erase(request.number, now);
 }
 
 // --- Arrivals ----------------------------------------------------------------------
@@ -176,10 +187,13 @@
     open.priority = on.priority;
     open.idempotent = on.kind == pool_kind::Engine || isIdempotent(on, request.method);
     open.deadline = now + std::min<duration>(std::chrono::milliseconds(on.deadlineMs), m_settings.longestRequest);
+    open.fingerprint = fingerprintOf(open.account, request.method, request.path + "?" + request.query, request.body);
     if (on.kind == pool_kind::Engine) {
         if (!readGeneration(request, on, open))
             return take();
     } else {
+        if (!claimKey(request, open, now))
+            return take();
         readService(request, open);
     }
 
@@ -191,7 +205,7 @@
         item.model = open.made->wanted().model;
     classify(open, item);
     enter(std::move(open), now, wall);
-    return take();
+    return settle(now, wall);
 }
 
 // Route, key and account. Refuses and returns false unless the request may go on.
@@ -286,6 +300,7 @@
     work item;
     item.account = m_config->findAccount(job.account);
     item.by = m_config->findRun(job.run);
+    open.fingerprint = fingerprintOf(job.account, open.method, open.routeName, job.prompt);
     if (item.by != nullptr)
         item.model = item.by->model.str();
     generation_request wanted;
@@ -299,7 +314,7 @@
     open.made.emplace(std::move(wanted));
     classify(open, item);
     enter(std::move(open), now, wall);
-    return take();
+    return settle(now, wall);
 }
 
 std::vector<serving_action> serving::arrive(service_job job, instant now, wall_time wall)
@@ -325,6 +340,7 @@
     open.idempotent = isIdempotent(*on, open.method);
     open.priority = on->priority;
     open.headers = { { "Content-Type", "application/json" }, { "Idempotency-Key", job.idempotencyKey } };
+    open.fingerprint = fingerprintOf(job.account, open.method, open.target, job.body);
     open.body = std::move(job.body);
     open.deadline = now + std::min<duration>(job.deadline, std::chrono::milliseconds(on->deadlineMs));
     work item;
@@ -332,23 +348,7 @@
     item.on = on;
     classify(open, item);
     enter(std::move(open), now, wall);
-    return take();
-}
-
-void serving::enter(open_request request, instant now, wall_time wall)
-{
-    request.number = ++m_lastRequest;
-    request.id = newRequestId();
-    request.retryAt = now;
-    const auto number = request.number;
-    if (request.caller)
-        m_byCaller[*request.caller] = number;
-    if (request.job)
-        m_byJob[*request.job] = number;
-    m_deadlines.emplace(request.deadline, number);
-    auto& held = m_requests.emplace(number, std::move(request)).first->second;
-    m_waiting.emplace(held.retryAt, number);
-    dispatch(held, now, wall);
+    return settle(now, wall);
 }
 
 // --- Ends from outside ---------------------------------------------------------------
@@ -363,10 +363,11 @@
     note(request, "cancelled", "the caller is gone", wall);
     if (request.attempt) {
         m_actions.push_back(cancel_attempt { request.attempt->id });
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
-    erase(request.number);
-    return take();
+    erase(request.number, now);
+    return settle(now, wall);
 }
 
 std::vector<serving_action> serving::cancel(job_id job, instant now)
@@ -377,15 +378,24 @@
     auto& request = m_requests.at(found->second);
     if (request.attempt) {
         m_actions.push_back(cancel_attempt { request.attempt->id });
+        request.mayHaveRun = true;
         endAttempt(request, attempt_outcome::Success, usage_heading::Cancelled, now);
     }
-    erase(request.number);
+    erase(request.number, now);
     return take();
 }
 
 std::vector<serving_action> serving::tick(instant now, wall_time wall)
 {
     m_router.tick(now);
+    if (now >= m_nextCleaning) {
+        m_nextCleaning = now + cleaningEvery;
+        noticeDeaths(now, wall);
+        m_quarantine.dropOld(wall);
+        m_limiter.dropIdle(now);
+        m_keyed.expire(now);
+        m_retries.dropQuiet(now);
+    }
 
     // Step 1. Requests whose time is over get their final answer.
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
@@ -407,7 +417,7 @@
         if (found != m_requests.end() && !found->second.attempt)
             dispatch(found->second, now, wall);
     }
-    return take();
+    return settle(now, wall);
 }
 
 // --- Records -----------------------------------------------------------------------
@@ -441,7 +451,7 @@
     m_actions.push_back(serving_record { std::move(entry) });
 }
 
-void serving::erase(request_number number)
+void serving::erase(request_number number, instant now)
 {
     const auto found = m_requests.find(number);
     assert(found != m_requests.end());
@@ -452,6 +462,8 @@
         m_byCaller.erase(*request.caller);
     if (request.job)
         m_byJob.erase(*request.job);
+    noteNotAnswered(request, now);
+    leaveQueue(request, now);
     m_waiting.erase({ request.retryAt, number });
     m_deadlines.erase({ request.deadline, number });
     m_requests.erase(found);
