--- a/bench/bench_capacity.cpp
+++ b/bench/bench_capacity.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -131,7 +132,7 @@
             const auto gone = std::erase_if(m_view.targets, [&](const auto& one) { return one.kind == supply_kind::Cheap && one.failureDomain == domain; });
             m_out.redone += hundredths(static_cast<double>(gone) * share);
         }
-        static std::uint64_t hundredths(double requests) { return static_cast<std::uint64_t>(requests * 100 + 0.5); }
+        static std::uint64_t hundredths(double requests) { return static_cast<std::uint64_t>(std::llround(requests * 100)); }
 
         void advance(int step, fingerprint& decisions)
         {
--- a/src/daemon/order_duty.cpp
+++ b/src/daemon/order_duty.cpp
@@ -368,7 +368,7 @@
         act(step(*m_book));
 }
 
-void order_duty::act(std::vector<order_act> acts)
+void order_duty::act(const std::vector<order_act>& acts)
 {
     for (const auto& one : acts)
         std::visit([this](const auto& wanted) { act(wanted); }, one);
--- a/src/daemon/order_duty.h
+++ b/src/daemon/order_duty.h
@@ -60,7 +60,7 @@
     void plan(const target_pool& pool);
     capacity_view viewOf(const target_pool& pool) const;
     void stopEmpty();
-    void act(std::vector<order_act> acts);
+    void act(const std::vector<order_act>& acts);
     void act(const read_intents&);
     void act(const write_intent& write);
     void act(const remove_intent& remove);
--- a/src/platform/order_thread.cpp
+++ b/src/platform/order_thread.cpp
@@ -147,7 +147,7 @@
         reply.answer.detail = "no guard";
         if (guard)
             reply = sendOrder(**guard, next);
-        while (!m_stopping && !m_replies.tryPush(std::move(reply)))
+        while (!m_stopping && !m_replies.tryPush(std::move(reply))) // NOLINT(bugprone-use-after-move): left untouched if the ring is full
             m_wakeup.wait(fullWait);
     }
 }
--- a/tests/test_capacity.cpp
+++ b/tests/test_capacity.cpp
@@ -49,7 +49,7 @@
                 one.open = one.state == target_state::Live ? sample.open / static_cast<double>(view.targets.size()) : 0;
             }
             m_planner.observe(sample, now);
-            const auto plan = m_planner.plan(pool, view, now);
+            auto plan = m_planner.plan(pool, view, now);
             for (const auto& start : plan.starts)
                 add(start.where, target_state::Starting);
             if (plan.stop) {
--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -148,7 +148,7 @@
         }
 
         // Calls to the service: done or not, answered or not.
-        void call(const kv_transaction& change, std::function<std::vector<order_act>(const result<kv_answer>&)> onAnswer)
+        void call(const kv_transaction& change, const std::function<std::vector<order_act>(const result<kv_answer>&)>& onAnswer)
         {
             const bool isDone = m_random.below(1000) >= m_faults;
             const bool isAnswered = m_random.below(1000) >= m_faults;
