--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -44,8 +44,8 @@
     for (const auto& one : m_live)
         members.push_back(one.id);
     for (const auto& duty : m_all) {
-        const auto order = rendezvousOrder(duty.str(), members);
-        if (!order.empty() && order.front() == m_context.self)
+        const auto* first = rendezvousFirst(duty.str(), members);
+        if (first != nullptr && *first == m_context.self)
             out.push_back(duty);
     }
     return out;
@@ -107,6 +107,12 @@
 
 void lease_duty::findHolder(const duty_id& duty, std::function<void(const result<duty_holder>&)> onFound)
 {
+    if (m_holderNews) {
+        if (const auto told = m_holderNews(duty)) {
+            onFound(*told);
+            return;
+        }
+    }
     const auto known = m_cache.find(duty);
     if (known != m_cache.end() && m_context.now - known->second.at < holderMemory) {
         onFound(known->second.holder);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,9 +10,9 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 struct MHD_Connection;
 struct MHD_Daemon;
@@ -63,7 +63,6 @@
     void answer(int status, header_list answerHeaders, std::string whole);
 
     bool callerGone() const;
-    bool hasEnded() const;
 
 private:
     friend class server;
@@ -96,24 +95,25 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
-    // Takes no more connections; open ones go on.
+    // Takes no more connections; open ones go on. Those still open when the server
+    // ends are broken off.
     void stopListening();
     unsigned openConnections() const;
 
 private:
     friend struct server_callbacks;
     server() = default;
-    // False once the server ends; the exchange is then not handed over.
-    bool keep(const exchange_ptr& taken);
+    // False once the server ends.
+    bool enter(const exchange_ptr& one);
+    void leave(const exchange_ptr& one);
 
     server_limits m_limits;
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
-    std::mutex m_mutex; // guards the three below
-    bool m_ending = false;
-    std::vector<std::weak_ptr<exchange>> m_taken; // whose connections may be suspended
-    std::size_t m_pruneAt = 64; // when m_taken is so long, those that are over are dropped
     int m_listener = -1;
+    std::mutex m_openMutex; // guards the next two
+    std::set<exchange_ptr> m_open; // requests whose head has come
+    bool m_ending = false; // m_open doesn't grow any more
 };
 
 } // namespace lovagerail::http
--- a/src/weights.h
+++ b/src/weights.h
@@ -7,7 +7,7 @@
 // that failed, was half done or was undone by a restart is ordered again.
 //
 // Pure; owned by the duty of the model. Every event is O(log n) for n replicas, a
-// tick is O(n).
+// tick is O(n log n).
 #pragma once
 
 #include "types.h"
@@ -82,7 +82,8 @@
     std::size_t replicas() const { return m_replicas.size(); }
     // Replicas whose own report shows the wanted version.
     std::size_t current() const;
-    bool complete() const { return current() == m_replicas.size(); }
+    // False while no replica is known.
+    bool complete() const { return !m_replicas.empty() && current() == m_replicas.size(); }
     // A peer knew a newer holder; nothing is ordered any more.
     bool deposed() const { return m_deposed; }
 
@@ -101,18 +102,25 @@
         std::optional<order_state> order;
         std::uint32_t tries = 0; // orders of the wanted version so far
         instant retryAt {};
+        std::uint64_t round = 0; // of the last setReplicas() that named it
+    };
+
+    struct load_source {
+        std::string address;
+        bool isStore = false;
     };
 
     bool isCurrent(const replica_state& replica) const { return replica.report.version == m_wanted; }
     std::size_t swapLimit() const;
-    std::optional<std::string> chooseSource(bool& fromStore) const;
+    std::vector<load_source> freeSources() const;
     void endOrder(replica_state& replica, bool failed, instant now);
     void drive(replica_state& replica, instant now, std::vector<rollout_action>& actions);
 
     rollout_settings m_settings;
     weight_version m_wanted;
     std::string m_store;
-    std::map<target_id, replica_state> m_replicas;
+    std::map<target_id, replica_state> m_replicas; // between calls all of round m_round
+    std::uint64_t m_round = 0;
     bool m_deposed = false;
 };
 
