--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -150,7 +150,7 @@
         std::lock_guard lock(x.m_mutex);
         if (!x.m_unread.empty()) {
             const auto count = std::min(room, x.m_unread.size());
-            std::memcpy(out, x.m_unread.data(), count);
+            std::copy_n(x.m_unread.data(), count, out);
             x.m_unread.erase(0, count);
             return static_cast<ssize_t>(count);
         }
--- a/src/serving.h
+++ b/src/serving.h
@@ -319,7 +319,7 @@
     void takePiece(open_request& request, const stream_piece& piece, instant now);
     void finishEngine(open_request& request, transfer_end end, instant now, wall_time wall);
     void finishService(open_request& request, transfer_end end, instant now, wall_time wall);
-    void attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, std::string reason, instant now, wall_time wall);
+    void attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, const std::string& reason, instant now, wall_time wall);
     void endAttempt(open_request& request, attempt_outcome outcome, usage_heading heading, instant now);
     void answered(open_request& request, instant now, wall_time wall);
     void countServed(const open_request& request, request_served::outcome how, instant now);
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -122,7 +122,7 @@
                 cheap.excluded.push_back(listed.id);
         }
         if (any) {
-            const auto decision = m_router.choose(cheap, now);
+            auto decision = m_router.choose(cheap, now);
             if (std::holds_alternative<route_choice>(decision))
                 return decision;
         }
@@ -390,8 +390,9 @@
     erase(request.number, now);
 }
 
-// Tries again where that is allowed, else gives the final answer.
-void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, std::string reason, instant now, wall_time wall)
+// Tries again where that is allowed, else gives the final answer. The reason may not
+// be part of the attempt, which ends here.
+void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, const std::string& reason, instant now, wall_time wall)
 {
     const auto target = request.attempt->choice.target;
     const auto pool = m_router.table().record(request.attempt->choice.slot).listed.pool.str();
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -399,6 +399,15 @@
     return scene
 
 
+def longest_wait(seen):
+    """Seconds for which the trainer got no new batch, between its first word and the last fault's end."""
+    if not seen.versions or not seen.faults:
+        return 0.0
+    times = [seen.versions[0]["began"]] + [batch["ended"] for batch in seen.batches if not batch["repeat"]]
+    times.append(max(times[-1], max(fault["ended"] for fault in seen.faults)))
+    return max(later - earlier for earlier, later in zip(times, times[1:]))
+
+
 def table(scene, violations):
     """The counts of a run as text."""
     seen = scene.seen
@@ -407,6 +416,7 @@
     lines = [f"faults caused      {sum(scene.caused.values())} in {len(seen.faults)} episodes, {len(scene.caused)} kinds",
              f"requests           {len(seen.requests)}: " + ", ".join(f"{name} {count}" for name, count in sorted(outcomes.items())),
              f"samples            {len(samples)} in {len({b['cursor'] for b in seen.batches})} steps, {sum(b['repeat'] for b in seen.batches)} batches asked for again",
+             f"longest wait       {longest_wait(seen):.1f} s without a new batch",
              f"usage windows      {len(seen.usage['windows'])} of accounts, {len(seen.usage['reports'])} reports",
              f"engine attempts    {len(seen.attempts())}; orders {sum(len(e['orders']) for e in seen.engines)}",
              f"configuration      {sum(1 for c in seen.accepted if c['accepted'])} changes accepted, {len(seen.readings)} readings; {len(seen.withdrawals)} keys withdrawn",
