--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -399,7 +399,8 @@
     erase(request.number, now);
 }
 
-// Tries again where that is allowed, else gives the final answer.
+// Tries again where that is allowed, else gives the final answer. The reason may not
+// be part of the attempt, which ends here.
 void serving::attemptFailed(open_request& request, attempt_outcome outcome, bool notRun, const std::string& reason, instant now, wall_time wall)
 {
     const auto target = request.attempt->choice.target;
