--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -88,44 +88,57 @@
 }
 
 // Deaths that count against a request now.
-std::uint32_t quarantine::blames(request_fingerprint of, wall_time now) const
+// Blames that count at a time, and whether one is from a run as a suspect.
+quarantine::blame_count quarantine::blames(request_fingerprint of, wall_time at) const
 {
+    blame_count count;
     const auto found = m_suspects.find(of);
     if (found == m_suspects.end())
-        return 0;
-    std::uint32_t count = 0;
+        return count;
     for (const auto& [by, state] : found->second) {
-        if (!state.cleared && state.until > now)
-            ++count;
+        if (state.cleared || state.until <= at)
+            continue;
+        ++count.all;
+        count.apart = count.apart || !by.suspectRun.empty();
     }
     return count;
 }
 
+// Deaths in the company of other requests make a suspect; only one that it died
+// in apart from them refuses it. So copies that ran side by side, such as the
+// samples of one prompt, aren't refused when two of their targets die of themselves.
+bool quarantine::isRefused(request_fingerprint of, wall_time at) const
+{
+    const auto count = blames(of, at);
+    return count.all >= m_settings.blamesToRefuse && count.apart;
+}
+
 quarantine_verdict quarantine::judge(request_fingerprint of, wall_time now) const
 {
-    const auto count = blames(of, now);
-    if (count == 0)
+    if (blames(of, now).all == 0)
         return quarantine_verdict::Clear;
-    if (count >= m_settings.blamesToRefuse)
+    if (isRefused(of, now))
         return quarantine_verdict::Refused;
     return m_running.contains(of) ? quarantine_verdict::Wait : quarantine_verdict::RunAlone;
 }
 
-// The time when too few blames are left to refuse it.
+// The first end of a blame at which it is not refused any more.
 duration quarantine::retryAfter(request_fingerprint of, wall_time now) const
 {
     const auto found = m_suspects.find(of);
-    if (found == m_suspects.end())
+    if (found == m_suspects.end() || !isRefused(of, now))
         return duration::zero();
     std::vector<wall_time> ends;
     for (const auto& [by, state] : found->second) {
         if (!state.cleared && state.until > now)
             ends.push_back(state.until);
     }
-    if (ends.size() < m_settings.blamesToRefuse)
-        return duration::zero();
     std::sort(ends.begin(), ends.end());
-    return ends[ends.size() - m_settings.blamesToRefuse] - now;
+    for (const auto end : ends) {
+        if (!isRefused(of, end))
+            return end - now;
+    }
+    return duration::zero();
 }
 
 void quarantine::suspectBegan(request_fingerprint of, const target_id& target)
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -2,7 +2,7 @@
 //
 // When a target dies, each request that ran there is a suspect; requests are known
 // by a fingerprint of account, method, path and body. A suspect runs again once,
-// apart from other suspects; a second death in its company quarantines it. A request
+// apart from other suspects; a death of its target then quarantines it. A request
 // that completes whole is cleared, so those that were merely near are not blamed for
 // good. A death counts for a short time until it is confirmed: by a second request
 // that broke there, by a new incarnation, or by a target that can't be reached.
@@ -108,7 +108,12 @@
     };
     using suspect_marks = std::map<blame_id, mark_state>;
 
-    std::uint32_t blames(request_fingerprint of, wall_time now) const;
+    struct blame_count {
+        std::uint32_t all = 0;
+        bool apart = false; // one of them is from a run as a suspect
+    };
+    blame_count blames(request_fingerprint of, wall_time at) const;
+    bool isRefused(request_fingerprint of, wall_time at) const;
     bool merge(const blame_mark& mark);
     void learn(const blame_mark& mark);
     void erase(request_fingerprint of, const blame_id& by);
