--- a/src/ctl/replay.cpp
+++ b/src/ctl/replay.cpp
@@ -48,7 +48,7 @@
         if (values.empty())
             return 0;
         std::sort(values.begin(), values.end());
-        const auto at = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+        const auto at = static_cast<std::size_t>(std::lround(share * static_cast<double>(values.size() - 1)));
         return values[at];
     }
 
@@ -250,6 +250,7 @@
         }
     }
     std::vector<replay_figures> out;
+    out.reserve(counts.size());
     for (const auto& side : counts)
         out.push_back(figuresOf(side));
     return out;
--- a/src/daemon/run_duty.cpp
+++ b/src/daemon/run_duty.cpp
@@ -109,7 +109,7 @@
     act(item, item->machine.handle(event, m_context.now));
 }
 
-void run_duty::act(const run_ptr& item, std::vector<run_action> actions)
+void run_duty::act(const run_ptr& item, const std::vector<run_action>& actions)
 {
     for (const auto& action : actions) {
         if (!ours(item))
--- a/src/daemon/run_duty.h
+++ b/src/daemon/run_duty.h
@@ -90,7 +90,7 @@
     std::optional<call_in> finishCall(const run_ptr& item, trainer_call call);
 
     void feed(const run_ptr& item, const run_event& event);
-    void act(const run_ptr& item, std::vector<run_action> actions);
+    void act(const run_ptr& item, const std::vector<run_action>& actions);
     void act(const run_ptr& item, const cancel_stream& action);
     void act(const run_ptr& item, const call_judge& action);
     void act(const run_ptr& item, const cancel_judge& action);
--- a/src/daemon/usage_duty.cpp
+++ b/src/daemon/usage_duty.cpp
@@ -205,7 +205,7 @@
     act(m_closer->tick(m_context.wall, live));
 }
 
-void usage_duty::act(std::vector<closer_action> actions)
+void usage_duty::act(const std::vector<closer_action>& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& wanted) { act(wanted); }, action);
--- a/src/daemon/usage_duty.h
+++ b/src/daemon/usage_duty.h
@@ -34,7 +34,7 @@
     void pushCopies();
     void saveCounters();
     void close();
-    void act(std::vector<closer_action> actions);
+    void act(const std::vector<closer_action>& actions);
     void act(const pull_usage& pull);
     void act(const read_prefix& read);
     void act(const commit_entries& commit);
--- a/src/daemon/weight_duty.cpp
+++ b/src/daemon/weight_duty.cpp
@@ -163,7 +163,7 @@
     std::erase_if(item->reports, [&live](const auto& entry) { return !live.contains(entry.first); });
 }
 
-void weight_duty::act(const model_id& model, const model_ptr& item, std::vector<rollout_action> actions)
+void weight_duty::act(const model_id& model, const model_ptr& item, const std::vector<rollout_action>& actions)
 {
     for (const auto& action : actions) {
         http::request wanted;
--- a/src/daemon/weight_duty.h
+++ b/src/daemon/weight_duty.h
@@ -41,7 +41,7 @@
     weight_version wantedOf(const model_id& model) const;
     void drive(const model_id& model, const model_ptr& item);
     void poll(const model_id& model, const model_ptr& item);
-    void act(const model_id& model, const model_ptr& item, std::vector<rollout_action> actions);
+    void act(const model_id& model, const model_ptr& item, const std::vector<rollout_action>& actions);
     bool ours(const model_id& model, const model_ptr& item) const;
     Json::Value stateOf(const model_id& model, const active_model& item) const;
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -200,8 +200,12 @@
         curl_easy_setopt(t.easy, CURLOPT_FRESH_CONNECT, 1L);
 
     // Step 2. Headers are what we were given and no more of our own making.
-    for (const auto& [name, value] : t.wanted.headers)
-        t.headerLines = curl_slist_append(t.headerLines, (name + ": " + value).c_str());
+    for (const auto& [name, value] : t.wanted.headers) {
+        std::string line = name;
+        line += ": ";
+        line += value;
+        t.headerLines = curl_slist_append(t.headerLines, line.c_str());
+    }
     t.headerLines = curl_slist_append(t.headerLines, "Expect:");
     curl_easy_setopt(t.easy, CURLOPT_HTTPHEADER, t.headerLines);
 
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -18,6 +18,7 @@
     {
         const auto numbers = *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(0, 1u << 20));
         std::vector<news_entry> out;
+        out.reserve(numbers.size());
         for (const auto number : numbers)
             out.push_back({ "deny/" + std::to_string(number % 7), (number >> 4) % 5, std::to_string((number >> 8) % 3), 1h, std::chrono::milliseconds(number % 1000) });
         return out;
