HTTP server: no lock of ours is held when a reply is queued; TSan builds what it runs

Cause: ThreadSanitizer saw our exchange lock and libmicrohttpd's response lock taken in both orders, on its one polling thread (so no deadlock was possible, but the report hid others). Ruled out: the order at resume, which takes another lock. Conclusion: the order of locks is one everywhere.

No change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 	@$(CTEST) --test-dir build-asan
 
 test-tsan: ## Threaded parts under ThreadSanitizer
-	@$(MAKE) --no-print-directory build BUILD=build-tsan CMAKE_FLAGS=-DLOVAGERAIL_SANITIZE=thread
+	@$(MAKE) --no-print-directory configure BUILD=build-tsan CMAKE_FLAGS=-DLOVAGERAIL_SANITIZE=thread
+	@cmake --build build-tsan -j $(JOBS) --target lovagerail-tests
 	@$(CTEST) --test-dir build-tsan -L threads
 
 demo: build ## Run the whole path on loopback and check it
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -119,15 +119,19 @@
         }
 
         // Step 4. Answer if the head of the answer is there, else sleep until it is.
-        std::lock_guard lock(x.m_mutex);
-        if (!x.m_begun) {
-            x.m_suspended = true;
-            MHD_suspend_connection(connection);
-            return MHD_YES;
+        {
+            const std::lock_guard lock(x.m_mutex);
+            if (!x.m_begun) {
+                x.m_suspended = true;
+                MHD_suspend_connection(connection);
+                return MHD_YES;
+            }
         }
         return queueReply(connection, slot);
     }
 
+    // Without our lock, since libmicrohttpd holds its own around onRead(). Once the
+    // answer has begun, what is read here doesn't change.
     static MHD_Result queueReply(MHD_Connection* connection, request_slot& slot)
     {
         exchange& x = *slot.shared;
