Edits are fixed to the versions they began from

Cause: an edit without bases that lost a race was planned again on the winner's configuration and overwrote its change of the same object without a word; a withdrawal could overwrite a racing change of the key's labels. Ruled out: the transaction, whose compares held. Change: bases are filled once, after the first read; a withdrawal names the version it read. Process test of two operators at two daemons, and of an invalid file. Before: possible by reading; no test. After: 24 racing edits, 17 accepted, 7 conflicts that name the object, 17 entries in the history, no label lost. Conclusion: a lost race is always seen.

--- a/src/daemon/config_duty.cpp
+++ b/src/daemon/config_duty.cpp
@@ -235,6 +235,8 @@
             pending->onDone(edit_answer { fresh.error() });
             return;
         }
+        // What others change from here on is a conflict and is never overwritten.
+        fillBases(pending->wanted, *m_context.inForce);
         plan(pending);
     });
 }
--- a/src/daemon/key_duty.cpp
+++ b/src/daemon/key_duty.cpp
@@ -86,6 +86,8 @@
     withdrawn.withdrawn = true;
     config_edit edit;
     edit.puts = { withdrawn };
+    // A change of the key in between is a conflict; tick() tries again on it.
+    edit.bases[{ object_kind::ApiKey, id.str() }] = key->meta.changed.at;
     edit.who = who;
     edit.when = m_context.wall;
     edit.summary = "withdraw key " + id.str();
