--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES = libjsonrpccpp-dev libjsoncpp-dev libmicrohttpd-dev libcurl4-openssl-dev libdocopt-dev \
 	libeasyloggingpp-dev libexpected-dev prometheus-cpp-dev libtomlplusplus-dev libboost-test-dev \
 	libboost-dev librapidcheck-dev libxxhash-dev libssl-dev ccache cmake ninja-build g++ pkg-config \
-	libmsgpack-cxx-dev python3 clang-format clang-tidy
+	libmsgpack-cxx-dev openssl iproute2 python3 clang-format clang-tidy
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'standins/*.h' 'standins/*.cpp' \
 	'bench/*.h' 'bench/*.cpp' 'tests/*.h' 'tests/*.cpp')
 
