Process tests take disjoint blocks of ports

Ruled out: an earlier run's listener (another base). Change: each test process locks blocks of 200 ports and takes them in order. Conclusion: the verdict no longer hangs on a draw.

No change of behaviour.

--- a/tests/process/kit.py
+++ b/tests/process/kit.py
@@ -12,11 +12,11 @@
 
 import base64
 import ctypes
+import fcntl
 import http.client
 import json
 import os
 import pathlib
-import random
 import shutil
 import signal
 import socket
@@ -42,7 +42,11 @@
 # What a broken connection raises.
 BROKEN = (OSError, http.client.HTTPException)
 
-_taken_ports = set()
+BLOCK_PORTS = 200
+PORT_LOCKS = pathlib.Path(tempfile.gettempdir()) / "lovagerail-ports"
+_owned_ports = []  # of the blocks that this process holds
+_next_port = 0  # index into _owned_ports
+_locks = []  # open files: a block is held while its file is
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -66,16 +70,33 @@
     return True
 
 
+def _take_block():
+    """Ports that no other test process of this machine takes while this one lives."""
+    PORT_LOCKS.mkdir(exist_ok=True)
+    for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+        lock = open(PORT_LOCKS / str(first), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _locks.append(lock)
+        _owned_ports.extend(range(first, first + BLOCK_PORTS))
+        return
+    raise RuntimeError("all blocks of ports are taken")
+
+
 def free_ports(count=1):
     """The first of `count` ports in a row that nobody has."""
-    chooser = random.Random(os.urandom(8))
-    for _ in range(1000):
-        first = chooser.randrange(FIRST_PORT, LAST_PORT - count)
-        wanted = range(first, first + count)
-        if _taken_ports.isdisjoint(wanted) and all(map(_is_free, wanted)):
-            _taken_ports.update(wanted)
-            return first
-    raise RuntimeError("no free ports")
+    global _next_port
+    while True:
+        while _next_port + count <= len(_owned_ports):
+            wanted = _owned_ports[_next_port:_next_port + count]
+            _next_port += 1
+            if wanted[-1] - wanted[0] == count - 1 and all(map(_is_free, wanted)):
+                _next_port += count - 1
+                return wanted[0]
+        _take_block()
 
 
 def b64(text):
