Settings reader shared by tables; provider folder; HTTP server in its owner's loop

Cause: a second program form (an entry instance on the users' platform) needs the same settings rules, HTTP server and client, without a second copy of them. src/platform held adapters of our own provider protocols and its name is wanted for the users' platform alone. Ruled out: a second reader or server beside the first.

--- a/bench/slopes_routing.cpp
+++ b/bench/slopes_routing.cpp
@@ -1,6 +1,6 @@
 // Targets, load and prefixes: the platform's list, one event and one choice at 80,
 // 800 and 8,000 replicas.
-#include "platform/target_list.h"
+#include "provider/target_list.h"
 #include "router.h"
 #include "slopes.h"
 #include "target/target_watch.h"
@@ -108,7 +108,7 @@
 
         // Step 1. What the list costs each time it comes.
         const std::uint64_t lists = std::max<std::uint64_t>(1, 8000 / count);
-        const auto decode = nanosecondsEach(lists, [&](std::uint64_t) { (void)platform::decodeTargets(text); });
+        const auto decode = nanosecondsEach(lists, [&](std::uint64_t) { (void)provider::decodeTargets(text); });
         print({ "targets", "decode the platform's list", count, text.size(), decode, std::to_string(text.size()) + " B on the wire" });
         const auto merge = nanosecondsEach(lists, [&](std::uint64_t) { subject.applyList(rows, instant { 2s }); });
         print({ "targets", "merge an unchanged list", count, held, merge, "bytes: router with table, load, health" });
--- a/src/daemon/control_context.h
+++ b/src/daemon/control_context.h
@@ -5,7 +5,7 @@
 #include "config.h"
 #include "daemon/messages.h"
 #include "http/async.h"
-#include "platform/kv_session.h"
+#include "provider/kv_session.h"
 #include "settings.h"
 
 #include <deque>
@@ -17,7 +17,7 @@
     const settings& values;
     instance_id self;
     incarnation life;
-    platform::kv_session& kv;
+    provider::kv_session& kv;
     http::async_caller& platform; // also judges and the weight store
     http::async_caller& instances;
 
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -16,9 +16,9 @@
     constexpr int statusOk = 200;
     constexpr int statusUnavailable = 503;
 
-    platform::kv_session_settings sessionSettings(const settings& values)
+    provider::kv_session_settings sessionSettings(const settings& values)
     {
-        platform::kv_session_settings out;
+        provider::kv_session_settings out;
         out.endpoints = values.platform.keyValue;
         out.callsPerSecond = values.platform.keyValueCallsPerSecond;
         return out;
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -60,7 +60,7 @@
     http::worker m_instanceWorker;
     http::async_caller m_platform;
     http::async_caller m_instances;
-    platform::kv_session m_kv;
+    provider::kv_session m_kv;
     control_context m_context;
 
     // Duties; each is driven by this thread alone.
--- a/src/daemon/member_duty.cpp
+++ b/src/daemon/member_duty.cpp
@@ -32,7 +32,7 @@
     {
         membership_settings out;
         out.self.id = context.self;
-        out.self.address = platform::withScheme(context.values.listen.instances);
+        out.self.address = provider::withScheme(context.values.listen.instances);
         out.self.failureDomain = failure_domain_id(context.values.instance.failureDomain);
         out.self.life = context.life;
         out.period = context.values.timing.heartbeat;
@@ -134,7 +134,7 @@
     m_listed.clear();
     std::vector<member_update> seeds;
     for (const auto& one : m_targets.instances()) {
-        if (one.state != platform::instance_state::Live)
+        if (one.state != provider::instance_state::Live)
             continue;
         m_listed[one.id] = one.address;
         member_update seed;
--- a/src/daemon/order_duty.cpp
+++ b/src/daemon/order_duty.cpp
@@ -5,7 +5,7 @@
 #include "daemon/status_api.h"
 #include "log.h"
 #include "object_codec.h"
-#include "platform/order_api.h"
+#include "provider/order_api.h"
 
 #include <algorithm>
 
@@ -125,7 +125,7 @@
 // Marks what the holder empties, and says what work is here: by pool, and by target.
 Json::Value order_duty::ownDemand(const Json::Value& asked)
 {
-    std::map<target_id, const platform::platform_target*> rows;
+    std::map<target_id, const provider::platform_target*> rows;
     for (const auto& row : m_targets.targets())
         rows[row.routing.id] = &row;
     for (const auto& item : asked["emptying"])
@@ -158,12 +158,12 @@
 void order_duty::tick()
 {
     // Step 1. What became of sent orders.
-    platform::order_reply reply;
+    provider::order_reply reply;
     while (m_thread.tryPop(reply)) {
         const auto sent = m_sent.extract(reply.id);
         if (sent.empty())
             continue;
-        const auto news = platform::decodeSent(reply.answer);
+        const auto news = provider::decodeSent(reply.answer);
         inTerm(sent.mapped().term, [&](order_book& book) { return book.onSent(sent.mapped().id, news.outcome, news.target, m_context.now); });
     }
     if (!m_book || !m_leases.holds(duty()))
@@ -174,7 +174,7 @@
         m_listTaken = m_targets.listAskedAt();
         std::vector<ordered_target> rows;
         for (const auto& row : m_targets.targets())
-            rows.push_back(platform::orderedTarget(row));
+            rows.push_back(provider::orderedTarget(row));
         act(m_book->onList(rows, m_listTaken, m_context.now));
     }
     if (m_book)
@@ -352,7 +352,7 @@
         }
         const bool isEmpty = it->second.emptyRounds >= emptyRoundsNeeded || m_context.now - it->second.since >= longest;
         if (isEmpty && row->routing.state != target_state::Leaving) {
-            if (const auto order = m_book->stop(*pool, platform::orderedTarget(*row), m_context.now))
+            if (const auto order = m_book->stop(*pool, provider::orderedTarget(*row), m_context.now))
                 record(subject_kind::Order, order->str(), "stop", "the target has no work left", { { "target", it->first.str() }, { "pool", it->second.pool.str() } });
         }
         ++it;
@@ -403,7 +403,7 @@
 void order_duty::act(const send_order& send)
 {
     const auto held = m_leases.holds(duty());
-    auto wanted = platform::orderRequest(m_context.values.platform.platform, send);
+    auto wanted = provider::orderRequest(m_context.values.platform.platform, send);
     wanted.id = ++m_lastSend;
     const bool isOurs = held && held->fencing == send.fencing;
     wanted.until = isOurs ? std::min(held->until, m_context.now + longestSend) : m_context.now;
@@ -416,8 +416,8 @@
 
 void order_duty::act(const ask_about_order& ask)
 {
-    m_context.platform.call(platform::askRequest(m_context.values.platform.platform, ask.id), [this, term = m_term, id = ask.id](const http::answer& answer) {
-        const auto news = platform::decodeAsked(answer);
+    m_context.platform.call(provider::askRequest(m_context.values.platform.platform, ask.id), [this, term = m_term, id = ask.id](const http::answer& answer) {
+        const auto news = provider::decodeAsked(answer);
         inTerm(term, [&](order_book& book) { return book.onAsked(id, news.outcome, news.target, m_context.now); });
     });
 }
--- a/src/daemon/order_duty.h
+++ b/src/daemon/order_duty.h
@@ -9,7 +9,7 @@
 #include "daemon/peer_duty.h"
 #include "daemon/target_duty.h"
 #include "orders.h"
-#include "platform/order_thread.h"
+#include "provider/order_thread.h"
 #include "usage.h"
 
 namespace lovagerail::daemon {
@@ -78,7 +78,7 @@
     lease_duty& m_leases;
     status_api& m_status;
     target_duty& m_targets;
-    platform::order_thread m_thread;
+    provider::order_thread m_thread;
 
     config_ptr m_wantedUnder; // configuration that m_wanted is of
     bool m_wanted = false;
--- a/src/daemon/target_duty.cpp
+++ b/src/daemon/target_duty.cpp
@@ -43,7 +43,7 @@
             logEvent(log_level::Warning, "targets", "read", { { "peer", "platform" }, { "error", answer.detail }, { "status", std::to_string(answer.status) } });
             return;
         }
-        auto list = platform::decodeTargets(answer.body);
+        auto list = provider::decodeTargets(answer.body);
         if (!list) {
             logEvent(log_level::Warning, "targets", "read", { { "error", toString(list.error()) } });
             return;
@@ -66,13 +66,13 @@
         m_readingInstances = false;
         if (answer.outcome != http::transfer_result::Whole || answer.status != statusOk)
             return;
-        if (auto list = platform::decodeInstances(answer.body))
+        if (auto list = provider::decodeInstances(answer.body))
             m_instances = std::move(*list);
     });
 }
 
 // The platform knows pools by name alone; what kind they are is configured.
-listed_target target_duty::routingRow(const platform::platform_target& row) const
+listed_target target_duty::routingRow(const provider::platform_target& row) const
 {
     listed_target out = row.routing;
     const auto* pool = m_context.inForce->findPool(out.pool);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -5,6 +5,9 @@
 #include <cctype>
 #include <curl/curl.h>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace lovagerail::http {
@@ -96,6 +99,24 @@
         return size * count;
     }
 
+    // Bounds how long a connection may stay silent although we sent on it.
+    int onSocket(void* user, curl_socket_t descriptor, curlsocktype)
+    {
+        const auto& t = *static_cast<transfer*>(user);
+        const auto milliseconds = static_cast<unsigned>(t.wanted.unacknowledgedTimeout.count());
+        if (setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds) != 0)
+            return CURL_SOCKOPT_ERROR;
+        return CURL_SOCKOPT_OK;
+    }
+
+    // Headers that libcurl adds by itself unless they are named.
+    constexpr std::string_view ownHeaders[] = { "Accept", "Content-Type", "User-Agent" };
+
+    bool sameName(std::string_view left, std::string_view right)
+    {
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+    }
+
     // What the peer can have seen of a request that libcurl ended with this code.
     transfer_result outcomeOf(const transfer& t, CURLcode code)
     {
@@ -194,6 +215,12 @@
     curl_easy_setopt(t.easy, CURLOPT_PROXY, "");
     curl_easy_setopt(t.easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(t.easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    if (!t.wanted.target.empty())
+        curl_easy_setopt(t.easy, CURLOPT_REQUEST_TARGET, t.wanted.target.c_str());
+    if (t.wanted.unacknowledgedTimeout.count() > 0) {
+        curl_easy_setopt(t.easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
+        curl_easy_setopt(t.easy, CURLOPT_SOCKOPTDATA, &t);
+    }
     if (!t.wanted.caFile.empty())
         curl_easy_setopt(t.easy, CURLOPT_CAINFO, t.wanted.caFile.c_str());
     if (t.wanted.reuse == connection_reuse::Forbidden)
@@ -201,11 +228,15 @@
 
     // Step 2. Headers are what we were given and no more of our own making.
     for (const auto& [name, value] : t.wanted.headers) {
-        std::string line = name;
-        line += ": ";
-        line += value;
+        // A header without a value is written with a semicolon, or it would be left out.
+        const std::string line = value.empty() ? name + ";" : name + ": " + value;
         t.headerLines = curl_slist_append(t.headerLines, line.c_str());
     }
+    for (const auto own : ownHeaders) {
+        const bool given = std::any_of(t.wanted.headers.begin(), t.wanted.headers.end(), [own](const auto& h) { return sameName(h.first, own); });
+        if (!given)
+            t.headerLines = curl_slist_append(t.headerLines, (std::string(own) + ":").c_str());
+    }
     t.headerLines = curl_slist_append(t.headerLines, "Expect:");
     curl_easy_setopt(t.easy, CURLOPT_HTTPHEADER, t.headerLines);
 
@@ -242,13 +273,17 @@
 
 std::vector<event> client::poll(std::chrono::milliseconds longest, int wakeDescriptor)
 {
-    // Step 1. Wait for the sockets, the descriptor or the time.
-    curl_waitfd extra {};
-    extra.fd = wakeDescriptor;
-    extra.events = CURL_WAIT_POLLIN;
-    const unsigned extras = wakeDescriptor < 0 ? 0 : 1;
+    return poll(longest, wakeDescriptor < 0 ? std::span<const int>() : std::span<const int>(&wakeDescriptor, 1));
+}
+
+std::vector<event> client::poll(std::chrono::milliseconds longest, std::span<const int> wakeDescriptors)
+{
+    // Step 1. Wait for the sockets, the descriptors or the time.
+    std::vector<curl_waitfd> extras;
+    for (const int descriptor : wakeDescriptors)
+        extras.push_back({ descriptor, CURL_WAIT_POLLIN, 0 });
     if (m_state->pending.empty())
-        curl_multi_poll(m_state->multi, extras ? &extra : nullptr, extras, static_cast<int>(longest.count()), nullptr);
+        curl_multi_poll(m_state->multi, extras.data(), static_cast<unsigned>(extras.size()), static_cast<int>(longest.count()), nullptr);
 
     // Step 2. Move bytes; the callbacks fill the pending events.
     int running = 0;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,6 +42,10 @@
     std::chrono::milliseconds connectTimeout { 1000 };
     std::chrono::milliseconds totalTimeout { 0 }; // 0 = none
     std::chrono::milliseconds idleTimeout { 0 }; // longest silence, 0 = none
+    // Bytes of ours that stay unacknowledged for so long end the connection, 0 = the
+    // system's bound. A silent path shows by this alone.
+    std::chrono::milliseconds unacknowledgedTimeout { 0 };
+    std::string target; // path and query exactly as sent; empty: the URL's
     std::string caFile; // PEM bundle to trust for https, empty = the system's
 };
 
@@ -72,6 +77,8 @@
     void cancel(std::uint64_t id);
     // Waits for traffic, the descriptor or the time, and returns what happened.
     std::vector<event> poll(std::chrono::milliseconds longest, int wakeDescriptor = -1);
+    // The same for any number of descriptors that turn readable.
+    std::vector<event> poll(std::chrono::milliseconds longest, std::span<const int> wakeDescriptors);
     std::size_t open() const;
 
 private:
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -136,6 +136,9 @@
     {
         exchange& x = *slot.shared;
         slot.replied = true;
+        // Broken off before its head: the caller sees a closed connection.
+        if (x.m_status == 0)
+            return MHD_NO;
         MHD_Response* response = nullptr;
         if (x.m_whole)
             response = MHD_create_response_from_buffer(x.m_unread.size(), x.m_unread.data(), MHD_RESPMEM_MUST_COPY);
@@ -256,7 +259,7 @@
     return m_connection == nullptr;
 }
 
-result<std::unique_ptr<server>> server::listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest)
+result<std::unique_ptr<server>> server::listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest, server_drive drive)
 {
     const auto bound = bindAddress(address);
     if (!bound)
@@ -266,17 +269,19 @@
     self->m_handler = std::move(onRequest);
     self->m_listener = *bound;
 
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+    const bool ownThread = drive == server_drive::OwnThread;
+    unsigned flags = (ownThread ? MHD_USE_EPOLL_INTERNAL_THREAD : MHD_USE_EPOLL) | MHD_ALLOW_SUSPEND_RESUME;
     std::vector<MHD_OptionItem> options {
         { MHD_OPTION_LISTEN_SOCKET, *bound, nullptr },
         { MHD_OPTION_CONNECTION_LIMIT, limits.connections, nullptr },
         { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(limits.headerBytes), nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, nullptr },
         { MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress, nullptr },
-        { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(threadStackBytes), nullptr },
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), self.get() },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), nullptr },
     };
+    if (ownThread)
+        options.push_back({ MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(threadStackBytes), nullptr });
     if (!tls.certificatePem.empty()) {
         flags |= MHD_USE_TLS;
         options.push_back({ MHD_OPTION_HTTPS_MEM_CERT, 0, const_cast<char*>(tls.certificatePem.c_str()) });
@@ -288,9 +293,36 @@
         close(*bound);
         return failure(error_code::Internal, "http.listen", peer_kind::None, address, "libmicrohttpd could not start");
     }
+    if (!ownThread)
+        self->m_descriptor = MHD_get_daemon_info(self->m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     return self;
 }
 
+void server::run()
+{
+    MHD_run(m_daemon);
+}
+
+void server::dropClosedCallers()
+{
+    std::vector<exchange_ptr> closed;
+    {
+        const std::lock_guard lock(m_openMutex);
+        for (const auto& one : m_open) {
+            const std::lock_guard exchangeLock(one->m_mutex);
+            if (!one->m_suspended || one->m_connection == nullptr)
+                continue;
+            const auto* info = MHD_get_connection_info(one->m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+            char byte = 0;
+            const auto got = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
+                closed.push_back(one);
+        }
+    }
+    for (const auto& one : closed)
+        one->abort();
+}
+
 bool server::enter(const exchange_ptr& one)
 {
     const std::lock_guard lock(m_openMutex);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,6 @@
-// A libmicrohttpd daemon with one polling thread. A request is handed over whole
-// to a handler; the answer comes later, from any thread, through its `exchange`.
+// A libmicrohttpd daemon, with a polling thread of its own or driven by its owner's
+// event loop. A request is handed over whole to a handler; the answer comes later,
+// from any thread, through its `exchange`.
 #pragma once
 
 #include "error.h"
@@ -29,6 +30,14 @@
     unsigned idleSeconds = 60;
 };
 
+// Who runs the server.
+enum class server_drive {
+    OwnThread,
+    // The owner polls descriptor() and calls run(); handlers run inside run(), and
+    // exchanges are answered from the same thread.
+    OwnersLoop,
+};
+
 // Certificate and key in PEM; both empty = no TLS.
 struct tls_files {
     std::string certificatePem;
@@ -90,11 +99,18 @@
     using handler = std::function<void(exchange_ptr)>;
 
     // Address is "IP:port". Fails if it can't be bound.
-    static result<std::unique_ptr<server>> listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest);
+    static result<std::unique_ptr<server>> listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest, server_drive drive = server_drive::OwnThread);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    // For server_drive::OwnersLoop: readable when run() has work.
+    int descriptor() const { return m_descriptor; }
+    void run();
+    // Looks at the sockets of requests that wait for an answer and breaks off those
+    // whose caller has closed: libmicrohttpd doesn't watch a sleeping connection.
+    void dropClosedCallers();
+
     // Takes no more connections; open ones go on. Those still open when the server
     // ends are broken off.
     void stopListening();
@@ -111,6 +127,7 @@
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
     int m_listener = -1;
+    int m_descriptor = -1; // libmicrohttpd's epoll, which it owns; -1 with a thread of its own
     std::mutex m_openMutex; // guards the next two
     std::set<exchange_ptr> m_open; // requests whose head has come
     bool m_ending = false; // m_open doesn't grow any more
--- a/src/platform/kv_codec.cpp
+++ b/src/provider/kv_codec.cpp
@@ -1,12 +1,12 @@
 // Base64 keys and values, 64-bit numbers as texts.
-#include "platform/kv_codec.h"
+#include "provider/kv_codec.h"
 
 #include <cstdlib>
 #include <json/json.h>
 #include <memory>
 #include <openssl/evp.h>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 namespace {
 
@@ -242,4 +242,4 @@
     return news;
 }
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/kv_codec.h
+++ b/src/provider/kv_codec.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 struct kv_wire_request {
     std::string path;
@@ -22,4 +22,4 @@
 // One line of a watch's stream.
 result<kv_news> decodeNews(std::string_view line);
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/kv_session.cpp
+++ b/src/provider/kv_session.cpp
@@ -1,11 +1,11 @@
 // Budget, endpoints, outcomes and watches of the key-value session.
-#include "platform/kv_session.h"
+#include "provider/kv_session.h"
 
-#include "platform/kv_codec.h"
+#include "provider/kv_codec.h"
 
 #include <algorithm>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 namespace {
 
@@ -307,4 +307,4 @@
     m_endpoint = (m_endpoint + 1) % m_settings.endpoints.size();
 }
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/kv_session.h
+++ b/src/provider/kv_session.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 struct kv_session_settings {
     std::vector<std::string> endpoints; // base URLs; the next one is tried after a failure
@@ -110,4 +110,4 @@
     kv_session_counts m_counts;
 };
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/order_api.cpp
+++ b/src/provider/order_api.cpp
@@ -1,10 +1,10 @@
 // JSON of orders.
-#include "platform/order_api.h"
+#include "provider/order_api.h"
 
 #include <json/json.h>
 #include <memory>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 namespace {
 
@@ -97,4 +97,4 @@
     return { row.routing.id, row.routing.pool, row.routing.supply, row.routing.failureDomain, row.routing.state, order_id(row.orderId) };
 }
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/order_api.h
+++ b/src/provider/order_api.h
@@ -4,10 +4,10 @@
 
 #include "http/client.h"
 #include "orders.h"
-#include "platform/order_thread.h"
-#include "platform/target_list.h"
+#include "provider/order_thread.h"
+#include "provider/target_list.h"
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 // `url` is the platform's base.
 order_send orderRequest(const std::string& url, const send_order& wanted);
@@ -24,4 +24,4 @@
 
 ordered_target orderedTarget(const platform_target& row);
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/order_thread.cpp
+++ b/src/provider/order_thread.cpp
@@ -1,5 +1,5 @@
 // One libcurl transfer for each order, with the guard on its socket.
-#include "platform/order_thread.h"
+#include "provider/order_thread.h"
 
 #include "log.h"
 
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 namespace {
 
@@ -152,4 +152,4 @@
     }
 }
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/order_thread.h
+++ b/src/provider/order_thread.h
@@ -9,7 +9,7 @@
 
 #include <atomic>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 struct order_send {
     std::uint64_t id = 0; // chosen by the owner
@@ -47,4 +47,4 @@
 // Sends one order on a connection of its own under the guard of this thread.
 order_reply sendOrder(order_guard& guard, const order_send& wanted);
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/target_list.cpp
+++ b/src/provider/target_list.cpp
@@ -1,11 +1,11 @@
 // JSON of the platform's lists.
-#include "platform/target_list.h"
+#include "provider/target_list.h"
 
 #include <json/json.h>
 #include <memory>
 #include <optional>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 namespace {
 
@@ -107,4 +107,4 @@
     return out;
 }
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/platform/target_list.h
+++ b/src/provider/target_list.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace lovagerail::platform {
+namespace lovagerail::provider {
 
 // A row as the platform lists it, with what orders need besides routing.
 struct platform_target {
@@ -39,4 +39,4 @@
 // An address with a scheme, as transfers want it.
 std::string withScheme(const std::string& address);
 
-} // namespace lovagerail::platform
+} // namespace lovagerail::provider
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,6 +1,7 @@
 // The daemon's settings: read from TOML, checked whole, every fault listed at once.
 #pragma once
 
+#include "settings_fault.h"
 #include "types.h"
 
 #include <chrono>
@@ -81,24 +82,10 @@
     trace_settings trace;
 };
 
-// One thing wrong with a settings file.
-struct settings_fault {
-    std::string file;
-    std::uint32_t line = 0; // 0: the whole file
-    std::uint32_t column = 0;
-    std::string message; // the key and what was expected
-};
-
-struct settings_reading {
-    settings value;
-    std::vector<settings_fault> faults; // empty: `value` may be used
-};
+using settings_reading = reading_of<settings>;
 
 // Reads and checks TOML text; `file` is for messages alone.
 settings_reading readSettings(std::string_view text, const std::string& file);
 settings_reading readSettingsFile(const std::string& file);
 
-// "FILE:LINE:COLUMN: message"
-std::string toString(const settings_fault& fault);
-
 } // namespace lovagerail
--- /dev/null
+++ b/src/settings_reader.h
@@ -0,0 +1,323 @@
+// Reads TOML settings by a table of fields and lists every fault at once.
+//
+// Each program describes its settings as a field_table over its own struct; the
+// rules of units, ranges and required keys are the same for all.
+#pragma once
+
+#include "settings_fault.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <toml++/toml.h>
+#include <vector>
+
+namespace lovagerail {
+
+namespace detail {
+
+    constexpr std::int64_t kibi = 1024;
+    constexpr std::int64_t mebi = 1024 * kibi;
+    constexpr std::int64_t msPerSecond = 1000;
+    constexpr std::int64_t msPerMinute = 60 * msPerSecond;
+    constexpr std::int64_t msPerHour = 60 * msPerMinute;
+    constexpr std::int64_t msPerDay = 24 * msPerHour;
+
+    enum class field_kind {
+        Text,
+        Address, // IP:port
+        Url,
+        UrlList,
+        Count,
+        Size, // "64 KiB"
+        Time, // "250ms"
+        Level,
+    };
+
+    // One setting: where it stands, what it may be and where its value goes.
+    template <typename Settings>
+    struct field {
+        const char* section;
+        const char* key;
+        field_kind kind;
+        bool required;
+        std::int64_t least; // count, bytes or milliseconds
+        std::int64_t most;
+        // Where the value goes: the one that fits the kind is set.
+        std::function<std::string&(Settings&)> text;
+        std::function<std::int64_t&(Settings&)> number;
+        std::function<std::chrono::milliseconds&(Settings&)> time;
+        std::function<std::vector<std::string>&(Settings&)> list;
+    };
+
+    template <typename Settings>
+    using field_table = std::vector<field<Settings>>;
+
+    template <typename Settings>
+    field<Settings> textField(const char* section, const char* key, field_kind kind, bool required, std::function<std::string&(Settings&)> where)
+    {
+        return { section, key, kind, required, 0, 0, std::move(where), {}, {}, {} };
+    }
+
+    template <typename Settings>
+    field<Settings> numberField(const char* section, const char* key, field_kind kind, std::int64_t least, std::int64_t most, std::function<std::int64_t&(Settings&)> where)
+    {
+        return { section, key, kind, false, least, most, {}, std::move(where), {}, {} };
+    }
+
+    template <typename Settings>
+    field<Settings> timeField(const char* key, std::int64_t least, std::int64_t most, std::function<std::chrono::milliseconds&(Settings&)> where, const char* section = "timing")
+    {
+        return { section, key, field_kind::Time, false, least, most, {}, {}, std::move(where), {} };
+    }
+
+    struct unit {
+        std::string_view name;
+        std::int64_t factor;
+    };
+    constexpr unit timeUnits[] = { { "ms", 1 }, { "s", msPerSecond }, { "min", msPerMinute }, { "h", msPerHour } };
+    constexpr unit sizeUnits[] = { { "B", 1 }, { "KiB", kibi }, { "MiB", mebi } };
+
+    // Reads "250ms" or "64 KiB"; empty if the number or the unit is not as stated.
+    template <std::size_t N>
+    std::optional<std::int64_t> parseQuantity(std::string_view text, const unit (&units)[N])
+    {
+        std::size_t digits = 0;
+        while (digits < text.size() && text[digits] >= '0' && text[digits] <= '9')
+            ++digits;
+        constexpr std::size_t mostDigits = 12;
+        if (digits == 0 || digits > mostDigits)
+            return std::nullopt;
+        const auto number = std::stoll(std::string(text.substr(0, digits)));
+        auto rest = text.substr(digits);
+        while (!rest.empty() && rest.front() == ' ')
+            rest.remove_prefix(1);
+        for (const auto& u : units) {
+            if (rest == u.name)
+                return number * u.factor;
+        }
+        return std::nullopt;
+    }
+
+    inline bool isAddress(const std::string& text)
+    {
+        const auto colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return false;
+        in_addr ignored {};
+        if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &ignored) != 1)
+            return false;
+        const auto port = text.substr(colon + 1);
+        constexpr std::size_t longestPort = 5;
+        constexpr int largestPort = 65535;
+        if (port.empty() || port.size() > longestPort || port.find_first_not_of("0123456789") != std::string::npos)
+            return false;
+        const int number = std::stoi(port);
+        return number > 0 && number <= largestPort;
+    }
+
+    inline bool isUrl(const std::string& text)
+    {
+        return (text.rfind("http://", 0) == 0 && text.size() > 7) || (text.rfind("https://", 0) == 0 && text.size() > 8);
+    }
+
+    inline std::string timeText(std::int64_t ms)
+    {
+        if (ms % msPerHour == 0 && ms > 0)
+            return std::to_string(ms / msPerHour) + "h";
+        if (ms % msPerSecond == 0 && ms > 0)
+            return std::to_string(ms / msPerSecond) + "s";
+        return std::to_string(ms) + "ms";
+    }
+
+    inline std::string sizeText(std::int64_t bytes)
+    {
+        return bytes % mebi == 0 ? std::to_string(bytes / mebi) + " MiB" : std::to_string(bytes / kibi) + " KiB";
+    }
+
+    // What a value of this field has to be, for messages.
+    template <typename Settings>
+    std::string expectation(const field<Settings>& f)
+    {
+        switch (f.kind) {
+        case field_kind::Text:
+            return "a text that is not empty";
+        case field_kind::Address:
+            return "a text \"IP:port\" with an IP number and a port from 1 to 65535";
+        case field_kind::Url:
+            return "a URL that starts with http:// or https://";
+        case field_kind::UrlList:
+            return "a list of one or more URLs that start with http:// or https://";
+        case field_kind::Count:
+            return "a whole number from " + std::to_string(f.least) + " to " + std::to_string(f.most);
+        case field_kind::Size:
+            return "a size with unit B, KiB or MiB from " + sizeText(f.least) + " to " + sizeText(f.most) + ", such as \"64 KiB\"";
+        case field_kind::Time:
+            return "a time with unit ms, s, min or h from " + timeText(f.least) + " to " + timeText(f.most) + ", such as \"250ms\"";
+        case field_kind::Level:
+            return "one of \"debug\", \"info\", \"warning\", \"error\"";
+        }
+        return {};
+    }
+
+    // Stores the value, or returns false if it is not what the field wants.
+    template <typename Settings>
+    bool store(const field<Settings>& f, const toml::node& node, Settings& out)
+    {
+        const auto text = node.value_exact<std::string>();
+        const auto inRange = [&f](std::int64_t n) { return n >= f.least && n <= f.most; };
+        switch (f.kind) {
+        case field_kind::Text:
+        case field_kind::Address:
+        case field_kind::Url:
+        case field_kind::Level: {
+            if (!text || text->empty())
+                return false;
+            if (f.kind == field_kind::Address && !isAddress(*text))
+                return false;
+            if (f.kind == field_kind::Url && !isUrl(*text))
+                return false;
+            if (f.kind == field_kind::Level && *text != "debug" && *text != "info" && *text != "warning" && *text != "error")
+                return false;
+            f.text(out) = *text;
+            return true;
+        }
+        case field_kind::UrlList: {
+            const auto* array = node.as_array();
+            if (array == nullptr || array->empty())
+                return false;
+            std::vector<std::string> urls;
+            for (const auto& item : *array) {
+                const auto url = item.value_exact<std::string>();
+                if (!url || !isUrl(*url))
+                    return false;
+                urls.push_back(*url);
+            }
+            f.list(out) = std::move(urls);
+            return true;
+        }
+        case field_kind::Count: {
+            const auto number = node.value_exact<std::int64_t>();
+            if (!number || !inRange(*number))
+                return false;
+            f.number(out) = *number;
+            return true;
+        }
+        case field_kind::Size: {
+            const auto bytes = text ? parseQuantity(*text, sizeUnits) : std::nullopt;
+            if (!bytes || !inRange(*bytes))
+                return false;
+            f.number(out) = *bytes;
+            return true;
+        }
+        case field_kind::Time: {
+            const auto ms = text ? parseQuantity(*text, timeUnits) : std::nullopt;
+            if (!ms || !inRange(*ms))
+                return false;
+            f.time(out) = std::chrono::milliseconds(*ms);
+            return true;
+        }
+        }
+        return false;
+    }
+
+    template <typename Settings>
+    const field<Settings>* findField(const field_table<Settings>& fields, std::string_view section, std::string_view key)
+    {
+        for (const auto& f : fields) {
+            if (f.section == section && f.key == key)
+                return &f;
+        }
+        return nullptr;
+    }
+
+    template <typename Settings>
+    bool isSection(const field_table<Settings>& fields, std::string_view name)
+    {
+        return std::any_of(fields.begin(), fields.end(), [name](const field<Settings>& f) { return f.section == name; });
+    }
+
+    inline settings_fault faultAt(const std::string& file, const toml::source_region& where, std::string message)
+    {
+        return { file, where.begin.line, where.begin.column, std::move(message) };
+    }
+
+    template <typename Settings>
+    void readSection(const field_table<Settings>& fields, const std::string& file, std::string_view section, const toml::table& table, reading_of<Settings>& out)
+    {
+        for (const auto& [key, node] : table) {
+            const std::string name = std::string(section) + "." + std::string(key.str());
+            const auto* f = findField(fields, section, key.str());
+            if (f == nullptr) {
+                out.faults.push_back(faultAt(file, key.source(), "unknown key " + name));
+                continue;
+            }
+            if (!store(*f, node, out.value))
+                out.faults.push_back(faultAt(file, node.source(), name + ": expected " + expectation(*f)));
+        }
+    }
+
+    template <typename Settings>
+    void checkRequired(const field_table<Settings>& fields, const std::string& file, const toml::table& root, reading_of<Settings>& out)
+    {
+        for (const auto& f : fields) {
+            if (!f.required)
+                continue;
+            const auto* section = root[f.section].as_table();
+            if (section != nullptr && section->contains(f.key))
+                continue;
+            const std::uint32_t line = section == nullptr ? 0 : section->source().begin.line;
+            const std::uint32_t column = section == nullptr ? 0 : section->source().begin.column;
+            out.faults.push_back({ file, line, column, "missing key " + std::string(f.section) + "." + f.key + ": expected " + expectation(f) });
+        }
+    }
+
+} // namespace detail
+
+// Reads and checks TOML text; `file` is for messages alone. `checkTogether` is
+// called with the reading once each value is right by itself.
+template <typename Settings, typename Check>
+reading_of<Settings> readByTable(const detail::field_table<Settings>& fields, std::string_view text, const std::string& file, Check checkTogether)
+{
+    reading_of<Settings> out;
+    toml::table root;
+    try {
+        root = toml::parse(text, file);
+    } catch (const toml::parse_error& e) {
+        out.faults.push_back(detail::faultAt(file, e.source(), "not TOML: " + std::string(e.description())));
+        return out;
+    }
+
+    // Step 1. Each section and key is known and its value fits.
+    for (const auto& [name, node] : root) {
+        if (!detail::isSection(fields, name.str())) {
+            out.faults.push_back(detail::faultAt(file, name.source(), "unknown section " + std::string(name.str())));
+            continue;
+        }
+        if (!node.is_table()) {
+            out.faults.push_back(detail::faultAt(file, node.source(), std::string(name.str()) + ": expected a table"));
+            continue;
+        }
+        detail::readSection(fields, file, name.str(), *node.as_table(), out);
+    }
+
+    // Step 2. Nothing that is required is missing.
+    detail::checkRequired(fields, file, root, out);
+
+    // Step 3. The values fit each other, once each is right by itself.
+    if (out.faults.empty())
+        checkTogether(file, out);
+
+    std::stable_sort(out.faults.begin(), out.faults.end(), [](const settings_fault& a, const settings_fault& b) {
+        return std::pair(a.line, a.column) < std::pair(b.line, b.column);
+    });
+    return out;
+}
+
+} // namespace lovagerail
--- a/tests/test_order_thread.cpp
+++ b/tests/test_order_thread.cpp
@@ -2,7 +2,7 @@
 // check and its send sends nothing after the end of its right; the order thread
 // tells apart what was sent, cut off and never begun.
 #include "http/server.h"
-#include "platform/order_thread.h"
+#include "provider/order_thread.h"
 #include "property.h"
 
 #include <atomic>
@@ -114,9 +114,9 @@
         }
     };
 
-    platform::order_reply sendOne(platform::order_thread& orders, wakeup& owner, const std::string& address, duration right)
+    provider::order_reply sendOne(provider::order_thread& orders, wakeup& owner, const std::string& address, duration right)
     {
-        platform::order_reply reply;
+        provider::order_reply reply;
         BOOST_REQUIRE(orders.send({ 7, "http://" + address + "/orders", "{}", clockNow() + right }));
         for (int i = 0; i < 400 && !orders.tryPop(reply); ++i)
             owner.wait(10ms);
@@ -165,7 +165,7 @@
     fake_platform platform;
     BOOST_REQUIRE(platform.server);
     wakeup owner;
-    platform::order_thread orders(4, owner);
+    provider::order_thread orders(4, owner);
 
     const auto done = sendOne(orders, owner, platform.address, 5s);
     BOOST_TEST((done.answer.outcome == http::transfer_result::Whole && done.answer.status == 200 && !done.cutOff));
