--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	libeasyloggingpp-dev libexpected-dev prometheus-cpp-dev libtomlplusplus-dev libboost-test-dev \
 	libboost-dev librapidcheck-dev libxxhash-dev libssl-dev ccache cmake ninja-build g++ pkg-config \
 	libmsgpack-cxx-dev openssl iproute2 python3 clang-format clang-tidy
-SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'standins/*.h' 'standins/*.cpp' \
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' 'standins/*.h' 'standins/*.cpp' \
 	'bench/*.h' 'bench/*.cpp' 'tests/*.h' 'tests/*.cpp')
 
 # Tests that are known to be red, by the lines "test: NAME" of KNOWN-RED.txt, are passed over and printed.
--- /dev/null
+++ b/src/batch.cpp
@@ -0,0 +1,92 @@
+// Keys and records of batches in the store.
+#include "batch.h"
+
+#include "json_text.h"
+
+#include <cstdio>
+
+namespace lovagerail {
+
+std::string headKey(const batch_id& id) { return std::string(headPrefix) + id.str(); }
+
+std::string submissionKey(const batch_id& id) { return "batch/body/" + id.str(); }
+
+std::string pagesPrefix(const batch_id& id) { return "batch/page/" + id.str() + "/"; }
+
+std::string pageKey(const batch_id& id, std::uint32_t page)
+{
+    // Fixed width, so that the order of keys is the order of pages.
+    char number[12];
+    std::snprintf(number, sizeof number, "%06u", page);
+    return pagesPrefix(id) + number;
+}
+
+std::string encodeHead(const batch_head& head)
+{
+    Json::Value out(Json::objectValue);
+    out["owner"] = head.owner.str();
+    out["life"] = Json::UInt64(head.ownerLife.value());
+    out["host"] = head.host;
+    out["path"] = head.path;
+    out["account"] = head.account.str();
+    out["submitted"] = Json::Int64(head.submitted.time_since_epoch().count());
+    out["items"] = head.items;
+    out["ended"] = head.ended;
+    return writeJson(out);
+}
+
+std::optional<batch_head> decodeHead(const batch_id& id, std::string_view text)
+{
+    const auto value = parseJson(text);
+    if (!value || !value->isObject())
+        return std::nullopt;
+    batch_head out;
+    out.id = id;
+    out.owner = instance_id(jsonText(*value, "owner"));
+    out.ownerLife = incarnation(jsonCount(*value, "life"));
+    out.host = jsonText(*value, "host");
+    out.path = jsonText(*value, "path");
+    out.account = client_account_id(jsonText(*value, "account"));
+    out.submitted = wall_time(std::chrono::milliseconds(static_cast<std::int64_t>(jsonCount(*value, "submitted"))));
+    out.items = static_cast<std::uint32_t>(jsonCount(*value, "items"));
+    out.ended = jsonFlag(*value, "ended");
+    return out;
+}
+
+std::string encodeBatchPage(const std::vector<batch_result>& results)
+{
+    Json::Value out(Json::arrayValue);
+    for (const auto& result : results) {
+        Json::Value row(Json::objectValue);
+        row["item"] = result.item.str();
+        row["completed"] = result.completed;
+        row["text"] = result.text;
+        row["score"] = result.score;
+        row["versions"] = Json::Value(Json::arrayValue);
+        for (const auto version : result.versions)
+            row["versions"].append(Json::UInt64(version.value()));
+        out.append(std::move(row));
+    }
+    return writeJson(out);
+}
+
+std::optional<std::vector<batch_result>> decodeBatchPage(std::string_view text)
+{
+    const auto value = parseJson(text);
+    if (!value || !value->isArray())
+        return std::nullopt;
+    std::vector<batch_result> out;
+    for (const auto& row : *value) {
+        batch_result result;
+        result.item = item_id(jsonText(row, "item"));
+        result.completed = jsonFlag(row, "completed");
+        result.text = jsonText(row, "text");
+        result.score = jsonText(row, "score");
+        for (const auto& version : jsonList(row, "versions"))
+            result.versions.emplace_back(version.isUInt64() ? version.asUInt64() : 0);
+        out.push_back(std::move(result));
+    }
+    return out;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/batch_board.h
@@ -0,0 +1,240 @@
+// Runs the items of the batches that this instance owns and lists their results.
+//
+// A pure state machine: submissions, events of streams, answers of judges and of the
+// store go in; sends, judge calls and pages to be written come out. A result has a
+// position once the page that holds it stands in the store, and only then is it shown,
+// so that positions agree for ever whichever instance answers.
+//
+// Items run in whole groups, those of longest expected work first, as a step earns by
+// groups and ends with its slowest. Nothing looks at how a sample turns out. A stream
+// that breaks off goes on elsewhere behind its last whole event. Versions are taken
+// from the targets' own words alone.
+#pragma once
+
+#include "batch.h"
+#include "router.h"
+#include "types.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lovagerail {
+
+struct batch_event {
+    std::uint64_t id = 0;
+    std::string data;
+    std::optional<weight_version> version; // changed with this event
+};
+
+struct item_head {
+    int status = 0;
+    bool echoes = true; // it names this item, or nothing
+    bool notRun = false;
+    std::optional<weight_version> version;
+};
+
+// --- Actions -----------------------------------------------------------------
+
+struct run_item {
+    attempt_id attempt;
+    batch_id batch;
+    std::size_t index = 0; // of the item in its batch
+    route_choice choice;
+    duration deadline {};
+    std::optional<std::uint64_t> lastEventId;
+    std::optional<weight_version> expectVersion;
+};
+struct cancel_run {
+    attempt_id attempt;
+};
+struct judge_item {
+    batch_id batch;
+    std::size_t index = 0;
+};
+// One page of results, in the order of their positions; answered by pageWritten().
+struct write_page {
+    batch_id batch;
+    std::uint32_t page = 0;
+    std::vector<batch_result> results;
+};
+using board_action = std::variant<run_item, cancel_run, judge_item, write_page>;
+
+enum class judge_outcome {
+    Scored,
+    GivenUp, // it failed as often as its route allows
+    NotNow, // no verdict: ask again
+};
+
+struct board_settings {
+    duration firstEvent = std::chrono::milliseconds(2500); // a run without any event for so long goes elsewhere
+    duration eventGap = std::chrono::milliseconds(1200); // the same between events
+    duration refusedPause = std::chrono::milliseconds(40); // before an item that a target refused is sent again
+    duration avoidBusy = std::chrono::milliseconds(250); // a target that refused is not asked by this item for so long
+    duration avoidWrong = std::chrono::milliseconds(1500); // the same after a broken run or a wrong version: its list entry lags
+    duration judgePause = std::chrono::milliseconds(250); // before a judge is asked again
+    duration gather = std::chrono::milliseconds(50); // whole groups wait so long for others to share their page
+    duration longestUnlisted = std::chrono::seconds(2); // a result is listed after so long without its group
+    duration carried = std::chrono::seconds(60); // unfinished texts of ended batches are kept for so long
+    std::size_t mostCarried = 4096; // items
+    std::size_t pageBytes = 500'000; // of text in one page; the store's values hold a megabyte
+    std::uint32_t slotsUnknown = 8; // requests at a replica that doesn't state its slots
+};
+
+struct board_counts {
+    std::uint64_t runs = 0;
+    std::uint64_t resumed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t broken = 0;
+    std::uint64_t stalled = 0;
+    std::uint64_t wrongVersion = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t abandoned = 0;
+    std::uint64_t reused = 0; // texts carried over from an earlier batch
+};
+
+// Text of an unfinished item; it outlives its batch for a while.
+struct made_text {
+    std::vector<std::string> data; // of events, in order
+    std::uint64_t lastEvent = 0; // id of the last one
+    std::vector<weight_version> versions;
+};
+using made_texts = std::map<item_id, made_text>;
+
+class batch_board {
+public:
+    batch_board(board_settings settings, router& targets);
+
+    // --- Batches. A known one is left as it is.
+    // `listed` are the results that stand in the store, in order.
+    void add(batch_spec spec, const site_route& route, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall);
+    // Runs no more of it; what is listed stays readable.
+    std::vector<board_action> end(const batch_id& id, instant now);
+    // Somebody else owns it now, or its time is over.
+    std::vector<board_action> drop(const batch_id& id, instant now);
+    // For a batch that goes to another instance: stops its runs and returns what was
+    // made of items that are not listed. The batch must not be written any more.
+    made_texts release(const batch_id& id, std::vector<board_action>& actions, instant now);
+    // Texts from elsewhere, taken up by the next add() of a batch with these items.
+    void carry(made_texts texts, instant now);
+
+    bool has(const batch_id& id) const { return m_batches.contains(id); }
+    bool ended(const batch_id& id) const;
+    const batch_spec* spec(const batch_id& id) const;
+    // Results at positions that stand in the store.
+    const std::vector<batch_result>& listed(const batch_id& id) const;
+    bool writing(const batch_id& id) const;
+    std::uint32_t pages(const batch_id& id) const;
+    const batch_item* unlistedItem(const batch_id& id, const item_id& item) const;
+    std::vector<batch_id> all() const;
+    std::size_t openRuns() const { return m_runs.size(); }
+
+    // --- Runs.
+    std::vector<board_action> head(attempt_id attempt, const item_head& head, instant now);
+    std::vector<board_action> events(attempt_id attempt, const std::vector<batch_event>& events, instant now);
+    std::vector<board_action> done(attempt_id attempt, bool whole, bool sent, instant now);
+    bool runs(attempt_id attempt) const { return m_runs.contains(attempt); }
+
+    // --- Judges and the store.
+    std::vector<board_action> judged(const batch_id& batch, std::size_t index, judge_outcome outcome, const std::string& score, instant now);
+    // Unsure or refused writes are repeated as they are.
+    std::vector<board_action> pageWritten(const batch_id& batch, std::uint32_t page, bool written, instant now);
+
+    // Sends what fits, ends what is silent, writes pages that are due.
+    std::vector<board_action> tick(instant now);
+
+    const board_counts& counts() const { return m_counts; }
+
+private:
+    enum class phase {
+        Waiting, // for a target
+        Running,
+        ToJudge,
+        Judging,
+        Finished, // has its result, not yet in a page
+        Writing, // in the page under way
+        Listed,
+    };
+    struct item_state {
+        phase at = phase::Waiting;
+        made_text made;
+        std::optional<attempt_id> attempt; // while Running
+        std::uint32_t failures = 0; // answers of 500
+        instant notBefore {}; // Waiting, ToJudge: next try
+        std::map<target_id, instant> avoid; // until then
+        batch_result result; // from Finished on
+        instant finishedAt {};
+    };
+    struct batch_state {
+        batch_spec spec;
+        site_route route;
+        routing_class_id targets;
+        instant due {};
+        instant itemsEnd {}; // items may be given up
+        std::vector<item_state> items; // same indexes as spec.items
+        std::vector<std::size_t> order; // of sending
+        std::map<std::string, std::vector<std::size_t>> groups;
+        std::vector<batch_result> listed;
+        std::uint32_t pages = 0; // written, or under way
+        bool writing = false; // a page is under way
+        std::vector<std::size_t> inPage; // its items, in order
+        std::optional<instant> pageDue; // a whole group waits for its page
+        instant writeAgain {}; // not before
+        bool ended = false;
+    };
+    struct open_run {
+        batch_id batch;
+        std::size_t index = 0;
+        target_id target;
+        weight_version version; // of the events that come now; 0 = not said yet
+        bool accepted = false; // the head was good
+        item_head head;
+        bool headSeen = false;
+        instant sentAt {};
+        instant lastHeard {};
+    };
+
+    batch_state* find(const batch_id& id);
+    const batch_state* find(const batch_id& id) const;
+    void defineTargets(const batch_state& batch);
+    void dropTargets(const routing_class_id& name);
+    void arrange(batch_state& batch) const;
+    void takeCarried(batch_state& batch);
+    void keepCarried(const batch_state& batch, instant now);
+    std::vector<target_id> fullTargets(const batch_state& batch, instant now) const;
+    void dispatch(batch_state& batch, instant now);
+    bool send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now);
+    void endRun(attempt_id attempt, attempt_outcome outcome, instant now);
+    void wait(item_state& item, duration pause, instant now);
+    void finishText(batch_state& batch, std::size_t index, instant now);
+    void finishItem(batch_state& batch, std::size_t index, bool completed, std::string score, instant now);
+    void stopRuns(const batch_id& id, instant now);
+    void writeDue(batch_state& batch, instant now);
+    void endSilentRuns(instant now);
+    std::vector<board_action> take() { return std::exchange(m_actions, {}); }
+
+    board_settings m_settings;
+    router& m_router;
+    std::uint64_t m_lastAttempt;
+    std::map<batch_id, batch_state> m_batches;
+    std::map<attempt_id, open_run> m_runs; // exactly the items that are Running
+    struct carried_text {
+        made_text made;
+        instant until {};
+    };
+    std::map<item_id, carried_text> m_carried;
+    board_counts m_counts;
+    std::vector<board_action> m_actions;
+};
+
+// Ids of runs begin here, so that they differ from those of other attempts that share
+// a router.
+constexpr std::uint64_t firstRunNumber = std::uint64_t { 1 } << 40U;
+
+// Hashes of a prompt's shared parts, a block for each `prefixBlockTokens` tokens.
+std::vector<block_hash> hashParts(const model_id& model, const std::vector<prompt_part>& parts);
+
+} // namespace lovagerail
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // lovageraild: one daemon, all alike, on every entry instance.
 #include "daemon/clock.h"
 #include "daemon/control_thread.h"
+#include "edge/entry.h"
 #include "instance/proof.h"
 #include "log.h"
 #include "settings.h"
@@ -24,11 +25,15 @@
 
 Usage:
   lovageraild --config FILE [--check]
+  lovageraild (entry | witness) [--config FILE] [--check]
   lovageraild (-h | --help)
   lovageraild --version
 
+  entry          Run as an entry instance on the users' platform.
+  witness        Run on one of its machines with a disk.
+
 Options:
-  --config FILE  Settings in TOML.
+  --config FILE  Settings in TOML; entry and witness take $LOVAGERAIL_CONFIG without it.
   --check        Check the settings and end: exit code 0 if they are right, 2 if not.
   -h --help      Show this text.
   --version      Show the version.
@@ -139,17 +144,44 @@
 
 } // namespace
 
+namespace {
+
+// Prints all faults of a settings file; true if there are none.
+bool report(const std::vector<settings_fault>& faults)
+{
+    for (const auto& fault : faults)
+        std::fprintf(stderr, "%s\n", toString(fault).c_str());
+    return faults.empty();
+}
+
+int checked()
+{
+    std::printf("settings are right\n");
+    return exitOk;
+}
+
+int runOnPlatform(const std::map<std::string, docopt::value>& given)
+{
+    const char* named = std::getenv("LOVAGERAIL_CONFIG");
+    const std::string file = given.at("--config") ? given.at("--config").asString() : named == nullptr ? ""
+                                                                                                       : named;
+    const auto reading = edge::readEntrySettingsFile(file);
+    if (!report(reading.faults))
+        return exitBadSettings;
+    if (given.at("--check").asBool())
+        return checked();
+    return given.at("entry").asBool() ? edge::serveEntry(reading.value, file) : edge::serveWitness(reading.value);
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     const auto given = docopt::docopt(usageText, { argv + 1, argv + argc }, true, std::string("lovageraild ") + versionText);
+    if (given.at("entry").asBool() || given.at("witness").asBool())
+        return runOnPlatform(given);
     const auto reading = readSettingsFile(given.at("--config").asString());
-    for (const auto& fault : reading.faults)
-        std::fprintf(stderr, "%s\n", toString(fault).c_str());
-    if (!reading.faults.empty())
+    if (!report(reading.faults))
         return exitBadSettings;
-    if (given.at("--check").asBool()) {
-        std::printf("settings are right\n");
-        return exitOk;
-    }
-    return serve(reading.value);
+    return given.at("--check").asBool() ? checked() : serve(reading.value);
 }
--- /dev/null
+++ b/src/edge/batches.cpp
@@ -0,0 +1,497 @@
+// Submitting batches, and who owns them.
+#include "edge/batches.h"
+
+#include "json_text.h"
+#include "log.h"
+#include "rendezvous.h"
+
+#include <algorithm>
+
+namespace lovagerail::edge {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusAccepted = 202;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusConflict = 409;
+    constexpr int statusServerError = 500;
+    constexpr int statusUnavailable = 503;
+    constexpr duration submitRetry = std::chrono::milliseconds(150); // before an unsure write is repeated
+    constexpr duration submitPatience = std::chrono::seconds(3); // an unsure write is repeated for so long
+    constexpr std::chrono::milliseconds storeRetryAfter { 400 }; // told to a trainer while the store is away
+    // A member whose lease lapsed in an outage of the store is back within this time of
+    // its end; its batches are left alone until then.
+    constexpr duration orphanGrace = std::chrono::milliseconds(1500);
+    constexpr duration scanRetry = std::chrono::milliseconds(500);
+    constexpr duration expiryPeriod = std::chrono::seconds(5);
+    constexpr std::chrono::milliseconds expiryMargin { 5000 }; // beyond the time that results are kept
+    constexpr std::chrono::milliseconds peerTimeout { 2500 };
+
+    Json::Value textsJson(const made_texts& texts)
+    {
+        Json::Value out(Json::objectValue);
+        for (const auto& [item, made] : texts) {
+            Json::Value row(Json::objectValue);
+            row["last"] = Json::UInt64(made.lastEvent);
+            row["data"] = Json::Value(Json::arrayValue);
+            for (const auto& line : made.data)
+                row["data"].append(line);
+            row["versions"] = Json::Value(Json::arrayValue);
+            for (const auto version : made.versions)
+                row["versions"].append(Json::UInt64(version.value()));
+            out[item.str()] = std::move(row);
+        }
+        return out;
+    }
+
+    made_texts textsFromJson(const Json::Value& value)
+    {
+        made_texts out;
+        if (!value.isObject())
+            return out;
+        for (const auto& name : value.getMemberNames()) {
+            made_text made;
+            made.lastEvent = jsonCount(value[name], "last");
+            for (const auto& line : jsonList(value[name], "data"))
+                made.data.push_back(line.isString() ? line.asString() : std::string());
+            for (const auto& version : jsonList(value[name], "versions"))
+                made.versions.emplace_back(version.isUInt64() ? version.asUInt64() : 0);
+            out[item_id(name)] = std::move(made);
+        }
+        return out;
+    }
+
+} // namespace
+
+batches::batches(context& shared, members& group, front& calls)
+    : m_context(shared)
+    , m_members(group)
+    , m_front(calls)
+    , m_board({}, shared.targets)
+{
+}
+
+std::size_t batches::open() const
+{
+    return static_cast<std::size_t>(std::count_if(m_owned.begin(), m_owned.end(), [](const auto& entry) { return !entry.second.head.ended; }));
+}
+
+void batches::respond(const http::exchange_ptr& exchange, int status, std::string body) const
+{
+    http::header_list headers;
+    if (!body.empty())
+        headers.emplace_back("Content-Type", "application/json");
+    if (m_context.stopping)
+        headers.emplace_back("Connection", "close");
+    exchange->answer(status, std::move(headers), std::move(body));
+}
+
+// --- Submitting --------------------------------------------------------------
+
+void batches::onSubmit(const http::exchange_ptr& exchange, batch_head head)
+{
+    // Step 1. Known here already, or under way.
+    if (const auto known = m_owned.find(head.id); known != m_owned.end()) {
+        respond(exchange, known->second.head.account == head.account ? statusAccepted : statusConflict, "");
+        return;
+    }
+    if (const auto under = m_submits.find(head.id); under != m_submits.end()) {
+        under->second.waiters.push_back(exchange);
+        return;
+    }
+    if (m_stopping && !m_members.others().empty()) {
+        passSubmit(exchange, head);
+        return;
+    }
+
+    // Step 2. What is not well formed is never accepted.
+    head.owner = instance_id(m_context.values.instance.name);
+    head.ownerLife = m_context.life;
+    head.submitted = m_context.wall;
+    const auto spec = platform::decodeSubmission(head, exchange->body);
+    if (!spec) {
+        logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", toString(spec.error()) } });
+        respond(exchange, statusBadRequest, "");
+        return;
+    }
+    head.items = static_cast<std::uint32_t>(spec->items.size());
+
+    // Step 3. It counts once its head and its body stand in the store.
+    auto& submit = m_submits[head.id];
+    submit.head = head;
+    submit.body = exchange->body;
+    submit.waiters.push_back(exchange);
+    submit.giveUp = m_context.now + submitPatience;
+    writeSubmit(head.id);
+}
+
+void batches::writeSubmit(const batch_id& id)
+{
+    auto& submit = m_submits.at(id);
+    submit.busy = true;
+    kv_transaction change;
+    change.compares.push_back({ headKey(id), kv_field::ModRevision, {}, {} });
+    change.then.emplace_back(kv_put { headKey(id), encodeHead(submit.head), {} });
+    change.then.emplace_back(kv_put { submissionKey(id), submit.body, {} });
+    m_context.store.call("batch accept", std::move(change), [this, id](const result<kv_answer>& answer) { onSubmitWritten(id, answer); });
+}
+
+void batches::onSubmitWritten(const batch_id& id, const result<kv_answer>& answer)
+{
+    const auto found = m_submits.find(id);
+    if (found == m_submits.end())
+        return;
+    auto& submit = found->second;
+    submit.busy = false;
+
+    if (answer && answer->succeeded) {
+        // Step 1. It is ours.
+        own(submit.head, answer->at, submit.body, {}, 0);
+        finishSubmit(id, statusAccepted);
+    } else if (answer) {
+        // Step 2. It stands there already: by an earlier try of ours, or of another daemon.
+        const auto* entry = answer->entries.empty() ? nullptr : &answer->entries.front();
+        const auto head = entry == nullptr ? std::nullopt : decodeHead(id, entry->value);
+        if (!head) {
+            finishSubmit(id, statusUnavailable);
+            return;
+        }
+        const bool ours = head->owner == submit.head.owner && head->ownerLife == submit.head.ownerLife;
+        if (ours && !head->ended)
+            own(*head, entry->modRevision, submit.body, {}, 0);
+        else
+            m_foreign[id] = { *head, entry->modRevision };
+        finishSubmit(id, head->account == submit.head.account ? statusAccepted : statusConflict);
+    } else if (answer.error().code == error_code::Unknown || submit.unsure) {
+        // Step 3. It may stand there. The same create-only write tells.
+        submit.unsure = true;
+        submit.again = m_context.now + submitRetry;
+    } else {
+        // Step 4. Surely not written.
+        logEvent(log_level::Warning, "batch", "not_accepted", { { "batch", id.str() }, { "error", toString(answer.error()) } });
+        finishSubmit(id, statusUnavailable);
+    }
+}
+
+void batches::finishSubmit(const batch_id& id, int status)
+{
+    auto submit = std::move(m_submits.at(id));
+    m_submits.erase(id);
+    logEvent(log_level::Info, "batch", "submitted", { { "batch", id.str() }, { "status", std::to_string(status) }, { "account", submit.head.account.str() } });
+    for (const auto& waiter : submit.waiters) {
+        if (status == statusUnavailable)
+            waiter->answer(status, platform::refusalHeaders({}, storeRetryAfter), "");
+        else
+            respond(waiter, status, "");
+    }
+}
+
+// The board runs it from here on. False if it can't be read or its route is gone.
+bool batches::own(const batch_head& head, revision fence, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages)
+{
+    auto spec = platform::decodeSubmission(head, body);
+    const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
+    if (!spec || route == nullptr || route->kind != route_kind::Batch) {
+        logEvent(log_level::Warning, "batch", "not_run", { { "batch", head.id.str() }, { "reason", spec ? "its route is gone" : toString(spec.error()) } });
+        return false;
+    }
+    logEvent(log_level::Info, "batch", "owned",
+        { { "batch", head.id.str() }, { "step", std::to_string(spec->step) }, { "model", spec->model.str() }, { "least", std::to_string(spec->leastVersion.value()) },
+            { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(fence.value()) } });
+    m_owned[head.id] = { head, fence, false, {}, {}, {}, false };
+    m_foreign.erase(head.id);
+    m_board.add(std::move(*spec), *route, std::move(listed), pages, m_context.now, m_context.wall);
+    return true;
+}
+
+// While we stop, another instance takes submissions that still reach us.
+void batches::passSubmit(const http::exchange_ptr& exchange, const batch_head& head)
+{
+    const auto others = m_members.others();
+    http::request onward;
+    onward.method = "POST";
+    onward.url = "http://" + others[head.id.str().size() % others.size()].address + "/submit";
+    onward.headers = { { "x-batch", head.id.str() }, { "x-host", head.host }, { "x-path", head.path }, { "x-account", head.account.str() } };
+    onward.body = exchange->body;
+    onward.totalTimeout = peerTimeout;
+    m_context.net.call(std::move(onward), [this, exchange](const http::answer& answer) {
+        if (answer.outcome == http::transfer_result::Whole)
+            respond(exchange, answer.status, "");
+        else
+            respond(exchange, answer.outcome == http::transfer_result::NotSent ? statusUnavailable : statusServerError, "");
+    });
+}
+
+bool batches::onPeer(const http::exchange_ptr& exchange)
+{
+    const auto header = [&exchange](std::string_view name) { return std::string(http::findHeader(exchange->headers, name)); };
+    if (exchange->path == "/submit") {
+        batch_head head;
+        head.id = batch_id(header("x-batch"));
+        head.host = header("x-host");
+        head.path = header("x-path");
+        head.account = client_account_id(header("x-account"));
+        onSubmit(exchange, std::move(head));
+        return true;
+    }
+    if (exchange->path == "/handover") {
+        const auto value = parseJson(exchange->body);
+        const batch_id id(value ? jsonText(*value, "batch") : std::string());
+        if (id.empty() || m_stopping) {
+            respond(exchange, statusUnavailable, "");
+            return true;
+        }
+        m_board.carry(textsFromJson((*value)["texts"]), m_context.now);
+        readHead(id, exchange, [this, exchange](const batch_head& head, revision fence) {
+            adopt(head, fence, [this, exchange](bool adopted) { respond(exchange, adopted ? statusOk : statusConflict, ""); });
+        });
+        return true;
+    }
+    if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query)) {
+        const auto known = m_owned.find(call->id);
+        if (known == m_owned.end() || known->second.head.account.str() != header("x-account")) {
+            respond(exchange, statusConflict, "");
+            return true;
+        }
+        answerOwned(exchange, *call, std::chrono::milliseconds(std::strtoll(header("x-wait").c_str(), nullptr, 10)));
+        return true;
+    }
+    return false;
+}
+
+// --- Ownership ---------------------------------------------------------------
+
+bool batches::isAlive(const batch_head& head) const
+{
+    if (head.owner.str() == m_context.values.instance.name)
+        return head.ownerLife == m_context.life;
+    const auto* one = m_members.find(head.owner);
+    return one != nullptr && one->life == head.ownerLife;
+}
+
+// Reads all heads: once after a start, and when a member whose batches fall to us went.
+void batches::scanHeads()
+{
+    m_scanning = true;
+    m_context.store.call("batch scan", readPrefix(std::string(headPrefix)), [this](const result<kv_answer>& answer) {
+        m_scanning = false;
+        if (!answer) {
+            m_scanAgain = m_context.now + scanRetry;
+            return;
+        }
+        m_scannedOnce = true;
+        for (const auto& entry : answer->entries) {
+            const auto head = decodeHead(batch_id(entry.key.substr(headPrefix.size())), entry.value);
+            if (head)
+                considerOrphan(*head, entry.modRevision);
+        }
+    });
+}
+
+void batches::considerOrphan(const batch_head& head, revision fence)
+{
+    if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_context.wall > head.submitted + m_context.values.bounds.resultsKept)
+        return;
+    m_orphans[head.id] = { head, fence };
+    m_orphanSince.try_emplace(head.id, m_context.now);
+}
+
+// Takes a batch over: reads what stands in the store, then writes the head anew under
+// the revision that was read, which shuts out the owner before us.
+void batches::adopt(batch_head head, revision fence, std::function<void(bool)> onDone)
+{
+    if (!m_adopting.insert(head.id).second) {
+        onDone(false);
+        return;
+    }
+    const auto finish = [this, id = head.id, onDone](bool adopted) {
+        m_adopting.erase(id);
+        onDone(adopted);
+    };
+    m_context.store.call("batch adopt", readKey(submissionKey(head.id)), [this, head, fence, finish](const result<kv_answer>& body) {
+        if (!body || body->entries.empty()) {
+            finish(false);
+            return;
+        }
+        auto next = head;
+        next.owner = instance_id(m_context.values.instance.name);
+        next.ownerLife = m_context.life;
+        kv_transaction change;
+        change.compares.push_back({ headKey(head.id), kv_field::ModRevision, fence, {} });
+        change.then.emplace_back(kv_put { headKey(head.id), encodeHead(next), {} });
+        m_context.store.call("batch adopt", std::move(change), [this, next, finish, text = body->entries.front().value](const result<kv_answer>& written) {
+            if (!written || !written->succeeded) {
+                finish(false);
+                return;
+            }
+            // Pages are read after the take-over: none can come any more.
+            m_context.store.call("batch adopt", readPrefix(pagesPrefix(next.id)),
+                [this, next, finish, text, at = written->at](const result<kv_answer>& pages) {
+                    if (!pages || pages->more) {
+                        // Ours in the store, but not known: the next scan finds it.
+                        finish(false);
+                        return;
+                    }
+                    std::vector<batch_result> listed;
+                    for (const auto& entry : pages->entries) {
+                        for (auto& one : decodeBatchPage(entry.value).value_or(std::vector<batch_result>()))
+                            listed.push_back(std::move(one));
+                    }
+                    finish(own(next, at, text, std::move(listed), static_cast<std::uint32_t>(pages->entries.size())));
+                });
+        });
+    });
+}
+
+void batches::lose(const batch_id& id, const char* why)
+{
+    logEvent(log_level::Warning, "batch", "lost", { { "batch", id.str() }, { "reason", why } });
+    const auto found = m_owned.find(id);
+    if (found == m_owned.end())
+        return;
+    for (const auto& waiter : found->second.endWaiters)
+        respond(waiter, statusUnavailable, "");
+    m_owned.erase(found);
+    act(m_board.drop(id, m_context.now));
+}
+
+// Gives a batch to another member, with the texts made so far.
+void batches::handOver(const batch_id& id)
+{
+    auto& owned = m_owned.at(id);
+    std::vector<instance_id> names;
+    for (const auto& one : m_members.others())
+        names.push_back(one.name);
+    const auto* to = rendezvousFirst(id.str(), names);
+    if (to == nullptr)
+        return;
+    owned.handingOver = true;
+    const auto address = m_members.find(*to)->address;
+    std::vector<board_action> actions;
+    Json::Value body(Json::objectValue);
+    body["batch"] = id.str();
+    body["texts"] = textsJson(m_board.release(id, actions, m_context.now));
+    const auto head = owned.head;
+    for (const auto& waiter : owned.endWaiters)
+        respond(waiter, statusUnavailable, "");
+    m_owned.erase(id);
+    act(std::move(actions));
+    http::request request;
+    request.method = "POST";
+    request.url = "http://" + address + "/handover";
+    request.body = writeJson(body);
+    request.totalTimeout = peerTimeout;
+    m_context.net.call(std::move(request), [id, name = *to](const http::answer& answer) {
+        // If it fails, the batch is taken over once our lease has ended.
+        logEvent(log_level::Info, "batch", "handed_over", { { "batch", id.str() }, { "to", name.str() }, { "status", std::to_string(answer.status) } });
+    });
+}
+
+void batches::beginStop() { m_stopping = true; }
+
+bool batches::handedOver() const { return open() == 0 && m_submits.empty(); }
+
+// Forgets batches whose results need not be kept any more, here and in the store.
+void batches::expire()
+{
+    m_nextExpiry = m_context.now + expiryPeriod;
+    std::vector<batch_id> old;
+    for (const auto& [id, one] : m_owned) {
+        if (m_context.wall > one.head.submitted + m_context.values.bounds.resultsKept + expiryMargin)
+            old.push_back(id);
+    }
+    for (const auto& id : old) {
+        kv_transaction change;
+        change.compares.push_back({ headKey(id), kv_field::ModRevision, m_owned.at(id).fence, {} });
+        change.then.emplace_back(kv_delete { headKey(id), {} });
+        change.then.emplace_back(kv_delete { submissionKey(id), {} });
+        constexpr std::uint32_t mostPagesInChange = 28; // a transaction takes 32 entries
+        for (std::uint32_t page = 0; page < std::min(m_board.pages(id), mostPagesInChange); ++page)
+            change.then.emplace_back(kv_delete { pageKey(id, page), {} });
+        m_context.store.call("batch expire", std::move(change), [id](const result<kv_answer>& answer) {
+            if (!answer)
+                logEvent(log_level::Warning, "batch", "expire", { { "batch", id.str() }, { "error", toString(answer.error()) } });
+        });
+        m_owned.erase(id);
+        act(m_board.drop(id, m_context.now));
+    }
+    std::erase_if(m_foreign, [this](const auto& entry) { return m_context.wall > entry.second.head.submitted + m_context.values.bounds.resultsKept + expiryMargin; });
+}
+
+void batches::tick()
+{
+    // Step 1. Unsure submissions.
+    std::vector<batch_id> unsure;
+    for (const auto& [id, submit] : m_submits) {
+        if (!submit.busy && m_context.now >= submit.again)
+            unsure.push_back(id);
+    }
+    for (const auto& id : unsure) {
+        if (m_context.now >= m_submits.at(id).giveUp)
+            finishSubmit(id, statusServerError); // promises nothing
+        else
+            writeSubmit(id);
+    }
+
+    // Step 2. Batches whose owner is gone.
+    const bool ready = m_members.known() && m_members.joined() && m_context.site && !m_stopping;
+    if (ready && !m_scannedOnce && !m_scanning && m_context.now >= m_scanAgain)
+        scanHeads();
+    for (const auto& name : ready ? m_members.takeLost() : std::vector<instance_id>()) {
+        // One member looks after all batches of the one that went.
+        const auto names = m_members.names();
+        if (rendezvousFirst(name.str(), names)->str() == m_context.values.instance.name)
+            m_scannedOnce = false;
+    }
+    std::vector<batch_id> adoptable;
+    for (const auto& [id, orphan] : m_orphans) {
+        // The restarted owner takes its own at once; others wait and agree by hashing.
+        const bool mine = orphan.head.owner.str() == m_context.values.instance.name;
+        if (!mine && m_context.now - m_orphanSince.at(id) < orphanGrace)
+            continue;
+        adoptable.push_back(id);
+    }
+    for (const auto& id : adoptable) {
+        if (!ready)
+            break;
+        const auto orphan = m_orphans.at(id);
+        m_orphans.erase(id);
+        m_orphanSince.erase(id);
+        if (isAlive(orphan.head) || m_owned.contains(id))
+            continue;
+        const bool mine = orphan.head.owner.str() == m_context.values.instance.name;
+        const bool ownerBack = !mine && m_members.find(orphan.head.owner) != nullptr;
+        const auto names = m_members.names();
+        const auto* chosen = rendezvousFirst(orphan.head.owner.str(), names);
+        if (ownerBack || (!mine && chosen->str() != m_context.values.instance.name))
+            continue;
+        adopt(orphan.head, orphan.fence, [this, id](bool adopted) {
+            if (!adopted)
+                m_scannedOnce = false; // look again
+            logEvent(log_level::Info, "batch", "adopted", { { "batch", id.str() }, { "done", adopted ? "1" : "0" } });
+        });
+    }
+
+    // Step 3. Runs, pages, ends, reads.
+    act(m_board.tick(m_context.now));
+    std::vector<batch_id> ending;
+    std::vector<batch_id> leaving;
+    for (const auto& [id, one] : m_owned) {
+        if (!one.endWaiters.empty() && !one.ending && m_context.now >= one.endAgain && !m_board.writing(id))
+            ending.push_back(id);
+        if (m_stopping && !one.head.ended && !one.ending && !m_board.writing(id))
+            leaving.push_back(id);
+    }
+    for (const auto& id : ending)
+        writeEnd(id);
+    for (const auto& id : leaving) {
+        if (m_owned.contains(id) && m_owned.at(id).endWaiters.empty())
+            handOver(id);
+    }
+    answerReads();
+    if (m_context.now >= m_nextExpiry)
+        expire();
+}
+
+} // namespace lovagerail::edge
--- /dev/null
+++ b/src/edge/batches_calls.cpp
@@ -0,0 +1,280 @@
+// Reading and ending batches, our own and those of other instances.
+#include "edge/batches.h"
+
+#include "log.h"
+
+#include <algorithm>
+
+namespace lovagerail::edge {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusConflict = 409;
+    constexpr int statusUnavailable = 503;
+    constexpr std::chrono::milliseconds longestWait { 1000 }; // of a read, by the platform's pages
+    constexpr duration endRetry = std::chrono::milliseconds(200);
+    // An end without an answer counts as acknowledged after four seconds.
+    constexpr duration endPatience = std::chrono::milliseconds(3000);
+    constexpr std::chrono::milliseconds passOnTimeout { 900 }; // beyond the read's own wait
+    constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
+
+    std::string resultsFrom(std::size_t total, std::size_t after, const std::vector<batch_result>& listed)
+    {
+        std::vector<batch_result> wanted;
+        if (after < listed.size())
+            wanted.assign(listed.begin() + static_cast<std::ptrdiff_t>(after), listed.end());
+        return platform::encodeResults(total, after, wanted);
+    }
+
+} // namespace
+
+void batches::onCall(const http::exchange_ptr& exchange, const platform::batch_call& call, const client_account_id& account, std::chrono::milliseconds wait)
+{
+    const auto known = m_owned.find(call.id);
+    if (known != m_owned.end()) {
+        if (known->second.head.account == account)
+            answerOwned(exchange, call, wait);
+        else
+            respond(exchange, statusNotFound, "");
+        return;
+    }
+    const auto go = [this, exchange, call, account, wait](const batch_head& head, revision fence) {
+        if (head.account != account) {
+            respond(exchange, statusNotFound, "");
+            return;
+        }
+        m_foreign[call.id] = { head, fence };
+        passOn(exchange, call, account, wait, head, fence);
+    };
+    const auto foreign = m_foreign.find(call.id);
+    if (foreign != m_foreign.end() && isAlive(foreign->second.head) && !foreign->second.head.ended) {
+        const auto kept = foreign->second;
+        go(kept.head, kept.fence);
+    } else
+        readHead(call.id, exchange, go);
+}
+
+// Answers 404 and 503 by itself.
+void batches::readHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead)
+{
+    m_context.store.call("batch read", readKey(headKey(id)), [this, id, exchange, onHead = std::move(onHead)](const result<kv_answer>& answer) {
+        if (!answer) {
+            respond(exchange, statusUnavailable, "");
+            return;
+        }
+        const auto head = answer->entries.empty() ? std::nullopt : decodeHead(id, answer->entries.front().value);
+        if (!head) {
+            respond(exchange, statusNotFound, "");
+            return;
+        }
+        onHead(*head, answer->entries.front().modRevision);
+    });
+}
+
+// --- Our own -----------------------------------------------------------------
+
+void batches::answerOwned(const http::exchange_ptr& exchange, const platform::batch_call& call, std::chrono::milliseconds wait)
+{
+    switch (call.kind) {
+    case platform::batch_call_kind::Results:
+        m_reads.push_back({ exchange, call.id, call.after, m_context.now + std::min(wait, longestWait) });
+        answerReads();
+        return;
+    case platform::batch_call_kind::Body: {
+        const auto* item = m_owned.at(call.id).head.ended ? nullptr : m_board.unlistedItem(call.id, call.item);
+        if (item == nullptr)
+            respond(exchange, statusNotFound, "");
+        else
+            respond(exchange, statusOk, item->body);
+        return;
+    }
+    case platform::batch_call_kind::End:
+        requestEnd(call.id, exchange);
+        return;
+    }
+}
+
+void batches::answerReads()
+{
+    std::vector<waiting_read> left;
+    for (auto& read : m_reads) {
+        if (read.exchange->callerGone())
+            continue;
+        const auto owned = m_owned.find(read.batch);
+        if (owned == m_owned.end()) {
+            respond(read.exchange, statusUnavailable, "");
+            continue;
+        }
+        const auto& listed = m_board.listed(read.batch);
+        const auto total = m_board.spec(read.batch)->items.size();
+        const bool due = read.after < listed.size() || read.after >= total || owned->second.head.ended || m_context.now >= read.until || m_context.stopping;
+        if (due)
+            respond(read.exchange, statusOk, resultsFrom(total, read.after, listed));
+        else
+            left.push_back(std::move(read));
+    }
+    m_reads = std::move(left);
+}
+
+void batches::requestEnd(const batch_id& id, const http::exchange_ptr& exchange)
+{
+    auto& owned = m_owned.at(id);
+    if (owned.head.ended) {
+        respond(exchange, statusOk, "");
+        return;
+    }
+    if (owned.endWaiters.empty()) {
+        owned.endGiveUp = m_context.now + endPatience;
+        logEvent(log_level::Info, "batch", "end_asked", { { "batch", id.str() }, { "listed", std::to_string(m_board.listed(id).size()) }, { "items", std::to_string(owned.head.items) } });
+        // Nobody waits for its items any more, whether the store answers soon or not.
+        act(m_board.end(id, m_context.now));
+    }
+    owned.endWaiters.push_back(exchange);
+    if (!owned.ending && !m_board.writing(id))
+        writeEnd(id);
+}
+
+void batches::writeEnd(const batch_id& id)
+{
+    auto& owned = m_owned.at(id);
+    owned.ending = true;
+    auto next = owned.head;
+    next.ended = true;
+    kv_transaction change;
+    change.compares.push_back({ headKey(id), kv_field::ModRevision, owned.fence, {} });
+    change.then.emplace_back(kv_put { headKey(id), encodeHead(next), {} });
+    m_context.store.call("batch end", std::move(change), [this, id, next](const result<kv_answer>& answer) {
+        const auto found = m_owned.find(id);
+        if (found == m_owned.end())
+            return;
+        auto& one = found->second;
+        one.ending = false;
+        one.endAgain = m_context.now + endRetry;
+
+        // Step 1. Not known, or not done: again, while the caller waits.
+        if (!answer) {
+            if (m_context.now < one.endGiveUp)
+                return;
+            for (const auto& waiter : std::exchange(one.endWaiters, {}))
+                respond(waiter, statusUnavailable, "");
+            one.endGiveUp = m_context.now + endPatience;
+            return;
+        }
+
+        // Step 2. Done, now or by an earlier try of ours.
+        const auto* entry = answer->entries.empty() ? nullptr : &answer->entries.front();
+        const auto head = entry == nullptr ? std::nullopt : decodeHead(id, entry->value);
+        const bool earlier = head && head->ended && head->owner == next.owner && head->ownerLife == next.ownerLife;
+        if (!answer->succeeded && !earlier) {
+            lose(id, "its head was changed by another instance");
+            return;
+        }
+        one.fence = answer->succeeded ? answer->at : entry->modRevision;
+        one.head = next;
+        logEvent(log_level::Info, "batch", "ended", { { "batch", id.str() } });
+        for (const auto& waiter : std::exchange(one.endWaiters, {}))
+            respond(waiter, statusOk, "");
+    });
+}
+
+// --- Others' -----------------------------------------------------------------
+
+void batches::passOn(const http::exchange_ptr& exchange, const platform::batch_call& call, const client_account_id& account, std::chrono::milliseconds wait, const batch_head& head, revision fence)
+{
+    const auto* owner = isAlive(head) ? m_members.find(head.owner) : nullptr;
+    if (owner == nullptr || head.ended || owner->name.str() == m_context.values.instance.name) {
+        considerOrphan(head, fence);
+        answerFromStore(exchange, call, head, fence);
+        return;
+    }
+    http::request onward;
+    onward.method = exchange->method;
+    onward.url = "http://" + owner->address + exchange->path + (exchange->query.empty() ? "" : "?" + exchange->query);
+    onward.headers = { { "x-account", account.str() }, { "x-wait", std::to_string(wait.count()) } };
+    onward.connectTimeout = peerConnectTimeout;
+    onward.totalTimeout = std::min(wait, longestWait) + passOnTimeout;
+    onward.unacknowledgedTimeout = targetUnacknowledged;
+    m_context.net.call(std::move(onward), [this, exchange, call](const http::answer& answer) {
+        const bool served = answer.outcome == http::transfer_result::Whole && answer.status != statusConflict && answer.status != statusUnavailable;
+        if (served) {
+            respond(exchange, answer.status, answer.body);
+            return;
+        }
+        // The owner is another one, or gone: the store knows.
+        m_foreign.erase(call.id);
+        readHead(call.id, exchange, [this, exchange, call](const batch_head& now, revision at) {
+            considerOrphan(now, at);
+            answerFromStore(exchange, call, now, at);
+        });
+    });
+}
+
+void batches::answerFromStore(const http::exchange_ptr& exchange, const platform::batch_call& call, const batch_head& head, revision fence)
+{
+    if (call.kind == platform::batch_call_kind::End) {
+        endForeign(exchange, head, fence);
+        return;
+    }
+    if (call.kind == platform::batch_call_kind::Body && head.ended) {
+        respond(exchange, statusNotFound, "");
+        return;
+    }
+    const auto prefix = pagesPrefix(call.id);
+    m_context.store.call("batch read", readPrefix(prefix), [this, exchange, call, head](const result<kv_answer>& pages) {
+        if (!pages || pages->more) {
+            respond(exchange, statusUnavailable, "");
+            return;
+        }
+        std::vector<batch_result> listed;
+        for (const auto& entry : pages->entries) {
+            for (auto& one : decodeBatchPage(entry.value).value_or(std::vector<batch_result>()))
+                listed.push_back(std::move(one));
+        }
+        if (call.kind == platform::batch_call_kind::Results) {
+            respond(exchange, statusOk, resultsFrom(head.items, call.after, listed));
+            return;
+        }
+        const bool isListed = std::any_of(listed.begin(), listed.end(), [&call](const batch_result& one) { return one.item == call.item; });
+        if (isListed) {
+            respond(exchange, statusNotFound, "");
+            return;
+        }
+        m_context.store.call("batch read", readKey(submissionKey(call.id)), [this, exchange, call, head](const result<kv_answer>& body) {
+            if (!body || body->entries.empty()) {
+                respond(exchange, statusUnavailable, "");
+                return;
+            }
+            const auto spec = platform::decodeSubmission(head, body->entries.front().value);
+            if (spec) {
+                for (const auto& item : spec->items) {
+                    if (item.id != call.item)
+                        continue;
+                    respond(exchange, statusOk, item.body);
+                    return;
+                }
+            }
+            respond(exchange, statusNotFound, "");
+        });
+    });
+}
+
+// Ends a batch whose owner is gone or can't be reached, under the head's revision.
+void batches::endForeign(const http::exchange_ptr& exchange, batch_head head, revision fence)
+{
+    if (head.ended) {
+        respond(exchange, statusOk, "");
+        return;
+    }
+    head.ended = true;
+    kv_transaction change;
+    change.compares.push_back({ headKey(head.id), kv_field::ModRevision, fence, {} });
+    change.then.emplace_back(kv_put { headKey(head.id), encodeHead(head), {} });
+    m_context.store.call("batch end", std::move(change), [this, exchange, id = head.id](const result<kv_answer>& answer) {
+        m_foreign.erase(id);
+        respond(exchange, answer && answer->succeeded ? statusOk : statusUnavailable, "");
+    });
+}
+
+} // namespace lovagerail::edge
--- /dev/null
+++ b/src/edge/entry_settings.cpp
@@ -0,0 +1,72 @@
+// The table of an entry instance's settings.
+#include "edge/entry_settings.h"
+
+#include "settings_reader.h"
+
+namespace lovagerail::edge {
+
+namespace {
+
+    using namespace detail;
+    using s = entry_settings;
+
+    field<s> text(const char* section, const char* key, field_kind kind, bool required, std::function<std::string&(s&)> where)
+    {
+        return textField<s>(section, key, kind, required, std::move(where));
+    }
+
+    field<s> time(const char* section, const char* key, std::int64_t least, std::int64_t most, std::function<std::chrono::milliseconds&(s&)> where)
+    {
+        return timeField<s>(key, least, most, std::move(where), section);
+    }
+
+    const field_table<s>& fields()
+    {
+        static const field_table<s> table {
+            text("instance", "name", field_kind::Text, true, [](s& v) -> std::string& { return v.instance.name; }),
+            text("instance", "failure_domain", field_kind::Text, true, [](s& v) -> std::string& { return v.instance.failureDomain; }),
+            text("instance", "region", field_kind::Text, false, [](s& v) -> std::string& { return v.instance.region; }),
+            text("listen", "callers", field_kind::Address, false, [](s& v) -> std::string& { return v.listen.callers; }),
+            text("listen", "readiness", field_kind::Address, false, [](s& v) -> std::string& { return v.listen.readiness; }),
+            text("listen", "instances", field_kind::Address, false, [](s& v) -> std::string& { return v.listen.instances; }),
+            text("listen", "metrics", field_kind::Address, true, [](s& v) -> std::string& { return v.listen.metrics; }),
+            { "listen", "seeds", field_kind::AddressList, false, 0, 0, {}, {}, {}, [](s& v) -> std::vector<std::string>& { return v.listen.seeds; } },
+            text("store", "address", field_kind::Address, true, [](s& v) -> std::string& { return v.store.address; }),
+            text("duties", "address", field_kind::Address, false, [](s& v) -> std::string& { return v.duties.address; }),
+            time("duties", "usage_window", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.duties.usageWindow; }),
+            time("duties", "usage_late", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.duties.usageLate; }),
+            time("bounds", "drain", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.drain; }),
+            time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
+            time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
+            text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
+        };
+        return table;
+    }
+
+    void checkTogether(const std::string& file, entry_reading& out)
+    {
+        const auto& v = out.value;
+        if (v.listen.callers.empty() != v.listen.readiness.empty())
+            out.faults.push_back({ file, 0, 0, "listen.callers and listen.readiness: expected both or neither" });
+        if (!v.listen.callers.empty() && v.listen.instances.empty())
+            out.faults.push_back({ file, 0, 0, "listen.instances: expected with listen.callers" });
+    }
+
+} // namespace
+
+entry_reading readEntrySettings(std::string_view text, const std::string& file)
+{
+    return readByTable(fields(), text, file, checkTogether);
+}
+
+entry_reading readEntrySettingsFile(const std::string& file)
+{
+    const auto text = readTextFile(file);
+    if (text)
+        return readEntrySettings(*text, file);
+    entry_reading out;
+    out.faults.push_back({ file, 0, 0, "can't be opened" });
+    return out;
+}
+
+} // namespace lovagerail::edge
--- /dev/null
+++ b/src/edge/front.cpp
@@ -0,0 +1,381 @@
+// Authentication, and the bytes of forwards.
+#include "edge/front.h"
+
+#include "edge/batches.h"
+#include "edge/usage_duty.h"
+#include "log.h"
+
+#include <algorithm>
+
+namespace lovagerail::edge {
+
+namespace {
+
+    constexpr int statusBadRequest = 400;
+    constexpr int statusUnauthorized = 401;
+    constexpr int statusNotFound = 404;
+    constexpr int statusTooLarge = 413;
+    constexpr int statusUnavailable = 503;
+    constexpr duration coldRetry = std::chrono::milliseconds(500); // until a first configuration is expected
+
+    std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
+
+    transfer_state stateOf(http::transfer_result outcome)
+    {
+        switch (outcome) {
+        case http::transfer_result::Whole:
+            return transfer_state::Whole;
+        case http::transfer_result::NotSent:
+            return transfer_state::NotSent;
+        case http::transfer_result::NoAnswer:
+            return transfer_state::NoAnswer;
+        case http::transfer_result::Truncated:
+            return transfer_state::Truncated;
+        }
+        return transfer_state::NoAnswer;
+    }
+
+    std::string targetOf(const http::exchange& exchange)
+    {
+        return exchange.query.empty() ? exchange.path : exchange.path + "?" + exchange.query;
+    }
+
+    bool hasBatchRoute(const site_config& site, std::string_view host)
+    {
+        return std::any_of(site.routes.begin(), site.routes.end(), [&](const site_route& route) {
+            return route.kind == route_kind::Batch && site.find(host, route.prefix) == &route;
+        });
+    }
+
+    std::string msText(duration span) { return std::to_string(toMilliseconds(span).count()); }
+
+} // namespace
+
+front::front(context& shared, usage_duty& usage)
+    : m_context(shared)
+    , m_usage(usage)
+    , m_machine({}, shared.targets)
+{
+}
+
+void front::respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const
+{
+    // Kept connections end with their next answer while we stop.
+    if (m_context.stopping)
+        headers.emplace_back("Connection", "close");
+    exchange->answer(status, std::move(headers), std::move(body));
+}
+
+void front::refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason)
+{
+    logEvent(log_level::Info, "front", "refused", { { "request", id.str() }, { "status", std::to_string(status) }, { "reason", std::string(reason) }, { "path", exchange->path } });
+    respond(exchange, status, platform::refusalHeaders(id, toMilliseconds(retryAfter)), "");
+}
+
+bool front::authenticate(const http::exchange_ptr& exchange, const platform::caller_headers& caller, client_account_id& account)
+{
+    const auto& site = *m_context.site;
+    if (!site.keyed)
+        return true;
+    const auto known = site.accountOfKey.find(caller.key);
+    if (known == site.accountOfKey.end()) {
+        refuse(exchange, caller.id, statusUnauthorized, {}, "unknown key");
+        return false;
+    }
+    account = known->second;
+    return true;
+}
+
+void front::onRequest(const http::exchange_ptr& exchange)
+{
+    auto caller = platform::decodeCaller(exchange->headers);
+    if (!m_context.site) {
+        refuse(exchange, caller.id, statusUnavailable, coldRetry, "no configuration yet");
+        return;
+    }
+    const auto site = m_context.site;
+
+    // Step 1. Calls about batches have paths of their own beside the routes.
+    if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query); call && hasBatchRoute(*site, caller.host)) {
+        client_account_id account;
+        if (authenticate(exchange, caller, account))
+            m_batches->onCall(exchange, *call, account, caller.wait.value_or(std::chrono::milliseconds(0)));
+        return;
+    }
+
+    // Step 2. The route, the key, the limits.
+    const auto* route = site->find(caller.host, exchange->path);
+    if (route == nullptr) {
+        refuse(exchange, caller.id, statusNotFound, {}, "no route");
+        return;
+    }
+    client_account_id account;
+    if (!route->open && !authenticate(exchange, caller, account))
+        return;
+    if (exchange->body.size() > site->limits.bodyBytes) {
+        refuse(exchange, caller.id, statusTooLarge, {}, "body too large");
+        return;
+    }
+    if (route->kind != route_kind::Batch) {
+        forward(exchange, std::move(caller), *route, account);
+        return;
+    }
+    if (exchange->method != "POST" || caller.id.empty()) {
+        refuse(exchange, caller.id, statusBadRequest, {}, "a batch is submitted by POST, with an id");
+        return;
+    }
+    batch_head head;
+    head.id = batch_id(caller.id.str());
+    head.host = caller.host;
+    head.path = exchange->path;
+    head.account = account;
+    m_batches->onSubmit(exchange, std::move(head));
+}
+
+void front::forward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account)
+{
+    const forward_id id(++m_lastForward);
+    open_forward one;
+    one.exchange = exchange;
+    one.callerId = caller.id;
+    one.method = exchange->method;
+    one.target = targetOf(*exchange);
+    one.host = caller.host;
+    one.headers = std::move(caller.forwarded);
+    one.account = account;
+    one.route = route.id.str();
+    one.maxAttempts = route.maxAttempts;
+    one.arrived = m_context.now;
+    m_forwards[id] = std::move(one);
+
+    forward_request request;
+    request.id = id;
+    request.callerId = caller.id;
+    request.route = route;
+    request.account = account;
+    request.deadline = caller.deadline;
+    request.lastEventId = caller.lastEventId;
+    request.promptBlocks = hashParts(caller.model, caller.prompt);
+    request.promptTokens = caller.promptTokens;
+    request.expectedTokens = caller.expectedTokens;
+    request.counted = !account.empty();
+    act(m_machine.arrive(std::move(request), m_context.now));
+}
+
+void front::callService(const judge_call& call, duration deadline, own_function onAnswer)
+{
+    const auto* route = m_context.site ? m_context.site->find(call.host, call.path) : nullptr;
+    if (route == nullptr || route->kind == route_kind::Batch) {
+        onAnswer({});
+        return;
+    }
+    const forward_id id(++m_lastForward);
+    open_forward one;
+    one.onOwn = std::move(onAnswer);
+    one.callerId = call.id;
+    one.method = "POST";
+    one.target = call.path;
+    one.host = call.host;
+    one.ownBody = call.body;
+    one.route = route->id.str();
+    one.maxAttempts = route->maxAttempts;
+    one.arrived = m_context.now;
+    m_forwards[id] = std::move(one);
+
+    forward_request request;
+    request.id = id;
+    request.callerId = call.id;
+    request.route = *route;
+    request.route.timeout = {}; // ours is the deadline alone
+    request.deadline = deadline;
+    request.counted = false;
+    act(m_machine.arrive(std::move(request), m_context.now));
+}
+
+// --- Actions -----------------------------------------------------------------
+
+void front::act(std::vector<forward_action> actions)
+{
+    for (auto& action : actions) {
+        if (const auto* wanted = std::get_if<forward_send>(&action))
+            send(*wanted);
+        else if (const auto* stop = std::get_if<forward_cancel>(&action)) {
+            const auto found = m_attempts.find(stop->attempt);
+            if (found == m_attempts.end())
+                continue;
+            m_context.net.cancel(found->second.transfer);
+            m_attempts.erase(found);
+        } else if (const auto* whole = std::get_if<forward_deliver>(&action))
+            deliver(*whole);
+        else if (const auto* begin = std::get_if<forward_begin_stream>(&action)) {
+            const auto& open = m_attempts.at(begin->attempt);
+            m_forwards.at(begin->id).exchange->begin(open.head.status, open.head.forwarded);
+        } else if (const auto* finish = std::get_if<forward_end_stream>(&action)) {
+            const auto found = m_forwards.find(finish->id);
+            if (finish->whole)
+                found->second.exchange->end();
+            else
+                found->second.exchange->abort();
+            logEnd(found->second, finish->whole ? "stream_ended" : "stream_broken", 0, "");
+            m_forwards.erase(found);
+        } else if (const auto* no = std::get_if<forward_refuse>(&action)) {
+            const auto found = m_forwards.find(no->id);
+            auto one = std::move(found->second);
+            m_forwards.erase(found);
+            logEnd(one, "own_answer", no->status, no->reason);
+            if (one.exchange)
+                respond(one.exchange, no->status, platform::refusalHeaders(one.callerId, toMilliseconds(no->retryAfter)), "");
+            else
+                one.onOwn({});
+        } else if (const auto* start = std::get_if<forward_began>(&action))
+            m_usage.count(start->account, start->ago);
+    }
+}
+
+void front::send(const forward_send& action)
+{
+    const auto& one = m_forwards.at(action.id);
+    platform::target_call call;
+    call.id = one.callerId;
+    call.host = one.host;
+    call.target = action.choice.target;
+    call.account = one.account;
+    if (action.deadline)
+        call.deadline = toMilliseconds(*action.deadline);
+    call.lastEventId = action.lastEventId;
+    call.forwarded = one.headers;
+
+    http::request request;
+    request.method = one.method;
+    request.url = action.choice.address + "/";
+    request.target = one.target;
+    request.headers = platform::encodeTargetCall(call);
+    request.body = one.body();
+    request.reuse = action.repeatable ? http::connection_reuse::Allowed : http::connection_reuse::Forbidden;
+    request.connectTimeout = targetConnectTimeout;
+    request.unacknowledgedTimeout = targetUnacknowledged;
+    auto& open = m_attempts[action.attempt];
+    open.forward = action.id;
+    open.target = action.choice.target;
+    open.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
+}
+
+void front::onTransfer(attempt_id attempt, http::event& event)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    if (event.what == http::event::kind::Head)
+        onHead(attempt, found->second, event);
+    else if (event.what == http::event::kind::Body)
+        onBytes(attempt, found->second, event.bytes);
+    else {
+        if (event.outcome != http::transfer_result::Whole || found->second.head.status >= statusBadRequest) {
+            const auto& one = m_forwards.at(found->second.forward);
+            logEvent(log_level::Info, "front", "attempt_failed",
+                { { "request", one.callerId.str() }, { "target", found->second.target.str() }, { "status", std::to_string(event.status) },
+                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "after_ms", msText(m_context.now - one.arrived) } });
+        }
+        if (found->second.streaming && event.outcome == http::transfer_result::Whole && !found->second.reader.rest().empty())
+            m_forwards.at(found->second.forward).exchange->append(found->second.reader.rest());
+        act(m_machine.done(attempt, stateOf(event.outcome), m_context.now));
+        m_attempts.erase(attempt);
+    }
+}
+
+void front::onHead(attempt_id attempt, open_attempt& open, const http::event& event)
+{
+    open.head = platform::decodeTargetHead(event.status, event.headers);
+    const auto& one = m_forwards.at(open.forward);
+    forward_head head;
+    head.status = open.head.status;
+    head.echoes = open.head.echoed.empty() || open.head.echoed == one.callerId;
+    head.signedByTarget = !open.head.proof.empty();
+    head.notRun = open.head.notRun;
+    noteLoad(m_context, open.target, open.head);
+    act(m_machine.head(attempt, head, m_context.now));
+    // The head may have ended this attempt, or begun a stream.
+    const auto still = m_attempts.find(attempt);
+    if (still == m_attempts.end())
+        return;
+    const auto forward = m_forwards.find(still->second.forward);
+    const auto* route = forward == m_forwards.end() || !m_context.site ? nullptr : m_context.site->find(forward->second.host, forward->second.target);
+    still->second.streaming = route != nullptr && route->kind == route_kind::Stream && head.signedByTarget && head.echoes && !head.notRun
+        && head.status < statusBadRequest;
+}
+
+void front::onBytes(attempt_id attempt, open_attempt& open, const std::string& bytes)
+{
+    if (!open.streaming) {
+        open.body += bytes;
+        return;
+    }
+    const auto forward = open.forward;
+    for (const auto& event : open.reader.take(bytes)) {
+        m_machine.progress(attempt, event.id, m_context.now);
+        if (!m_forwards.at(forward).exchange->append(event.raw)) {
+            act(m_machine.callerGone(forward, m_context.now));
+            m_forwards.erase(forward);
+            return;
+        }
+    }
+}
+
+void front::deliver(const forward_deliver& action)
+{
+    const auto found = m_forwards.find(action.id);
+    auto one = std::move(found->second);
+    m_forwards.erase(found);
+    auto& attempt = m_attempts.at(action.attempt);
+    if (one.exchange) {
+        logEnd(one, "delivered", attempt.head.status, attempt.target.str());
+        respond(one.exchange, attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
+        return;
+    }
+    logEnd(one, "own_call", attempt.head.status, attempt.target.str());
+    one.onOwn({ attempt.head.status, attempt.head.proof, action.serverFailures, one.maxAttempts });
+}
+
+void front::logEnd(const open_forward& one, std::string_view outcome, int status, const std::string& detail) const
+{
+    logEvent(log_level::Info, "front", outcome,
+        { { "request", one.callerId.str() }, { "route", one.route }, { "account", one.account.str() }, { "status", std::to_string(status) }, { "detail", detail },
+            { "ms", msText(m_context.now - one.arrived) } });
+}
+
+void front::tick()
+{
+    // Step 1. Callers that closed get no answer and keep no target busy.
+    std::vector<forward_id> gone;
+    for (const auto& [id, one] : m_forwards) {
+        if (one.exchange && one.exchange->callerGone())
+            gone.push_back(id);
+    }
+    for (const auto id : gone) {
+        act(m_machine.callerGone(id, m_context.now));
+        const auto found = m_forwards.find(id);
+        logEnd(found->second, "caller_gone", 0, "");
+        m_forwards.erase(found);
+    }
+
+    // Step 2. Deadlines, hedges and delayed tries.
+    if (m_machine.open() > 0)
+        act(m_machine.tick(m_context.now));
+}
+
+void noteLoad(context& shared, const target_id& target, const platform::target_head& head)
+{
+    const auto slot = shared.targets.table().find(target);
+    // A target that left the list may still answer; its words don't bring it back.
+    if (!head.load || !slot || !shared.targets.table().isLive(*slot))
+        return;
+    load_report report;
+    report.target = target;
+    report.incarnation = shared.targets.table().record(*slot).listed.incarnation;
+    report.running = head.load->running;
+    report.waiting = head.load->waiting;
+    report.measuredAt = shared.now;
+    shared.targets.applyReport(report, shared.now);
+}
+
+} // namespace lovagerail::edge
--- /dev/null
+++ b/src/edge/metrics.h
@@ -0,0 +1,31 @@
+// Counters of an entry instance as Prometheus text.
+#pragma once
+
+#include "batch_board.h"
+#include "forwarding.h"
+#include "http/server.h"
+
+#include <map>
+#include <string>
+
+namespace lovagerail::edge {
+
+struct metrics_view {
+    const forwarding_counts& forwards;
+    const board_counts& batches;
+    const std::map<std::string, std::uint64_t, std::less<>>& storeCalls; // by cause
+    std::size_t openForwards = 0;
+    std::size_t openBatches = 0;
+};
+
+class metrics_page {
+public:
+    // Takes a look; cheap enough for every turn of the loop.
+    void update(const metrics_view& view) { m_view.emplace(view); }
+    void answer(const http::exchange_ptr& exchange) const;
+
+private:
+    std::optional<metrics_view> m_view;
+};
+
+} // namespace lovagerail::edge
--- /dev/null
+++ b/src/edge/transfers.cpp
@@ -0,0 +1,61 @@
+// Hands events of the multi handle to whoever opened the call.
+#include "edge/transfers.h"
+
+#include <memory>
+
+namespace lovagerail::edge {
+
+std::uint64_t transfers::open(http::request wanted, event_function onEvent)
+{
+    const auto id = ++m_lastId;
+    wanted.id = id;
+    m_open[id] = std::move(onEvent);
+    m_client.start(std::move(wanted));
+    return id;
+}
+
+std::uint64_t transfers::call(http::request wanted, answer_function onAnswer)
+{
+    return open(std::move(wanted), [answer = http::answer(), onAnswer = std::move(onAnswer)](http::event& e) mutable {
+        if (e.what == http::event::kind::Head)
+            answer.headers = std::move(e.headers);
+        else if (e.what == http::event::kind::Body)
+            answer.body += e.bytes;
+        else {
+            answer.status = e.status;
+            answer.outcome = e.outcome;
+            answer.detail = std::move(e.detail);
+            onAnswer(answer);
+        }
+    });
+}
+
+void transfers::cancel(std::uint64_t id)
+{
+    if (m_open.erase(id) > 0)
+        m_client.cancel(id);
+}
+
+void transfers::poll(std::chrono::milliseconds longest, std::span<const int> descriptors)
+{
+    for (auto& e : m_client.poll(longest, descriptors)) {
+        const auto found = m_open.find(e.id);
+        if (found == m_open.end())
+            continue; // cancelled by an earlier event of this round
+        if (e.what != http::event::kind::Done) {
+            // The function may cancel this very call.
+            auto function = std::move(found->second);
+            function(e);
+            const auto still = m_open.find(e.id);
+            if (still != m_open.end())
+                still->second = std::move(function);
+            continue;
+        }
+        const auto function = std::move(found->second);
+        m_open.erase(found);
+        auto last = function;
+        last(e);
+    }
+}
+
+} // namespace lovagerail::edge
--- /dev/null
+++ b/src/edge/transfers.h
@@ -0,0 +1,37 @@
+// HTTP calls of the event loop: one libcurl multi handle, an event function for each
+// open call.
+#pragma once
+
+#include "http/client.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+
+namespace lovagerail::edge {
+
+// Two calls beside each other may not share an id, so each user has a space of its own.
+class transfers {
+public:
+    using event_function = std::function<void(http::event&)>;
+    using answer_function = std::function<void(const http::answer&)>;
+
+    // Events come from a later poll(); the id is returned for cancel().
+    std::uint64_t open(http::request wanted, event_function onEvent);
+    // One call with a whole answer.
+    std::uint64_t call(http::request wanted, answer_function onAnswer);
+    // Closes the connection; no event follows.
+    void cancel(std::uint64_t id);
+    void poll(std::chrono::milliseconds longest, std::span<const int> descriptors);
+    std::uint64_t lastId() const { return m_lastId; }
+    std::size_t open() const { return m_open.size(); }
+
+private:
+    http::client m_client;
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, event_function> m_open;
+};
+
+} // namespace lovagerail::edge
--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -3,7 +3,6 @@
 
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
-#include <openssl/evp.h>
 
 namespace lovagerail {
 
@@ -14,8 +13,6 @@
     constexpr std::uint32_t memberFields = 7;
     constexpr std::uint32_t entryFields = 5;
     constexpr std::uint32_t messageFields = 9;
-    constexpr std::size_t base64Group = 4;
-    constexpr std::size_t byteGroup = 3;
 
     using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -156,27 +153,4 @@
     }
 }
 
-std::string toBase64(std::string_view bytes)
-{
-    std::string out((bytes.size() + byteGroup - 1) / byteGroup * base64Group + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-    out.resize(static_cast<std::size_t>(length));
-    return out;
-}
-
-result<std::string> fromBase64(std::string_view text)
-{
-    if (text.empty() || text.size() % base64Group != 0 || text.size() > 2 * mostBytes)
-        return failure(error_code::Corrupt, "gossip.base64", "length");
-    std::string out(text.size() / base64Group * byteGroup, '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (length < 0)
-        return failure(error_code::Corrupt, "gossip.base64", "alphabet");
-    std::size_t padding = 0;
-    while (padding < 2 && text[text.size() - 1 - padding] == '=')
-        ++padding;
-    out.resize(static_cast<std::size_t>(length) - padding);
-    return out;
-}
-
 } // namespace lovagerail
--- a/src/gossip_codec.h
+++ b/src/gossip_codec.h
@@ -6,6 +6,7 @@
 // Bytes that are cut off, too long or of another shape are Corrupt.
 #pragma once
 
+#include "base64.h"
 #include "error.h"
 #include "gossip.h"
 #include "membership.h"
@@ -26,7 +27,5 @@
 result<gossip_message> decodeGossip(std::string_view bytes);
 
 // For carriage in JSON.
-std::string toBase64(std::string_view bytes);
-result<std::string> fromBase64(std::string_view text);
 
 } // namespace lovagerail
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr long keptConnections = 256;
+    constexpr long keepAliveSeconds = 1; // the shortest that the kernel takes
 
     struct transfer {
         request wanted;
@@ -220,6 +221,10 @@
     if (t.wanted.unacknowledgedTimeout.count() > 0) {
         curl_easy_setopt(t.easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
         curl_easy_setopt(t.easy, CURLOPT_SOCKOPTDATA, &t);
+        // A connection on which we only wait shows its silence by probes alone.
+        curl_easy_setopt(t.easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(t.easy, CURLOPT_TCP_KEEPIDLE, keepAliveSeconds);
+        curl_easy_setopt(t.easy, CURLOPT_TCP_KEEPINTVL, keepAliveSeconds);
     }
     if (!t.wanted.caFile.empty())
         curl_easy_setopt(t.easy, CURLOPT_CAINFO, t.wanted.caFile.c_str());
--- /dev/null
+++ b/src/json_text.cpp
@@ -0,0 +1,78 @@
+// jsoncpp's reader and writer with the options that all parts share.
+#include "json_text.h"
+
+#include <json/json.h>
+#include <memory>
+
+namespace lovagerail {
+
+namespace {
+
+    constexpr int mostDepth = 64; // of nested values; no format of ours comes near
+
+    const Json::Value* member(const Json::Value& object, const char* name)
+    {
+        if (!object.isObject() || !object.isMember(name))
+            return nullptr;
+        return &object[name];
+    }
+
+} // namespace
+
+std::optional<Json::Value> parseJson(std::string_view text)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["strictRoot"] = false;
+    builder["stackLimit"] = mostDepth;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value out;
+    // jsoncpp throws when the depth is exceeded.
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &out, nullptr))
+            return std::nullopt;
+    } catch (const Json::Exception&) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+std::string writeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+std::string jsonText(const Json::Value& object, const char* name)
+{
+    const auto* found = member(object, name);
+    return found != nullptr && found->isString() ? found->asString() : std::string();
+}
+
+std::uint64_t jsonCount(const Json::Value& object, const char* name, std::uint64_t otherwise)
+{
+    const auto* found = member(object, name);
+    return found != nullptr && found->isUInt64() ? found->asUInt64() : otherwise;
+}
+
+double jsonNumber(const Json::Value& object, const char* name, double otherwise)
+{
+    const auto* found = member(object, name);
+    return found != nullptr && found->isNumeric() ? found->asDouble() : otherwise;
+}
+
+bool jsonFlag(const Json::Value& object, const char* name)
+{
+    const auto* found = member(object, name);
+    return found != nullptr && found->isBool() && found->asBool();
+}
+
+const Json::Value& jsonList(const Json::Value& object, const char* name)
+{
+    static const Json::Value none(Json::arrayValue);
+    const auto* found = member(object, name);
+    return found != nullptr && found->isArray() ? *found : none;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/json_text.h
@@ -0,0 +1,24 @@
+// JSON text to values and back, strictly and with a bounded depth.
+#pragma once
+
+#include <json/value.h>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lovagerail {
+
+// Empty if the text is not one JSON value.
+std::optional<Json::Value> parseJson(std::string_view text);
+// Without white space.
+std::string writeJson(const Json::Value& value);
+
+// Members of an object with the type that is asked for, or the default.
+std::string jsonText(const Json::Value& object, const char* name);
+std::uint64_t jsonCount(const Json::Value& object, const char* name, std::uint64_t otherwise = 0);
+double jsonNumber(const Json::Value& object, const char* name, double otherwise = 0);
+bool jsonFlag(const Json::Value& object, const char* name);
+// The member if it is an array, else an empty array.
+const Json::Value& jsonList(const Json::Value& object, const char* name);
+
+} // namespace lovagerail
--- a/src/kv.cpp
+++ b/src/kv.cpp
@@ -17,4 +17,19 @@
     return std::string(1, '\0');
 }
 
+kv_range readKey(std::string key)
+{
+    kv_range out;
+    out.key = std::move(key);
+    return out;
+}
+
+kv_range readPrefix(const std::string& prefix)
+{
+    kv_range out;
+    out.key = prefix;
+    out.rangeEnd = prefixEnd(prefix);
+    return out;
+}
+
 } // namespace lovagerail
--- a/src/kv.h
+++ b/src/kv.h
@@ -27,8 +27,10 @@
     std::string key;
     std::string rangeEnd;
     std::int64_t limit = 0; // 0 = all
-    revision at; // 0 = the newest
+    revision at {}; // 0 = the newest
     bool keysOnly = false;
+    std::string after {}; // continues a listing behind this key; empty = from its start
+    bool mayBeStale = false; // any replica of the service may answer, seconds late
 };
 
 struct kv_put {
@@ -104,5 +106,7 @@
 
 // The end of the range that holds all keys with this prefix.
 std::string prefixEnd(std::string prefix);
+kv_range readKey(std::string key);
+kv_range readPrefix(const std::string& prefix);
 
 } // namespace lovagerail
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -1,9 +1,9 @@
 // Claims, keep-alives and releases.
 #include "lease.h"
 
+#include "json_text.h"
+
 #include <algorithm>
-#include <json/json.h>
-#include <memory>
 #include <utility>
 
 namespace lovagerail {
@@ -65,9 +65,9 @@
     Json::Value out(Json::objectValue);
     out["instance"] = m_settings.self.str();
     out["incarnation"] = Json::UInt64(m_settings.life.value());
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, out);
+    if (!m_settings.address.empty())
+        out["address"] = m_settings.address;
+    return writeJson(out);
 }
 
 bool duty_leases::isOurs(const kv_entry& entry) const
@@ -212,16 +212,18 @@
     m_nextClaim.clear();
 }
 
+std::optional<duty_holder> decodeHolder(const kv_entry& entry)
+{
+    const auto parsed = parseJson(entry.value);
+    if (!parsed || !parsed->isObject() || !(*parsed)["instance"].isString() || !(*parsed)["incarnation"].isUInt64())
+        return std::nullopt;
+    return duty_holder { instance_id(jsonText(*parsed, "instance")), incarnation(jsonCount(*parsed, "incarnation")), fencingOf(entry), jsonText(*parsed, "address") };
+}
+
 void duty_leases::noteHolder(const duty_id& duty, const kv_entry& entry)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value parsed;
-    if (!reader->parse(entry.value.data(), entry.value.data() + entry.value.size(), &parsed, nullptr) || !parsed.isObject())
-        return;
-    if (!parsed["instance"].isString() || !parsed["incarnation"].isUInt64())
-        return;
-    m_holders[duty] = duty_holder { instance_id(parsed["instance"].asString()), incarnation(parsed["incarnation"].asUInt64()), fencingOf(entry) };
+    if (const auto holder = decodeHolder(entry))
+        m_holders[duty] = *holder;
 }
 
 std::vector<lease_action> duty_leases::onAnswer(std::uint64_t id, const result<kv_answer>& answer, instant now)
--- a/src/lease.h
+++ b/src/lease.h
@@ -29,6 +29,7 @@
 struct lease_settings {
     instance_id self;
     incarnation life;
+    std::string address {}; // told to whoever looks up a holder; may be empty
     std::chrono::seconds time { 5 }; // of the lease at the service
     double driftShare = 0.02; // of the time, for clocks that run at different speeds
     duration margin = std::chrono::milliseconds(300); // between our end and the service's
@@ -48,7 +49,10 @@
     instance_id instance;
     incarnation life;
     fencing_number fencing;
+    std::string address {};
 };
+// Empty if the entry is not a duty's.
+std::optional<duty_holder> decodeHolder(const kv_entry& entry);
 
 struct lease_call {
     std::uint64_t id = 0;
--- a/src/provider/kv_codec.cpp
+++ b/src/provider/kv_codec.cpp
@@ -1,43 +1,16 @@
 // Base64 keys and values, 64-bit numbers as texts.
 #include "provider/kv_codec.h"
 
+#include "base64.h"
+
 #include <cstdlib>
 #include <json/json.h>
 #include <memory>
-#include <openssl/evp.h>
 
 namespace lovagerail::provider {
 
 namespace {
 
-    std::string toBase64(std::string_view bytes)
-    {
-        std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
-        const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-        out.resize(static_cast<std::size_t>(length));
-        return out;
-    }
-
-    std::string fromBase64(const std::string& text)
-    {
-        if (text.empty())
-            return {};
-        std::string out(text.size() / 4 * 3 + 3, '\0');
-        const auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-            reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-        if (length < 0)
-            return {};
-        auto size = static_cast<std::size_t>(length);
-        // EVP_DecodeBlock counts the padding as bytes.
-        if (text.back() == '=')
-            --size;
-        if (text.size() > 1 && text[text.size() - 2] == '=')
-            --size;
-        out.resize(size);
-        return out;
-    }
-
     std::int64_t numberOf(const Json::Value& value)
     {
         if (value.isString())
@@ -138,8 +111,8 @@
     kv_entry entryOf(const Json::Value& value)
     {
         kv_entry entry;
-        entry.key = fromBase64(value["key"].asString());
-        entry.value = fromBase64(value["value"].asString());
+        entry.key = fromBase64(value["key"].asString()).value_or(std::string());
+        entry.value = fromBase64(value["value"].asString()).value_or(std::string());
         entry.createRevision = revisionOf(value["create_revision"]);
         entry.modRevision = revisionOf(value["mod_revision"]);
         entry.lease = kv_lease_id(numberOf(value["lease"]));
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -34,6 +34,7 @@
         Address, // IP:port
         Url,
         UrlList,
+        AddressList, // may be empty
         Count,
         Size, // "64 KiB"
         Time, // "250ms"
@@ -154,6 +155,8 @@
             return "a URL that starts with http:// or https://";
         case field_kind::UrlList:
             return "a list of one or more URLs that start with http:// or https://";
+        case field_kind::AddressList:
+            return "a list of texts \"IP:port\"";
         case field_kind::Count:
             return "a whole number from " + std::to_string(f.least) + " to " + std::to_string(f.most);
         case field_kind::Size:
@@ -188,18 +191,20 @@
             f.text(out) = *text;
             return true;
         }
-        case field_kind::UrlList: {
+        case field_kind::UrlList:
+        case field_kind::AddressList: {
+            const bool urls = f.kind == field_kind::UrlList;
             const auto* array = node.as_array();
-            if (array == nullptr || array->empty())
+            if (array == nullptr || (urls && array->empty()))
                 return false;
-            std::vector<std::string> urls;
+            std::vector<std::string> texts;
             for (const auto& item : *array) {
-                const auto url = item.value_exact<std::string>();
-                if (!url || !isUrl(*url))
+                const auto one = item.value_exact<std::string>();
+                if (!one || !(urls ? isUrl(*one) : isAddress(*one)))
                     return false;
-                urls.push_back(*url);
+                texts.push_back(*one);
             }
-            f.list(out) = std::move(urls);
+            f.list(out) = std::move(texts);
             return true;
         }
         case field_kind::Count: {
--- /dev/null
+++ b/src/site.cpp
@@ -0,0 +1,40 @@
+// Look-ups in what is in force.
+#include "site.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace lovagerail {
+
+namespace {
+
+    // Host names are compared without case and without the port.
+    std::string plainHost(std::string_view host)
+    {
+        std::string out(host.substr(0, host.find(':')));
+        std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return out;
+    }
+
+} // namespace
+
+const site_route* site_config::find(std::string_view host, std::string_view path) const
+{
+    const auto wanted = plainHost(host);
+    const site_route* best = nullptr;
+    for (const auto& route : routes) {
+        if (route.host != wanted || path.substr(0, route.prefix.size()) != route.prefix)
+            continue;
+        if (best == nullptr || route.prefix.size() > best->prefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const site_service* site_config::service(const service_id& id) const
+{
+    const auto found = services.find(id);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/weight_sets.cpp
@@ -0,0 +1,212 @@
+// Sizes, members and orders of loads; see weight_sets.h.
+#include "weight_sets.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace lovagerail {
+
+namespace {
+
+    const std::set<target_id> noMembers;
+
+} // namespace
+
+void weight_sets::setModels(std::vector<weight_model> models)
+{
+    std::sort(models.begin(), models.end(), [](const auto& a, const auto& b) { return a.model < b.model; });
+    m_models = std::move(models);
+    arrangeSets();
+}
+
+void weight_sets::setReplicas(std::vector<weight_replica> replicas, instant now)
+{
+    std::sort(replicas.begin(), replicas.end(), [](const auto& a, const auto& b) { return a.target < b.target; });
+    m_replicas = std::move(replicas);
+    std::erase_if(m_loads, [this, now](const auto& entry) {
+        const auto* replica = find(entry.first.first);
+        // Shown by the replica itself, gone with it, or to be ordered again.
+        return replica == nullptr || versionAt(*replica, entry.first.second) >= entry.second.version || now >= entry.second.again;
+    });
+    arrangeSets();
+}
+
+const weight_replica* weight_sets::find(const target_id& target) const
+{
+    const auto found = std::lower_bound(m_replicas.begin(), m_replicas.end(), target, [](const weight_replica& one, const target_id& id) { return one.target < id; });
+    return found == m_replicas.end() || found->target != target ? nullptr : &*found;
+}
+
+weight_version weight_sets::versionAt(const weight_replica& replica, const model_id& model)
+{
+    const auto found = replica.versions.find(model);
+    return found == replica.versions.end() ? weight_version() : found->second;
+}
+
+std::size_t weight_sets::memberships(const target_id& target) const
+{
+    std::size_t count = 0;
+    for (const auto& [model, set] : m_sets)
+        count += set.contains(target) ? 1 : 0;
+    return count;
+}
+
+const std::set<target_id>& weight_sets::members(const model_id& model) const
+{
+    const auto found = m_sets.find(model);
+    return found == m_sets.end() ? noMembers : found->second;
+}
+
+// Replicas of each model: shares by demand, the largest remainders rounded up, at
+// least one each, and no more in all than there are.
+std::vector<std::size_t> weight_sets::sizes() const
+{
+    double sum = 0;
+    for (const auto& model : m_models)
+        sum += model.demand;
+    std::vector<std::size_t> out;
+    std::vector<std::pair<double, std::size_t>> remainders;
+    std::size_t given = 0;
+    for (std::size_t i = 0; i < m_models.size(); ++i) {
+        const double share = static_cast<double>(m_replicas.size()) * m_models[i].demand / sum;
+        out.push_back(std::max<std::size_t>(1, static_cast<std::size_t>(share)));
+        remainders.emplace_back(share - std::floor(share), i);
+        given += out.back();
+    }
+    std::sort(remainders.rbegin(), remainders.rend());
+    for (const auto& [remainder, i] : remainders) {
+        if (given >= m_replicas.size())
+            break;
+        ++out[i];
+        ++given;
+    }
+    return out;
+}
+
+void weight_sets::arrangeSets()
+{
+    if (m_models.empty() || m_replicas.empty())
+        return;
+
+    // Step 1. Members that are gone, and models that are.
+    std::map<model_id, std::set<target_id>> kept;
+    for (const auto& model : m_models) {
+        for (const auto& target : m_sets[model.model]) {
+            if (find(target) != nullptr)
+                kept[model.model].insert(target);
+        }
+        kept[model.model];
+    }
+    m_sets = std::move(kept);
+
+    // Step 2. Too many: those that serve another model too go first, then the oldest version.
+    const auto wanted = sizes();
+    for (std::size_t i = 0; i < m_models.size(); ++i) {
+        const auto& model = m_models[i].model;
+        auto& set = m_sets[model];
+        while (set.size() > wanted[i]) {
+            const auto worst = std::min_element(set.begin(), set.end(), [&](const target_id& a, const target_id& b) {
+                return std::tuple(memberships(b), versionAt(*find(a), model)) < std::tuple(memberships(a), versionAt(*find(b), model));
+            });
+            set.erase(worst);
+        }
+    }
+
+    // Step 3. Too few: the least used replica, the newest version, a domain without one.
+    for (std::size_t i = 0; i < m_models.size(); ++i) {
+        const auto& model = m_models[i].model;
+        auto& set = m_sets[model];
+        while (set.size() < std::min(wanted[i], m_replicas.size())) {
+            const weight_replica* best = nullptr;
+            auto bestRank = std::tuple<std::size_t, std::size_t, std::uint64_t>();
+            for (const auto& replica : m_replicas) {
+                if (set.contains(replica.target))
+                    continue;
+                const auto sameDomain = static_cast<std::size_t>(std::count_if(set.begin(), set.end(), [&](const target_id& other) { return find(other)->failureDomain == replica.failureDomain; }));
+                const auto rank = std::tuple(memberships(replica.target), sameDomain, ~versionAt(replica, model).value());
+                if (best != nullptr && !(rank < bestRank))
+                    continue;
+                best = &replica;
+                bestRank = rank;
+            }
+            set.insert(best->target);
+        }
+    }
+}
+
+std::vector<weight_load> weight_sets::plan(instant now)
+{
+    // Step 1. What loads now.
+    std::size_t loading = 0;
+    std::map<model_id, std::size_t> loadingOf;
+    for (const auto& [key, load] : m_loads) {
+        if (now >= load.loadingUntil)
+            continue;
+        ++loading;
+        ++loadingOf[key.second];
+    }
+    const auto most = std::max(m_settings.leastLoading, static_cast<std::size_t>(static_cast<double>(m_replicas.size()) * m_settings.loadingOfAll));
+
+    // Step 2. Members behind the named version: the furthest behind first, idle ones
+    // before busy ones.
+    struct candidate {
+        std::uint64_t behind = 0;
+        double busy = 0;
+        weight_load load;
+    };
+    std::vector<candidate> candidates;
+    for (const auto& model : m_models) {
+        for (const auto& target : m_sets[model.model]) {
+            const auto& replica = *find(target);
+            const auto has = versionAt(replica, model.model);
+            if (has >= model.named || m_loads.contains({ target, model.model }))
+                continue;
+            candidates.push_back({ model.named.value() - has.value(), replica.busy, { target, model.model, model.named } });
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) {
+        return std::tuple(b.behind, a.busy) < std::tuple(a.behind, b.busy);
+    });
+
+    // Step 3. As many as may load beside each other.
+    std::vector<weight_load> out;
+    for (const auto& one : candidates) {
+        const auto size = m_sets[one.load.model].size();
+        const auto mostOfSet = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(size) * m_settings.loadingShare));
+        if (loading >= most || loadingOf[one.load.model] >= mostOfSet)
+            continue;
+        ++loading;
+        ++loadingOf[one.load.model];
+        m_loads[{ one.load.target, one.load.model }] = { one.load.version, now + m_settings.loadTime, now + m_settings.confirmTime };
+        out.push_back(one.load);
+    }
+    return out;
+}
+
+void weight_sets::ordered(const weight_load& load, load_outcome outcome, instant now)
+{
+    const auto found = m_loads.find({ load.target, load.model });
+    if (found == m_loads.end() || found->second.version != load.version)
+        return;
+    switch (outcome) {
+    case load_outcome::Accepted:
+        found->second.loadingUntil = now + m_settings.loadTime;
+        found->second.again = now + m_settings.confirmTime;
+        return;
+    case load_outcome::Holds:
+        found->second.loadingUntil = now;
+        found->second.again = now + m_settings.confirmTime;
+        return;
+    case load_outcome::NotNow:
+        found->second.loadingUntil = now;
+        found->second.again = now + m_settings.retryPause;
+        return;
+    case load_outcome::Unsure:
+        found->second.loadingUntil = now + m_settings.unsurePause;
+        found->second.again = now + m_settings.unsurePause;
+        return;
+    }
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/weight_sets.h
@@ -0,0 +1,97 @@
+// Which replicas serve which model, and when they load a new weight version.
+//
+// A load makes a replica discard its caches and keeps the model's new work away from
+// it for about a second, so each model is served by a bounded set of replicas, spread
+// over failure domains, and only these load its versions. Sets change as little as can
+// be: a replica that goes is replaced, one that is too many is let go.
+//
+// Pure; owned by the holder of the duty. A plan is O(models x replicas).
+#pragma once
+
+#include "types.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagerail {
+
+struct weight_set_settings {
+    // Replicas of a model that load at a time, as a share of its set; at least one.
+    double loadingShare = 0.34;
+    // Replicas that load at a time in all, as a share of all; more of them slow each other.
+    double loadingOfAll = 0.21;
+    std::size_t leastLoading = 2; // of all, however few there are
+    duration loadTime = std::chrono::milliseconds(1300); // an accepted order is done by then; loading takes 0.9 s
+    duration confirmTime = std::chrono::milliseconds(3500); // the replica's own entry shows it by then
+    duration retryPause = std::chrono::milliseconds(400); // after a refusal
+    duration unsurePause = std::chrono::milliseconds(1500); // after a lost answer; the order may be carried out late
+};
+
+struct weight_model {
+    model_id model;
+    weight_version named; // the version that replicas are to serve
+    double demand = 1; // share of replicas, against the other models
+};
+
+struct weight_replica {
+    target_id target;
+    incarnation life;
+    failure_domain_id failureDomain;
+    std::map<model_id, weight_version> versions;
+    double busy = 0; // requests there
+};
+
+struct weight_load {
+    target_id target;
+    model_id model;
+    weight_version version;
+};
+
+enum class load_outcome {
+    Accepted,
+    Holds,
+    NotNow, // surely not done
+    Unsure,
+};
+
+class weight_sets {
+public:
+    explicit weight_sets(weight_set_settings settings = {})
+        : m_settings(settings)
+    {
+    }
+
+    void setModels(std::vector<weight_model> models);
+    // All live replicas of the service that serve these models.
+    void setReplicas(std::vector<weight_replica> replicas, instant now);
+    // Loads to order now; each is answered by ordered().
+    std::vector<weight_load> plan(instant now);
+    void ordered(const weight_load& load, load_outcome outcome, instant now);
+
+    // Members of a model's set.
+    const std::set<target_id>& members(const model_id& model) const;
+
+private:
+    struct open_load {
+        weight_version version;
+        instant loadingUntil {}; // counts as loading until then
+        instant again {}; // not ordered again before
+    };
+    using load_key = std::pair<target_id, model_id>;
+
+    void arrangeSets();
+    std::vector<std::size_t> sizes() const;
+    std::size_t memberships(const target_id& target) const;
+    const weight_replica* find(const target_id& target) const;
+    static weight_version versionAt(const weight_replica& replica, const model_id& model);
+
+    weight_set_settings m_settings;
+    std::vector<weight_model> m_models; // sorted by name
+    std::vector<weight_replica> m_replicas; // sorted by target
+    std::map<model_id, std::set<target_id>> m_sets; // live replicas alone
+    std::map<load_key, open_load> m_loads;
+};
+
+} // namespace lovagerail
