Weights: orders name the replica's own count of orders

Cause: every order was refused with 409. A target's entry in the store names its check-ins 'sequence'; its own report gives the count of orders under that name. Change: the count comes from the target's report and is kept with each accepted order, so that an order carried out late is refused by the target.

--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -50,6 +50,7 @@
     if (m_term != held->fencing) {
         m_term = held->fencing;
         m_sets.clear();
+        m_taken.clear();
         m_readAgain = {};
     }
     if (m_watch == 0 && !m_reading && m_context.now >= m_readAgain)
@@ -155,11 +156,43 @@
 }
 
 void weight_duty::order(const service_id& service, const weight_load& load)
+{
+    const auto entry = m_entries.find(load.target);
+    if (entry == m_entries.end()) {
+        m_sets.at(service).ordered(load, load_outcome::NotNow, m_context.now);
+        return;
+    }
+    const auto taken = m_taken.find(load.target);
+    if (taken != m_taken.end() && taken->second.life == entry->second.listed.incarnation)
+        sendOrder(service, load, taken->second.taken);
+    else
+        askCount(service, load);
+}
+
+void weight_duty::askCount(const service_id& service, const weight_load& load)
+{
+    const auto& listed = m_entries.at(load.target).listed;
+    auto request = platform::encodeReportCall(listed.address);
+    request.connectTimeout = orderConnectTimeout;
+    request.totalTimeout = orderTimeout;
+    m_context.net.call(std::move(request), [this, service, load, life = listed.incarnation, term = *m_term](const http::answer& answer) {
+        const auto report = platform::decodeReport(answer);
+        if (!report || m_term != term) {
+            logEvent(log_level::Warning, "weights", "no_report", { { "target", load.target.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
+            settle(service, load, load_outcome::NotNow, term);
+            return;
+        }
+        m_taken[load.target] = { life, report->ordersTaken };
+        sendOrder(service, load, report->ordersTaken);
+    });
+}
+
+void weight_duty::sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken)
 {
     const auto held = m_members.holds(weightDuty);
     const auto entry = m_entries.find(load.target);
     if (!held || entry == m_entries.end()) {
-        m_sets.at(service).ordered(load, load_outcome::NotNow, m_context.now);
+        settle(service, load, load_outcome::NotNow, m_term.value_or(fencing_number()));
         return;
     }
     platform::load_order order;
@@ -167,18 +200,31 @@
     order.address = entry->second.listed.address;
     order.model = load.model;
     order.version = load.version;
-    order.ordersTaken = entry->second.ordersTaken;
+    order.ordersTaken = ordersTaken;
     auto request = platform::encodeLoadOrder({ instance_id(m_context.values.instance.name), held->fencing }, order);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
-    m_context.net.call(std::move(request), [this, service, load, term = held->fencing](const http::answer& answer) {
+    m_context.net.call(std::move(request), [this, service, load, ordersTaken, term = held->fencing](const http::answer& answer) {
         const auto outcome = platform::decodeDutyAnswer(answer);
         logEvent(log_level::Info, "weights", "ordered",
-            { { "target", load.target.str() }, { "model", load.model.str() }, { "version", std::to_string(load.version.value()) }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
-        const auto sets = m_sets.find(service);
-        if (m_term == term && sets != m_sets.end())
-            sets->second.ordered(load, outcomeOf(outcome), m_context.now);
+            { { "target", load.target.str() }, { "model", load.model.str() }, { "version", std::to_string(load.version.value()) }, { "taken", std::to_string(ordersTaken) },
+                { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
+        const auto taken = m_taken.find(load.target);
+        if (taken != m_taken.end()) {
+            if (outcome == platform::duty_answer::Accepted)
+                ++taken->second.taken;
+            else if (outcome != platform::duty_answer::Holds)
+                m_taken.erase(taken); // asked again before the next order
+        }
+        settle(service, load, outcomeOf(outcome), term);
     });
 }
 
+void weight_duty::settle(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term)
+{
+    const auto sets = m_sets.find(service);
+    if (m_term == term && sets != m_sets.end())
+        sets->second.ordered(load, outcome, m_context.now);
+}
+
 } // namespace lovagerail::edge
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -25,6 +25,9 @@
     void retire(const kv_entry& entry);
     void refresh();
     void order(const service_id& service, const weight_load& load);
+    void askCount(const service_id& service, const weight_load& load);
+    void sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken);
+    void settle(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term);
 
     context& m_context;
     members& m_members;
@@ -37,6 +40,13 @@
     std::map<model_id, weight_version> m_named;
     std::map<service_id, weight_sets> m_sets; // one for each service with models
     std::map<target_id, platform::target_entry> m_entries; // as listed last
+    // Orders that a target has taken since its start, as far as they are known: an
+    // order that names another count is refused, also one that is carried out late.
+    struct order_count {
+        incarnation life;
+        std::uint64_t taken = 0;
+    };
+    std::map<target_id, order_count> m_taken;
 };
 
 } // namespace lovagerail::edge
