Store watches are reopened within the bound of what they watch

Seen in its log: no line of duty config between versions 12 and 14, while other calls were answered. Ruled out: the store being unreachable (target lists came each second). Change: each watch names its longest wait: 1.5 s for the configuration (in force within 2 s), 4 s for members, 2.5 s for versions.

--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -12,6 +12,9 @@
 namespace {
 
     constexpr duration retryPause = std::chrono::milliseconds(300); // after a read that failed
+    // A configuration is in force within two seconds of its acceptance, also when the
+    // store falls silent on the watch.
+    constexpr std::chrono::milliseconds configWait { 1500 };
     // A leaving target gets nothing new within the platform's bound of 2 s from its
     // notice; the rest of that time is for the call and for requests on their way.
     constexpr duration listPeriod = std::chrono::milliseconds(900);
@@ -39,7 +42,7 @@
         }
         for (const auto& entry : answer->entries)
             take(entry);
-        m_watch = m_context.store.watch(std::string(platform::configKey), answer->at, [this](const platform::store_news& news) {
+        m_watch = m_context.store.watch(std::string(platform::configKey), answer->at, configWait, [this](const platform::store_news& news) {
             if (news.compacted)
                 m_watch = 0; // tick() reads afresh
             for (const auto& event : news.events) {
--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -15,6 +15,7 @@
     // nothing; a longer one only delays a take-over.
     constexpr std::chrono::seconds leaseTime { 3 };
     constexpr duration readPause = std::chrono::milliseconds(500); // after a list that failed
+    constexpr std::chrono::milliseconds watchWait { 4000 }; // about as long as a lease takes to lapse
 
     lease_settings leaseSettings(const context& shared)
     {
@@ -93,7 +94,7 @@
                 m_lost.push_back(name);
         }
         m_known = true;
-        m_watch = m_context.store.watch(std::string(dutyPrefix), answer->at, [this](const platform::store_news& news) {
+        m_watch = m_context.store.watch(std::string(dutyPrefix), answer->at, watchWait, [this](const platform::store_news& news) {
             if (news.compacted) {
                 m_watch = 0; // tick() reads afresh
                 return;
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -150,12 +150,13 @@
     });
 }
 
-std::uint64_t store_link::watch(std::string prefix, revision from, news_function onNews)
+std::uint64_t store_link::watch(std::string prefix, revision from, std::chrono::milliseconds wait, news_function onNews)
 {
     const auto id = ++m_lastWatch;
     auto& watch = m_watches[id];
     watch.prefix = std::move(prefix);
     watch.after = from;
+    watch.wait = wait;
     watch.onNews = std::move(onNews);
     open(id, watch);
     return id;
@@ -173,8 +174,8 @@
 
 void store_link::open(std::uint64_t id, open_watch& watch)
 {
-    auto request = platform::encodeWatch(m_address, { watch.prefix, watch.after, m_settings.watchWait });
-    request.totalTimeout = m_settings.watchWait + m_settings.callTimeout;
+    auto request = platform::encodeWatch(m_address, { watch.prefix, watch.after, watch.wait });
+    request.totalTimeout = watch.wait + m_settings.callTimeout;
     // The transfer's id is known only after the call; an answer comes from a later poll.
     const auto by = direct() || !m_peers || m_peers().empty() ? way::Direct : way::Detour;
     send("watch " + watch.prefix, std::move(request), by, [this, id](const http::answer& answer) { onWatch(id, answer); });
@@ -219,7 +220,7 @@
     onward.body = exchange->body;
     if (!onward.body.empty())
         onward.headers.emplace_back("Content-Type", "application/json");
-    onward.totalTimeout = m_settings.watchWait + m_settings.callTimeout;
+    onward.totalTimeout = m_settings.relayedWait + m_settings.callTimeout;
     send("relay", std::move(onward), way::Direct, [exchange](const http::answer& answer) {
         const bool whole = answer.outcome == http::transfer_result::Whole;
         exchange->answer(whole ? answer.status : statusOk, { { std::string(outcomeHeader), nameOf(answer.outcome) } }, whole ? answer.body : answer.detail);
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -22,7 +22,7 @@
 
 struct store_link_settings {
     std::chrono::milliseconds callTimeout { 1200 }; // slow spells of the store take tens of times its usual 4 ms
-    std::chrono::milliseconds watchWait { 10'000 }; // each reopening of a watch is a priced call
+    std::chrono::milliseconds relayedWait { 10'000 }; // the longest watch that a peer may ask us to pass on
     std::chrono::milliseconds connectTimeout { 500 };
     std::chrono::milliseconds unacknowledged { 700 }; // a silent path is given up after so long
     int failuresToDetour = 2; // in a row, before calls go through a peer
@@ -44,8 +44,10 @@
     // `cause` names the duty that asks, for the counts of calls.
     void call(std::string_view cause, kv_call wanted, answer_function onAnswer);
     // News of all keys under the prefix behind `from`, until endWatch(). After lost
-    // history one news says `compacted` and the watch ends: read afresh.
-    std::uint64_t watch(std::string prefix, revision from, news_function onNews);
+    // history one news says `compacted` and the watch ends: read afresh. The store may
+    // fall silent on a watch that waits, so it is reopened after `wait`, which bounds
+    // how late news can come; each reopening is a priced call.
+    std::uint64_t watch(std::string prefix, revision from, std::chrono::milliseconds wait, news_function onNews);
     void endWatch(std::uint64_t id);
 
     // Another instance asks us to pass its call on.
@@ -62,6 +64,7 @@
     struct open_watch {
         std::string prefix;
         revision after;
+        std::chrono::milliseconds wait { 0 };
         news_function onNews;
         std::uint64_t transfer = 0; // 0 = not open
         instant reopenAt {};
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -10,6 +10,7 @@
 
     constexpr duration planPeriod = std::chrono::milliseconds(100);
     constexpr duration retryPause = std::chrono::milliseconds(300);
+    constexpr std::chrono::milliseconds watchWait { 2500 }; // versions are named every few seconds
     constexpr std::chrono::milliseconds orderTimeout { 1000 };
     constexpr std::chrono::milliseconds orderConnectTimeout { 400 };
 
@@ -78,7 +79,7 @@
         }
         for (const auto& entry : answer->entries)
             take(entry);
-        m_watch = m_context.store.watch(prefix, answer->at, [this](const platform::store_news& news) {
+        m_watch = m_context.store.watch(prefix, answer->at, watchWait, [this](const platform::store_news& news) {
             if (news.compacted)
                 m_watch = 0; // tick() reads afresh
             for (const auto& event : news.events) {
