Weights: sets of replicas sized by how far work may lag; demand told to the holder

A restarted instance waited 3 s for the lease of its own earlier life. Change: replicas that new work still accepts load in turn; sets are (lag + 1) x 0.75 of an equal share; the model with the fewest accepted replicas loads first; instances tell the holder what their batches accept; a replica that refused is closed to the whole batch for 120 ms; an instance replaces the leases of its earlier life.

--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -124,7 +124,7 @@
 
 // --- Batches -----------------------------------------------------------------
 
-void batch_board::add(batch_spec spec, const site_route& route, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall)
+void batch_board::add(batch_spec spec, const site_route& route, double tokensPerEvent, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall)
 {
     if (m_batches.contains(spec.id))
         return;
@@ -132,6 +132,7 @@
     auto& batch = m_batches[id];
     batch.spec = std::move(spec);
     batch.route = route;
+    batch.tokensPerEvent = tokensPerEvent;
     const auto age = std::max(std::chrono::duration_cast<duration>(wall - batch.spec.submitted), duration {});
     batch.due = now - age + route.resultsDue;
     batch.itemsEnd = now - age + route.itemLife;
@@ -273,6 +274,25 @@
     return take();
 }
 
+std::vector<model_demand> batch_board::demand() const
+{
+    std::map<std::pair<service_id, model_id>, model_demand> byModel;
+    for (const auto& [id, batch] : m_batches) {
+        if (batch.ended)
+            continue;
+        const auto& service = batch.route.services.front().service;
+        auto& one = byModel[{ service, batch.spec.model }];
+        one.service = service;
+        one.model = batch.spec.model;
+        one.least = std::max(one.least, batch.spec.leastVersion);
+        one.items += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.at <= phase::Running; }));
+    }
+    std::vector<model_demand> out;
+    for (auto& [key, one] : byModel)
+        out.push_back(std::move(one));
+    return out;
+}
+
 made_texts batch_board::release(const batch_id& id, std::vector<board_action>& actions, instant now)
 {
     made_texts out;
@@ -298,10 +318,13 @@
 
 // --- Runs --------------------------------------------------------------------
 
-// Replicas that already have as many requests as they run at once.
-std::vector<target_id> batch_board::fullTargets(const batch_state& batch, instant now) const
+// Replicas that already have as many requests as they run at once, or have just said so.
+std::vector<target_id> batch_board::fullTargets(batch_state& batch, instant now) const
 {
     std::vector<target_id> out;
+    std::erase_if(batch.closed, [now](const auto& entry) { return now >= entry.second; });
+    for (const auto& [target, until] : batch.closed)
+        out.push_back(target);
     for (const auto slot : m_router.table().allowed(batch.targets)) {
         const auto& record = m_router.table().record(slot);
         const auto stated = numberIn(record.listed.labels, "slots");
@@ -377,6 +400,7 @@
     open.batch = batch.spec.id;
     open.index = index;
     open.target = choice->target;
+    open.resumedFrom = item.made.data.size();
     open.sentAt = open.lastHeard = now;
     m_runs[run.attempt] = open;
     item.at = phase::Running;
@@ -394,8 +418,10 @@
     assert(found != m_runs.end());
     const auto run = found->second;
     m_runs.erase(found);
-    auto& item = m_batches.at(run.batch).items[run.index];
-    m_router.ended(attempt, { outcome, token_count(item.made.data.size()), std::nullopt }, now);
+    auto& batch = m_batches.at(run.batch);
+    auto& item = batch.items[run.index];
+    const auto made = item.made.data.size() - std::min(item.made.data.size(), run.resumedFrom);
+    m_router.ended(attempt, { outcome, token_count(static_cast<std::uint64_t>(static_cast<double>(made) * batch.tokensPerEvent)), std::nullopt }, now);
     item.attempt.reset();
     item.at = phase::Waiting;
 }
@@ -491,8 +517,7 @@
         // Step 3. Not run: the replica is full, loads weights or is another one.
         ++m_counts.refused;
         endRun(attempt, attempt_outcome::Refused, now);
-        item.avoid[run.target] = now + (run.head.status == statusMisdirected ? m_settings.avoidWrong : m_settings.avoidBusy);
-        wait(item, m_settings.refusedPause, now);
+        batch.closed[run.target] = now + (run.head.status == statusMisdirected ? m_settings.avoidWrong : m_settings.closedBusy);
     } else {
         // Step 4. The replica failed it.
         endRun(attempt, attempt_outcome::Failure, now);
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -73,7 +73,8 @@
     duration firstEvent = std::chrono::milliseconds(2500); // a run without any event for so long goes elsewhere
     duration eventGap = std::chrono::milliseconds(1200); // the same between events
     duration refusedPause = std::chrono::milliseconds(40); // before an item that a target refused is sent again
-    duration avoidBusy = std::chrono::milliseconds(250); // a target that refused is not asked by this item for so long
+    duration avoidBusy = std::chrono::milliseconds(250); // a target whose run broke off or failed is not asked by this item for so long
+    duration closedBusy = std::chrono::milliseconds(120); // a target that refused is not asked by its whole batch for so long
     duration avoidWrong = std::chrono::milliseconds(1500); // the same after a broken run or a wrong version: its list entry lags
     duration judgePause = std::chrono::milliseconds(250); // before a judge is asked again
     duration gather = std::chrono::milliseconds(50); // whole groups wait so long for others to share their page
@@ -104,13 +105,22 @@
 };
 using made_texts = std::map<item_id, made_text>;
 
+// Work of one model, for whoever decides which replicas serve it.
+struct model_demand {
+    service_id service;
+    model_id model;
+    weight_version least; // that the newest batch accepts
+    std::size_t items = 0; // that wait or run
+};
+
 class batch_board {
 public:
     batch_board(board_settings settings, router& targets);
 
     // --- Batches. A known one is left as it is.
     // `listed` are the results that stand in the store, in order.
-    void add(batch_spec spec, const site_route& route, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall);
+    // `tokensPerEvent` is what an event of the route's targets carries.
+    void add(batch_spec spec, const site_route& route, double tokensPerEvent, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall);
     // Runs no more of it; what is listed stays readable.
     std::vector<board_action> end(const batch_id& id, instant now);
     // Somebody else owns it now, or its time is over.
@@ -130,7 +140,7 @@
     std::uint32_t pages(const batch_id& id) const;
     const batch_item* unlistedItem(const batch_id& id, const item_id& item) const;
     std::vector<batch_id> all() const;
-    std::size_t openRuns() const { return m_runs.size(); }
+    std::vector<model_demand> demand() const;
 
     // --- Runs.
     std::vector<board_action> head(attempt_id attempt, const item_head& head, instant now);
@@ -181,6 +191,8 @@
         std::uint32_t pages = 0; // written, or under way
         bool writing = false; // a page is under way
         std::vector<std::size_t> inPage; // its items, in order
+        std::map<target_id, instant> closed; // refused this model's work; not asked until then
+        double tokensPerEvent = 1;
         std::optional<instant> pageDue; // a whole group waits for its page
         instant writeAgain {}; // not before
         bool ended = false;
@@ -190,6 +202,7 @@
         std::size_t index = 0;
         target_id target;
         weight_version version; // of the events that come now; 0 = not said yet
+        std::size_t resumedFrom = 0; // events that were there when it was sent
         bool accepted = false; // the head was good
         item_head head;
         bool headSeen = false;
@@ -204,7 +217,7 @@
     void arrange(batch_state& batch) const;
     void takeCarried(batch_state& batch);
     void keepCarried(const batch_state& batch, instant now);
-    std::vector<target_id> fullTargets(const batch_state& batch, instant now) const;
+    std::vector<target_id> fullTargets(batch_state& batch, instant now) const;
     void dispatch(batch_state& batch, instant now);
     bool send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now);
     void endRun(attempt_id attempt, attempt_outcome outcome, instant now);
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -199,9 +199,10 @@
     logEvent(log_level::Info, "batch", "owned",
         { { "batch", head.id.str() }, { "step", std::to_string(spec->step) }, { "model", spec->model.str() }, { "least", std::to_string(spec->leastVersion.value()) },
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(fence.value()) } });
-    m_owned[head.id] = { head, fence, false, {}, {}, {}, false };
+    m_owned[head.id] = { head, fence, false, {}, {}, {} };
     m_foreign.erase(head.id);
-    m_board.add(std::move(*spec), *route, std::move(listed), pages, m_context.now, m_context.wall);
+    const auto* service = m_context.site->service(route->services.front().service);
+    m_board.add(std::move(*spec), *route, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
     return true;
 }
 
@@ -291,7 +292,7 @@
 
 void batches::considerOrphan(const batch_head& head, revision fence)
 {
-    if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_context.wall > head.submitted + m_context.values.bounds.resultsKept)
+    if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_adopting.contains(head.id) || m_context.wall > head.submitted + m_context.values.bounds.resultsKept)
         return;
     m_orphans[head.id] = { head, fence };
     m_orphanSince.try_emplace(head.id, m_context.now);
@@ -366,7 +367,6 @@
     const auto* to = rendezvousFirst(id.str(), names);
     if (to == nullptr)
         return;
-    owned.handingOver = true;
     const auto address = m_members.find(*to)->address;
     std::vector<board_action> actions;
     Json::Value body(Json::objectValue);
@@ -382,7 +382,9 @@
     request.url = "http://" + address + "/handover";
     request.body = writeJson(body);
     request.totalTimeout = peerTimeout;
-    m_context.net.call(std::move(request), [id, name = *to](const http::answer& answer) {
+    ++m_handingOver;
+    m_context.net.call(std::move(request), [this, id, name = *to](const http::answer& answer) {
+        --m_handingOver;
         // If it fails, the batch is taken over once our lease has ended.
         logEvent(log_level::Info, "batch", "handed_over", { { "batch", id.str() }, { "to", name.str() }, { "status", std::to_string(answer.status) } });
     });
@@ -390,7 +392,7 @@
 
 void batches::beginStop() { m_stopping = true; }
 
-bool batches::handedOver() const { return open() == 0 && m_submits.empty(); }
+bool batches::handedOver() const { return open() == 0 && m_submits.empty() && m_handingOver == 0; }
 
 // Forgets batches whose results need not be kept any more, here and in the store.
 void batches::expire()
@@ -467,8 +469,10 @@
         if (ownerBack || (!mine && chosen->str() != m_context.values.instance.name))
             continue;
         adopt(orphan.head, orphan.fence, [this, id](bool adopted) {
-            if (!adopted)
+            if (!adopted) {
                 m_scannedOnce = false; // look again
+                m_scanAgain = m_context.now + scanRetry;
+            }
             logEvent(log_level::Info, "batch", "adopted", { { "batch", id.str() }, { "done", adopted ? "1" : "0" } });
         });
     }
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -35,6 +35,7 @@
     void beginStop();
     bool handedOver() const;
     const board_counts& counts() const { return m_board.counts(); }
+    std::vector<model_demand> demand() const { return m_board.demand(); }
     std::size_t open() const;
 
 private:
@@ -46,7 +47,6 @@
         std::vector<http::exchange_ptr> endWaiters;
         instant endAgain {};
         instant endGiveUp {};
-        bool handingOver = false;
     };
     struct open_submit {
         batch_head head;
@@ -129,6 +129,7 @@
     instant m_scanAgain {};
     instant m_nextExpiry {};
     bool m_stopping = false;
+    std::size_t m_handingOver = 0; // hand-overs without an answer yet
 };
 
 } // namespace lovagerail::edge
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -139,6 +139,12 @@
         out.failureDomain = failure_domain_id(values.instance.failureDomain);
         // The store's list is the truth: a target that isn't in the newest one is gone.
         out.table.absenceGrace = std::chrono::milliseconds(1);
+        // Current engines make a token of a small batch in about a millisecond and read
+        // prompts at some hundred tokens in one; what is seen corrects both.
+        out.load.initialSpeed.prefillTokensPerSecond = 100'000;
+        out.load.initialSpeed.secondsPerToken = 0.001;
+        out.load.initialSpeed.batchLimit = 8;
+        out.load.initialSpeed.serviceWorkers = 6;
         return out;
     }
 
@@ -188,6 +194,8 @@
             m_store.relay(exchange);
         else if (exchange->path == "/usage")
             m_usage.onPeer(exchange);
+        else if (exchange->path == "/demand")
+            m_weights.onPeer(exchange);
         else if (!m_batches.onPeer(exchange))
             exchange->answer(statusNotFound, {}, "");
     }
@@ -270,6 +278,7 @@
         m_targets.tick(m_context.now);
         m_front.tick();
         m_batches.tick();
+        m_weights.tell(m_batches.demand());
         m_weights.tick();
         m_usage.tick();
         if (m_context.stopping && m_batches.handedOver())
--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -24,6 +24,8 @@
         out.life = shared.life;
         out.address = shared.values.listen.instances;
         out.time = leaseTime;
+        // The platform starts a process again only after it has ended.
+        out.replacesEarlierLife = true;
         return out;
     }
 
@@ -69,6 +71,12 @@
     return found == m_members.end() ? nullptr : &found->second;
 }
 
+const member* members::holderOf(const duty_id& duty) const
+{
+    const auto found = m_holders.find(duty);
+    return found == m_holders.end() ? nullptr : find(found->second);
+}
+
 std::vector<instance_id> members::names() const
 {
     std::vector<instance_id> out { instance_id(m_context.values.instance.name) };
@@ -87,6 +95,7 @@
             return;
         }
         const auto before = std::exchange(m_members, {});
+        m_holders.clear();
         for (const auto& entry : answer->entries)
             take(entry, false);
         for (const auto& [name, one] : before) {
@@ -109,8 +118,12 @@
 {
     const auto duty = entry.key.substr(dutyPrefix.size());
     if (duty.rfind(nodePrefix, 0) != 0) {
-        if (deleted)
+        const auto holder = deleted ? std::nullopt : decodeHolder(entry);
+        if (deleted) {
             m_leases.hintFree(duty_id(duty));
+            m_holders.erase(duty_id(duty));
+        } else if (holder)
+            m_holders[duty_id(duty)] = holder->instance;
         return;
     }
     const instance_id name(duty.substr(nodePrefix.size()));
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -40,6 +40,8 @@
     std::vector<member> others() const;
     std::vector<std::string> otherAddresses() const;
     const member* find(const instance_id& name) const;
+    // The member that holds a duty, as seen last; null if none does.
+    const member* holderOf(const duty_id& duty) const;
     // All live names, our own included, for rendezvous hashing.
     std::vector<instance_id> names() const;
     // Members that went, or came back as another incarnation, since the last call.
@@ -62,6 +64,7 @@
     instant m_readAgain {};
     std::uint64_t m_watch = 0; // 0 = none
     std::map<instance_id, member> m_members;
+    std::map<duty_id, instance_id> m_holders; // of duties beside the membership
     std::vector<instance_id> m_lost;
 };
 
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -1,6 +1,7 @@
 // Named versions in, fenced orders out.
 #include "edge/weight_duty.h"
 
+#include "json_text.h"
 #include "log.h"
 #include "platform/duty_codec.h"
 
@@ -11,6 +12,8 @@
     constexpr duration planPeriod = std::chrono::milliseconds(100);
     constexpr duration retryPause = std::chrono::milliseconds(300);
     constexpr std::chrono::milliseconds watchWait { 2500 }; // versions are named every few seconds
+    constexpr duration tellPeriod = std::chrono::milliseconds(400); // news of demand to the holder
+    constexpr std::chrono::milliseconds tellTimeout { 500 };
     constexpr std::chrono::milliseconds orderTimeout { 1000 };
     constexpr std::chrono::milliseconds orderConnectTimeout { 400 };
 
@@ -66,6 +69,61 @@
     }
 }
 
+void weight_duty::tell(const std::vector<model_demand>& demand)
+{
+    if (demand.empty() || m_context.now < m_nextTell)
+        return;
+    m_nextTell = m_context.now + tellPeriod;
+    if (m_members.holds(weightDuty)) {
+        for (const auto& one : demand)
+            noteDemand(one);
+        return;
+    }
+    const auto* holder = m_members.holderOf(weightDuty);
+    if (holder == nullptr)
+        return;
+    Json::Value body(Json::arrayValue);
+    for (const auto& one : demand) {
+        Json::Value row(Json::objectValue);
+        row["model"] = one.model.str();
+        row["least"] = Json::UInt64(one.least.value());
+        body.append(std::move(row));
+    }
+    http::request request;
+    request.method = "POST";
+    request.url = "http://" + holder->address + "/demand";
+    request.body = writeJson(body);
+    request.totalTimeout = tellTimeout;
+    // Lost news is told again.
+    m_context.net.call(std::move(request), [](const http::answer&) {});
+}
+
+void weight_duty::onPeer(const http::exchange_ptr& exchange)
+{
+    constexpr int statusOk = 200;
+    const auto body = parseJson(exchange->body);
+    for (const auto& row : body && body->isArray() ? *body : Json::Value(Json::arrayValue)) {
+        model_demand one;
+        one.model = model_id(jsonText(row, "model"));
+        one.least = weight_version(jsonCount(row, "least"));
+        noteDemand(one);
+    }
+    exchange->answer(statusOk, {}, "");
+}
+
+// A batch comes right after its version was named, so the distance between the two is
+// what its kind of work accepts.
+void weight_duty::noteDemand(const model_demand& demand)
+{
+    const auto named = m_named.find(demand.model);
+    if (named == m_named.end())
+        return;
+    auto& known = m_lags[demand.model];
+    if (demand.least <= known.least || demand.least > named->second)
+        return;
+    known = { demand.least, named->second.value() - demand.least.value() };
+}
+
 // What the platform's operators and trainers ask for now, and a watch on what comes.
 void weight_duty::begin()
 {
@@ -148,7 +206,8 @@
         std::vector<weight_model> models;
         for (const auto& model : service.models) {
             const auto named = m_named.find(model);
-            models.push_back({ model, named == m_named.end() ? weight_version(1) : named->second, 1 });
+            const auto lag = m_lags.find(model);
+            models.push_back({ model, named == m_named.end() ? weight_version(1) : named->second, 1, lag == m_lags.end() ? 0 : lag->second.lag });
         }
         auto& sets = m_sets[id];
         sets.setModels(std::move(models));
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -2,8 +2,10 @@
 // to empty a machine; the duty of one instance.
 #pragma once
 
+#include "batch_board.h"
 #include "edge/knowledge.h"
 #include "edge/members.h"
+#include "http/server.h"
 #include "weight_sets.h"
 
 #include <map>
@@ -18,8 +20,13 @@
     weight_duty(context& shared, members& group, const target_list& targets);
 
     void tick();
+    // What our own batches need; goes to the holder of the duty.
+    void tell(const std::vector<model_demand>& demand);
+    // The same from another instance.
+    void onPeer(const http::exchange_ptr& exchange);
 
 private:
+    void noteDemand(const model_demand& demand);
     void begin();
     void take(const kv_entry& entry);
     void retire(const kv_entry& entry);
@@ -38,6 +45,13 @@
     instant m_readAgain {};
     instant m_nextPlan {};
     std::map<model_id, weight_version> m_named;
+    // How far behind the named version the newest batch of a model goes.
+    struct known_lag {
+        weight_version least;
+        std::uint64_t lag = 0;
+    };
+    std::map<model_id, known_lag> m_lags;
+    instant m_nextTell {};
     std::map<service_id, weight_sets> m_sets; // one for each service with models
     std::map<target_id, platform::target_entry> m_entries; // as listed last
     // Orders that a target has taken since its start, as far as they are known: an
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -261,6 +261,11 @@
     case call_kind::Check:
         onClaim(done, answer, now);
         break;
+    case call_kind::Evict:
+        // Whether it went or not, the next claim tells.
+        if (answer)
+            hintFree(done.duty);
+        break;
     case call_kind::Release: {
         const auto waiting = m_givenUp.find(done.duty);
         if (answer && waiting != m_givenUp.end() && waiting->second.fencing == done.fencing) {
@@ -299,11 +304,24 @@
             continue;
         if (isOurs(entry))
             gain(done.duty, fencingOf(entry), now);
-        else
+        else {
             noteHolder(done.duty, entry);
+            evictEarlierLife(done.duty, entry, now);
+        }
     }
 }
 
+void duty_leases::evictEarlierLife(const duty_id& duty, const kv_entry& entry, instant now)
+{
+    const auto holder = decodeHolder(entry);
+    if (!m_settings.replacesEarlierLife || !holder || holder->instance != m_settings.self || holder->life >= m_settings.life)
+        return;
+    kv_transaction wanted;
+    wanted.compares.push_back({ dutyKey(duty), kv_field::CreateRevision, entry.createRevision, {} });
+    wanted.then.emplace_back(kv_delete { dutyKey(duty), {} });
+    open(call_kind::Evict, duty, now, wanted);
+}
+
 std::optional<held_duty> duty_leases::holds(const duty_id& duty, instant now) const
 {
     const auto found = m_held.find(duty);
--- a/src/lease.h
+++ b/src/lease.h
@@ -30,6 +30,9 @@
     instance_id self;
     incarnation life;
     std::string address {}; // told to whoever looks up a holder; may be empty
+    // An earlier life of this instance is surely over, so its keys need not lapse first:
+    // whoever starts the process says so, as by a platform that restarts ended ones alone.
+    bool replacesEarlierLife = false;
     std::chrono::seconds time { 5 }; // of the lease at the service
     double driftShare = 0.02; // of the time, for clocks that run at different speeds
     duration margin = std::chrono::milliseconds(300); // between our end and the service's
@@ -98,6 +101,7 @@
         Claim,
         Check, // reads a duty's key after a lost answer
         Release,
+        Evict, // removes a key of an earlier life
     };
     struct open_call {
         call_kind kind = call_kind::Grant;
@@ -115,6 +119,7 @@
     void lookAgain(instant now);
     void gain(const duty_id& duty, fencing_number fencing, instant now);
     void loseAll();
+    void evictEarlierLife(const duty_id& duty, const kv_entry& entry, instant now);
     void onClaim(const open_call& done, const result<kv_answer>& answer, instant now);
     void noteHolder(const duty_id& duty, const kv_entry& entry);
     std::string value() const;
--- a/src/site.h
+++ b/src/site.h
@@ -51,6 +51,7 @@
     service_id id;
     bool engine = false;
     std::uint32_t slots = 0; // requests that a replica runs at once; 0 = not stated
+    double tokensPerEvent = 1; // of its streams, at most
     std::vector<model_id> models;
     // Targets to order, in each failure domain; `mostTargets` 0: not ours to order.
     std::uint32_t leastTargets = 0;
--- a/src/weight_sets.cpp
+++ b/src/weight_sets.cpp
@@ -58,8 +58,8 @@
     return found == m_sets.end() ? noMembers : found->second;
 }
 
-// Replicas of each model: shares by demand, the largest remainders rounded up, at
-// least one each, and no more in all than there are.
+// Replicas of each model: shares by demand, larger by what its work may lag behind,
+// the largest remainders rounded up; at least one, at most all.
 std::vector<std::size_t> weight_sets::sizes() const
 {
     double sum = 0;
@@ -67,16 +67,19 @@
         sum += model.demand;
     std::vector<std::size_t> out;
     std::vector<std::pair<double, std::size_t>> remainders;
+    double wanted = 0;
     std::size_t given = 0;
     for (std::size_t i = 0; i < m_models.size(); ++i) {
-        const double share = static_cast<double>(m_replicas.size()) * m_models[i].demand / sum;
+        const double parts = std::max(1.0, static_cast<double>(m_models[i].lag + 1) * m_settings.headroom);
+        const double share = std::min(static_cast<double>(m_replicas.size()), static_cast<double>(m_replicas.size()) * m_models[i].demand / sum * parts);
         out.push_back(std::max<std::size_t>(1, static_cast<std::size_t>(share)));
         remainders.emplace_back(share - std::floor(share), i);
+        wanted += share;
         given += out.back();
     }
     std::sort(remainders.rbegin(), remainders.rend());
     for (const auto& [remainder, i] : remainders) {
-        if (given >= m_replicas.size())
+        if (given >= static_cast<std::size_t>(std::lround(wanted)) || remainder <= 0)
             break;
         ++out[i];
         ++given;
@@ -148,33 +151,58 @@
     }
     const auto most = std::max(m_settings.leastLoading, static_cast<std::size_t>(static_cast<double>(m_replicas.size()) * m_settings.loadingOfAll));
 
-    // Step 2. Members behind the named version: the furthest behind first, idle ones
-    // before busy ones.
+    // Step 2. Members that new work no longer accepts, and as many others as keep one
+    // part of the set at the named version. The model with the fewest accepted ones goes
+    // first, then the furthest behind, then idle ones.
     struct candidate {
+        bool accepted = false;
+        std::size_t usable = 0; // members of its set that new work accepts
         std::uint64_t behind = 0;
         double busy = 0;
         weight_load load;
     };
     std::vector<candidate> candidates;
     for (const auto& model : m_models) {
-        for (const auto& target : m_sets[model.model]) {
+        const auto& set = m_sets[model.model];
+        std::size_t current = 0;
+        std::size_t usable = 0;
+        std::vector<candidate> behind;
+        for (const auto& target : set) {
             const auto& replica = *find(target);
             const auto has = versionAt(replica, model.model);
-            if (has >= model.named || m_loads.contains({ target, model.model }))
+            const bool underWay = m_loads.contains({ target, model.model });
+            if (has >= model.named || underWay) {
+                ++current;
+                ++usable;
+                continue;
+            }
+            const auto distance = model.named.value() - has.value();
+            usable += distance <= model.lag ? 1 : 0;
+            behind.push_back({ distance <= model.lag, 0, distance, replica.busy, { target, model.model, model.named } });
+        }
+        std::stable_sort(behind.begin(), behind.end(), [](const candidate& a, const candidate& b) {
+            return std::tuple(b.behind, a.busy) < std::tuple(a.behind, b.busy);
+        });
+        const auto part = (set.size() + model.lag) / (model.lag + 1);
+        for (const auto& one : behind) {
+            if (one.accepted && current >= part)
                 continue;
-            candidates.push_back({ model.named.value() - has.value(), replica.busy, { target, model.model, model.named } });
+            ++current;
+            candidates.push_back(one);
+            candidates.back().usable = usable;
         }
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) {
-        return std::tuple(b.behind, a.busy) < std::tuple(a.behind, b.busy);
+        return std::tuple(a.usable, a.accepted, b.behind, a.busy) < std::tuple(b.usable, b.accepted, a.behind, b.busy);
     });
 
     // Step 3. As many as may load beside each other.
     std::vector<weight_load> out;
     for (const auto& one : candidates) {
         const auto size = m_sets[one.load.model].size();
+        // One that can't take work anyway may load whatever the others do.
         const auto mostOfSet = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(size) * m_settings.loadingShare));
-        if (loading >= most || loadingOf[one.load.model] >= mostOfSet)
+        if (loading >= most || (one.accepted && loadingOf[one.load.model] >= mostOfSet))
             continue;
         ++loading;
         ++loadingOf[one.load.model];
--- a/src/weight_sets.h
+++ b/src/weight_sets.h
@@ -5,6 +5,11 @@
 // over failure domains, and only these load its versions. Sets change as little as can
 // be: a replica that goes is replaced, one that is too many is let go.
 //
+// Work accepts weights up to `lag` versions older than the named one. A replica that
+// new work still accepts need not load at each version: of lag + 1 parts of the set
+// one loads at a time, the one that is no longer accepted. So the set may be lag + 1
+// times as large for the same number of loads, and loads keep no work waiting.
+//
 // Pure; owned by the holder of the duty. A plan is O(models x replicas).
 #pragma once
 
@@ -23,7 +28,9 @@
     // Replicas that load at a time in all, as a share of all; more of them slow each other.
     double loadingOfAll = 0.21;
     std::size_t leastLoading = 2; // of all, however few there are
-    duration loadTime = std::chrono::milliseconds(1300); // an accepted order is done by then; loading takes 0.9 s
+    // Sets stay below what loads could serve, so that these keep up with named versions.
+    double headroom = 0.75;
+    duration loadTime = std::chrono::milliseconds(1000); // an accepted order is done by then; loading takes 0.9 s
     duration confirmTime = std::chrono::milliseconds(3500); // the replica's own entry shows it by then
     duration retryPause = std::chrono::milliseconds(400); // after a refusal
     duration unsurePause = std::chrono::milliseconds(1500); // after a lost answer; the order may be carried out late
@@ -33,6 +40,7 @@
     model_id model;
     weight_version named; // the version that replicas are to serve
     double demand = 1; // share of replicas, against the other models
+    std::uint64_t lag = 0; // new work accepts versions from named - lag on
 };
 
 struct weight_replica {
