Batches: a head that was rewritten is not our own creation

Change: only a head that was never rewritten and is byte for byte what we wrote is taken for an earlier try of ours.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -53,6 +53,11 @@
     return out;
 }
 
+bool isOwnCreation(const kv_entry& entry, const batch_head& ours)
+{
+    return entry.modRevision == entry.createRevision && entry.value == encodeHead(ours);
+}
+
 std::string encodeBatchPage(const std::vector<batch_result>& results)
 {
     Json::Value out(Json::arrayValue);
--- a/src/batch.h
+++ b/src/batch.h
@@ -5,6 +5,7 @@
 // runs its items; the store holds its head, its submission and pages of results.
 #pragma once
 
+#include "kv.h"
 #include "site.h"
 #include "types.h"
 
@@ -88,6 +89,10 @@
 
 std::string encodeHead(const batch_head& head);
 std::optional<batch_head> decodeHead(const batch_id& id, std::string_view text);
+// Whether an entry found in the way of our create-only write is that very write, made
+// by an earlier try whose answer was lost. A head that was rewritten since is not: it
+// went through other hands, and results may stand behind it.
+bool isOwnCreation(const kv_entry& entry, const batch_head& ours);
 std::string encodeBatchPage(const std::vector<batch_result>& results);
 std::optional<std::vector<batch_result>> decodeBatchPage(std::string_view text);
 
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -157,8 +157,7 @@
             finishSubmit(id, statusUnavailable);
             return;
         }
-        const bool ours = head->owner == submit.head.owner && head->ownerLife == submit.head.ownerLife;
-        if (ours && !head->ended)
+        if (isOwnCreation(*entry, submit.head))
             own(*head, entry->modRevision, submit.body, {}, 0);
         else
             m_foreign[id] = { *head, entry->modRevision };
