Submissions are held while the store is away, and their items run ahead

Ruled out: longer Retry-After alone; the trainer's time runs on meanwhile. Change: a submission whose write failed stays open and is written again each 250 ms while its caller waits; its items run on the board, which writes no page before the acceptance. It is never answered 503 after that, but 500, which promises nothing.

--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -253,6 +253,18 @@
     }
 }
 
+void batch_board::hold(const batch_id& id)
+{
+    if (auto* batch = find(id))
+        batch->held = true;
+}
+
+void batch_board::accept(const batch_id& id)
+{
+    if (auto* batch = find(id))
+        batch->held = false;
+}
+
 std::vector<board_action> batch_board::end(const batch_id& id, instant now)
 {
     auto* batch = find(id);
@@ -593,7 +605,7 @@
 // One page at a time: a whole group is in it as soon as it is complete.
 void batch_board::writeDue(batch_state& batch, instant now)
 {
-    if (batch.writing || batch.ended || now < batch.writeAgain)
+    if (batch.writing || batch.held || batch.ended || now < batch.writeAgain)
         return;
     if (batch.inPage.empty()) {
         // Step 1. Is anything due?
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -125,6 +125,9 @@
     // `listed` are the results that stand in the store, in order.
     // `tokensPerEvent` is what an event of the route's targets carries.
     void add(batch_spec spec, const site_route& route, double tokensPerEvent, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall);
+    // Its items run, but no page is written until accept(): the store doesn't answer yet.
+    void hold(const batch_id& id);
+    void accept(const batch_id& id);
     // Runs no more of it; what is listed stays readable.
     std::vector<board_action> end(const batch_id& id, instant now);
     // Somebody else owns it now, or its time is over.
@@ -200,6 +203,7 @@
         double tokensPerEvent = 1;
         std::optional<instant> pageDue; // a whole group waits for its page
         instant writeAgain {}; // not before
+        bool held = false; // not accepted yet
         bool ended = false;
     };
     struct open_run {
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -18,9 +18,12 @@
     constexpr int statusConflict = 409;
     constexpr int statusServerError = 500;
     constexpr int statusUnavailable = 503;
-    constexpr duration submitRetry = std::chrono::milliseconds(150); // before an unsure write is repeated
-    constexpr duration submitPatience = std::chrono::seconds(3); // an unsure write is repeated for so long
-    constexpr std::chrono::milliseconds storeRetryAfter { 400 }; // told to a trainer while the store is away
+    constexpr duration submitRetry = std::chrono::milliseconds(250); // before a write that failed is repeated
+    // A submission is held while the store is away: outages last some seconds, and a
+    // trainer that is turned away meanwhile loses its step. It gets a final answer before
+    // its own deadline, or after the time that such callers usually have.
+    constexpr duration submitPatience = std::chrono::seconds(10);
+    constexpr duration submitMargin = std::chrono::milliseconds(200);
     // A member whose lease lapsed in an outage of the store is back within this time of
     // its end; its batches are left alone until then.
     constexpr duration orphanGrace = std::chrono::milliseconds(1500);
@@ -90,10 +93,10 @@
 
 // --- Submitting --------------------------------------------------------------
 
-void batches::onSubmit(const http::exchange_ptr& exchange, batch_head head)
+void batches::onSubmit(const http::exchange_ptr& exchange, batch_head head, std::optional<std::chrono::milliseconds> deadline)
 {
     // Step 1. Known here already, or under way.
-    if (const auto known = m_owned.find(head.id); known != m_owned.end()) {
+    if (const auto known = m_owned.find(head.id); known != m_owned.end() && known->second.accepted) {
         respond(exchange, known->second.head.account == head.account ? statusAccepted : statusConflict, "");
         return;
     }
@@ -123,7 +126,7 @@
     submit.head = head;
     submit.body = exchange->body;
     submit.waiters.push_back(exchange);
-    submit.giveUp = m_context.now + submitPatience;
+    submit.giveUp = m_context.now + (deadline ? *deadline - submitMargin : submitPatience);
     writeSubmit(head.id);
 }
 
@@ -148,43 +151,68 @@
 
     if (answer && answer->succeeded) {
         // Step 1. It is ours.
-        own(submit.head, answer->at, submit.body, {}, 0);
+        accept(submit, answer->at);
         finishSubmit(id, statusAccepted);
     } else if (answer) {
         // Step 2. It stands there already: by an earlier try of ours, or of another daemon.
         const auto* entry = answer->entries.empty() ? nullptr : &answer->entries.front();
         const auto head = entry == nullptr ? std::nullopt : decodeHead(id, entry->value);
-        if (!head) {
-            finishSubmit(id, statusUnavailable);
-            return;
-        }
-        if (isOwnCreation(*entry, submit.head))
-            own(*head, entry->modRevision, submit.body, {}, 0);
-        else
+        if (head && isOwnCreation(*entry, submit.head))
+            accept(submit, entry->modRevision);
+        else if (m_owned.contains(id) && !m_owned.at(id).accepted)
+            lose(id, "another instance accepted it");
+        if (head && !m_owned.contains(id))
             m_foreign[id] = { *head, entry->modRevision };
-        finishSubmit(id, head->account == submit.head.account ? statusAccepted : statusConflict);
-    } else if (answer.error().code == error_code::Unknown || submit.unsure) {
-        // Step 3. It may stand there. The same create-only write tells.
-        submit.unsure = true;
-        submit.again = m_context.now + submitRetry;
+        finishSubmit(id, !head ? statusServerError : head->account == submit.head.account ? statusAccepted
+                                                                                          : statusConflict);
     } else {
-        // Step 4. Surely not written.
-        logEvent(log_level::Warning, "batch", "not_accepted", { { "batch", id.str() }, { "error", toString(answer.error()) } });
-        finishSubmit(id, statusUnavailable);
+        // Step 3. Not written, or not known: the same create-only write again. Its items
+        // run meanwhile, so that the step isn't late by the store's outage.
+        submit.unsure = submit.unsure || answer.error().code == error_code::Unknown;
+        submit.again = m_context.now + submitRetry;
+        logEvent(log_level::Warning, "batch", "submit_waits", { { "batch", id.str() }, { "error", toString(answer.error()) } });
+        runAhead(submit);
     }
 }
 
+// The board runs it, unless it can't: then it is dropped when its body is not ours to run.
+void batches::runAhead(const open_submit& submit)
+{
+    if (m_owned.contains(submit.head.id) || m_stopping)
+        return;
+    if (!own(submit.head, {}, submit.body, {}, 0))
+        return;
+    m_owned.at(submit.head.id).accepted = false;
+    m_board.hold(submit.head.id);
+}
+
+void batches::accept(const open_submit& submit, revision fence)
+{
+    const auto ahead = m_owned.find(submit.head.id);
+    if (ahead == m_owned.end()) {
+        own(submit.head, fence, submit.body, {}, 0);
+        return;
+    }
+    ahead->second.accepted = true;
+    ahead->second.fence = fence;
+    m_board.accept(submit.head.id);
+}
+
+// Nobody waits for it here any more, and it surely doesn't stand in the store.
+bool batches::abandoned(const open_submit& submit) const
+{
+    return !submit.unsure && std::all_of(submit.waiters.begin(), submit.waiters.end(), [](const http::exchange_ptr& one) { return one->callerGone(); });
+}
+
 void batches::finishSubmit(const batch_id& id, int status)
 {
     auto submit = std::move(m_submits.at(id));
     m_submits.erase(id);
     logEvent(log_level::Info, "batch", "submitted", { { "batch", id.str() }, { "status", std::to_string(status) }, { "account", submit.head.account.str() } });
-    for (const auto& waiter : submit.waiters) {
-        if (status == statusUnavailable)
-            waiter->answer(status, platform::refusalHeaders({}, storeRetryAfter), "");
-        else
-            respond(waiter, status, "");
-    }
+    for (const auto& waiter : submit.waiters)
+        respond(waiter, status, "");
+    if (m_owned.contains(id) && !m_owned.at(id).accepted)
+        lose(id, "it was not accepted in time");
 }
 
 // The board runs it from here on. False if it can't be read or its route is gone.
@@ -199,9 +227,10 @@
     logEvent(log_level::Info, "batch", "owned",
         { { "batch", head.id.str() }, { "step", std::to_string(spec->step) }, { "model", spec->model.str() }, { "least", std::to_string(spec->leastVersion.value()) },
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(fence.value()) } });
-    m_owned[head.id] = { head, fence, false, {}, {}, {} };
+    m_owned[head.id] = { head, true, fence, false, {}, {}, {} };
     m_foreign.erase(head.id);
-    announce(head);
+    if (fence != revision())
+        announce(head);
     const auto* service = m_context.site->service(route->services.front().service);
     m_board.add(std::move(*spec), *route, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
     return true;
@@ -234,7 +263,7 @@
         head.host = header("x-host");
         head.path = header("x-path");
         head.account = client_account_id(header("x-account"));
-        onSubmit(exchange, std::move(head));
+        onSubmit(exchange, std::move(head), std::nullopt);
         return true;
     }
     if (exchange->path == "/owner" && exchange->method == "POST") {
@@ -272,7 +301,7 @@
     }
     if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query)) {
         const auto known = m_owned.find(call->id);
-        if (known == m_owned.end() || known->second.head.account.str() != header("x-account")) {
+        if (known == m_owned.end() || !known->second.accepted || known->second.head.account.str() != header("x-account")) {
             respond(exchange, statusConflict, "");
             return true;
         }
@@ -451,8 +480,9 @@
             unsure.push_back(id);
     }
     for (const auto& id : unsure) {
-        if (m_context.now >= m_submits.at(id).giveUp)
-            finishSubmit(id, statusServerError); // promises nothing
+        // The status promises nothing, as items may have run.
+        if (m_context.now >= m_submits.at(id).giveUp || abandoned(m_submits.at(id)))
+            finishSubmit(id, statusServerError);
         else
             writeSubmit(id);
     }
@@ -505,7 +535,7 @@
     for (const auto& [id, one] : m_owned) {
         if (!one.endWaiters.empty() && !one.ending && m_context.now >= one.endAgain && !m_board.writing(id))
             ending.push_back(id);
-        if (m_stopping && !one.head.ended && !one.ending && !m_board.writing(id))
+        if (m_stopping && one.accepted && !one.head.ended && !one.ending && !m_board.writing(id))
             leaving.push_back(id);
     }
     for (const auto& id : ending)
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -25,7 +25,7 @@
     batches(context& shared, members& group, front& calls);
 
     // From callers whose key was checked.
-    void onSubmit(const http::exchange_ptr& exchange, batch_head head);
+    void onSubmit(const http::exchange_ptr& exchange, batch_head head, std::optional<std::chrono::milliseconds> deadline);
     void onCall(const http::exchange_ptr& exchange, const platform::batch_call& call, const client_account_id& account, std::chrono::milliseconds wait);
     // From other instances; false if the path is none of ours.
     bool onPeer(const http::exchange_ptr& exchange);
@@ -37,11 +37,14 @@
     const board_counts& counts() const { return m_board.counts(); }
     std::vector<model_demand> demand() const { return m_board.demand(); }
     std::size_t open() const;
+    // Submissions that wait for the store.
+    std::size_t waitingSubmits() const { return m_submits.size(); }
 
 private:
     // A batch of ours; the board has its items.
     struct owned_batch {
         batch_head head;
+        bool accepted = true; // else its submission is still under way, and it is shown to nobody
         revision fence; // of the head in the store
         bool ending = false; // its end is being written
         std::vector<http::exchange_ptr> endWaiters;
@@ -73,6 +76,9 @@
     using head_function = std::function<void(const batch_head&, revision)>;
 
     // Submitting.
+    bool abandoned(const open_submit& submit) const;
+    void runAhead(const open_submit& submit);
+    void accept(const open_submit& submit, revision fence);
     void writeSubmit(const batch_id& id);
     void onSubmitWritten(const batch_id& id, const result<kv_answer>& answer);
     void finishSubmit(const batch_id& id, int status);
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -35,7 +35,7 @@
 void batches::onCall(const http::exchange_ptr& exchange, const platform::batch_call& call, const client_account_id& account, std::chrono::milliseconds wait)
 {
     const auto known = m_owned.find(call.id);
-    if (known != m_owned.end()) {
+    if (known != m_owned.end() && known->second.accepted) {
         if (known->second.head.account == account)
             answerOwned(exchange, call, wait);
         else
