Carried texts that are whole go straight to their judge; stragglers move

Resumed behind its last event, its stream held no event and named no version, so the run was taken for one of wrong weights and sent to the next replica, 40 times, with no log line. Other late steps ended with an item on a replica 3.9 times slower than the rest. Change: a resumed stream need not name a version until it brings an event; a text known to be whole is judged without a run; a run whose events come 1.8 times slower than a free replica makes them goes on there; slow replicas are chosen last.

--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -223,7 +223,10 @@
         const bool fits = !versions.empty() && *std::min_element(versions.begin(), versions.end()) >= batch.spec.leastVersion
             && (!batch.route.singleVersion || versions.size() == 1);
         if (fits) {
-            batch.items[i].made = kept->second.made;
+            auto& item = batch.items[i];
+            item.made = kept->second.made;
+            if (item.made.whole)
+                item.at = phase::ToJudge;
             ++m_counts.reused;
         }
         m_carried.erase(kept);
@@ -389,7 +392,18 @@
     for (const auto& [target, until] : item.avoid)
         asked.excluded.push_back(target);
     asked.seed = XXH64(spec.id.str().data(), spec.id.str().size(), m_lastAttempt);
-    const auto decision = m_router.choose(asked, now);
+    const auto others = asked.excluded.size();
+    if (const auto best = fastestFree(batch, item, full, now)) {
+        for (const auto& [target, pace] : m_paces) {
+            if (now - pace.at < m_settings.paceMemory && pace.seconds > *best * m_settings.movePace)
+                asked.excluded.push_back(target);
+        }
+    }
+    auto decision = m_router.choose(asked, now);
+    if (std::holds_alternative<no_route>(decision) && asked.excluded.size() > others) {
+        asked.excluded.resize(others); // a slow replica rather than none
+        decision = m_router.choose(asked, now);
+    }
     const auto* choice = std::get_if<route_choice>(&decision);
     if (choice == nullptr) {
         // An item that merely avoids replicas doesn't hold up the others.
@@ -458,13 +472,14 @@
         return take(); // its end says what to do
     m_router.firstToken(attempt, now);
 
-    // A stream of another item, of no stated version or of weights that may not
-    // generate for this batch is of no use.
-    const bool oldWeights = !head.version || *head.version < batch.spec.leastVersion;
-    const bool otherWeights = batch.route.singleVersion && !item.made.versions.empty() && head.version != item.made.versions.front();
+    // A stream of another item, or of weights that may not generate for this batch, is of
+    // no use. One that goes on behind the last event has no version to state.
+    const bool resumed = !item.made.data.empty();
+    const bool oldWeights = head.version ? *head.version < batch.spec.leastVersion : !resumed;
+    const bool otherWeights = batch.route.singleVersion && resumed && head.version && *head.version != item.made.versions.front();
     if (head.echoes && !oldWeights && !otherWeights) {
         run.accepted = true;
-        run.version = *head.version;
+        run.version = head.version.value_or(weight_version());
         return take();
     }
     ++m_counts.wrongVersion;
@@ -482,6 +497,7 @@
     auto& run = found->second;
     auto& batch = m_batches.at(run.batch);
     auto& item = batch.items[run.index];
+    notePace(run, events.size(), now);
     run.lastHeard = now;
     for (const auto& event : events) {
         if (event.version)
@@ -492,7 +508,8 @@
             continue;
         const bool gap = !first && event.id != item.made.lastEvent + 1;
         const bool mixed = batch.route.singleVersion && !first && run.version != item.made.versions.front();
-        if (gap || mixed) {
+        const bool unnamed = run.version == weight_version(); // nothing says which weights made it
+        if (gap || mixed || unnamed) {
             if (mixed)
                 item.made = {}; // it starts over under one version
             m_actions.emplace_back(cancel_run { attempt });
@@ -548,6 +565,7 @@
 void batch_board::finishText(batch_state& batch, std::size_t index, instant now)
 {
     auto& item = batch.items[index];
+    item.made.whole = true;
     if (!batch.spec.items[index].judge) {
         finishItem(batch, index, true, {}, now);
         return;
@@ -668,6 +686,92 @@
     return take();
 }
 
+// --- Stragglers --------------------------------------------------------------
+
+duration batch_board::open_run::pace(std::size_t least) const
+{
+    return events < std::max<std::size_t>(least, 2) ? duration {} : (lastHeard - firstEventAt) / static_cast<std::int64_t>(events - 1);
+}
+
+void batch_board::notePace(open_run& run, std::size_t events, instant now)
+{
+    constexpr double weightOfNewest = 0.2; // of one report in the smoothed pace
+    if (run.events == 0)
+        run.firstEventAt = now;
+    else {
+        const double seconds = std::chrono::duration<double>(now - run.lastHeard).count() / static_cast<double>(events);
+        auto& pace = m_paces[run.target];
+        const bool fresh = now - pace.at < m_settings.paceMemory && pace.seconds > 0;
+        pace.seconds = fresh ? pace.seconds + (seconds - pace.seconds) * weightOfNewest : seconds;
+        pace.at = now;
+    }
+    run.events += events;
+}
+
+std::optional<double> batch_board::paceOf(const target_id& target, instant now) const
+{
+    const auto found = m_paces.find(target);
+    if (found == m_paces.end() || now - found->second.at >= m_settings.paceMemory)
+        return std::nullopt;
+    return found->second.seconds;
+}
+
+// The pace of the fastest replica that could take this item now.
+std::optional<double> batch_board::fastestFree(const batch_state& batch, const item_state& item, const std::vector<target_id>& full, instant now) const
+{
+    std::optional<double> best;
+    for (const auto slot : m_router.table().allowed(batch.targets)) {
+        const auto& target = m_router.table().record(slot).listed.id;
+        const auto avoided = item.avoid.find(target);
+        if (std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoid.end() && now < avoided->second))
+            continue;
+        const auto pace = paceOf(target, now);
+        if (pace && (!best || *pace < *best))
+            best = pace;
+    }
+    return best;
+}
+
+// A step ends with its slowest item, so one that runs on a replica much slower than
+// another with room goes on there, behind its last event. How the sample turns out
+// plays no part in it.
+void batch_board::moveStragglers(instant now)
+{
+    std::vector<attempt_id> moving;
+    for (const auto& [attempt, run] : m_runs) {
+        auto& batch = m_batches.at(run.batch);
+        const auto& item = batch.items[run.index];
+        const auto pace = std::chrono::duration<double>(run.pace(m_settings.leastEventsForPace)).count();
+        if (pace <= 0 || item.moves >= m_settings.mostMoves)
+            continue;
+        const auto best = fastestFree(batch, item, fullTargets(batch, now), now);
+        if (!best || pace < *best * m_settings.movePace)
+            continue;
+        // What is left is not known: what the caller guesses, and at least a third of
+        // what was made.
+        constexpr double leastShareLeft = 1.0 / 3;
+        const auto made = static_cast<double>(item.made.data.size());
+        const auto guessed = static_cast<double>(batch.spec.items[run.index].expectedTokens.count()) / batch.tokensPerEvent;
+        const double left = std::max(guessed - made, made * leastShareLeft);
+        if (left * (pace - *best) >= std::chrono::duration<double>(m_settings.moveGain).count())
+            moving.push_back(attempt);
+    }
+    for (const auto attempt : moving) {
+        const auto run = m_runs.at(attempt);
+        auto& batch = m_batches.at(run.batch);
+        auto& item = batch.items[run.index];
+        // An earlier move of this round may have taken the room.
+        if (!fastestFree(batch, item, fullTargets(batch, now), now))
+            continue;
+        ++m_counts.moved;
+        ++item.moves;
+        m_actions.emplace_back(cancel_run { attempt });
+        endRun(attempt, attempt_outcome::Refused, now);
+        item.avoid[run.target] = now + m_settings.paceMemory;
+        dispatch(batch, now);
+    }
+}
+
 // --- Time --------------------------------------------------------------------
 
 void batch_board::endSilentRuns(instant now)
@@ -691,6 +795,7 @@
 std::vector<board_action> batch_board::tick(instant now)
 {
     endSilentRuns(now);
+    moveStragglers(now);
     // The batch that is due first is served first.
     std::vector<batch_state*> byDue;
     for (auto& [id, batch] : m_batches) {
@@ -702,10 +807,8 @@
         dispatch(*batch, now);
         for (std::size_t i = 0; i < batch->items.size(); ++i) {
             auto& item = batch->items[i];
-            if (item.at != phase::ToJudge || now < item.notBefore)
-                continue;
-            item.at = phase::Judging;
-            m_actions.emplace_back(judge_item { batch->spec.id, i });
+            if (item.at == phase::ToJudge && now >= item.notBefore)
+                finishText(*batch, i, now);
         }
         writeDue(*batch, now);
     }
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -85,6 +85,12 @@
     duration longestUnlisted = std::chrono::seconds(2); // a result is listed after so long without its group
     duration carried = std::chrono::seconds(60); // unfinished texts of ended batches are kept for so long
     std::size_t mostCarried = 4096; // items
+    // A run moves to a replica that makes events so many times as fast, if it gains so much.
+    double movePace = 1.8;
+    duration moveGain = std::chrono::milliseconds(300);
+    std::uint32_t mostMoves = 3; // of one item
+    std::size_t leastEventsForPace = 3; // of a run, before its pace says anything
+    duration paceMemory = std::chrono::seconds(5); // an older pace of a replica says nothing
     std::size_t pageBytes = 500'000; // of text in one page; the store's values hold a megabyte
     std::uint32_t slotsUnknown = 8; // requests at a replica that doesn't state its slots
 };
@@ -95,6 +101,7 @@
     std::uint64_t refused = 0;
     std::uint64_t broken = 0;
     std::uint64_t stalled = 0;
+    std::uint64_t moved = 0; // to a faster replica
     std::uint64_t wrongVersion = 0;
     std::uint64_t completed = 0;
     std::uint64_t abandoned = 0;
@@ -106,6 +113,7 @@
     std::vector<std::string> data; // of events, in order
     std::uint64_t lastEvent = 0; // id of the last one
     std::vector<weight_version> versions;
+    bool whole = false; // nothing is left to make
 };
 using made_texts = std::map<item_id, made_text>;
 
@@ -180,6 +188,7 @@
         made_text made;
         std::optional<attempt_id> attempt; // while Running
         std::uint32_t failures = 0; // answers of 500
+        std::uint32_t moves = 0;
         instant notBefore {}; // Waiting, ToJudge: next try
         std::map<target_id, instant> avoid; // until then
         batch_result result; // from Finished on
@@ -217,6 +226,14 @@
         bool headSeen = false;
         instant sentAt {};
         instant lastHeard {};
+        instant firstEventAt {};
+        std::size_t events = 0; // of this run
+        // Mean time between its events; 0 if too few came.
+        duration pace(std::size_t least) const;
+    };
+    struct target_pace {
+        double seconds = 0; // between events of one run, smoothed
+        instant at {};
     };
 
     batch_state* find(const batch_id& id);
@@ -237,6 +254,10 @@
     void groupFinished(batch_state& batch, instant now);
     void writeDue(batch_state& batch, instant now);
     void endSilentRuns(instant now);
+    void notePace(open_run& run, std::size_t events, instant now);
+    std::optional<double> paceOf(const target_id& target, instant now) const;
+    std::optional<double> fastestFree(const batch_state& batch, const item_state& item, const std::vector<target_id>& full, instant now) const;
+    void moveStragglers(instant now);
     std::vector<board_action> take() { return std::exchange(m_actions, {}); }
 
     board_settings m_settings;
@@ -244,6 +265,7 @@
     std::uint64_t m_lastAttempt;
     std::map<batch_id, batch_state> m_batches;
     std::map<attempt_id, open_run> m_runs; // exactly the items that are Running
+    std::map<target_id, target_pace> m_paces;
     struct carried_text {
         made_text made;
         instant until {};
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -38,6 +38,7 @@
         for (const auto& [item, made] : texts) {
             Json::Value row(Json::objectValue);
             row["last"] = Json::UInt64(made.lastEvent);
+            row["whole"] = made.whole;
             row["data"] = Json::Value(Json::arrayValue);
             for (const auto& line : made.data)
                 row["data"].append(line);
@@ -57,6 +58,7 @@
         for (const auto& name : value.getMemberNames()) {
             made_text made;
             made.lastEvent = jsonCount(value[name], "last");
+            made.whole = jsonFlag(value[name], "whole");
             for (const auto& line : jsonList(value[name], "data"))
                 made.data.push_back(line.isString() ? line.asString() : std::string());
             for (const auto& version : jsonList(value[name], "versions"))
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -44,6 +44,7 @@
         add(registry, items, itemsHelp, { { "what", "refused" } }, static_cast<double>(b.refused));
         add(registry, items, itemsHelp, { { "what", "broken" } }, static_cast<double>(b.broken));
         add(registry, items, itemsHelp, { { "what", "stalled" } }, static_cast<double>(b.stalled));
+        add(registry, items, itemsHelp, { { "what", "moved" } }, static_cast<double>(b.moved));
         add(registry, items, itemsHelp, { { "what", "wrong_version" } }, static_cast<double>(b.wrongVersion));
         add(registry, items, itemsHelp, { { "what", "completed" } }, static_cast<double>(b.completed));
         add(registry, items, itemsHelp, { { "what", "abandoned" } }, static_cast<double>(b.abandoned));
