Owners hear of ends that others wrote, and check their batches when they rejoin

An instance that can't reach a living owner ends the batch in the store by itself, and the owner went on running items until its next write failed. Change: whoever ends a batch of a living owner tells it, for 2.5 s if need be; an instance whose lease was written anew compares its batches with their heads.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -271,7 +271,9 @@
     if (exchange->path == "/owner" && exchange->method == "POST") {
         const batch_id id(exchange->query);
         const auto head = decodeHead(id, exchange->body);
-        if (head && !m_owned.contains(id))
+        if (head && m_owned.contains(id) && head->ended)
+            lose(id, "another instance ended it");
+        else if (head && !m_owned.contains(id))
             m_foreign[id] = { *head, {} };
         respond(exchange, statusOk, "");
         return true;
@@ -334,6 +336,8 @@
             return;
         }
         m_scannedOnce = true;
+        if (std::exchange(m_checkOwned, false))
+            checkOwned(answer->entries);
         for (const auto& entry : answer->entries) {
             const auto head = decodeHead(batch_id(entry.key.substr(headPrefix.size())), entry.value);
             if (head)
@@ -342,6 +346,21 @@
     });
 }
 
+// While we counted as gone, others may have taken over or ended batches of ours.
+void batches::checkOwned(const std::vector<kv_entry>& heads)
+{
+    for (const auto& entry : heads) {
+        const batch_id id(entry.key.substr(headPrefix.size()));
+        const auto ours = m_owned.find(id);
+        const auto head = decodeHead(id, entry.value);
+        if (ours == m_owned.end() || !head || !ours->second.accepted)
+            continue;
+        const bool same = head->owner == ours->second.head.owner && head->ownerLife == ours->second.head.ownerLife;
+        if (!same || (head->ended && !ours->second.head.ended && ours->second.endWaiters.empty()))
+            lose(id, same ? "another instance ended it" : "another instance took it over");
+    }
+}
+
 void batches::considerOrphan(const batch_head& head, revision fence)
 {
     if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_adopting.contains(head.id) || m_context.wall > head.submitted + m_context.values.bounds.resultsKept)
@@ -493,6 +512,10 @@
     const bool ready = m_members.known() && m_members.joined() && m_context.site && !m_stopping;
     if (ready && !m_scannedOnce && !m_scanning && m_context.now >= m_scanAgain)
         scanHeads();
+    if (ready && m_members.takeJoined()) {
+        m_scannedOnce = false;
+        m_checkOwned = true;
+    }
     for (const auto& name : ready ? m_members.takeLost() : std::vector<instance_id>()) {
         // One member looks after all batches of the one that went.
         const auto names = m_members.names();
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -101,9 +101,11 @@
     void requestEnd(const batch_id& id, const http::exchange_ptr& exchange);
     void writeEnd(const batch_id& id);
     void endForeign(const http::exchange_ptr& exchange, batch_head head, revision fence);
+    void tellOwner(const batch_head& head, instant until);
 
     // Ownership.
     void scanHeads();
+    void checkOwned(const std::vector<kv_entry>& heads);
     void considerOrphan(const batch_head& head, revision fence);
     void adopt(batch_head head, revision fence, std::function<void(bool)> onDone);
     void lose(const batch_id& id, const char* why);
@@ -135,6 +137,7 @@
     std::set<batch_id> m_adopting;
     bool m_scanning = false;
     bool m_scannedOnce = false;
+    bool m_checkOwned = false; // the next scan also tells which of ours went to others
     instant m_scanAgain {};
     instant m_nextExpiry {};
     bool m_stopping = false;
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -21,6 +21,7 @@
     constexpr std::chrono::milliseconds passOnTimeout { 900 }; // beyond the read's own wait
     constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
     constexpr std::chrono::milliseconds directoryTimeout { 400 };
+    constexpr duration tellOwnerFor = std::chrono::milliseconds(2500); // items may reach targets for 3 s after an end
 
     std::string resultsFrom(std::size_t total, std::size_t after, const std::vector<batch_result>& listed)
     {
@@ -315,9 +316,31 @@
     kv_transaction change;
     change.compares.push_back({ headKey(head.id), kv_field::ModRevision, fence, {} });
     change.then.emplace_back(kv_put { headKey(head.id), encodeHead(head), {} });
-    m_context.store.call("batch end", std::move(change), [this, exchange, id = head.id](const result<kv_answer>& answer) {
-        m_foreign.erase(id);
-        respond(exchange, answer && answer->succeeded ? statusOk : statusUnavailable, "");
+    m_context.store.call("batch end", std::move(change), [this, exchange, head](const result<kv_answer>& answer) {
+        m_foreign.erase(head.id);
+        const bool ended = answer && answer->succeeded;
+        respond(exchange, ended ? statusOk : statusUnavailable, "");
+        if (ended && isAlive(head))
+            tellOwner(head, m_context.now + tellOwnerFor);
+    });
+}
+
+// An owner that lives but could not be reached still runs items: it hears of the end as
+// soon as it can be reached again.
+void batches::tellOwner(const batch_head& head, instant until)
+{
+    const auto* owner = m_members.find(head.owner);
+    if (owner == nullptr || m_context.now >= until)
+        return;
+    http::request request;
+    request.method = "POST";
+    request.url = "http://" + owner->address + "/owner?" + head.id.str();
+    request.body = encodeHead(head);
+    request.connectTimeout = peerConnectTimeout;
+    request.totalTimeout = directoryTimeout;
+    m_context.net.call(std::move(request), [this, head, until](const http::answer& answer) {
+        if (answer.outcome != http::transfer_result::Whole)
+            tellOwner(head, until);
     });
 }
 
--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -152,6 +152,7 @@
                 act(m_leases.onAnswer(id, answer, m_context.now));
             });
         } else if (const auto* gained = std::get_if<duty_gained>(&action)) {
+            m_joined = m_joined || gained->duty == nodeDuty();
             logEvent(log_level::Info, "members", "duty_gained", { { "held", gained->duty.str() }, { "fencing", std::to_string(gained->fencing.value()) } });
         } else if (const auto* lost = std::get_if<duty_lost>(&action))
             logEvent(log_level::Info, "members", "duty_lost", { { "held", lost->duty.str() }, { "fencing", std::to_string(lost->fencing.value()) } });
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -46,6 +46,8 @@
     const member* holderOf(const duty_id& duty) const;
     // All live names, our own included, for rendezvous hashing.
     std::vector<instance_id> names() const;
+    // True once after our own entry was written anew: others may have taken us for gone.
+    bool takeJoined() { return std::exchange(m_joined, false); }
     // Members that went, or came back as another incarnation, since the last call.
     std::vector<instance_id> takeLost() { return std::exchange(m_lost, {}); }
 
@@ -63,6 +65,7 @@
     std::map<instance_id, member> m_members;
     std::map<duty_id, instance_id> m_holders; // of duties beside the membership
     std::vector<instance_id> m_lost;
+    bool m_joined = false;
 };
 
 } // namespace lovagerail::edge
