--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -278,7 +278,9 @@
         const auto since = m_context.now - m_stopBegan;
         if (since >= m_values.bounds.stop - stopMargin)
             return true;
-        return since >= leaveRotation && m_front.open() == 0 && m_batches.handedOver() && m_members.left();
+        // Whatever was read gets its answer, down to the last byte.
+        const bool answered = m_callers == nullptr || m_callers->openRequests() == 0;
+        return since >= leaveRotation && answered && m_front.open() == 0 && m_batches.handedOver() && m_members.left();
     }
 
     void entry_loop::tick()
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -364,6 +364,12 @@
         close(descriptor);
 }
 
+std::size_t server::openRequests()
+{
+    const std::lock_guard lock(m_openMutex);
+    return m_open.size();
+}
+
 unsigned server::openConnections() const
 {
     const auto* info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -115,6 +115,8 @@
     // ends are broken off.
     void stopListening();
     unsigned openConnections() const;
+    // Requests whose head has come and whose answer is not wholly sent.
+    std::size_t openRequests();
 
 private:
     friend struct server_callbacks;
--- /dev/null
+++ b/tests/test_weight_sets.cpp
@@ -0,0 +1,211 @@
+// Tests of the sets of replicas that serve a model, and of the order of their loads.
+#include "property.h"
+#include "weight_sets.h"
+
+namespace lovagerail {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const model_id modelA { "a" };
+    const model_id modelB { "b" };
+    const model_id modelC { "c" };
+
+    // Replicas that carry out what they are ordered after a load's time.
+    class fleet {
+    public:
+        fleet(std::size_t replicas, std::uint64_t lag)
+            : m_lag(lag)
+        {
+            for (std::size_t i = 0; i < replicas; ++i) {
+                weight_replica one;
+                one.target = target_id("t" + std::to_string(i));
+                one.failureDomain = failure_domain_id("d" + std::to_string(i % 3));
+                for (const auto& model : { modelA, modelB, modelC })
+                    one.versions[model] = weight_version(1);
+                replicasNow.push_back(one);
+            }
+        }
+        void name(const model_id& model) { named[model] = named[model].next(); }
+        // One step of 100 ms; returns the loads that were ordered in it.
+        std::size_t step()
+        {
+            now += 100ms;
+            std::vector<weight_model> models;
+            for (const auto& [model, version] : named)
+                models.push_back({ model, version, 1, m_lag });
+            sets.setModels(models);
+            for (auto it = m_loading.begin(); it != m_loading.end();) {
+                if (it->second > now) {
+                    ++it;
+                    continue;
+                }
+                for (auto& replica : replicasNow) {
+                    if (replica.target == it->first.target)
+                        replica.versions[it->first.model] = it->first.version;
+                }
+                it = m_loading.erase(it);
+            }
+            sets.setReplicas(replicasNow, now);
+            const auto loads = sets.plan(now);
+            for (const auto& load : loads) {
+                sets.ordered(load, load_outcome::Accepted, now);
+                m_loading.emplace_back(load, now + 900ms);
+            }
+            mostLoading = std::max(mostLoading, m_loading.size());
+            return loads.size();
+        }
+        // Members of the model's set that accept new work.
+        std::size_t accepting(const model_id& model) const
+        {
+            std::size_t count = 0;
+            for (const auto& replica : replicasNow) {
+                const bool isLoading = std::any_of(m_loading.begin(), m_loading.end(), [&](const auto& one) { return one.first.target == replica.target && one.first.model == model; });
+                if (sets.members(model).contains(replica.target) && !isLoading && replica.versions.at(model).value() + m_lag >= named.at(model).value())
+                    ++count;
+            }
+            return count;
+        }
+
+        instant now { 1h };
+        weight_sets sets;
+        std::vector<weight_replica> replicasNow;
+        std::map<model_id, weight_version> named { { modelA, weight_version(1) }, { modelB, weight_version(1) }, { modelC, weight_version(1) } };
+        std::size_t mostLoading = 0;
+
+    private:
+        std::uint64_t m_lag;
+        std::vector<std::pair<weight_load, instant>> m_loading;
+    };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(weight_sets_suite)
+
+BOOST_AUTO_TEST_CASE(sets_are_spread_over_replicas_and_domains)
+{
+    fleet f(8, 0);
+    f.step();
+    std::map<target_id, int> uses;
+    for (const auto& model : { modelA, modelB, modelC }) {
+        BOOST_TEST(f.sets.members(model).size() >= 2u);
+        BOOST_TEST(f.sets.members(model).size() <= 3u);
+        std::set<failure_domain_id> domains;
+        for (const auto& target : f.sets.members(model)) {
+            ++uses[target];
+            for (const auto& replica : f.replicasNow) {
+                if (replica.target == target)
+                    domains.insert(replica.failureDomain);
+            }
+        }
+        BOOST_TEST(domains.size() >= 2u);
+    }
+    for (const auto& [target, count] : uses)
+        BOOST_TEST(count == 1);
+}
+
+// The load pattern of three trainers that name a version each four seconds: all
+// models keep a replica for new work, and loads stay within what is free.
+BOOST_AUTO_TEST_CASE(no_model_starves_while_versions_come)
+{
+    fleet f(8, 1);
+    std::size_t loads = 0;
+    constexpr int seconds = 60;
+    constexpr int stepsPerSecond = 10;
+    std::size_t without = 0;
+    for (int step = 0; step < seconds * stepsPerSecond; ++step) {
+        if (step % 40 == 0)
+            f.name(modelA);
+        if (step % 40 == 7)
+            f.name(modelB);
+        if (step % 40 == 15)
+            f.name(modelC);
+        loads += f.step();
+        for (const auto& model : { modelA, modelB, modelC })
+            without += f.accepting(model) == 0 ? 1 : 0;
+    }
+    BOOST_TEST(without == 0u);
+    // As many loads are free for each version as there are replicas for one trainer.
+    constexpr double versions = 3 * seconds / 4.0;
+    BOOST_TEST(static_cast<double>(loads) <= versions * 8 / 3);
+    BOOST_TEST(f.mostLoading <= 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_goes_is_replaced_and_others_stay)
+{
+    fleet f(8, 0);
+    f.step();
+    const auto before = f.sets.members(modelA);
+    const auto gone = *before.begin();
+    std::erase_if(f.replicasNow, [&gone](const weight_replica& one) { return one.target == gone; });
+    f.step();
+    const auto after = f.sets.members(modelA);
+    BOOST_TEST(!after.contains(gone));
+    for (const auto& target : before) {
+        if (target != gone)
+            BOOST_TEST(after.contains(target));
+    }
+}
+
+// An order that was surely not carried out comes again soon, but not at once.
+BOOST_AUTO_TEST_CASE(a_refused_order_is_repeated)
+{
+    fleet f(1, 0);
+    f.sets.setModels({ { modelA, weight_version(2), 1, 0 } });
+    f.sets.setReplicas(f.replicasNow, f.now);
+    const auto loads = f.sets.plan(f.now);
+    BOOST_REQUIRE(loads.size() == 1u);
+    f.sets.ordered(loads[0], load_outcome::NotNow, f.now);
+    const auto plannedAfter = [&f](duration time) {
+        f.sets.setReplicas(f.replicasNow, f.now + time);
+        return f.sets.plan(f.now + time).size();
+    };
+    BOOST_TEST(plannedAfter(100ms) == 0u);
+    BOOST_TEST(plannedAfter(500ms) == 1u);
+}
+
+// One whose answer was lost may still be carried out: it comes again later.
+BOOST_AUTO_TEST_CASE(an_unsure_order_is_repeated_later)
+{
+    fleet f(1, 0);
+    f.sets.setModels({ { modelA, weight_version(2), 1, 0 } });
+    f.sets.setReplicas(f.replicasNow, f.now);
+    const auto loads = f.sets.plan(f.now);
+    BOOST_REQUIRE(loads.size() == 1u);
+    f.sets.ordered(loads[0], load_outcome::Unsure, f.now);
+    f.sets.setReplicas(f.replicasNow, f.now + 1s);
+    BOOST_TEST(f.sets.plan(f.now + 1s).empty());
+    f.sets.setReplicas(f.replicasNow, f.now + 2s);
+    BOOST_TEST(f.sets.plan(f.now + 2s).size() == 1u);
+}
+
+// Whatever comes and goes: members live, nobody is ordered twice at once, and the
+// limits of loading hold.
+BOOST_AUTO_TEST_CASE(members_live_and_loads_are_bounded)
+{
+    test::checkProperty("weight sets", [] {
+        fleet f(*rc::gen::inRange<std::size_t>(1, 20), *rc::gen::inRange<std::uint64_t>(0, 3));
+        const auto all = f.replicasNow;
+        for (int step = 0; step < 200; ++step) {
+            const auto roll = *rc::gen::inRange(0, 30);
+            if (roll == 0)
+                f.name(modelA);
+            else if (roll == 1)
+                f.name(modelB);
+            else if (roll == 2 && f.replicasNow.size() > 1)
+                f.replicasNow.erase(f.replicasNow.begin());
+            else if (roll == 3 && f.replicasNow.size() < all.size())
+                f.replicasNow = all;
+            f.step();
+            for (const auto& model : { modelA, modelB, modelC }) {
+                RC_ASSERT(!f.sets.members(model).empty());
+                for (const auto& target : f.sets.members(model))
+                    RC_ASSERT(std::any_of(f.replicasNow.begin(), f.replicasNow.end(), [&](const weight_replica& one) { return one.target == target; }));
+            }
+        }
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
