--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -306,6 +306,7 @@
         one.items += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.at <= phase::Running; }));
     }
     std::vector<model_demand> out;
+    out.reserve(byModel.size());
     for (auto& [key, one] : byModel)
         out.push_back(std::move(one));
     return out;
@@ -326,11 +327,11 @@
     return out;
 }
 
-void batch_board::carry(made_texts texts, instant now)
+void batch_board::carry(const made_texts& texts, instant now)
 {
-    for (auto& [item, made] : texts) {
+    for (const auto& [item, made] : texts) {
         if (m_carried.size() < m_settings.mostCarried)
-            m_carried[item] = { std::move(made), now + m_settings.carried };
+            m_carried[item] = { made, now + m_settings.carried };
     }
 }
 
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -144,7 +144,7 @@
     // made of items that are not listed. The batch must not be written any more.
     made_texts release(const batch_id& id, std::vector<board_action>& actions, instant now);
     // Texts from elsewhere, taken up by the next add() of a batch with these items.
-    void carry(made_texts texts, instant now);
+    void carry(const made_texts& texts, instant now);
 
     bool has(const batch_id& id) const { return m_batches.contains(id); }
     bool ended(const batch_id& id) const;
--- a/src/ctl/replay.cpp
+++ b/src/ctl/replay.cpp
@@ -1,6 +1,9 @@
 // An open loop over one client, and the figures that callers see.
 #include "ctl/replay.h"
 
+#include "settings_fault.h"
+#include "toml_text.h"
+
 #include "ctl/table.h"
 #include "http/client.h"
 #include "object_codec.h"
@@ -9,7 +12,6 @@
 #include <cmath>
 #include <iostream>
 #include <json/json.h>
-#include <toml++/toml.h>
 
 namespace lovagerail::ctl {
 
@@ -151,50 +153,61 @@
         "p99_first_token_ms", "p99_total_ms", "worst_account_p99_ms" };
 }
 
+namespace {
+
+    result<toml::table> readToml(std::string_view step, const std::string& file)
+    {
+        const auto text = readTextFile(file);
+        if (!text)
+            return failure(error_code::NotFound, step, peer_kind::File, file, "can't be opened");
+        auto parsed = parseToml(*text);
+        if (!parsed)
+            return failure(error_code::InvalidArgument, step, peer_kind::File, file, "line " + std::to_string(parsed.error().line) + ": " + parsed.error().what);
+        return std::move(*parsed);
+    }
+
+} // namespace
+
 result<std::vector<stated_outcome>> readOutcomes(const std::string& file)
 {
     constexpr std::string_view step = "replay.outcomes";
     std::vector<stated_outcome> out;
-    try {
-        const auto root = toml::parse_file(file);
-        const auto* list = root["outcome"].as_array();
-        if (list == nullptr || list->empty())
-            return failure(error_code::InvalidArgument, step, peer_kind::File, file, "expected [[outcome]] tables");
-        const auto known = metricNames();
-        for (const auto& item : *list) {
-            const auto* table = item.as_table();
-            stated_outcome one;
-            one.metric = table == nullptr ? "" : (*table)["metric"].value_or(std::string());
-            if (std::find(known.begin(), known.end(), one.metric) == known.end())
-                return failure(error_code::InvalidArgument, step, peer_kind::File, file, "unknown metric: " + one.metric);
-            one.atMost = (*table)["at_most"].value<double>();
-            one.atLeast = (*table)["at_least"].value<double>();
-            if (!one.atMost && !one.atLeast)
-                return failure(error_code::InvalidArgument, step, peer_kind::File, file, one.metric + ": expected at_most or at_least");
-            out.push_back(std::move(one));
-        }
-    } catch (const toml::parse_error& e) {
-        return failure(error_code::InvalidArgument, step, peer_kind::File, file, std::string(e.description()));
+    const auto root = readToml(step, file);
+    if (!root)
+        return tl::unexpected(root.error());
+    const auto* list = (*root)["outcome"].as_array();
+    if (list == nullptr || list->empty())
+        return failure(error_code::InvalidArgument, step, peer_kind::File, file, "expected [[outcome]] tables");
+    const auto known = metricNames();
+    for (const auto& item : *list) {
+        const auto* table = item.as_table();
+        stated_outcome one;
+        one.metric = table == nullptr ? "" : (*table)["metric"].value_or(std::string());
+        if (std::find(known.begin(), known.end(), one.metric) == known.end())
+            return failure(error_code::InvalidArgument, step, peer_kind::File, file, "unknown metric: " + one.metric);
+        one.atMost = (*table)["at_most"].value<double>();
+        one.atLeast = (*table)["at_least"].value<double>();
+        if (!one.atMost && !one.atLeast)
+            return failure(error_code::InvalidArgument, step, peer_kind::File, file, one.metric + ": expected at_most or at_least");
+        out.push_back(std::move(one));
     }
     return out;
 }
 
 result<void> readReplayKeys(const std::string& file, replay_options& options)
 {
-    try {
-        const auto root = toml::parse_file(file);
-        const auto read = [&root](const char* section, std::map<std::string, std::string>& out) {
-            const auto* table = root[section].as_table();
-            if (table == nullptr)
-                return;
-            for (const auto& [name, value] : *table)
-                out[std::string(name.str())] = value.value_or(std::string());
-        };
-        read("keys", options.keys);
-        read("paths", options.paths);
-    } catch (const toml::parse_error& e) {
-        return failure(error_code::InvalidArgument, "replay.keys", peer_kind::File, file, std::string(e.description()));
-    }
+    const auto root = readToml("replay.keys", file);
+    if (!root)
+        return tl::unexpected(root.error());
+    const auto read = [&root](const char* section, std::map<std::string, std::string>& out) {
+        const auto* table = (*root)[section].as_table();
+        if (table == nullptr)
+            return;
+        for (const auto& [name, value] : *table)
+            out[std::string(name.str())] = value.value_or(std::string());
+    };
+    read("keys", options.keys);
+    read("paths", options.paths);
     return {};
 }
 
--- a/src/object_file.cpp
+++ b/src/object_file.cpp
@@ -1,12 +1,13 @@
 // Reader of the operators' file: walks the field list over TOML tables.
 #include "object_file.h"
 
+#include "toml_text.h"
+
 #include "object_fields.h"
 
 #include <algorithm>
 #include <limits>
 #include <set>
-#include <toml++/toml.h>
 #include <tuple>
 #include <utility>
 
@@ -272,13 +273,12 @@
 object_file readObjects(std::string_view toml)
 {
     object_file file;
-    toml::table root;
-    try {
-        root = toml::parse(toml);
-    } catch (const toml::parse_error& fault) {
-        addFault(file.faults, fault.source(), {}, "expected TOML: " + std::string(fault.description()));
+    const auto parsed = parseToml(toml);
+    if (!parsed) {
+        file.faults.push_back({ parsed.error().line, parsed.error().column, {}, "expected TOML: " + parsed.error().what });
         return file;
     }
+    const toml::table& root = *parsed;
 
     // Step 1. Tables of kinds that don't exist.
     std::string known;
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "settings_fault.h"
+#include "toml_text.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -15,7 +16,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <toml++/toml.h>
 #include <vector>
 
 namespace lovagerail {
@@ -291,13 +291,12 @@
 reading_of<Settings> readByTable(const detail::field_table<Settings>& fields, std::string_view text, const std::string& file, Check checkTogether)
 {
     reading_of<Settings> out;
-    toml::table root;
-    try {
-        root = toml::parse(text, file);
-    } catch (const toml::parse_error& e) {
-        out.faults.push_back(detail::faultAt(file, e.source(), "not TOML: " + std::string(e.description())));
+    const auto parsed = parseToml(text);
+    if (!parsed) {
+        out.faults.push_back({ file, parsed.error().line, parsed.error().column, "not TOML: " + parsed.error().what });
         return out;
     }
+    const toml::table& root = *parsed;
 
     // Step 1. Each section and key is known and its value fits.
     for (const auto& [name, node] : root) {
--- /dev/null
+++ b/tests/process/entry_world.py
@@ -0,0 +1,92 @@
+"""Entry instances on the stand-in of the users' platform: a deployment that no site
+describes, with two failure domains, one model, a streaming route and a route whose
+requests may run once at most."""
+
+import base64
+import json
+
+from kit import BIN, ENDED_ON_ORDER, KitTest, Program, call, free_ports, get, toml_text, wait_until
+from platform_standin import Platform
+
+HOST = {"Host": "shop.example"}
+KEY = {"Credential": "key-one"}
+
+
+def route(name, prefix, kind, service, **more):
+    return {"name": name, "host": "shop.example", "prefix": prefix, "routeType": kind, "timeoutMs": 3000, "targetLatencyMs": 150, "priority": 1, "service": service,
+            "maxAttempts": 3, "authExempt": False, **more}
+
+
+def config(version, keys=("key-one",), **more):
+    out = {"version": version,
+           "routes": [route("plain", "/plain/", "safe", "shop"), route("once", "/once/", "unsafe", "shop"), route("talk", "/talk/", "streaming", "pool", resumable=True),
+                      route("judge", "/judge/", "safe", "shop", authExempt=True),
+                      route("steps", "/steps/", "rollout", "pool", resultDeadlineMs=7500, itemTtlS=40)],
+           "services": [{"name": "pool", "engine": {"slots": 8, "stride": 1, "models": [{"name": "m"}]}}, {"name": "shop"}],
+           "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+    if keys is not None:
+        out["tenants"] = [{"name": "acme", "apiKeys": list(keys), "priority": 1}]
+    return {**out, **more}
+
+
+class Entry(Program):
+    def __init__(self, kit, name, zone, platform, ports, seeds):
+        self.callers, self.readiness, self.instances, self.metrics = (f"http://127.0.0.1:{ports + i}" for i in range(4))
+        bare = [f"127.0.0.1:{ports + i}" for i in range(4)]
+        sections = {"instance": {"name": name, "failure_domain": zone, "region": "land"},
+                    "listen": {"callers": bare[0], "readiness": bare[1], "instances": bare[2], "metrics": bare[3], "seeds": seeds},
+                    "store": {"address": platform.store.address},
+                    "duties": {"address": platform.duties.address, "usage_window": "2s", "usage_late": "4s"},
+                    "bounds": {"drain": "2s", "stop": "8s", "results_kept": "120s"}}
+        path = kit.folder / f"{name}.toml"
+        path.write_text(toml_text(sections))
+        super().__init__(kit, name, [BIN / "lovageraild", "entry", "--config", path])
+        self.allowed_exits = ENDED_ON_ORDER
+
+    def ready(self):
+        return get(self.readiness + "/ready").status == 200
+
+    def ask(self, path, request_id, headers=KEY, body=b"hello", method="POST"):
+        return call(method, self.callers + path, body, {**HOST, **headers, "Attempt-Id": request_id, "Deadline-Ms": "3000"})
+
+
+def submission(groups, size=2, least=1, step=1):
+    items = []
+    for group in range(groups):
+        for index in range(size):
+            name = f"s{step}g{group}i{index}"
+            items.append({"id": name, "path": f"/steps/{step}/{name}", "headers": {"Model": "m", "Token-Count": "100,50", "Prompt-Prefix": f"aa{group}:100"},
+                          "body": base64.b64encode(name.encode()).decode(), "tokens": 150, "group": f"g{group}",
+                          "scoringUrl": {"id": "j" + name, "host": "shop.example", "path": "/judge/x", "body": base64.b64encode(b"b").decode()}})
+    return {"step": step, "model": "m", "minVersion": least, "desiredCount": groups, "items": items}
+
+
+class EntryCase(KitTest):
+    def start(self, count=2, keys=("key-one",)):
+        self.platform = Platform()
+        self.addCleanup(self.platform.close)
+        self.engines = [self.platform.engine("pool", zone, models=["m"]) for zone in ("north", "south", "north")]
+        self.shops = [self.platform.service("shop", zone) for zone in ("north", "south")]
+        self.platform.put_config(config(1, keys))
+        ports = [free_ports(4) for _ in range(count)]
+        seeds = [f"127.0.0.1:{port + 2}" for port in ports]
+        self.ports, self.seeds = ports, seeds
+        self.entries = [self.entry(i) for i in range(count)]
+        for entry in self.entries:
+            wait_until(entry.ready, f"{entry.name} is ready")
+        wait_until(lambda: len(self.platform.store.with_prefix("/lovagerail/duties/node/")) == count, "all have joined")
+        return self.entries
+
+    def entry(self, index):
+        return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds)
+
+    def submit(self, entry, name, body):
+        return entry.ask("/steps/" + name, name, body=json.dumps(body).encode())
+
+    def results(self, entry, name, after=0, wait_ms=500):
+        answer = call("GET", f"{entry.callers}/lots/{name}?after={after}", headers={**HOST, **KEY, "Wait-Ms": str(wait_ms)})
+        self.assertEqual(answer.status, 200, answer)
+        return answer.json
+
+    def whole(self, entry, name, seconds=10):
+        return wait_until(lambda: (lambda r: r["results"] if len(r["results"]) == r["total"] else None)(self.results(entry, name)), f"{name} whole", seconds)
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -85,10 +85,12 @@
 
     def put(self, key, value, lease=0):
         with self.lock:
+            self.revision += 1
             self._put(key, value if isinstance(value, bytes) else json.dumps(value).encode(), lease)
 
     def remove(self, key):
         with self.lock:
+            self.revision += 1
             self._remove(key)
 
     def value(self, key):
@@ -102,7 +104,6 @@
             return sorted(key for key in self.keys if key.startswith(prefix))
 
     def _put(self, key, value, lease):
-        self.revision += 1
         created = self.keys[key][2] if key in self.keys else self.revision
         self.keys[key] = [value, self.revision, created, lease]
         self.events.append((self.revision, key, False))
@@ -111,7 +112,6 @@
     def _remove(self, key):
         if self.keys.pop(key, None) is None:
             return
-        self.revision += 1
         self.events.append((self.revision, key, True))
         self.lock.notify_all()
 
@@ -119,6 +119,7 @@
         now = time.monotonic()
         for lease in [one for one, (end, _) in self.leases.items() if end < now]:
             del self.leases[lease]
+            self.revision += 1
             for key in [key for key, entry in self.keys.items() if entry[3] == lease]:
                 self._remove(key)
 
@@ -178,6 +179,7 @@
             return 412, {"items": items}
         if any(row.get("lease") and row["lease"] not in self.leases for row in change.get("setKeys", [])):
             return 404, {}
+        self.revision += 1  # one for the whole change
         for row in change.get("setKeys", []):
             self._put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
         for key in change.get("remove", []):
--- /dev/null
+++ b/tests/process/test_entry_batches.py
@@ -0,0 +1,78 @@
+"""Batches on entry instances: one result at one position, whatever fails."""
+
+import threading
+import time
+import unittest
+
+from entry_world import HOST, KEY, EntryCase, submission
+from kit import call, wait_until
+
+
+class EntryBatches(EntryCase):
+    def test_a_step_is_listed_alike_everywhere(self):
+        first, second = self.start()
+        self.engines[0].losing = 2
+        self.assertEqual(self.submit(first, "b1", submission(4)).status, 202)
+        self.assertEqual(self.submit(second, "b1", submission(4)).status, 202)  # again, elsewhere: the same batch
+        body = call("GET", second.callers + "/items/b1?id=s1g3i1", headers={**HOST, **KEY})
+        self.assertIn((body.status, body.body), ((200, b"s1g3i1"), (404, b"")))  # unless it is listed already
+        here, there = self.whole(first, "b1"), self.whole(second, "b1")
+        self.assertEqual(here, there)
+        self.assertEqual(len({result["id"] for result in here}), 8)
+        for result in here:
+            self.assertEqual((result["state"], result["text"], result["versions"]), ("completed", "e1\ne2\ne3\ne4\ne5", [1]))
+            self.assertEqual(result["score"], "stamp-j" + result["id"])
+        self.assertEqual(call("GET", first.callers + "/lots/b1?after=0", headers={**HOST, "Credential": "none"}).status, 401)
+        self.assertEqual(call("GET", first.callers + "/lots/unknown?after=0", headers={**HOST, **KEY}).status, 404)
+        self.assertEqual(call("DELETE", second.callers + "/lots/b1", headers={**HOST, **KEY}).status, 200)
+        self.assertEqual(call("DELETE", first.callers + "/lots/b1", headers={**HOST, **KEY}).status, 200)
+        self.assertEqual(self.whole(second, "b1"), here)
+
+    def test_a_killed_owners_step_goes_on_elsewhere(self):
+        first, second = self.start()
+        for engine in self.engines:
+            engine.events, engine.event_s = 60, 0.03
+        self.assertEqual(self.submit(first, "b1", submission(2)).status, 202)
+        time.sleep(0.5)
+        first.allowed_exits = None
+        first.kill()
+        results = self.whole(second, "b1", 15)
+        self.assertEqual(len({result["id"] for result in results}), 4)
+        self.assertEqual({result["text"].count("\n") for result in results}, {59})
+
+    def test_a_planned_stop_hands_the_step_over(self):
+        first, second = self.start()
+        for engine in self.engines:
+            engine.events, engine.event_s = 60, 0.03
+        self.assertEqual(self.submit(first, "b1", submission(2)).status, 202)
+        time.sleep(0.8)
+        first.terminate()
+        wait_until(lambda: not first.ready(), "out of rotation", 1)
+        results = self.whole(second, "b1", 10)
+        self.assertEqual({result["text"].count("\n") for result in results}, {59})
+        self.assertEqual(first.wait(9), 0)
+        # It went on behind what was made, and did not start over.
+        self.assertTrue(any(headers.get("Last-Event-Id") for _, headers in self.platform.runs("pool")))
+
+    def test_a_submission_waits_for_the_store(self):
+        first, _ = self.start()
+        self.platform.store.refuse.add("all")
+        began = time.monotonic()
+        threading.Timer(1.5, self.platform.store.refuse.clear).start()
+        self.assertEqual(self.submit(first, "b1", submission(2)).status, 202)
+        self.assertGreater(time.monotonic() - began, 1.4)
+        # Its items ran meanwhile, so little is left to wait for.
+        self.assertEqual(len(self.whole(first, "b1", 2)), 4)
+
+    def test_lost_answers_of_the_store_list_nothing_twice(self):
+        first, second = self.start()
+        self.platform.store.lose_answers = 2
+        self.assertEqual(self.submit(first, "b1", submission(3)).status, 202)
+        time.sleep(0.05)
+        self.platform.store.lose_answers = 2
+        results = self.whole(second, "b1")
+        self.assertEqual(len({result["id"] for result in results}), 6)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -1,7 +1,11 @@
 // Settings: ten broken files with their exact messages, and a whole one.
 #include "settings.h"
 
-#include <boost/test/unit_test.hpp>
+#include "edge/entry_settings.h"
+#include "object_file.h"
+#include "property.h"
+
+#include <algorithm>
 
 using namespace lovagerail;
 
@@ -110,4 +114,32 @@
     BOOST_TEST(toString(reading.faults[0]) == "/nowhere/s.toml: can't be opened");
 }
 
+// A text that trips an assertion inside the TOML parser is a fault with its line.
+BOOST_AUTO_TEST_CASE(malformed_tables_are_faults_with_a_line)
+{
+    for (const std::string text : { "[[[[", "[instance]\nname = \"a\"\n[[[[", "[[[[\n" }) {
+        const auto reading = readSettings(text, "f.toml");
+        BOOST_REQUIRE(!reading.faults.empty());
+        BOOST_TEST(reading.faults.front().line == 1u + static_cast<std::uint32_t>(std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(text.find("[[[[")), '\n')));
+        BOOST_TEST(!readObjects(text).faults.empty());
+    }
+}
+
+// Random bytes, and a right file with bytes changed, give a reading or faults, never an
+// end of the program.
+BOOST_AUTO_TEST_CASE(any_bytes_can_be_read)
+{
+    test::checkProperty("any bytes", [] {
+        auto text = *rc::gen::container<std::string>(rc::gen::element('[', ']', '=', '"', '.', '{', '}', '\n', 'a', '1', '#', ',', '\'', '\\', '\0', '\xff'));
+        if (*rc::gen::arbitrary<bool>()) {
+            std::string whole = "[instance]\nname = \"a\"\nfailure_domain = \"b\"\n[log]\nlevel = \"info\"\n";
+            whole.replace(*rc::gen::inRange<std::size_t>(0, whole.size()), *rc::gen::inRange<std::size_t>(0, 8), text);
+            text = whole;
+        }
+        static_cast<void>(readSettings(text, "f.toml"));
+        static_cast<void>(edge::readEntrySettings(text, "f.toml"));
+        static_cast<void>(readObjects(text));
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
