Listings of the store are read to their end

Change: store_link::list follows the listing; heads, pages, members, targets and named versions are read by it. Test: entry batches, with one row in an answer.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -329,7 +329,7 @@
 void batches::scanHeads()
 {
     m_scanning = true;
-    m_context.store.call("batch scan", readPrefix(std::string(headPrefix)), [this](const result<kv_answer>& answer) {
+    m_context.store.list("batch scan", std::string(headPrefix), [this](const result<kv_answer>& answer) {
         m_scanning = false;
         if (!answer) {
             m_scanAgain = m_context.now + scanRetry;
@@ -398,9 +398,9 @@
                 return;
             }
             // Pages are read after the take-over: none can come any more.
-            m_context.store.call("batch adopt", readPrefix(pagesPrefix(next.id)),
+            m_context.store.list("batch adopt", pagesPrefix(next.id),
                 [this, next, finish, text, at = written->at](const result<kv_answer>& pages) {
-                    if (!pages || pages->more) {
+                    if (!pages) {
                         // Ours in the store, but not known: the next scan finds it.
                         finish(false);
                         return;
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -266,9 +266,8 @@
         respond(exchange, statusNotFound, "");
         return;
     }
-    const auto prefix = pagesPrefix(call.id);
-    m_context.store.call("batch read", readPrefix(prefix), [this, exchange, call, head](const result<kv_answer>& pages) {
-        if (!pages || pages->more) {
+    m_context.store.list("batch read", pagesPrefix(call.id), [this, exchange, call, head](const result<kv_answer>& pages) {
+        if (!pages) {
             respond(exchange, statusUnavailable, "");
             return;
         }
--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -122,31 +122,23 @@
     if (doc.reading || doc.watch != 0 || m_context.now < doc.readAgain)
         return;
     doc.reading = true;
-    const kv_range ranges[] = { readKey(std::string(platform::configKey)), readPrefix(std::string(dutyPrefix)), readPrefix(std::string(platform::targetPrefix)) };
-    read(index, ranges[index], {}, m_context.now);
-}
-
-void knowledge::read(document_index index, kv_range range, std::vector<kv_entry> soFar, instant asked)
-{
-    m_context.store.call(documentNames[index], range, [this, index, range, asked, entries = std::move(soFar)](const result<kv_answer>& answer) mutable {
-        auto& doc = m_documents[index];
+    const auto onAnswer = [this, index, asked = m_context.now](const result<kv_answer>& answer) {
+        auto& read = m_documents[index];
         if (!answer) {
-            failed(doc);
+            failed(read);
             return;
         }
-        entries.insert(entries.end(), answer->entries.begin(), answer->entries.end());
-        if (answer->more && !answer->entries.empty()) {
-            range.after = answer->entries.back().key;
-            read(index, range, std::move(entries), asked);
-            return;
-        }
-        doc.reading = false;
-        doc.pause = {};
-        doc.readAgain = asked + (index == targetsIndex ? listPeriod : duration {});
-        confirm(index, std::move(entries), answer->at, asked);
+        read.reading = false;
+        read.pause = {};
+        read.readAgain = asked + (index == targetsIndex ? listPeriod : duration {});
+        confirm(index, answer->entries, answer->at, asked);
         if (index != targetsIndex && readsItself())
             startWatch(index);
-    });
+    };
+    if (index == configIndex)
+        m_context.store.call(documentNames[index], readKey(std::string(platform::configKey)), onAnswer);
+    else
+        m_context.store.list(documentNames[index], std::string(index == membersIndex ? dutyPrefix : platform::targetPrefix), onAnswer);
 }
 
 void knowledge::startWatch(document_index index)
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -61,7 +61,6 @@
     // Reading from the store.
     bool readsItself() const;
     void readDirect(document_index index);
-    void read(document_index index, kv_range range, std::vector<kv_entry> soFar, instant asked);
     void startWatch(document_index index);
     void stopWatches();
     void failed(document& doc) const;
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -150,6 +150,30 @@
     });
 }
 
+void store_link::list(std::string_view cause, const std::string& prefix, answer_function onAnswer)
+{
+    listFrom(std::string(cause), readPrefix(prefix), {}, std::move(onAnswer));
+}
+
+void store_link::listFrom(std::string cause, kv_range range, kv_answer soFar, answer_function onAnswer)
+{
+    call(cause, range, [this, cause, range, all = std::move(soFar), onAnswer = std::move(onAnswer)](const result<kv_answer>& answer) mutable {
+        if (!answer) {
+            onAnswer(answer);
+            return;
+        }
+        if (all.at == revision())
+            all.at = answer->at;
+        all.entries.insert(all.entries.end(), answer->entries.begin(), answer->entries.end());
+        if (!answer->more || answer->entries.empty()) {
+            onAnswer(all);
+            return;
+        }
+        range.after = all.entries.back().key;
+        listFrom(cause, range, std::move(all), std::move(onAnswer));
+    });
+}
+
 std::uint64_t store_link::watch(std::string prefix, revision from, std::chrono::milliseconds wait, news_function onNews)
 {
     const auto id = ++m_lastWatch;
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -43,6 +43,9 @@
 
     // `cause` names the duty that asks, for the counts of calls.
     void call(std::string_view cause, kv_call wanted, answer_function onAnswer);
+    // All entries under a prefix, in as many calls as the store needs for them. `at` of
+    // the answer is the revision of the first call.
+    void list(std::string_view cause, const std::string& prefix, answer_function onAnswer);
     // News of all keys under the prefix behind `from`, until endWatch(); news without
     // events says that nothing changed until then. After lost
     // history one news says `compacted` and the watch ends: read afresh. The store may
@@ -75,6 +78,7 @@
         Detour,
     };
 
+    void listFrom(std::string cause, kv_range range, kv_answer soFar, answer_function onAnswer);
     way chooseWay();
     void send(std::string_view cause, http::request wanted, way by, std::function<void(const http::answer&)> onAnswer);
     void noteDirect(const http::answer& answer);
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -129,7 +129,7 @@
 {
     m_reading = true;
     const std::string prefix(platform::operatorPrefix);
-    m_context.store.call("weights", readPrefix(prefix), [this, prefix](const result<kv_answer>& answer) {
+    m_context.store.list("weights", prefix, [this, prefix](const result<kv_answer>& answer) {
         m_reading = false;
         if (!answer || !m_term) {
             m_readAgain = m_context.now + retryPause;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -80,6 +80,7 @@
         self.leases = {}  # id: [end, seconds]
         self.calls = []  # (method, route) in order
         self.refuse = set()  # peers' ports are not known, so all or nobody: {"all"}
+        self.rows_per_answer = 50  # of a listing
         self.lose_answers = 0  # so many writes are carried out and not answered
         super().__init__()
 
@@ -155,7 +156,7 @@
     def _range(self, request):
         prefix, after = request.query["prefix"], request.query.get("after", "")
         rows = [self._row(key) for key in sorted(self.keys) if key.startswith(prefix) and key > after]
-        return 200, {"items": rows[:50], "hasMore": len(rows) > 50, "currentRev": self.revision}
+        return 200, {"items": rows[:self.rows_per_answer], "hasMore": len(rows) > self.rows_per_answer, "currentRev": self.revision}
 
     def _watch(self, request):
         prefix, after = request.query["prefix"], int(request.query["after"])
--- a/tests/process/test_entry_batches.py
+++ b/tests/process/test_entry_batches.py
@@ -28,6 +28,19 @@
         self.assertEqual(call("DELETE", first.callers + "/lots/b1", headers={**HOST, **KEY}).status, 200)
         self.assertEqual(self.whole(second, "b1"), here)
 
+    def test_results_that_need_several_answers_of_the_store(self):
+        first, second = self.start()
+        # More items than the replicas run at once, and a trainer that waits for one group.
+        self.assertEqual(self.submit(first, "b1", {**submission(20), "desiredCount": 1}).status, 202)
+        here = self.whole(first, "b1")
+        self.assertGreater(len(self.platform.store.with_prefix("batch/page/b1/")), 1)
+        self.assertEqual(call("DELETE", first.callers + "/lots/b1", headers={**HOST, **KEY}).status, 200)
+        self.platform.store.rows_per_answer = 1
+        first.allowed_exits = None
+        first.kill()
+        wait_until(lambda: len(self.platform.store.with_prefix("/lovagerail/duties/node/")) == 1, "the lease has lapsed", 6)
+        self.assertEqual(self.whole(second, "b1"), here)
+
     def test_a_killed_owners_step_goes_on_elsewhere(self):
         first, second = self.start()
         for engine in self.engines:
