--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -15,9 +15,11 @@
 
     constexpr duration firstPause = std::chrono::milliseconds(300); // after a read that failed; doubled each time
     constexpr duration longestPause = std::chrono::milliseconds(1500);
-    // A leaving target gets nothing new within the platform's bound of 2 s from its
-    // notice; the rest of that time is for the call and for requests on their way.
-    constexpr duration listPeriod = std::chrono::milliseconds(900);
+    // A leaving target gets nothing new within the platform's bound from its notice: the
+    // list is read within this share of it, and is too old at that one. The rest is for
+    // the calls and for requests on their way.
+    constexpr double listShare = 0.45;
+    constexpr double oldShare = 0.95;
     // A configuration is in force within two seconds of its acceptance, also when the
     // store falls silent on a watch.
     constexpr std::chrono::milliseconds configWait { 1500 };
@@ -32,9 +34,7 @@
     constexpr std::chrono::milliseconds peerTimeout { 900 };
     constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
     constexpr duration directTime = std::chrono::seconds(3); // reading for ourselves, before the parent is asked again
-    // Older news than this is read from the store instead: a list period and the waits of
-    // two levels make 1.5 s.
-    constexpr duration oldTargets = std::chrono::milliseconds(1900);
+    // An older confirmation of the configuration is asked of the store instead.
     constexpr duration oldConfig = std::chrono::milliseconds(2800);
 
     constexpr const char* documentNames[] = { "config", "members", "targets" };
@@ -101,6 +101,11 @@
 {
 }
 
+duration knowledge::ofDrainBound(double share) const
+{
+    return std::chrono::duration_cast<duration>(m_context.values.bounds.drain * share);
+}
+
 // --- From the store ----------------------------------------------------------
 
 // The first in rendezvous order reads for all; others while their parent is of no use.
@@ -130,7 +135,7 @@
         }
         read.reading = false;
         read.pause = {};
-        read.readAgain = asked + (index == targetsIndex ? listPeriod : duration {});
+        read.readAgain = asked + (index == targetsIndex ? ofDrainBound(listShare) : duration {});
         confirm(index, answer->entries, answer->at, asked);
         if (index != targetsIndex && readsItself())
             startWatch(index);
@@ -222,7 +227,7 @@
         else if (at >= m_documents[i].at)
             m_documents[i].confirmedAt = std::max(m_documents[i].confirmedAt, confirmedAt);
     }
-    old = m_context.now - m_documents[targetsIndex].confirmedAt > oldTargets || m_context.now - m_documents[configIndex].confirmedAt > oldConfig;
+    old = m_context.now - m_documents[targetsIndex].confirmedAt > ofDrainBound(oldShare) || m_context.now - m_documents[configIndex].confirmedAt > oldConfig;
     m_has = jsonText(*body, "versions");
     if (!old)
         return;
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -58,6 +58,8 @@
         instant until {};
     };
 
+    duration ofDrainBound(double share) const;
+
     // Reading from the store.
     bool readsItself() const;
     void readDirect(document_index index);
