Batches of one route run on one instance; an instance follows eight replicas of a service

Change: the instance that meets a submission passes it to the one that rendezvous hashing names for the route; if that doesn't take it, it accepts it itself, by the same create-only key. It also has the texts of items that come again.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -31,6 +31,7 @@
     constexpr duration expiryPeriod = std::chrono::seconds(5);
     constexpr std::chrono::milliseconds expiryMargin { 5000 }; // beyond the time that results are kept
     constexpr std::chrono::milliseconds peerTimeout { 2500 };
+    constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
 
     Json::Value textsJson(const made_texts& texts)
     {
@@ -95,7 +96,7 @@
 
 // --- Submitting --------------------------------------------------------------
 
-void batches::onSubmit(const http::exchange_ptr& exchange, batch_head head, std::optional<std::chrono::milliseconds> deadline)
+void batches::onSubmit(const http::exchange_ptr& exchange, batch_head head, submit_options options)
 {
     // Step 1. Known here already, or under way.
     if (const auto known = m_owned.find(head.id); known != m_owned.end() && known->second.accepted) {
@@ -106,8 +107,8 @@
         under->second.waiters.push_back(exchange);
         return;
     }
-    if (m_stopping && !m_members.others().empty()) {
-        passSubmit(exchange, head);
+    if (const auto* to = options.mayPassOn ? preferredOwner(head) : nullptr) {
+        passSubmit(exchange, head, *to, options);
         return;
     }
 
@@ -128,7 +129,7 @@
     submit.head = head;
     submit.body = exchange->body;
     submit.waiters.push_back(exchange);
-    submit.giveUp = m_context.now + (deadline ? *deadline - submitMargin : submitPatience);
+    submit.giveUp = m_context.now + (options.deadline ? *options.deadline - submitMargin : submitPatience);
     writeSubmit(head.id);
 }
 
@@ -238,22 +239,46 @@
     return true;
 }
 
-// While we stop, another instance takes submissions that still reach us.
-void batches::passSubmit(const http::exchange_ptr& exchange, const batch_head& head)
+// Batches of one route run on one instance: it knows all of the route's work at its
+// replicas, keeps its connections to them from step to step, and has the texts of items
+// that come again. Null if that is us, or while we stop and are alone.
+const member* batches::preferredOwner(const batch_head& head) const
+{
+    const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
+    std::vector<instance_id> names;
+    for (const auto& one : m_members.others())
+        names.push_back(one.name);
+    const instance_id self(m_context.values.instance.name);
+    if (!m_stopping)
+        names.push_back(self);
+    if (route == nullptr || names.empty())
+        return nullptr;
+    const auto* chosen = rendezvousFirst(route->host + route->prefix, names);
+    return *chosen == self ? nullptr : m_members.find(*chosen);
+}
+
+// If the other instance doesn't take it, we do: both write the same create-only key.
+void batches::passSubmit(const http::exchange_ptr& exchange, const batch_head& head, const member& to, submit_options options)
 {
-    const auto others = m_members.others();
     http::request onward;
     onward.method = "POST";
-    onward.url = "http://" + others[head.id.str().size() % others.size()].address + "/submit";
+    onward.url = "http://" + to.address + "/submit";
     onward.headers = { { "x-batch", head.id.str() }, { "x-host", head.host }, { "x-path", head.path }, { "x-account", head.account.str() } };
     onward.body = exchange->body;
-    onward.totalTimeout = peerTimeout;
-    m_context.net.call(std::move(onward), [this, exchange](const http::answer& answer) {
-        if (answer.outcome == http::transfer_result::Whole)
+    onward.connectTimeout = peerConnectTimeout;
+    onward.unacknowledgedTimeout = targetUnacknowledged;
+    onward.totalTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(submitPatience);
+    const auto transfer = m_context.net.call(std::move(onward), [this, exchange, head, options](const http::answer& answer) {
+        std::erase_if(m_passed, [&exchange](const passed_submit& one) { return one.exchange == exchange; });
+        const bool refused = answer.status == statusUnavailable || answer.status == statusServerError;
+        if (answer.outcome == http::transfer_result::Whole && !refused) {
             respond(exchange, answer.status, "");
-        else
-            respond(exchange, answer.outcome == http::transfer_result::NotSent ? statusUnavailable : statusServerError, "");
+            return;
+        }
+        logEvent(log_level::Warning, "batch", "not_passed_on", { { "batch", head.id.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
+        onSubmit(exchange, head, { options.deadline, false });
     });
+    m_passed.push_back({ exchange, transfer });
 }
 
 bool batches::onPeer(const http::exchange_ptr& exchange)
@@ -265,7 +290,7 @@
         head.host = header("x-host");
         head.path = header("x-path");
         head.account = client_account_id(header("x-account"));
-        onSubmit(exchange, std::move(head), std::nullopt);
+        onSubmit(exchange, std::move(head), { std::nullopt, false });
         return true;
     }
     if (exchange->path == "/owner" && exchange->method == "POST") {
@@ -494,7 +519,12 @@
 
 void batches::tick()
 {
-    // Step 1. Unsure submissions.
+    // Step 1. Submissions whose caller left, and those that are not written yet.
+    for (const auto& one : m_passed) {
+        if (one.exchange->callerGone())
+            m_context.net.cancel(one.transfer);
+    }
+    std::erase_if(m_passed, [](const passed_submit& one) { return one.exchange->callerGone(); });
     std::vector<batch_id> unsure;
     for (const auto& [id, submit] : m_submits) {
         if (!submit.busy && m_context.now >= submit.again)
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -25,7 +25,11 @@
     batches(context& shared, members& group, front& calls);
 
     // From callers whose key was checked.
-    void onSubmit(const http::exchange_ptr& exchange, batch_head head, std::optional<std::chrono::milliseconds> deadline);
+    struct submit_options {
+        std::optional<std::chrono::milliseconds> deadline; // the caller's own
+        bool mayPassOn = true; // to the instance that runs this route's batches
+    };
+    void onSubmit(const http::exchange_ptr& exchange, batch_head head, submit_options options);
     void onCall(const http::exchange_ptr& exchange, const platform::batch_call& call, const client_account_id& account, std::chrono::milliseconds wait);
     // From other instances; false if the path is none of ours.
     bool onPeer(const http::exchange_ptr& exchange);
@@ -83,7 +87,8 @@
     void onSubmitWritten(const batch_id& id, const result<kv_answer>& answer);
     void finishSubmit(const batch_id& id, int status);
     bool own(const batch_head& head, revision fence, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages);
-    void passSubmit(const http::exchange_ptr& exchange, const batch_head& head);
+    const member* preferredOwner(const batch_head& head) const;
+    void passSubmit(const http::exchange_ptr& exchange, const batch_head& head, const member& to, submit_options options);
 
     // Reading.
     void answerOwned(const http::exchange_ptr& exchange, const platform::batch_call& call, std::chrono::milliseconds wait);
@@ -125,6 +130,11 @@
     batch_board m_board;
     std::map<batch_id, owned_batch> m_owned; // exactly the batches of m_board
     std::map<batch_id, open_submit> m_submits;
+    struct passed_submit {
+        http::exchange_ptr exchange;
+        std::uint64_t transfer = 0;
+    };
+    std::vector<passed_submit> m_passed; // to other instances, without an answer yet
     std::vector<waiting_read> m_reads;
     std::map<attempt_id, run_transfer> m_runs;
     struct known_head {
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -140,6 +140,9 @@
         out.failureDomain = failure_domain_id(values.instance.failureDomain);
         // The store's list is the truth: a target that isn't in the newest one is gone.
         out.table.absenceGrace = std::chrono::milliseconds(1);
+        // New connections to targets are priced: an instance spreads its work over a few of
+        // a service's replicas, and over the others when these are full.
+        out.subsetSize = 8;
         // Current engines make a token of a small batch in about a millisecond and read
         // prompts at some hundred tokens in one; what is seen corrects both.
         out.load.initialSpeed.prefillTokensPerSecond = 100'000;
--- a/src/edge/front.cpp
+++ b/src/edge/front.cpp
@@ -129,7 +129,7 @@
     head.host = caller.host;
     head.path = exchange->path;
     head.account = account;
-    m_batches->onSubmit(exchange, std::move(head), caller.deadline);
+    m_batches->onSubmit(exchange, std::move(head), { caller.deadline, true });
 }
 
 void front::forward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account)
