--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -271,6 +271,54 @@
         BOOST_TEST(leases.tick(now).empty());
 }
 
+// A restarted instance doesn't wait for the lease of its own earlier life, if it is
+// told that this life is surely over; another instance's key it leaves alone.
+BOOST_AUTO_TEST_CASE(an_earlier_life_is_replaced_at_once)
+{
+    for (const bool replaces : { false, true }) {
+        service keys;
+        const auto run = [&keys](duty_leases& leases, instant from, duration time) {
+            std::optional<instant> held;
+            for (auto now = from; now < from + time; now += 50ms) {
+                auto actions = leases.tick(now);
+                while (!actions.empty()) {
+                    std::vector<lease_action> next;
+                    for (const auto& action : actions) {
+                        const auto* call = std::get_if<lease_call>(&action);
+                        if (call == nullptr)
+                            continue;
+                        for (auto& more : leases.onAnswer(call->id, keys.act(call->call, now.time_since_epoch()), now))
+                            next.push_back(std::move(more));
+                    }
+                    actions = std::move(next);
+                }
+                if (!held && leases.holds(duty_id("node/a"), now))
+                    held = now;
+            }
+            return held;
+        };
+        lease_settings settings { instance_id("a"), incarnation(1) };
+        settings.replacesEarlierLife = replaces;
+        const std::vector<duty_id> duties { duty_id("node/a") };
+        duty_leases first(settings);
+        first.setChoices(duties, duties);
+        BOOST_REQUIRE(run(first, instant { 1h }, 1s).has_value());
+
+        settings.life = incarnation(2);
+        duty_leases second(settings);
+        second.setChoices(duties, duties);
+        const auto gained = run(second, instant { 1h + 1s }, 10s);
+        BOOST_REQUIRE(gained.has_value());
+        BOOST_TEST((*gained - instant { 1h + 1s } < 500ms) == replaces);
+
+        lease_settings other { instance_id("b"), incarnation(9) };
+        other.replacesEarlierLife = true;
+        duty_leases third(other);
+        third.setChoices(duties, duties);
+        BOOST_TEST(!run(third, instant { 1h + 10s }, 500ms).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,159 @@
+// Tests of the translation of the users' platform: what its peers may send, well formed
+// or not, and what we may never pass on.
+#include "platform/batch_codec.h"
+#include "platform/desired_state.h"
+#include "platform/headers.h"
+#include "platform/store_codec.h"
+
+#include "property.h"
+
+#include <algorithm>
+
+namespace lovagerail {
+namespace {
+
+    using http::header_list;
+
+    bool has(const header_list& headers, std::string_view name)
+    {
+        return std::any_of(headers.begin(), headers.end(), [name](const auto& one) {
+            return std::equal(one.first.begin(), one.first.end(), name.begin(), name.end(), [](char a, char b) { return std::tolower(a) == std::tolower(b); });
+        });
+    }
+
+    std::string valueOf(const header_list& headers, std::string_view name)
+    {
+        for (const auto& [key, value] : headers) {
+            if (key == name)
+                return value;
+        }
+        return {};
+    }
+
+    http::answer answered(int status, std::string body, http::transfer_result outcome = http::transfer_result::Whole)
+    {
+        return { outcome, status, {}, std::move(body), {} };
+    }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_suite)
+
+// Neither the key nor what concerns one connection goes on, and a caller can't name its
+// own account.
+BOOST_AUTO_TEST_CASE(callers_headers_are_filtered)
+{
+    const header_list sent { { "host", "h.example" }, { "credential", "secret" }, { "tenant", "forged" }, { "connection", "close, x-hop" }, { "x-hop", "1" },
+        { "transfer-encoding", "chunked" }, { "x-kept", "2" }, { "attempt-id", "a1" }, { "deadline-ms", "1500" }, { "target-instance", "forged" } };
+    const auto caller = platform::decodeCaller(sent);
+    BOOST_TEST(caller.key == "secret");
+    BOOST_TEST(caller.id.str() == "a1");
+    BOOST_TEST(caller.deadline->count() == 1500);
+    platform::target_call call;
+    call.id = caller.id;
+    call.host = caller.host;
+    call.target = target_id("i-1");
+    call.account = client_account_id("acme");
+    call.forwarded = caller.forwarded;
+    const auto out = platform::encodeTargetCall(call);
+    for (const auto* name : { "Credential", "connection", "x-hop", "transfer-encoding" })
+        BOOST_TEST(!has(out, name));
+    BOOST_TEST(valueOf(out, "Tenant") == "acme");
+    BOOST_TEST(valueOf(out, "Target-Instance") == "i-1");
+    BOOST_TEST(valueOf(out, "x-kept") == "2");
+    BOOST_TEST(std::count_if(out.begin(), out.end(), [](const auto& one) { return one.first == "Tenant" || one.first == "tenant"; }) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(not_run_is_read_from_the_targets_own_word)
+{
+    BOOST_TEST(platform::decodeTargetHead(503, { { "not-executed", "1" } }).notRun);
+    BOOST_TEST(!platform::decodeTargetHead(503, {}).notRun);
+    BOOST_TEST(platform::decodeTargetHead(421, {}).notRun);
+    const auto head = platform::decodeTargetHead(200, { { "server-load", "3,0,8" }, { "weight-versions", "7" }, { "server-stamp", "s" } });
+    BOOST_REQUIRE(head.load.has_value());
+    BOOST_TEST(head.load->slots == 8u);
+    BOOST_TEST(head.version->value() == 7u);
+    BOOST_TEST(head.proof == "s");
+}
+
+// Entries of other writers name no target; the others hold.
+BOOST_AUTO_TEST_CASE(foreign_entries_name_no_target)
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"draining","sequence":3,"born":17,"models":[{"name":"m","version":4}]})";
+    const auto target = platform::decodeTarget("servers/i-1", good, revision(5));
+    BOOST_REQUIRE(target.has_value());
+    BOOST_TEST((target->listed.state == target_state::Leaving));
+    BOOST_TEST(target->listed.incarnation.value() == 17u);
+    BOOST_TEST(target->listed.labels.at("version:m") == "4");
+    for (const std::string bad : { R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"odd"})", R"({"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready"})",
+             R"({"service":"s","zone":"z","state":"ready"})", "\x01\x02", "[]", "" })
+        BOOST_TEST(!platform::decodeTarget("servers/i-2", bad, revision(5)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(events_are_cut_at_blank_lines_wherever_bytes_are_split)
+{
+    const std::string stream = "weight-versions: 3\nid: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata: d";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        platform::event_reader reader;
+        auto events = reader.take(std::string_view(stream).substr(0, cut));
+        for (auto& more : reader.take(std::string_view(stream).substr(cut)))
+            events.push_back(std::move(more));
+        BOOST_REQUIRE(events.size() == 2u);
+        BOOST_TEST(events[0].version->value() == 3u);
+        BOOST_TEST(events[1].data == "b\nc");
+        BOOST_TEST(reader.rest() == "id: 3\ndata: d");
+    }
+}
+
+// What may have taken effect is told apart from what surely did not.
+BOOST_AUTO_TEST_CASE(outcomes_of_writes_are_told_apart)
+{
+    const kv_call write = kv_transaction {};
+    const kv_call read = readKey("k");
+    BOOST_TEST((platform::decodeStoreAnswer(write, answered(503, "")).error().code == error_code::Unavailable));
+    BOOST_TEST((platform::decodeStoreAnswer(write, answered(0, "", http::transfer_result::NoAnswer)).error().code == error_code::Unknown));
+    BOOST_TEST((platform::decodeStoreAnswer(write, answered(0, "", http::transfer_result::NotSent)).error().code == error_code::Unavailable));
+    BOOST_TEST((platform::decodeStoreAnswer(write, answered(200, "{bad")).error().code == error_code::Unknown));
+    BOOST_TEST((platform::decodeStoreAnswer(read, answered(0, "", http::transfer_result::NoAnswer)).error().code == error_code::Unavailable));
+    const auto conflict = platform::decodeStoreAnswer(write, answered(412, R"({"items":[{"key":"k","revision":0},{"key":"l","value":"eA==","revision":9,"created":4}]})"));
+    BOOST_REQUIRE(conflict.has_value());
+    BOOST_TEST(!conflict->succeeded);
+    BOOST_REQUIRE(conflict->entries.size() == 1u);
+    BOOST_TEST(conflict->entries[0].value == "x");
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
+{
+    const auto site = platform::decodeSite(R"({"version":3,"routes":[
+        {"name":"a","host":"H.example","prefix":"/p/","routeType":"safe","service":"s"},
+        {"name":"b","host":"h.example","prefix":"/p/q/","routeType":"unsafe","trafficSplit":[{"service":"s","weight":9},{"service":"t","weight":1}]},
+        {"name":"c","host":"h.example","prefix":"/r/"}],"services":[]})");
+    BOOST_REQUIRE(site.has_value());
+    BOOST_TEST(site->routes.size() == 2u); // one without a service is none
+    BOOST_TEST(site->find("h.example:80", "/p/q/x")->id.str() == "b");
+    BOOST_TEST(site->find("h.example", "/p/x")->id.str() == "a");
+    BOOST_TEST(site->find("h.example", "/p") == nullptr);
+    BOOST_TEST(!site->keyed);
+    BOOST_TEST(!platform::decodeSite("{}").has_value());
+}
+
+// Whatever bytes a peer sends, decoding ends in a value or a fault.
+BOOST_AUTO_TEST_CASE(any_bytes_can_be_decoded)
+{
+    test::checkProperty("any bytes of the platform", [] {
+        const auto text = *rc::gen::container<std::string>(rc::gen::element('{', '}', '[', ']', '"', ':', ',', '1', 'a', '\n', ' ', '\0', '\xff'));
+        static_cast<void>(platform::decodeSite(text));
+        static_cast<void>(platform::decodeTarget("servers/x", text, revision(1)));
+        static_cast<void>(platform::decodeSubmission({}, text));
+        static_cast<void>(platform::decodeStoreAnswer(readKey("k"), answered(200, text)));
+        static_cast<void>(platform::decodeWatch(answered(200, text)));
+        static_cast<void>(platform::decodeBatchCall("GET", text, text));
+        static_cast<void>(platform::decodePrompt(text));
+        platform::event_reader reader;
+        static_cast<void>(reader.take(text));
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
