--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -396,7 +396,7 @@
 
 // Takes a batch over: reads what stands in the store, then writes the head anew under
 // the revision that was read, which shuts out the owner before us.
-void batches::adopt(batch_head head, revision fence, std::function<void(bool)> onDone)
+void batches::adopt(const batch_head& head, revision fence, const std::function<void(bool)>& onDone)
 {
     if (!m_adopting.insert(head.id).second) {
         onDone(false);
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -112,7 +112,7 @@
     void scanHeads();
     void checkOwned(const std::vector<kv_entry>& heads);
     void considerOrphan(const batch_head& head, revision fence);
-    void adopt(batch_head head, revision fence, std::function<void(bool)> onDone);
+    void adopt(const batch_head& head, revision fence, const std::function<void(bool)>& onDone);
     void lose(const batch_id& id, const char* why);
     void handOver(const batch_id& id);
     void expire();
--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -135,22 +135,22 @@
         }
         read.reading = false;
         read.pause = {};
-        read.readAgain = asked + (index == targetsIndex ? ofDrainBound(listShare) : duration {});
+        read.readAgain = asked + (index == TargetsIndex ? ofDrainBound(listShare) : duration {});
         confirm(index, answer->entries, answer->at, asked);
-        if (index != targetsIndex && readsItself())
+        if (index != TargetsIndex && readsItself())
             startWatch(index);
     };
-    if (index == configIndex)
+    if (index == ConfigIndex)
         m_context.store.call(documentNames[index], readKey(std::string(platform::configKey)), onAnswer);
     else
-        m_context.store.list(documentNames[index], std::string(index == membersIndex ? dutyPrefix : platform::targetPrefix), onAnswer);
+        m_context.store.list(documentNames[index], std::string(index == MembersIndex ? dutyPrefix : platform::targetPrefix), onAnswer);
 }
 
 void knowledge::startWatch(document_index index)
 {
     auto& doc = m_documents[index];
-    const auto prefix = index == configIndex ? platform::configKey : dutyPrefix;
-    const auto wait = index == configIndex ? configWait : membersWait;
+    const auto prefix = index == ConfigIndex ? platform::configKey : dutyPrefix;
+    const auto wait = index == ConfigIndex ? configWait : membersWait;
     doc.watch = m_context.store.watch(std::string(prefix), doc.at, wait, [this, index](const platform::store_news& news) {
         auto& changed = m_documents[index];
         if (news.compacted) {
@@ -179,7 +179,7 @@
     const auto order = rendezvousOrder("knowledge", m_members.names());
     const instance_id self(m_context.values.instance.name);
     const auto rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
-    return rank == 0 || !m_documents[membersIndex].known ? nullptr : m_members.find(order[(rank - 1) / childrenOfOne]);
+    return rank == 0 || !m_documents[MembersIndex].known ? nullptr : m_members.find(order[(rank - 1) / childrenOfOne]);
 }
 
 // Names the versions that we have; another life of ours names them anew.
@@ -218,7 +218,7 @@
     }
     // Ages count from the answer; the question's time is on the safe side.
     bool old = false;
-    for (std::size_t i = 0; i < documentCount; ++i) {
+    for (std::size_t i = 0; i < DocumentCount; ++i) {
         const auto& part = (*body)[documentNames[i]];
         const auto confirmedAt = m_context.now - std::chrono::milliseconds(jsonCount(part, "age_ms"));
         const revision at(jsonCount(part, "at"));
@@ -227,7 +227,7 @@
         else if (at >= m_documents[i].at)
             m_documents[i].confirmedAt = std::max(m_documents[i].confirmedAt, confirmedAt);
     }
-    old = m_context.now - m_documents[targetsIndex].confirmedAt > ofDrainBound(oldShare) || m_context.now - m_documents[configIndex].confirmedAt > oldConfig;
+    old = m_context.now - m_documents[TargetsIndex].confirmedAt > ofDrainBound(oldShare) || m_context.now - m_documents[ConfigIndex].confirmedAt > oldConfig;
     m_has = jsonText(*body, "versions");
     if (!old)
         return;
@@ -253,10 +253,10 @@
         has.push_back(rest.substr(0, dot));
         rest = dot == std::string::npos ? std::string() : rest.substr(dot + 1);
     }
-    const bool comparable = has.size() == documentCount + 1 && has[0] == std::to_string(m_context.life.value());
+    const bool comparable = has.size() == DocumentCount + 1 && has[0] == std::to_string(m_context.life.value());
     Json::Value out(Json::objectValue);
     out["versions"] = versions();
-    for (std::size_t i = 0; i < documentCount; ++i) {
+    for (std::size_t i = 0; i < DocumentCount; ++i) {
         const auto& doc = m_documents[i];
         Json::Value part(Json::objectValue);
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - doc.confirmedAt);
@@ -277,18 +277,18 @@
     if (doc.known && at < doc.at)
         return; // older than what we have
     std::sort(entries.begin(), entries.end(), [](const kv_entry& a, const kv_entry& b) { return a.key < b.key; });
-    const bool same = doc.known && (index == targetsIndex ? sameTargets(doc.entries, entries) : sameEntries(doc.entries, entries));
+    const bool same = doc.known && (index == TargetsIndex ? sameTargets(doc.entries, entries) : sameEntries(doc.entries, entries));
     doc.entries = std::move(entries);
     doc.at = at;
     doc.known = true;
     doc.confirmedAt = std::max(doc.confirmedAt, confirmedAt);
     if (!same)
         ++doc.version;
-    if (index == targetsIndex)
+    if (index == TargetsIndex)
         useTargets();
     else if (same)
         return;
-    else if (index == configIndex)
+    else if (index == ConfigIndex)
         useConfig();
     else
         m_members.take(doc.entries);
@@ -296,7 +296,7 @@
 
 void knowledge::useConfig()
 {
-    for (const auto& entry : m_documents[configIndex].entries) {
+    for (const auto& entry : m_documents[ConfigIndex].entries) {
         if (entry.key != platform::configKey)
             continue;
         auto site = platform::decodeSite(entry.value);
@@ -320,7 +320,7 @@
 
 void knowledge::useTargets()
 {
-    const auto& doc = m_documents[targetsIndex];
+    const auto& doc = m_documents[TargetsIndex];
     std::vector<platform::target_entry> entries;
     for (const auto& entry : doc.entries) {
         if (auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision))
@@ -371,7 +371,7 @@
 {
     // Step 1. By ourselves, or from the parent.
     if (readsItself()) {
-        for (const auto index : { membersIndex, configIndex, targetsIndex })
+        for (const auto index : { MembersIndex, ConfigIndex, TargetsIndex })
             readDirect(index);
     } else {
         stopWatches();
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -29,15 +29,15 @@
     void onPeer(const http::exchange_ptr& exchange);
 
     // A first list of targets has come.
-    bool targetsKnown() const { return m_documents[targetsIndex].known; }
+    bool targetsKnown() const { return m_documents[TargetsIndex].known; }
     const std::vector<platform::target_entry>& targets() const { return m_targets; }
 
 private:
     enum document_index : std::size_t {
-        configIndex,
-        membersIndex,
-        targetsIndex,
-        documentCount,
+        ConfigIndex,
+        MembersIndex,
+        TargetsIndex,
+        DocumentCount,
     };
     struct document {
         std::vector<kv_entry> entries; // sorted by key
@@ -81,7 +81,7 @@
 
     context& m_context;
     members& m_members;
-    std::array<document, documentCount> m_documents;
+    std::array<document, DocumentCount> m_documents;
     std::vector<platform::target_entry> m_targets;
     instant m_targetsConfirmed {}; // of the list that m_targets came from
     std::optional<instant> m_awayUntil; // entries that lapsed in an outage may be missing until then
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -155,7 +155,7 @@
     listFrom(std::string(cause), readPrefix(prefix), {}, std::move(onAnswer));
 }
 
-void store_link::listFrom(std::string cause, kv_range range, kv_answer soFar, answer_function onAnswer)
+void store_link::listFrom(const std::string& cause, kv_range range, kv_answer soFar, answer_function onAnswer)
 {
     call(cause, range, [this, cause, range, all = std::move(soFar), onAnswer = std::move(onAnswer)](const result<kv_answer>& answer) mutable {
         if (!answer) {
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -78,7 +78,7 @@
         Detour,
     };
 
-    void listFrom(std::string cause, kv_range range, kv_answer soFar, answer_function onAnswer);
+    void listFrom(const std::string& cause, kv_range range, kv_answer soFar, answer_function onAnswer);
     way chooseWay();
     void send(std::string_view cause, http::request wanted, way by, std::function<void(const http::answer&)> onAnswer);
     void noteDirect(const http::answer& answer);
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -73,12 +73,12 @@
 
 routing_class_id forwarding::classFor(const forward_request& request) const
 {
-    const auto wanted = serviceClass(pickService(request).service);
+    auto wanted = serviceClass(pickService(request).service);
     if (m_router.table().hasClass(wanted) && !m_router.table().allowed(wanted).empty())
         return wanted;
     // The chosen side of a split has no replica; another side may run it as well.
     for (const auto& one : request.route.services) {
-        const auto other = serviceClass(one.service);
+        auto other = serviceClass(one.service);
         if (one.weight > 0 && m_router.table().hasClass(other) && !m_router.table().allowed(other).empty())
             return other;
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -234,13 +234,18 @@
     // Step 2. Headers are what we were given and no more of our own making.
     for (const auto& [name, value] : t.wanted.headers) {
         // A header without a value is written with a semicolon, or it would be left out.
-        const std::string line = value.empty() ? name + ";" : name + ": " + value;
+        std::string line = name;
+        line += value.empty() ? ";" : ": ";
+        line += value;
         t.headerLines = curl_slist_append(t.headerLines, line.c_str());
     }
     for (const auto own : ownHeaders) {
         const bool given = std::any_of(t.wanted.headers.begin(), t.wanted.headers.end(), [own](const auto& h) { return sameName(h.first, own); });
-        if (!given)
-            t.headerLines = curl_slist_append(t.headerLines, (std::string(own) + ":").c_str());
+        if (given)
+            continue;
+        std::string line(own);
+        line += ':';
+        t.headerLines = curl_slist_append(t.headerLines, line.c_str());
     }
     t.headerLines = curl_slist_append(t.headerLines, "Expect:");
     curl_easy_setopt(t.easy, CURLOPT_HTTPHEADER, t.headerLines);
