--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -279,6 +279,9 @@
 // a router.
 constexpr std::uint64_t firstRunNumber = std::uint64_t { 1 } << 40U;
 
+// A label that holds a number, 0 without it.
+std::uint32_t labelNumber(const label_map& labels, const std::string& name);
+
 // Hashes of a prompt's shared parts, a block for each `prefixBlockTokens` tokens.
 std::vector<block_hash> hashParts(const model_id& model, const std::vector<prompt_part>& parts);
 
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -37,6 +37,14 @@
     return out;
 }
 
+result<Json::Value> parseJsonObject(std::string_view text, std::string_view step, peer_kind peer)
+{
+    auto value = parseJson(text);
+    if (!value || !value->isObject())
+        return failure(error_code::Corrupt, step, peer, {}, "not a JSON object");
+    return std::move(*value);
+}
+
 std::string writeJson(const Json::Value& value)
 {
     Json::StreamWriterBuilder writer;
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -1,6 +1,8 @@
 // JSON text to values and back, strictly and with a bounded depth.
 #pragma once
 
+#include "error.h"
+
 #include <json/value.h>
 #include <optional>
 #include <string>
@@ -10,6 +12,8 @@
 
 // Empty if the text is not one JSON value.
 std::optional<Json::Value> parseJson(std::string_view text);
+// The text if it is one JSON object; a fault of this step at this peer if not.
+result<Json::Value> parseJsonObject(std::string_view text, std::string_view step, peer_kind peer);
 // Without white space.
 std::string writeJson(const Json::Value& value);
 
--- a/src/provider/order_api.cpp
+++ b/src/provider/order_api.cpp
@@ -1,6 +1,8 @@
 // JSON of orders.
 #include "provider/order_api.h"
 
+#include "json_text.h"
+
 #include <json/json.h>
 #include <memory>
 
@@ -17,12 +19,7 @@
 
     Json::Value parse(const std::string& text)
     {
-        Json::CharReaderBuilder builder;
-        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        Json::Value value;
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
-            return Json::Value(Json::objectValue);
-        return value;
+        return parseJsonObject(text, "order.answer", peer_kind::Platform).value_or(Json::Value(Json::objectValue));
     }
 
     target_id targetOf(const Json::Value& body)
--- a/src/provider/target_list.cpp
+++ b/src/provider/target_list.cpp
@@ -1,23 +1,15 @@
 // JSON of the platform's lists.
 #include "provider/target_list.h"
 
-#include <json/json.h>
-#include <memory>
+#include "json_text.h"
+
 #include <optional>
 
 namespace lovagerail::provider {
 
 namespace {
 
-    result<Json::Value> parse(std::string_view text, std::string_view step)
-    {
-        Json::CharReaderBuilder builder;
-        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        Json::Value value;
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
-            return failure(error_code::Corrupt, step, peer_kind::Platform, {}, "not a JSON object");
-        return value;
-    }
+    result<Json::Value> parse(std::string_view text, std::string_view step) { return parseJsonObject(text, step, peer_kind::Platform); }
 
     std::string textOf(const Json::Value& value)
     {
--- a/src/target/engine_api.cpp
+++ b/src/target/engine_api.cpp
@@ -1,23 +1,15 @@
 // JSON of load reports and cache events.
 #include "target/engine_api.h"
 
+#include "json_text.h"
+
 #include <algorithm>
-#include <json/json.h>
-#include <memory>
 
 namespace lovagerail::target {
 
 namespace {
 
-    result<Json::Value> parse(std::string_view text, std::string_view step)
-    {
-        Json::CharReaderBuilder builder;
-        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        Json::Value value;
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject())
-            return failure(error_code::Corrupt, step, peer_kind::Target, {}, "not a JSON object");
-        return value;
-    }
+    result<Json::Value> parse(std::string_view text, std::string_view step) { return parseJsonObject(text, step, peer_kind::Target); }
 
     std::uint64_t numberOf(const Json::Value& value)
     {
--- a/src/target/order_codec.cpp
+++ b/src/target/order_codec.cpp
@@ -1,6 +1,8 @@
 // JSON of engine orders.
 #include "target/order_codec.h"
 
+#include "json_text.h"
+
 #include <json/json.h>
 #include <memory>
 
@@ -72,12 +74,10 @@
         return order_answer::Unknown;
     if (answer.status != statusOk)
         return order_answer::Lost;
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value body;
-    if (!reader->parse(answer.body.data(), answer.body.data() + answer.body.size(), &body, nullptr) || !body.isObject())
+    const auto body = parseJsonObject(answer.body, "order.answer", peer_kind::Target);
+    if (!body)
         return order_answer::Lost;
-    const auto state = body["state"].isString() ? body["state"].asString() : "";
+    const auto state = jsonText(*body, "state");
     if (state == "done")
         return order_answer::Done;
     if (state == "failed")
