--- a/tests/test_order_thread.cpp
+++ b/tests/test_order_thread.cpp
@@ -2,8 +2,8 @@
 // check and its send sends nothing after the end of its right; the order thread
 // tells apart what was sent, cut off and never begun.
 #include "http/server.h"
-#include "provider/order_thread.h"
 #include "property.h"
+#include "provider/order_thread.h"
 
 #include <atomic>
 #include <csignal>
