--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -13,6 +13,9 @@
     // Requests that were sent before a window's end have begun, or were refused, so long
     // after it; instances' clocks are close.
     constexpr std::chrono::milliseconds settle { 700 };
+    // After an outage the other members are back in the list a little later than we are;
+    // a new holder that counted without them would seal too little.
+    constexpr duration termSettle = std::chrono::milliseconds(1500);
     constexpr duration askPause = std::chrono::milliseconds(500); // before members that didn't answer are asked again
     constexpr duration retryPause = std::chrono::milliseconds(400);
     // Sealed without a member's counts when half of the time until the report is due is over.
@@ -73,6 +76,7 @@
     }
     if (m_term != held->fencing) {
         m_term = held->fencing;
+        m_termBegan = held->since;
         m_windows.clear();
         m_next = m_tally.windowAt(m_context.wall - m_context.values.duties.usageLate);
     }
@@ -103,10 +107,13 @@
 {
     state.got[instance_id(m_context.values.instance.name)] = m_tally.of(window);
     const auto others = m_members->others();
-    bool complete = true;
+    const bool settled = m_context.now >= m_termBegan + termSettle;
+    bool complete = settled;
     for (const auto& one : others)
         complete = complete && state.got.contains(one.name);
-    const bool late = m_context.wall >= m_tally.endOf(window) + m_context.values.duties.usageLate / patienceShare;
+    const auto end = m_tally.endOf(window);
+    const auto due = end + m_context.values.duties.usageLate - settle;
+    const bool late = m_context.wall >= due || (settled && m_context.wall >= end + m_context.values.duties.usageLate / patienceShare);
     if (complete || late) {
         if (!complete)
             logEvent(log_level::Warning, "usage", "incomplete", { { "window", std::to_string(window) }, { "answers", std::to_string(state.got.size()) }, { "members", std::to_string(others.size() + 1) } });
--- a/src/edge/usage_duty.h
+++ b/src/edge/usage_duty.h
@@ -54,6 +54,7 @@
     members* m_members = nullptr;
     usage_tally m_tally;
     std::optional<fencing_number> m_term; // of the duty that m_windows belongs to
+    instant m_termBegan {};
     std::uint64_t m_next = 0; // first window not opened in this term
     std::map<std::uint64_t, open_window> m_windows; // not reported yet
 };
--- a/tests/process/test_entry_calls.py
+++ b/tests/process/test_entry_calls.py
@@ -74,6 +74,19 @@
         time.sleep(2.5)
         self.assertEqual((counted(), self.platform.duties.differing), (6, []))
 
+    def test_usage_is_whole_after_an_outage_of_the_store(self):
+        first, second = self.start()
+        self.platform.store.refuse.add("all")
+        for number in range(6):
+            (first, second)[number % 2].ask("/plain/x", f"r{number}")
+        time.sleep(4)  # longer than a lease
+        self.platform.store.refuse.clear()
+
+        def counted():
+            return sum(counts.get("acme", 0) for counts in self.platform.duties.reports.values())
+        wait_until(lambda: counted() == 6, "all six are reported", 12)
+        self.assertEqual(self.platform.duties.differing, [])
+
     def test_metrics_and_logs_tell_of_a_request(self):
         first, _ = self.start()
         first.ask("/plain/x", "told-1")
