Targets that left the list are dropped at once below the first reader too

An instance that reads from its parent took the time since the last change of the list for an outage of the store, and kept missing entries for 2.3 s. Change: an outage is a gap between confirmations of the list.

--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -278,6 +278,9 @@
         return; // older than what we have
     std::sort(entries.begin(), entries.end(), [](const kv_entry& a, const kv_entry& b) { return a.key < b.key; });
     const bool same = doc.known && (index == TargetsIndex ? sameTargets(doc.entries, entries) : sameEntries(doc.entries, entries));
+    // An outage shows by confirmations that did not come, whether anything changed or not.
+    if (index == TargetsIndex && doc.known && confirmedAt - doc.confirmedAt > awayAfter)
+        m_awayUntil = m_context.now + returnGrace;
     doc.entries = std::move(entries);
     doc.at = at;
     doc.known = true;
@@ -330,8 +333,6 @@
     }
 
     // Step 1. After an outage, entries that were there before it stay for a while.
-    if (m_targetsConfirmed != instant() && m_context.now - m_targetsConfirmed > awayAfter)
-        m_awayUntil = m_context.now + returnGrace;
     if (m_awayUntil && m_context.now >= *m_awayUntil)
         m_awayUntil.reset();
     if (m_awayUntil) {
@@ -362,7 +363,6 @@
         logEvent(log_level::Info, "targets", "gone", { { "target", id.str() } });
     m_context.targets.applyList(rows, m_context.now);
     m_targets = std::move(entries);
-    m_targetsConfirmed = m_context.now;
 }
 
 // --- Time --------------------------------------------------------------------
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -83,7 +83,6 @@
     members& m_members;
     std::array<document, DocumentCount> m_documents;
     std::vector<platform::target_entry> m_targets;
-    instant m_targetsConfirmed {}; // of the list that m_targets came from
     std::optional<instant> m_awayUntil; // entries that lapsed in an outage may be missing until then
     bool m_asking = false;
     instant m_directUntil {}; // the parent was of no use
