Test of leaving targets asks the instance that prefers the one that left

Before, the instance with the fault chose its own domain's replica and the test could not fail; with the earlier program it now fails, with this one it passes.

--- a/tests/process/test_entry_calls.py
+++ b/tests/process/test_entry_calls.py
@@ -75,15 +75,16 @@
         self.assertEqual((counted(), self.platform.duties.differing), (6, []))
 
     def test_a_target_that_left_the_list_gets_nothing_new(self):
+        # The second entry reads from the first, and prefers the replica of its own domain.
         entries = self.start()
         time.sleep(7)  # quiet for longer than what would count as an outage, and reading from the parent again
-        self.platform.store.remove("servers/" + self.shops[0].name)
+        self.platform.store.remove("servers/" + self.shops[1].name)
         time.sleep(2)
-        before = len(self.shops[0].runs)
+        before = len(self.shops[1].runs)
         for number in range(8):
             for entry in entries:
                 self.assertEqual(entry.ask("/plain/x", f"r{number}").status, 200)
-        self.assertEqual(len(self.shops[0].runs), before)
+        self.assertEqual(len(self.shops[1].runs), before)
 
     def test_usage_is_whole_after_an_outage_of_the_store(self):
         first, second = self.start()
