--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -2,6 +2,8 @@
 // pages are in batch_runs.cpp and batch_pages.cpp.
 #include "batch_board.h"
 
+#include "json_text.h"
+
 #include <algorithm>
 #include <cassert>
 #include <xxhash.h>
@@ -14,6 +16,42 @@
 
 } // namespace
 
+Json::Value encodeTexts(const made_texts& texts)
+{
+    Json::Value out(Json::objectValue);
+    for (const auto& [item, made] : texts) {
+        Json::Value row(Json::objectValue);
+        row["last"] = Json::UInt64(made.lastEvent);
+        row["whole"] = made.whole;
+        row["data"] = Json::Value(Json::arrayValue);
+        for (const auto& line : made.data)
+            row["data"].append(line);
+        row["versions"] = Json::Value(Json::arrayValue);
+        for (const auto version : made.versions)
+            row["versions"].append(Json::UInt64(version.value()));
+        out[item.str()] = std::move(row);
+    }
+    return out;
+}
+
+made_texts decodeTexts(const Json::Value& value)
+{
+    made_texts out;
+    if (!value.isObject())
+        return out;
+    for (const auto& name : value.getMemberNames()) {
+        made_text made;
+        made.lastEvent = jsonCount(value[name], "last");
+        made.whole = jsonFlag(value[name], "whole");
+        for (const auto& line : jsonList(value[name], "data"))
+            made.data.push_back(line.isString() ? line.asString() : std::string());
+        for (const auto& version : jsonList(value[name], "versions"))
+            made.versions.emplace_back(version.isUInt64() ? version.asUInt64() : 0);
+        out[item_id(name)] = std::move(made);
+    }
+    return out;
+}
+
 std::uint32_t labelNumber(const label_map& labels, const std::string& name)
 {
     const auto found = labels.find(name);
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -15,6 +15,7 @@
 #include "router.h"
 #include "types.h"
 
+#include <json/value.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -116,6 +117,9 @@
     bool whole = false; // nothing is left to make
 };
 using made_texts = std::map<item_id, made_text>;
+// For the way to another instance; what isn't well formed is left out.
+Json::Value encodeTexts(const made_texts& texts);
+made_texts decodeTexts(const Json::Value& value);
 
 // Work of one model, for whoever decides which replicas serve it.
 struct model_demand {
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -41,8 +41,6 @@
     const board_counts& counts() const { return m_board.counts(); }
     std::vector<model_demand> demand() const { return m_board.demand(); }
     std::size_t open() const;
-    // Submissions that wait for the store.
-    std::size_t waitingSubmits() const { return m_submits.size(); }
 
 private:
     // A batch of ours; the board has its items.
@@ -109,6 +107,7 @@
     void tellOwner(const batch_head& head, instant until);
 
     // Ownership.
+    void adoptOrphans();
     void scanHeads();
     void checkOwned(const std::vector<kv_entry>& heads);
     void considerOrphan(const batch_head& head, revision fence);
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -109,10 +109,7 @@
     detour.totalTimeout = wanted.totalTimeout;
     detour.unacknowledgedTimeout = m_settings.unacknowledged;
     m_net.call(std::move(detour), [this, onAnswer = std::move(onAnswer)](const http::answer& answer) {
-        const auto inner = unwrapped(answer);
-        if (inner.outcome == http::transfer_result::Whole)
-            m_lastAnswer = m_now;
-        onAnswer(inner);
+        onAnswer(unwrapped(answer));
     });
 }
 
@@ -120,11 +117,7 @@
 {
     const bool works = answer.outcome == http::transfer_result::Whole && answer.status != statusUnavailable && answer.status != statusTooMany;
     const bool before = direct();
-    if (works) {
-        m_failures = 0;
-        m_lastAnswer = m_now;
-    } else
-        ++m_failures;
+    m_failures = works ? 0 : m_failures + 1;
     if (before == direct())
         return;
     logEvent(direct() ? log_level::Info : log_level::Warning, "store", direct() ? "regained" : "lost",
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -60,8 +60,6 @@
     void tick(instant now);
     // Whether the direct way worked last.
     bool direct() const { return m_failures < m_settings.failuresToDetour; }
-    // When any way worked last.
-    instant lastAnswer() const { return m_lastAnswer; }
     const std::map<std::string, std::uint64_t, std::less<>>& counts() const { return m_counts; }
 
 private:
@@ -92,7 +90,6 @@
     std::size_t m_nextPeer = 0;
     int m_failures = 0; // of the direct way, in a row
     instant m_now {};
-    instant m_lastAnswer {};
     instant m_nextProbe {};
     std::uint64_t m_lastWatch = 0;
     std::map<std::uint64_t, open_watch> m_watches;
--- a/tests/test_batch_board.cpp
+++ b/tests/test_batch_board.cpp
@@ -302,6 +302,22 @@
     BOOST_TEST(!w.board.listed(batch_id("b")).front().completed);
 }
 
+BOOST_AUTO_TEST_CASE(texts_come_back_as_they_were_handed_over)
+{
+    made_texts texts;
+    texts[item_id("a")] = { { "one", "two" }, 7, { weight_version(3), weight_version(4) }, true };
+    texts[item_id("b")] = { { "x" }, 1, { weight_version(3) }, false };
+    const auto read = decodeTexts(encodeTexts(texts));
+    BOOST_REQUIRE(read.size() == 2u);
+    const auto& a = read.at(item_id("a"));
+    BOOST_TEST((a.data == texts.at(item_id("a")).data));
+    BOOST_TEST(a.lastEvent == 7u);
+    BOOST_TEST((a.versions == texts.at(item_id("a")).versions));
+    BOOST_TEST(a.whole);
+    BOOST_TEST(!read.at(item_id("b")).whole);
+    BOOST_TEST(decodeTexts(Json::Value("no object")).empty());
+}
+
 // While the store is away a batch runs ahead, but nothing of it is listed.
 BOOST_AUTO_TEST_CASE(a_held_batch_writes_no_page)
 {
