--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -26,7 +26,6 @@
     constexpr duration submitMargin = std::chrono::milliseconds(200);
     constexpr duration expiryPeriod = std::chrono::seconds(5);
     constexpr std::chrono::milliseconds expiryMargin { 5000 }; // beyond the time that results are kept
-    constexpr std::chrono::milliseconds peerTimeout { 2500 };
     constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
 
 } // namespace
