--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -108,7 +108,7 @@
     detour.connectTimeout = m_settings.connectTimeout;
     detour.totalTimeout = wanted.totalTimeout;
     detour.unacknowledgedTimeout = m_settings.unacknowledged;
-    m_net.call(std::move(detour), [this, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+    m_net.call(std::move(detour), [onAnswer = std::move(onAnswer)](const http::answer& answer) {
         onAnswer(unwrapped(answer));
     });
 }
