Copies of usage counts at two other instances

Ruled out: writing counts to the store, which costs a priced call each time; keeping a stopping instance a member until its window is asked for, since it hands over its batches first and would be given new ones; one copy, since two instances may go together.

Change: each instance leaves copies of what it counted at the two members that rendezvous hashing names, as often as bounds a loss to 1% of a window, and all it knows when it stops. Counts carry the life that counted, and copies merge by the larger figure, so nothing counts twice.

Tests: copies_of_one_count_do_not_add_up, a property over merges in any order, and two process tests that fail on the code before (a stop, a kill).

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -283,7 +283,7 @@
             return true;
         // Whatever was read gets its answer, down to the last byte.
         const bool answered = m_callers == nullptr || m_callers->openRequests() == 0;
-        return since >= leaveRotation && answered && m_front.open() == 0 && m_batches.handedOver() && m_members.left();
+        return since >= leaveRotation && answered && m_front.open() == 0 && m_batches.handedOver() && m_usage.copied() && m_members.left();
     }
 
     void entry_loop::tick()
--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -4,6 +4,9 @@
 #include "json_text.h"
 #include "log.h"
 #include "platform/duty_codec.h"
+#include "rendezvous.h"
+
+#include <algorithm>
 
 namespace lovagerail::edge {
 
@@ -23,15 +26,55 @@
     constexpr std::chrono::milliseconds peerTimeout { 800 };
     constexpr std::chrono::milliseconds reportTimeout { 1500 };
     constexpr std::chrono::milliseconds peerConnectTimeout { 400 };
+    // Instances that get copies of our counts: two, so that one of them may be lost
+    // together with us, or be cut off unnoticed.
+    constexpr std::size_t copiesKept = 2;
+    // A lost instance takes at most this part of all counts of a window with it: a fifth of
+    // what a report may be off by.
+    constexpr double lostShare = 0.01;
+    constexpr duration shortestCopyPause = std::chrono::milliseconds(200);
+    constexpr duration longestCopyPause = std::chrono::seconds(1);
+    constexpr duration silentPause = std::chrono::seconds(2); // before an instance that took no copy is tried again
+    constexpr int statusOk = 200;
+    constexpr int statusBadRequest = 400;
 
     std::string sealKey(std::uint64_t window) { return "usage/" + std::to_string(window); }
 
-    std::string encodeCounts(const usage_counts& counts)
+    Json::Value toJson(const usage_counts& counts)
     {
         Json::Value out(Json::objectValue);
         for (const auto& [account, count] : counts)
             out[account.str()] = Json::UInt64(count);
-        return writeJson(out);
+        return out;
+    }
+
+    Json::Value toJson(const usage_by_origin& counts)
+    {
+        Json::Value out(Json::objectValue);
+        for (const auto& [origin, one] : counts)
+            out[origin.str()] = toJson(one);
+        return out;
+    }
+
+    usage_counts countsFrom(const Json::Value& value)
+    {
+        usage_counts out;
+        for (const auto& name : value.getMemberNames())
+            out[client_account_id(name)] = jsonCount(value, name.c_str());
+        return out;
+    }
+
+    std::optional<usage_by_origin> originsFrom(const Json::Value& value)
+    {
+        if (!value.isObject())
+            return std::nullopt;
+        usage_by_origin out;
+        for (const auto& name : value.getMemberNames()) {
+            if (!value[name].isObject())
+                return std::nullopt;
+            out[usage_origin(name)] = countsFrom(value[name]);
+        }
+        return out;
     }
 
     std::optional<usage_counts> decodeCounts(std::string_view text)
@@ -39,9 +82,36 @@
         const auto value = parseJson(text);
         if (!value || !value->isObject())
             return std::nullopt;
-        usage_counts out;
-        for (const auto& name : value->getMemberNames())
-            out[client_account_id(name)] = jsonCount(*value, name.c_str());
+        return countsFrom(*value);
+    }
+
+    std::optional<usage_by_origin> decodeOrigins(std::string_view text)
+    {
+        const auto value = parseJson(text);
+        return value ? originsFrom(*value) : std::nullopt;
+    }
+
+    // Copies: what is known of each window, by its number.
+    std::string encodeCopy(const std::map<std::uint64_t, usage_by_origin>& windows)
+    {
+        Json::Value out(Json::objectValue);
+        for (const auto& [window, counts] : windows)
+            out[std::to_string(window)] = toJson(counts);
+        return writeJson(out);
+    }
+
+    std::optional<std::map<std::uint64_t, usage_by_origin>> decodeCopy(std::string_view text)
+    {
+        const auto value = parseJson(text);
+        if (!value || !value->isObject())
+            return std::nullopt;
+        std::map<std::uint64_t, usage_by_origin> out;
+        for (const auto& name : value->getMemberNames()) {
+            auto counts = originsFrom((*value)[name]);
+            if (!counts)
+                return std::nullopt;
+            out[std::strtoull(name.c_str(), nullptr, 10)] = std::move(*counts);
+        }
         return out;
     }
 
@@ -49,24 +119,117 @@
 
 usage_duty::usage_duty(context& shared)
     : m_context(shared)
-    , m_tally(shared.values.duties.usageWindow, windowsKept)
+    , m_tally(shared.values.duties.usageWindow, windowsKept, usage_origin(shared.values.instance.name + "." + std::to_string(shared.life.value())))
 {
 }
 
 void usage_duty::count(const client_account_id& account, duration ago)
 {
-    m_tally.count(account, m_context.wall - std::chrono::duration_cast<std::chrono::milliseconds>(ago));
+    const auto began = m_context.wall - std::chrono::duration_cast<std::chrono::milliseconds>(ago);
+    m_tally.count(account, began);
+    m_changed.insert(m_tally.windowAt(began));
 }
 
-void usage_duty::onPeer(const http::exchange_ptr& exchange) const
+void usage_duty::onPeer(const http::exchange_ptr& exchange)
 {
-    constexpr int statusOk = 200;
-    const auto window = std::strtoull(exchange->query.c_str(), nullptr, 10);
-    exchange->answer(statusOk, {}, encodeCounts(m_tally.of(window)));
+    if (exchange->body.empty()) {
+        const auto window = std::strtoull(exchange->query.c_str(), nullptr, 10);
+        exchange->answer(statusOk, {}, writeJson(toJson(m_tally.of(window))));
+        return;
+    }
+    const auto copy = decodeCopy(exchange->body);
+    if (!copy) {
+        logEvent(log_level::Warning, "usage", "copy_refused", { { "bytes", std::to_string(exchange->body.size()) } });
+        exchange->answer(statusBadRequest, {}, "not counts by window and origin");
+        return;
+    }
+    for (const auto& [window, counts] : *copy) {
+        m_tally.absorb(window, counts);
+        // Whoever leaves passes on what it was given, also after its last copy.
+        if (m_leaving)
+            m_changed.insert(window);
+    }
+    exchange->answer(statusOk, {}, "");
+}
+
+// The instances that keep copies of our counts: always the same ones while they answer.
+std::vector<member> usage_duty::keepers() const
+{
+    std::map<instance_id, member> candidates;
+    std::vector<instance_id> names;
+    for (auto& one : m_members->others()) {
+        const auto silent = m_silent.find(one.name);
+        if (silent != m_silent.end() && m_context.now < silent->second)
+            continue;
+        names.push_back(one.name);
+        candidates.emplace(one.name, std::move(one));
+    }
+    std::vector<member> out;
+    for (const auto& name : rendezvousOrder(m_context.values.instance.name, std::move(names))) {
+        if (out.size() == copiesKept)
+            break;
+        out.push_back(candidates.at(name));
+    }
+    return out;
+}
+
+void usage_duty::copyOut()
+{
+    const auto recent = m_context.wall - m_context.values.duties.usageLate;
+    // Step 1. A stop passes on all that is known here, copies of others included.
+    if (m_context.stopping && !m_leaving) {
+        m_leaving = true;
+        m_changed = m_tally.since(recent);
+        m_nextCopy = m_context.now;
+    }
+    if (m_copying > 0 || m_context.now < m_nextCopy)
+        return;
+
+    // Step 2. New keepers get what is recent, the others what has changed.
+    const auto chosen = keepers();
+    std::set<instance_id> names;
+    for (const auto& one : chosen)
+        names.insert(one.name);
+    if (names != m_keepers) {
+        m_keepers = std::move(names);
+        m_changed.merge(m_tally.since(recent));
+    }
+    if (m_changed.empty())
+        return;
+    const auto share = m_tally.window() * lostShare * static_cast<double>(m_members->others().size() + 1);
+    m_nextCopy = m_context.now + (m_leaving ? shortestCopyPause : std::clamp(std::chrono::duration_cast<duration>(share), shortestCopyPause, longestCopyPause));
+    const auto windows = std::exchange(m_changed, {});
+    std::map<std::uint64_t, usage_by_origin> content;
+    for (const auto window : windows)
+        content[window] = m_leaving ? m_tally.of(window) : m_tally.own(window);
+    const auto body = encodeCopy(content);
+    for (const auto& one : chosen)
+        sendCopy(one, body, windows);
+}
+
+void usage_duty::sendCopy(const member& to, const std::string& body, const std::set<std::uint64_t>& windows)
+{
+    http::request request;
+    request.method = "POST";
+    request.url = "http://" + to.address + "/usage";
+    request.body = body;
+    request.connectTimeout = peerConnectTimeout;
+    request.totalTimeout = peerTimeout;
+    ++m_copying;
+    m_context.net.call(std::move(request), [this, windows, name = to.name](const http::answer& answer) {
+        --m_copying;
+        if (answer.outcome == http::transfer_result::Whole && answer.status == statusOk)
+            return;
+        logEvent(log_level::Warning, "usage", "copy_failed", { { "member", name.str() }, { "status", std::to_string(answer.status) } });
+        m_silent[name] = m_context.now + silentPause;
+        m_changed.insert(windows.begin(), windows.end());
+    });
 }
 
 void usage_duty::tick()
 {
+    copyOut();
+
     // Step 1. Only the holder goes on; a new term looks at windows that may still be due.
     const auto held = m_members->holds(usageDuty);
     if (!held || m_context.values.duties.address.empty()) {
@@ -105,7 +268,7 @@
 
 void usage_duty::ask(std::uint64_t window, open_window& state)
 {
-    state.got[instance_id(m_context.values.instance.name)] = m_tally.of(window);
+    mergeUsage(state.counts, m_tally.of(window));
     const auto others = m_members->others();
     const bool settled = m_context.now >= m_termBegan + termSettle;
     bool complete = settled;
@@ -116,9 +279,8 @@
     const bool late = m_context.wall >= due || (settled && m_context.wall >= end + m_context.values.duties.usageLate / patienceShare);
     if (complete || late) {
         if (!complete)
-            logEvent(log_level::Warning, "usage", "incomplete", { { "window", std::to_string(window) }, { "answers", std::to_string(state.got.size()) }, { "members", std::to_string(others.size() + 1) } });
-        for (const auto& [name, counts] : state.got)
-            addCounts(state.sealed, counts);
+            logEvent(log_level::Warning, "usage", "incomplete", { { "window", std::to_string(window) }, { "answers", std::to_string(state.got.size()) }, { "members", std::to_string(others.size()) } });
+        state.sealed = sumOf(state.counts);
         state.at = stage::Sealing;
         return;
     }
@@ -137,9 +299,11 @@
             if (found == m_windows.end())
                 return;
             found->second.asked.erase(name);
-            const auto counts = answer.outcome == http::transfer_result::Whole ? decodeCounts(answer.body) : std::nullopt;
-            if (counts)
-                found->second.got[name] = *counts;
+            const auto counts = answer.outcome == http::transfer_result::Whole ? decodeOrigins(answer.body) : std::nullopt;
+            if (!counts)
+                return;
+            mergeUsage(found->second.counts, *counts);
+            found->second.got.insert(name);
         });
     }
 }
@@ -150,7 +314,7 @@
     state.busy = true;
     kv_transaction change;
     change.compares.push_back({ sealKey(window), kv_field::ModRevision, {}, {} });
-    change.then.emplace_back(kv_put { sealKey(window), encodeCounts(state.sealed), {} });
+    change.then.emplace_back(kv_put { sealKey(window), writeJson(toJson(state.sealed)), {} });
     m_context.store.call("usage", std::move(change), [this, window](const result<kv_answer>& answer) {
         const auto found = m_windows.find(window);
         if (found == m_windows.end())
--- a/src/edge/usage_duty.h
+++ b/src/edge/usage_duty.h
@@ -24,9 +24,11 @@
     void setMembers(members& group) { m_members = &group; }
     // A request of this account began to run this long ago.
     void count(const client_account_id& account, duration ago);
-    // Another instance asks for our counts.
-    void onPeer(const http::exchange_ptr& exchange) const;
+    // Another instance asks for what we know of a window, or leaves a copy of its counts.
+    void onPeer(const http::exchange_ptr& exchange);
     void tick();
+    // Copies of all that we counted are where they should be.
+    bool copied() const { return m_changed.empty() && m_copying == 0; }
 
 private:
     enum class stage {
@@ -37,7 +39,8 @@
     };
     struct open_window {
         stage at = stage::Asking;
-        std::map<instance_id, usage_counts> got;
+        std::set<instance_id> got; // members that answered
+        usage_by_origin counts;
         std::set<instance_id> asked; // answers are under way
         instant askAgain {};
         bool busy = false; // a seal or report is under way
@@ -45,6 +48,9 @@
         usage_counts sealed;
     };
 
+    void copyOut();
+    std::vector<member> keepers() const;
+    void sendCopy(const member& to, const std::string& body, const std::set<std::uint64_t>& windows);
     void drive(std::uint64_t window, open_window& state);
     void ask(std::uint64_t window, open_window& state);
     void seal(std::uint64_t window, open_window& state);
@@ -57,6 +63,13 @@
     instant m_termBegan {};
     std::uint64_t m_next = 0; // first window not opened in this term
     std::map<std::uint64_t, open_window> m_windows; // not reported yet
+
+    std::set<std::uint64_t> m_changed; // windows whose newest counts have not been sent to the keepers
+    std::size_t m_copying = 0; // copies under way
+    instant m_nextCopy {};
+    std::set<instance_id> m_keepers; // that were sent copies last
+    std::map<instance_id, instant> m_silent; // didn't take a copy; passed over until then
+    bool m_leaving = false; // a stop has begun, and copies of others' counts are passed on
 };
 
 } // namespace lovagerail::edge
--- a/src/usage_tally.cpp
+++ b/src/usage_tally.cpp
@@ -1,25 +1,73 @@
-// Counting by window.
+// Counting by window, and merging of copies.
 #include "usage_tally.h"
 
+#include <algorithm>
+
 namespace lovagerail {
 
-void usage_tally::count(const client_account_id& account, wall_time began)
+void usage_tally::dropOld()
 {
-    ++m_counts[windowAt(began)][account];
     while (m_counts.size() > m_kept)
         m_counts.erase(m_counts.begin());
 }
 
-usage_counts usage_tally::of(std::uint64_t window) const
+void usage_tally::count(const client_account_id& account, wall_time began)
+{
+    ++m_counts[windowAt(began)][m_self][account];
+    dropOld();
+}
+
+void usage_tally::absorb(std::uint64_t window, const usage_by_origin& more)
+{
+    mergeUsage(m_counts[window], more);
+    dropOld();
+}
+
+usage_by_origin usage_tally::of(std::uint64_t window) const
 {
     const auto found = m_counts.find(window);
-    return found == m_counts.end() ? usage_counts() : found->second;
+    return found == m_counts.end() ? usage_by_origin() : found->second;
+}
+
+usage_by_origin usage_tally::own(std::uint64_t window) const
+{
+    usage_by_origin out;
+    const auto found = m_counts.find(window);
+    if (found == m_counts.end())
+        return out;
+    const auto counted = found->second.find(m_self);
+    if (counted != found->second.end())
+        out.insert(*counted);
+    return out;
+}
+
+std::set<std::uint64_t> usage_tally::since(wall_time at) const
+{
+    std::set<std::uint64_t> out;
+    for (const auto& [window, counts] : m_counts) {
+        if (endOf(window) > at)
+            out.insert(window);
+    }
+    return out;
+}
+
+void mergeUsage(usage_by_origin& into, const usage_by_origin& more)
+{
+    for (const auto& [origin, counts] : more) {
+        auto& known = into[origin];
+        for (const auto& [account, count] : counts)
+            known[account] = std::max(known[account], count);
+    }
 }
 
-void addCounts(usage_counts& sum, const usage_counts& more)
+usage_counts sumOf(const usage_by_origin& counts)
 {
-    for (const auto& [account, count] : more)
-        sum[account] += count;
+    usage_counts out;
+    for (const auto& [origin, one] : counts) {
+        for (const auto& [account, count] : one)
+            out[account] += count;
+    }
+    return out;
 }
 
 } // namespace lovagerail
--- a/src/usage_tally.h
+++ b/src/usage_tally.h
@@ -1,38 +1,55 @@
-// Requests that began to run, by window of calendar time and client account, as one
-// instance counted them; and the sum over instances that one of them reports.
+// Requests that began to run, by window of calendar time and client account: those that
+// this instance counted, and copies of what others counted, which stay when these are gone.
 //
-// Pure. Windows are numbered from 1970. Old ones are dropped.
+// Pure. Windows are numbered from 1970. Old ones are dropped. Counts only grow, so
+// copies merge by the larger figure: in any order, as often as one likes.
 #pragma once
 
 #include "types.h"
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace lovagerail {
 
 using usage_counts = std::map<client_account_id, std::uint64_t>;
+// One life of the instance that counted.
+using usage_origin = name_id<struct usage_origin_tag>;
+using usage_by_origin = std::map<usage_origin, usage_counts>;
 
 class usage_tally {
 public:
-    usage_tally(std::chrono::milliseconds window, std::uint64_t windowsKept)
+    usage_tally(std::chrono::milliseconds window, std::uint64_t windowsKept, usage_origin self)
         : m_window(window)
         , m_kept(windowsKept)
+        , m_self(std::move(self))
     {
     }
 
     void count(const client_account_id& account, wall_time began);
-    // Counts of a window so far; empty if nothing began in it.
-    usage_counts of(std::uint64_t window) const;
+    // Takes in what another instance knows of a window.
+    void absorb(std::uint64_t window, const usage_by_origin& more);
+    // All that is known of a window; empty if nothing began in it.
+    usage_by_origin of(std::uint64_t window) const;
+    // Only what this instance counted itself.
+    usage_by_origin own(std::uint64_t window) const;
+    // Windows with anything known that end later than this.
+    std::set<std::uint64_t> since(wall_time at) const;
     std::uint64_t windowAt(wall_time at) const { return static_cast<std::uint64_t>(at.time_since_epoch() / m_window); }
     wall_time endOf(std::uint64_t window) const { return wall_time(m_window * static_cast<std::int64_t>(window + 1)); }
+    std::chrono::milliseconds window() const { return m_window; }
 
 private:
+    void dropOld();
+
     std::chrono::milliseconds m_window;
     std::uint64_t m_kept;
-    std::map<std::uint64_t, usage_counts> m_counts; // at most m_kept windows
+    usage_origin m_self;
+    std::map<std::uint64_t, usage_by_origin> m_counts; // at most m_kept windows
 };
 
-void addCounts(usage_counts& sum, const usage_counts& more);
+void mergeUsage(usage_by_origin& into, const usage_by_origin& more);
+usage_counts sumOf(const usage_by_origin& counts);
 
 } // namespace lovagerail
--- a/tests/process/test_entry_calls.py
+++ b/tests/process/test_entry_calls.py
@@ -99,6 +99,24 @@
         wait_until(lambda: counted() == 6, "all six are reported", 12)
         self.assertEqual(self.platform.duties.differing, [])
 
+    def test_usage_of_an_instance_that_stops_is_kept(self):
+        self.usage_is_kept(lambda entry: entry.terminate())
+
+    def test_usage_of_an_instance_that_is_killed_is_kept(self):
+        self.usage_is_kept(lambda entry: (time.sleep(0.5), entry.kill()))
+
+    def usage_is_kept(self, end):
+        first, second, _ = self.start(3)
+        time.sleep(2 - time.time() % 2 + 0.1)  # a window has just begun
+        for number in range(6):
+            (first, second)[number % 2].ask("/plain/x", f"r{number}")
+        end(first)
+
+        def counted():
+            return sum(counts.get("acme", 0) for counts in self.platform.duties.reports.values())
+        wait_until(lambda: counted() == 6, "all six are reported", 10)
+        self.assertEqual(self.platform.duties.differing, [])
+
     def test_metrics_and_logs_tell_of_a_request(self):
         first, _ = self.start()
         first.ask("/plain/x", "told-1")
--- a/tests/test_usage_tally.cpp
+++ b/tests/test_usage_tally.cpp
@@ -1,32 +1,88 @@
 // Tests of usage by window.
+#include "property.h"
 #include "usage_tally.h"
 
-#include <boost/test/unit_test.hpp>
 
 namespace lovagerail {
 
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const client_account_id acme("acme");
+    const usage_origin self("one.1");
+    const usage_origin other("two.1");
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(usage_tally_suite)
 
 BOOST_AUTO_TEST_CASE(requests_are_counted_in_the_window_in_which_they_began)
 {
-    using namespace std::chrono_literals;
-    usage_tally tally(5000ms, 3);
-    const client_account_id acme("acme");
+    usage_tally tally(5000ms, 3, self);
     const wall_time begin { 1'000'000ms };
     const auto window = tally.windowAt(begin);
     BOOST_TEST((tally.endOf(window) == wall_time { 1'005'000ms }));
     tally.count(acme, begin);
     tally.count(acme, begin + 4999ms);
     tally.count(acme, begin + 5000ms);
-    BOOST_TEST(tally.of(window).at(acme) == 2u);
-    BOOST_TEST(tally.of(window + 1).at(acme) == 1u);
+    BOOST_TEST(tally.of(window).at(self).at(acme) == 2u);
+    BOOST_TEST(tally.of(window + 1).at(self).at(acme) == 1u);
+    BOOST_TEST((tally.since(begin + 5s) == std::set { window + 1 }));
     // Only the newest windows are kept.
     tally.count(acme, begin + 10s);
     tally.count(acme, begin + 15s);
     BOOST_TEST(tally.of(window).empty());
-    usage_counts sum = tally.of(window + 1);
-    addCounts(sum, tally.of(window + 2));
-    BOOST_TEST(sum.at(acme) == 2u);
+    auto both = tally.of(window + 1);
+    mergeUsage(both, { { other, { { acme, 4 } } } });
+    BOOST_TEST(sumOf(both).at(acme) == 5u);
+}
+
+// An instance hands its counts to two others, is asked for them by the holder, and is
+// gone: nothing counts twice.
+BOOST_AUTO_TEST_CASE(copies_of_one_count_do_not_add_up)
+{
+    const wall_time begin { 1'000'000ms };
+    usage_tally leaving(5000ms, 3, self);
+    const auto window = leaving.windowAt(begin);
+    leaving.count(acme, begin);
+    usage_tally heir(5000ms, 3, other);
+    heir.absorb(window, leaving.of(window));
+    leaving.count(acme, begin + 1s);
+    heir.absorb(window, leaving.of(window));
+    heir.absorb(window, { { self, { { acme, 1 } } } }); // an older copy, late
+    heir.count(acme, begin);
+    auto asked = leaving.of(window);
+    mergeUsage(asked, heir.of(window));
+    BOOST_TEST(sumOf(asked).at(acme) == 3u);
+    BOOST_TEST(sumOf(heir.of(window)).at(acme) == 3u);
+}
+
+// Whatever way copies take, whoever got one from each origin's last state knows the truth.
+BOOST_AUTO_TEST_CASE(property_merging_in_any_order_gives_the_true_sum)
+{
+    test::checkProperty("usage merges", [] {
+        constexpr std::uint64_t window = 200;
+        const wall_time begin { 5000ms * window };
+        constexpr std::size_t instances = 4;
+        std::vector<usage_tally> all;
+        for (std::size_t i = 0; i < instances; ++i)
+            all.emplace_back(5000ms, 3, usage_origin("i" + std::to_string(i)));
+        std::uint64_t truth = 0;
+        const auto steps = *rc::gen::container<std::vector<std::pair<std::uint8_t, std::uint8_t>>>(rc::gen::arbitrary<std::pair<std::uint8_t, std::uint8_t>>());
+        for (const auto& [from, to] : steps) {
+            if (to % (instances + 1) == instances) {
+                all[from % instances].count(acme, begin);
+                ++truth;
+            } else
+                all[to % instances].absorb(window, all[from % instances].of(window));
+        }
+        auto collected = all[0].of(window);
+        for (auto it = all.rbegin(); it != all.rend(); ++it)
+            mergeUsage(collected, it->of(window));
+        const auto sum = sumOf(collected);
+        RC_ASSERT((sum.contains(acme) ? sum.at(acme) : 0) == truth);
+    });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
