Long texts are stored while they are made

Cause: texts under way stood in the owner's memory alone.

Ruled out: copies at other instances, which a kill of all takes, too; a write for each item, as calls are priced and most items are done within 2.5 s.

Change: when 2.5 s of work on an item are not stored, the texts of the batch's long items are written as one value beside its pages, under the head's revision. A new owner lists pages anyway and goes on behind them; the end removes them.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -21,6 +21,8 @@
     return pagesPrefix(id) + number;
 }
 
+std::string textsKey(const batch_id& id) { return pagesPrefix(id) + "texts"; }
+
 std::string encodeHead(const batch_head& head)
 {
     Json::Value out(Json::objectValue);
--- a/src/batch.h
+++ b/src/batch.h
@@ -85,6 +85,9 @@
 std::string submissionKey(const batch_id& id);
 std::string pagesPrefix(const batch_id& id);
 std::string pageKey(const batch_id& id, std::uint32_t page);
+// Texts of items without a result yet, as far as they were when it was written; lies
+// behind the pages, so that one listing finds all that a new owner needs.
+std::string textsKey(const batch_id& id);
 constexpr std::string_view headPrefix = "batch/head/";
 
 std::string encodeHead(const batch_head& head);
--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -170,6 +170,8 @@
 
     // Step 2. What an earlier batch made of these items.
     takeCarried(batch);
+    for (auto& item : batch.items)
+        item.unstoredSince = now;
     defineTargets(batch);
     arrange(batch);
     batch.wholeGroups = static_cast<std::size_t>(std::count_if(batch.groups.begin(), batch.groups.end(), [&batch](const auto& group) {
@@ -349,7 +351,9 @@
 void batch_board::carry(const made_texts& texts, instant now)
 {
     for (const auto& [item, made] : texts) {
-        if (m_carried.size() < m_settings.mostCarried)
+        const auto known = m_carried.find(item);
+        const bool longer = known != m_carried.end() && known->second.made.data.size() > made.data.size();
+        if (!longer && m_carried.size() < m_settings.mostCarried)
             m_carried[item] = { made, now + m_settings.carried };
     }
 }
@@ -393,6 +397,7 @@
                 finishText(*batch, i, now);
         }
         writeDue(*batch, now);
+        saveDue(*batch, now);
     }
     return take();
 }
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -38,6 +38,18 @@
     std::optional<weight_version> version;
 };
 
+// Text of an unfinished item; it outlives its batch for a while.
+struct made_text {
+    std::vector<std::string> data; // of events, in order
+    std::uint64_t lastEvent = 0; // id of the last one
+    std::vector<weight_version> versions;
+    bool whole = false; // nothing is left to make
+};
+using made_texts = std::map<item_id, made_text>;
+// For the way to another instance; what isn't well formed is left out.
+Json::Value encodeTexts(const made_texts& texts);
+made_texts decodeTexts(const Json::Value& value);
+
 // --- Actions -----------------------------------------------------------------
 
 struct run_item {
@@ -62,7 +74,13 @@
     std::uint32_t page = 0;
     std::vector<batch_result> results;
 };
-using board_action = std::variant<run_item, cancel_run, judge_item, write_page>;
+// Texts under way that would cost their runs anew if this instance were lost now;
+// answered by textsSaved().
+struct save_texts {
+    batch_id batch;
+    made_texts texts;
+};
+using board_action = std::variant<run_item, cancel_run, judge_item, write_page, save_texts>;
 
 enum class judge_outcome {
     Scored,
@@ -92,6 +110,9 @@
     std::uint32_t mostMoves = 3; // of one item
     std::size_t leastEventsForPace = 3; // of a run, before its pace says anything
     duration paceMemory = std::chrono::seconds(5); // an older pace of a replica says nothing
+    // Work of an item that is not stored is at most so long, unless the store is away. A
+    // write costs a call, and most items are done sooner.
+    duration saveAfter = std::chrono::milliseconds(2500);
     std::size_t pageBytes = 500'000; // of text in one page; the store's values hold a megabyte
     std::uint32_t slotsUnknown = 8; // requests at a replica that doesn't state its slots
 };
@@ -107,20 +128,9 @@
     std::uint64_t completed = 0;
     std::uint64_t abandoned = 0;
     std::uint64_t reused = 0; // texts carried over from an earlier batch
+    std::uint64_t saved = 0; // texts stored while under way
 };
 
-// Text of an unfinished item; it outlives its batch for a while.
-struct made_text {
-    std::vector<std::string> data; // of events, in order
-    std::uint64_t lastEvent = 0; // id of the last one
-    std::vector<weight_version> versions;
-    bool whole = false; // nothing is left to make
-};
-using made_texts = std::map<item_id, made_text>;
-// For the way to another instance; what isn't well formed is left out.
-Json::Value encodeTexts(const made_texts& texts);
-made_texts decodeTexts(const Json::Value& value);
-
 // Work of one model, for whoever decides which replicas serve it.
 struct model_demand {
     service_id service;
@@ -171,6 +181,7 @@
     std::vector<board_action> judged(const batch_id& batch, std::size_t index, judge_outcome outcome, const std::string& score, instant now);
     // Unsure or refused writes are repeated as they are.
     std::vector<board_action> pageWritten(const batch_id& batch, std::uint32_t page, bool written, instant now);
+    void textsSaved(const batch_id& batch, bool written, instant now);
 
     // Sends what fits, ends what is silent, writes pages that are due.
     std::vector<board_action> tick(instant now);
@@ -195,6 +206,9 @@
         std::uint32_t moves = 0;
         instant notBefore {}; // Waiting, ToJudge: next try
         std::map<target_id, instant> avoid; // until then
+        std::size_t stored = 0; // events in the store
+        std::size_t storing = 0; // events in the write under way
+        instant unstoredSince {}; // when the first event beyond `stored` came
         batch_result result; // from Finished on
         instant finishedAt {};
     };
@@ -216,6 +230,8 @@
         double tokensPerEvent = 1;
         std::optional<instant> pageDue; // a whole group waits for its page
         instant writeAgain {}; // not before
+        bool saving = false; // texts are being stored
+        instant saveAgain {}; // not before
         bool held = false; // not accepted yet
         bool ended = false;
     };
@@ -257,6 +273,7 @@
     void stopRuns(const batch_id& id, instant now);
     void groupFinished(batch_state& batch, instant now);
     void writeDue(batch_state& batch, instant now);
+    void saveDue(batch_state& batch, instant now);
     void endSilentRuns(instant now);
     void notePace(open_run& run, std::size_t events, instant now);
     std::optional<double> paceOf(const target_id& target, instant now) const;
--- a/src/batch_pages.cpp
+++ b/src/batch_pages.cpp
@@ -120,6 +120,56 @@
     m_actions.emplace_back(std::move(page));
 }
 
+// Long texts are stored while they are made: whoever takes the batch over goes on behind
+// them. Those of short items are made again at least cost.
+void batch_board::saveDue(batch_state& batch, instant now)
+{
+    if (batch.saving || batch.held || batch.ended || now < batch.saveAgain)
+        return;
+    const auto isOpen = [](const item_state& item) { return item.at < phase::Writing && !item.made.data.empty(); };
+    const bool due = std::any_of(batch.items.begin(), batch.items.end(), [&](const item_state& item) {
+        return isOpen(item) && item.made.data.size() > item.stored && now - item.unstoredSince >= m_settings.saveAfter;
+    });
+    if (!due)
+        return;
+    // One value holds all of them, those that stood in the last one included.
+    save_texts save { batch.spec.id, {} };
+    std::size_t bytes = 0;
+    for (const auto index : batch.order) {
+        auto& item = batch.items[index];
+        item.storing = 0;
+        if (!isOpen(item) || (item.stored == 0 && now - item.unstoredSince < m_settings.saveAfter / 2))
+            continue;
+        for (const auto& line : item.made.data)
+            bytes += line.size();
+        if (bytes > m_settings.pageBytes)
+            break;
+        item.storing = item.made.data.size();
+        save.texts[batch.spec.items[index].id] = item.made;
+    }
+    batch.saveAgain = now + m_settings.saveAfter / 2;
+    if (save.texts.empty())
+        return;
+    batch.saving = true;
+    m_actions.emplace_back(std::move(save));
+}
+
+void batch_board::textsSaved(const batch_id& id, bool written, instant now)
+{
+    auto* batch = find(id);
+    if (batch == nullptr)
+        return;
+    batch->saving = false;
+    if (!written)
+        return;
+    for (auto& item : batch->items) {
+        item.stored = std::min(item.storing, item.made.data.size());
+        m_counts.saved += item.stored > 0;
+        if (item.stored > 0 && item.made.data.size() > item.stored)
+            item.unstoredSince = now;
+    }
+}
+
 std::vector<board_action> batch_board::pageWritten(const batch_id& id, std::uint32_t page, bool written, instant now)
 {
     auto* batch = find(id);
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -196,8 +196,10 @@
         const bool mixed = batch.route.singleVersion && !first && run.version != item.made.versions.front();
         const bool unnamed = run.version == weight_version(); // nothing says which weights made it
         if (gap || mixed || unnamed) {
-            if (mixed)
+            if (mixed) {
                 item.made = {}; // it starts over under one version
+                item.stored = 0;
+            }
             m_actions.emplace_back(cancel_run { attempt });
             endRun(attempt, attempt_outcome::Failure, now);
             ++m_counts.broken;
@@ -205,6 +207,8 @@
         }
 
         // Step 2. Keep it, with the version that made it.
+        if (item.made.data.size() == item.stored)
+            item.unstoredSince = now;
         item.made.data.push_back(event.data);
         item.made.lastEvent = event.id;
         if (!contains(item.made.versions, run.version))
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -189,7 +189,7 @@
     logEvent(log_level::Info, "batch", "owned",
         { { "batch", head.id.str() }, { "step", std::to_string(spec->step) }, { "model", spec->model.str() }, { "least", std::to_string(spec->leastVersion.value()) },
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(fence.value()) } });
-    m_owned[head.id] = { head, true, fence, false, {}, {}, {} };
+    m_owned[head.id] = { head, true, false, fence, false, {}, {}, {} };
     m_foreign.erase(head.id);
     if (fence != revision())
         announce(head);
@@ -317,6 +317,8 @@
         change.compares.push_back({ headKey(id), kv_field::ModRevision, m_owned.at(id).fence, {} });
         change.then.emplace_back(kv_delete { headKey(id), {} });
         change.then.emplace_back(kv_delete { submissionKey(id), {} });
+        if (m_owned.at(id).textsStored && !m_owned.at(id).head.ended)
+            change.then.emplace_back(kv_delete { textsKey(id), {} });
         constexpr std::uint32_t mostPagesInChange = 28; // a transaction takes 32 entries
         for (std::uint32_t page = 0; page < std::min(m_board.pages(id), mostPagesInChange); ++page)
             change.then.emplace_back(kv_delete { pageKey(id, page), {} });
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -47,6 +47,7 @@
     struct owned_batch {
         batch_head head;
         bool accepted = true; // else its submission is still under way, and it is shown to nobody
+        bool textsStored = false; // a record of texts may stand in the store
         revision fence; // of the head in the store
         bool ending = false; // its end is being written
         std::vector<http::exchange_ptr> endWaiters;
@@ -122,6 +123,7 @@
     void onRunEvent(attempt_id attempt, http::event& event);
     void judge(const judge_item& action);
     void write(const write_page& action);
+    void save(const save_texts& action);
 
     context& m_context;
     members& m_members;
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -190,6 +190,8 @@
     kv_transaction change;
     change.compares.push_back({ headKey(id), kv_field::ModRevision, owned.fence, {} });
     change.then.emplace_back(kv_put { headKey(id), encodeHead(next), {} });
+    if (owned.textsStored)
+        change.then.emplace_back(kv_delete { textsKey(id), {} });
     m_context.store.call("batch end", std::move(change), [this, id, next](const result<kv_answer>& answer) {
         const auto found = m_owned.find(id);
         if (found == m_owned.end())
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -107,11 +107,22 @@
                         return;
                     }
                     std::vector<batch_result> listed;
+                    std::uint32_t count = 0;
+                    bool hasTexts = false;
                     for (const auto& entry : pages->entries) {
+                        if (entry.key == textsKey(next.id)) {
+                            hasTexts = true;
+                            m_board.carry(decodeTexts(parseJson(entry.value).value_or(Json::Value())), m_context.now);
+                            continue;
+                        }
+                        ++count;
                         for (auto& one : decodeBatchPage(entry.value).value_or(std::vector<batch_result>()))
                             listed.push_back(std::move(one));
                     }
-                    finish(own(next, at, text, std::move(listed), static_cast<std::uint32_t>(pages->entries.size())));
+                    const bool ours = own(next, at, text, std::move(listed), count);
+                    if (ours)
+                        m_owned.at(next.id).textsStored = hasTexts;
+                    finish(ours);
                 });
         });
     });
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -1,6 +1,7 @@
 // The board's actions: runs at targets, judges, and pages in the store.
 #include "edge/batches.h"
 
+#include "json_text.h"
 #include "log.h"
 
 namespace lovagerail::edge {
@@ -30,6 +31,8 @@
             judge(*call);
         else if (const auto* page = std::get_if<write_page>(&action))
             write(*page);
+        else if (const auto* texts = std::get_if<save_texts>(&action))
+            save(*texts);
     }
 }
 
@@ -146,4 +149,21 @@
     });
 }
 
+void batches::save(const save_texts& action)
+{
+    auto& owned = m_owned.at(action.batch);
+    owned.textsStored = true;
+    kv_transaction change;
+    change.compares.push_back({ headKey(action.batch), kv_field::ModRevision, owned.fence, {} });
+    change.then.emplace_back(kv_put { textsKey(action.batch), writeJson(encodeTexts(action.texts)), {} });
+    m_context.store.call("batch texts", std::move(change), [this, id = action.batch, items = action.texts.size()](const result<kv_answer>& answer) {
+        const bool written = answer && answer->succeeded;
+        logEvent(written ? log_level::Info : log_level::Warning, "batch", written ? "texts_saved" : "texts_not_saved",
+            { { "batch", id.str() }, { "items", std::to_string(items) }, { "error", answer ? std::string() : toString(answer.error()) } });
+        // Without an answer they are written again with what came since; nobody else writes
+        // them while the head is as it was.
+        m_board.textsSaved(id, written, m_context.now);
+    });
+}
+
 } // namespace lovagerail::edge
--- a/tests/process/test_entry_batches.py
+++ b/tests/process/test_entry_batches.py
@@ -53,6 +53,26 @@
         self.assertEqual(len({result["id"] for result in results}), 4)
         self.assertEqual({result["text"].count("\n") for result in results}, {59})
 
+    def test_long_texts_outlive_all_instances(self):
+        entries = self.start()
+        for engine in self.engines:
+            engine.events, engine.event_s = 120, 0.05
+        self.assertEqual(self.submit(entries[0], "b1", submission(1)).status, 202)
+        time.sleep(4)
+        for entry in entries:
+            entry.allowed_exits = None
+            entry.kill()
+        again = [self.entry(index) for index in range(2)]
+        for entry in again:
+            wait_until(entry.ready, f"{entry.name} is ready")
+        results = self.whole(again[1], "b1", 10)
+        self.assertEqual({result["text"].count("\n") for result in results}, {119})
+        behind = sorted(int(headers.get("Last-Event-Id") or 0) for _, headers in self.platform.runs("pool"))
+        self.assertEqual((len(behind), behind[:2]), (4, [0, 0]))
+        self.assertGreater(behind[2], 30)  # 2.5 s of 50 ms each were stored
+        self.assertEqual(call("DELETE", again[0].callers + "/lots/b1", headers={**HOST, **KEY}).status, 200)
+        self.assertFalse([key for key in self.platform.store.with_prefix("batch/page/b1/") if key.endswith("texts")])
+
     def test_a_planned_stop_hands_the_step_over(self):
         first, second = self.start()
         for engine in self.engines:
--- a/tests/test_batch_board.cpp
+++ b/tests/test_batch_board.cpp
@@ -123,6 +123,7 @@
         std::vector<run_item> sent;
         std::vector<judge_item> judges;
         std::vector<write_page> pages;
+        std::vector<save_texts> saves;
 
     private:
         static router_settings settings()
@@ -143,6 +144,8 @@
                     judges.push_back(*judge);
                 else if (const auto* page = std::get_if<write_page>(&action))
                     pages.push_back(*page);
+                else if (const auto* texts = std::get_if<save_texts>(&action))
+                    saves.push_back(*texts);
             }
         }
 
@@ -318,6 +321,78 @@
     BOOST_TEST(decodeTexts(Json::Value("no object")).empty());
 }
 
+// All instances are killed while a step's longest item is under way.
+BOOST_AUTO_TEST_CASE(a_long_text_outlives_its_owner)
+{
+    world w(2);
+    w.add(specOf("b", 1, 2, 1));
+    w.pass(20ms);
+    const auto open = w.open();
+    BOOST_REQUIRE(open.size() == 2u);
+    w.head(open[0], weight_version(2));
+    w.finish(open[1], 3); // a short one is not stored by itself
+    std::uint64_t made = 0;
+    while (w.saves.empty() && made < 100) {
+        w.events(open[0], made + 1, made + 1);
+        ++made;
+        w.pass(100ms);
+    }
+    BOOST_REQUIRE(w.saves.size() == 1u);
+    BOOST_TEST(made == 25u); // 2.5 s of work
+    BOOST_TEST(w.saves.front().texts.size() == 2u);
+    // One write at a time; the next when as much came again.
+    w.events(open[0], made + 1, made + 1);
+    w.pass(5s - 1ms);
+    BOOST_TEST(w.saves.size() == 1u);
+    const auto stored = decodeTexts(encodeTexts(w.saves.front().texts));
+
+    world next(2);
+    next.board.carry(stored, next.now);
+    next.add(specOf("b", 1, 2, 1));
+    next.pass(20ms);
+    std::vector<std::uint64_t> behind;
+    for (const auto& run : next.sent)
+        behind.push_back(run.lastEventId.value_or(0));
+    std::sort(behind.begin(), behind.end());
+    // The short one had its whole text and is judged alone.
+    BOOST_TEST((behind == std::vector<std::uint64_t> { 25 }));
+    BOOST_TEST(next.judges.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_write_of_texts_is_made_again)
+{
+    world w(1);
+    w.add(specOf("b", 1, 1, 1));
+    w.pass(20ms);
+    const auto run = w.open().front();
+    w.head(run, weight_version(2));
+    w.events(run, 1, 1);
+    w.pass(1s);
+    w.events(run, 2, 2);
+    w.pass(1s);
+    w.events(run, 3, 3);
+    w.pass(600ms);
+    BOOST_REQUIRE(w.saves.size() == 1u);
+    w.board.textsSaved(batch_id("b"), false, w.now);
+    w.events(run, 4, 4);
+    w.pass(1s);
+    BOOST_TEST(w.saves.size() == 1u);
+    w.events(run, 5, 5);
+    w.pass(300ms);
+    BOOST_REQUIRE(w.saves.size() == 2u);
+    BOOST_TEST(w.saves.back().texts.begin()->second.lastEvent == 5u);
+    w.board.textsSaved(batch_id("b"), true, w.now);
+    w.pass(800ms);
+    w.events(run, 6, 6);
+    w.pass(1100ms);
+    w.events(run, 7, 7);
+    w.pass(1100ms);
+    BOOST_TEST(w.saves.size() == 2u);
+    w.events(run, 8, 8);
+    w.pass(400ms);
+    BOOST_TEST(w.saves.size() == 3u);
+}
+
 // While the store is away a batch runs ahead, but nothing of it is listed.
 BOOST_AUTO_TEST_CASE(a_held_batch_writes_no_page)
 {
--- a/tests/test_usage_tally.cpp
+++ b/tests/test_usage_tally.cpp
@@ -2,7 +2,6 @@
 #include "property.h"
 #include "usage_tally.h"
 
-
 namespace lovagerail {
 
 namespace {
