Targets are ordered from the platform by the work that batches want

Cause: the duty to order replicas (autoscale) was coded on the wire and in the planner, but nobody held it.

Ruled out: orders by each instance for itself, which would take turns under one subject; a planner of its own for this platform, as src/capacity.h decides the same; counting a crashed replica as missing at once, which orders one that comes when the crashed one is back.

Change: news of demand is a part of its own (edge/demand_news); the holder of "targets" plans each 500 ms and orders whole numbers by failure domain and kind (src/capacity_orders, pure), within the platform's bounds, repeating orders of unknown outcome and leaving places that have none alone for 3 s.

Tests: capacity_orders suite (growth, crash, none there, unknown outcome, idle, property on bounds, which found a repeat that left the bounds), and test_targets_are_ordered_for_work_that_waits.

--- /dev/null
+++ b/src/capacity_orders.cpp
@@ -0,0 +1,137 @@
+// Orders by place; see capacity_orders.h.
+#include "capacity_orders.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lovagerail {
+
+void capacity_orders::see(std::vector<capacity_target> targets, instant now)
+{
+    std::map<capacity_place, std::uint32_t, by_place> counts;
+    for (const auto& one : targets)
+        ++counts[{ one.kind, one.failureDomain }];
+    m_targets = std::move(targets);
+    for (const auto& [where, count] : counts)
+        m_places[where];
+    for (auto& [where, place] : m_places) {
+        const auto found = counts.find(where);
+        const auto seen = found == counts.end() ? 0 : found->second;
+        if (seen < place.seen)
+            place.changedAt = now;
+        place.seen = seen;
+        // What was ordered has come or won't; targets come and go without us, too.
+        if (now - place.changedAt >= m_settings.startUp * m_settings.overdue)
+            place.wanted = seen;
+    }
+}
+
+std::uint32_t capacity_orders::wanted(const capacity_place& where) const
+{
+    const auto found = m_places.find(where);
+    return found == m_places.end() ? 0 : found->second.wanted;
+}
+
+std::uint32_t capacity_orders::inDomain(const failure_domain_id& domain) const
+{
+    return wanted({ supply_kind::Firm, domain }) + wanted({ supply_kind::Cheap, domain });
+}
+
+capacity_view capacity_orders::view(instant now) const
+{
+    capacity_view out;
+    out.targets = m_targets;
+    for (const auto& [where, place] : m_places) {
+        if (place.wanted > place.seen)
+            out.starting.insert(out.starting.end(), place.wanted - place.seen, where);
+        for (const auto kind : { supply_kind::Firm, supply_kind::Cheap }) {
+            const capacity_place there { kind, where.failureDomain };
+            const auto known = m_places.find(there);
+            const bool refused = known != m_places.end() && now < known->second.backedOffUntil;
+            if (refused || inDomain(where.failureDomain) >= m_settings.mostInDomain)
+                out.backedOff.push_back(there);
+        }
+    }
+    return out;
+}
+
+void capacity_orders::order(const capacity_place& where, std::uint32_t count, std::string reason, std::vector<place_order>& out, instant now)
+{
+    auto& place = m_places[where];
+    place.wanted = count;
+    place.changedAt = now;
+    place.underWay = true;
+    place.repeatAt.reset();
+    out.push_back({ where, count, std::move(reason) });
+}
+
+std::vector<place_order> capacity_orders::plan(target_pool pool, instant now)
+{
+    std::vector<place_order> out;
+    // Step 1. Orders of unknown outcome are sent again as they were, unless targets that
+    // came without us have filled the failure domain meanwhile.
+    for (auto& [where, place] : m_places) {
+        if (!place.repeatAt || now < *place.repeatAt)
+            continue;
+        if (inDomain(where.failureDomain) <= m_settings.mostInDomain)
+            order(where, place.wanted, "outcome unknown", out, now);
+        else {
+            place.repeatAt.reset();
+            place.wanted = place.seen;
+        }
+    }
+
+    // Step 2. The plan, within what the platform allows in a failure domain.
+    std::set<failure_domain_id> domains;
+    for (const auto& [where, place] : m_places)
+        domains.insert(where.failureDomain);
+    pool.failureDomains.assign(domains.begin(), domains.end());
+    pool.floor = m_settings.leastInDomain * static_cast<std::uint32_t>(domains.size());
+    pool.ceiling = m_settings.mostInDomain * static_cast<std::uint32_t>(domains.size());
+    const auto planned = m_planner.plan(pool, view(now), now);
+
+    // Step 3. One number for each place.
+    std::map<capacity_place, std::uint32_t, by_place> counts;
+    std::map<capacity_place, std::string, by_place> reasons;
+    for (const auto& start : planned.starts) {
+        auto domain = inDomain(start.where.failureDomain);
+        for (const auto& [where, count] : counts) {
+            if (where.failureDomain == start.where.failureDomain)
+                domain += count - wanted(where);
+        }
+        if (domain >= m_settings.mostInDomain)
+            continue;
+        const auto added = counts.try_emplace(start.where, wanted(start.where)).first;
+        ++added->second;
+        reasons[start.where] = start.reason;
+    }
+    if (planned.stop) {
+        const auto target = std::find_if(m_targets.begin(), m_targets.end(), [&](const capacity_target& one) { return one.id == planned.stop->target; });
+        const capacity_place where { target->kind, target->failureDomain };
+        if (counts.empty() && wanted(where) > 0 && inDomain(where.failureDomain) > m_settings.leastInDomain) {
+            counts[where] = wanted(where) - 1;
+            reasons[where] = planned.stop->reason;
+        }
+    }
+    for (const auto& [where, count] : counts) {
+        if (!m_places[where].underWay)
+            order(where, count, reasons[where], out, now);
+    }
+    return out;
+}
+
+void capacity_orders::answered(const capacity_place& where, place_outcome outcome, instant now)
+{
+    const auto found = m_places.find(where);
+    if (found == m_places.end())
+        return;
+    auto& place = found->second;
+    place.underWay = false;
+    if (outcome == place_outcome::NoneThere) {
+        place.wanted = place.seen;
+        place.backedOffUntil = now + m_settings.noneThere;
+    } else if (outcome == place_outcome::Unsure)
+        place.repeatAt = now + m_settings.repeat;
+}
+
+} // namespace lovagerail
--- /dev/null
+++ b/src/edge/capacity_duty.cpp
@@ -0,0 +1,158 @@
+// What runs and what is wanted in, fenced orders out.
+#include "edge/capacity_duty.h"
+
+#include "log.h"
+#include "platform/duty_codec.h"
+
+#include <algorithm>
+
+namespace lovagerail::edge {
+
+namespace {
+
+    constexpr duration planPeriod = std::chrono::milliseconds(500);
+    // The instances' news of demand is complete so long after a new holder began.
+    constexpr duration termSettle = std::chrono::milliseconds(1500);
+    constexpr std::chrono::milliseconds orderTimeout { 1500 };
+    constexpr std::chrono::milliseconds orderConnectTimeout { 400 };
+    // Idle targets are given back after so many times their start-up: one that is wanted
+    // again sooner costs its work more than it saves.
+    constexpr std::int32_t idleStartUps = 15;
+    constexpr duration shortestStartUp = std::chrono::seconds(1);
+    constexpr std::uint32_t slotsUnknown = 8; // of a service that doesn't state them
+
+    place_outcome outcomeOf(platform::duty_answer answer)
+    {
+        switch (answer) {
+        case platform::duty_answer::Accepted:
+        case platform::duty_answer::Holds:
+            return place_outcome::Taken;
+        // Nothing is to be had there, or a newer holder was seen; both leave the place alone.
+        case platform::duty_answer::Busy:
+        case platform::duty_answer::Superseded:
+        case platform::duty_answer::Refused:
+            return place_outcome::NoneThere;
+        case platform::duty_answer::NotNow:
+        case platform::duty_answer::Unknown:
+            return place_outcome::Unsure;
+        }
+        return place_outcome::Unsure;
+    }
+
+} // namespace
+
+capacity_duty::capacity_duty(context& shared, members& group, const knowledge& known, const demand_news& demand)
+    : m_context(shared)
+    , m_members(group)
+    , m_known(known)
+    , m_demand(demand)
+{
+}
+
+capacity_orders& capacity_duty::ordersFor(const site_service& service)
+{
+    const auto found = m_orders.find(service.id);
+    if (found != m_orders.end())
+        return found->second;
+    capacity_order_settings bounds;
+    bounds.startUp = std::max(service.startUp, shortestStartUp);
+    bounds.leastInDomain = service.leastTargets;
+    bounds.mostInDomain = service.mostTargets;
+    capacity_settings planning;
+    planning.idleTime = bounds.startUp * idleStartUps;
+    return m_orders.emplace(service.id, capacity_orders(bounds, planning)).first->second;
+}
+
+std::vector<capacity_target> capacity_duty::targetsOf(const service_id& service) const
+{
+    std::vector<capacity_target> out;
+    for (const auto& entry : m_known.targets()) {
+        if (entry.service != service || entry.listed.state != target_state::Live)
+            continue;
+        capacity_target one;
+        one.id = entry.listed.id;
+        one.kind = entry.listed.supply;
+        one.failureDomain = entry.listed.failureDomain;
+        one.state = entry.listed.state;
+        if (const auto slot = m_context.targets.table().find(one.id)) {
+            const auto load = m_context.targets.load().view(*slot, m_context.now);
+            one.open = load.ownRequests + load.otherRequests;
+        }
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+demand_sample capacity_duty::demandOf(const site_service& service) const
+{
+    demand_sample out;
+    for (const auto& one : m_demand.all()) {
+        if (one.service == service.id)
+            out.open += static_cast<double>(one.items);
+    }
+    // Work that can go on elsewhere may run on targets that are taken away.
+    out.cheapShare = isResumable(service.id) ? 1 : 0;
+    out.perTarget = service.slots == 0 ? slotsUnknown : service.slots;
+    return out;
+}
+
+bool capacity_duty::isResumable(const service_id& service) const
+{
+    return std::all_of(m_context.site->routes.begin(), m_context.site->routes.end(), [&service](const site_route& route) {
+        const bool leads = std::any_of(route.services.begin(), route.services.end(), [&service](const weighted_service& one) { return one.service == service; });
+        return !leads || route.kind == route_kind::Batch || route.idempotent();
+    });
+}
+
+void capacity_duty::tick()
+{
+    const auto held = m_members.holds(targetsDuty);
+    if (!held || m_context.values.duties.address.empty()) {
+        m_term.reset();
+        return;
+    }
+    if (m_term != held->fencing) {
+        m_term = held->fencing;
+        m_termBegan = m_context.now;
+        m_orders.clear();
+    }
+    if (m_context.now < m_nextPlan || m_context.now < m_termBegan + termSettle || !m_context.site || !m_known.targetsKnown())
+        return;
+    m_nextPlan = m_context.now + planPeriod;
+    for (const auto& [id, service] : m_context.site->services) {
+        if (service.mostTargets == 0)
+            continue;
+        auto& orders = ordersFor(service);
+        orders.see(targetsOf(id), m_context.now);
+        orders.observe(demandOf(service), m_context.now);
+        target_pool pool;
+        pool.meta.name = id.str();
+        pool.allowCheap = service.spotPrice < 1;
+        pool.startUpS = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::seconds>(service.startUp).count());
+        for (const auto& order : orders.plan(std::move(pool), m_context.now))
+            send(service, order);
+    }
+}
+
+void capacity_duty::send(const site_service& service, const place_order& order)
+{
+    const auto held = m_members.holds(targetsDuty);
+    const platform::duty_proof proof { instance_id(m_context.values.instance.name), held ? held->fencing : fencing_number() };
+    if (!held) {
+        m_orders.at(service.id).answered(order.where, place_outcome::Unsure, m_context.now);
+        return;
+    }
+    auto request = platform::encodeCapacity(m_context.values.duties.address, proof, { service.id.str(), order.where.failureDomain, order.count, order.where.kind == supply_kind::Cheap });
+    request.connectTimeout = orderConnectTimeout;
+    request.totalTimeout = orderTimeout;
+    m_context.net.call(std::move(request), [this, id = service.id, order, term = held->fencing](const http::answer& answer) {
+        logEvent(log_level::Info, "capacity", "ordered",
+            { { "service", id.str() }, { "failure_domain", order.where.failureDomain.str() }, { "spot", order.where.kind == supply_kind::Cheap ? "1" : "0" },
+                { "count", std::to_string(order.count) }, { "reason", order.reason }, { "status", std::to_string(answer.status) } });
+        const auto orders = m_orders.find(id);
+        if (m_term == term && orders != m_orders.end())
+            orders->second.answered(order.where, outcomeOf(platform::decodeDutyAnswer(answer)), m_context.now);
+    });
+}
+
+} // namespace lovagerail::edge
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -3,7 +3,9 @@
 
 #include "daemon/clock.h"
 #include "edge/batches.h"
+#include "edge/capacity_duty.h"
 #include "edge/context.h"
+#include "edge/demand_news.h"
 #include "edge/front.h"
 #include "edge/knowledge.h"
 #include "edge/members.h"
@@ -77,12 +79,14 @@
             , m_store({}, values.store.address, m_net)
             , m_targets(routerSettings(values))
             , m_context { m_values, m_net, m_store, m_targets, incarnation(static_cast<std::uint64_t>(daemon::wallNow().time_since_epoch().count())) }
-            , m_members(m_context, { usageDuty, weightDuty })
+            , m_members(m_context, { usageDuty, targetsDuty })
             , m_known(m_context, m_members)
             , m_usage(m_context)
             , m_front(m_context, m_usage)
             , m_batches(m_context, m_members, m_front)
-            , m_weights(m_context, m_members, m_known)
+            , m_demand(m_context, m_members)
+            , m_weights(m_context, m_members, m_known, m_demand)
+            , m_capacity(m_context, m_members, m_known, m_demand)
         {
             m_usage.setMembers(m_members);
             m_front.setBatches(m_batches);
@@ -119,7 +123,9 @@
         usage_duty m_usage;
         front m_front;
         batches m_batches;
+        demand_news m_demand;
         weight_duty m_weights;
+        capacity_duty m_capacity;
         metrics_page m_metrics;
         std::unique_ptr<http::server> m_callers;
         std::unique_ptr<http::server> m_readiness;
@@ -201,7 +207,7 @@
         else if (exchange->path == "/usage")
             m_usage.onPeer(exchange);
         else if (exchange->path == "/demand")
-            m_weights.onPeer(exchange);
+            m_demand.onPeer(exchange);
         else if (!m_batches.onPeer(exchange))
             exchange->answer(statusNotFound, {}, "");
     }
@@ -294,8 +300,9 @@
         m_targets.tick(m_context.now);
         m_front.tick();
         m_batches.tick();
-        m_weights.tell(m_batches.demand());
+        m_demand.tell(m_batches.demand());
         m_weights.tick();
+        m_capacity.tick();
         m_usage.tick();
         if (m_context.stopping && m_batches.handedOver())
             m_members.leave();
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -1,7 +1,6 @@
 // Named versions in, fenced orders out.
 #include "edge/weight_duty.h"
 
-#include "json_text.h"
 #include "log.h"
 #include "platform/duty_codec.h"
 
@@ -12,8 +11,6 @@
     constexpr duration planPeriod = std::chrono::milliseconds(100);
     constexpr duration retryPause = std::chrono::milliseconds(300);
     constexpr std::chrono::milliseconds watchWait { 2500 }; // versions are named every few seconds
-    constexpr duration tellPeriod = std::chrono::milliseconds(400); // news of demand to the holder
-    constexpr std::chrono::milliseconds tellTimeout { 500 };
     constexpr std::chrono::milliseconds orderTimeout { 1000 };
     constexpr std::chrono::milliseconds orderConnectTimeout { 400 };
 
@@ -35,16 +32,17 @@
 
 } // namespace
 
-weight_duty::weight_duty(context& shared, members& group, const knowledge& known)
+weight_duty::weight_duty(context& shared, members& group, const knowledge& known, const demand_news& demand)
     : m_context(shared)
     , m_members(group)
     , m_known(known)
+    , m_demand(demand)
 {
 }
 
 void weight_duty::tick()
 {
-    const auto held = m_members.holds(weightDuty);
+    const auto held = m_members.holds(targetsDuty);
     if (!held) {
         if (m_watch != 0)
             m_context.store.endWatch(std::exchange(m_watch, 0));
@@ -69,48 +67,6 @@
     }
 }
 
-void weight_duty::tell(const std::vector<model_demand>& demand)
-{
-    if (demand.empty() || m_context.now < m_nextTell)
-        return;
-    m_nextTell = m_context.now + tellPeriod;
-    if (m_members.holds(weightDuty)) {
-        for (const auto& one : demand)
-            noteDemand(one);
-        return;
-    }
-    const auto* holder = m_members.holderOf(weightDuty);
-    if (holder == nullptr)
-        return;
-    Json::Value body(Json::arrayValue);
-    for (const auto& one : demand) {
-        Json::Value row(Json::objectValue);
-        row["model"] = one.model.str();
-        row["least"] = Json::UInt64(one.least.value());
-        body.append(std::move(row));
-    }
-    http::request request;
-    request.method = "POST";
-    request.url = "http://" + holder->address + "/demand";
-    request.body = writeJson(body);
-    request.totalTimeout = tellTimeout;
-    // Lost news is told again.
-    m_context.net.call(std::move(request), [](const http::answer&) {});
-}
-
-void weight_duty::onPeer(const http::exchange_ptr& exchange)
-{
-    constexpr int statusOk = 200;
-    const auto body = parseJson(exchange->body);
-    for (const auto& row : body && body->isArray() ? *body : Json::Value(Json::arrayValue)) {
-        model_demand one;
-        one.model = model_id(jsonText(row, "model"));
-        one.least = weight_version(jsonCount(row, "least"));
-        noteDemand(one);
-    }
-    exchange->answer(statusOk, {}, "");
-}
-
 // A batch comes right after its version was named, so the distance between the two is
 // what its kind of work accepts.
 void weight_duty::noteDemand(const model_demand& demand)
@@ -183,6 +139,8 @@
 
 void weight_duty::refresh()
 {
+    for (const auto& one : m_demand.all())
+        noteDemand(one);
     m_entries.clear();
     std::map<service_id, std::vector<weight_replica>> replicas;
     for (const auto& entry : m_known.targets()) {
@@ -249,7 +207,7 @@
 
 void weight_duty::sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken)
 {
-    const auto held = m_members.holds(weightDuty);
+    const auto held = m_members.holds(targetsDuty);
     const auto entry = m_entries.find(load.target);
     if (!held || entry == m_entries.end()) {
         settle(service, load, load_outcome::NotNow, m_term.value_or(fencing_number()));
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -2,10 +2,9 @@
 // to empty a machine; the duty of one instance.
 #pragma once
 
-#include "batch_board.h"
+#include "edge/demand_news.h"
 #include "edge/knowledge.h"
 #include "edge/members.h"
-#include "http/server.h"
 #include "weight_sets.h"
 
 #include <map>
@@ -13,17 +12,11 @@
 
 namespace lovagerail::edge {
 
-inline const duty_id weightDuty { "weights" };
-
 class weight_duty {
 public:
-    weight_duty(context& shared, members& group, const knowledge& known);
+    weight_duty(context& shared, members& group, const knowledge& known, const demand_news& demand);
 
     void tick();
-    // What our own batches need; goes to the holder of the duty.
-    void tell(const std::vector<model_demand>& demand);
-    // The same from another instance.
-    void onPeer(const http::exchange_ptr& exchange);
 
 private:
     void noteDemand(const model_demand& demand);
@@ -39,6 +32,7 @@
     context& m_context;
     members& m_members;
     const knowledge& m_known;
+    const demand_news& m_demand;
     std::optional<fencing_number> m_term; // of the duty that the rest belongs to
     std::uint64_t m_watch = 0; // 0 = none
     bool m_reading = false;
@@ -51,7 +45,6 @@
         std::uint64_t lag = 0;
     };
     std::map<model_id, known_lag> m_lags;
-    instant m_nextTell {};
     std::map<service_id, weight_sets> m_sets; // one for each service with models
     std::map<target_id, platform::target_entry> m_entries; // as listed last
     // Orders that a target has taken since its start, as far as they are known: an
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -17,12 +17,13 @@
             "maxAttempts": 3, "authExempt": False, **more}
 
 
-def config(version, keys=("key-one",), **more):
+def config(version, keys=("key-one",), scale=None, **more):
+    pool = {"name": "pool", "engine": {"slots": 8, "stride": 1, "models": [{"name": "m"}]}, **({"autoscale": scale} if scale else {})}
     out = {"version": version,
            "routes": [route("plain", "/plain/", "safe", "shop"), route("once", "/once/", "unsafe", "shop"), route("talk", "/talk/", "streaming", "pool", resumable=True),
                       route("judge", "/judge/", "safe", "shop", authExempt=True),
                       route("steps", "/steps/", "rollout", "pool", resultDeadlineMs=7500, itemTtlS=40)],
-           "services": [{"name": "pool", "engine": {"slots": 8, "stride": 1, "models": [{"name": "m"}]}}, {"name": "shop"}],
+           "services": [pool, {"name": "shop"}],
            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
     if keys is not None:
         out["tenants"] = [{"name": "acme", "apiKeys": list(keys), "priority": 1}]
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -284,11 +284,13 @@
 
 
 class Duties(Server):
-    """Takes usage reports: the first figures of a window count, a lower fence is refused."""
+    """Takes usage reports, of which the first figures of a window count, and orders of targets; a lower fence is refused."""
 
     def __init__(self):
         self.reports = {}  # window: counts
         self.differing = []
+        self.orders = []  # of targets: (service, failure domain, count, spot)
+        self.none_there = set()  # failure domains where none are to be had
         self.fence = 0
         super().__init__()
 
@@ -303,6 +305,11 @@
             before = self.reports.setdefault(report["windowId"], report["counts"])
             if before != report["counts"]:
                 self.differing.append(report)
+        elif request.route == "/scale":
+            if report["zone"] in self.none_there:
+                request.answer(409)
+                return
+            self.orders.append((report["service"], report["zone"], report["desiredCount"], report.get("spot", False)))
         request.answer(200)
 
 
--- a/tests/process/test_entry_batches.py
+++ b/tests/process/test_entry_batches.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from entry_world import HOST, KEY, EntryCase, submission
+from entry_world import HOST, KEY, EntryCase, config, submission
 from kit import call, wait_until
 
 
@@ -73,6 +73,22 @@
         self.assertEqual(call("DELETE", again[0].callers + "/lots/b1", headers={**HOST, **KEY}).status, 200)
         self.assertFalse([key for key in self.platform.store.with_prefix("batch/page/b1/") if key.endswith("texts")])
 
+    def test_targets_are_ordered_for_work_that_waits(self):
+        first, _ = self.start()
+        self.platform.put_config(config(2, scale={"min": 1, "max": 3, "bootTimeS": 1, "spotPrice": 0.3, "zonePrices": {"north": 1, "south": 1}}))
+        self.platform.duties.none_there = {"south"}
+        for engine in self.engines:
+            engine.events, engine.event_s = 100, 0.05
+        self.assertEqual(self.submit(first, "b1", submission(30)).status, 202)  # 60 items, 24 places
+        wait_until(lambda: self.platform.duties.orders, "an order", 6)
+        service, domain, count, spot = self.platform.duties.orders[0]
+        self.assertEqual((service, domain), ("pool", "north"))
+        # Two firm ones run there; a cheap one is counted apart.
+        self.assertEqual(count, 1 if spot else 3)
+        more = self.platform.engine("pool", "north", models=["m"])
+        wait_until(lambda: more.runs, "work at the new target", 5)
+        self.assertLessEqual(max(count for _, _, count, _ in self.platform.duties.orders), 3)
+
     def test_a_planned_stop_hands_the_step_over(self):
         first, second = self.start()
         for engine in self.engines:
