Requests that bring replicas down are kept from them on the platform's path

Cause: `quarantine` decided this for the product's own daemon only; the entry instances sent such a request to as many replicas as it was asked for.

Ruled out: counting crashes by attempt id, as each attempt has its own; telling all others directly, which at 410 instances is 410 times 409 calls in a burst of crashes; judging items of batches, whose broken streams are mostly lost answers of living replicas and which end by themselves.

Change: forwarding judges a request's fingerprint (account, method, host, path, body) before each attempt: a suspect runs apart from other suspects, then is refused, with 502 if it has run and 503 and a Retry-After if not. Marks are merged between instances along the tree of knowledge (edge/mark_news). Each event of forwarding now forgets what is finished in one place.

Tests: four cases in the forwarding suite, and a process test with replicas that die; it fails on the code before.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -8,6 +8,7 @@
 #include "edge/demand_news.h"
 #include "edge/front.h"
 #include "edge/knowledge.h"
+#include "edge/mark_news.h"
 #include "edge/members.h"
 #include "edge/metrics.h"
 #include "edge/usage_duty.h"
@@ -82,7 +83,8 @@
             , m_members(m_context, { usageDuty, targetsDuty })
             , m_known(m_context, m_members)
             , m_usage(m_context)
-            , m_front(m_context, m_usage)
+            , m_markNews(m_context, m_known, m_marks)
+            , m_front(m_context, m_usage, m_marks)
             , m_batches(m_context, m_members, m_front)
             , m_demand(m_context, m_members)
             , m_weights(m_context, m_members, m_known, m_demand)
@@ -121,6 +123,8 @@
         members m_members;
         knowledge m_known;
         usage_duty m_usage;
+        quarantine m_marks;
+        mark_news m_markNews;
         front m_front;
         batches m_batches;
         demand_news m_demand;
@@ -206,6 +210,8 @@
             m_known.onPeer(exchange);
         else if (exchange->path == "/usage")
             m_usage.onPeer(exchange);
+        else if (exchange->path == "/marks")
+            m_markNews.onPeer(exchange);
         else if (exchange->path == "/demand")
             m_demand.onPeer(exchange);
         else if (!m_batches.onPeer(exchange))
@@ -304,6 +310,7 @@
         m_weights.tick();
         m_capacity.tick();
         m_usage.tick();
+        m_markNews.tick();
         if (m_context.stopping && m_batches.handedOver())
             m_members.leave();
         if (m_context.now >= m_nextClosedCheck && m_callers) {
--- a/src/edge/front.cpp
+++ b/src/edge/front.cpp
@@ -51,10 +51,10 @@
 
 } // namespace
 
-front::front(context& shared, usage_duty& usage)
+front::front(context& shared, usage_duty& usage, quarantine& marks)
     : m_context(shared)
     , m_usage(usage)
-    , m_machine({}, shared.targets)
+    , m_machine({}, shared.targets, marks)
 {
 }
 
@@ -153,6 +153,7 @@
     request.callerId = caller.id;
     request.route = route;
     request.account = account;
+    request.fingerprint = fingerprintOf(account, exchange->method, caller.host + targetOf(*exchange), exchange->body);
     request.deadline = caller.deadline;
     request.lastEventId = caller.lastEventId;
     request.promptBlocks = hashParts(caller.model, caller.prompt);
@@ -188,6 +189,7 @@
     request.route = *route;
     request.route.timeout = {}; // ours is the deadline alone
     request.deadline = deadline;
+    request.fingerprint = fingerprintOf({}, "POST", call.host + call.path, call.body);
     request.counted = false;
     act(m_machine.arrive(std::move(request), m_context.now));
 }
@@ -359,8 +361,8 @@
     }
 
     // Step 2. Deadlines, hedges and delayed tries.
-    if (m_machine.open() > 0)
-        act(m_machine.tick(m_context.now));
+    m_machine.takeWall(m_context.wall);
+    act(m_machine.tick(m_context.now));
 }
 
 void noteLoad(context& shared, const target_id& target, const platform::target_head& head)
--- a/src/edge/front.h
+++ b/src/edge/front.h
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "platform/batch_codec.h"
 #include "platform/headers.h"
+#include "quarantine.h"
 
 #include <functional>
 #include <map>
@@ -28,7 +29,7 @@
 
 class front {
 public:
-    front(context& shared, usage_duty& usage);
+    front(context& shared, usage_duty& usage, quarantine& marks);
 
     void setBatches(batches& owner) { m_batches = &owner; }
     // From the listener of callers.
--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -182,6 +182,24 @@
     return rank == 0 || !m_documents[MembersIndex].known ? nullptr : m_members.find(order[(rank - 1) / childrenOfOne]);
 }
 
+std::vector<member> knowledge::neighbours() const
+{
+    std::vector<member> out;
+    const auto order = rendezvousOrder("knowledge", m_members.names());
+    const instance_id self(m_context.values.instance.name);
+    const auto rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
+    const auto add = [&](const instance_id& name) {
+        if (const auto* one = m_members.find(name))
+            out.push_back(*one);
+    };
+    if (rank > 0)
+        add(order[(rank - 1) / childrenOfOne]);
+    const auto firstChild = rank * childrenOfOne + 1;
+    for (auto child = firstChild; child < std::min(firstChild + childrenOfOne, order.size()); ++child)
+        add(order[child]);
+    return out;
+}
+
 // Names the versions that we have; another life of ours names them anew.
 std::string knowledge::versions() const
 {
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -31,6 +31,8 @@
     // A first list of targets has come.
     bool targetsKnown() const { return m_documents[TargetsIndex].known; }
     const std::vector<platform::target_entry>& targets() const { return m_targets; }
+    // Our parent and children in the tree: news that all pass on to these reaches all.
+    std::vector<member> neighbours() const;
 
 private:
     enum document_index : std::size_t {
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -54,9 +54,10 @@
 
 routing_class_id serviceClass(const service_id& service) { return routing_class_id("service " + service.str()); }
 
-forwarding::forwarding(forwarding_settings settings, router& targets)
+forwarding::forwarding(forwarding_settings settings, router& targets, quarantine& marks)
     : m_settings(settings)
     , m_router(targets)
+    , m_marks(marks)
     , m_retries(settings.retries)
 {
 }
@@ -71,6 +72,14 @@
     return &found->second;
 }
 
+// Ends an event: forgets what is finished, hands over what is to be done.
+std::vector<forward_action> forwarding::take()
+{
+    for (const auto finished : std::exchange(m_finished, {}))
+        m_open.erase(finished);
+    return std::exchange(m_actions, {});
+}
+
 routing_class_id forwarding::classFor(const forward_request& request) const
 {
     auto wanted = serviceClass(pickService(request).service);
@@ -100,13 +109,11 @@
     auto& stored = m_open.emplace(id, std::move(one)).first->second;
     if (!trySend(stored, now) && !stored.nextTry)
         refuse(stored, statusUnavailable, m_settings.noTargetRetry, "no live replica", now);
-    for (const auto done : std::exchange(m_finished, {}))
-        m_open.erase(done);
     return take();
 }
 
 // Sends to the best replica that was not tried yet; if all were, to the best of all
-// after a pause. False if none is live.
+// after a pause; refuses what brings targets down. False if none is live.
 bool forwarding::trySend(open_forward& one, instant now)
 {
     one.nextTry.reset();
@@ -114,6 +121,20 @@
     if (left < m_settings.shortestOffer)
         return true; // the deadline answers
 
+    // Step 1. What brought down targets.
+    const auto verdict = m_marks.judge(one.request.fingerprint, m_wall);
+    if (verdict == quarantine_verdict::Refused) {
+        ++m_counts.quarantined;
+        refuse(one, one.mayHaveRun ? statusBadGateway : statusUnavailable, m_marks.retryAfter(one.request.fingerprint, m_wall), "targets died while they ran this request", now);
+        return true;
+    }
+    if (verdict == quarantine_verdict::Wait) {
+        one.nextTry = now + m_settings.refusedPause;
+        return true;
+    }
+    const bool asSuspect = verdict == quarantine_verdict::RunAlone;
+
+    // Step 2. Where to.
     route_request asked;
     asked.routingClass = classFor(one.request);
     asked.account = one.request.account;
@@ -124,6 +145,10 @@
     asked.resumable = one.request.route.resumable;
     asked.returnable = true; // replicas hand back what they did not start
     asked.excluded = one.tried;
+    if (asSuspect) {
+        const auto occupied = m_marks.occupied();
+        asked.excluded.insert(asked.excluded.end(), occupied.begin(), occupied.end());
+    }
     asked.seed = XXH64(one.request.callerId.str().data(), one.request.callerId.str().size(), m_lastAttempt);
     auto decision = m_router.choose(asked, now);
     if (const auto* none = std::get_if<no_route>(&decision)) {
@@ -133,14 +158,16 @@
         one.nextTry = now + m_settings.refusedPause;
         return true;
     }
-    sendTo(one, std::get<route_choice>(decision), asked, now);
+    sendTo(one, std::get<route_choice>(decision), asked, asSuspect, now);
     return true;
 }
 
-void forwarding::sendTo(open_forward& one, const route_choice& choice, const route_request& asked, instant now)
+void forwarding::sendTo(open_forward& one, const route_choice& choice, const route_request& asked, bool asSuspect, instant now)
 {
     const auto attempt = newAttempt();
-    one.attempts.push_back({ attempt, choice, now, now, std::nullopt });
+    one.attempts.push_back({ attempt, choice, now, now, std::nullopt, asSuspect });
+    if (asSuspect)
+        m_marks.suspectBegan(one.request.fingerprint, choice.target);
     one.tried.push_back(choice.target);
     m_byAttempt[attempt] = one.request.id;
     m_router.started(attempt, choice, asked, now);
@@ -155,6 +182,8 @@
 {
     m_router.ended(attempt.id, { outcome, token_count(), std::nullopt }, now);
     m_byAttempt.erase(attempt.id);
+    if (attempt.asSuspect)
+        m_marks.suspectEnded(one.request.fingerprint);
     std::erase_if(one.attempts, [id = attempt.id](const open_attempt& other) { return other.id == id; });
 }
 
@@ -271,6 +300,7 @@
     } else if (whole && wasStreaming) {
         // Step 2. A stream came to its end.
         endAttempt(*one, ended, attempt_outcome::Success, now);
+        m_marks.completed(one->request.fingerprint, m_wall);
         m_actions.emplace_back(forward_end_stream { one->request.id, true });
         ++m_counts.delivered;
         finish(*one);
@@ -279,6 +309,7 @@
         began(*one, ended, now);
         const bool failed = ended.head->status >= statusServerError;
         endAttempt(*one, ended, failed ? attempt_outcome::Failure : attempt_outcome::Success, now);
+        m_marks.completed(one->request.fingerprint, m_wall);
         one->serverFailures += ended.head->status == statusServerError;
         ++one->runs;
         const bool again = failed && !one->begunStream && one->request.route.idempotent() && one->runs < one->request.route.maxAttempts
@@ -305,10 +336,10 @@
         began(*one, ended, now);
         ++one->runs;
         endAttempt(*one, ended, attempt_outcome::Reset, now);
+        if (end != transfer_state::Whole)
+            m_marks.broke(one->request.fingerprint, ended.choice.target, ended.choice.incarnation, ended.asSuspect ? std::to_string(m_wall.time_since_epoch().count()) + "/" + std::to_string(ended.id.value()) : "", m_wall);
         afterFailure(*one, now);
     }
-    for (const auto finished : std::exchange(m_finished, {}))
-        m_open.erase(finished);
     return take();
 }
 
@@ -377,6 +408,9 @@
     const auto& first = one.attempts.front();
     if (first.head || one.runs + one.attempts.size() >= one.request.route.maxAttempts)
         return;
+    // What may have brought down a target runs at one at a time.
+    if (m_marks.judge(one.request.fingerprint, m_wall) != quarantine_verdict::Clear)
+        return;
     const auto waited = now - first.sentAt;
     const bool silent = waited > m_settings.silence;
     const bool slow = one.request.route.latencyTarget > duration {} && waited > scale(one.request.route.latencyTarget, m_settings.hedgeShare);
@@ -391,12 +425,20 @@
         one.tried = tried;
 }
 
+// A blamed target that runs under a new incarnation has died.
+void forwarding::noticeDeaths()
+{
+    for (const auto& target : m_marks.blamedTargets()) {
+        if (const auto slot = m_router.table().find(target))
+            m_marks.seen(target, m_router.table().record(*slot).listed.incarnation, m_wall);
+    }
+}
+
 std::vector<forward_action> forwarding::tick(instant now)
 {
     for (auto& [id, one] : m_open)
         tickOne(one, now);
-    for (const auto finished : std::exchange(m_finished, {}))
-        m_open.erase(finished);
+    noticeDeaths();
     return take();
 }
 
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -5,11 +5,15 @@
 // with its owner, which sends attempts and hands over what an action names. Targets are
 // chosen by the router that it shares with its owner.
 //
+// A request that brought down targets runs apart from other suspects once more, and is
+// then refused, by the marks that instances share (quarantine.h).
+//
 // Outcomes are three. Not run: no byte left, or the target refused in a documented way.
 // Ran: the target answered. Unknown: anything else; only idempotent work goes on then.
 #pragma once
 
 #include "batch.h"
+#include "quarantine.h"
 #include "retry.h"
 #include "router.h"
 #include "site.h"
@@ -40,6 +44,7 @@
     request_id callerId; // echoed by targets
     site_route route; // as it was in force when the request came
     client_account_id account; // empty on open routes
+    request_fingerprint fingerprint; // of what it asks for
     std::optional<duration> deadline; // from its arrival; the caller waits no longer
     std::optional<std::uint64_t> lastEventId; // a stream goes on behind this event
     std::vector<block_hash> promptBlocks;
@@ -124,11 +129,15 @@
     std::uint64_t crossed = 0; // answers that named another request
     std::uint64_t resumed = 0;
     std::uint64_t callersGone = 0;
+    std::uint64_t quarantined = 0;
 };
 
 class forwarding {
 public:
-    forwarding(forwarding_settings settings, router& targets);
+    forwarding(forwarding_settings settings, router& targets, quarantine& marks);
+
+    // The time of day as of the events that follow: marks of several instances share it.
+    void takeWall(wall_time wall) { m_wall = wall; }
 
     std::vector<forward_action> arrive(forward_request request, instant now);
     std::vector<forward_action> callerGone(forward_id id, instant now);
@@ -153,6 +162,7 @@
         instant sentAt;
         instant lastHeard;
         std::optional<forward_head> head;
+        bool asSuspect = false;
     };
     struct open_forward {
         forward_request request;
@@ -176,7 +186,8 @@
     attempt_id newAttempt() { return attempt_id(++m_lastAttempt); }
     routing_class_id classFor(const forward_request& request) const;
     bool trySend(open_forward& one, instant now);
-    void sendTo(open_forward& one, const route_choice& choice, const route_request& asked, instant now);
+    void sendTo(open_forward& one, const route_choice& choice, const route_request& asked, bool asSuspect, instant now);
+    void noticeDeaths();
     void endAttempt(open_forward& one, const open_attempt& attempt, attempt_outcome outcome, instant now);
     void began(open_forward& one, const open_attempt& attempt, instant now);
     void afterFailure(open_forward& one, instant now);
@@ -185,10 +196,12 @@
     void finish(open_forward& one);
     void expire(open_forward& one, instant now);
     void tickOne(open_forward& one, instant now);
-    std::vector<forward_action> take() { return std::exchange(m_actions, {}); }
+    std::vector<forward_action> take();
 
     forwarding_settings m_settings;
     router& m_router;
+    quarantine& m_marks;
+    wall_time m_wall {};
     retry_policy m_retries;
     std::uint64_t m_lastAttempt = 0;
     std::map<forward_id, open_forward> m_open;
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -271,16 +271,19 @@
 }
 
 // Marks whose time is over are not taken in, so an old mark can't go round for ever.
-void quarantine::onNews(const std::vector<blame_mark>& marks, wall_time now)
+std::vector<blame_mark> quarantine::onNews(const std::vector<blame_mark>& marks, wall_time now)
 {
+    std::vector<blame_mark> fresh;
     const auto latest = later(now, m_settings.confirmed + m_settings.unconfirmed);
     for (auto mark : marks) {
         if (mark.until <= now)
             continue;
         mark.until = std::min(mark.until, latest); // a clock far ahead blames nobody for good
-        merge(mark);
+        if (merge(mark))
+            fresh.push_back(mark);
     }
     dropOld(now);
+    return fresh;
 }
 
 std::vector<blame_mark> quarantine::marks() const
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -95,8 +95,8 @@
 
     // Marks that changed since the last call, for other instances.
     std::vector<blame_mark> news();
-    // Marks from another instance, in any order.
-    void onNews(const std::vector<blame_mark>& marks, wall_time now);
+    // Marks from another instance, in any order. Returns those that told anything new.
+    std::vector<blame_mark> onNews(const std::vector<blame_mark>& marks, wall_time now);
     // All marks, sorted.
     std::vector<blame_mark> marks() const;
     void dropOld(wall_time now);
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -219,12 +219,13 @@
         self.orders = 0
         self.fence = 0
         self.state = "ready"
+        self.born = 1
         super().__init__()
         self.beat()
 
     def beat(self):
         entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
-                 "sequence": 1, "born": 1}
+                 "sequence": 1, "born": self.born}
         if self.versions:
             entry["models"] = [{"name": name, "version": version, "adapters": []} for name, version in self.versions.items()]
         self.platform.store.put("servers/" + self.name, entry)
@@ -240,7 +241,11 @@
             request.answer(503, None, {"Not-Executed": "1"})
         else:
             self.runs.append((request.route, dict(request.headers)))
-            if self.versions:
+            if "poison" in request.route:  # it dies, and runs again
+                self.born += 1
+                self.beat()
+                request.break_off()
+            elif self.versions:
                 self._stream(request)
             elif self.losing > 0:
                 self.losing -= 1
--- a/tests/process/test_entry_calls.py
+++ b/tests/process/test_entry_calls.py
@@ -64,6 +64,19 @@
                 self.assertTrue(set(result["versions"]) <= set(range(version - 1, version + 1)), result)
         wait_until(lambda: all(engine.versions["m"] >= 2 for engine in self.engines), "no replica is left behind what work accepts", 10)
 
+    def test_a_request_that_brings_replicas_down_is_kept_away(self):
+        first, second = self.start()
+        self.assertEqual(first.ask("/once/poison", "p1").status, 502)
+        time.sleep(0.5)
+        self.assertEqual(second.ask("/once/poison", "p2").status, 502)
+        time.sleep(0.5)
+        for number, entry in enumerate((first, second)):
+            answer = entry.ask("/once/poison", f"p{number + 3}")
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+            self.assertEqual(entry.ask("/once/fine", f"f{number}").status, 200)
+        self.assertEqual(len([path for path, _ in self.platform.runs("shop") if "poison" in path]), 2)
+
     def test_usage_is_reported_once_a_window(self):
         first, second = self.start()
         for number in range(6):
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -12,6 +12,7 @@
     using namespace std::chrono_literals;
 
     constexpr instant start { 1h };
+    constexpr wall_time wallStart { std::chrono::milliseconds(1'700'000'000'000) };
     const service_id app { "app" };
 
     site_route routeOf(route_kind kind, std::uint32_t maxAttempts = 3)
@@ -33,10 +34,9 @@
     public:
         explicit world(std::size_t replicas)
             : m_router(settings())
-            , m_machine({}, m_router)
+            , m_machine({}, m_router, marks)
         {
             m_router.setClass(serviceClass(app), [](const target_record& record) { return record.listed.pool == pool_id(app.str()); });
-            std::vector<listed_target> rows;
             for (std::size_t i = 0; i < replicas; ++i) {
                 listed_target row;
                 row.id = target_id("t" + std::to_string(i));
@@ -44,9 +44,9 @@
                 row.pool = pool_id(app.str());
                 row.kind = target_kind::Service;
                 row.incarnation = incarnation(1);
-                rows.push_back(row);
+                m_rows.push_back(row);
             }
-            m_router.applyList(rows, now);
+            m_router.applyList(m_rows, now);
         }
 
         void arrive(const site_route& route, std::optional<duration> deadline = 2s)
@@ -57,6 +57,8 @@
             request.route = route;
             request.account = client_account_id("acme");
             request.deadline = deadline;
+            request.fingerprint = fingerprint;
+            m_machine.takeWall(wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now - start));
             act(m_machine.arrive(std::move(request), now));
         }
         void head(attempt_id attempt, const forward_head& head) { act(m_machine.head(attempt, head, now)); }
@@ -69,6 +71,7 @@
         void pass(duration time)
         {
             now += time;
+            m_machine.takeWall(wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now - start));
             act(m_machine.tick(now));
         }
         attempt_id onlyOpen() const
@@ -77,7 +80,19 @@
             return *open.begin();
         }
 
+        // The target runs again, as another incarnation.
+        void restart(const target_id& target)
+        {
+            for (auto& row : m_rows) {
+                if (row.id == target)
+                    row.incarnation = incarnation(row.incarnation.value() + 1);
+            }
+            m_router.applyList(m_rows, now);
+        }
+
         instant now = start;
+        quarantine marks;
+        request_fingerprint fingerprint { 7 };
         std::set<attempt_id> open;
         std::vector<forward_send> sends;
         std::vector<forward_refuse> refusals;
@@ -118,6 +133,7 @@
         }
 
         router m_router;
+        std::vector<listed_target> m_rows;
         forwarding m_machine;
     };
 
@@ -346,6 +362,96 @@
     });
 }
 
+// A request crashes each replica that begins to run it; it comes again, here and elsewhere.
+BOOST_AUTO_TEST_CASE(a_request_that_kills_replicas_is_refused_everywhere)
+{
+    world w(4);
+    w.arrive(routeOf(route_kind::Idempotent, 5));
+    w.done(w.onlyOpen(), transfer_state::NoAnswer);
+    BOOST_REQUIRE(w.sends.size() == 2u); // once more, apart
+    w.done(w.onlyOpen(), transfer_state::Truncated);
+    BOOST_TEST(w.sends.size() == 2u);
+    BOOST_REQUIRE(w.refusals.size() == 1u);
+    BOOST_TEST(w.refusals[0].status == 502); // it has run
+
+    w.arrive(routeOf(route_kind::Idempotent, 5));
+    BOOST_TEST(w.sends.size() == 2u);
+    BOOST_REQUIRE(w.refusals.size() == 2u);
+    BOOST_TEST(w.refusals[1].status == 503); // this one has not
+    BOOST_TEST((w.refusals[1].retryAfter > 0s));
+
+    world other(4);
+    other.marks.onNews(w.marks.news(), wallStart);
+    other.arrive(routeOf(route_kind::AtMostOnce));
+    BOOST_TEST(other.sends.empty());
+    BOOST_REQUIRE(other.refusals.size() == 1u);
+    BOOST_TEST(other.refusals[0].status == 503);
+    // Nobody else is punished.
+    other.fingerprint = request_fingerprint { 8 };
+    other.arrive(routeOf(route_kind::AtMostOnce));
+    BOOST_TEST(other.sends.size() == 1u);
+}
+
+// What may run once at most is not run again by us, so its crashes are seen by several
+// instances, one each.
+BOOST_AUTO_TEST_CASE(crashes_at_several_instances_add_up)
+{
+    world first(4);
+    first.arrive(routeOf(route_kind::AtMostOnce));
+    first.done(first.onlyOpen(), transfer_state::NoAnswer);
+    world second(4);
+    second.marks.onNews(first.marks.news(), wallStart);
+    second.arrive(routeOf(route_kind::AtMostOnce));
+    second.done(second.onlyOpen(), transfer_state::NoAnswer);
+    world third(4);
+    third.marks.onNews(second.marks.news(), wallStart);
+    third.marks.onNews(first.marks.marks(), wallStart);
+    third.arrive(routeOf(route_kind::AtMostOnce));
+    BOOST_TEST(third.sends.empty());
+}
+
+// A replica that died for reasons of its own makes nobody's request a culprit.
+BOOST_AUTO_TEST_CASE(a_request_that_was_near_a_crash_is_served)
+{
+    world w(3);
+    w.arrive(routeOf(route_kind::Idempotent));
+    const auto target = w.sends.front().choice.target;
+    w.done(w.onlyOpen(), transfer_state::NoAnswer);
+    w.restart(target);
+    w.pass(20ms);
+    const auto again = w.onlyOpen();
+    w.head(again, good);
+    w.done(again, transfer_state::Whole);
+    BOOST_TEST(w.deliveries.size() == 1u);
+    // The same request again, beside another crash.
+    w.arrive(routeOf(route_kind::Idempotent));
+    w.done(w.onlyOpen(), transfer_state::NoAnswer);
+    BOOST_TEST(w.refusals.empty());
+    BOOST_TEST(w.open.size() == 1u);
+}
+
+// A death that the target's new incarnation proves is remembered for long; an answer
+// that got lost on the way is not.
+BOOST_AUTO_TEST_CASE(only_proved_deaths_are_remembered)
+{
+    for (const bool died : { true, false }) {
+        world w(4);
+        w.arrive(routeOf(route_kind::Idempotent, 5));
+        const auto one = w.sends.back().choice.target;
+        w.done(w.onlyOpen(), transfer_state::NoAnswer);
+        const auto two = w.sends.back().choice.target;
+        w.done(w.onlyOpen(), transfer_state::NoAnswer);
+        if (died) {
+            w.restart(one);
+            w.restart(two);
+        }
+        w.pass(20ms);
+        w.pass(40s);
+        w.arrive(routeOf(route_kind::Idempotent, 5));
+        BOOST_TEST(w.sends.size() == (died ? 2u : 3u));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
