Replicas of a model by the work of its batches

Cause: each model got an equal share of replicas.

Ruled out: shares without bounds, as a set beyond 1.33 equal shares loads each version more often than comes free.

Change: shares follow the smoothed work of a batch (tokens to generate), between 0.75 and 1.33 of an equal one.

--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -323,6 +323,11 @@
         auto& one = byModel[{ service, batch.spec.model }];
         one.service = service;
         one.model = batch.spec.model;
+        if (one.work == 0 || batch.spec.leastVersion >= one.least) {
+            one.work = 0;
+            for (const auto& item : batch.spec.items)
+                one.work += item.expectedTokens.count();
+        }
         one.least = std::max(one.least, batch.spec.leastVersion);
         one.items += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.at <= phase::Running; }));
     }
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -137,6 +137,7 @@
     model_id model;
     weight_version least; // that the newest batch accepts
     std::size_t items = 0; // that wait or run
+    std::uint64_t work = 0; // tokens to generate for all items of its newest batch
 };
 
 class batch_board {
--- a/src/edge/demand_news.cpp
+++ b/src/edge/demand_news.cpp
@@ -48,6 +48,7 @@
         row["model"] = one.model.str();
         row["least"] = Json::UInt64(one.least.value());
         row["items"] = Json::UInt64(one.items);
+        row["work"] = Json::UInt64(one.work);
         body["models"].append(std::move(row));
     }
     http::request request;
@@ -69,7 +70,7 @@
     }
     told news { {}, m_context.now + newsLife };
     for (const auto& row : jsonList(*body, "models"))
-        news.demand.push_back({ service_id(jsonText(row, "service")), model_id(jsonText(row, "model")), weight_version(jsonCount(row, "least")), jsonCount(row, "items") });
+        news.demand.push_back({ service_id(jsonText(row, "service")), model_id(jsonText(row, "model")), weight_version(jsonCount(row, "least")), jsonCount(row, "items"), jsonCount(row, "work") });
     m_told[instance_id(jsonText(*body, "from"))] = std::move(news);
     exchange->answer(statusOk, {}, "");
 }
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -20,6 +20,7 @@
 
 private:
     void noteDemand(const model_demand& demand);
+    double shareOf(const model_id& model, const std::vector<model_id>& all) const;
     void begin();
     void take(const kv_entry& entry);
     void retire(const kv_entry& entry);
@@ -45,6 +46,7 @@
         std::uint64_t lag = 0;
     };
     std::map<model_id, known_lag> m_lags;
+    std::map<model_id, double> m_work; // tokens of a batch, smoothed over batches
     std::map<service_id, weight_sets> m_sets; // one for each service with models
     std::map<target_id, platform::target_entry> m_entries; // as listed last
     // Orders that a target has taken since its start, as far as they are known: an
