A replica is asked for one load of weights at a time

Ruled out: a longer load time for all, which would keep idle loading capacity.

Change: a replica with a load under way, or that has just refused one, is not ordered another.

--- a/src/weight_sets.cpp
+++ b/src/weight_sets.cpp
@@ -29,6 +29,7 @@
         // Shown by the replica itself, gone with it, or to be ordered again.
         return replica == nullptr || versionAt(*replica, entry.first.second) >= entry.second.version || now >= entry.second.again;
     });
+    std::erase_if(m_refused, [now](const auto& entry) { return now >= entry.second; });
     arrangeSets();
 }
 
@@ -52,6 +53,14 @@
     return count;
 }
 
+bool weight_sets::isBusy(const target_id& target, instant now) const
+{
+    const auto refused = m_refused.find(target);
+    if (refused != m_refused.end() && now < refused->second)
+        return true;
+    return std::any_of(m_loads.begin(), m_loads.end(), [&target, now](const auto& entry) { return entry.first.first == target && now < entry.second.loadingUntil; });
+}
+
 const std::set<target_id>& weight_sets::members(const model_id& model) const
 {
     const auto found = m_sets.find(model);
@@ -202,7 +211,7 @@
         const auto size = m_sets[one.load.model].size();
         // One that can't take work anyway may load whatever the others do.
         const auto mostOfSet = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(size) * m_settings.loadingShare));
-        if (loading >= most || (one.accepted && loadingOf[one.load.model] >= mostOfSet))
+        if (loading >= most || isBusy(one.load.target, now) || (one.accepted && loadingOf[one.load.model] >= mostOfSet))
             continue;
         ++loading;
         ++loadingOf[one.load.model];
@@ -229,6 +238,7 @@
     case load_outcome::NotNow:
         found->second.loadingUntil = now;
         found->second.again = now + m_settings.retryPause;
+        m_refused[load.target] = found->second.again;
         return;
     case load_outcome::Unsure:
         found->second.loadingUntil = now + m_settings.unsurePause;
--- a/src/weight_sets.h
+++ b/src/weight_sets.h
@@ -92,6 +92,8 @@
     void arrangeSets();
     std::vector<std::size_t> sizes() const;
     std::size_t memberships(const target_id& target) const;
+    // A replica carries out one order at a time.
+    bool isBusy(const target_id& target, instant now) const;
     const weight_replica* find(const target_id& target) const;
     static weight_version versionAt(const weight_replica& replica, const model_id& model);
 
@@ -100,6 +102,7 @@
     std::vector<weight_replica> m_replicas; // sorted by target
     std::map<model_id, std::set<target_id>> m_sets; // live replicas alone
     std::map<load_key, open_load> m_loads;
+    std::map<target_id, instant> m_refused; // not ordered anything before then
 };
 
 } // namespace lovagerail
