Capacity is ordered for work that lacks room, not weights

Cause: orders counted every waiting item as demand.

Ruled out: the share of replicas by work (measured with and without); the stored texts (no call fails).

Tests: work_that_waits_for_weights_is_no_queue; the process test of ordered targets still sees its order.

--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -313,7 +313,7 @@
     return take();
 }
 
-std::vector<model_demand> batch_board::demand() const
+std::vector<model_demand> batch_board::demand(instant now) const
 {
     std::map<std::pair<service_id, model_id>, model_demand> byModel;
     for (const auto& [id, batch] : m_batches) {
@@ -329,7 +329,9 @@
                 one.work += item.expectedTokens.count();
         }
         one.least = std::max(one.least, batch.spec.leastVersion);
-        one.items += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.at <= phase::Running; }));
+        one.running += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.at == phase::Running; }));
+        if (isServiceFull(service, now))
+            one.queued += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.at == phase::Waiting; }));
     }
     std::vector<model_demand> out;
     out.reserve(byModel.size());
@@ -338,6 +340,19 @@
     return out;
 }
 
+bool batch_board::isServiceFull(const service_id& service, instant now) const
+{
+    std::size_t live = 0;
+    for (const auto slot : m_router.table().all()) {
+        if (!m_router.table().isLive(slot) || m_router.table().record(slot).listed.pool != pool_id(service.str()))
+            continue;
+        ++live;
+        if (!isFull(slot, now))
+            return false;
+    }
+    return live > 0;
+}
+
 made_texts batch_board::release(const batch_id& id, std::vector<board_action>& actions, instant now)
 {
     made_texts out;
--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -136,7 +136,10 @@
     service_id service;
     model_id model;
     weight_version least; // that the newest batch accepts
-    std::size_t items = 0; // that wait or run
+    std::size_t running = 0; // items at targets
+    // Items that wait while every target of the service is full, whatever its weights:
+    // more targets don't help work that waits for weights.
+    std::size_t queued = 0;
     std::uint64_t work = 0; // tokens to generate for all items of its newest batch
 };
 
@@ -170,7 +173,7 @@
     std::uint32_t pages(const batch_id& id) const;
     const batch_item* unlistedItem(const batch_id& id, const item_id& item) const;
     std::vector<batch_id> all() const;
-    std::vector<model_demand> demand() const;
+    std::vector<model_demand> demand(instant now) const;
 
     // --- Runs.
     std::vector<board_action> head(attempt_id attempt, const item_head& head, instant now);
@@ -264,6 +267,8 @@
     void arrange(batch_state& batch) const;
     void takeCarried(batch_state& batch);
     void keepCarried(const batch_state& batch, instant now);
+    bool isFull(target_slot slot, instant now) const;
+    bool isServiceFull(const service_id& service, instant now) const;
     std::vector<target_id> fullTargets(batch_state& batch, instant now) const;
     void dispatch(batch_state& batch, instant now);
     bool send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now);
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -22,6 +22,14 @@
 
 } // namespace
 
+bool batch_board::isFull(target_slot slot, instant now) const
+{
+    const auto stated = labelNumber(m_router.table().record(slot).listed.labels, "slots");
+    const auto slots = stated == 0 ? m_settings.slotsUnknown : stated;
+    const auto load = m_router.load().view(slot, now);
+    return load.ownRequests + load.otherRequests >= slots;
+}
+
 // Replicas that already have as many requests as they run at once, or have just said so.
 std::vector<target_id> batch_board::fullTargets(batch_state& batch, instant now) const
 {
@@ -30,12 +38,8 @@
     for (const auto& [target, until] : batch.closed)
         out.push_back(target);
     for (const auto slot : m_router.table().allowed(batch.targets)) {
-        const auto& record = m_router.table().record(slot);
-        const auto stated = labelNumber(record.listed.labels, "slots");
-        const auto slots = stated == 0 ? m_settings.slotsUnknown : stated;
-        const auto load = m_router.load().view(slot, now);
-        if (load.ownRequests + load.otherRequests >= slots)
-            out.push_back(record.listed.id);
+        if (isFull(slot, now))
+            out.push_back(m_router.table().record(slot).listed.id);
     }
     return out;
 }
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -39,7 +39,7 @@
     void beginStop();
     bool handedOver() const;
     const board_counts& counts() const { return m_board.counts(); }
-    std::vector<model_demand> demand() const { return m_board.demand(); }
+    std::vector<model_demand> demand() const { return m_board.demand(m_context.now); }
     std::size_t open() const;
 
 private:
--- a/src/edge/demand_news.cpp
+++ b/src/edge/demand_news.cpp
@@ -47,7 +47,8 @@
         row["service"] = one.service.str();
         row["model"] = one.model.str();
         row["least"] = Json::UInt64(one.least.value());
-        row["items"] = Json::UInt64(one.items);
+        row["running"] = Json::UInt64(one.running);
+        row["queued"] = Json::UInt64(one.queued);
         row["work"] = Json::UInt64(one.work);
         body["models"].append(std::move(row));
     }
@@ -70,7 +71,7 @@
     }
     told news { {}, m_context.now + newsLife };
     for (const auto& row : jsonList(*body, "models"))
-        news.demand.push_back({ service_id(jsonText(row, "service")), model_id(jsonText(row, "model")), weight_version(jsonCount(row, "least")), jsonCount(row, "items"), jsonCount(row, "work") });
+        news.demand.push_back({ service_id(jsonText(row, "service")), model_id(jsonText(row, "model")), weight_version(jsonCount(row, "least")), jsonCount(row, "running"), jsonCount(row, "queued"), jsonCount(row, "work") });
     m_told[instance_id(jsonText(*body, "from"))] = std::move(news);
     exchange->answer(statusOk, {}, "");
 }
--- a/tests/test_batch_board.cpp
+++ b/tests/test_batch_board.cpp
@@ -393,6 +393,26 @@
     BOOST_TEST(w.saves.size() == 3u);
 }
 
+// A queue calls for more targets only if those that are there are full.
+BOOST_AUTO_TEST_CASE(work_that_waits_for_weights_is_no_queue)
+{
+    world w(2);
+    w.add(specOf("b", 10, 2, 1));
+    w.pass(20ms);
+    BOOST_REQUIRE(w.open().size() == 16u); // two times eight places
+    auto demand = w.board.demand(w.now);
+    BOOST_REQUIRE(demand.size() == 1u);
+    BOOST_TEST(demand[0].running == 16u);
+    BOOST_TEST(demand[0].queued == 4u);
+
+    world old(2, 1);
+    old.add(specOf("b", 10, 2, 2)); // no target has version 2 yet
+    old.pass(20ms);
+    demand = old.board.demand(old.now);
+    BOOST_TEST(demand[0].running == 0u);
+    BOOST_TEST(demand[0].queued == 0u);
+}
+
 // While the store is away a batch runs ahead, but nothing of it is listed.
 BOOST_AUTO_TEST_CASE(a_held_batch_writes_no_page)
 {
