Calls to the store are given up by the store's own pace

Cause: each call waited 1.2 s.

Change: a call without an answer is given up after 8 times what the last one took, between 0.4 and 1.2 s, twice as long after each that was given up. All writes are create-only or conditional, so a second one does no harm.

Test: test_a_store_that_does_not_answer_is_asked_again_soon (fails before).

--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -3,6 +3,8 @@
 
 #include "log.h"
 
+#include <algorithm>
+
 namespace lovagerail::edge {
 
 namespace {
@@ -66,6 +68,7 @@
     : m_settings(settings)
     , m_address(std::move(address))
     , m_net(net)
+    , m_timeout(settings.callTimeout)
 {
 }
 
@@ -134,11 +137,20 @@
     }
 }
 
+void store_link::noteTime(const http::answer& answer, duration took)
+{
+    const auto wanted = answer.outcome == http::transfer_result::Whole
+        ? std::chrono::duration_cast<std::chrono::milliseconds>(took * m_settings.patience)
+        : m_timeout * 2;
+    m_timeout = std::clamp(wanted, m_settings.shortestTimeout, m_settings.callTimeout);
+}
+
 void store_link::call(std::string_view cause, kv_call wanted, answer_function onAnswer)
 {
     auto request = platform::encodeStoreCall(m_address, wanted);
-    request.totalTimeout = m_settings.callTimeout;
-    send(cause, std::move(request), chooseWay(), [wanted = std::move(wanted), onAnswer = std::move(onAnswer)](const http::answer& answer) {
+    request.totalTimeout = m_timeout;
+    send(cause, std::move(request), chooseWay(), [this, sentAt = m_now, wanted = std::move(wanted), onAnswer = std::move(onAnswer)](const http::answer& answer) {
+        noteTime(answer, m_now - sentAt);
         onAnswer(platform::decodeStoreAnswer(wanted, answer));
     });
 }
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -21,7 +21,11 @@
 namespace lovagerail::edge {
 
 struct store_link_settings {
-    std::chrono::milliseconds callTimeout { 1200 }; // slow spells of the store take tens of times its usual 4 ms
+    // A call without an answer is given up after so many times what the last one took, as
+    // every call of ours may come twice; twice as long after each that was given up.
+    std::int32_t patience = 8;
+    std::chrono::milliseconds shortestTimeout { 400 }; // slow spells of the store take tens of times its usual 4 ms
+    std::chrono::milliseconds callTimeout { 1200 }; // the longest
     std::chrono::milliseconds relayedWait { 10'000 }; // the longest watch that a peer may ask us to pass on
     std::chrono::milliseconds connectTimeout { 500 };
     std::chrono::milliseconds unacknowledged { 700 }; // a silent path is given up after so long
@@ -80,6 +84,7 @@
     way chooseWay();
     void send(std::string_view cause, http::request wanted, way by, std::function<void(const http::answer&)> onAnswer);
     void noteDirect(const http::answer& answer);
+    void noteTime(const http::answer& answer, duration took);
     void open(std::uint64_t id, open_watch& watch);
     void onWatch(std::uint64_t id, const http::answer& answer);
 
@@ -90,6 +95,7 @@
     std::size_t m_nextPeer = 0;
     int m_failures = 0; // of the direct way, in a row
     instant m_now {};
+    std::chrono::milliseconds m_timeout; // of calls, by what the last ones took
     instant m_nextProbe {};
     std::uint64_t m_lastWatch = 0;
     std::map<std::uint64_t, open_watch> m_watches;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -18,6 +18,7 @@
 from kit import free_ports
 
 WAIT_STEP_S = 0.02
+MUTE_S = 10  # longer than any caller waits
 
 
 class Server:
@@ -82,6 +83,7 @@
         self.refuse = set()  # peers' ports are not known, so all or nobody: {"all"}
         self.rows_per_answer = 50  # of a listing
         self.lose_answers = 0  # so many writes are carried out and not answered
+        self.mute_answers = 0  # the same for submissions, and their connections stay open
         super().__init__()
 
     def put(self, key, value, lease=0):
@@ -144,7 +146,12 @@
                                           "kv-lease-end": "_end"}[method[1]])(request)
             lost = method[1] == "kv-txn" and self.lose_answers > 0
             self.lose_answers -= lost
-        if lost:
+            mute = method[1] == "kv-txn" and self.mute_answers > 0 and b"batch/body/" in request.body
+            self.mute_answers -= mute
+        if mute:
+            time.sleep(MUTE_S)
+            request.break_off()
+        elif lost:
             request.break_off()
         else:
             request.answer(status, body)
--- a/tests/process/test_entry_batches.py
+++ b/tests/process/test_entry_batches.py
@@ -113,6 +113,15 @@
         # Its items ran meanwhile, so little is left to wait for.
         self.assertEqual(len(self.whole(first, "b1", 2)), 4)
 
+    def test_a_store_that_does_not_answer_is_asked_again_soon(self):
+        first, _ = self.start()
+        first.ask("/plain/x", "r1")  # the store has answered within milliseconds until now
+        self.platform.store.mute_answers = 2
+        began = time.monotonic()
+        self.assertEqual(self.submit(first, "b1", submission(2)).status, 202)
+        self.assertLess(time.monotonic() - began, 2.4)  # 0.4 and 0.8 s, and 0.25 s after each
+        self.assertEqual(len(self.whole(first, "b1", 5)), 4)
+
     def test_lost_answers_of_the_store_list_nothing_twice(self):
         first, second = self.start()
         self.platform.store.lose_answers = 2
