--- a/tests/test_usage_tally.cpp
+++ b/tests/test_usage_tally.cpp
@@ -77,8 +77,8 @@
                 all[to % instances].absorb(window, all[from % instances].of(window));
         }
         auto collected = all[0].of(window);
-        for (auto it = all.rbegin(); it != all.rend(); ++it)
-            mergeUsage(collected, it->of(window));
+        for (const auto& tally : all)
+            mergeUsage(collected, tally.of(window));
         const auto sum = sumOf(collected);
         RC_ASSERT((sum.contains(acme) ? sum.at(acme) : 0) == truth);
     });
