--- a/src/edge/capacity_duty.cpp
+++ b/src/edge/capacity_duty.cpp
@@ -153,7 +153,8 @@
         m_orders.at(service.id).answered(order.where, place_outcome::Unsure, m_context.now);
         return;
     }
-    auto request = platform::encodeCapacity(m_context.values.duties.address, proof, { service.id.str(), order.where.failureDomain, order.count, order.where.kind == supply_kind::Cheap });
+    const bool spot = order.where.kind == supply_kind::Cheap;
+    auto request = platform::encodeCapacity(m_context.values.duties.address, proof, { service.id.str(), order.where.failureDomain, order.count, spot });
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
     m_context.net.call(std::move(request), [this, id = service.id, order, term = held->fencing](const http::answer& answer) {
--- a/src/edge/demand_news.cpp
+++ b/src/edge/demand_news.cpp
@@ -69,9 +69,18 @@
         exchange->answer(statusBadRequest, {}, "not an instance's demand");
         return;
     }
+    std::erase_if(m_told, [this](const auto& entry) { return m_context.now >= entry.second.until; });
     told news { {}, m_context.now + newsLife };
-    for (const auto& row : jsonList(*body, "models"))
-        news.demand.push_back({ service_id(jsonText(row, "service")), model_id(jsonText(row, "model")), weight_version(jsonCount(row, "least")), jsonCount(row, "running"), jsonCount(row, "queued"), jsonCount(row, "work") });
+    for (const auto& row : jsonList(*body, "models")) {
+        model_demand one;
+        one.service = service_id(jsonText(row, "service"));
+        one.model = model_id(jsonText(row, "model"));
+        one.least = weight_version(jsonCount(row, "least"));
+        one.running = jsonCount(row, "running");
+        one.queued = jsonCount(row, "queued");
+        one.work = jsonCount(row, "work");
+        news.demand.push_back(std::move(one));
+    }
     m_told[instance_id(jsonText(*body, "from"))] = std::move(news);
     exchange->answer(statusOk, {}, "");
 }
--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -158,8 +158,7 @@
     std::map<instance_id, member> candidates;
     std::vector<instance_id> names;
     for (auto& one : m_members->others()) {
-        const auto silent = m_silent.find(one.name);
-        if (silent != m_silent.end() && m_context.now < silent->second)
+        if (m_silent.contains(one.name))
             continue;
         names.push_back(one.name);
         candidates.emplace(one.name, std::move(one));
@@ -185,6 +184,8 @@
     if (m_copying > 0 || m_context.now < m_nextCopy)
         return;
 
+    std::erase_if(m_silent, [this](const auto& entry) { return m_context.now >= entry.second; });
+
     // Step 2. New keepers get what is recent, the others what has changed.
     const auto chosen = keepers();
     std::set<instance_id> names;
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -92,7 +92,7 @@
 double weight_duty::shareOf(const model_id& model, const std::vector<model_id>& all) const
 {
     constexpr double largest = 1.33; // 1 / headroom
-    constexpr double smallest = 0.75;
+    constexpr double smallest = 0.75; // what the largest share of another model leaves
     double sum = 0;
     std::size_t known = 0;
     for (const auto& one : all) {
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -337,7 +337,7 @@
         ++one->runs;
         endAttempt(*one, ended, attempt_outcome::Reset, now);
         if (end != transfer_state::Whole)
-            m_marks.broke(one->request.fingerprint, ended.choice.target, ended.choice.incarnation, ended.asSuspect ? std::to_string(m_wall.time_since_epoch().count()) + "/" + std::to_string(ended.id.value()) : "", m_wall);
+            blame(*one, ended);
         afterFailure(*one, now);
     }
     return take();
@@ -425,6 +425,16 @@
         one.tried = tried;
 }
 
+// The attempt broke off at its target, which may have died of it.
+void forwarding::blame(const open_forward& one, const open_attempt& attempt)
+{
+    // A run as a suspect counts by itself, whichever instance made it.
+    std::string run;
+    if (attempt.asSuspect)
+        run = std::to_string(m_wall.time_since_epoch().count()) + "/" + std::to_string(attempt.id.value());
+    m_marks.broke(one.request.fingerprint, attempt.choice.target, attempt.choice.incarnation, run, m_wall);
+}
+
 // A blamed target that runs under a new incarnation has died.
 void forwarding::noticeDeaths()
 {
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -187,6 +187,7 @@
     routing_class_id classFor(const forward_request& request) const;
     bool trySend(open_forward& one, instant now);
     void sendTo(open_forward& one, const route_choice& choice, const route_request& asked, bool asSuspect, instant now);
+    void blame(const open_forward& one, const open_attempt& attempt);
     void noticeDeaths();
     void endAttempt(open_forward& one, const open_attempt& attempt, attempt_outcome outcome, instant now);
     void began(open_forward& one, const open_attempt& attempt, instant now);
