What ran ahead for a submission is kept for when it comes again

Submissions were held and ran ahead, were given up with their callers ("it was not accepted in time"), came again half a second later to the same owner, and each time ran from the start: two steps were lost.

Ruled out: holding a submission whose caller has gone, as nobody may come for it.

Change: a batch that is dropped leaves its unlisted texts among the carried ones, as an ended one does.

Test: a_submission_that_comes_again_goes_on (fails before).

--- a/src/batch_board.cpp
+++ b/src/batch_board.cpp
@@ -307,6 +307,8 @@
     if (found == m_batches.end())
         return {};
     stopRuns(id, now);
+    // A submission that was never accepted may come again.
+    keepCarried(found->second, now);
     const auto targets = found->second.targets;
     m_batches.erase(found);
     dropTargets(targets);
--- a/tests/test_batch_board.cpp
+++ b/tests/test_batch_board.cpp
@@ -109,6 +109,7 @@
             for (const auto& page : std::exchange(pages, {}))
                 act(board.pageWritten(page.batch, page.page, written, now));
         }
+        void drop(const std::string& id) { act(board.drop(batch_id(id), now)); }
         void end(const std::string& id) { act(board.end(batch_id(id), now)); }
         std::vector<attempt_id> open() const
         {
@@ -413,6 +414,24 @@
     BOOST_TEST(demand[0].queued == 0u);
 }
 
+// While the store is away a submission runs ahead, is given up with its caller, and
+// comes again: what was made is not made twice.
+BOOST_AUTO_TEST_CASE(a_submission_that_comes_again_goes_on)
+{
+    world w(2);
+    w.add(specOf("b", 1, 1, 1));
+    w.board.hold(batch_id("b"));
+    w.pass(20ms);
+    w.head(w.open().front(), weight_version(2));
+    w.events(w.open().front(), 1, 9);
+    w.drop("b");
+    BOOST_TEST(w.open().empty());
+    w.add(specOf("b", 1, 1, 1));
+    w.pass(20ms);
+    BOOST_REQUIRE(w.sent.size() == 2u);
+    BOOST_TEST(w.sent.back().lastEventId.value_or(0) == 9u);
+}
+
 // While the store is away a batch runs ahead, but nothing of it is listed.
 BOOST_AUTO_TEST_CASE(a_held_batch_writes_no_page)
 {
