HTTP statuses are named in one place

Ruled out: a header in src/http, since pure modules name statuses too and must not depend on transports.

Conclusion: one spelling for each status.

--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -1,6 +1,7 @@
 // Runs of the board's items: where they are sent, what their streams bring, and moves
 // away from slow replicas; see batch_board.h.
 #include "batch_board.h"
+#include "http_status.h"
 
 #include <algorithm>
 #include <cassert>
@@ -10,11 +11,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusMisdirected = 421;
-    constexpr int statusNeverDone = 422;
-    constexpr int statusServerError = 500;
-
     bool contains(const std::vector<weight_version>& versions, weight_version wanted)
     {
         return std::find(versions.begin(), versions.end(), wanted) != versions.end();
@@ -250,7 +246,7 @@
         item.avoid[run.target] = now + m_settings.avoidBusy;
         wait(item, m_settings.refusedPause, now);
         item.failures += run.head.status == statusServerError;
-        if (run.head.status == statusNeverDone || item.failures >= batch.route.maxAttempts)
+        if (run.head.status == statusUnprocessable || item.failures >= batch.route.maxAttempts)
             finishItem(batch, run.index, false, {}, now);
     }
     return take();
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -4,6 +4,7 @@
 #include "config.h"
 #include "config_edit.h"
 #include "ctl/table.h"
+#include "http_status.h"
 #include "keys.h"
 #include "object_codec.h"
 #include "object_file.h"
@@ -21,9 +22,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusAccepted = 202;
-    constexpr int statusConflict = 409;
     constexpr std::chrono::milliseconds waitPoll { 100 };
 
     void printJson(const Json::Value& value)
--- a/src/ctl/replay.cpp
+++ b/src/ctl/replay.cpp
@@ -6,6 +6,7 @@
 
 #include "ctl/table.h"
 #include "http/client.h"
+#include "http_status.h"
 #include "object_codec.h"
 
 #include <algorithm>
@@ -19,7 +20,6 @@
 
     using clock = std::chrono::steady_clock;
 
-    constexpr int statusOk = 200;
     constexpr std::chrono::milliseconds pollTime { 2 };
     constexpr std::chrono::milliseconds progressEvery { 1000 };
     constexpr std::chrono::milliseconds slack { 5000 }; // beyond a request's deadline
--- a/src/daemon/config_api.cpp
+++ b/src/daemon/config_api.cpp
@@ -3,6 +3,7 @@
 
 #include "config_layout.h"
 #include "daemon/key_duty.h"
+#include "http_status.h"
 #include "object_codec.h"
 
 #include <algorithm>
@@ -11,10 +12,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusAccepted = 202;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusConflict = 409;
     constexpr std::int64_t mostHistory = 1000;
 
     error badRequest(std::string step, std::string detail)
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -3,6 +3,7 @@
 
 #include "daemon/clock.h"
 #include "daemon/config_api.h"
+#include "http_status.h"
 #include "log.h"
 
 namespace lovagerail::daemon {
@@ -13,8 +14,6 @@
     constexpr std::size_t exchangeRing = 256;
     constexpr std::chrono::milliseconds longestSleep { 10 };
     constexpr duration tickEvery = std::chrono::milliseconds(20);
-    constexpr int statusOk = 200;
-    constexpr int statusUnavailable = 503;
 
     provider::kv_session_settings sessionSettings(const settings& values)
     {
--- a/src/daemon/operator_duty.cpp
+++ b/src/daemon/operator_duty.cpp
@@ -1,6 +1,7 @@
 // Finding handlers, checking operators' keys, and the form of answers.
 #include "daemon/operator_duty.h"
 
+#include "http_status.h"
 #include "object_codec.h"
 #include "serving_edge.h"
 
@@ -8,17 +9,6 @@
 
 namespace {
 
-    constexpr int statusBadRequest = 400;
-    constexpr int statusUnauthorized = 401;
-    constexpr int statusForbidden = 403;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
-    constexpr int statusTooMany = 429;
-    constexpr int statusInternal = 500;
-    constexpr int statusBadGateway = 502;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusTimeout = 504;
-
     std::string decoded(std::string_view text)
     {
         std::string out;
@@ -73,9 +63,9 @@
     case error_code::Corrupt:
     case error_code::Unsupported:
     case error_code::Internal:
-        return statusInternal;
+        return statusServerError;
     }
-    return statusInternal;
+    return statusServerError;
 }
 
 void answerJson(const http::exchange_ptr& exchange, int status, const Json::Value& body)
--- a/src/daemon/order_duty.cpp
+++ b/src/daemon/order_duty.cpp
@@ -3,6 +3,7 @@
 
 #include "burn_report.h"
 #include "daemon/status_api.h"
+#include "http_status.h"
 #include "log.h"
 #include "object_codec.h"
 #include "provider/order_api.h"
@@ -13,7 +14,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr std::size_t orderRing = 64;
     constexpr duration planEvery = std::chrono::seconds(1);
     constexpr duration demandEvery = std::chrono::seconds(2);
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -1,6 +1,7 @@
 // Proofs, envelopes and transfers between instances.
 #include "daemon/peer_duty.h"
 
+#include "http_status.h"
 #include "instance/proof.h"
 #include "instance/rpc_envelope.h"
 #include "serving_edge.h"
@@ -9,9 +10,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusForbidden = 403;
-    constexpr int statusNotFound = 404;
     constexpr std::string_view rpcPath = "/rpc";
     constexpr std::string_view forwardPath = "/forward/";
 
--- a/src/daemon/run_calls.cpp
+++ b/src/daemon/run_calls.cpp
@@ -2,6 +2,7 @@
 #include "daemon/run_duty.h"
 #include "daemon/status_api.h"
 #include "daemon/weight_duty.h"
+#include "http_status.h"
 #include "log.h"
 #include "object_codec.h"
 
@@ -11,12 +12,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusForbidden = 403;
-    constexpr int statusNotFound = 404;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusBadGateway = 502;
     constexpr std::string_view trainerPrefix = "/rollout/v1/runs/";
     constexpr std::string_view forwardPath = "/forward/trainer";
     constexpr std::chrono::milliseconds forwardTimeout { 35'000 };
--- a/src/daemon/run_duty.cpp
+++ b/src/daemon/run_duty.cpp
@@ -3,6 +3,7 @@
 #include "daemon/run_duty.h"
 
 #include "daemon/status_api.h"
+#include "http_status.h"
 #include "log.h"
 #include "object_codec.h"
 
@@ -15,8 +16,6 @@
     constexpr duration tickEvery = std::chrono::milliseconds(50);
     // Generations under way for each live engine, over all runs of this instance.
     constexpr std::size_t jobsPerEngine = 8;
-    constexpr int statusOk = 200;
-    constexpr int statusUnavailable = 503;
 
 } // namespace
 
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -2,6 +2,7 @@
 #include "daemon/serving_thread.h"
 
 #include "daemon/clock.h"
+#include "http_status.h"
 #include "log.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
     constexpr std::chrono::milliseconds longestSleep { 20 };
     constexpr duration housekeeping = std::chrono::milliseconds(50);
     constexpr duration stateEvery = std::chrono::milliseconds(500);
-    constexpr int statusUnavailable = 503;
     constexpr std::uint64_t firstAttempt = std::uint64_t(1) << 40;
 
     transfer_end endOf(http::transfer_result outcome)
--- a/src/daemon/status_api.cpp
+++ b/src/daemon/status_api.cpp
@@ -5,6 +5,7 @@
 #include "daemon/config_duty.h"
 #include "daemon/peer_duty.h"
 #include "daemon/target_duty.h"
+#include "http_status.h"
 #include "log.h"
 #include "serving_edge.h"
 
@@ -18,8 +19,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusUnavailable = 503;
     constexpr std::chrono::milliseconds gatherTimeout { 1000 };
 
     // Resident memory of this process in bytes.
--- a/src/daemon/target_duty.cpp
+++ b/src/daemon/target_duty.cpp
@@ -1,6 +1,7 @@
 // Polling the platform's lists.
 #include "daemon/target_duty.h"
 
+#include "http_status.h"
 #include "log.h"
 
 #include <algorithm>
@@ -9,7 +10,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr std::chrono::milliseconds listTimeout { 2000 };
 
 } // namespace
--- a/src/daemon/usage_duty.cpp
+++ b/src/daemon/usage_duty.cpp
@@ -2,6 +2,7 @@
 #include "daemon/usage_duty.h"
 
 #include "daemon/status_api.h"
+#include "http_status.h"
 #include "log.h"
 #include "object_codec.h"
 
@@ -9,8 +10,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusConflict = 409;
     constexpr duration closeEvery = std::chrono::milliseconds(200);
     constexpr std::chrono::milliseconds reportTimeout { 5000 };
     constexpr std::size_t copiesHeld = 2;
--- a/src/daemon/weight_duty.cpp
+++ b/src/daemon/weight_duty.cpp
@@ -1,6 +1,7 @@
 // Between the rollouts of versions, engines and the other instances.
 #include "daemon/weight_duty.h"
 
+#include "http_status.h"
 #include "log.h"
 #include "target/engine_api.h"
 #include "target/order_codec.h"
@@ -11,7 +12,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr duration tickEvery = std::chrono::milliseconds(50);
     constexpr duration pollBusy = std::chrono::milliseconds(200); // while versions differ
     constexpr duration pollIdle = std::chrono::seconds(2);
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -1,6 +1,7 @@
 // Submitting batches, and who owns them.
 #include "edge/batches.h"
 
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -11,13 +12,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusAccepted = 202;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
-    constexpr int statusServerError = 500;
-    constexpr int statusUnavailable = 503;
     constexpr duration submitRetry = std::chrono::milliseconds(250); // before a write that failed is repeated
     // A submission is held while the store is away: outages last some seconds, and a
     // trainer that is turned away meanwhile loses its step. It gets a final answer before
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -1,6 +1,7 @@
 // Reading and ending batches, our own and those of other instances.
 #include "edge/batches.h"
 
+#include "http_status.h"
 #include "log.h"
 #include "rendezvous.h"
 
@@ -10,10 +11,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
-    constexpr int statusUnavailable = 503;
     constexpr std::chrono::milliseconds longestWait { 1000 }; // of a read, by the platform's pages
     constexpr duration endRetry = std::chrono::milliseconds(200);
     // An end without an answer counts as acknowledged after four seconds.
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -1,6 +1,7 @@
 // Who owns a batch: take-over of those whose owner is gone, and hand-over of ours.
 #include "edge/batches.h"
 
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -9,7 +10,6 @@
 
 namespace {
 
-    constexpr int statusUnavailable = 503;
     // A member whose lease lapsed in an outage of the store is back within this time of
     // its end; its batches are left alone until then.
     constexpr duration orphanGrace = std::chrono::milliseconds(1500);
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -1,6 +1,7 @@
 // The board's actions: runs at targets, judges, and pages in the store.
 #include "edge/batches.h"
 
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -10,7 +11,6 @@
 
     // A judge's own latency is below half a second; its route's attempts fit in.
     constexpr duration judgeDeadline = std::chrono::milliseconds(2500);
-    constexpr int statusServerError = 500;
 
     bool isSuccess(int status) { return status >= 200 && status < 300; }
 
--- a/src/edge/demand_news.cpp
+++ b/src/edge/demand_news.cpp
@@ -1,6 +1,7 @@
 // Telling the holder, and keeping what others told.
 #include "edge/demand_news.h"
 
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -13,8 +14,6 @@
     constexpr duration tellPeriod = std::chrono::milliseconds(400); // a step's items come and go within seconds
     constexpr std::chrono::milliseconds tellTimeout { 500 };
     constexpr duration newsLife = std::chrono::milliseconds(1500); // three periods: lost news is told again before
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
 
 } // namespace
 
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -14,6 +14,7 @@
 #include "edge/usage_duty.h"
 #include "edge/weight_duty.h"
 #include "http/server.h"
+#include "http_status.h"
 #include "log.h"
 
 #include <csignal>
@@ -28,9 +29,6 @@
 
     constexpr int exitOk = 0;
     constexpr int exitFailure = 1;
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusUnavailable = 503;
     constexpr std::chrono::milliseconds busyWait { 20 }; // longest sleep while requests are open
     constexpr std::chrono::milliseconds idleWait { 50 }; // and while none is
     constexpr duration closedCheck = std::chrono::milliseconds(100); // callers that closed are noticed within
--- a/src/edge/front.cpp
+++ b/src/edge/front.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/batches.h"
 #include "edge/usage_duty.h"
+#include "http_status.h"
 #include "log.h"
 
 #include <algorithm>
@@ -11,11 +12,6 @@
 
 namespace {
 
-    constexpr int statusBadRequest = 400;
-    constexpr int statusUnauthorized = 401;
-    constexpr int statusNotFound = 404;
-    constexpr int statusTooLarge = 413;
-    constexpr int statusUnavailable = 503;
     constexpr duration coldRetry = std::chrono::milliseconds(500); // until a first configuration is expected
 
     std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -2,6 +2,7 @@
 #include "edge/knowledge.h"
 
 #include "forwarding.h"
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -227,7 +228,6 @@
 
 void knowledge::onParentAnswer(const http::answer& answer, instant asked)
 {
-    constexpr int statusOk = 200;
     const auto body = answer.outcome == http::transfer_result::Whole && answer.status == statusOk ? parseJson(answer.body) : std::nullopt;
     if (!body || !body->isObject()) {
         logEvent(log_level::Info, "knowledge", "parent_silent", { { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
@@ -263,7 +263,6 @@
 
 void knowledge::answerPeer(const http::exchange_ptr& exchange) const
 {
-    constexpr int statusOk = 200;
     // What the peer has of us: our life, then a version for each document.
     std::vector<std::string> has;
     std::string rest = exchange->query;
--- a/src/edge/mark_news.cpp
+++ b/src/edge/mark_news.cpp
@@ -1,6 +1,7 @@
 // Sending, taking and passing on.
 #include "edge/mark_news.h"
 
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -13,8 +14,6 @@
     constexpr duration sendPeriod = std::chrono::milliseconds(100);
     constexpr std::chrono::milliseconds sendTimeout { 800 };
     constexpr std::chrono::milliseconds peerConnectTimeout { 400 };
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
 
 } // namespace
 
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -1,5 +1,6 @@
 // prometheus-cpp builds the page when it is asked for, so that counting costs nothing.
 #include "edge/metrics.h"
+#include "http_status.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -19,7 +20,6 @@
 
 void metrics_page::answer(const http::exchange_ptr& exchange) const
 {
-    constexpr int statusOk = 200;
     prometheus::Registry registry;
     if (m_view) {
         const auto& f = m_view->forwards;
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -1,6 +1,7 @@
 // Ways to the store, and the detour's wire between instances.
 #include "edge/store_link.h"
 
+#include "http_status.h"
 #include "log.h"
 
 #include <algorithm>
@@ -15,9 +16,6 @@
     constexpr std::string_view methodHeader = "x-method";
     constexpr std::string_view targetHeader = "x-target";
     constexpr std::string_view outcomeHeader = "x-outcome";
-    constexpr int statusOk = 200;
-    constexpr int statusTooMany = 429;
-    constexpr int statusUnavailable = 503;
 
     constexpr std::pair<http::transfer_result, std::string_view> outcomeNames[] = {
         { http::transfer_result::Whole, "whole" },
--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -1,6 +1,7 @@
 // Asking, sealing and reporting of windows.
 #include "edge/usage_duty.h"
 
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 #include "platform/duty_codec.h"
@@ -35,8 +36,6 @@
     constexpr duration shortestCopyPause = std::chrono::milliseconds(200);
     constexpr duration longestCopyPause = std::chrono::seconds(1);
     constexpr duration silentPause = std::chrono::seconds(2); // before an instance that took no copy is tried again
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
 
     std::string sealKey(std::uint64_t window) { return "usage/" + std::to_string(window); }
 
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -1,5 +1,6 @@
 // Attempts and what their ends mean; see forwarding.h.
 #include "forwarding.h"
+#include "http_status.h"
 
 #include <algorithm>
 #include <cassert>
@@ -9,10 +10,6 @@
 
 namespace {
 
-    constexpr int statusServerError = 500;
-    constexpr int statusBadGateway = 502;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusTimeout = 504;
     constexpr std::size_t mostOpenAttempts = 2; // the second is a hedge
 
     bool isSuccess(int status) { return status >= 200 && status < 300; }
--- a/src/provider/kv_session.cpp
+++ b/src/provider/kv_session.cpp
@@ -1,6 +1,7 @@
 // Budget, endpoints, outcomes and watches of the key-value session.
 #include "provider/kv_session.h"
 
+#include "http_status.h"
 #include "provider/kv_codec.h"
 
 #include <algorithm>
@@ -9,9 +10,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusTooManyRequests = 429;
-    constexpr int statusUnavailable = 503;
     // A stale answer is asked for again at the next endpoint so many times.
     constexpr int mostStaleTries = 3;
     constexpr duration firstBackoff = std::chrono::milliseconds(100);
@@ -39,7 +37,7 @@
         }
         if (event.status == statusOk)
             return std::nullopt;
-        if (event.status == statusTooManyRequests || event.status == statusUnavailable)
+        if (event.status == statusTooMany || event.status == statusUnavailable)
             return make(error_code::Unavailable, "refused with status " + std::to_string(event.status));
         constexpr int firstServerError = 500;
         if (event.status >= firstServerError)
--- a/src/provider/order_api.cpp
+++ b/src/provider/order_api.cpp
@@ -1,6 +1,7 @@
 // JSON of orders.
 #include "provider/order_api.h"
 
+#include "http_status.h"
 #include "json_text.h"
 
 #include <json/json.h>
@@ -10,11 +11,7 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
     constexpr int firstServerError = 500;
-    constexpr int statusUnavailable = 503;
     constexpr std::chrono::milliseconds askTimeout { 2000 };
 
     Json::Value parse(const std::string& text)
--- a/src/serving.cpp
+++ b/src/serving.cpp
@@ -1,6 +1,7 @@
 // Arrivals, refusals, deadlines and knowledge; attempts are in serving_attempt.cpp.
 #include "serving.h"
 
+#include "http_status.h"
 #include "serving_edge.h"
 
 #include <algorithm>
@@ -14,13 +15,6 @@
 
     // Above the numbers of all other transfers of a daemon.
     constexpr std::uint64_t firstAttempt = std::uint64_t(1) << 40;
-    constexpr int statusUnauthorized = 401;
-    constexpr int statusForbidden = 403;
-    constexpr int statusNotFound = 404;
-    constexpr int statusTooLarge = 413;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusDeadline = 504;
     constexpr duration defaultRetryAfter = std::chrono::seconds(1);
     constexpr duration cleaningEvery = std::chrono::seconds(1);
     constexpr std::string_view trainerPrefix = "/rollout/v1/";
@@ -402,7 +396,7 @@
         auto& request = m_requests.at(m_deadlines.begin()->second);
         if (request.attempt)
             m_actions.push_back(cancel_attempt { request.attempt->id });
-        refuse(request, statusDeadline, "deadline", "the request's time is over", defaultRetryAfter, now, wall);
+        refuse(request, statusTimeout, "deadline", "the request's time is over", defaultRetryAfter, now, wall);
     }
 
     // Step 2. Requests that wait for a target try again.
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -1,6 +1,7 @@
 // The life of an attempt: choice of a target, the bytes that come back, its end.
 #include "serving.h"
 
+#include "http_status.h"
 #include "serving_edge.h"
 
 #include <algorithm>
@@ -10,10 +11,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusTooManyRequests = 429;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusBadGateway = 502;
     constexpr int firstClientError = 400;
     constexpr int firstServerError = 500;
     constexpr duration defaultRetryAfter = std::chrono::seconds(1);
@@ -193,7 +190,7 @@
         attempt.fault = "the answer names another request";
         ++m_counts.crossed;
     }
-    if (status == statusTooManyRequests || (status == statusUnavailable && findHeader(headers, "x-not-run") == "true"))
+    if (status == statusTooMany || (status == statusUnavailable && findHeader(headers, "x-not-run") == "true"))
         attempt.refusedByTarget = true;
     if (!request->made && !attempt.crossed && status < firstServerError) {
         attempt.firstTokenAt = now;
--- a/src/serving_keyed.cpp
+++ b/src/serving_keyed.cpp
@@ -1,4 +1,5 @@
 // Calls with an Idempotency-Key that are not idempotent otherwise: one run for a key.
+#include "http_status.h"
 #include "serving.h"
 #include "serving_edge.h"
 
@@ -6,11 +7,7 @@
 
 namespace {
 
-    constexpr int statusConflict = 409;
-    constexpr int statusUnprocessable = 422;
-    constexpr int statusUnavailable = 503;
     constexpr std::size_t longestKey = 256; // bytes
-    constexpr int statusBadRequest = 400;
     constexpr duration inProgressRetryAfter = std::chrono::seconds(1);
 
 } // namespace
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -1,5 +1,6 @@
 // What stands between a request that was taken and its targets: the account's limits,
 // quarantine and the fair queue.
+#include "http_status.h"
 #include "serving.h"
 
 #include <algorithm>
@@ -9,8 +10,6 @@
 
 namespace {
 
-    constexpr int statusTooManyRequests = 429;
-    constexpr int statusUnavailable = 503;
     constexpr duration silenceOfDeath = std::chrono::seconds(5); // longer than reports lag
     constexpr duration queueRetryAfter = std::chrono::seconds(1);
     // Of a plain service, before its answer is known.
@@ -64,7 +63,7 @@
         return true;
     }
     ++m_counts.limited;
-    refuse(request, statusTooManyRequests, toString(verdict.reason), "the account is over its limit", verdict.retryAfter, now, wall);
+    refuse(request, statusTooMany, toString(verdict.reason), "the account is over its limit", verdict.retryAfter, now, wall);
     return false;
 }
 
--- a/src/target/order_codec.cpp
+++ b/src/target/order_codec.cpp
@@ -1,6 +1,7 @@
 // JSON of engine orders.
 #include "target/order_codec.h"
 
+#include "http_status.h"
 #include "json_text.h"
 
 #include <json/json.h>
@@ -10,9 +11,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
     constexpr std::chrono::milliseconds orderTimeout { 3000 };
 
     std::string compact(const Json::Value& value)
--- a/src/target/target_watch.cpp
+++ b/src/target/target_watch.cpp
@@ -1,5 +1,6 @@
 // Which targets are followed, and their polls.
 #include "target/target_watch.h"
+#include "http_status.h"
 
 #include <algorithm>
 #include <vector>
@@ -9,7 +10,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr duration eventsRetry = std::chrono::seconds(2);
 
 } // namespace
