Calls between entry instances are made in one place

Cause: nine calls to other instances each spelled out method, address and time-outs. Two of them (a hint of an owner, news of demand) had no connect time-out, and the others 300 or 400 ms for no reason. Our place in the tree of knowledge was worked out twice, for the parent and for the neighbours.

Ruled out: a class for peers, as a call has no state.

An answer to a question about usage now counts only if its status is 200, as all others do.

Conclusion: one bound on how long a silent instance holds a call up.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -1,7 +1,7 @@
 // Submitting batches, and who owns them.
 #include "edge/batches.h"
 
-#include "http_status.h"
+#include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -20,7 +20,6 @@
     constexpr duration submitMargin = std::chrono::milliseconds(200);
     constexpr duration expiryPeriod = std::chrono::seconds(5);
     constexpr std::chrono::milliseconds expiryMargin { 5000 }; // beyond the time that results are kept
-    constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
 
 } // namespace
 
@@ -213,14 +212,10 @@
 // If the other instance doesn't take it, we do: both write the same create-only key.
 void batches::passSubmit(const http::exchange_ptr& exchange, const batch_head& head, const member& to, submit_options options)
 {
-    http::request onward;
-    onward.method = "POST";
-    onward.url = "http://" + to.address + "/submit";
+    auto onward = peerCall(to.address, "/submit", exchange->body, std::chrono::duration_cast<std::chrono::milliseconds>(submitPatience));
+    onward.method = "POST"; // also without a body: the owner says what is wrong with it
     onward.headers = { { "x-batch", head.id.str() }, { "x-host", head.host }, { "x-path", head.path }, { "x-account", head.account.str() } };
-    onward.body = exchange->body;
-    onward.connectTimeout = peerConnectTimeout;
     onward.unacknowledgedTimeout = targetUnacknowledged;
-    onward.totalTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(submitPatience);
     const auto transfer = m_context.net.call(std::move(onward), [this, exchange, head, options](const http::answer& answer) {
         std::erase_if(m_passed, [&exchange](const passed_submit& one) { return one.exchange == exchange; });
         const bool refused = answer.status == statusUnavailable || answer.status == statusServerError;
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -1,7 +1,7 @@
 // Reading and ending batches, our own and those of other instances.
 #include "edge/batches.h"
 
-#include "http_status.h"
+#include "edge/peer_call.h"
 #include "log.h"
 #include "rendezvous.h"
 
@@ -16,7 +16,6 @@
     // An end without an answer counts as acknowledged after four seconds.
     constexpr duration endPatience = std::chrono::milliseconds(3000);
     constexpr std::chrono::milliseconds passOnTimeout { 900 }; // beyond the read's own wait
-    constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
     constexpr std::chrono::milliseconds directoryTimeout { 400 };
     constexpr duration tellOwnerFor = std::chrono::milliseconds(2500); // items may reach targets for 3 s after an end
 
@@ -69,13 +68,8 @@
     const auto* directory = directoryOf(head.id);
     if (directory == nullptr || directory->name.str() == m_context.values.instance.name)
         return;
-    http::request request;
-    request.method = "POST";
-    request.url = "http://" + directory->address + "/owner?" + head.id.str();
-    request.body = encodeHead(head);
-    request.totalTimeout = directoryTimeout;
     // A lost hint costs a read of the store.
-    m_context.net.call(std::move(request), [](const http::answer&) {});
+    m_context.net.call(peerCall(directory->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [](const http::answer&) {});
 }
 
 void batches::lookUp(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead)
@@ -85,12 +79,8 @@
         readHead(id, exchange, std::move(onHead));
         return;
     }
-    http::request request;
-    request.url = "http://" + directory->address + "/owner?" + id.str();
-    request.connectTimeout = peerConnectTimeout;
-    request.totalTimeout = directoryTimeout;
-    m_context.net.call(std::move(request), [this, id, exchange, onHead = std::move(onHead)](const http::answer& answer) {
-        const auto head = answer.outcome == http::transfer_result::Whole && answer.status == statusOk ? decodeHead(id, answer.body) : std::nullopt;
+    m_context.net.call(peerCall(directory->address, "/owner?" + id.str(), {}, directoryTimeout), [this, id, exchange, onHead = std::move(onHead)](const http::answer& answer) {
+        const auto head = isOk(answer) ? decodeHead(id, answer.body) : std::nullopt;
         if (head && isAlive(*head) && !head->ended)
             onHead(*head, {});
         else
@@ -233,12 +223,9 @@
         answerFromStore(exchange, call, head, fence);
         return;
     }
-    http::request onward;
+    auto onward = peerCall(owner->address, exchange->path + (exchange->query.empty() ? "" : "?" + exchange->query), {}, std::min(wait, longestWait) + passOnTimeout);
     onward.method = exchange->method;
-    onward.url = "http://" + owner->address + exchange->path + (exchange->query.empty() ? "" : "?" + exchange->query);
     onward.headers = { { "x-account", account.str() }, { "x-wait", std::to_string(wait.count()) } };
-    onward.connectTimeout = peerConnectTimeout;
-    onward.totalTimeout = std::min(wait, longestWait) + passOnTimeout;
     onward.unacknowledgedTimeout = targetUnacknowledged;
     m_context.net.call(std::move(onward), [this, exchange, call](const http::answer& answer) {
         const bool served = answer.outcome == http::transfer_result::Whole && answer.status != statusConflict && answer.status != statusUnavailable;
@@ -330,13 +317,7 @@
     const auto* owner = m_members.find(head.owner);
     if (owner == nullptr || m_context.now >= until)
         return;
-    http::request request;
-    request.method = "POST";
-    request.url = "http://" + owner->address + "/owner?" + head.id.str();
-    request.body = encodeHead(head);
-    request.connectTimeout = peerConnectTimeout;
-    request.totalTimeout = directoryTimeout;
-    m_context.net.call(std::move(request), [this, head, until](const http::answer& answer) {
+    m_context.net.call(peerCall(owner->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [this, head, until](const http::answer& answer) {
         if (answer.outcome != http::transfer_result::Whole)
             tellOwner(head, until);
     });
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -1,7 +1,7 @@
 // Who owns a batch: take-over of those whose owner is gone, and hand-over of ours.
 #include "edge/batches.h"
 
-#include "http_status.h"
+#include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -160,13 +160,8 @@
         respond(waiter, statusUnavailable, "");
     m_owned.erase(id);
     act(std::move(actions));
-    http::request request;
-    request.method = "POST";
-    request.url = "http://" + address + "/handover";
-    request.body = writeJson(body);
-    request.totalTimeout = handOverTimeout;
     ++m_handingOver;
-    m_context.net.call(std::move(request), [this, id, name = *to](const http::answer& answer) {
+    m_context.net.call(peerCall(address, "/handover", writeJson(body), handOverTimeout), [this, id, name = *to](const http::answer& answer) {
         --m_handingOver;
         // If it fails, the batch is taken over once our lease has ended.
         logEvent(log_level::Info, "batch", "handed_over", { { "batch", id.str() }, { "to", name.str() }, { "status", std::to_string(answer.status) } });
--- a/src/edge/demand_news.cpp
+++ b/src/edge/demand_news.cpp
@@ -1,7 +1,7 @@
 // Telling the holder, and keeping what others told.
 #include "edge/demand_news.h"
 
-#include "http_status.h"
+#include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -51,13 +51,8 @@
         row["work"] = Json::UInt64(one.work);
         body["models"].append(std::move(row));
     }
-    http::request request;
-    request.method = "POST";
-    request.url = "http://" + holder->address + "/demand";
-    request.body = writeJson(body);
-    request.totalTimeout = tellTimeout;
     // Lost news is told again.
-    m_context.net.call(std::move(request), [](const http::answer&) {});
+    m_context.net.call(peerCall(holder->address, "/demand", writeJson(body), tellTimeout), [](const http::answer&) {});
 }
 
 void demand_news::onPeer(const http::exchange_ptr& exchange)
--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -1,8 +1,8 @@
 // Reading, sharing and taking over of the documents.
 #include "edge/knowledge.h"
 
+#include "edge/peer_call.h"
 #include "forwarding.h"
-#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -33,7 +33,6 @@
     constexpr std::size_t childrenOfOne = 8; // three levels hold several hundred instances
     constexpr duration peerWait = std::chrono::milliseconds(300); // a question without news is held so long
     constexpr std::chrono::milliseconds peerTimeout { 900 };
-    constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
     constexpr duration directTime = std::chrono::seconds(3); // reading for ourselves, before the parent is asked again
     // An older confirmation of the configuration is asked of the store instead.
     constexpr duration oldConfig = std::chrono::milliseconds(2800);
@@ -175,29 +174,33 @@
 
 // --- Between instances -------------------------------------------------------
 
-const member* knowledge::parent() const
+knowledge::tree_place knowledge::place() const
 {
-    const auto order = rendezvousOrder("knowledge", m_members.names());
+    tree_place out;
+    out.order = rendezvousOrder("knowledge", m_members.names());
     const instance_id self(m_context.values.instance.name);
-    const auto rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
-    return rank == 0 || !m_documents[MembersIndex].known ? nullptr : m_members.find(order[(rank - 1) / childrenOfOne]);
+    out.rank = static_cast<std::size_t>(std::find(out.order.begin(), out.order.end(), self) - out.order.begin());
+    if (out.rank > 0)
+        out.parent = m_members.find(out.order[(out.rank - 1) / childrenOfOne]);
+    return out;
+}
+
+const member* knowledge::parent() const
+{
+    return m_documents[MembersIndex].known ? place().parent : nullptr;
 }
 
 std::vector<member> knowledge::neighbours() const
 {
     std::vector<member> out;
-    const auto order = rendezvousOrder("knowledge", m_members.names());
-    const instance_id self(m_context.values.instance.name);
-    const auto rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
-    const auto add = [&](const instance_id& name) {
-        if (const auto* one = m_members.find(name))
+    const auto here = place();
+    if (here.parent != nullptr)
+        out.push_back(*here.parent);
+    const auto firstChild = here.rank * childrenOfOne + 1;
+    for (auto child = firstChild; child < std::min(firstChild + childrenOfOne, here.order.size()); ++child) {
+        if (const auto* one = m_members.find(here.order[child]))
             out.push_back(*one);
-    };
-    if (rank > 0)
-        add(order[(rank - 1) / childrenOfOne]);
-    const auto firstChild = rank * childrenOfOne + 1;
-    for (auto child = firstChild; child < std::min(firstChild + childrenOfOne, order.size()); ++child)
-        add(order[child]);
+    }
     return out;
 }
 
@@ -216,11 +219,7 @@
     if (one == nullptr || m_asking)
         return;
     m_asking = true;
-    http::request request;
-    request.url = "http://" + one->address + "/known?" + m_has;
-    request.connectTimeout = peerConnectTimeout;
-    request.totalTimeout = peerTimeout;
-    m_context.net.call(std::move(request), [this, asked = m_context.now](const http::answer& answer) {
+    m_context.net.call(peerCall(one->address, "/known?" + m_has, {}, peerTimeout), [this, asked = m_context.now](const http::answer& answer) {
         m_asking = false;
         onParentAnswer(answer, asked);
     });
@@ -228,7 +227,7 @@
 
 void knowledge::onParentAnswer(const http::answer& answer, instant asked)
 {
-    const auto body = answer.outcome == http::transfer_result::Whole && answer.status == statusOk ? parseJson(answer.body) : std::nullopt;
+    const auto body = isOk(answer) ? parseJson(answer.body) : std::nullopt;
     if (!body || !body->isObject()) {
         logEvent(log_level::Info, "knowledge", "parent_silent", { { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
         m_directUntil = m_context.now + directTime;
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -70,6 +70,12 @@
     void failed(document& doc) const;
 
     // Asking the parent.
+    struct tree_place {
+        std::vector<instance_id> order; // of all instances
+        std::size_t rank = 0; // ours in it
+        const member* parent = nullptr; // none at the root
+    };
+    tree_place place() const;
     const member* parent() const;
     void askParent();
     void onParentAnswer(const http::answer& answer, instant asked);
--- a/src/edge/mark_news.cpp
+++ b/src/edge/mark_news.cpp
@@ -1,7 +1,7 @@
 // Sending, taking and passing on.
 #include "edge/mark_news.h"
 
-#include "http_status.h"
+#include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -13,7 +13,6 @@
     // comes again.
     constexpr duration sendPeriod = std::chrono::milliseconds(100);
     constexpr std::chrono::milliseconds sendTimeout { 800 };
-    constexpr std::chrono::milliseconds peerConnectTimeout { 400 };
 
 } // namespace
 
@@ -36,15 +35,9 @@
         return;
     const auto body = writeJson(toJson(news));
     for (const auto& one : m_known.neighbours()) {
-        http::request request;
-        request.method = "POST";
-        request.url = "http://" + one.address + "/marks";
-        request.body = body;
-        request.connectTimeout = peerConnectTimeout;
-        request.totalTimeout = sendTimeout;
-        m_context.net.call(std::move(request), [name = one.name](const http::answer& answer) {
+        m_context.net.call(peerCall(one.address, "/marks", body, sendTimeout), [name = one.name](const http::answer& answer) {
             // Whoever misses a mark sees the next crash for itself.
-            if (answer.outcome != http::transfer_result::Whole || answer.status != statusOk)
+            if (!isOk(answer))
                 logEvent(log_level::Warning, "marks", "not_told", { { "member", name.str() }, { "status", std::to_string(answer.status) } });
         });
     }
--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -1,7 +1,7 @@
 // Asking, sealing and reporting of windows.
 #include "edge/usage_duty.h"
 
-#include "http_status.h"
+#include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
 #include "platform/duty_codec.h"
@@ -26,7 +26,7 @@
     constexpr int patienceShare = 2;
     constexpr std::chrono::milliseconds peerTimeout { 800 };
     constexpr std::chrono::milliseconds reportTimeout { 1500 };
-    constexpr std::chrono::milliseconds peerConnectTimeout { 400 };
+    constexpr std::chrono::milliseconds reportConnectTimeout { 400 };
     // Instances that get copies of our counts: two, so that one of them may be lost
     // together with us, or be cut off unnoticed.
     constexpr std::size_t copiesKept = 2;
@@ -209,16 +209,10 @@
 
 void usage_duty::sendCopy(const member& to, const std::string& body, const std::set<std::uint64_t>& windows)
 {
-    http::request request;
-    request.method = "POST";
-    request.url = "http://" + to.address + "/usage";
-    request.body = body;
-    request.connectTimeout = peerConnectTimeout;
-    request.totalTimeout = peerTimeout;
     ++m_copying;
-    m_context.net.call(std::move(request), [this, windows, name = to.name](const http::answer& answer) {
+    m_context.net.call(peerCall(to.address, "/usage", body, peerTimeout), [this, windows, name = to.name](const http::answer& answer) {
         --m_copying;
-        if (answer.outcome == http::transfer_result::Whole && answer.status == statusOk)
+        if (isOk(answer))
             return;
         logEvent(log_level::Warning, "usage", "copy_failed", { { "member", name.str() }, { "status", std::to_string(answer.status) } });
         m_silent[name] = m_context.now + silentPause;
@@ -290,16 +284,12 @@
     for (const auto& one : others) {
         if (state.got.contains(one.name) || !state.asked.insert(one.name).second)
             continue;
-        http::request request;
-        request.url = "http://" + one.address + "/usage?" + std::to_string(window);
-        request.connectTimeout = peerConnectTimeout;
-        request.totalTimeout = peerTimeout;
-        m_context.net.call(std::move(request), [this, window, name = one.name](const http::answer& answer) {
+        m_context.net.call(peerCall(one.address, "/usage?" + std::to_string(window), {}, peerTimeout), [this, window, name = one.name](const http::answer& answer) {
             const auto found = m_windows.find(window);
             if (found == m_windows.end())
                 return;
             found->second.asked.erase(name);
-            const auto counts = answer.outcome == http::transfer_result::Whole ? decodeOrigins(answer.body) : std::nullopt;
+            const auto counts = isOk(answer) ? decodeOrigins(answer.body) : std::nullopt;
             if (!counts)
                 return;
             mergeUsage(found->second.counts, *counts);
@@ -343,7 +333,7 @@
     state.busy = true;
     const platform::duty_proof proof { instance_id(m_context.values.instance.name), held->fencing };
     auto request = platform::encodeUsage(m_context.values.duties.address, proof, window, state.sealed);
-    request.connectTimeout = peerConnectTimeout;
+    request.connectTimeout = reportConnectTimeout;
     request.totalTimeout = reportTimeout;
     m_context.net.call(std::move(request), [this, window](const http::answer& answer) {
         const auto found = m_windows.find(window);
