Two decisions move from the duties to their pure modules

Cause: how replicas are shared by work, and when a queue counts as demand, were decided in edge/weight_duty and edge/capacity_duty, between calls to peers, where only a running fleet could test them. The bounds 1.33 and 0.75 were written by hand although both follow from the headroom of the sets.

Ruled out: moving the smoothing of work too, which belongs to the news of demand.

Change: weight_sets takes the work of a batch and derives the bounds from its headroom; capacity_orders waits until a queue has outlasted a start.

Tests: shares_follow_work_within_what_loads_allow, a_queue_orders_once_it_outlasts_a_start.

Figures: sizes of sets are as before but for 1/0.75 in place of 1.33 (12 replicas, work 1:1:1000: 3, 3 and 6). No claim of gain.

Conclusion: both load patterns are replayed by unit tests now.

--- a/src/capacity_orders.cpp
+++ b/src/capacity_orders.cpp
@@ -6,6 +6,15 @@
 
 namespace lovagerail {
 
+void capacity_orders::observe(demand_sample sample, instant now)
+{
+    if (sample.queued <= 0 || !m_noQueueAt)
+        m_noQueueAt = now;
+    if (now - *m_noQueueAt < m_settings.startUp)
+        sample.queued = 0;
+    m_planner.observe(sample, now);
+}
+
 void capacity_orders::see(std::vector<capacity_target> targets, instant now)
 {
     std::map<capacity_place, std::uint32_t, by_place> counts;
--- a/src/capacity_orders.h
+++ b/src/capacity_orders.h
@@ -44,7 +44,9 @@
     {
     }
 
-    void observe(const demand_sample& sample, instant now) { m_planner.observe(sample, now); }
+    // A queue counts once it has lasted as long as a target needs to start: one that is
+    // gone sooner would be gone before an ordered target could help.
+    void observe(demand_sample sample, instant now);
     // All targets of the pool that are listed. Failure domains are those where one was seen.
     void see(std::vector<capacity_target> targets, instant now);
     // Orders to send now, at most one under way for each place. The pool's floor, ceiling
@@ -75,6 +77,7 @@
     capacity_order_settings m_settings;
     capacity_planner m_planner;
     std::vector<capacity_target> m_targets;
+    std::optional<instant> m_noQueueAt; // when no work waited last
     std::map<capacity_place, place_state, by_place> m_places; // with any target, seen or ordered
 };
 
--- a/src/edge/capacity_duty.cpp
+++ b/src/edge/capacity_duty.cpp
@@ -83,23 +83,15 @@
     return out;
 }
 
-// A queue counts once it has lasted as long as a target needs to start: one that is gone
-// sooner would be gone before an ordered target could help.
-demand_sample capacity_duty::demandOf(const site_service& service)
+demand_sample capacity_duty::demandOf(const site_service& service) const
 {
     demand_sample out;
-    double queued = 0;
     for (const auto& one : m_demand.all()) {
         if (one.service != service.id)
             continue;
         out.open += static_cast<double>(one.running);
-        queued += static_cast<double>(one.queued);
+        out.queued += static_cast<double>(one.queued);
     }
-    auto& noQueueAt = m_noQueueAt.try_emplace(service.id, m_context.now).first->second;
-    if (queued == 0)
-        noQueueAt = m_context.now;
-    if (m_context.now - noQueueAt >= service.startUp)
-        out.queued = queued;
     // Work that can go on elsewhere may run on targets that are taken away.
     out.cheapShare = isResumable(service.id) ? 1 : 0;
     out.perTarget = service.slots == 0 ? slotsUnknown : service.slots;
@@ -125,7 +117,6 @@
         m_term = held->fencing;
         m_termBegan = m_context.now;
         m_orders.clear();
-        m_noQueueAt.clear();
     }
     if (m_context.now < m_nextPlan || m_context.now < m_termBegan + termSettle || !m_context.site || !m_known.targetsKnown())
         return;
--- a/src/edge/capacity_duty.h
+++ b/src/edge/capacity_duty.h
@@ -21,7 +21,7 @@
 private:
     capacity_orders& ordersFor(const site_service& service);
     std::vector<capacity_target> targetsOf(const service_id& service) const;
-    demand_sample demandOf(const site_service& service);
+    demand_sample demandOf(const site_service& service) const;
     bool isResumable(const service_id& service) const;
     void send(const site_service& service, const place_order& order);
 
@@ -33,7 +33,6 @@
     instant m_termBegan {};
     instant m_nextPlan {};
     std::map<service_id, capacity_orders> m_orders;
-    std::map<service_id, instant> m_noQueueAt; // when no item waited for room last
 };
 
 } // namespace lovagerail::edge
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -4,8 +4,6 @@
 #include "log.h"
 #include "platform/duty_codec.h"
 
-#include <algorithm>
-
 namespace lovagerail::edge {
 
 namespace {
@@ -86,26 +84,6 @@
     work = work == 0 ? newest : work + (newest - work) * weightOfNewest;
 }
 
-// A model's share of replicas against others that have batches: by the work of a batch,
-// within what loads allow (a set of the largest share loads each version at an equal
-// share of all replicas, with the headroom of `weight_sets`).
-double weight_duty::shareOf(const model_id& model, const std::vector<model_id>& all) const
-{
-    constexpr double largest = 1.33; // 1 / headroom
-    constexpr double smallest = 0.75; // what the largest share of another model leaves
-    double sum = 0;
-    std::size_t known = 0;
-    for (const auto& one : all) {
-        const auto work = m_work.find(one);
-        sum += work == m_work.end() ? 0 : work->second;
-        known += work == m_work.end() ? 0 : 1;
-    }
-    const auto own = m_work.find(model);
-    if (known != all.size() || own == m_work.end() || sum <= 0)
-        return 1;
-    return std::clamp(own->second * static_cast<double>(known) / sum, smallest, largest);
-}
-
 // What the platform's operators and trainers ask for now, and a watch on what comes.
 void weight_duty::begin()
 {
@@ -191,7 +169,13 @@
         for (const auto& model : service.models) {
             const auto named = m_named.find(model);
             const auto lag = m_lags.find(model);
-            models.push_back({ model, named == m_named.end() ? weight_version(1) : named->second, shareOf(model, service.models), lag == m_lags.end() ? 0 : lag->second.lag });
+            const auto work = m_work.find(model);
+            weight_model one;
+            one.model = model;
+            one.named = named == m_named.end() ? weight_version(1) : named->second;
+            one.work = work == m_work.end() ? 0 : work->second;
+            one.lag = lag == m_lags.end() ? 0 : lag->second.lag;
+            models.push_back(std::move(one));
         }
         auto& sets = m_sets[id];
         sets.setModels(std::move(models));
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -20,7 +20,6 @@
 
 private:
     void noteDemand(const model_demand& demand);
-    double shareOf(const model_id& model, const std::vector<model_id>& all) const;
     void begin();
     void take(const kv_entry& entry);
     void retire(const kv_entry& entry);
--- a/src/weight_sets.cpp
+++ b/src/weight_sets.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <tuple>
 
 namespace lovagerail {
@@ -67,20 +68,38 @@
     return found == m_sets.end() ? noMembers : found->second;
 }
 
-// Replicas of each model: shares by demand, larger by what its work may lag behind,
+// Shares of replicas against each other: by work, but none so large that its loads of
+// each version are more than those of an equal share without headroom. Equal ones until
+// the work of all models is known.
+std::vector<double> weight_sets::shares() const
+{
+    double sum = 0;
+    bool known = true;
+    for (const auto& model : m_models) {
+        sum += model.work;
+        known = known && model.work > 0;
+    }
+    std::vector<double> out;
+    for (const auto& model : m_models) {
+        const double share = known ? model.work * static_cast<double>(m_models.size()) / sum : 1;
+        out.push_back(std::clamp(share, m_settings.headroom, 1 / m_settings.headroom));
+    }
+    return out;
+}
+
+// Replicas of each model: shares by work, larger by what its work may lag behind,
 // the largest remainders rounded up; at least one, at most all.
 std::vector<std::size_t> weight_sets::sizes() const
 {
-    double sum = 0;
-    for (const auto& model : m_models)
-        sum += model.demand;
+    const auto weights = shares();
+    const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
     std::vector<std::size_t> out;
     std::vector<std::pair<double, std::size_t>> remainders;
     double wanted = 0;
     std::size_t given = 0;
     for (std::size_t i = 0; i < m_models.size(); ++i) {
         const double parts = std::max(1.0, static_cast<double>(m_models[i].lag + 1) * m_settings.headroom);
-        const double share = std::min(static_cast<double>(m_replicas.size()), static_cast<double>(m_replicas.size()) * m_models[i].demand / sum * parts);
+        const double share = std::min(static_cast<double>(m_replicas.size()), static_cast<double>(m_replicas.size()) * weights[i] / sum * parts);
         out.push_back(std::max<std::size_t>(1, static_cast<std::size_t>(share)));
         remainders.emplace_back(share - std::floor(share), i);
         wanted += share;
--- a/src/weight_sets.h
+++ b/src/weight_sets.h
@@ -39,7 +39,7 @@
 struct weight_model {
     model_id model;
     weight_version named; // the version that replicas are to serve
-    double demand = 1; // share of replicas, against the other models
+    double work = 0; // tokens that a batch of it makes; 0 = not known
     std::uint64_t lag = 0; // new work accepts versions from named - lag on
 };
 
@@ -90,6 +90,7 @@
     using load_key = std::pair<target_id, model_id>;
 
     void arrangeSets();
+    std::vector<double> shares() const;
     std::vector<std::size_t> sizes() const;
     std::size_t memberships(const target_id& target) const;
     // A replica carries out one order at a time.
--- a/tests/test_capacity_orders.cpp
+++ b/tests/test_capacity_orders.cpp
@@ -29,12 +29,13 @@
             one.failureDomain = domain;
             targets.push_back(one);
         }
-        std::vector<place_order> step(double work, duration time = 100ms)
+        std::vector<place_order> step(double work, duration time = 100ms, double queued = 0)
         {
             now += time;
             orders.see(targets, now);
             demand_sample sample;
             sample.open = work;
+            sample.queued = queued;
             sample.perTarget = 8;
             orders.observe(sample, now);
             return orders.plan(pool, now);
@@ -82,6 +83,22 @@
     BOOST_TEST(w.step(30, 5s).empty());
 }
 
+// Steps begin with more items than there are places, and are through them within a
+// second or two: nothing that is ordered then could help.
+BOOST_AUTO_TEST_CASE(a_queue_orders_once_it_outlasts_a_start)
+{
+    world w;
+    w.add(north);
+    w.add(south);
+    BOOST_TEST(w.step(16).empty());
+    for (int i = 0; i < 39; ++i)
+        BOOST_TEST(w.step(16, 100ms, 8).empty()); // 4 s are a start
+    BOOST_TEST(w.step(16, 100ms, 0).empty());
+    for (int i = 0; i < 39; ++i)
+        BOOST_TEST(w.step(16, 100ms, 8).empty());
+    BOOST_TEST(w.step(16, 100ms, 8).size() == 2u); // three for the work, one more for the queue
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_broke_down_is_not_ordered_again_at_once)
 {
     world w;
--- a/tests/test_weight_sets.cpp
+++ b/tests/test_weight_sets.cpp
@@ -2,6 +2,8 @@
 #include "property.h"
 #include "weight_sets.h"
 
+#include <array>
+
 namespace lovagerail {
 namespace {
 
@@ -169,6 +171,22 @@
     BOOST_TEST(f.sets.plan(f.now + 500ms).size() == 1u);
 }
 
+// A model whose steps are larger has more replicas, and no model's loads come to more
+// than is free.
+BOOST_AUTO_TEST_CASE(shares_follow_work_within_what_loads_allow)
+{
+    fleet f(12, 0);
+    const auto sizesFor = [&f](double a, double b, double c) {
+        f.sets.setModels({ { modelA, weight_version(1), a, 0 }, { modelB, weight_version(1), b, 0 }, { modelC, weight_version(1), c, 0 } });
+        f.sets.setReplicas(f.replicasNow, f.now);
+        return std::array { f.sets.members(modelA).size(), f.sets.members(modelB).size(), f.sets.members(modelC).size() };
+    };
+    BOOST_TEST((sizesFor(500, 500, 500) == std::array<std::size_t, 3> { 4, 4, 4 }));
+    BOOST_TEST((sizesFor(400, 500, 600) == std::array<std::size_t, 3> { 3, 4, 5 }));
+    BOOST_TEST((sizesFor(1, 1, 1000) == std::array<std::size_t, 3> { 3, 3, 6 })); // between 0.75 and 1.33
+    BOOST_TEST((sizesFor(0, 500, 1000) == std::array<std::size_t, 3> { 4, 4, 4 })); // not known yet
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_goes_is_replaced_and_others_stay)
 {
     fleet f(8, 0);
