Usage counts have a codec of their own that refuses what it can't read

A count of another type was read as 0 and would have been reported as the truth, a window named "x" as window 0, and a sealed record that can't be read was passed over without a log line.

Ruled out: reading what can be read of a text, since a sum with a part missing looks like any other.

Change: src/usage_tally_json; whole texts are refused; usage step=sealed_unreadable.

Tests: counts_come_back_as_they_were_told, counts_that_are_not_well_formed_are_refused.

Conclusion: no error of the codec ends as a zero.

--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -2,10 +2,10 @@
 #include "edge/usage_duty.h"
 
 #include "edge/peer_call.h"
-#include "json_text.h"
 #include "log.h"
 #include "platform/duty_codec.h"
 #include "rendezvous.h"
+#include "usage_tally_json.h"
 
 #include <algorithm>
 
@@ -39,81 +39,6 @@
 
     std::string sealKey(std::uint64_t window) { return "usage/" + std::to_string(window); }
 
-    Json::Value toJson(const usage_counts& counts)
-    {
-        Json::Value out(Json::objectValue);
-        for (const auto& [account, count] : counts)
-            out[account.str()] = Json::UInt64(count);
-        return out;
-    }
-
-    Json::Value toJson(const usage_by_origin& counts)
-    {
-        Json::Value out(Json::objectValue);
-        for (const auto& [origin, one] : counts)
-            out[origin.str()] = toJson(one);
-        return out;
-    }
-
-    usage_counts countsFrom(const Json::Value& value)
-    {
-        usage_counts out;
-        for (const auto& name : value.getMemberNames())
-            out[client_account_id(name)] = jsonCount(value, name.c_str());
-        return out;
-    }
-
-    std::optional<usage_by_origin> originsFrom(const Json::Value& value)
-    {
-        if (!value.isObject())
-            return std::nullopt;
-        usage_by_origin out;
-        for (const auto& name : value.getMemberNames()) {
-            if (!value[name].isObject())
-                return std::nullopt;
-            out[usage_origin(name)] = countsFrom(value[name]);
-        }
-        return out;
-    }
-
-    std::optional<usage_counts> decodeCounts(std::string_view text)
-    {
-        const auto value = parseJson(text);
-        if (!value || !value->isObject())
-            return std::nullopt;
-        return countsFrom(*value);
-    }
-
-    std::optional<usage_by_origin> decodeOrigins(std::string_view text)
-    {
-        const auto value = parseJson(text);
-        return value ? originsFrom(*value) : std::nullopt;
-    }
-
-    // Copies: what is known of each window, by its number.
-    std::string encodeCopy(const std::map<std::uint64_t, usage_by_origin>& windows)
-    {
-        Json::Value out(Json::objectValue);
-        for (const auto& [window, counts] : windows)
-            out[std::to_string(window)] = toJson(counts);
-        return writeJson(out);
-    }
-
-    std::optional<std::map<std::uint64_t, usage_by_origin>> decodeCopy(std::string_view text)
-    {
-        const auto value = parseJson(text);
-        if (!value || !value->isObject())
-            return std::nullopt;
-        std::map<std::uint64_t, usage_by_origin> out;
-        for (const auto& name : value->getMemberNames()) {
-            auto counts = originsFrom((*value)[name]);
-            if (!counts)
-                return std::nullopt;
-            out[std::strtoull(name.c_str(), nullptr, 10)] = std::move(*counts);
-        }
-        return out;
-    }
-
 } // namespace
 
 usage_duty::usage_duty(context& shared)
@@ -133,7 +58,7 @@
 {
     if (exchange->body.empty()) {
         const auto window = std::strtoull(exchange->query.c_str(), nullptr, 10);
-        exchange->answer(statusOk, {}, writeJson(toJson(m_tally.of(window))));
+        exchange->answer(statusOk, {}, encodeOrigins(m_tally.of(window)));
         return;
     }
     const auto copy = decodeCopy(exchange->body);
@@ -304,7 +229,7 @@
     state.busy = true;
     kv_transaction change;
     change.compares.push_back({ sealKey(window), kv_field::ModRevision, {}, {} });
-    change.then.emplace_back(kv_put { sealKey(window), writeJson(toJson(state.sealed)), {} });
+    change.then.emplace_back(kv_put { sealKey(window), encodeCounts(state.sealed), {} });
     m_context.store.call("usage", std::move(change), [this, window](const result<kv_answer>& answer) {
         const auto found = m_windows.find(window);
         if (found == m_windows.end())
@@ -316,8 +241,11 @@
             return;
         if (!answer->succeeded) {
             const auto earlier = answer->entries.empty() ? std::nullopt : decodeCounts(answer->entries.front().value);
-            if (!earlier)
+            if (!earlier) {
+                // Asked again until the window is past; never reported as nothing.
+                logEvent(log_level::Error, "usage", "sealed_unreadable", { { "window", std::to_string(window) } });
                 return;
+            }
             open.sealed = *earlier;
         }
         open.again = m_context.now;
--- a/tests/test_usage_tally.cpp
+++ b/tests/test_usage_tally.cpp
@@ -1,6 +1,7 @@
 // Tests of usage by window.
 #include "property.h"
 #include "usage_tally.h"
+#include "usage_tally_json.h"
 
 namespace lovagerail {
 
@@ -84,6 +85,25 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(counts_come_back_as_they_were_told)
+{
+    const std::map<std::uint64_t, usage_by_origin> copy { { 7, { { self, { { acme, 3 } } }, { other, {} } } }, { 8, {} } };
+    BOOST_TEST((decodeCopy(encodeCopy(copy)) == copy));
+    BOOST_TEST((decodeOrigins(encodeOrigins(copy.at(7))) == copy.at(7)));
+    BOOST_TEST((decodeCounts(encodeCounts({ { acme, 3 } })) == usage_counts { { acme, 3 } }));
+}
+
+// Nothing that can't be read is taken for a zero.
+BOOST_AUTO_TEST_CASE(counts_that_are_not_well_formed_are_refused)
+{
+    for (const auto* text : { "", "[]", "7", "{\"acme\":-1}", "{\"acme\":\"3\"}", "{\"acme\":1.5}", "{\"acme\":3" })
+        BOOST_TEST(!decodeCounts(text).has_value());
+    for (const auto* text : { "[]", "{\"one.1\":3}", "{\"one.1\":{\"acme\":null}}" })
+        BOOST_TEST(!decodeOrigins(text).has_value());
+    for (const auto* text : { "[]", "{\"x\":{}}", "{\"7x\":{}}", "{\"-7\":{}}", "{\"7\":[]}", "{\"7\":{\"one.1\":{\"acme\":\"3\"}}}" })
+        BOOST_TEST(!decodeCopy(text).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
