Metrics show all that is counted, each counter in one table

Cause: requests that were quarantined, streams that went on elsewhere, texts that were carried over or stored were counted and never shown; twenty lines of the page differed in a label and a field alone.

Ruled out: registering each value by itself as before, since a table shows at a glance what is missing.

Change: one call for each counter with its labels and values.

Test: test_metrics_and_logs_tell_of_a_request looks for the new series, which the page lacked before, and for a delivered request's value.

--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -7,13 +7,23 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <initializer_list>
+
 namespace lovagerail::edge {
 
 namespace {
 
-    void add(prometheus::Registry& registry, const char* name, const char* help, const std::map<std::string, std::string>& labels, double value)
+    struct labelled_count {
+        const char* label;
+        std::uint64_t value;
+    };
+
+    // One counter with a label that tells its values apart.
+    void add(prometheus::Registry& registry, const char* name, const char* help, const char* label, std::initializer_list<labelled_count> counts)
     {
-        prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add(labels).Increment(value);
+        auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+        for (const auto& one : counts)
+            family.Add({ { label, one.label } }).Increment(static_cast<double>(one.value));
     }
 
 } // namespace
@@ -23,33 +33,17 @@
     prometheus::Registry registry;
     if (m_view) {
         const auto& f = m_view->forwards;
-        constexpr auto requests = "lovagerail_requests_total";
-        constexpr auto requestsHelp = "Requests of callers by what became of them";
-        add(registry, requests, requestsHelp, { { "outcome", "arrived" } }, static_cast<double>(f.requests));
-        add(registry, requests, requestsHelp, { { "outcome", "delivered" } }, static_cast<double>(f.delivered));
-        add(registry, requests, requestsHelp, { { "outcome", "refused" } }, static_cast<double>(f.refused));
-        add(registry, requests, requestsHelp, { { "outcome", "failed" } }, static_cast<double>(f.failed));
-        add(registry, requests, requestsHelp, { { "outcome", "caller_gone" } }, static_cast<double>(f.callersGone));
-        constexpr auto attempts = "lovagerail_attempts_total";
-        constexpr auto attemptsHelp = "Attempts at targets for callers";
-        add(registry, attempts, attemptsHelp, { { "kind", "all" } }, static_cast<double>(f.attempts));
-        add(registry, attempts, attemptsHelp, { { "kind", "hedge" } }, static_cast<double>(f.hedges));
-        add(registry, attempts, attemptsHelp, { { "kind", "refused_by_target" } }, static_cast<double>(f.refusedByTarget));
-        add(registry, attempts, attemptsHelp, { { "kind", "crossed" } }, static_cast<double>(f.crossed));
+        add(registry, "lovagerail_requests_total", "Requests of callers by what became of them", "outcome",
+            { { "arrived", f.requests }, { "delivered", f.delivered }, { "refused", f.refused }, { "failed", f.failed }, { "caller_gone", f.callersGone }, { "quarantined", f.quarantined } });
+        add(registry, "lovagerail_attempts_total", "Attempts at targets for callers", "kind",
+            { { "all", f.attempts }, { "hedge", f.hedges }, { "refused_by_target", f.refusedByTarget }, { "crossed", f.crossed }, { "resumed", f.resumed } });
         const auto& b = m_view->batches;
-        constexpr auto items = "lovagerail_items_total";
-        constexpr auto itemsHelp = "Runs and results of batch items";
-        add(registry, items, itemsHelp, { { "what", "runs" } }, static_cast<double>(b.runs));
-        add(registry, items, itemsHelp, { { "what", "resumed" } }, static_cast<double>(b.resumed));
-        add(registry, items, itemsHelp, { { "what", "refused" } }, static_cast<double>(b.refused));
-        add(registry, items, itemsHelp, { { "what", "broken" } }, static_cast<double>(b.broken));
-        add(registry, items, itemsHelp, { { "what", "stalled" } }, static_cast<double>(b.stalled));
-        add(registry, items, itemsHelp, { { "what", "moved" } }, static_cast<double>(b.moved));
-        add(registry, items, itemsHelp, { { "what", "wrong_version" } }, static_cast<double>(b.wrongVersion));
-        add(registry, items, itemsHelp, { { "what", "completed" } }, static_cast<double>(b.completed));
-        add(registry, items, itemsHelp, { { "what", "abandoned" } }, static_cast<double>(b.abandoned));
+        add(registry, "lovagerail_items_total", "Runs and results of batch items", "what",
+            { { "runs", b.runs }, { "resumed", b.resumed }, { "refused", b.refused }, { "broken", b.broken }, { "stalled", b.stalled }, { "moved", b.moved }, { "wrong_version", b.wrongVersion },
+                { "completed", b.completed }, { "abandoned", b.abandoned }, { "reused", b.reused }, { "stored", b.saved } });
+        auto& calls = prometheus::BuildCounter().Name("lovagerail_store_calls_total").Help("Calls to the store by cause").Register(registry);
         for (const auto& [cause, count] : m_view->storeCalls)
-            add(registry, "lovagerail_store_calls_total", "Calls to the store by cause", { { "cause", cause } }, static_cast<double>(count));
+            calls.Add({ { "cause", cause } }).Increment(static_cast<double>(count));
         prometheus::BuildGauge().Name("lovagerail_open_requests").Help("Requests under way").Register(registry).Add({}).Set(static_cast<double>(m_view->openForwards));
         prometheus::BuildGauge().Name("lovagerail_open_batches").Help("Batches of this instance that are not ended").Register(registry).Add({}).Set(static_cast<double>(m_view->openBatches));
     }
--- a/tests/process/test_entry_calls.py
+++ b/tests/process/test_entry_calls.py
@@ -134,7 +134,9 @@
         first, _ = self.start()
         first.ask("/plain/x", "told-1")
         page = get(first.metrics + "/metrics").body.decode()
-        self.assertIn('lovagerail_requests_total{outcome="delivered"}', page)
+        self.assertIn('lovagerail_requests_total{outcome="delivered"} 1', page)
+        for series in ('requests_total{outcome="quarantined"}', 'attempts_total{kind="resumed"}', 'items_total{what="reused"}', 'items_total{what="stored"}', 'store_calls_total{cause="lease"}'):
+            self.assertIn("lovagerail_" + series, page)
         wait_until(lambda: "request=told-1" in first.output(), "the request's line", 3)
 
 
