Time settings say where their figures come from

Cause: pauses of the board and of ordering capacity had a name and a meaning, but not the bound behind the figure; two of the daemon's calls to instances had bare times; the pause before a judge is asked again also delayed pages that could not be written.

Change: comments with the bound, peer_duty::callTimeout and connectTimeout, a setting of its own for pages (pageRetry, the same 250 ms), and store_link_settings::longestTimeout for what was called callTimeout.

Conclusion: each can be changed alone.

--- a/src/batch_board.h
+++ b/src/batch_board.h
@@ -89,13 +89,23 @@
 };
 
 struct board_settings {
-    duration firstEvent = std::chrono::milliseconds(2500); // a run without any event for so long goes elsewhere
-    duration eventGap = std::chrono::milliseconds(1200); // the same between events
-    duration refusedPause = std::chrono::milliseconds(40); // before an item that a target refused is sent again
-    duration avoidBusy = std::chrono::milliseconds(250); // a target whose run broke off or failed is not asked by this item for so long
-    duration closedBusy = std::chrono::milliseconds(120); // a target that refused is not asked by its whole batch for so long
-    duration avoidWrong = std::chrono::milliseconds(1500); // the same after a broken run or a wrong version: its list entry lags
-    duration judgePause = std::chrono::milliseconds(250); // before a judge is asked again
+    // A run without any event for so long goes elsewhere. A load of weights, which holds
+    // a replica's work up, takes about a second, longer while several load.
+    duration firstEvent = std::chrono::milliseconds(2500);
+    // The same between events: ten times the longest pause that callers take for timely.
+    duration eventGap = std::chrono::milliseconds(1200);
+    duration refusedPause = std::chrono::milliseconds(40); // two turns of the loop before a refused item is sent again
+    // A target whose run broke off or failed is not asked by this item for so long: its
+    // own report of its load is some hundred milliseconds old.
+    duration avoidBusy = std::chrono::milliseconds(250);
+    // A target that refused is not asked by its whole batch for so long: of eight items
+    // of about a second each one ends within.
+    duration closedBusy = std::chrono::milliseconds(120);
+    // The same after a broken run or a wrong version: the target's list entry is renewed
+    // at each check-in, 1.2 s apart.
+    duration avoidWrong = std::chrono::milliseconds(1500);
+    duration judgePause = std::chrono::milliseconds(250); // before a judge is asked again: above a judge's latency target of 150 ms
+    duration pageRetry = std::chrono::milliseconds(250); // before a page that wasn't written is tried again, as for submissions
     duration gather = std::chrono::milliseconds(40); // the last groups that the trainer waits for share a page with those that finish so close
     // Groups that don't complete the step yet wait for others, as the trainer does; not
     // longer than this, and not beyond this before the batch is due.
--- a/src/batch_pages.cpp
+++ b/src/batch_pages.cpp
@@ -177,7 +177,7 @@
         return {};
     batch->writing = false;
     if (!written) {
-        batch->writeAgain = now + m_settings.judgePause;
+        batch->writeAgain = now + m_settings.pageRetry;
         return take();
     }
     for (const auto index : batch->inPage) {
--- a/src/capacity_orders.h
+++ b/src/capacity_orders.h
@@ -18,8 +18,11 @@
     duration startUp = std::chrono::seconds(4); // from order to first answer
     // An ordered target that isn't listed after so many times its start-up won't come.
     std::uint32_t overdue = 3;
-    duration noneThere = std::chrono::seconds(3); // before a place that had none is asked again
-    duration repeat = std::chrono::milliseconds(500); // before an order of unknown outcome is sent again
+    // Before a place that had none is asked again: a failure domain's supply is short for
+    // ten seconds and more at a time, and each order is a priced call.
+    duration noneThere = std::chrono::seconds(3);
+    // Before an order of unknown outcome is sent again: one turn of planning.
+    duration repeat = std::chrono::milliseconds(500);
     std::uint32_t leastInDomain = 0; // bounds on both kinds together
     std::uint32_t mostInDomain = 0;
 };
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -63,7 +63,7 @@
     wanted.headers = { { "Content-Type", "application/json" }, { std::string(instance::proofHeader), instance::makeProof(m_secret, path, body) } };
     wanted.body = std::move(body);
     wanted.totalTimeout = timeout;
-    wanted.connectTimeout = std::min(timeout, std::chrono::milliseconds(500));
+    wanted.connectTimeout = std::min(timeout, connectTimeout);
     m_context.instances.call(std::move(wanted), std::move(onAnswer));
 }
 
--- a/src/daemon/peer_duty.h
+++ b/src/daemon/peer_duty.h
@@ -13,6 +13,11 @@
 class peer_duty {
 public:
     using answer_function = std::function<void(const result<Json::Value>&)>;
+    // An instance answers within some tens of milliseconds; a region that is reached with
+    // a lost packet or two, within this.
+    static constexpr std::chrono::milliseconds callTimeout { 2000 };
+    // Half of a second holds the handshake and one resent opening packet between regions.
+    static constexpr std::chrono::milliseconds connectTimeout { 500 };
 
     peer_duty(control_context& context, std::string secret);
 
@@ -23,7 +28,7 @@
 
     // Address is a base URL. Lost answers are Unknown, refused connections Unavailable.
     void call(const std::string& address, const std::string& method, const Json::Value& parameters, answer_function onAnswer,
-        std::chrono::milliseconds timeout = std::chrono::milliseconds(2000));
+        std::chrono::milliseconds timeout = callTimeout);
     // Passes a request on as it is; the answer is given to the exchange.
     void pass(const std::string& address, const std::string& path, std::string body, std::chrono::milliseconds timeout,
         std::function<void(const http::answer&)> onAnswer);
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -66,7 +66,7 @@
     : m_settings(settings)
     , m_address(std::move(address))
     , m_net(net)
-    , m_timeout(settings.callTimeout)
+    , m_timeout(settings.longestTimeout)
 {
 }
 
@@ -140,7 +140,7 @@
     const auto wanted = answer.outcome == http::transfer_result::Whole
         ? std::chrono::duration_cast<std::chrono::milliseconds>(took * m_settings.patience)
         : m_timeout * 2;
-    m_timeout = std::clamp(wanted, m_settings.shortestTimeout, m_settings.callTimeout);
+    m_timeout = std::clamp(wanted, m_settings.shortestTimeout, m_settings.longestTimeout);
 }
 
 void store_link::call(std::string_view cause, kv_call wanted, answer_function onAnswer)
@@ -202,7 +202,7 @@
 void store_link::open(std::uint64_t id, open_watch& watch)
 {
     auto request = platform::encodeWatch(m_address, { watch.prefix, watch.after, watch.wait });
-    request.totalTimeout = watch.wait + m_settings.callTimeout;
+    request.totalTimeout = watch.wait + m_settings.longestTimeout;
     // The transfer's id is known only after the call; an answer comes from a later poll.
     const auto by = direct() || !m_peers || m_peers().empty() ? way::Direct : way::Detour;
     send("watch " + watch.prefix, std::move(request), by, [this, id](const http::answer& answer) { onWatch(id, answer); });
@@ -245,7 +245,7 @@
     onward.body = exchange->body;
     if (!onward.body.empty())
         onward.headers.emplace_back("Content-Type", "application/json");
-    onward.totalTimeout = m_settings.relayedWait + m_settings.callTimeout;
+    onward.totalTimeout = m_settings.relayedWait + m_settings.longestTimeout;
     send("relay", std::move(onward), way::Direct, [exchange](const http::answer& answer) {
         const bool whole = answer.outcome == http::transfer_result::Whole;
         exchange->answer(whole ? answer.status : statusOk, { { std::string(outcomeHeader), nameOf(answer.outcome) } }, whole ? answer.body : answer.detail);
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -25,7 +25,7 @@
     // every call of ours may come twice; twice as long after each that was given up.
     std::int32_t patience = 8;
     std::chrono::milliseconds shortestTimeout { 400 }; // slow spells of the store take tens of times its usual 4 ms
-    std::chrono::milliseconds callTimeout { 1200 }; // the longest
+    std::chrono::milliseconds longestTimeout { 1200 };
     std::chrono::milliseconds relayedWait { 10'000 }; // the longest watch that a peer may ask us to pass on
     std::chrono::milliseconds connectTimeout { 500 };
     std::chrono::milliseconds unacknowledged { 700 }; // a silent path is given up after so long
