Lapsed leases are ended, and the store's return is told to what waits for it

Ruled out: shorter turns for all, since each costs a call in each outage.

Change: an instance whose lease lapsed by its own clock ends that lease at the store once it has a new one: one call frees all its duties. Keys of an earlier life go the same way. store_link tells once when the store answers again on any way; leases and documents are tried at once.

Tests: duties_under_a_lapsed_lease_are_free_at_once, what_waits_is_tried_when_the_service_is_back (both need the new code), the property one_holder_at_a_time with revoked leases.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -299,6 +299,10 @@
     void entry_loop::tick()
     {
         m_store.tick(m_context.now);
+        if (m_store.takeRegained()) {
+            m_members.hintStore();
+            m_known.hintStore();
+        }
         m_members.tick();
         m_known.tick();
         m_targets.tick(m_context.now);
--- a/src/edge/knowledge.cpp
+++ b/src/edge/knowledge.cpp
@@ -121,6 +121,16 @@
     doc.readAgain = m_context.now + doc.pause;
 }
 
+void knowledge::hintStore()
+{
+    for (auto& doc : m_documents) {
+        if (doc.pause == duration {})
+            continue;
+        doc.pause = {};
+        doc.readAgain = m_context.now;
+    }
+}
+
 void knowledge::readDirect(document_index index)
 {
     auto& doc = m_documents[index];
--- a/src/edge/knowledge.h
+++ b/src/edge/knowledge.h
@@ -25,6 +25,8 @@
     knowledge(context& shared, members& group);
 
     void tick();
+    // The store answers again after an outage: reads that failed are tried now.
+    void hintStore();
     // Another instance asks for what it doesn't have yet.
     void onPeer(const http::exchange_ptr& exchange);
 
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -28,6 +28,8 @@
     // All entries under the prefix of duties.
     void take(const std::vector<kv_entry>& entries);
     void tick();
+    // The store answers again after an outage.
+    void hintStore() { m_leases.hintService(); }
     // Gives up all duties but the membership itself, for a planned stop.
     void releaseDuties();
     void leave();
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -41,6 +41,12 @@
         return slash == std::string::npos ? "/" : url.substr(slash);
     }
 
+    // The store did what it was asked, or said why not.
+    bool isServed(const http::answer& answer)
+    {
+        return answer.outcome == http::transfer_result::Whole && answer.status != statusUnavailable && answer.status != statusTooMany;
+    }
+
     // What the peer says became of the call; a broken detour is judged like a broken
     // direct call.
     http::answer unwrapped(http::answer answer)
@@ -109,16 +115,25 @@
     detour.connectTimeout = m_settings.connectTimeout;
     detour.totalTimeout = wanted.totalTimeout;
     detour.unacknowledgedTimeout = m_settings.unacknowledged;
-    m_net.call(std::move(detour), [onAnswer = std::move(onAnswer)](const http::answer& answer) {
-        onAnswer(unwrapped(answer));
+    m_net.call(std::move(detour), [this, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+        const auto inner = unwrapped(answer);
+        noteReach(isServed(inner));
+        onAnswer(inner);
     });
 }
 
+void store_link::noteReach(bool works)
+{
+    m_regained = m_regained || (works && m_unreached);
+    m_unreached = !works && !direct();
+}
+
 void store_link::noteDirect(const http::answer& answer)
 {
-    const bool works = answer.outcome == http::transfer_result::Whole && answer.status != statusUnavailable && answer.status != statusTooMany;
+    const bool works = isServed(answer);
     const bool before = direct();
     m_failures = works ? 0 : m_failures + 1;
+    noteReach(works);
     if (before == direct())
         return;
     logEvent(direct() ? log_level::Info : log_level::Warning, "store", direct() ? "regained" : "lost",
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovagerail::edge {
@@ -62,6 +63,8 @@
     void relay(const http::exchange_ptr& exchange);
 
     void tick(instant now);
+    // True once after the store was out of reach on every way and answers again.
+    bool takeRegained() { return std::exchange(m_regained, false); }
     // Whether the direct way worked last.
     bool direct() const { return m_failures < m_settings.failuresToDetour; }
     const std::map<std::string, std::uint64_t, std::less<>>& counts() const { return m_counts; }
@@ -84,6 +87,7 @@
     way chooseWay();
     void send(std::string_view cause, http::request wanted, way by, std::function<void(const http::answer&)> onAnswer);
     void noteDirect(const http::answer& answer);
+    void noteReach(bool works);
     void noteTime(const http::answer& answer, duration took);
     void open(std::uint64_t id, open_watch& watch);
     void onWatch(std::uint64_t id, const http::answer& answer);
@@ -94,6 +98,8 @@
     peers_function m_peers;
     std::size_t m_nextPeer = 0;
     int m_failures = 0; // of the direct way, in a row
+    bool m_unreached = false; // the last call failed, with the direct way lost
+    bool m_regained = false;
     instant m_now {};
     std::chrono::milliseconds m_timeout; // of calls, by what the last ones took
     instant m_nextProbe {};
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -60,6 +60,12 @@
     m_nextClaim.erase(duty);
 }
 
+void duty_leases::hintService()
+{
+    m_nextGrant = m_nextKeepAlive = {};
+    m_nextClaim.clear();
+}
+
 std::string duty_leases::value() const
 {
     Json::Value out(Json::objectValue);
@@ -83,6 +89,11 @@
     return id;
 }
 
+bool duty_leases::isOpen(call_kind kind) const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(), [kind](const auto& entry) { return entry.second.kind == kind; });
+}
+
 std::vector<lease_action> duty_leases::tick(instant now)
 {
     // Step 1. A right that ended is over at once, whatever is under way.
@@ -101,9 +112,8 @@
 
     // Step 3. A lease, if there is anything to claim.
     const bool wanted = !m_first.empty() || !m_held.empty();
-    const bool granting = std::any_of(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.kind == call_kind::Grant; });
     if (m_lease == kv_lease_id()) {
-        if (wanted && !granting && now >= m_nextGrant) {
+        if (wanted && !isOpen(call_kind::Grant) && now >= m_nextGrant) {
             m_nextGrant = now + grantRetry;
             open(call_kind::Grant, {}, now, kv_grant { m_settings.time.count() });
         }
@@ -116,7 +126,9 @@
         open(call_kind::KeepAlive, {}, now, kv_keep_alive { m_lease });
     }
 
-    // Step 5. Claim what is ours to claim.
+    // Step 5. Claim what is ours to claim, once our own old keys are out of the way.
+    if (isOpen(call_kind::EndLapsed))
+        return std::exchange(m_actions, {});
     for (const auto& duty : m_first) {
         if (m_held.contains(duty) || m_givenUp.contains(duty) || now < m_nextClaim[duty])
             continue;
@@ -208,10 +220,18 @@
     m_held.clear();
     m_givenUp.clear();
     m_doubtful.clear();
-    m_lease = kv_lease_id();
+    m_lapsed = std::exchange(m_lease, kv_lease_id());
     m_nextClaim.clear();
 }
 
+// One call frees all duties that we held, for whoever is their first choice now. If it
+// fails, each key goes when its duty is claimed, or with the lease.
+void duty_leases::endLapsed(instant now)
+{
+    if (m_lapsed != kv_lease_id())
+        open(call_kind::EndLapsed, {}, now, kv_revoke { std::exchange(m_lapsed, kv_lease_id()) });
+}
+
 std::optional<duty_holder> decodeHolder(const kv_entry& entry)
 {
     const auto parsed = parseJson(entry.value);
@@ -242,6 +262,7 @@
             const auto whole = std::chrono::duration_cast<duration>(period() * (1 - m_settings.driftShare));
             m_until = done.sentAt + whole - m_settings.margin;
             m_nextKeepAlive = done.sentAt + period() / keepAlivesPerTime;
+            endLapsed(now);
         }
         break;
     case call_kind::KeepAlive:
@@ -249,6 +270,7 @@
         if (answer && done.lease == m_lease && m_lease != kv_lease_id()) {
             if (answer->leaseSeconds <= 0) {
                 loseAll();
+                m_lapsed = kv_lease_id(); // the service has ended it
                 break;
             }
             const auto whole = std::chrono::duration_cast<duration>(period() * (1 - m_settings.driftShare));
@@ -266,6 +288,8 @@
         if (answer)
             hintFree(done.duty);
         break;
+    case call_kind::EndLapsed:
+        break;
     case call_kind::Release: {
         const auto waiting = m_givenUp.find(done.duty);
         if (answer && waiting != m_givenUp.end() && waiting->second.fencing == done.fencing) {
@@ -323,6 +347,11 @@
     const bool ofEarlierLife = m_settings.replacesEarlierLife && holder->life < m_settings.life;
     if (!underOlderLease && !ofEarlierLife)
         return;
+    // With the lease go the keys of all its duties, not of this one alone.
+    if (entry.lease != kv_lease_id()) {
+        open(call_kind::Evict, duty, now, kv_revoke { entry.lease });
+        return;
+    }
     kv_transaction wanted;
     wanted.compares.push_back({ dutyKey(duty), kv_field::CreateRevision, entry.createRevision, {} });
     wanted.then.emplace_back(kv_delete { dutyKey(duty), {} });
--- a/src/lease.h
+++ b/src/lease.h
@@ -83,6 +83,8 @@
     void releaseAll();
     // Somebody said that the duty is free now.
     void hintFree(const duty_id& duty);
+    // The service answers again: what waits for its next try is tried now.
+    void hintService();
 
     // Calls that are due; the rest of the time costs nothing.
     std::vector<lease_action> tick(instant now);
@@ -102,6 +104,7 @@
         Check, // reads a duty's key after a lost answer
         Release,
         Evict, // removes a key of ours that is no longer acted on
+        EndLapsed, // ends a lease of ours that the service may still keep
     };
     struct open_call {
         call_kind kind = call_kind::Grant;
@@ -112,6 +115,7 @@
     };
 
     std::uint64_t open(call_kind kind, const duty_id& duty, instant now, kv_call call);
+    bool isOpen(call_kind kind) const;
     void claim(const duty_id& duty, instant now);
     void giveUp(const duty_id& duty, instant now);
     void letGo(const duty_id& duty, fencing_number fencing, instant now);
@@ -119,6 +123,7 @@
     void lookAgain(instant now);
     void gain(const duty_id& duty, fencing_number fencing, instant now);
     void loseAll();
+    void endLapsed(instant now);
     void evictOwnOld(const duty_id& duty, const kv_entry& entry, instant now);
     void onClaim(const open_call& done, const result<kv_answer>& answer, instant now);
     void noteHolder(const duty_id& duty, const kv_entry& entry);
@@ -130,6 +135,9 @@
     std::vector<duty_id> m_first; // sorted
     std::vector<duty_id> m_all; // sorted
     kv_lease_id m_lease; // 0 = none
+    // Lost by our clock alone: an outage may have stopped the service's. Our keys under it
+    // would stand in everybody's way until it ends.
+    kv_lease_id m_lapsed; // 0 = none
     instant m_until {}; // end of our right under m_lease
     instant m_nextKeepAlive {};
     instant m_nextGrant {};
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -31,6 +31,10 @@
                     found->second.first = now + found->second.second;
                     out.leaseSeconds = 1;
                 }
+            } else if (const auto* gone = std::get_if<kv_revoke>(&call)) {
+                if (const auto found = m_leases.find(gone->lease); found != m_leases.end())
+                    found->second.first = now;
+                expire(now);
             } else if (const auto* range = std::get_if<kv_range>(&call)) {
                 read(*range, out);
             } else if (const auto* change = std::get_if<kv_transaction>(&call)) {
@@ -344,6 +348,45 @@
     BOOST_TEST((leases.holds(duty, *gained)->fencing > before->fencing));
 }
 
+// What an instance held before the outage is free for the others as soon as that
+// instance reaches the service again, also if it claims the duty no more.
+BOOST_AUTO_TEST_CASE(duties_under_a_lapsed_lease_are_free_at_once)
+{
+    constexpr duration outage = 6s;
+    const duty_id node("node/a");
+    const duty_id orders("orders");
+    service keys;
+    duty_leases before({ instance_id("a"), incarnation(1) });
+    before.setChoices({ node, orders }, { node, orders });
+    BOOST_REQUIRE(runAlone(before, keys, orders, instant { 1h }, 1s).has_value());
+
+    const auto back = instant { 1h + 1s + outage };
+    before.setChoices({ node }, { node, orders });
+    BOOST_REQUIRE(runAlone(before, keys, node, back, 500ms, outage).has_value());
+    duty_leases after({ instance_id("b"), incarnation(1) });
+    after.setChoices({ orders }, { orders });
+    const auto gained = runAlone(after, keys, orders, back + 500ms, 10s, outage);
+    BOOST_REQUIRE(gained.has_value());
+    BOOST_TEST((*gained - back < 1s));
+}
+
+// An outage that ends is told to the leases: nothing waits for its next turn.
+BOOST_AUTO_TEST_CASE(what_waits_is_tried_when_the_service_is_back)
+{
+    const duty_id duty("node/a");
+    service keys;
+    duty_leases leases({ instance_id("a"), incarnation(1) });
+    leases.setChoices({ duty }, { duty });
+    const instant start { 1h };
+    for (const auto& action : leases.tick(start)) {
+        if (const auto* call = std::get_if<lease_call>(&action))
+            leases.onAnswer(call->id, failure(error_code::Unavailable, "test", ""), start);
+    }
+    BOOST_TEST(leases.tick(start + 50ms).empty());
+    leases.hintService();
+    BOOST_TEST(runAlone(leases, keys, duty, start + 50ms, 200ms).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
