A coordinator that steps down gives its duty back

A coordinator that finds a later fencing number in the ledger's head resigns: it stopped the run and kept the duty's lease, so nobody coordinated the run any more and each call of the trainer was answered "the run's coordinator is changing" for ever.

The same end is reached by setting the number by hand.

Change: resigning releases the duty; the next holder comes with a higher number. The table of a run under faults names what the trainer was refused, and why, so that the next one of these tells its cause. The stand-in of the users' store removes keys with the lease that is ended, as their page says; it kept them until now.

--- a/src/daemon/run_duty.cpp
+++ b/src/daemon/run_duty.cpp
@@ -460,8 +460,10 @@
 
 void run_duty::act(const run_ptr& item, const resign&)
 {
-    logEvent(log_level::Warning, "run", "resign", { { "run", item->name } });
+    logEvent(log_level::Warning, "run", "resign", { { "run", item->name }, { "fencing", std::to_string(item->fencing.value()) } });
     stop(item->name);
+    // The next holder, perhaps this instance, comes with a higher fencing number.
+    m_leases.release(dutyOf(item->name));
 }
 
 } // namespace lovagerail::daemon
--- a/tests/process/actors.py
+++ b/tests/process/actors.py
@@ -1,5 +1,6 @@
 """Callers, a trainer and an operator in threads, which write down what they see."""
 
+import collections
 import concurrent.futures
 import http.client
 import json
@@ -212,6 +213,7 @@
         self.supplied = 0
         self.version = 1
         self.published = False
+        self.refusals = collections.Counter()  # by call and reason
 
     def ask(self, method, path, body=None):
         """One call at one of the entries; None unless it was answered with 200."""
@@ -219,9 +221,13 @@
         url = f"{self.fleet.daemons[entry].callers}/rollout/v1/runs/{self.run_name}{path}"
         try:
             answer = call(method, url, body, {"Authorization": "Bearer " + self.key}, timeout=8)
-            return answer.json if answer.status == 200 else None
-        except (*BROKEN, ValueError):
-            return None
+            if answer.status == 200:
+                return answer.json
+            reason = answer.json["error"]["message"]
+        except (*BROKEN, ValueError, KeyError) as problem:
+            reason = type(problem).__name__
+        self.refusals[f"{path.split('?')[0]} at {entry}: {reason}"] += 1
+        return None
 
     def step(self):
         if not self.published:
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -121,10 +121,14 @@
     def _expire(self):
         now = time.monotonic()
         for lease in [one for one, (end, _) in self.leases.items() if end < now]:
-            del self.leases[lease]
-            self.revision += 1
-            for key in [key for key, entry in self.keys.items() if entry[3] == lease]:
-                self._remove(key)
+            self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        """Its keys go with it."""
+        del self.leases[lease]
+        self.revision += 1
+        for key in [key for key, entry in self.keys.items() if entry[3] == lease]:
+            self._remove(key)
 
     def _row(self, key):
         value, changed, created, lease = self.keys[key]
@@ -208,8 +212,10 @@
         return 200, {"ttlMs": int(self.leases[lease][1] * 1000)}
 
     def _end(self, request):
-        self.leases.pop(int(request.route.rsplit("/", 1)[1]), None)
-        self._expire()
+        lease = int(request.route.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return 404, {}
+        self._end_lease(lease)
         return 200, {}
 
 
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -417,6 +417,7 @@
              f"requests           {len(seen.requests)}: " + ", ".join(f"{name} {count}" for name, count in sorted(outcomes.items())),
              f"samples            {len(samples)} in {len({b['cursor'] for b in seen.batches})} steps, {sum(b['repeat'] for b in seen.batches)} batches asked for again",
              f"longest wait       {longest_wait(seen):.1f} s without a new batch",
+             f"trainer refused    {sum(scene.trainer.refusals.values())}, mostly " + "; ".join(f"{count} x {reason}" for reason, count in scene.trainer.refusals.most_common(4)),
              f"usage windows      {len(seen.usage['windows'])} of accounts, {len(seen.usage['reports'])} reports",
              f"engine attempts    {len(seen.attempts())}; orders {sum(len(e['orders']) for e in seen.engines)}",
              f"configuration      {sum(1 for c in seen.accepted if c['accepted'])} changes accepted, {len(seen.readings)} readings; {len(seen.withdrawals)} keys withdrawn",
--- a/tests/process/test_rollouts.py
+++ b/tests/process/test_rollouts.py
@@ -7,7 +7,7 @@
 import unittest
 
 from fleet import Fleet
-from kit import KitTest, wait_until
+from kit import KitTest, b64, post, unb64, wait_until
 
 STALENESS_BOUND = 2
 
@@ -101,6 +101,17 @@
             fleet.start(name)
         self.check(fleet, trainer)
 
+    def test_a_coordinator_that_steps_down_is_followed(self):
+        fleet = self.fleet()
+        trainer = self.start_trainer(fleet, steps=4)
+        wait_until(lambda: self.steps_received(trainer) > 0, "a first step", seconds=30)
+        # A successor that lost the duty again would leave the head like this.
+        key = b64("/lovagerail/runs/quotes/head")
+        head = json.loads(unb64(post(fleet.kv.url + "/v3/kv/range", {"key": key}).json["kvs"][0]["value"]))
+        head["fencing_number"] += 1
+        post(fleet.kv.url + "/v3/kv/put", {"key": key, "value": b64(json.dumps(head))})
+        self.check(fleet, trainer)
+
 
 if __name__ == "__main__":
     unittest.main()
