Loads of weights count by the replicas' own reports, not by their usual time

By the logs one replica after another answers 409 for 3 to 8 s after an accepted order. A load counted as done after 1.0 s; beside others, and while the holder of the duty changes with each stop, loads take longer, so more were ordered than may run at once, and each slowed all others for good.

Change: an accepted load counts until the replica's report says that it is done; a replica that answers "busy" counts as loading, whoever ordered it, and gets no further order; versions are taken from the report, before the list shows them. Reports are asked for 0.85 s after an order and each 0.3 s from then on: one or two probes a load.

--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -21,6 +21,8 @@
             return load_outcome::Accepted;
         case platform::duty_answer::Holds:
             return load_outcome::Holds;
+        case platform::duty_answer::Busy:
+            return load_outcome::Busy;
         case platform::duty_answer::Unknown:
             return load_outcome::Unsure;
         default:
@@ -64,6 +66,8 @@
     for (auto& [service, sets] : m_sets) {
         for (const auto& load : sets.plan(m_context.now))
             order(service, load);
+        for (const auto& target : sets.checks(m_context.now))
+            check(service, target);
     }
 }
 
@@ -210,11 +214,34 @@
             settle(service, load, load_outcome::NotNow, term);
             return;
         }
+        if (report->busy) {
+            logEvent(log_level::Info, "weights", "busy", { { "target", load.target.str() }, { "model", load.model.str() }, { "taken", std::to_string(report->ordersTaken) } });
+            settle(service, load, load_outcome::Busy, term);
+            return;
+        }
         m_taken[load.target] = { life, report->ordersTaken };
         sendOrder(service, load, report->ordersTaken);
     });
 }
 
+// Whether a replica still loads, and what it serves by now. One that doesn't answer is
+// asked again.
+void weight_duty::check(const service_id& service, const target_id& target)
+{
+    const auto entry = m_entries.find(target);
+    if (entry == m_entries.end())
+        return;
+    auto request = platform::encodeReportCall(entry->second.listed.address);
+    request.connectTimeout = orderConnectTimeout;
+    request.totalTimeout = orderTimeout;
+    m_context.net.call(std::move(request), [this, service, target, term = *m_term](const http::answer& answer) {
+        const auto report = platform::decodeReport(answer);
+        const auto sets = m_sets.find(service);
+        if (report && m_term == term && sets != m_sets.end())
+            sets->second.reported(target, report->busy, report->versions, m_context.now);
+    });
+}
+
 void weight_duty::sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken)
 {
     const auto held = m_members.holds(targetsDuty);
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -25,6 +25,7 @@
     void retire(const kv_entry& entry);
     void refresh();
     void order(const service_id& service, const weight_load& load);
+    void check(const service_id& service, const target_id& target);
     void askCount(const service_id& service, const weight_load& load);
     void sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken);
     void settle(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term);
--- a/src/weight_sets.cpp
+++ b/src/weight_sets.cpp
@@ -12,6 +12,14 @@
 
     const std::set<target_id> noMembers;
 
+    // In a sorted list, constant or not.
+    template <typename replica_list>
+    auto* findIn(replica_list& replicas, const target_id& target)
+    {
+        const auto found = std::lower_bound(replicas.begin(), replicas.end(), target, [](const weight_replica& one, const target_id& id) { return one.target < id; });
+        return found == replicas.end() || found->target != target ? nullptr : &*found;
+    }
+
 } // namespace
 
 void weight_sets::setModels(std::vector<weight_model> models)
@@ -25,6 +33,13 @@
 {
     std::sort(replicas.begin(), replicas.end(), [](const auto& a, const auto& b) { return a.target < b.target; });
     m_replicas = std::move(replicas);
+    std::erase_if(m_shown, [this](const auto& entry) {
+        const auto* replica = find(entry.first.first);
+        return replica == nullptr || replica->life != entry.second.life || versionAt(*replica, entry.first.second) >= entry.second.version;
+    });
+    for (const auto& [key, shown] : m_shown)
+        find(key.first)->versions[key.second] = shown.version;
+    std::erase_if(m_foreign, [this, now](const auto& entry) { return now >= entry.second.until || find(entry.first) == nullptr; });
     std::erase_if(m_loads, [this, now](const auto& entry) {
         const auto* replica = find(entry.first.first);
         // Shown by the replica itself, gone with it, or to be ordered again.
@@ -34,11 +49,8 @@
     arrangeSets();
 }
 
-const weight_replica* weight_sets::find(const target_id& target) const
-{
-    const auto found = std::lower_bound(m_replicas.begin(), m_replicas.end(), target, [](const weight_replica& one, const target_id& id) { return one.target < id; });
-    return found == m_replicas.end() || found->target != target ? nullptr : &*found;
-}
+const weight_replica* weight_sets::find(const target_id& target) const { return findIn(m_replicas, target); }
+weight_replica* weight_sets::find(const target_id& target) { return findIn(m_replicas, target); }
 
 weight_version weight_sets::versionAt(const weight_replica& replica, const model_id& model)
 {
@@ -59,6 +71,9 @@
     const auto refused = m_refused.find(target);
     if (refused != m_refused.end() && now < refused->second)
         return true;
+    const auto foreign = m_foreign.find(target);
+    if (foreign != m_foreign.end() && now < foreign->second.until)
+        return true;
     return std::any_of(m_loads.begin(), m_loads.end(), [&target, now](const auto& entry) { return entry.first.first == target && now < entry.second.loadingUntil; });
 }
 
@@ -169,8 +184,8 @@
 std::vector<weight_load> weight_sets::plan(instant now)
 {
     // Step 1. What loads now.
-    std::size_t loading = 0;
     std::map<model_id, std::size_t> loadingOf;
+    auto loading = static_cast<std::size_t>(std::count_if(m_foreign.begin(), m_foreign.end(), [now](const auto& entry) { return now < entry.second.until; }));
     for (const auto& [key, load] : m_loads) {
         if (now >= load.loadingUntil)
             continue;
@@ -234,7 +249,7 @@
             continue;
         ++loading;
         ++loadingOf[one.load.model];
-        m_loads[{ one.load.target, one.load.model }] = { one.load.version, now + m_settings.loadTime, now + m_settings.confirmTime };
+        m_loads[{ one.load.target, one.load.model }] = { one.load.version, now + m_settings.loadTime, now + m_settings.confirmTime, std::nullopt };
         out.push_back(one.load);
     }
     return out;
@@ -249,6 +264,7 @@
     case load_outcome::Accepted:
         found->second.loadingUntil = now + m_settings.loadTime;
         found->second.again = now + m_settings.confirmTime;
+        found->second.checkAt = found->second.loadingUntil - m_settings.checkPause / 2; // before it ends to count
         return;
     case load_outcome::Holds:
         found->second.loadingUntil = now;
@@ -259,6 +275,10 @@
         found->second.again = now + m_settings.retryPause;
         m_refused[load.target] = found->second.again;
         return;
+    case load_outcome::Busy:
+        m_loads.erase(found);
+        m_foreign[load.target] = { now + m_settings.reportHolds, now + m_settings.checkPause };
+        return;
     case load_outcome::Unsure:
         found->second.loadingUntil = now + m_settings.unsurePause;
         found->second.again = now + m_settings.unsurePause;
@@ -266,4 +286,59 @@
     }
 }
 
+std::vector<target_id> weight_sets::checks(instant now)
+{
+    std::vector<target_id> out;
+    for (auto& [key, load] : m_loads) {
+        if (!load.checkAt || now < *load.checkAt)
+            continue;
+        load.checkAt = now + m_settings.checkPause;
+        out.push_back(key.first);
+    }
+    for (auto& [target, load] : m_foreign) {
+        if (now < load.checkAt)
+            continue;
+        load.checkAt = now + m_settings.checkPause;
+        out.push_back(target);
+    }
+    return out;
+}
+
+void weight_sets::reported(const target_id& target, bool busy, const std::map<model_id, weight_version>& versions, instant now)
+{
+    auto* replica = find(target);
+    if (replica == nullptr)
+        return;
+
+    // Step 1. Versions that its entry in the list doesn't show yet.
+    for (const auto& [model, version] : versions) {
+        if (version <= versionAt(*replica, model))
+            continue;
+        replica->versions[model] = version;
+        m_shown[{ target, model }] = { replica->life, version };
+    }
+
+    // Step 2. Its load goes on, is done, or was lost with a restart.
+    bool ours = false;
+    for (auto it = m_loads.begin(); it != m_loads.end();) {
+        auto& load = it->second;
+        if (it->first.first != target || !load.checkAt) {
+            ++it;
+            continue;
+        }
+        ours = true;
+        if (!busy) {
+            it = m_loads.erase(it);
+            continue;
+        }
+        load.loadingUntil = now + m_settings.reportHolds;
+        load.again = std::max(load.again, load.loadingUntil);
+        ++it;
+    }
+    if (ours || !busy)
+        m_foreign.erase(target);
+    else
+        m_foreign[target] = { now + m_settings.reportHolds, now + m_settings.checkPause };
+}
+
 } // namespace lovagerail
--- a/src/weight_sets.h
+++ b/src/weight_sets.h
@@ -10,12 +10,17 @@
 // one loads at a time, the one that is no longer accepted. So the set may be lag + 1
 // times as large for the same number of loads, and loads keep no work waiting.
 //
+// Loads slow each other down once too many run side by side, so how many do is taken
+// from the replicas' own reports, not from the time that a load usually takes: orders
+// that count as done too early would pile up, each slowing all others.
+//
 // Pure; owned by the holder of the duty. A plan is O(models x replicas).
 #pragma once
 
 #include "types.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,8 +35,10 @@
     std::size_t leastLoading = 2; // of all, however few there are
     // Sets stay below what loads could serve, so that these keep up with named versions.
     double headroom = 0.75;
-    duration loadTime = std::chrono::milliseconds(1000); // an accepted order is done by then; loading takes 0.9 s
+    duration loadTime = std::chrono::milliseconds(1000); // an accepted order is done by then, unless loads slow each other; loading takes 0.9 s
     duration confirmTime = std::chrono::milliseconds(3500); // the replica's own entry shows it by then
+    duration checkPause = std::chrono::milliseconds(300); // between reports of a replica that loads; a report is some hundred ms old
+    duration reportHolds = std::chrono::milliseconds(700); // two reports; a replica that said it is busy counts as that for so long
     duration retryPause = std::chrono::milliseconds(400); // after a refusal
     duration unsurePause = std::chrono::milliseconds(1500); // after a lost answer; the order may be carried out late
 };
@@ -61,6 +68,7 @@
     Accepted,
     Holds,
     NotNow, // surely not done
+    Busy, // surely not done: another order is under way there
     Unsure,
 };
 
@@ -77,6 +85,10 @@
     // Loads to order now; each is answered by ordered().
     std::vector<weight_load> plan(instant now);
     void ordered(const weight_load& load, load_outcome outcome, instant now);
+    // Replicas whose report is wanted now: their loads should be done, or were under way
+    // when they said so last. Each is answered by reported(), or not at all.
+    std::vector<target_id> checks(instant now);
+    void reported(const target_id& target, bool busy, const std::map<model_id, weight_version>& versions, instant now);
 
     // Members of a model's set.
     const std::set<target_id>& members(const model_id& model) const;
@@ -86,6 +98,17 @@
         weight_version version;
         instant loadingUntil {}; // counts as loading until then
         instant again {}; // not ordered again before
+        std::optional<instant> checkAt {}; // once accepted
+    };
+    // A replica that carries out an order which is not among ours.
+    struct foreign_load {
+        instant until {};
+        instant checkAt {};
+    };
+    // What a replica said of itself, where the list of replicas is older.
+    struct shown_version {
+        incarnation life;
+        weight_version version;
     };
     using load_key = std::pair<target_id, model_id>;
 
@@ -96,6 +119,7 @@
     // A replica carries out one order at a time.
     bool isBusy(const target_id& target, instant now) const;
     const weight_replica* find(const target_id& target) const;
+    weight_replica* find(const target_id& target);
     static weight_version versionAt(const weight_replica& replica, const model_id& model);
 
     weight_set_settings m_settings;
@@ -103,6 +127,8 @@
     std::vector<weight_replica> m_replicas; // sorted by target
     std::map<model_id, std::set<target_id>> m_sets; // live replicas alone
     std::map<load_key, open_load> m_loads;
+    std::map<target_id, foreign_load> m_foreign;
+    std::map<load_key, shown_version> m_shown;
     std::map<target_id, instant> m_refused; // not ordered anything before then
 };
 
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -245,7 +245,8 @@
 
     def handle(self, request):
         if request.route == "/report":
-            request.answer(200, {"stage": "hybrid", "models": [], "busy": False, "sequence": self.orders})
+            models = [{"name": name, "version": version, "adapters": []} for name, version in (self.versions or {}).items()]
+            request.answer(200, {"stage": "hybrid", "models": models, "busy": False, "sequence": self.orders})
         elif request.route == "/order":
             self._order(request)
         elif request.headers.get("Target-Instance") not in (None, self.name):
--- a/tests/test_weight_sets.cpp
+++ b/tests/test_weight_sets.cpp
@@ -37,14 +37,18 @@
             for (const auto& [model, version] : named)
                 models.push_back({ model, version, 1, m_lag });
             sets.setModels(models);
+            // Beyond so many at once, loads slow each other.
+            const auto slowdown = std::max(1.0, static_cast<double>(m_loading.size()) / freeAtOnce);
+            const auto done = std::chrono::duration_cast<duration>(100ms / slowdown);
             for (auto it = m_loading.begin(); it != m_loading.end();) {
-                if (it->second > now) {
+                it->left -= done;
+                if (it->left > 0ms) {
                     ++it;
                     continue;
                 }
                 for (auto& replica : replicasNow) {
-                    if (replica.target == it->first.target)
-                        replica.versions[it->first.model] = it->first.version;
+                    if (replica.target == it->load.target)
+                        replica.versions[it->load.model] = it->load.version;
                 }
                 it = m_loading.erase(it);
             }
@@ -52,21 +56,31 @@
             const auto loads = sets.plan(now);
             for (const auto& load : loads) {
                 // A replica carries out one order at a time.
-                const bool busy = std::any_of(m_loading.begin(), m_loading.end(), [&load](const auto& one) { return one.first.target == load.target; });
+                const bool busy = isLoading(load.target);
                 refused += busy ? 1 : 0;
-                sets.ordered(load, busy ? load_outcome::NotNow : load_outcome::Accepted, now);
+                sets.ordered(load, !busy ? load_outcome::Accepted : reports ? load_outcome::Busy
+                                                                            : load_outcome::NotNow,
+                    now);
                 if (!busy)
-                    m_loading.emplace_back(load, now + 900ms);
+                    m_loading.push_back({ load, loadTime });
+            }
+            for (const auto& target : reports ? sets.checks(now) : std::vector<target_id>()) {
+                const auto replica = std::find_if(replicasNow.begin(), replicasNow.end(), [&target](const auto& one) { return one.target == target; });
+                sets.reported(target, isLoading(target), replica->versions, now);
             }
             mostLoading = std::max(mostLoading, m_loading.size());
             return loads.size();
         }
+        bool isLoading(const target_id& target) const
+        {
+            return std::any_of(m_loading.begin(), m_loading.end(), [&target](const auto& one) { return one.load.target == target; });
+        }
         // Members of the model's set that accept new work.
         std::size_t accepting(const model_id& model) const
         {
             std::size_t count = 0;
             for (const auto& replica : replicasNow) {
-                const bool isLoading = std::any_of(m_loading.begin(), m_loading.end(), [&](const auto& one) { return one.first.target == replica.target && one.first.model == model; });
+                const bool isLoading = std::any_of(m_loading.begin(), m_loading.end(), [&](const auto& one) { return one.load.target == replica.target && one.load.model == model; });
                 if (sets.members(model).contains(replica.target) && !isLoading && replica.versions.at(model).value() + m_lag >= named.at(model).value())
                     ++count;
             }
@@ -77,12 +91,19 @@
         weight_sets sets;
         std::vector<weight_replica> replicasNow;
         std::map<model_id, weight_version> named { { modelA, weight_version(1) }, { modelB, weight_version(1) }, { modelC, weight_version(1) } };
+        duration loadTime = 900ms; // of one load beside few others
+        double freeAtOnce = 1000;
+        bool reports = true; // replicas are asked for theirs
         std::size_t mostLoading = 0;
         std::size_t refused = 0; // orders
 
     private:
         std::uint64_t m_lag;
-        std::vector<std::pair<weight_load, instant>> m_loading;
+        struct open_load {
+            weight_load load;
+            duration left {};
+        };
+        std::vector<open_load> m_loading;
     };
 
 } // namespace
@@ -155,6 +176,41 @@
     BOOST_TEST(f.refused == 0u);
 }
 
+// The load pattern of a rolling restart: loads take longer than usual, and the duty
+// changes hands while as many replicas load as may, of which its new holder knows
+// nothing. Loads counted as done by their usual time pile up and slow each other for
+// good.
+BOOST_AUTO_TEST_CASE(loads_that_slow_each_other_do_not_pile_up)
+{
+    std::map<bool, std::size_t> refused;
+    std::map<bool, std::size_t> most;
+    for (const bool reports : { false, true }) {
+        fleet f(38, 0);
+        f.loadTime = 1300ms;
+        f.freeAtOnce = 8;
+        f.reports = reports;
+        for (int step = 0; step < 600; ++step) {
+            if (step % 40 == 0)
+                f.name(modelA);
+            if (step % 40 == 13)
+                f.name(modelB);
+            if (step % 40 == 26)
+                f.name(modelC);
+            if (step == 165 || step == 172 || step == 180)
+                f.sets = weight_sets();
+            f.step();
+        }
+        refused[reports] = f.refused;
+        most[reports] = f.mostLoading;
+        BOOST_TEST_MESSAGE("reports " << reports << ": orders refused " << f.refused << ", most at once " << f.mostLoading);
+    }
+    // Only a new holder orders at replicas that load already, until they say so.
+    BOOST_TEST(refused[true] <= 3u * 8u);
+    BOOST_TEST(most[true] <= 8u + 7u);
+    BOOST_TEST(refused[false] > 4 * refused[true]);
+    BOOST_TEST(most[false] > most[true]);
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_refused_one_load_is_not_asked_for_another_at_once)
 {
     fleet f(1, 0);
