--- a/tests/process/kit.py
+++ b/tests/process/kit.py
@@ -34,6 +34,7 @@
 START_ATTEMPTS = 5
 CALL_SECONDS = 20
 LOG_TAIL_BYTES = 6000
+KEPT_LOGS = os.environ.get("LOVAGERAIL_KEPT_LOGS")  # a folder that takes the whole logs of failed tests
 FIRST_PORT = 20000
 LAST_PORT = 32000  # below the range that the kernel gives to clients
 PR_SET_PDEATHSIG = 1
@@ -423,6 +424,8 @@
             for program in self.programs:
                 tail = program.output()[-LOG_TAIL_BYTES:]
                 print(f"--- {program.name} (exit {program.exit_code}): {' '.join(program.command)[:200]}\n{tail}", flush=True)
+            if KEPT_LOGS:
+                shutil.copytree(self.folder, pathlib.Path(KEPT_LOGS) / self.folder.name)
         shutil.rmtree(self.folder, ignore_errors=True)
         self.programs = []
         if odd and not failed:
@@ -531,6 +534,10 @@
         self.kit = Kit()
 
     def tearDown(self):
-        outcome = getattr(self, "_outcome", None)
-        failed = outcome is not None and not outcome.success
-        self.kit.close(failed=failed)
+        self.kit.close(failed=self._failed())
+
+    def _failed(self):
+        """Whether this test failed before its tear-down; the outcome's own flag starts anew there."""
+        result = getattr(getattr(self, "_outcome", None), "result", None)
+        found = [*getattr(result, "failures", []), *getattr(result, "errors", [])]
+        return any(getattr(case, "test_case", case) is self for case, _ in found)
