Targets that say they leave get nothing new, whatever the list shows

Cause: a target that leaves says so in each of its answers. Only the store's list was followed, so while the store was silent, or lagged, such a target went on getting requests. Ruled out: waiting for the drain bound (nothing is gained by using a target that is about to exit); a mark without an incarnation (it would shut out the target after its restart); an answer 421, which another target at the address gives, and which is not read. Change: any answer (of requests, items, load orders, reports) is read; the target table, in which a state never goes back within an incarnation, takes the news, and a gossip along the tree of instances passes it on. The calls for reports name their target, so that another one at the address refuses them. The tree's sending moved out of the quarantine's gossip and serves both.

--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -73,6 +73,7 @@
     struct run_transfer {
         std::uint64_t transfer = 0;
         target_id target;
+        incarnation targetIncarnation;
         item_id item;
         platform::event_reader reader;
         platform::target_head head;
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -64,6 +64,7 @@
             { "load", std::to_string(m_context.targets.load().ownOutstanding(action.choice.slot)) } });
     auto& run = m_runs[action.attempt];
     run.target = action.choice.target;
+    run.targetIncarnation = action.choice.incarnation;
     run.item = item.id;
     run.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
 }
@@ -76,7 +77,7 @@
     auto& run = found->second;
     if (event.what == http::event::kind::Head) {
         run.head = platform::decodeTargetHead(event.status, event.headers);
-        recordTargetLoad(m_context, run.target, run.head);
+        m_frontend.recordTargetState(run.target, run.targetIncarnation, run.head);
         item_head head;
         head.status = run.head.status;
         head.echoesId = run.head.echoed.empty() || run.head.echoed.str() == run.item.str();
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -2,6 +2,7 @@
 #include "edge/caller_frontend.h"
 
 #include "edge/batches.h"
+#include "edge/departures.h"
 #include "edge/usage_duty.h"
 #include "http_status.h"
 #include "log.h"
@@ -47,9 +48,10 @@
 
 } // namespace
 
-caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks)
+caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets)
     : m_context(shared)
     , m_usage(usage)
+    , m_departures(leavingTargets)
     , m_forwarding({}, shared.targets, blameMarks)
 {
 }
@@ -255,6 +257,7 @@
     auto& openAttempt = m_attempts[action.attempt];
     openAttempt.forward = action.id;
     openAttempt.target = action.choice.target;
+    openAttempt.targetIncarnation = action.choice.incarnation;
     openAttempt.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
 }
 
@@ -290,7 +293,7 @@
     head.echoesId = openAttempt.head.echoed.empty() || openAttempt.head.echoed == openForward.callerId;
     head.signedByTarget = !openAttempt.head.proof.empty();
     head.notRun = openAttempt.head.notRun;
-    recordTargetLoad(m_context, openAttempt.target, openAttempt.head);
+    recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head);
     execute(m_forwarding.head(attempt, head, m_context.now));
     // The actions may have cancelled this attempt or begun a stream to the caller.
     const auto current = m_attempts.find(attempt);
@@ -361,19 +364,20 @@
     execute(m_forwarding.tick(m_context.now));
 }
 
-void recordTargetLoad(context& shared, const target_id& target, const platform::target_head& head)
+void caller_frontend::recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head)
 {
-    const auto slot = shared.targets.table().find(target);
+    m_departures.observe(target, incarnationNumber, head);
+    const auto slot = m_context.targets.table().find(target);
     // A target that was removed from the list may still answer; don't add it again.
-    if (!head.load || !slot || !shared.targets.table().isLive(*slot))
+    if (!head.load || !slot || !m_context.targets.table().isLive(*slot))
         return;
     load_report report;
     report.target = target;
-    report.incarnation = shared.targets.table().record(*slot).listed.incarnation;
+    report.incarnation = m_context.targets.table().record(*slot).listed.incarnation;
     report.running = head.load->running;
     report.waiting = head.load->waiting;
-    report.measuredAt = shared.now;
-    shared.targets.applyReport(report, shared.now);
+    report.measuredAt = m_context.now;
+    m_context.targets.applyReport(report, m_context.now);
 }
 
 } // namespace lovagerail::edge
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -18,6 +18,7 @@
 namespace lovagerail::edge {
 
 class batches;
+class departures;
 class usage_duty;
 
 // A healthy target accepts a connection and acknowledges bytes within a few milliseconds;
@@ -25,12 +26,9 @@
 constexpr std::chrono::milliseconds targetConnectTimeout { 400 };
 constexpr std::chrono::milliseconds targetUnacknowledgedTimeout { 600 };
 
-// Records the load that a target states in the headers of its answer.
-void recordTargetLoad(context& shared, const target_id& target, const platform::target_head& head);
-
 class caller_frontend {
 public:
-    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks);
+    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets);
 
     void setBatches(batches& owner) { m_batches = &owner; }
     // Handles a request from the listener for callers.
@@ -48,6 +46,10 @@
     using service_callback = std::function<void(const service_answer&)>;
     void callService(const judge_call& call, duration deadline, service_callback onAnswer);
 
+    // Takes note of what a target states about itself in the headers of an answer: its load,
+    // and whether it leaves. `incarnationNumber` is the one that the request was sent to.
+    void recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head);
+
     void tick();
     std::size_t openCount() const { return m_forwards.size(); }
     const forwarding_counts& counts() const { return m_forwarding.counts(); }
@@ -72,6 +74,7 @@
         forward_id forward;
         std::uint64_t transfer = 0;
         target_id target;
+        incarnation targetIncarnation;
         platform::target_head head;
         std::string body;
         bool streaming = false;
@@ -92,6 +95,7 @@
 
     context& m_context;
     usage_duty& m_usage;
+    departures& m_departures;
     batches* m_batches = nullptr;
     request_forwarder m_forwarding;
     std::uint64_t m_lastForwardId = 0;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -8,6 +8,7 @@
 #include "edge/capacity_duty.h"
 #include "edge/context.h"
 #include "edge/demand_reports.h"
+#include "edge/departures.h"
 #include "edge/members.h"
 #include "edge/metrics.h"
 #include "edge/platform_view.h"
@@ -81,12 +82,13 @@
             , m_context { m_settings, m_net, m_store, m_targets, incarnation(static_cast<std::uint64_t>(daemon::wallNow().time_since_epoch().count())) }
             , m_members(m_context, { usageDuty, targetsDuty })
             , m_platformView(m_context, m_members)
+            , m_departures(m_context, m_platformView)
             , m_usage(m_context)
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
-            , m_frontend(m_context, m_usage, m_blameMarks)
+            , m_frontend(m_context, m_usage, m_blameMarks, m_departures)
             , m_batches(m_context, m_members, m_frontend)
             , m_demand(m_context, m_members)
-            , m_weights(m_context, m_members, m_platformView, m_demand)
+            , m_weights(m_context, m_members, m_platformView, m_demand, m_departures)
             , m_capacity(m_context, m_members, m_platformView, m_demand)
         {
             m_usage.setMembers(m_members);
@@ -121,6 +123,7 @@
         context m_context;
         members m_members;
         platform_view m_platformView;
+        departures m_departures;
         usage_duty m_usage;
         quarantine m_blameMarks;
         quarantine_gossip m_quarantineGossip;
@@ -211,6 +214,8 @@
             m_usage.onPeerRequest(exchange);
         else if (exchange->path == "/marks")
             m_quarantineGossip.onPeerRequest(exchange);
+        else if (exchange->path == "/departures")
+            m_departures.onPeerRequest(exchange);
         else if (exchange->path == "/demand")
             m_demand.onPeerRequest(exchange);
         else if (!m_batches.onPeerRequest(exchange))
@@ -314,6 +319,7 @@
         m_capacity.tick();
         m_usage.tick();
         m_quarantineGossip.tick();
+        m_departures.tick();
         if (m_context.stopping && m_batches.allHandedOver())
             m_members.leave();
         if (m_context.now >= m_nextClosedCallerCheck && m_callers) {
--- a/src/edge/quarantine_gossip.cpp
+++ b/src/edge/quarantine_gossip.cpp
@@ -1,7 +1,8 @@
 // Sends new blame marks to the neighbours in the tree and relays those of others.
 #include "edge/quarantine_gossip.h"
 
-#include "edge/peer_call.h"
+#include "edge/tree_gossip.h"
+#include "http_status.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -12,7 +13,6 @@
     // A new mark crosses three levels of the tree well within the second or so after which a caller
     // retries a request that crashed a target.
     constexpr duration gossipPeriod = std::chrono::milliseconds(100);
-    constexpr std::chrono::milliseconds gossipTimeout { 800 };
 
 } // namespace
 
@@ -33,14 +33,8 @@
         newMarks.push_back(std::move(mark));
     if (newMarks.empty())
         return;
-    const auto body = writeJson(toJson(newMarks));
-    for (const auto& neighbour : m_platformView.neighbours()) {
-        m_context.net.call(peerCall(neighbour.address, "/marks", body, gossipTimeout), [name = neighbour.name](const http::answer& answer) {
-            // No retry: an instance that misses a mark still observes the next crash itself.
-            if (!isOk(answer))
-                logEvent(log_level::Warning, "marks", "not_told", { { "member", name.str() }, { "status", std::to_string(answer.status) } });
-        });
-    }
+    // An instance that misses a mark still observes the next crash itself.
+    sendToNeighbours(m_context, m_platformView, "/marks", writeJson(toJson(newMarks)), "marks");
     for (const auto& mark : newMarks)
         logEvent(log_level::Info, "marks", mark.cleared ? "cleared" : "blamed", { { "target", mark.blame.target.str() }, { "request", std::to_string(mark.request.value()) }, { "apart", mark.blame.isolatedAttempt.empty() ? "0" : "1" } });
 }
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -3,8 +3,10 @@
 // number.
 #include "edge/weight_duty.h"
 
+#include "edge/departures.h"
 #include "log.h"
 #include "platform/duty_codec.h"
+#include "platform/headers.h"
 
 namespace lovagerail::edge {
 
@@ -36,11 +38,12 @@
 
 } // namespace
 
-weight_duty::weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand)
+weight_duty::weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets)
     : m_context(shared)
     , m_members(membership)
     , m_platformView(platformView)
     , m_demand(demand)
+    , m_departures(leavingTargets)
 {
 }
 
@@ -164,6 +167,8 @@
         replica.failureDomain = entry.listed.failureDomain;
         replica.versions.insert(entry.models.begin(), entry.models.end());
         if (const auto slot = m_context.targets.table().find(entry.listed.id)) {
+            if (m_context.targets.table().record(*slot).listed.state != target_state::Live)
+                continue; // it said so itself before its entry does
             const auto load = m_context.targets.load().view(*slot, m_context.now);
             replica.busy = load.ownRequests + load.otherRequests;
         }
@@ -207,10 +212,11 @@
 void weight_duty::fetchOrderCount(const service_id& service, const weight_load& load)
 {
     const auto& listed = m_targetEntries.at(load.target).listed;
-    auto request = platform::encodeReportCall(listed.address);
+    auto request = platform::encodeReportCall(load.target, listed.address);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
     m_context.net.call(std::move(request), [this, service, load, targetIncarnation = listed.incarnation, term = *m_term](const http::answer& answer) {
+        observeDeparture(load.target, targetIncarnation, answer);
         const auto report = platform::decodeReport(answer);
         if (!report || m_term != term) {
             logEvent(log_level::Warning, "weights", "no_report", { { "target", load.target.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
@@ -234,10 +240,11 @@
     const auto entry = m_targetEntries.find(target);
     if (entry == m_targetEntries.end())
         return;
-    auto request = platform::encodeReportCall(entry->second.listed.address);
+    auto request = platform::encodeReportCall(target, entry->second.listed.address);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
-    m_context.net.call(std::move(request), [this, service, target, term = *m_term](const http::answer& answer) {
+    m_context.net.call(std::move(request), [this, service, target, targetIncarnation = entry->second.listed.incarnation, term = *m_term](const http::answer& answer) {
+        observeDeparture(target, targetIncarnation, answer);
         const auto report = platform::decodeReport(answer);
         const auto sets = m_weightSets.find(service);
         if (report && m_term == term && sets != m_weightSets.end())
@@ -262,7 +269,8 @@
     auto request = platform::encodeLoadOrder({ instance_id(m_context.settings.instance.name), heldDuty->fencing }, wireOrder);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
-    m_context.net.call(std::move(request), [this, service, load, ordersTaken, term = heldDuty->fencing](const http::answer& answer) {
+    m_context.net.call(std::move(request), [this, service, load, ordersTaken, targetIncarnation = entry->second.listed.incarnation, term = heldDuty->fencing](const http::answer& answer) {
+        observeDeparture(load.target, targetIncarnation, answer);
         const auto outcome = platform::decodeDutyAnswer(answer);
         logEvent(log_level::Info, "weights", "ordered",
             { { "target", load.target.str() }, { "model", load.model.str() }, { "version", std::to_string(load.version.value()) }, { "taken", std::to_string(ordersTaken) },
@@ -278,6 +286,11 @@
     });
 }
 
+void weight_duty::observeDeparture(const target_id& target, incarnation incarnationNumber, const http::answer& answer)
+{
+    m_departures.observe(target, incarnationNumber, platform::decodeTargetHead(answer.status, answer.headers));
+}
+
 void weight_duty::recordOutcome(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term)
 {
     const auto sets = m_weightSets.find(service);
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -12,9 +12,11 @@
 
 namespace lovagerail::edge {
 
+class departures;
+
 class weight_duty {
 public:
-    weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand);
+    weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets);
 
     void tick();
 
@@ -28,12 +30,14 @@
     void checkReplica(const service_id& service, const target_id& target);
     void fetchOrderCount(const service_id& service, const weight_load& load);
     void sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken);
+    void observeDeparture(const target_id& target, incarnation incarnationNumber, const http::answer& answer);
     void recordOutcome(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term);
 
     context& m_context;
     members& m_members;
     const platform_view& m_platformView;
     const demand_reports& m_demand;
+    departures& m_departures;
     std::optional<fencing_number> m_term; // fencing number under which m_weightSets and m_orderCounts were built
     std::uint64_t m_watch = 0; // 0 = none
     bool m_reading = false;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -26,6 +26,7 @@
     """A threaded HTTP server that passes each call to handle(request) of the subclass."""
 
     def __init__(self):
+        self.extra_headers = {}  # sent with each answer
         self.port = free_ports()
         self.address = f"127.0.0.1:{self.port}"
         server = self
@@ -58,6 +59,11 @@
                 self.end_headers()
                 self.wfile.write(data)
 
+            def end_headers(self):
+                for name, value in server.extra_headers.items():
+                    self.send_header(name, value)
+                super().end_headers()
+
             def break_connection(self):
                 self.close_connection = True
                 self.connection.close()
@@ -307,7 +313,7 @@
     """Receives usage reports and scale orders from the duty holders.
 
     The first report of a usage window counts. Calls with a lower fencing number than an
-    earlier call to the same path are refused.
+    earlier call to the same path are refused, unless checks_fencing is off.
     """
 
     def __init__(self):
@@ -316,14 +322,27 @@
         self.scale_orders = []  # (service, failure domain, desired count, whether for spot targets)
         self.domains_without_capacity = set()  # scale orders for these failure domains are refused
         self.highest_fencing_numbers = {}  # by path, so one for each duty
+        self.checks_fencing = True
+        self.outdated_calls = []  # (path, fencing number) of calls that took effect after one with a higher number
+        self.effect_delays = []  # s, for the next calls, which get no answer
+        self.delayed_calls = 0
         super().__init__()
 
     def handle(self, request):
+        delayed = bool(self.effect_delays)
+        if delayed:
+            self.delayed_calls += 1
+            time.sleep(self.effect_delays.pop())
         fencing_number = int(request.headers["Fence-Token"])
         if fencing_number < self.highest_fencing_numbers.get(request.route, 0):
-            request.respond(409)
+            self.outdated_calls.append((request.route, fencing_number))
+            if self.checks_fencing:
+                request.respond(409)
+                return
+        self.highest_fencing_numbers[request.route] = max(fencing_number, self.highest_fencing_numbers.get(request.route, 0))
+        if delayed:
+            request.break_connection()
             return
-        self.highest_fencing_numbers[request.route] = fencing_number
         report = json.loads(request.body)
         if request.route == "/usage":
             first_counts = self.reports.setdefault(report["windowId"], report["counts"])
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -76,6 +76,16 @@
     BOOST_TEST(head.proof == "s");
 }
 
+BOOST_AUTO_TEST_CASE(a_target_states_in_any_answer_that_it_leaves)
+{
+    for (const int status : { 200, 202, 409, 500, 503 }) {
+        BOOST_TEST(platform::decodeTargetHead(status, { { "server-leaving", "1" } }).leaving);
+        BOOST_TEST(!platform::decodeTargetHead(status, {}).leaving);
+    }
+    // The answer 421 comes from another target at this address.
+    BOOST_TEST(!platform::decodeTargetHead(421, { { "server-leaving", "1" } }).leaving);
+}
+
 // Entries that lack required fields or have invalid ones are ignored; valid ones are decoded.
 BOOST_AUTO_TEST_CASE(entries_of_other_writers_are_not_targets)
 {
