Duties hold where receivers do not check fencing numbers

Cause: with fencingRequired off nobody refuses a call under an older fencing number. A new holder called at once, while a call of the one before could still take effect; a call could also start to connect within the lease and be sent after its end. And the lease was counted on a clock that stands still while a machine is suspended, so a holder that woke would have taken an ended lease for a valid one. Ruled out: longer leases (they only delay the take-over, the call in flight remains); asking the platform (nothing can be read back). Calls under a duty end with its lease. The clock is CLOCK_BOOTTIME. That the clock counts a suspension is not shown by a test: a test machine isn't suspended.

--- a/src/daemon/clock.h
+++ b/src/daemon/clock.h
@@ -3,11 +3,17 @@
 
 #include "types.h"
 
+#include <ctime>
+
 namespace lovagerail::daemon {
 
+// Counts the time that the machine was suspended, as leases run on meanwhile;
+// std::chrono::steady_clock does not.
 inline instant monotonicNow()
 {
-    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 inline wall_time wallNow()
--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -12,8 +12,7 @@
 namespace {
 
     constexpr std::string_view nodePrefix = "node/";
-    // A short lease is safe, as the platform refuses fencing numbers of earlier holders; a
-    // longer one would only delay a take-over.
+    // A longer lease would only delay a take-over.
     constexpr std::chrono::seconds leaseDuration { 3 };
 
     lease_settings leaseSettings(const context& shared)
@@ -25,6 +24,7 @@
         out.time = leaseDuration;
         // The platform restarts a process only after the old one has exited.
         out.replacesEarlierIncarnation = true;
+        out.settleTime = shared.settings.duties.settleTime;
         return out;
     }
 
@@ -39,6 +39,18 @@
 
 bool members::joined() const { return m_leases.holds(membershipDuty(), m_context.now).has_value(); }
 
+std::optional<held_duty> members::holds(const duty_id& duty) const
+{
+    auto held = m_leases.holds(duty, m_context.now);
+    return held && m_context.now >= held->ordersFrom ? held : std::nullopt;
+}
+
+std::chrono::milliseconds members::callTimeout(const held_duty& held, std::chrono::milliseconds longest) const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(held.until - m_context.now);
+    return std::clamp(left, std::chrono::milliseconds(1), longest);
+}
+
 std::vector<member> members::others() const
 {
     std::vector<member> out;
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -35,9 +35,11 @@
     void leave();
     bool hasLeft() const { return m_leaving && m_leases.idle(); }
 
-    // The duty if this instance holds it now, with its fencing number. Check it directly
-    // before each call that needs the duty, as the lease may have expired meanwhile.
-    std::optional<held_duty> holds(const duty_id& duty) const { return m_leases.holds(duty, m_context.now); }
+    // The duty if this instance holds it now and may act on it, with its fencing number. Check
+    // it directly before each call that needs the duty, as the lease may have expired meanwhile.
+    std::optional<held_duty> holds(const duty_id& duty) const;
+    // The time limit for a call under the duty: it is not started after the lease has ended.
+    std::chrono::milliseconds callTimeout(const held_duty& held, std::chrono::milliseconds longest) const;
     // Whether our own membership entry is in the store under a valid lease.
     bool joined() const;
     // Whether a first complete list of entries was read.
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -268,7 +268,7 @@
     wireOrder.ordersTaken = ordersTaken;
     auto request = platform::encodeLoadOrder({ instance_id(m_context.settings.instance.name), heldDuty->fencing }, wireOrder);
     request.connectTimeout = orderConnectTimeout;
-    request.totalTimeout = orderTimeout;
+    request.totalTimeout = m_members.callTimeout(*heldDuty, orderTimeout);
     m_context.net.call(std::move(request), [this, service, load, ordersTaken, targetIncarnation = entry->second.listed.incarnation, term = heldDuty->fencing](const http::answer& answer) {
         observeDeparture(load.target, targetIncarnation, answer);
         const auto outcome = platform::decodeDutyAnswer(answer);
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -31,13 +31,13 @@
 
 
 class Entry(Program):
-    def __init__(self, kit, name, zone, platform, ports, seeds):
+    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings):
         self.callers, self.readiness, self.instances, self.metrics = (f"http://127.0.0.1:{ports + i}" for i in range(4))
         addresses = [f"127.0.0.1:{ports + i}" for i in range(4)]
         sections = {"instance": {"name": name, "failure_domain": zone, "region": "land"},
                     "listen": {"callers": addresses[0], "readiness": addresses[1], "instances": addresses[2], "metrics": addresses[3], "seeds": seeds},
                     "store": {"address": platform.store.address},
-                    "duties": {"address": platform.duties.address, "usage_window": "2s", "usage_late": "10s"},
+                    "duties": {"address": platform.duties.address, "usage_window": "2s", "usage_late": "10s", **duty_settings},
                     "bounds": {"drain": "2s", "stop": "8s", "results_kept": "120s"}}
         path = kit.folder / f"{name}.toml"
         path.write_text(toml_text(sections))
@@ -63,7 +63,7 @@
 
 
 class EntryCase(KitTest):
-    def start_entries(self, count=2, keys=("key-one",)):
+    def start_entries(self, count=2, keys=("key-one",), **duties):
         self.platform = Platform()
         self.addCleanup(self.platform.close)
         self.engines = [self.platform.engine("pool", zone, models=["m"]) for zone in ("north", "south", "north")]
@@ -71,7 +71,7 @@
         self.platform.put_config(config(1, keys))
         ports = [free_ports(4) for _ in range(count)]
         seeds = [f"127.0.0.1:{port + 2}" for port in ports]
-        self.ports, self.seeds = ports, seeds
+        self.ports, self.seeds, self.duty_settings = ports, seeds, duties
         self.entries = [self.entry(i) for i in range(count)]
         for entry in self.entries:
             wait_until(entry.is_ready, f"{entry.name} is ready")
@@ -79,7 +79,7 @@
         return self.entries
 
     def entry(self, index):
-        return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds)
+        return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds, self.duty_settings)
 
     def submit(self, entry, name, body):
         return entry.send_request("/steps/" + name, name, body=json.dumps(body).encode())
