Targets missing in the list are gone at once, also if just heard from

A target that the list lacks was kept if it had answered within the last millisecond, and a busy owner hears from its targets in each round; the list is applied again only when it changes. Ruled out: a stale list (the instance logged the entry's removal); answers that say so (this replica gives none, its entry just goes). Change: with a grace time of 0 whatever the list lacks is absent; what it has is told by the list itself, not by the time. Figures: new test: the old table fails it (the target stays live).

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -151,7 +151,7 @@
         out.instance = settings.instance.name;
         out.failureDomain = failure_domain_id(settings.instance.failureDomain);
         // The store's list is authoritative: a target that is missing in it is gone at once.
-        out.table.absenceGrace = std::chrono::milliseconds(1);
+        out.table.absenceGrace = {};
         // Each new connection to a target has a cost, so an instance uses a small subset of a
         // service's replicas, and the others only when these are full.
         out.subsetSize = 8;
@@ -305,7 +305,8 @@
     void entry_loop::tick()
     {
         m_store.tick(m_context.now);
-        if (m_store.takeRegained()) {
+        // Other instances may notice first that the store is back.
+        if (m_store.takeRegained() || m_platformView.takeStoreReturned()) {
             m_members.onStoreRegained();
             m_platformView.onStoreRegained();
         }
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -85,15 +85,19 @@
 std::vector<slot_change> target_table::applyList(const std::vector<listed_target>& rows, instant now)
 {
     std::vector<slot_change> changes;
+    std::vector<target_slot> listed;
     for (const listed_target& row : rows) {
         const slot_change change = applyRow(row, now);
         if (change.change != target_change::None)
             changes.push_back(change);
+        if (const auto slot = find(row.id))
+            listed.push_back(*slot);
     }
+    std::sort(listed.begin(), listed.end());
     for (const auto& [id, slot] : m_slotById) {
         const target_record& record = m_slots[slot.value()].record;
         const instant lastSeen = std::max(record.lastListed, record.lastHeard);
-        if (record.absent || now - lastSeen < m_settings.absenceGrace)
+        if (record.absent || now - lastSeen < m_settings.absenceGrace || std::binary_search(listed.begin(), listed.end(), slot))
             continue;
         markAbsent(slot, now);
         changes.push_back({ slot, target_change::Updated });
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -78,7 +78,8 @@
 };
 
 struct target_table_settings {
-    // A target that is neither listed nor heard from for this long becomes absent.
+    // A target that is neither listed nor heard from for this long becomes absent; if it is 0,
+    // one that the list lacks, whether or not it was heard from.
     duration absenceGrace = std::chrono::seconds(30);
     // Targets are kept for this long after they were last seen, so that delayed rows can't
     // bring back those that left.
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -130,7 +130,7 @@
         static router_settings settings()
         {
             router_settings out;
-            out.table.absenceGrace = 1ms;
+            out.table.absenceGrace = 0ms;
             return out;
         }
         void act(const std::vector<batch_action>& actions)
--- a/tests/test_target_table.cpp
+++ b/tests/test_target_table.cpp
@@ -57,6 +57,24 @@
 
 BOOST_AUTO_TEST_SUITE(target_table_suite)
 
+// Where the list is authoritative, a target that it lacks is absent at once, also if an
+// answer of the target came in the same moment as the list.
+BOOST_AUTO_TEST_CASE(a_target_that_is_not_listed_is_absent_though_it_was_just_heard)
+{
+    target_table_settings settings;
+    settings.absenceGrace = 0ms;
+    auto table = tableWithClasses(settings);
+    const auto first = row(1, 5, target_state::Live, false);
+    const auto second = row(2, 5, target_state::Live, false);
+    const instant now { 1h };
+    table.applyList({ first, second }, now);
+    BOOST_TEST(table.allowed(everything).size() == 2u);
+    table.applyReport(first.id, first.incarnation, {}, {}, now);
+    table.applyList({ second }, now);
+    BOOST_TEST(!table.isLive(*table.find(first.id)));
+    BOOST_TEST(table.isLive(*table.find(second.id)));
+}
+
 // Over any history of rows, lists, reports and states from any source: once an incarnation
 // was reported as leaving, it is never allowed again.
 BOOST_AUTO_TEST_CASE(leaving_lasts_until_a_newer_incarnation)
