Three instances read the store for all, whatever the store refuses

Ruled out: slower polling (the bounds of drain and configuration forbid it); more watches (each costs a call as well). Change: src/view_source decides, apart from I/O: only the root and the two next ones turn to the store when their copy gets old, all others ask these, and read the store only if none answers or they have no copy after asking the seeds. Copies are compared by digests of their content, so that a change of source moves nothing that is the same. The list is read at least each 2 s, also where the drain bound is long, as a longer gap counts as an outage. A fresh copy after a gap tells that the store is back.

--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -2,6 +2,7 @@
 // children, and applies them.
 #include "edge/platform_view.h"
 
+#include "edge/entries_json.h"
 #include "edge/peer_call.h"
 #include "forwarding.h"
 #include "json_text.h"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace lovagerail::edge {
 
@@ -21,65 +23,53 @@
     // requests. The list is read again after the first share of that bound and counts as
     // stale after the second; the rest is left for the calls and for requests in flight.
     constexpr double listReadShare = 0.45;
-    constexpr double listStaleShare = 0.95;
+    constexpr double listStaleShare = 0.85;
+    constexpr double readerListStaleShare = 0.7;
     // A configuration must be in force within 2 s of its acceptance, also if the store stops
     // answering on an open watch.
     constexpr std::chrono::milliseconds configWatchWait { 1500 };
     constexpr std::chrono::milliseconds membersWatchWait { 2500 }; // shorter than a lease
     // A longer gap between two confirmations of the target list counts as an outage of the store.
     constexpr duration outageThreshold = std::chrono::milliseconds(2500);
+    constexpr duration maxListReadPeriod = std::chrono::seconds(2); // below that gap, also where the drain bound is long
     // Targets whose entries expired during an outage are listed again within about 2 s after it.
     constexpr duration outageGracePeriod = std::chrono::milliseconds(2300);
 
     constexpr std::size_t maxChildren = 8; // of one instance; three levels below the root hold several hundred instances
     constexpr duration maxPeerWait = std::chrono::milliseconds(300); // long poll of a child while nothing changes
     constexpr std::chrono::milliseconds peerTimeout { 900 };
-    constexpr duration storeReadPeriod = std::chrono::seconds(3); // reading from the store before the parent is tried again
-    // If the parent's configuration was confirmed longer ago, read from the store instead.
+    constexpr duration askRetryDelay = std::chrono::milliseconds(50); // after a silent or empty answer
+    // If the configuration was confirmed longer ago, another source is tried. Readers are
+    // earlier, so that they have a fresh one when the others ask.
     constexpr duration configStaleAge = std::chrono::milliseconds(2800);
+    constexpr duration readerConfigStaleAge = std::chrono::milliseconds(2300);
+    constexpr std::size_t readerCount = 3; // instances at the start of the tree's order that may read the store
+    constexpr std::string_view firstCallMark = ".first"; // in the query of a first call, which is answered at once
 
     constexpr const char* documentNames[] = { "config", "members", "targets" };
 
-    Json::Value entriesJson(const std::vector<kv_entry>& entries)
+    // The relevant content of a target's entry as text: periodic check-ins give an entry a new
+    // revision without changing anything that matters.
+    std::string targetText(const kv_entry& entry)
     {
-        Json::Value out(Json::arrayValue);
-        for (const auto& entry : entries) {
-            Json::Value row(Json::objectValue);
-            row["key"] = entry.key;
-            row["value"] = entry.value;
-            row["created"] = Json::UInt64(entry.createRevision.value());
-            row["changed"] = Json::UInt64(entry.modRevision.value());
-            out.append(std::move(row));
-        }
+        const auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision);
+        if (!target)
+            return "-";
+        const auto& listed = target->listed;
+        std::string out = listed.address + ' ' + listed.pool.str() + ' ' + listed.failureDomain.str() + ' ' + std::to_string(listed.incarnation.value());
+        for (const int part : { static_cast<int>(listed.kind), static_cast<int>(listed.supply), static_cast<int>(listed.state) })
+            out += ' ' + std::to_string(part);
+        for (const auto& [name, value] : listed.labels)
+            out += ' ' + name + '=' + value;
         return out;
     }
 
-    std::vector<kv_entry> entriesFromJson(const Json::Value& rows)
-    {
-        std::vector<kv_entry> out;
-        for (const auto& row : rows)
-            out.push_back({ jsonText(row, "key"), jsonText(row, "value"), revision(jsonCount(row, "created")), revision(jsonCount(row, "changed")), {} });
-        return out;
-    }
-
-    bool sameEntries(const std::vector<kv_entry>& left, const std::vector<kv_entry>& right)
-    {
-        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const kv_entry& a, const kv_entry& b) { return a.key == b.key && a.modRevision == b.modRevision; });
-    }
-
-    // Compares the decoded targets: periodic check-ins give an entry a new revision without
-    // changing anything that matters.
-    bool sameTargets(const std::vector<kv_entry>& left, const std::vector<kv_entry>& right)
+    std::uint64_t digestOf(const std::vector<kv_entry>& entries, bool areTargets)
     {
-        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const kv_entry& a, const kv_entry& b) {
-            if (a.key != b.key)
-                return false;
-            if (a.modRevision == b.modRevision)
-                return true;
-            const auto before = platform::decodeTarget(a.key, a.value, a.createRevision);
-            const auto after = platform::decodeTarget(b.key, b.value, b.createRevision);
-            return before.has_value() == after.has_value() && (!before || before->listed == after->listed);
-        });
+        std::string text;
+        for (const auto& entry : entries)
+            text += entry.key + ' ' + (areTargets ? targetText(entry) : std::to_string(entry.modRevision.value())) + '\n';
+        return XXH64(text.data(), text.size(), entries.size() + 1);
     }
 
     void applyEvent(std::vector<kv_entry>& entries, const kv_event& event)
@@ -110,12 +100,6 @@
 
 // --- From the store ----------------------------------------------------------
 
-// The root of the tree always reads from the store; others while their parent is silent or stale.
-bool platform_view::mustReadStore() const
-{
-    return parent() == nullptr || m_context.now < m_readStoreUntil;
-}
-
 void platform_view::scheduleRetry(document& doc) const
 {
     doc.reading = false;
@@ -147,7 +131,7 @@
         }
         answeredDoc.reading = false;
         answeredDoc.retryDelay = {};
-        answeredDoc.readAt = askedAt + (index == TargetsIndex ? shareOfDrainBound(listReadShare) : duration {});
+        answeredDoc.readAt = askedAt + (index == TargetsIndex ? std::min(shareOfDrainBound(listReadShare), maxListReadPeriod) : duration {});
         updateDocument(index, answer->entries, answer->at, askedAt);
         if (index != TargetsIndex && mustReadStore())
             startWatch(index);
@@ -197,11 +181,6 @@
     return out;
 }
 
-const member* platform_view::parent() const
-{
-    return m_documents[MembersIndex].known ? treePlace().parent : nullptr;
-}
-
 std::vector<member> platform_view::neighbours() const
 {
     std::vector<member> out;
@@ -216,39 +195,81 @@
     return out;
 }
 
-// Versions of all documents as one text. It begins with our incarnation, as versions start
-// from 0 again after a restart.
-std::string platform_view::versions() const
+std::string platform_view::digests() const
 {
-    std::string out = std::to_string(m_context.ownIncarnation.value());
+    std::string out;
     for (const auto& doc : m_documents)
-        out += "." + std::to_string(doc.version);
+        out += (out.empty() ? "" : ".") + std::to_string(doc.digest);
     return out;
 }
 
-void platform_view::askParent()
+// Sets the instances to ask: the parent, then the readers; the seeds of the settings while no
+// list of members was read.
+void platform_view::updateSource()
+{
+    std::vector<std::string> sources;
+    bool isReader = false;
+    if (m_documents[MembersIndex].known) {
+        const auto place = treePlace();
+        isReader = place.rank < readerCount;
+        if (place.parent != nullptr)
+            sources.push_back(place.parent->address);
+        for (std::size_t rank = 0; rank < std::min(readerCount, place.order.size()) && !isReader; ++rank) {
+            const auto* reader = m_members.find(place.order[rank]);
+            if (reader != nullptr && reader->address != sources.front())
+                sources.push_back(reader->address);
+        }
+    } else {
+        const auto& listen = m_context.settings.listen;
+        isReader = std::find(listen.seeds.begin(), listen.seeds.end(), listen.instances) != listen.seeds.end();
+        if (!isReader)
+            sources = listen.seeds;
+    }
+    m_source.setSources(std::move(sources), isReader, m_context.now);
+    const bool hasCopy = std::all_of(m_documents.begin(), m_documents.end(), [](const document& doc) { return doc.known; });
+    m_source.update(!hasCopy || isStale(isReader), hasCopy, m_context.now);
+}
+
+bool platform_view::isStale(bool isReader) const
 {
-    const auto* parentMember = parent();
-    if (parentMember == nullptr || m_parentAsked)
+    const auto listAge = m_context.now - m_documents[TargetsIndex].confirmedAt;
+    const auto configAge = m_context.now - m_documents[ConfigIndex].confirmedAt;
+    return listAge > shareOfDrainBound(isReader ? readerListStaleShare : listStaleShare) || configAge > (isReader ? readerConfigStaleAge : configStaleAge);
+}
+
+void platform_view::askSource()
+{
+    const auto& address = m_source.source();
+    if (address != m_askedSource) {
+        if (m_sourceCall != 0)
+            m_context.net.cancel(std::exchange(m_sourceCall, 0));
+        m_askedSource = address;
+        m_sourceDigests.clear();
+        m_askAt = {};
+    }
+    if (m_sourceCall != 0 || m_context.now < m_askAt)
         return;
-    m_parentAsked = true;
-    m_context.net.call(peerCall(parentMember->address, "/known?" + m_parentVersions, {}, peerTimeout), [this, askedAt = m_context.now](const http::answer& answer) {
-        m_parentAsked = false;
-        onParentAnswer(answer, askedAt);
+    const auto query = m_sourceDigests.empty() ? digests() + std::string(firstCallMark) : m_sourceDigests;
+    m_sourceCall = m_context.net.call(peerCall(address, "/known?" + query, {}, peerTimeout), [this](const http::answer& answer) {
+        m_sourceCall = 0;
+        onSourceAnswer(answer);
     });
 }
 
-void platform_view::onParentAnswer(const http::answer& answer, instant askedAt)
+void platform_view::onSourceAnswer(const http::answer& answer)
 {
     const auto body = isOk(answer) ? parseJson(answer.body) : std::nullopt;
     if (!body || !body->isObject()) {
-        logEvent(log_level::Info, "knowledge", "parent_silent", { { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
-        m_readStoreUntil = m_context.now + storeReadPeriod;
+        logEvent(log_level::Info, "knowledge", "source_silent", { { "address", m_askedSource }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
+        m_sourceDigests.clear();
+        m_askAt = m_context.now + askRetryDelay;
+        m_source.onSilence(m_context.now);
         return;
     }
-    // The ages are as of the parent's answer, so the time that it held the call open does not
+    m_source.onAnswer();
+    // The ages are as of the source's answer, so the time that it held the call open does not
     // count; only the transit of the answer is neglected.
-    bool parentStale = false;
+    bool complete = true;
     for (std::size_t i = 0; i < DocumentCount; ++i) {
         const auto& documentJson = (*body)[documentNames[i]];
         const auto confirmedAt = m_context.now - std::chrono::milliseconds(jsonCount(documentJson, "age_ms"));
@@ -257,18 +278,18 @@
             updateDocument(static_cast<document_index>(i), entriesFromJson(jsonList(documentJson, "entries")), documentRevision, confirmedAt);
         else if (documentRevision >= m_documents[i].at)
             m_documents[i].confirmedAt = std::max(m_documents[i].confirmedAt, confirmedAt);
+        complete = complete && m_documents[i].known;
+    }
+    m_sourceDigests = jsonText(*body, "versions");
+    if (!complete) {
+        m_sourceDigests.clear();
+        m_askAt = m_context.now + askRetryDelay;
     }
-    parentStale = m_context.now - m_documents[TargetsIndex].confirmedAt > shareOfDrainBound(listStaleShare) || m_context.now - m_documents[ConfigIndex].confirmedAt > configStaleAge;
-    m_parentVersions = jsonText(*body, "versions");
-    if (!parentStale)
-        return;
-    logEvent(log_level::Info, "knowledge", "parent_old", { { "asked_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - askedAt).count()) } });
-    m_readStoreUntil = m_context.now + storeReadPeriod;
 }
 
 void platform_view::onPeerRequest(const http::exchange_ptr& exchange)
 {
-    if (exchange->query != versions())
+    if (exchange->query != digests())
         answerPeer(exchange);
     else
         m_waitingPeers.push_back({ exchange, exchange->query, m_context.now + maxPeerWait });
@@ -276,23 +297,23 @@
 
 void platform_view::answerPeer(const http::exchange_ptr& exchange) const
 {
-    // Parse the versions that the peer got from us: our incarnation, then one per document.
-    std::vector<std::string> knownVersions;
+    // Parse the digests of the copies that the peer has: one per document.
+    std::vector<std::string> knownDigests;
     std::string unparsed = exchange->query;
     for (auto dot = unparsed.find('.'); !unparsed.empty(); dot = unparsed.find('.')) {
-        knownVersions.push_back(unparsed.substr(0, dot));
+        knownDigests.push_back(unparsed.substr(0, dot));
         unparsed = dot == std::string::npos ? std::string() : unparsed.substr(dot + 1);
     }
-    const bool comparable = knownVersions.size() == DocumentCount + 1 && knownVersions[0] == std::to_string(m_context.ownIncarnation.value());
+    knownDigests.resize(std::max<std::size_t>(knownDigests.size(), DocumentCount));
     Json::Value out(Json::objectValue);
-    out["versions"] = versions();
+    out["versions"] = digests();
     for (std::size_t i = 0; i < DocumentCount; ++i) {
         const auto& doc = m_documents[i];
         Json::Value documentJson(Json::objectValue);
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - doc.confirmedAt);
         documentJson["age_ms"] = Json::UInt64(doc.known ? static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)) : std::chrono::milliseconds(std::chrono::hours(1)).count());
         documentJson["at"] = Json::UInt64(doc.at.value());
-        if (doc.known && (!comparable || knownVersions[i + 1] != std::to_string(doc.version)))
+        if (doc.known && knownDigests[i] != std::to_string(doc.digest))
             documentJson["entries"] = entriesJson(doc.entries);
         out[documentNames[i]] = std::move(documentJson);
     }
@@ -307,16 +328,18 @@
     if (doc.known && at < doc.at)
         return; // never go back to an older revision
     std::sort(entries.begin(), entries.end(), [](const kv_entry& a, const kv_entry& b) { return a.key < b.key; });
-    const bool unchanged = doc.known && (index == TargetsIndex ? sameTargets(doc.entries, entries) : sameEntries(doc.entries, entries));
+    const auto digest = digestOf(entries, index == TargetsIndex);
+    const bool unchanged = doc.known && digest == doc.digest;
     // An outage shows as a gap between confirmations, whether or not the list changed.
-    if (index == TargetsIndex && doc.known && confirmedAt - doc.confirmedAt > outageThreshold)
+    if (index == TargetsIndex && doc.known && confirmedAt - doc.confirmedAt > outageThreshold) {
         m_outageGraceUntil = m_context.now + outageGracePeriod;
+        m_storeReturned = true;
+    }
     doc.entries = std::move(entries);
     doc.at = at;
     doc.known = true;
     doc.confirmedAt = std::max(doc.confirmedAt, confirmedAt);
-    if (!unchanged)
-        ++doc.version;
+    doc.digest = digest;
     if (index == TargetsIndex)
         applyTargets();
     else if (unchanged)
@@ -399,20 +422,24 @@
 
 void platform_view::tick()
 {
-    // Step 1. Read from the store or ask the parent.
+    // Step 1. Read from the store or ask another instance.
+    updateSource();
     if (mustReadStore()) {
+        if (m_sourceCall != 0)
+            m_context.net.cancel(std::exchange(m_sourceCall, 0));
+        m_askedSource.clear();
         for (const auto index : { MembersIndex, ConfigIndex, TargetsIndex })
             readFromStore(index);
     } else {
         stopWatches();
-        askParent();
+        askSource();
     }
 
     // Step 2. Answer children whose long poll has a change or has timed out.
-    const auto currentVersions = versions();
+    const auto currentDigests = digests();
     std::vector<waiting_peer> stillWaiting;
     for (auto& peer : m_waitingPeers) {
-        if (peer.knownVersions == currentVersions && m_context.now < peer.until)
+        if (peer.knownDigests == currentDigests && m_context.now < peer.until)
             stillWaiting.push_back(std::move(peer));
         else
             answerPeer(peer.exchange);
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -4,14 +4,15 @@
 // Each of the three is a document, a set of entries of the store. The instances form a tree
 // by rendezvous order. Only the root reads the documents from the store; the others long-poll
 // their parent, which answers at once when something changes. So the number of store calls
-// does not grow with the number of instances. An instance whose parent is silent or stale
-// reads from the store itself for a while. A document never goes back to an older revision.
+// does not grow with the number of instances. view_source decides what an instance does whose
+// parent is silent or stale. A document never goes back to an older revision.
 #pragma once
 
 #include "edge/context.h"
 #include "edge/members.h"
 #include "http/server.h"
 #include "platform/desired_state.h"
+#include "view_source.h"
 
 #include <array>
 #include <map>
@@ -36,6 +37,8 @@
     // Our parent and children in the tree. What every instance relays to its neighbours
     // reaches all instances.
     std::vector<member> neighbours() const;
+    // True once after the store was away for all instances that we know of, and answers again.
+    bool takeStoreReturned() { return std::exchange(m_storeReturned, false); }
 
 private:
     enum document_index : std::size_t {
@@ -47,7 +50,7 @@
     struct document {
         std::vector<kv_entry> entries; // sorted by key
         revision at; // of the store when this was read
-        std::uint64_t version = 0; // incremented with each relevant change
+        std::uint64_t digest = 0; // of the relevant content; the same on all instances
         bool known = false; // read at least once
         instant confirmedAt {}; // the store confirmed the document as current at this time or later
         // Reads from the store.
@@ -59,31 +62,32 @@
     // A child whose long poll is open.
     struct waiting_peer {
         http::exchange_ptr exchange;
-        std::string knownVersions; // result of versions() that it got from us last
+        std::string knownDigests; // result of digests() that it got from us last
         instant until {};
     };
 
     duration shareOfDrainBound(double share) const;
 
     // Reading from the store.
-    bool mustReadStore() const;
+    bool mustReadStore() const { return m_source.readsStore(m_context.now); }
     void readFromStore(document_index index);
     void startWatch(document_index index);
     void stopWatches();
     void scheduleRetry(document& doc) const;
 
-    // Asking the parent.
+    // Asking another instance.
     struct tree_place {
         std::vector<instance_id> order; // of all instances
         std::size_t rank = 0; // our position in `order`
         const member* parent = nullptr; // null at the root
     };
     tree_place treePlace() const;
-    const member* parent() const;
-    void askParent();
-    void onParentAnswer(const http::answer& answer, instant askedAt);
+    void updateSource();
+    bool isStale(bool isReader) const;
+    void askSource();
+    void onSourceAnswer(const http::answer& answer);
     void answerPeer(const http::exchange_ptr& exchange) const;
-    std::string versions() const;
+    std::string digests() const;
 
     // Applying documents.
     void updateDocument(document_index index, std::vector<kv_entry> entries, revision at, instant confirmedAt);
@@ -95,9 +99,12 @@
     std::array<document, DocumentCount> m_documents;
     std::vector<platform::target_entry> m_targets;
     std::optional<instant> m_outageGraceUntil; // entries that expired in an outage may be missing until then
-    bool m_parentAsked = false; // a call to the parent is open
-    instant m_readStoreUntil {}; // the parent was silent or stale: read from the store until then
-    std::string m_parentVersions; // result of the parent's versions() in its last answer; empty = none yet
+    view_source m_source;
+    std::uint64_t m_sourceCall = 0; // the open call to the source; 0 = none
+    std::string m_askedSource; // the instance that was asked last
+    std::string m_sourceDigests; // its digests() in its last answer; empty = none yet
+    instant m_askAt {}; // not before
+    bool m_storeReturned = false;
     std::vector<waiting_peer> m_waitingPeers;
 };
 
