One instance reads the heads of batches for all that need them

Ruled out: no scan at a start (an own batch of before would wait for a caller). Change: one instance, by rendezvous hashing, collects requests for 50 ms and answers them from one read that begins after all of them; whoever does not reach it reads for itself.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -269,6 +269,10 @@
             respond(exchange, statusNotFound, "");
         return true;
     }
+    if (exchange->path == "/heads") {
+        answerHeadsRequest(exchange);
+        return true;
+    }
     if (exchange->path == "/handover") {
         const auto value = parseJson(exchange->body);
         const batch_id id(value ? jsonText(*value, "batch") : std::string());
@@ -349,6 +353,7 @@
     }
 
     // Step 2. Take over batches whose owner is gone.
+    readCollectedHeads();
     adoptOrphans();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -111,7 +111,12 @@
 
     // Ownership.
     void adoptOrphans();
+    using heads_function = std::function<void(const result<std::vector<kv_entry>>&)>;
     void scanHeads();
+    void requestHeads(heads_function onHeads);
+    void collectHeads(heads_function onHeads);
+    void readCollectedHeads();
+    void answerHeadsRequest(const http::exchange_ptr& exchange);
     void dropLostBatches(const std::vector<kv_entry>& heads);
     void recordOrphan(const batch_head& head, revision headRevision);
     void adopt(const batch_head& head, revision headRevision, const std::function<void(bool)>& onDone);
@@ -148,6 +153,9 @@
     std::map<batch_id, known_head> m_orphans; // batches without a live owner; taken over after a grace period
     std::map<batch_id, instant> m_orphanSince;
     std::set<batch_id> m_adopting;
+    std::vector<heads_function> m_headsWaiting; // requests for all heads that the next read answers
+    bool m_readingHeads = false;
+    instant m_readHeadsAt {};
     bool m_scanning = false;
     bool m_scanDone = false;
     bool m_recheckOwned = false; // the next scan also drops batches that others took over meanwhile
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -2,6 +2,7 @@
 // at shutdown.
 #include "edge/batches.h"
 
+#include "edge/entries_json.h"
 #include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
@@ -16,6 +17,8 @@
     constexpr duration orphanGracePeriod = std::chrono::milliseconds(1500);
     constexpr duration scanRetryDelay = std::chrono::milliseconds(500);
     constexpr std::chrono::milliseconds handOverTimeout { 2500 };
+    constexpr duration headsCollectTime = std::chrono::milliseconds(50);
+    constexpr std::chrono::milliseconds headsTimeout { 1500 };
 
 } // namespace
 
@@ -27,21 +30,21 @@
     return owner != nullptr && owner->incarnationNumber == head.ownerIncarnation;
 }
 
-// Reads all batch heads from the store to find orphans: once after the start, and when a
-// member is lost whose batches this instance has to take over.
+// Gets all batch heads to find orphans: once after the start, and when a member is lost whose
+// batches this instance has to take over.
 void batches::scanHeads()
 {
     m_scanning = true;
-    m_context.store.list("batch scan", std::string(headPrefix), [this](const result<kv_answer>& answer) {
+    requestHeads([this](const result<std::vector<kv_entry>>& heads) {
         m_scanning = false;
-        if (!answer) {
+        if (!heads) {
             m_scanRetryAt = m_context.now + scanRetryDelay;
             return;
         }
         m_scanDone = true;
         if (std::exchange(m_recheckOwned, false))
-            dropLostBatches(answer->entries);
-        for (const auto& entry : answer->entries) {
+            dropLostBatches(*heads);
+        for (const auto& entry : *heads) {
             const auto head = decodeHead(batch_id(entry.key.substr(headPrefix.size())), entry.value);
             if (head)
                 recordOrphan(*head, entry.modRevision);
@@ -49,6 +52,55 @@
     });
 }
 
+// Gets the heads as of now or later. One instance, chosen by rendezvous hashing, reads them for
+// all: after a restart of the whole fleet each instance needs them at the same time.
+void batches::requestHeads(heads_function onHeads)
+{
+    const auto names = m_members.names();
+    const auto* collector = m_members.find(*rendezvousFirst(headPrefix, names));
+    if (collector == nullptr || collector->name.str() == m_context.settings.instance.name) {
+        collectHeads(std::move(onHeads));
+        return;
+    }
+    m_context.net.call(peerCall(collector->address, "/heads", {}, headsTimeout), [this, onHeads = std::move(onHeads)](const http::answer& answer) {
+        const auto rows = isOk(answer) ? parseJson(answer.body) : std::nullopt;
+        if (rows && rows->isArray())
+            onHeads(entriesFromJson(*rows));
+        else
+            collectHeads(onHeads);
+    });
+}
+
+// Requests that arrive within a short time share a read, which starts after all of them.
+void batches::collectHeads(heads_function onHeads)
+{
+    if (m_headsWaiting.empty())
+        m_readHeadsAt = m_context.now + headsCollectTime;
+    m_headsWaiting.push_back(std::move(onHeads));
+}
+
+void batches::readCollectedHeads()
+{
+    if (m_headsWaiting.empty() || m_readingHeads || m_context.now < m_readHeadsAt)
+        return;
+    m_readingHeads = true;
+    m_context.store.list("batch scan", std::string(headPrefix), [this, waiting = std::exchange(m_headsWaiting, {})](const result<kv_answer>& answer) {
+        m_readingHeads = false;
+        for (const auto& onHeads : waiting)
+            onHeads(answer.map([](const kv_answer& read) { return read.entries; }));
+    });
+}
+
+void batches::answerHeadsRequest(const http::exchange_ptr& exchange)
+{
+    collectHeads([exchange](const result<std::vector<kv_entry>>& heads) {
+        if (heads)
+            exchange->answer(statusOk, {}, writeJson(entriesJson(*heads)));
+        else
+            exchange->answer(statusUnavailable, {}, "");
+    });
+}
+
 // Drops batches that other instances took over or ended while our lease had expired and they
 // considered this instance gone.
 void batches::dropLostBatches(const std::vector<kv_entry>& heads)
