Leases cost fewer calls while all is well, and while the store is away

Cause: a lease of 3 s was renewed each second; after it had lapsed in an outage each instance asked for a new one each 0.5 s. Ruled out: a longer lease (a lost owner's batches would wait longer); no lease for instances without batches (they are members for the tree and the hashing). Change: renewed at half of its time while the renewals are answered, each 0.6 s while not; grants wait up to 4 s after failures, and are tried at once when the store is seen to be back. Renewals are counted apart from other lease calls. The lease's property test (histories with drift, loss, pauses, outages) passes.

--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -162,7 +162,8 @@
 {
     for (auto& action : actions) {
         if (auto* leaseCall = std::get_if<lease_call>(&action)) {
-            m_context.store.call("lease", std::move(leaseCall->call), [this, id = leaseCall->id](const result<kv_answer>& answer) {
+            const bool renews = std::holds_alternative<kv_keep_alive>(leaseCall->call);
+            m_context.store.call(renews ? "lease renewal" : "lease", std::move(leaseCall->call), [this, id = leaseCall->id](const result<kv_answer>& answer) {
                 execute(m_leases.onAnswer(id, answer, m_context.now));
             });
         } else if (const auto* gained = std::get_if<duty_gained>(&action)) {
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-    constexpr int keepAlivesPerLease = 3;
+    constexpr int keepAlivesPerLease = 2; // while they are answered
+    constexpr int unansweredKeepAlivesPerLease = 5; // the rate of retries
     constexpr int claimsPerLease = 2;
-    constexpr duration grantRetry = std::chrono::milliseconds(500);
+    constexpr duration minGrantRetry = std::chrono::milliseconds(500); // doubled with each failure
+    constexpr duration maxGrantRetry = std::chrono::seconds(4); // onServiceAvailable() ends the wait
 
     std::string dutyKey(const duty_id& duty) { return std::string(dutyPrefix) + duty.str(); }
 
@@ -63,6 +65,7 @@
 void duty_leases::onServiceAvailable()
 {
     m_nextGrant = m_nextKeepAlive = {};
+    m_grantDelay = {};
     m_nextClaim.clear();
 }
 
@@ -114,7 +117,8 @@
     const bool needsLease = !m_preferred.empty() || !m_held.empty();
     if (m_lease == kv_lease_id()) {
         if (needsLease && !isOpen(call_kind::Grant) && now >= m_nextGrant) {
-            m_nextGrant = now + grantRetry;
+            m_grantDelay = std::clamp(m_grantDelay * 2, minGrantRetry, maxGrantRetry);
+            m_nextGrant = now + m_grantDelay;
             open(call_kind::Grant, {}, now, kv_grant { m_settings.time.count() });
         }
         return std::exchange(m_actions, {});
@@ -122,7 +126,7 @@
 
     // Step 4. Keep the lease alive while duties are held or preferred.
     if (needsLease && now >= m_nextKeepAlive) {
-        m_nextKeepAlive = now + period() / keepAlivesPerLease;
+        m_nextKeepAlive = now + period() / unansweredKeepAlivesPerLease;
         open(call_kind::KeepAlive, {}, now, kv_keep_alive { m_lease });
     }
 
@@ -260,6 +264,7 @@
     case call_kind::Grant:
         // If the answer was lost, the lease expires unused: no key is bound to it.
         if (answer) {
+            m_grantDelay = {};
             m_lease = answer->lease;
             const auto leaseTime = std::chrono::duration_cast<duration>(period() * (1 - m_settings.driftFraction));
             m_until = done.sentAt + leaseTime - m_settings.margin;
@@ -277,6 +282,7 @@
             }
             const auto leaseTime = std::chrono::duration_cast<duration>(period() * (1 - m_settings.driftFraction));
             m_until = std::max(m_until, done.sentAt + leaseTime - m_settings.margin);
+            m_nextKeepAlive = std::max(m_nextKeepAlive, done.sentAt + period() / keepAlivesPerLease);
             for (auto& [duty, heldDuty] : m_held)
                 heldDuty.until = m_until;
         }
--- a/src/lease.h
+++ b/src/lease.h
@@ -4,7 +4,7 @@
 // A duty is a task of which only one instance at a time may be in charge. It is held by
 // creating its key, bound to a lease of the service that expires unless it is kept
 // alive. The key's create revision is the fencing number: it grows with each holder.
-// All duties of an instance share one lease, so keeping them costs three calls per
+// All duties of an instance share one lease, so keeping them costs two calls per
 // lease time, however many they are. An instance that holds no duty and is the
 // preferred holder of none makes no calls.
 //
@@ -145,6 +145,7 @@
     instant m_until {}; // from this time on m_lease is treated as expired
     instant m_nextKeepAlive {};
     instant m_nextGrant {};
+    duration m_grantDelay {}; // before the next grant, after the last one failed
     std::map<duty_id, held_duty> m_held; // empty unless m_lease is set; `until` is m_until
     std::map<duty_id, instant> m_nextClaim;
     std::map<duty_id, duty_holder> m_holders;
