A seed that starts while the store is away asks the other seeds

Cause: an instance without a copy that is a seed itself read the store alone, so after a restart in an outage it was never ready, while its neighbours served. Ruled out: waiting for the outage's end (no reason to refuse callers whose key and route the neighbours have in force). Change: it reads the store for 0.5 s, then asks the other seeds.

--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -222,8 +222,8 @@
     } else {
         const auto& listen = m_context.settings.listen;
         isReader = std::find(listen.seeds.begin(), listen.seeds.end(), listen.instances) != listen.seeds.end();
-        if (!isReader)
-            sources = listen.seeds;
+        sources = listen.seeds;
+        std::erase(sources, listen.instances);
     }
     m_source.setSources(std::move(sources), isReader, m_context.now);
     const bool hasCopy = std::all_of(m_documents.begin(), m_documents.end(), [](const document& doc) { return doc.known; });
--- a/src/view_source.cpp
+++ b/src/view_source.cpp
@@ -12,6 +12,10 @@
     m_current = 0;
     m_anyAnswered = false;
     m_trialUntil = now + m_settings.trialTime;
+    if (isReader && !m_hasCopy) {
+        m_storeUntil = now + m_settings.firstStoreTime;
+        m_trialUntil = m_storeUntil + m_settings.trialTime;
+    }
 }
 
 void view_source::update(bool isStale, bool hasCopy, instant now)
--- a/src/view_source.h
+++ b/src/view_source.h
@@ -23,6 +23,7 @@
     duration trialTime = std::chrono::milliseconds(250); // for an instance to deliver a copy that is not stale
     duration detourTime = std::chrono::seconds(3); // away from the parent, until it is tried again
     duration storeReadTime = std::chrono::seconds(3); // reading from the store, until an instance is tried again
+    duration firstStoreTime = std::chrono::milliseconds(500); // a reader that starts asks the store first for so long
     duration roundPause = std::chrono::seconds(1); // after all answered with stale copies
 };
 
@@ -34,7 +35,8 @@
     }
 
     // `sources`: addresses of the instances to ask, the preferred one first. A reader may turn
-    // to the store although an instance answers. Without sources the store is read.
+    // to the store although an instance answers, and begins with the store while it has no
+    // copy. Without sources the store is read.
     void setSources(std::vector<std::string> sources, bool isReader, instant now);
     // `isStale`: the own copy is older than allowed. `hasCopy`: there is one at all.
     void update(bool isStale, bool hasCopy, instant now);
--- a/tests/test_view_source.cpp
+++ b/tests/test_view_source.cpp
@@ -146,6 +146,20 @@
     BOOST_TEST(source.readsStore(now));
 }
 
+// A seed that starts reads the store, and asks other seeds if that is away.
+BOOST_AUTO_TEST_CASE(a_seed_that_starts_in_an_outage_asks_the_others)
+{
+    view_source source;
+    instant now { 1h };
+    source.setSources({ "a" }, true, now);
+    source.update(true, false, now);
+    BOOST_TEST(source.readsStore(now));
+    now += 600ms;
+    source.update(true, false, now);
+    BOOST_TEST(!source.readsStore(now));
+    BOOST_TEST(source.source() == "a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
