No look at the first source where there is none

Cause: read in the diff: an instance whose parent is not in its list of members would have looked at the front of an empty list. names() and find() agree today, so it does not happen. Change: the check.

--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -216,7 +216,7 @@
             sources.push_back(place.parent->address);
         for (std::size_t rank = 0; rank < std::min(readerCount, place.order.size()) && !isReader; ++rank) {
             const auto* reader = m_members.find(place.order[rank]);
-            if (reader != nullptr && reader->address != sources.front())
+            if (reader != nullptr && (sources.empty() || reader->address != sources.front()))
                 sources.push_back(reader->address);
         }
     } else {
