--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <set>
+#include <sstream>
 #include <xxhash.h>
 
 namespace lovagerail::edge {
@@ -56,19 +57,21 @@
         if (!target)
             return "-";
         const auto& listed = target->listed;
-        std::string out = listed.address + ' ' + listed.pool.str() + ' ' + listed.failureDomain.str() + ' ' + std::to_string(listed.incarnation.value());
+        std::ostringstream out;
+        out << listed.address << ' ' << listed.pool.str() << ' ' << listed.failureDomain.str() << ' ' << listed.incarnation.value();
         for (const int part : { static_cast<int>(listed.kind), static_cast<int>(listed.supply), static_cast<int>(listed.state) })
-            out += ' ' + std::to_string(part);
+            out << ' ' << part;
         for (const auto& [name, value] : listed.labels)
-            out += ' ' + name + '=' + value;
-        return out;
+            out << ' ' << name << '=' << value;
+        return out.str();
     }
 
     std::uint64_t digestOf(const std::vector<kv_entry>& entries, bool areTargets)
     {
-        std::string text;
+        std::ostringstream out;
         for (const auto& entry : entries)
-            text += entry.key + ' ' + (areTargets ? targetText(entry) : std::to_string(entry.modRevision.value())) + '\n';
+            out << entry.key << ' ' << (areTargets ? targetText(entry) : std::to_string(entry.modRevision.value())) << '\n';
+        const auto text = out.str();
         return XXH64(text.data(), text.size(), entries.size() + 1);
     }
 
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -63,8 +63,10 @@
 BOOST_AUTO_TEST_CASE(several_members_may_take_over_one_after_the_other)
 {
     const instance_id owner("lost");
+    constexpr int memberCount = 20;
     std::vector<instance_id> members;
-    for (int i = 0; i < 20; ++i)
+    members.reserve(memberCount);
+    for (int i = 0; i < memberCount; ++i)
         members.emplace_back("entry-" + std::to_string(i));
     std::vector<duration> delays;
     for (const auto& member : members) {
