A damaged gossip message can't ask for more elements than it has bytes

Cause: a few bytes that state an array of four thousand million elements made the codec library allocate 64 GB before it read any: one malformed message could end a process. Ruled out: the size limit of messages, which such a message keeps. Change: the limits of the library are set to the message's size, and to eight levels.

--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -10,6 +10,7 @@
 
     constexpr std::uint32_t formatVersion = 1;
     constexpr std::size_t maxMessageBytes = 16 * 1024;
+    constexpr std::size_t maxNesting = 8; // of arrays; a message has three levels
     constexpr std::uint32_t memberFields = 7;
     constexpr std::uint32_t entryFields = 5;
     constexpr std::uint32_t messageFields = 9;
@@ -147,7 +148,11 @@
     if (bytes.size() > maxMessageBytes)
         return failure(error_code::Corrupt, "gossip.decode", "the message is above the size limit");
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // Room for the stated number of elements is allocated before they are read. Each takes a
+        // byte at least, so no sound message states more than it has bytes.
+        const auto size = bytes.size();
+        const msgpack::unpack_limit limits(size, size, size, size, size, maxNesting);
+        const auto handle = msgpack::unpack(bytes.data(), size, nullptr, nullptr, limits);
         return messageOf(handle.get());
     } catch (const std::exception& problem) {
         return failure(error_code::Corrupt, "gossip.decode", problem.what());
