--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -24,10 +24,11 @@
 
 } // namespace
 
-batches::batches(context& shared, members& membership, caller_frontend& calls)
+batches::batches(context& shared, members& membership, caller_frontend& calls, target_limits& limits)
     : m_context(shared)
     , m_members(membership)
     , m_frontend(calls)
+    , m_limits(limits)
     , m_runner({}, shared.targets)
 {
 }
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -10,6 +10,7 @@
 #include "batch_runner.h"
 #include "edge/caller_frontend.h"
 #include "edge/members.h"
+#include "edge/target_limits.h"
 #include "http/server.h"
 #include "platform/batch_codec.h"
 
@@ -23,7 +24,7 @@
 
 class batches {
 public:
-    batches(context& shared, members& membership, caller_frontend& calls);
+    batches(context& shared, members& membership, caller_frontend& calls, target_limits& limits);
 
     // Requests of callers that have been authenticated.
     struct submit_options {
@@ -74,6 +75,7 @@
         std::uint64_t transfer = 0;
         target_id target;
         incarnation targetIncarnation;
+        instant sentAt {};
         item_id item;
         platform::event_reader reader;
         platform::target_head head;
@@ -136,6 +138,7 @@
     context& m_context;
     members& m_members;
     caller_frontend& m_frontend;
+    target_limits& m_limits;
     batch_runner m_runner;
     std::map<batch_id, owned_batch> m_owned; // the same batches as in m_runner
     std::map<batch_id, pending_submit> m_pendingSubmits;
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -62,9 +62,11 @@
     logEvent(log_level::Info, "batch", "run",
         { { "batch", action.batch.str() }, { "item", item.id.str() }, { "target", action.choice.target.str() }, { "behind", std::to_string(action.lastEventId.value_or(0)) },
             { "load", std::to_string(m_context.targets.load().ownOutstanding(action.choice.slot)) } });
+    m_limits.onSend(action.choice.target, send_kind::Item);
     auto& run = m_runs[action.attempt];
     run.target = action.choice.target;
     run.targetIncarnation = action.choice.incarnation;
+    run.sentAt = m_context.now;
     run.item = item.id;
     run.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
 }
@@ -77,7 +79,7 @@
     auto& run = found->second;
     if (event.what == http::event::kind::Head) {
         run.head = platform::decodeTargetHead(event.status, event.headers);
-        m_frontend.recordTargetState(run.target, run.targetIncarnation, run.head);
+        m_frontend.recordTargetState(run.target, run.targetIncarnation, run.head, run.sentAt);
         item_head head;
         head.status = run.head.status;
         head.echoesId = run.head.echoed.empty() || run.head.echoed.str() == run.item.str();
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/batches.h"
 #include "edge/departures.h"
+#include "edge/target_limits.h"
 #include "edge/usage_duty.h"
 #include "http_status.h"
 #include "log.h"
@@ -48,10 +49,11 @@
 
 } // namespace
 
-caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets)
+caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits)
     : m_context(shared)
     , m_usage(usage)
     , m_departures(leavingTargets)
+    , m_limits(limits)
     , m_forwarding({}, shared.targets, blameMarks)
 {
 }
@@ -234,7 +236,9 @@
 
 void caller_frontend::send(const forward_send& action)
 {
-    const auto& forward = m_forwards.at(action.id);
+    auto& forward = m_forwards.at(action.id);
+    const auto firstKind = forward.exchange ? send_kind::First : send_kind::Judge;
+    m_limits.onSend(action.choice.target, std::exchange(forward.sent, true) ? send_kind::Repeated : firstKind);
     platform::target_call call;
     call.id = forward.callerId;
     call.host = forward.host;
@@ -258,6 +262,7 @@
     openAttempt.forward = action.id;
     openAttempt.target = action.choice.target;
     openAttempt.targetIncarnation = action.choice.incarnation;
+    openAttempt.sentAt = m_context.now;
     openAttempt.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
 }
 
@@ -293,7 +298,7 @@
     head.echoesId = openAttempt.head.echoed.empty() || openAttempt.head.echoed == openForward.callerId;
     head.signedByTarget = !openAttempt.head.proof.empty();
     head.notRun = openAttempt.head.notRun;
-    recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head);
+    recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head, openAttempt.sentAt);
     execute(m_forwarding.head(attempt, head, m_context.now));
     // The actions may have cancelled this attempt or begun a stream to the caller.
     const auto current = m_attempts.find(attempt);
@@ -364,9 +369,10 @@
     execute(m_forwarding.tick(m_context.now));
 }
 
-void caller_frontend::recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head)
+void caller_frontend::recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head, instant sentAt)
 {
     m_departures.observe(target, incarnationNumber, head);
+    m_limits.observe(target, incarnationNumber, head, sentAt);
     const auto slot = m_context.targets.table().find(target);
     // A target that was removed from the list may still answer; don't add it again.
     if (!head.load || !slot || !m_context.targets.table().isLive(*slot))
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -19,6 +19,7 @@
 
 class batches;
 class departures;
+class target_limits;
 class usage_duty;
 
 // A healthy target accepts a connection and acknowledges bytes within a few milliseconds;
@@ -28,7 +29,7 @@
 
 class caller_frontend {
 public:
-    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets);
+    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits);
 
     void setBatches(batches& owner) { m_batches = &owner; }
     // Handles a request from the listener for callers.
@@ -46,9 +47,9 @@
     using service_callback = std::function<void(const service_answer&)>;
     void callService(const judge_call& call, duration deadline, service_callback onAnswer);
 
-    // Takes note of what a target states about itself in the headers of an answer: its load,
-    // and whether it leaves. `incarnationNumber` is the one that the request was sent to.
-    void recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head);
+    // Takes note of what a target states about itself in the headers of an answer: its load, its
+    // limit, and whether it leaves. `incarnationNumber` is the one that the request was sent to.
+    void recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head, instant sentAt);
 
     void tick();
     std::size_t openCount() const { return m_forwards.size(); }
@@ -68,6 +69,7 @@
         std::string route;
         std::uint32_t maxAttempts = 0;
         instant arrived {};
+        bool sent = false; // at least once
         const std::string& body() const { return exchange ? exchange->body : serviceBody; }
     };
     struct open_attempt {
@@ -75,6 +77,7 @@
         std::uint64_t transfer = 0;
         target_id target;
         incarnation targetIncarnation;
+        instant sentAt {};
         platform::target_head head;
         std::string body;
         bool streaming = false;
@@ -96,6 +99,7 @@
     context& m_context;
     usage_duty& m_usage;
     departures& m_departures;
+    target_limits& m_limits;
     batches* m_batches = nullptr;
     request_forwarder m_forwarding;
     std::uint64_t m_lastForwardId = 0;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -13,6 +13,7 @@
 #include "edge/metrics.h"
 #include "edge/platform_view.h"
 #include "edge/quarantine_gossip.h"
+#include "edge/target_limits.h"
 #include "edge/usage_duty.h"
 #include "edge/weight_duty.h"
 #include "http/server.h"
@@ -85,10 +86,11 @@
             , m_departures(m_context, m_platformView)
             , m_usage(m_context)
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
-            , m_frontend(m_context, m_usage, m_blameMarks, m_departures)
-            , m_batches(m_context, m_members, m_frontend)
+            , m_limits(m_context)
+            , m_frontend(m_context, m_usage, m_blameMarks, m_departures, m_limits)
+            , m_batches(m_context, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members)
-            , m_weights(m_context, m_members, m_platformView, m_demand, m_departures)
+            , m_weights(m_context, m_members, m_platformView, m_demand, m_departures, m_limits)
             , m_capacity(m_context, m_members, m_platformView, m_demand)
         {
             m_usage.setMembers(m_members);
@@ -127,6 +129,7 @@
         usage_duty m_usage;
         quarantine m_blameMarks;
         quarantine_gossip m_quarantineGossip;
+        target_limits m_limits;
         caller_frontend m_frontend;
         batches m_batches;
         demand_reports m_demand;
@@ -321,6 +324,7 @@
         m_usage.tick();
         m_quarantineGossip.tick();
         m_departures.tick();
+        m_limits.tick();
         if (m_context.stopping && m_batches.allHandedOver())
             m_members.leave();
         if (m_context.now >= m_nextClosedCallerCheck && m_callers) {
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -4,6 +4,7 @@
 #include "edge/weight_duty.h"
 
 #include "edge/departures.h"
+#include "edge/target_limits.h"
 #include "log.h"
 #include "platform/duty_codec.h"
 #include "platform/headers.h"
@@ -38,12 +39,13 @@
 
 } // namespace
 
-weight_duty::weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets)
+weight_duty::weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets, target_limits& limits)
     : m_context(shared)
     , m_members(membership)
     , m_platformView(platformView)
     , m_demand(demand)
     , m_departures(leavingTargets)
+    , m_limits(limits)
 {
 }
 
@@ -212,11 +214,12 @@
 void weight_duty::fetchOrderCount(const service_id& service, const weight_load& load)
 {
     const auto& listed = m_targetEntries.at(load.target).listed;
+    m_limits.onSend(load.target, send_kind::Report);
     auto request = platform::encodeReportCall(load.target, listed.address);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
     m_context.net.call(std::move(request), [this, service, load, targetIncarnation = listed.incarnation, term = *m_term](const http::answer& answer) {
-        observeDeparture(load.target, targetIncarnation, answer);
+        observeAnswer(load.target, targetIncarnation, answer);
         const auto report = platform::decodeReport(answer);
         if (!report || m_term != term) {
             logEvent(log_level::Warning, "weights", "no_report", { { "target", load.target.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
@@ -240,11 +243,12 @@
     const auto entry = m_targetEntries.find(target);
     if (entry == m_targetEntries.end())
         return;
+    m_limits.onSend(target, send_kind::Report);
     auto request = platform::encodeReportCall(target, entry->second.listed.address);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
     m_context.net.call(std::move(request), [this, service, target, targetIncarnation = entry->second.listed.incarnation, term = *m_term](const http::answer& answer) {
-        observeDeparture(target, targetIncarnation, answer);
+        observeAnswer(target, targetIncarnation, answer);
         const auto report = platform::decodeReport(answer);
         const auto sets = m_weightSets.find(service);
         if (report && m_term == term && sets != m_weightSets.end())
@@ -266,11 +270,12 @@
     wireOrder.model = load.model;
     wireOrder.version = load.version;
     wireOrder.ordersTaken = ordersTaken;
+    m_limits.onSend(load.target, send_kind::Order);
     auto request = platform::encodeLoadOrder({ instance_id(m_context.settings.instance.name), heldDuty->fencing }, wireOrder);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = m_members.callTimeout(*heldDuty, orderTimeout);
     m_context.net.call(std::move(request), [this, service, load, ordersTaken, targetIncarnation = entry->second.listed.incarnation, term = heldDuty->fencing](const http::answer& answer) {
-        observeDeparture(load.target, targetIncarnation, answer);
+        observeAnswer(load.target, targetIncarnation, answer);
         const auto outcome = platform::decodeDutyAnswer(answer);
         logEvent(log_level::Info, "weights", "ordered",
             { { "target", load.target.str() }, { "model", load.model.str() }, { "version", std::to_string(load.version.value()) }, { "taken", std::to_string(ordersTaken) },
@@ -286,9 +291,13 @@
     });
 }
 
-void weight_duty::observeDeparture(const target_id& target, incarnation incarnationNumber, const http::answer& answer)
+void weight_duty::observeAnswer(const target_id& target, incarnation incarnationNumber, const http::answer& answer)
 {
-    m_departures.observe(target, incarnationNumber, platform::decodeTargetHead(answer.status, answer.headers));
+    const auto head = platform::decodeTargetHead(answer.status, answer.headers);
+    m_departures.observe(target, incarnationNumber, head);
+    // A limit may be named here, but only answers to work tell that there is none any more.
+    if (head.requestLimit)
+        m_limits.observe(target, incarnationNumber, head, m_context.now);
 }
 
 void weight_duty::recordOutcome(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term)
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -13,10 +13,11 @@
 namespace lovagerail::edge {
 
 class departures;
+class target_limits;
 
 class weight_duty {
 public:
-    weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets);
+    weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets, target_limits& limits);
 
     void tick();
 
@@ -30,7 +31,7 @@
     void checkReplica(const service_id& service, const target_id& target);
     void fetchOrderCount(const service_id& service, const weight_load& load);
     void sendOrder(const service_id& service, const weight_load& load, std::uint64_t ordersTaken);
-    void observeDeparture(const target_id& target, incarnation incarnationNumber, const http::answer& answer);
+    void observeAnswer(const target_id& target, incarnation incarnationNumber, const http::answer& answer);
     void recordOutcome(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term);
 
     context& m_context;
@@ -38,6 +39,7 @@
     const platform_view& m_platformView;
     const demand_reports& m_demand;
     departures& m_departures;
+    target_limits& m_limits;
     std::optional<fencing_number> m_term; // fencing number under which m_weightSets and m_orderCounts were built
     std::uint64_t m_watch = 0; // 0 = none
     bool m_reading = false;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -39,6 +39,20 @@
 
 BOOST_AUTO_TEST_SUITE(platform_suite)
 
+BOOST_AUTO_TEST_CASE(a_limit_that_is_no_rate_is_not_taken_for_none)
+{
+    const auto stated = [](const char* text) { return platform::decodeTargetHead(200, { { "server-limit", text } }); };
+    BOOST_TEST(*stated("12.5").requestLimit == 12.5);
+    BOOST_TEST(*stated(" 0 ").requestLimit == 0);
+    for (const auto* text : { "-1", "nan", "inf", "many", "3;4", "1e999" }) {
+        BOOST_TEST(!stated(text).requestLimit);
+        BOOST_TEST(stated(text).malformedLimit);
+    }
+    const auto none = platform::decodeTargetHead(200, {});
+    BOOST_TEST(!none.requestLimit);
+    BOOST_TEST(!none.malformedLimit);
+}
+
 // Neither the key nor hop-by-hop headers are forwarded, and a caller can't choose the account
 // that the target sees.
 BOOST_AUTO_TEST_CASE(callers_headers_are_filtered)
