--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -233,6 +233,7 @@
         self.platform, self.name, self.service, self.zone = platform, name, service, zone
         self.versions = {model: 1 for model in models}
         self.events, self.event_interval_s = events, event_interval_s
+        self.arrivals = []  # (monotonic time, path) of all requests, in the order of arrival
         self.executed_requests = []  # (path, headers) of requests that started to run
         self.refuse_requests = False  # answers 503 with Not-Executed
         self.requests_to_break = 0  # number of requests to break: a stream after its third event, a plain one before its answer
@@ -251,6 +252,7 @@
         self.platform.store.put("servers/" + self.name, entry)
 
     def handle(self, request):
+        self.arrivals.append((time.monotonic(), request.route))
         if request.route == "/report":
             models = [{"name": name, "version": version, "adapters": []} for name, version in (self.versions or {}).items()]
             request.respond(200, {"stage": "hybrid", "models": models, "busy": False, "sequence": self.orders_applied})
