--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -292,7 +292,7 @@
     for (const auto slot : m_router.table().allowed(batch.routingClass)) {
         const auto& target = m_router.table().record(slot).listed.id;
         const auto avoided = item.avoidUntil.find(target);
-        if (std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
+        if (!m_router.limits().mayStart(slot, now) || std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
             continue;
         const auto pace = paceOf(target, now);
         if (pace && (!best || *pace < *best))
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -86,7 +86,7 @@
             , m_departures(m_context, m_platformView)
             , m_usage(m_context)
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
-            , m_limits(m_context)
+            , m_limits(m_context, m_members)
             , m_frontend(m_context, m_usage, m_blameMarks, m_departures, m_limits)
             , m_batches(m_context, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members)
@@ -217,6 +217,8 @@
             m_usage.onPeerRequest(exchange);
         else if (exchange->path == "/marks")
             m_quarantineGossip.onPeerRequest(exchange);
+        else if (exchange->path == "/limits")
+            m_limits.onPeerRequest(exchange);
         else if (exchange->path == "/departures")
             m_departures.onPeerRequest(exchange);
         else if (exchange->path == "/demand")
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -35,7 +35,7 @@
     if (m_view) {
         const auto& f = m_view->forwards;
         add(registry, "lovagerail_requests_total", "Requests of callers by what became of them", "outcome",
-            { { "arrived", f.requests }, { "delivered", f.delivered }, { "refused", f.refused }, { "failed", f.failed }, { "caller_gone", f.disconnectedCallers }, { "quarantined", f.quarantined } });
+            { { "arrived", f.requests }, { "delivered", f.delivered }, { "refused", f.refused }, { "failed", f.failed }, { "caller_gone", f.disconnectedCallers }, { "quarantined", f.quarantined }, { "rate_limited", f.rateLimited } });
         add(registry, "lovagerail_attempts_total", "Attempts at targets for callers", "kind",
             { { "all", f.attempts }, { "hedge", f.hedges }, { "refused_by_target", f.refusedByTarget }, { "crossed", f.crossed }, { "resumed", f.resumed } });
         const auto& b = m_view->batches;
--- a/src/edge/target_limits.cpp
+++ b/src/edge/target_limits.cpp
@@ -1,7 +1,10 @@
-// Notes and logs the limits that targets name.
+// Exchanges allowances between instances, and notes and logs the limits that targets name.
 #include "edge/target_limits.h"
 
+#include "edge/peer_call.h"
+#include "json_text.h"
 #include "log.h"
+#include "rendezvous.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -12,6 +15,9 @@
 
     constexpr std::string_view duty = "limits";
     constexpr duration logPeriod = std::chrono::seconds(1);
+    constexpr std::chrono::milliseconds askTimeout { 400 };
+    constexpr duration silentTime = std::chrono::seconds(3); // before a member that did not answer is asked again
+    constexpr std::size_t allocatorCandidates = 2;
 
     std::string rateText(double perSecond)
     {
@@ -20,57 +26,172 @@
         return text;
     }
 
+    std::uint64_t millisecondsOf(duration span) { return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()); }
+
 } // namespace
 
-target_limits::target_limits(context& shared)
+target_limits::target_limits(context& shared, members& membership)
     : m_context(shared)
+    , m_members(membership)
 {
 }
 
 void target_limits::onSend(const target_id& target, send_kind kind)
 {
-    if (const auto found = m_limits.find(target); found != m_limits.end())
-        ++found->second.sends[static_cast<std::size_t>(kind)];
+    if (kind == send_kind::Report || kind == send_kind::Order)
+        m_context.targets.sentBeside(target, m_context.now);
+    if (const auto found = m_sends.find(target); found != m_sends.end())
+        ++found->second[static_cast<std::size_t>(kind)];
 }
 
 void target_limits::observe(const target_id& target, incarnation incarnationNumber, const platform::target_head& head, instant sentAt)
 {
     if (head.malformedLimit)
         logEvent(log_level::Warning, duty, "malformed", { { "target", target.str() } });
-    const auto found = m_limits.find(target);
-    const bool known = found != m_limits.end();
-    if (known && incarnationNumber < found->second.incarnationNumber)
+    // An answer that names no limit ends one only if it is surely the target's own.
+    if (!head.requestLimit && (head.malformedLimit || head.proof.empty()))
         return;
-    if (head.requestLimit) {
-        auto& limit = m_limits[target];
-        if (!known || limit.perSecond != *head.requestLimit || limit.incarnationNumber != incarnationNumber)
-            logEvent(log_level::Info, duty, "named", { { "target", target.str() }, { "per_second", rateText(*head.requestLimit) } });
-        limit.incarnationNumber = incarnationNumber;
-        limit.perSecond = *head.requestLimit;
-        limit.namedAt = m_context.now;
+    const auto change = m_context.targets.applyLimit(target, incarnationNumber, head.requestLimit, sentAt, m_context.now);
+    if (change == limit_change::Named) {
+        m_sends.try_emplace(target);
+        logEvent(log_level::Info, duty, "named", { { "target", target.str() }, { "per_second", rateText(*head.requestLimit) } });
+    } else if (change == limit_change::Ended) {
+        m_sends.erase(target);
+        logEvent(log_level::Info, duty, "ended", { { "target", target.str() } });
+    }
+}
+
+void target_limits::tick()
+{
+    askForAllowances();
+    if (m_context.now >= m_nextLog) {
+        m_nextLog = m_context.now + logPeriod;
+        logSends();
+        m_allocator.dropUnused(m_context.now);
+        m_ownAllocator.dropUnused(m_context.now);
+    }
+}
+
+std::optional<instance_id> target_limits::allocatorFor(const pool_id& pool) const
+{
+    auto order = rendezvousOrder(pool.str(), m_members.names());
+    order.resize(std::min(order.size(), allocatorCandidates));
+    for (const auto& name : order) {
+        const auto silent = m_silentUntil.find(name);
+        if (silent == m_silentUntil.end() || m_context.now >= silent->second)
+            return name;
+    }
+    return std::nullopt;
+}
+
+void target_limits::askForAllowances()
+{
+    const instance_id self(m_context.settings.instance.name);
+    std::map<instance_id, std::vector<ask>> asksByAllocator;
+    auto& limits = m_context.targets.limits();
+    for (const auto slot : limits.takeDue(m_context.now)) {
+        const auto& listed = m_context.targets.table().record(slot).listed;
+        const ask asked { listed.id, listed.incarnation, limits.limitOf(slot).value_or(0), limits.ageOf(slot, m_context.now) };
+        const auto allocator = allocatorFor(listed.pool);
+        if (!allocator) {
+            const auto part = asked.perSecond / static_cast<double>(m_members.names().size());
+            apply(asked, m_ownAllocator.grant(asked.target, asked.incarnationNumber, part, asked.age, self, m_context.now), m_context.now);
+        } else if (*allocator == self)
+            apply(asked, m_allocator.grant(asked.target, asked.incarnationNumber, asked.perSecond, asked.age, self, m_context.now), m_context.now);
+        else
+            asksByAllocator[*allocator].push_back(asked);
+    }
+    for (const auto& [allocator, asks] : asksByAllocator)
+        sendAsks(allocator, asks);
+}
+
+void target_limits::sendAsks(const instance_id& allocator, const std::vector<ask>& asks)
+{
+    Json::Value body(Json::objectValue);
+    body["from"] = m_context.settings.instance.name;
+    body["targets"] = Json::Value(Json::arrayValue);
+    for (const auto& asked : asks) {
+        Json::Value row(Json::objectValue);
+        row["target"] = asked.target.str();
+        row["incarnation"] = Json::UInt64(asked.incarnationNumber.value());
+        row["per_second"] = asked.perSecond;
+        row["age_ms"] = Json::UInt64(millisecondsOf(asked.age));
+        body["targets"].append(std::move(row));
+    }
+    const auto* peer = m_members.find(allocator);
+    if (peer == nullptr) {
+        onAllowances(allocator, asks, m_context.now, {});
         return;
     }
-    // An answer to a request sent before the limit was named may have overtaken that answer.
-    const bool ends = known && !head.malformedLimit && !head.proof.empty() && sentAt >= found->second.namedAt;
-    if (!ends)
+    m_context.net.call(peerCall(peer->address, "/limits", writeJson(body), askTimeout),
+        [this, allocator, asks, askedAt = m_context.now](const http::answer& answer) { onAllowances(allocator, asks, askedAt, answer); });
+}
+
+void target_limits::onAllowances(const instance_id& allocator, const std::vector<ask>& asks, instant askedAt, const http::answer& answer)
+{
+    const auto rows = isOk(answer) ? parseJson(answer.body) : std::nullopt;
+    if (!rows || !rows->isArray() || rows->size() != asks.size()) {
+        logEvent(log_level::Warning, duty, "not_answered", { { "member", allocator.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
+        m_silentUntil[allocator] = m_context.now + silentTime;
+        for (const auto& asked : asks) {
+            if (const auto slot = m_context.targets.table().find(asked.target))
+                m_context.targets.limits().askFailed(*slot);
+        }
         return;
-    logEvent(log_level::Info, duty, "ended", { { "target", target.str() } });
-    m_limits.erase(found);
+    }
+    m_silentUntil.erase(allocator);
+    for (Json::ArrayIndex i = 0; i < rows->size(); ++i) {
+        const auto& row = (*rows)[i];
+        const allowance given { static_cast<std::uint32_t>(jsonCount(row, "requests")), std::chrono::milliseconds(jsonCount(row, "again_ms")), jsonNumber(row, "share") };
+        apply(asks[i], given, askedAt);
+    }
 }
 
-void target_limits::tick()
+void target_limits::apply(const ask& asked, const allowance& given, instant askedAt)
 {
-    if (m_limits.empty() || m_context.now < m_nextLog)
+    const auto slot = m_context.targets.table().find(asked.target);
+    if (slot && m_context.targets.table().record(*slot).listed.incarnation == asked.incarnationNumber)
+        m_context.targets.limits().granted(*slot, given, askedAt, m_context.now);
+}
+
+void target_limits::onPeerRequest(const http::exchange_ptr& exchange)
+{
+    const auto body = parseJson(exchange->body);
+    if (!body || !body->isObject() || jsonText(*body, "from").empty()) {
+        logEvent(log_level::Warning, duty, "refused", { { "bytes", std::to_string(exchange->body.size()) } });
+        exchange->answer(statusBadRequest, {}, "not a request for allowances");
         return;
-    m_nextLog = m_context.now + logPeriod;
-    for (auto& [target, limit] : m_limits) {
-        const auto sends = std::exchange(limit.sends, {});
+    }
+    const instance_id from(jsonText(*body, "from"));
+    Json::Value answer(Json::arrayValue);
+    for (const auto& row : jsonList(*body, "targets")) {
+        const auto given = m_allocator.grant(target_id(jsonText(row, "target")), incarnation(jsonCount(row, "incarnation")), jsonNumber(row, "per_second"),
+            std::chrono::milliseconds(jsonCount(row, "age_ms")), from, m_context.now);
+        Json::Value out(Json::objectValue);
+        out["requests"] = given.requests;
+        out["again_ms"] = Json::UInt64(millisecondsOf(given.askAgainIn));
+        out["share"] = given.sharePerSecond;
+        answer.append(std::move(out));
+    }
+    exchange->answer(statusOk, {}, writeJson(answer));
+}
+
+void target_limits::logSends()
+{
+    std::erase_if(m_sends, [this](const auto& entry) {
+        const auto slot = m_context.targets.table().find(entry.first);
+        return !slot || !m_context.targets.limits().limitOf(*slot);
+    });
+    for (auto& [target, counts] : m_sends) {
+        const auto sends = std::exchange(counts, {});
         if (std::all_of(sends.begin(), sends.end(), [](std::uint32_t count) { return count == 0; }))
             continue;
+        const auto slot = *m_context.targets.table().find(target);
         const auto count = [&sends](send_kind kind) { return std::to_string(sends[static_cast<std::size_t>(kind)]); };
         logEvent(log_level::Info, duty, "sent",
-            { { "target", target.str() }, { "per_second", rateText(limit.perSecond) }, { "first", count(send_kind::First) }, { "repeated", count(send_kind::Repeated) },
-                { "judge", count(send_kind::Judge) }, { "item", count(send_kind::Item) }, { "report", count(send_kind::Report) }, { "order", count(send_kind::Order) } });
+            { { "target", target.str() }, { "per_second", rateText(*m_context.targets.limits().limitOf(slot)) }, { "share", rateText(m_context.targets.limits().shareOf(slot)) },
+                { "first", count(send_kind::First) }, { "repeated", count(send_kind::Repeated) }, { "judge", count(send_kind::Judge) }, { "item", count(send_kind::Item) },
+                { "report", count(send_kind::Report) }, { "order", count(send_kind::Order) } });
     }
 }
 
--- a/src/edge/target_limits.h
+++ b/src/edge/target_limits.h
@@ -1,12 +1,19 @@
-// Limits that targets name in their answers: the requests per second that one takes from all
-// instances together. Logs each limit and, while it holds, what this instance sends there.
+// Limits that targets name in their answers, kept by all instances together (request_limits.h):
+// asks for allowances, and gives them out for the pools that this instance is chosen for. Logs
+// each limit and, while it holds, what this instance sends to the target.
 #pragma once
 
 #include "edge/context.h"
+#include "edge/members.h"
+#include "http/server.h"
 #include "platform/headers.h"
+#include "request_limits.h"
 
 #include <array>
+#include <json/value.h>
 #include <map>
+#include <string>
+#include <vector>
 
 namespace lovagerail::edge {
 
@@ -22,25 +29,42 @@
 
 class target_limits {
 public:
-    explicit target_limits(context& shared);
+    target_limits(context& shared, members& membership);
 
     void onSend(const target_id& target, send_kind kind);
     // Takes note of the headers of an answer from a target that had this incarnation when the
     // request was sent.
     void observe(const target_id& target, incarnation incarnationNumber, const platform::target_head& head, instant sentAt);
-    // Logs the sends of the last second to targets with a limit.
+    // Asks for allowances, and logs the sends of the last second to targets with a limit.
     void tick();
+    // Handles the request of another instance for allowances.
+    void onPeerRequest(const http::exchange_ptr& exchange);
 
 private:
-    struct named_limit {
+    using send_counts = std::array<std::uint32_t, static_cast<std::size_t>(send_kind::Count)>;
+    // The part of a call that asks for one target.
+    struct ask {
+        target_id target;
         incarnation incarnationNumber;
         double perSecond = 0;
-        instant namedAt {}; // last time
-        std::array<std::uint32_t, static_cast<std::size_t>(send_kind::Count)> sends {}; // since the last log line, by kind
+        duration age {}; // of the limit
     };
 
+    // The instance that shares out the limits of a pool, of those that answered lately; null if
+    // neither of the first two did, so that this instance has to go by itself.
+    std::optional<instance_id> allocatorFor(const pool_id& pool) const;
+    void askForAllowances();
+    void sendAsks(const instance_id& allocator, const std::vector<ask>& asks);
+    void onAllowances(const instance_id& allocator, const std::vector<ask>& asks, instant askedAt, const http::answer& answer);
+    void apply(const ask& asked, const allowance& given, instant askedAt);
+    void logSends();
+
     context& m_context;
-    std::map<target_id, named_limit> m_limits;
+    members& m_members;
+    limit_allocator m_allocator; // for all instances
+    limit_allocator m_ownAllocator; // for this instance alone, of its equal part
+    std::map<instance_id, instant> m_silentUntil; // members that did not answer; others are asked until then
+    std::map<target_id, send_counts> m_sends; // to targets with a limit, since the last log line
     instant m_nextLog {};
 };
 
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -138,6 +138,10 @@
     // Step 2. Choose a target.
     route_request routeRequest;
     routeRequest.routingClass = classFor(forward.request);
+    if (m_limitQueues.contains(routeRequest.routingClass)) {
+        waitForLimit(forward, routeRequest.routingClass, now);
+        return true;
+    }
     routeRequest.account = forward.request.account;
     routeRequest.promptBlocks = forward.request.promptBlocks;
     routeRequest.promptTokens = forward.request.promptTokens;
@@ -153,6 +157,11 @@
     routeRequest.seed = XXH64(forward.request.callerId.str().data(), forward.request.callerId.str().size(), m_lastAttempt);
     auto decision = m_router.choose(routeRequest, now);
     if (const auto* none = std::get_if<no_route>(&decision)) {
+        if (none->reason == no_route_reason::RateLimited) {
+            m_limitQueues[routeRequest.routingClass].timePerRequest = none->retryAfter;
+            waitForLimit(forward, routeRequest.routingClass, now);
+            return true;
+        }
         if (none->reason != no_route_reason::AllExcluded)
             return false;
         forward.tried.clear();
@@ -163,6 +172,23 @@
     return true;
 }
 
+// Queues a request until a target's limit allows it, or refuses it at once if that is later than
+// its caller waits. Requests of a class that came first go first.
+void request_forwarder::waitForLimit(open_forward& forward, const routing_class_id& routingClass, instant now)
+{
+    forward.nextAttemptAt = now;
+    if (!forward.attempts.empty())
+        return; // a hedge does not queue
+    auto& queue = m_limitQueues.at(routingClass);
+    const auto wait = queue.timePerRequest * (queue.waiting + 1);
+    if (forward.expires == instant::max() || now + wait + m_settings.minAttemptTime <= forward.expires) {
+        ++queue.waiting;
+        return;
+    }
+    ++m_counts.rateLimited;
+    refuse(forward, forward.mayHaveRun ? statusBadGateway : statusUnavailable, std::max(wait, m_settings.minLimitRetryAfter), "targets are at the limits that they named", now);
+}
+
 void request_forwarder::sendTo(open_forward& forward, const route_choice& choice, const route_request& routeRequest, bool isolated, instant now)
 {
     const auto attempt = newAttempt();
@@ -450,6 +476,7 @@
 
 std::vector<forward_action> request_forwarder::tick(instant now)
 {
+    m_limitQueues.clear();
     for (auto& [id, forward] : m_open)
         tickOne(forward, now);
     checkForCrashes();
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -118,6 +118,7 @@
     duration answerMargin = std::chrono::milliseconds(12); // answers are sent so long before the caller's deadline, to reach the caller in time
     duration minAttemptTime = std::chrono::milliseconds(15); // no attempt is made with less time left
     duration noTargetRetryAfter = std::chrono::milliseconds(350); // Retry-After if no replica is live
+    duration minLimitRetryAfter = std::chrono::milliseconds(100); // Retry-After if the limits of all targets allow no more
     duration fullRetryAfter = std::chrono::milliseconds(120); // Retry-After if all replicas refused
     retry_settings retries;
 };
@@ -134,6 +135,7 @@
     std::uint64_t resumed = 0;
     std::uint64_t disconnectedCallers = 0;
     std::uint64_t quarantined = 0;
+    std::uint64_t rateLimited = 0; // refused as all targets are at the limits that they named
 };
 
 class request_forwarder {
@@ -192,6 +194,7 @@
     attempt_id newAttempt() { return attempt_id(++m_lastAttempt); }
     routing_class_id classFor(const forward_request& request) const;
     bool trySend(open_forward& forward, instant now);
+    void waitForLimit(open_forward& forward, const routing_class_id& routingClass, instant now);
     void sendTo(open_forward& forward, const route_choice& choice, const route_request& routeRequest, bool isolated, instant now);
     void reportBrokenAttempt(const open_forward& forward, const open_attempt& attempt);
     void checkForCrashes();
@@ -213,6 +216,12 @@
     std::uint64_t m_lastAttempt = 0;
     std::map<forward_id, open_forward> m_open;
     std::map<attempt_id, forward_id> m_byAttempt; // exactly the open attempts
+    // Requests that wait since the last tick as all targets of their class are at a limit.
+    struct limit_queue {
+        std::uint32_t waiting = 0;
+        duration timePerRequest {};
+    };
+    std::map<routing_class_id, limit_queue> m_limitQueues;
     std::vector<forward_id> m_finished; // erased in takeActions(), when the event has been handled
     forwarding_counts m_counts;
     std::vector<forward_action> m_actions;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <xxhash.h>
 
 namespace lovagerail {
@@ -41,6 +42,7 @@
     std::vector<routing_candidate> candidates; // sorted by slot, no slot twice
     std::size_t excludedCount = 0;
     std::size_t barredCheapCount = 0; // cheap targets that this request may not use
+    std::vector<target_slot> limited; // targets at the limit that they named; may hold a slot twice
 };
 
 std::string_view toString(route_reason reason)
@@ -71,6 +73,8 @@
         return "no_live_target";
     case no_route_reason::AllExcluded:
         return "all_excluded";
+    case no_route_reason::RateLimited:
+        return "rate_limited";
     case no_route_reason::CheapOnly:
         return "cheap_only";
     case no_route_reason::CannotMeetDeadline:
@@ -122,6 +126,20 @@
     applyChange(m_table.advanceState(target, seen, state, now), now);
 }
 
+limit_change router::applyLimit(const target_id& target, incarnation seen, std::optional<double> perSecond, instant sentAt, instant now)
+{
+    const auto slot = m_table.find(target);
+    if (!slot || m_table.record(*slot).listed.incarnation != seen)
+        return limit_change::None;
+    return m_limits.observe(*slot, perSecond, sentAt, now);
+}
+
+void router::sentBeside(const target_id& target, instant now)
+{
+    if (const auto slot = m_table.find(target))
+        m_limits.started(*slot, now);
+}
+
 void router::setLabels(const target_id& target, label_map labels)
 {
     m_table.setLabels(target, std::move(labels));
@@ -154,6 +172,7 @@
         ++generation(change.slot);
         m_health.onTargetRemoved(change.slot);
         m_prefixes.clear(change.slot);
+        m_limits.reset(change.slot);
         m_load.reset(change.slot, m_table.record(change.slot).listed.kind);
     }
     const listed_target& listed = m_table.record(change.slot).listed;
@@ -179,10 +198,21 @@
     if (allowed.empty())
         return no_route { no_route_reason::NoLiveTarget, noTargetRetryAfter };
 
-    // Step 2. Gather a bounded number of candidates; widen the search only while there is none.
+    // Step 2. Choose among the others; an allowance is asked for where a limit was in the way.
     seeded_random random(request.seed);
+    selection chosen { request, {}, {}, false, {}, 0, 0, {} };
+    auto decision = chooseFrom(chosen, random, now);
+    for (const auto slot : chosen.limited)
+        m_limits.want(slot);
+    return decision;
+}
+
+route_decision router::chooseFrom(selection& chosen, seeded_random& random, instant now)
+{
+    // Step 1. Gather a bounded number of candidates; widen the search only while there is none.
+    const route_request& request = chosen.request;
+    const std::vector<target_slot>& allowed = m_table.allowed(request.routingClass);
     const class_cache& cache = cacheOf(request.routingClass, now);
-    selection chosen { request, {}, {}, false, {}, 0, 0 };
     for (const target_id& id : request.excluded) {
         if (const auto slot = m_table.find(id))
             chosen.excluded.push_back(*slot);
@@ -207,14 +237,14 @@
     if (chosen.candidates.empty())
         return noRouteFor(chosen);
 
-    // Step 3. Drop candidates that can't meet the deadline; before refusing, try the whole class.
+    // Step 2. Drop candidates that can't meet the deadline; before refusing, try the whole class.
     if (!keepFeasible(chosen, now)) {
         addAll(chosen, allowed, now);
         if (!keepFeasible(chosen, now))
             return noRouteFor(chosen);
     }
 
-    // Step 4. Probe a half-open target with a request that may be retried if the probe fails.
+    // Step 3. Probe a half-open target with a request that may be retried if the probe fails.
     if (request.idempotent && !chosen.ignoreHealth) {
         for (const routing_candidate& candidate : chosen.candidates) {
             if (m_health.state(candidate.slot, now) == health_state::HalfOpen)
@@ -222,7 +252,7 @@
         }
     }
 
-    // Step 5. Let the policy pick.
+    // Step 4. Let the policy pick.
     const std::size_t index = m_policies.pick(m_settings.policy, chosen.candidates, random);
     const routing_candidate& picked = chosen.candidates[index];
     if (chosen.ignoreHealth)
@@ -256,6 +286,7 @@
     const token_count cached = std::min(choice.cachedTokens, request.promptTokens);
     m_load.recordSent(attempt, choice.slot, { request.promptTokens - cached, request.expectedTokens }, now);
     m_health.recordSent(choice.slot, now);
+    m_limits.started(choice.slot, now);
     if (choice.kind == target_kind::Engine)
         m_prefixes.recordSent(choice.slot, request.promptBlocks, now);
 }
@@ -385,6 +416,10 @@
     const double weight = m_health.weight(slot, now);
     if (weight <= 0 && !chosen.ignoreHealth)
         return;
+    if (!m_limits.mayStart(slot, now)) {
+        chosen.limited.push_back(slot);
+        return;
+    }
 
     // Step 2. Estimate the cost of running it there.
     routing_candidate candidate;
@@ -485,7 +520,7 @@
 }
 
 // Returns why no target was chosen, and when a retry makes sense.
-no_route router::noRouteFor(const selection& chosen)
+no_route router::noRouteFor(const selection& chosen) const
 {
     if (!chosen.candidates.empty()) {
         duration shortestWait = duration::max();
@@ -493,6 +528,12 @@
             shortestWait = std::min(shortestWait, candidate.wait);
         return { no_route_reason::CannotMeetDeadline, std::max(shortestWait, minRetryAfter) };
     }
+    if (!chosen.limited.empty()) {
+        double perSecond = 0;
+        for (const target_slot slot : std::set<target_slot>(chosen.limited.begin(), chosen.limited.end()))
+            perSecond += m_limits.shareOf(slot);
+        return { no_route_reason::RateLimited, std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / perSecond)) };
+    }
     if (chosen.barredCheapCount > 0)
         return { no_route_reason::CheapOnly, noTargetRetryAfter };
     if (chosen.excludedCount > 0)
--- a/src/router.h
+++ b/src/router.h
@@ -11,6 +11,7 @@
 #include "health.h"
 #include "load.h"
 #include "prefix_index.h"
+#include "request_limits.h"
 #include "router_policy.h"
 #include "target_table.h"
 #include "types.h"
@@ -71,12 +72,13 @@
 enum class no_route_reason { UnknownClass,
     NoLiveTarget,
     AllExcluded, // by route_request::excluded
+    RateLimited, // targets that could run it are at the limit that they named
     CheapOnly, // only cheap targets are left, and the request may not use them or has reached its cap there
     CannotMeetDeadline };
 
 struct no_route {
     no_route_reason reason = no_route_reason::NoLiveTarget;
-    duration retryAfter {};
+    duration retryAfter {}; // RateLimited: time in which one request may start
 };
 
 using route_decision = std::variant<route_choice, no_route>;
@@ -124,6 +126,13 @@
     void setClass(const routing_class_id& name, target_predicate predicate);
     void removeClass(const routing_class_id& name);
     void setPolicy(policy_kind policy) { m_settings.policy = policy; }
+    // The limit that a target names in the answer to a request sent at `sentAt`; empty if it names
+    // none. Answers of an earlier incarnation are ignored.
+    limit_change applyLimit(const target_id& target, incarnation seen, std::optional<double> perSecond, instant sentAt, instant now);
+    // A request that was sent without choose(), such as an order.
+    void sentBeside(const target_id& target, instant now);
+    request_limits& limits() { return m_limits; }
+    const request_limits& limits() const { return m_limits; }
     // Expires targets; call about once a second.
     void tick(instant now);
 
@@ -179,13 +188,14 @@
     std::vector<target_slot> chooseSubset(const std::vector<target_slot>& allowed) const;
     std::vector<std::pair<std::uint64_t, target_slot>> buildRing(const std::vector<target_slot>& allowed) const;
 
+    route_decision chooseFrom(selection& chosen, seeded_random& random, instant now);
     void addCandidate(selection& chosen, target_slot slot, instant now) const;
     void addAll(selection& chosen, const std::vector<target_slot>& slots, instant now) const;
     void addSamples(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const;
     void addPrefixTargets(selection& chosen, const class_cache& cache, instant now) const;
     void applyBoundedLoad(selection& chosen) const;
     bool keepFeasible(selection& chosen, instant now) const;
-    static no_route noRouteFor(const selection& chosen);
+    no_route noRouteFor(const selection& chosen) const;
     route_choice makeChoice(const selection& chosen, const routing_candidate& candidate, route_reason reason) const;
     static exposure_key exposureKey(const route_request& request, const failure_domain_id& domain);
     bool mayUseTarget(const route_request& request, const target_record& record) const;
@@ -195,6 +205,7 @@
     load_tracker m_load;
     prefix_index m_prefixes;
     health_monitor m_health;
+    request_limits m_limits;
     policy_set m_policies;
     std::vector<std::uint32_t> m_generations; // by slot; incremented when another target or incarnation takes the slot
     std::map<routing_class_id, class_cache> m_caches;
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -286,6 +286,31 @@
     BOOST_TEST(std::holds_alternative<route_choice>(subject.choose(request, instant { 60s })));
 }
 
+BOOST_AUTO_TEST_CASE(no_target_at_its_limit_is_chosen)
+{
+    router subject = routerOf(3);
+    const instant now { 60s };
+    const auto limitAll = [&] {
+        for (std::uint32_t i = 0; i < 3; ++i)
+            subject.applyLimit(target_id("t" + std::to_string(i)), incarnation(1), 2.0, now, now);
+    };
+    limitAll();
+    const auto refusal = subject.choose(requestOf(1), now);
+    BOOST_REQUIRE((reasonOf(refusal) == no_route_reason::RateLimited));
+    BOOST_TEST(std::chrono::duration<double>(std::get<no_route>(refusal).retryAfter).count() == 1.0 / 6, boost::test_tools::tolerance(1e-6));
+    const auto due = subject.limits().takeDue(now);
+    BOOST_TEST(due.size() == 3u);
+    const auto slot = *subject.table().find(target_id("t1"));
+    subject.limits().granted(slot, { 1, 50ms, 2 }, now, now);
+    const auto choice = std::get<route_choice>(subject.choose(requestOf(2), now));
+    BOOST_TEST(choice.target.str() == "t1");
+    subject.started(attempt_id(1), choice, requestOf(2), now);
+    BOOST_TEST((reasonOf(subject.choose(requestOf(3), now)) == no_route_reason::RateLimited));
+    // A restarted target has named no limit yet.
+    subject.applyRow(row(1, 2), now);
+    BOOST_TEST(std::get<route_choice>(subject.choose(requestOf(4), now)).target.str() == "t1");
+}
+
 BOOST_AUTO_TEST_CASE(policies_have_names)
 {
     for (const policy_kind kind : allPolicies())
