--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -23,6 +23,8 @@
         Json::Value row(Json::objectValue);
         row["last"] = Json::UInt64(generated.lastEventId);
         row["whole"] = generated.complete;
+        row["pool"] = generated.software.pool.str();
+        row["software"] = generated.software.version;
         row["data"] = Json::Value(Json::arrayValue);
         for (const auto& line : generated.data)
             row["data"].append(line);
@@ -43,6 +45,7 @@
         partial_text generated;
         generated.lastEventId = jsonCount(value[name], "last");
         generated.complete = jsonFlag(value[name], "whole");
+        generated.software = { pool_id(jsonText(value[name], "pool")), jsonText(value[name], "software") };
         for (const auto& line : jsonList(value[name], "data"))
             generated.data.push_back(line.isString() ? line.asString() : std::string());
         for (const auto& version : jsonList(value[name], "versions"))
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -46,6 +46,7 @@
     std::vector<std::string> data; // of the events, in order
     std::uint64_t lastEventId = 0; // id of the last event
     std::vector<weight_version> versions;
+    target_software software; // of the target that generated the first event
     bool complete = false; // generation is complete
 };
 using partial_texts = std::map<item_id, partial_text>;
@@ -63,6 +64,7 @@
     duration deadline {};
     std::optional<std::uint64_t> lastEventId;
     std::optional<weight_version> expectVersion;
+    target_software began; // software that generated the text so far; empty if there is none
 };
 struct cancel_run {
     attempt_id attempt;
@@ -260,6 +262,7 @@
         batch_id batch;
         std::size_t index = 0;
         target_id target;
+        target_software software;
         weight_version version; // of the current events; 0 = not reported yet
         std::size_t resumedFrom = 0; // events that the item had when the run was sent
         bool accepted = false; // the head has the right item and an allowed version
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -109,6 +109,7 @@
     run.deadline = batch.itemDeadline - now;
     if (!item.generated.data.empty()) {
         run.lastEventId = item.generated.lastEventId;
+        run.began = item.generated.software;
         if (batch.route.singleVersion)
             run.expectVersion = item.generated.versions.front();
         ++m_counts.resumed;
@@ -117,6 +118,7 @@
     open.batch = batch.spec.id;
     open.index = index;
     open.target = choice->target;
+    open.software = choice->software;
     open.resumedFrom = item.generated.data.size();
     open.sentAt = open.lastReceivedAt = now;
     m_runs[run.attempt] = open;
@@ -213,6 +215,8 @@
         // Step 2. Append the event and note the version that generated it.
         if (item.generated.data.size() == item.eventsStored)
             item.unstoredSince = now;
+        if (isFirst)
+            item.generated.software = run.software;
         item.generated.data.push_back(event.data);
         item.generated.lastEventId = event.id;
         if (!contains(item.generated.versions, run.version))
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -61,6 +61,7 @@
     request.unacknowledgedTimeout = targetUnacknowledgedTimeout;
     logEvent(log_level::Info, "batch", "run",
         { { "batch", action.batch.str() }, { "item", item.id.str() }, { "target", action.choice.target.str() }, { "behind", std::to_string(action.lastEventId.value_or(0)) },
+            { "software", toString(action.choice.software) }, { "began", action.began.empty() ? std::string() : toString(action.began) },
             { "load", std::to_string(m_context.targets.load().ownOutstanding(action.choice.slot)) } });
     m_limits.onSend(action.choice.target, send_kind::Item);
     auto& run = m_runs[action.attempt];
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -211,6 +211,8 @@
             deliver(*delivery);
         else if (const auto* begin = std::get_if<forward_begin_stream>(&action)) {
             const auto& attempt = m_attempts.at(begin->attempt);
+            logEvent(log_level::Info, "front", "stream_begun",
+                { { "request", m_forwards.at(begin->id).callerId.str() }, { "target", attempt.target.str() }, { "software", toString(attempt.software) } });
             m_forwards.at(begin->id).exchange->begin(attempt.head.status, attempt.head.forwarded);
         } else if (const auto* finish = std::get_if<forward_end_stream>(&action)) {
             const auto found = m_forwards.find(finish->id);
@@ -239,6 +241,10 @@
     auto& forward = m_forwards.at(action.id);
     const auto firstKind = forward.exchange ? send_kind::First : send_kind::Judge;
     m_limits.onSend(action.choice.target, std::exchange(forward.sent, true) ? send_kind::Repeated : firstKind);
+    if (action.lastEventId) {
+        logEvent(log_level::Info, "front", "stream_resumed",
+            { { "request", forward.callerId.str() }, { "target", action.choice.target.str() }, { "software", toString(action.choice.software) }, { "after", std::to_string(*action.lastEventId) } });
+    }
     platform::target_call call;
     call.id = forward.callerId;
     call.host = forward.host;
@@ -262,6 +268,7 @@
     openAttempt.forward = action.id;
     openAttempt.target = action.choice.target;
     openAttempt.targetIncarnation = action.choice.incarnation;
+    openAttempt.software = action.choice.software;
     openAttempt.sentAt = m_context.now;
     openAttempt.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
 }
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -77,6 +77,7 @@
         std::uint64_t transfer = 0;
         target_id target;
         incarnation targetIncarnation;
+        target_software software;
         instant sentAt {};
         platform::target_head head;
         std::string body;
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -411,7 +411,8 @@
         const auto stateBefore = statesBefore.find(entry.listed.id);
         if (stateBefore == statesBefore.end() || stateBefore->second != entry.listed.state)
             logEvent(log_level::Info, "targets", entry.listed.state == target_state::Live ? "live" : "leaving",
-                { { "target", entry.listed.id.str() }, { "service", entry.service.str() }, { "address", entry.listed.address }, { "domain", entry.listed.failureDomain.str() } });
+                { { "target", entry.listed.id.str() }, { "service", entry.service.str() }, { "address", entry.listed.address }, { "domain", entry.listed.failureDomain.str() },
+                    { "software", entry.listed.softwareVersion } });
         if (stateBefore != statesBefore.end())
             statesBefore.erase(stateBefore);
     }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -553,6 +553,7 @@
     choice.kind = record.listed.kind;
     choice.supply = record.listed.supply;
     choice.failureDomain = record.listed.failureDomain;
+    choice.software = record.listed.software();
     choice.reason = reason;
     choice.score = { candidate.wait, candidate.processingTime, candidate.network, candidate.weight, candidate.cost };
     choice.cachedTokens = candidate.cached;
--- a/src/router.h
+++ b/src/router.h
@@ -64,6 +64,7 @@
     target_kind kind = target_kind::Engine;
     supply_kind supply = supply_kind::Firm;
     failure_domain_id failureDomain;
+    target_software software;
     route_reason reason = route_reason::LeastCost;
     score_parts score;
     token_count cachedTokens; // expected
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -32,6 +32,8 @@
 
 } // namespace
 
+std::string toString(const target_software& software) { return software.pool.str() + "/" + software.version; }
+
 target_table::target_table(target_table_settings settings)
     : m_settings(settings)
 {
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -33,6 +33,16 @@
     Leaving,
     Gone };
 
+// The software that a target runs: versions of different pools are not related.
+struct target_software {
+    pool_id pool;
+    std::string version; // empty if the target states none
+
+    bool empty() const { return pool.empty(); }
+    friend auto operator<=>(const target_software&, const target_software&) = default;
+};
+std::string toString(const target_software& software);
+
 // One row of the platform's list of targets.
 struct listed_target {
     target_id id;
@@ -42,9 +52,11 @@
     supply_kind supply = supply_kind::Firm;
     failure_domain_id failureDomain;
     label_map labels;
+    std::string softwareVersion;
     lovagerail::incarnation incarnation;
     target_state state = target_state::Live;
 
+    target_software software() const { return { pool, softwareVersion }; }
     friend bool operator==(const listed_target&, const listed_target&) = default;
 };
 
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -311,14 +311,15 @@
 BOOST_AUTO_TEST_CASE(partial_texts_round_trip)
 {
     partial_texts texts;
-    texts[item_id("a")] = { { "one", "two" }, 7, { weight_version(3), weight_version(4) }, true };
-    texts[item_id("b")] = { { "x" }, 1, { weight_version(3) }, false };
+    texts[item_id("a")] = { { "one", "two" }, 7, { weight_version(3), weight_version(4) }, { pool_id("pool"), "v2" }, true };
+    texts[item_id("b")] = { { "x" }, 1, { weight_version(3) }, {}, false };
     const auto read = decodeTexts(encodeTexts(texts));
     BOOST_REQUIRE(read.size() == 2u);
     const auto& a = read.at(item_id("a"));
     BOOST_TEST((a.data == texts.at(item_id("a")).data));
     BOOST_TEST(a.lastEventId == 7u);
     BOOST_TEST((a.versions == texts.at(item_id("a")).versions));
+    BOOST_TEST((a.software == texts.at(item_id("a")).software));
     BOOST_TEST(a.complete);
     BOOST_TEST(!read.at(item_id("b")).complete);
     BOOST_TEST(decodeTexts(Json::Value("no object")).empty());
