--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -229,10 +229,12 @@
 class Replica(Server):
     """A replica that runs requests: a plain service echoes the body, a model replica streams `events` events."""
 
-    def __init__(self, platform, name, service, zone, models=(), events=5, event_interval_s=0.02):
+    def __init__(self, platform, name, service, zone, models=(), events=5, event_interval_s=0.02, software="v1"):
         self.platform, self.name, self.service, self.zone = platform, name, service, zone
         self.versions = {model: 1 for model in models}
         self.events, self.event_interval_s = events, event_interval_s
+        self.software = software  # version of its software
+        self.event_text = "e{number}"  # data of an event; may use {software}
         self.arrivals = []  # (monotonic time, path) of all requests, in the order of arrival
         self.executed_requests = []  # (path, headers) of requests that started to run
         self.refuse_requests = False  # answers 503 with Not-Executed
@@ -245,7 +247,7 @@
         self.publish_heartbeat()
 
     def publish_heartbeat(self):
-        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.software, "slots": 8, "state": self.state, "coldRemainingMs": 0,
                  "sequence": 1, "born": self.incarnation}
         if self.versions:
             entry["models"] = [{"name": name, "version": version, "adapters": []} for name, version in self.versions.items()]
@@ -305,7 +307,8 @@
             if break_stream and number == last_event_id + 3:
                 request.break_connection()
                 return
-            data = f"id: {number}\ndata: e{number}\n\n".encode()
+            text = self.event_text.format(number=number, software=self.software)
+            data = f"id: {number}\ndata: {text}\n\n".encode()
             request.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
             request.wfile.flush()
         request.wfile.write(b"0\r\n\r\n")
