--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -245,7 +245,9 @@
         if (kept == m_keptTexts.end() || batch.items[i].stage != item_stage::Waiting)
             continue;
         const auto& versions = kept->second.generated.versions;
-        const bool fits = !versions.empty() && *std::min_element(versions.begin(), versions.end()) >= batch.spec.minVersion
+        // Only a text that names its software can go on.
+        const bool canGoOn = kept->second.generated.complete || !kept->second.generated.software.empty();
+        const bool fits = canGoOn && !versions.empty() && *std::min_element(versions.begin(), versions.end()) >= batch.spec.minVersion
             && (!batch.route.singleVersion || versions.size() == 1);
         if (fits) {
             auto& item = batch.items[i];
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -8,7 +8,8 @@
 // Items are sent in complete groups, the group with the longest expected work first: only
 // complete groups count for a training step, and the step ends with its slowest item. The
 // content of a text never influences scheduling, which would bias the samples. A stream
-// that breaks off is resumed at another target after its last complete event. Weight
+// that breaks off is resumed after its last complete event at another target with the software
+// that began it; if there is none, its text is generated anew. Weight
 // versions are taken only from what targets report, never from what was requested.
 #pragma once
 
@@ -109,6 +110,9 @@
     // How long a target is avoided after it stalled, could not be reached, or reported
     // another incarnation or a wrong version: its list entry is refreshed every 1.2 s.
     duration avoidUntilRefresh = std::chrono::milliseconds(1500);
+    // How long a text waits for a target with the software that began it while others are free:
+    // about half the time in which an item is generated anew.
+    duration maxResumeWait = std::chrono::milliseconds(500);
     duration judgeRetryDelay = std::chrono::milliseconds(250); // before a judge is asked again: above a judge's latency target of 150 ms
     duration pageRetryDelay = std::chrono::milliseconds(250); // before a failed page write is repeated; the same delay as for submissions
     duration pageDelay = std::chrono::milliseconds(40); // before the page that completes the step, so that groups finished within it share the page
@@ -145,6 +149,7 @@
     std::uint64_t completed = 0;
     std::uint64_t abandoned = 0;
     std::uint64_t reused = 0; // texts taken over from an earlier batch
+    std::uint64_t begunAnew = 0; // texts dropped as no target with their software could go on
     std::uint64_t saved = 0; // unfinished texts stored
 };
 
@@ -227,6 +232,7 @@
         std::optional<attempt_id> attempt; // while Running
         std::uint32_t failures = 0; // answers with status 500
         std::uint32_t moves = 0;
+        std::optional<instant> beginAnewAt; // while its text waits for a target with its software
         instant retryAt {}; // Waiting, AwaitingJudge: time of the next attempt
         std::map<target_id, instant> avoidUntil; // targets not to be used, with the end of that time
         std::size_t eventsStored = 0; // number of events in the store
@@ -290,6 +296,8 @@
     bool isFull(target_slot slot, instant now) const;
     bool isServiceFull(const service_id& service, instant now) const;
     std::vector<target_id> fullTargets(batch_state& batch, instant now) const;
+    route_decision chooseTarget(const batch_state& batch, const item_state& item, route_request& routeRequest, const std::vector<target_id>& full, instant now);
+    static void dropText(item_state& item);
     void dispatch(batch_state& batch, instant now);
     bool send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now);
     void endRun(attempt_id attempt, attempt_outcome outcome, instant now);
@@ -303,7 +311,7 @@
     void cancelStalledRuns(instant now);
     void updatePace(open_run& run, std::size_t events, instant now);
     std::optional<double> paceOf(const target_id& target, instant now) const;
-    std::optional<double> fastestFree(const batch_state& batch, const item_state& item, const std::vector<target_id>& full, instant now) const;
+    std::optional<double> fastestFree(const batch_state& batch, const item_state& item, const target_software& software, const std::vector<target_id>& full, instant now) const;
     void moveStragglers(instant now);
     std::vector<batch_action> takeActions() { return std::exchange(m_actions, {}); }
 
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -59,13 +59,40 @@
     }
 }
 
+// Chooses a target among those that may run the item; one much slower than the fastest only if
+// there is no other.
+route_decision batch_runner::chooseTarget(const batch_state& batch, const item_state& item, route_request& routeRequest, const std::vector<target_id>& full, instant now)
+{
+    const auto requiredExclusions = routeRequest.excluded.size();
+    if (const auto best = fastestFree(batch, item, routeRequest.software, full, now)) {
+        for (const auto& [target, pace] : m_paces) {
+            if (now - pace.at < m_settings.paceExpiry && pace.seconds > *best * m_settings.moveSpeedup)
+                routeRequest.excluded.push_back(target);
+        }
+    }
+    auto decision = m_router.choose(routeRequest, now);
+    if (std::holds_alternative<no_route>(decision) && routeRequest.excluded.size() > requiredExclusions) {
+        routeRequest.excluded.resize(requiredExclusions); // a slow replica is better than none
+        decision = m_router.choose(routeRequest, now);
+    }
+    routeRequest.excluded.resize(requiredExclusions);
+    return decision;
+}
+
+// The software that goes on with a text has to be the one that began it.
+void batch_runner::dropText(item_state& item)
+{
+    item.generated = {};
+    item.eventsStored = 0;
+}
+
 bool batch_runner::send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now)
 {
     const auto& spec = batch.spec.items[index];
     auto& item = batch.items[index];
 
-    // Step 1. Choose a target: not a full or avoided one, and not one much slower than the
-    // fastest that is free.
+    // Step 1. Choose a target: not a full or avoided one, and for a text one with the software that
+    // began it. A text that none can go on with is generated anew.
     route_request routeRequest;
     routeRequest.routingClass = batch.routingClass;
     routeRequest.account = batch.spec.account;
@@ -79,18 +106,23 @@
     for (const auto& [target, until] : item.avoidUntil)
         routeRequest.excluded.push_back(target);
     routeRequest.seed = XXH64(spec.id.str().data(), spec.id.str().size(), m_lastAttempt);
-    const auto requiredExclusions = routeRequest.excluded.size();
-    if (const auto best = fastestFree(batch, item, full, now)) {
-        for (const auto& [target, pace] : m_paces) {
-            if (now - pace.at < m_settings.paceExpiry && pace.seconds > *best * m_settings.moveSpeedup)
-                routeRequest.excluded.push_back(target);
+    routeRequest.software = item.generated.software;
+    auto decision = chooseTarget(batch, item, routeRequest, full, now);
+    if (std::holds_alternative<no_route>(decision) && !routeRequest.software.empty()) {
+        routeRequest.software = {};
+        auto other = chooseTarget(batch, item, routeRequest, full, now);
+        if (std::holds_alternative<route_choice>(other)) {
+            if (!item.beginAnewAt)
+                item.beginAnewAt = m_router.hasLive(batch.routingClass, item.generated.software) ? now + m_settings.maxResumeWait : now;
+            if (now < *item.beginAnewAt) {
+                delayRetry(item, m_settings.refusedRetryDelay, now);
+                return true;
+            }
+            ++m_counts.begunAnew;
+            dropText(item);
+            decision = std::move(other);
         }
     }
-    auto decision = m_router.choose(routeRequest, now);
-    if (std::holds_alternative<no_route>(decision) && routeRequest.excluded.size() > requiredExclusions) {
-        routeRequest.excluded.resize(requiredExclusions); // a slow replica is better than none
-        decision = m_router.choose(routeRequest, now);
-    }
     const auto* choice = std::get_if<route_choice>(&decision);
     if (choice == nullptr) {
         // An item that can't be sent only because it avoids replicas must not block the others.
@@ -124,6 +156,7 @@
     m_runs[run.attempt] = open;
     item.stage = item_stage::Running;
     item.attempt = run.attempt;
+    item.beginAnewAt.reset();
     m_router.started(run.attempt, *choice, routeRequest, now);
     ++m_counts.runs;
     m_actions.emplace_back(std::move(run));
@@ -188,6 +221,14 @@
     auto& run = found->second;
     auto& batch = m_batches.at(run.batch);
     auto& item = batch.items[run.index];
+    // A target that came back under its id with other software may have made these events.
+    if (const auto slot = m_router.table().find(run.target); slot && m_router.table().record(*slot).listed.software() != run.software) {
+        dropText(item);
+        m_actions.emplace_back(cancel_run { attempt });
+        endRun(attempt, attempt_outcome::Failure, now);
+        ++m_counts.broken;
+        return takeActions();
+    }
     updatePace(run, events.size(), now);
     run.lastReceivedAt = now;
     for (const auto& event : events) {
@@ -203,8 +244,7 @@
         const bool versionUnknown = run.version == weight_version(); // neither the head nor an event has stated a version
         if (hasGap || isSecondVersion || versionUnknown) {
             if (isSecondVersion) {
-                item.generated = {}; // generate the text anew with one version
-                item.eventsStored = 0;
+                dropText(item); // generate the text anew with one version
             }
             m_actions.emplace_back(cancel_run { attempt });
             endRun(attempt, attempt_outcome::Failure, now);
@@ -290,11 +330,14 @@
 }
 
 // The pace, in seconds per event, of the fastest replica that could take this item now.
-std::optional<double> batch_runner::fastestFree(const batch_state& batch, const item_state& item, const std::vector<target_id>& full, instant now) const
+std::optional<double> batch_runner::fastestFree(const batch_state& batch, const item_state& item, const target_software& software, const std::vector<target_id>& full, instant now) const
 {
     std::optional<double> best;
     for (const auto slot : m_router.table().allowed(batch.routingClass)) {
-        const auto& target = m_router.table().record(slot).listed.id;
+        const auto& listed = m_router.table().record(slot).listed;
+        const auto& target = listed.id;
+        if (!software.empty() && listed.software() != software)
+            continue;
         const auto avoided = item.avoidUntil.find(target);
         if (!m_router.limits().mayStart(slot, now) || std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
             continue;
@@ -317,7 +360,7 @@
         const auto pace = std::chrono::duration<double>(run.pace(m_settings.minEventsForPace)).count();
         if (pace <= 0 || item.moves >= m_settings.maxMoves)
             continue;
-        const auto best = fastestFree(batch, item, fullTargets(batch, now), now);
+        const auto best = fastestFree(batch, item, item.generated.software, fullTargets(batch, now), now);
         if (!best || pace < *best * m_settings.moveSpeedup)
             continue;
         // The remaining length is unknown. Take the caller's estimate, but at least a third
@@ -334,7 +377,7 @@
         auto& batch = m_batches.at(run.batch);
         auto& item = batch.items[run.index];
         // An earlier move in this loop may have taken the free slot.
-        if (!fastestFree(batch, item, fullTargets(batch, now), now))
+        if (!fastestFree(batch, item, item.generated.software, fullTargets(batch, now), now))
             continue;
         ++m_counts.moved;
         ++item.moves;
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -3,12 +3,14 @@
 
 #include "edge/batches.h"
 #include "edge/departures.h"
+#include "edge/stream_directory.h"
 #include "edge/target_limits.h"
 #include "edge/usage_duty.h"
 #include "http_status.h"
 #include "log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace lovagerail::edge {
 
@@ -49,11 +51,12 @@
 
 } // namespace
 
-caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits)
+caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams)
     : m_context(shared)
     , m_usage(usage)
     , m_departures(leavingTargets)
     , m_limits(limits)
+    , m_streams(streams)
     , m_forwarding({}, shared.targets, blameMarks)
 {
 }
@@ -116,8 +119,12 @@
         refuse(exchange, caller.id, statusContentTooLarge, {}, "body too large");
         return;
     }
+    if (route->kind == route_kind::Stream && caller.lastEventId.value_or(0) > 0) {
+        resumeStream(exchange, std::move(caller), *route, account);
+        return;
+    }
     if (route->kind != route_kind::Batch) {
-        startForward(exchange, std::move(caller), *route, account);
+        startForward(exchange, std::move(caller), *route, account, {});
         return;
     }
     if (exchange->method != "POST" || caller.id.empty()) {
@@ -132,7 +139,41 @@
     m_batches->onSubmit(exchange, std::move(head), { caller.deadline, true });
 }
 
-void caller_frontend::startForward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account)
+// Whether all live targets of the route run the same software.
+bool caller_frontend::hasOneSoftware(const site_route& route) const
+{
+    std::set<target_software> found;
+    const auto& table = m_context.targets.table();
+    for (const auto slot : table.all()) {
+        const auto software = table.record(slot).listed.software();
+        const bool isOfRoute = std::any_of(route.services.begin(), route.services.end(), [&software](const weighted_service& weighted) { return weighted.service.str() == software.pool.str(); });
+        if (isOfRoute && table.isLive(slot))
+            found.insert(software);
+    }
+    return found.size() == 1;
+}
+
+// Goes on with a stream where it began. Without that a second run would be joined to the first, so
+// the request is refused as not run.
+void caller_frontend::resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account)
+{
+    if (caller.resumes.empty() && hasOneSoftware(route)) {
+        startForward(exchange, std::move(caller), route, account, {});
+        return;
+    }
+    const auto stream = caller.resumes;
+    m_streams.find(stream, [this, exchange, caller = std::move(caller), route, account, askedAt = m_context.now](const std::optional<target_software>& software) mutable {
+        if (!software) {
+            refuse(exchange, caller.id, statusUnavailable, {}, "no instance knows where the stream began");
+            return;
+        }
+        if (caller.deadline)
+            *caller.deadline -= toMilliseconds(m_context.now - askedAt);
+        startForward(exchange, std::move(caller), route, account, *software);
+    });
+}
+
+void caller_frontend::startForward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account, const target_software& software)
 {
     const forward_id id(++m_lastForwardId);
     open_forward forward;
@@ -146,12 +187,14 @@
     forward.route = route.id.str();
     forward.maxAttempts = route.maxAttempts;
     forward.arrived = m_context.now;
+    forward.stream = software.empty() ? caller.id : caller.resumes;
     m_forwards[id] = std::move(forward);
 
     forward_request request;
     request.id = id;
     request.callerId = caller.id;
     request.route = route;
+    request.software = software;
     request.account = account;
     request.fingerprint = fingerprintOf(account, exchange->method, caller.host + targetOf(*exchange), exchange->body);
     request.deadline = caller.deadline;
@@ -326,7 +369,10 @@
     const auto forward = openAttempt.forward;
     for (const auto& event : openAttempt.reader.feed(bytes)) {
         m_forwarding.progress(attempt, event.id, m_context.now);
-        if (!m_forwards.at(forward).exchange->append(event.raw)) {
+        auto& open = m_forwards.at(forward);
+        if (!std::exchange(open.originKnown, true) && !open.stream.empty())
+            m_streams.begun(open.stream, openAttempt.software);
+        if (!open.exchange->append(event.raw)) {
             execute(m_forwarding.callerDisconnected(forward, m_context.now));
             m_forwards.erase(forward);
             return;
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -19,6 +19,7 @@
 
 class batches;
 class departures;
+class stream_directory;
 class target_limits;
 class usage_duty;
 
@@ -29,7 +30,7 @@
 
 class caller_frontend {
 public:
-    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits);
+    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams);
 
     void setBatches(batches& owner) { m_batches = &owner; }
     // Handles a request from the listener for callers.
@@ -69,6 +70,8 @@
         std::string route;
         std::uint32_t maxAttempts = 0;
         instant arrived {};
+        request_id stream; // attempt of the caller that began the stream
+        bool originKnown = false; // the stream directory knows it
         bool sent = false; // at least once
         const std::string& body() const { return exchange ? exchange->body : serviceBody; }
     };
@@ -88,7 +91,9 @@
     void refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason);
     void respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const;
     bool authenticate(const http::exchange_ptr& exchange, const platform::caller_headers& caller, client_account_id& account);
-    void startForward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account);
+    bool hasOneSoftware(const site_route& route) const;
+    void resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account);
+    void startForward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account, const target_software& software);
     void execute(std::vector<forward_action> actions);
     void send(const forward_send& action);
     void onTransfer(attempt_id attempt, http::event& event);
@@ -101,6 +106,7 @@
     usage_duty& m_usage;
     departures& m_departures;
     target_limits& m_limits;
+    stream_directory& m_streams;
     batches* m_batches = nullptr;
     request_forwarder m_forwarding;
     std::uint64_t m_lastForwardId = 0;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -13,6 +13,7 @@
 #include "edge/metrics.h"
 #include "edge/platform_view.h"
 #include "edge/quarantine_gossip.h"
+#include "edge/stream_directory.h"
 #include "edge/target_limits.h"
 #include "edge/usage_duty.h"
 #include "edge/weight_duty.h"
@@ -87,7 +88,8 @@
             , m_usage(m_context)
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
             , m_limits(m_context, m_members)
-            , m_frontend(m_context, m_usage, m_blameMarks, m_departures, m_limits)
+            , m_streams(m_context, m_members)
+            , m_frontend(m_context, m_usage, m_blameMarks, m_departures, m_limits, m_streams)
             , m_batches(m_context, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members)
             , m_weights(m_context, m_members, m_platformView, m_demand, m_departures, m_limits)
@@ -130,6 +132,7 @@
         quarantine m_blameMarks;
         quarantine_gossip m_quarantineGossip;
         target_limits m_limits;
+        stream_directory m_streams;
         caller_frontend m_frontend;
         batches m_batches;
         demand_reports m_demand;
@@ -217,6 +220,10 @@
             m_usage.onPeerRequest(exchange);
         else if (exchange->path == "/marks")
             m_quarantineGossip.onPeerRequest(exchange);
+        else if (exchange->path == "/origins")
+            m_streams.onCopies(exchange);
+        else if (exchange->path == "/origin")
+            m_streams.onQuestion(exchange);
         else if (exchange->path == "/limits")
             m_limits.onPeerRequest(exchange);
         else if (exchange->path == "/departures")
@@ -327,6 +334,7 @@
         m_quarantineGossip.tick();
         m_departures.tick();
         m_limits.tick();
+        m_streams.tick();
         if (m_context.stopping && m_batches.allHandedOver())
             m_members.leave();
         if (m_context.now >= m_nextClosedCallerCheck && m_callers) {
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -41,7 +41,7 @@
         const auto& b = m_view->batches;
         add(registry, "lovagerail_items_total", "Runs and results of batch items", "what",
             { { "runs", b.runs }, { "resumed", b.resumed }, { "refused", b.refused }, { "broken", b.broken }, { "stalled", b.stalled }, { "moved", b.moved }, { "wrong_version", b.wrongVersion },
-                { "completed", b.completed }, { "abandoned", b.abandoned }, { "reused", b.reused }, { "stored", b.saved } });
+                { "completed", b.completed }, { "abandoned", b.abandoned }, { "reused", b.reused }, { "begun_anew", b.begunAnew }, { "stored", b.saved } });
         auto& calls = prometheus::BuildCounter().Name("lovagerail_store_calls_total").Help("Calls to the store by cause").Register(registry);
         for (const auto& [cause, count] : m_view->storeCalls)
             calls.Add({ { "cause", cause } }).Increment(static_cast<double>(count));
--- /dev/null
+++ b/src/edge/stream_directory.cpp
@@ -0,0 +1,136 @@
+// Copies records of stream origins to other instances, and asks them.
+#include "edge/stream_directory.h"
+
+#include "edge/peer_call.h"
+#include "json_text.h"
+#include "log.h"
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace lovagerail::edge {
+
+namespace {
+
+    constexpr std::string_view duty = "streams";
+    constexpr std::size_t copies = 2; // besides our own record
+    // More than there are copies: members that came since may rank before the keepers.
+    constexpr std::size_t membersToAsk = 4;
+    constexpr std::chrono::milliseconds copyTimeout { 800 };
+    constexpr std::chrono::milliseconds askTimeout { 300 };
+
+    Json::Value softwareJson(const target_software& software)
+    {
+        Json::Value out(Json::objectValue);
+        out["pool"] = software.pool.str();
+        out["software"] = software.version;
+        return out;
+    }
+
+    target_software softwareFrom(const Json::Value& row) { return { pool_id(jsonText(row, "pool")), jsonText(row, "software") }; }
+
+} // namespace
+
+stream_directory::stream_directory(context& shared, members& membership)
+    : m_context(shared)
+    , m_members(membership)
+{
+}
+
+// The first other members for the stream.
+std::vector<instance_id> stream_directory::keepersOf(const request_id& stream, std::size_t count) const
+{
+    std::vector<instance_id> names;
+    for (const auto& peer : m_members.others())
+        names.push_back(peer.name);
+    auto order = rendezvousOrder(stream.str(), std::move(names));
+    order.resize(std::min(order.size(), count));
+    return order;
+}
+
+void stream_directory::begun(const request_id& stream, const target_software& software)
+{
+    m_origins.record(stream, software, m_context.now);
+    auto row = softwareJson(software);
+    row["stream"] = stream.str();
+    for (const auto& keeper : keepersOf(stream, copies))
+        m_toSend.try_emplace(keeper, Json::arrayValue).first->second.append(row);
+}
+
+void stream_directory::tick()
+{
+    m_origins.dropExpired(m_context.now);
+    for (const auto& [name, rows] : std::exchange(m_toSend, {})) {
+        const auto* peer = m_members.find(name);
+        if (peer == nullptr)
+            continue;
+        // No retry: another copy and our own record remain.
+        m_context.net.call(peerCall(peer->address, "/origins", writeJson(rows), copyTimeout), [member = name](const http::answer& answer) {
+            if (!isOk(answer))
+                logEvent(log_level::Warning, duty, "copy_failed", { { "member", member.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
+        });
+    }
+}
+
+void stream_directory::find(const request_id& stream, found_function onFound)
+{
+    if (const auto known = m_origins.find(stream, m_context.now)) {
+        onFound(known);
+        return;
+    }
+    struct question {
+        found_function onFound; // empty once it was called
+        std::size_t openCalls = 0;
+    };
+    const auto asked = std::make_shared<question>();
+    asked->onFound = std::move(onFound);
+    const auto conclude = [asked](const std::optional<target_software>& software) {
+        if (const auto callback = std::exchange(asked->onFound, {}))
+            callback(software);
+    };
+    Json::Value body(Json::objectValue);
+    body["stream"] = stream.str();
+    for (const auto& keeper : keepersOf(stream, membersToAsk)) {
+        ++asked->openCalls;
+        m_context.net.call(peerCall(m_members.find(keeper)->address, "/origin", writeJson(body), askTimeout), [asked, conclude](const http::answer& answer) {
+            const auto row = isOk(answer) ? parseJson(answer.body) : std::nullopt;
+            const auto software = row ? softwareFrom(*row) : target_software();
+            if (!software.empty())
+                conclude(software);
+            else if (--asked->openCalls == 0)
+                conclude(std::nullopt);
+        });
+    }
+    if (asked->openCalls == 0)
+        conclude(std::nullopt);
+}
+
+void stream_directory::onQuestion(const http::exchange_ptr& exchange) const
+{
+    const auto body = parseJson(exchange->body);
+    const auto software = body ? m_origins.find(request_id(jsonText(*body, "stream")), m_context.now) : std::nullopt;
+    if (software)
+        exchange->answer(statusOk, {}, writeJson(softwareJson(*software)));
+    else
+        exchange->answer(statusNotFound, {}, "");
+}
+
+void stream_directory::onCopies(const http::exchange_ptr& exchange)
+{
+    const auto rows = parseJson(exchange->body);
+    if (!rows || !rows->isArray()) {
+        logEvent(log_level::Warning, duty, "refused", { { "bytes", std::to_string(exchange->body.size()) } });
+        exchange->answer(statusBadRequest, {}, "not origins of streams");
+        return;
+    }
+    for (const auto& row : *rows) {
+        const request_id stream(jsonText(row, "stream"));
+        const auto software = softwareFrom(row);
+        if (!stream.empty() && !software.empty())
+            m_origins.record(stream, software, m_context.now);
+    }
+    exchange->answer(statusOk, {}, "");
+}
+
+} // namespace lovagerail::edge
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -80,8 +80,15 @@
     return std::exchange(m_actions, {});
 }
 
-routing_class_id request_forwarder::classFor(const forward_request& request) const
+routing_class_id request_forwarder::classFor(const open_forward& forward) const
 {
+    // A stream that has begun stays with its service, as long as the route leads there.
+    const auto& request = forward.request;
+    if (!forward.software.empty()) {
+        const service_id service(forward.software.pool.str());
+        const bool isAllowed = std::any_of(request.route.services.begin(), request.route.services.end(), [&service](const weighted_service& weighted) { return weighted.service == service; });
+        return isAllowed ? serviceClass(service) : routing_class_id();
+    }
     auto chosen = serviceClass(pickService(request).service);
     if (m_router.table().hasClass(chosen) && !m_router.table().allowed(chosen).empty())
         return chosen;
@@ -105,6 +112,7 @@
         timeLimit = std::min(timeLimit, *request.deadline - m_settings.answerMargin);
     forward.expires = timeLimit == duration::max() ? instant::max() : now + timeLimit;
     forward.lastEventId = request.lastEventId;
+    forward.software = request.software;
     forward.request = std::move(request);
     auto& stored = m_open.emplace(id, std::move(forward)).first->second;
     if (!trySend(stored, now) && !stored.nextAttemptAt)
@@ -137,7 +145,8 @@
 
     // Step 2. Choose a target.
     route_request routeRequest;
-    routeRequest.routingClass = classFor(forward.request);
+    routeRequest.routingClass = classFor(forward);
+    routeRequest.software = forward.software;
     if (m_limitQueues.contains(routeRequest.routingClass)) {
         waitForLimit(forward, routeRequest.routingClass, now);
         return true;
@@ -299,8 +308,11 @@
     if (forward == nullptr)
         return;
     for (auto& openAttempt : forward->attempts) {
-        if (openAttempt.id == attempt)
-            openAttempt.lastReceivedAt = now;
+        if (openAttempt.id != attempt)
+            continue;
+        openAttempt.lastReceivedAt = now;
+        if (forward->software.empty())
+            forward->software = openAttempt.choice.software;
     }
     forward->lastEventId = lastEventId;
 }
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -49,6 +49,7 @@
     request_fingerprint fingerprint; // identifies equal requests for the quarantine
     std::optional<duration> deadline; // after arrival, set by the caller
     std::optional<std::uint64_t> lastEventId; // a stream resumes after this event
+    target_software software; // that began the stream; empty: it begins now
     std::vector<block_hash> promptBlocks;
     token_count promptTokens;
     token_count expectedTokens;
@@ -187,12 +188,13 @@
         bool hedged = false;
         std::optional<attempt_id> streaming; // the attempt whose events go to the caller
         bool streamStarted = false; // the caller has the head of a stream
+        target_software software; // that made the events which the caller has; empty: none yet
         std::optional<std::uint64_t> lastEventId;
     };
 
     open_forward* find(attempt_id attempt);
     attempt_id newAttempt() { return attempt_id(++m_lastAttempt); }
-    routing_class_id classFor(const forward_request& request) const;
+    routing_class_id classFor(const open_forward& forward) const;
     bool trySend(open_forward& forward, instant now);
     void waitForLimit(open_forward& forward, const routing_class_id& routingClass, instant now);
     void sendTo(open_forward& forward, const route_choice& choice, const route_request& routeRequest, bool isolated, instant now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -267,6 +267,12 @@
     return makeChoice(chosen, picked, cheapestWithoutCache ? route_reason::LeastCost : route_reason::PrefixReuse);
 }
 
+bool router::hasLive(const routing_class_id& name, const target_software& software) const
+{
+    const auto& allowed = m_table.allowed(name);
+    return std::any_of(allowed.begin(), allowed.end(), [&](target_slot slot) { return m_table.record(slot).listed.software() == software; });
+}
+
 void router::started(attempt_id attempt, const route_choice& choice, const route_request& request, instant now)
 {
     if (m_attempts.contains(attempt))
@@ -404,11 +410,13 @@
         return;
     if (!m_table.isAllowed(request.routingClass, slot))
         return;
+    const target_record& record = m_table.record(slot);
+    if (!request.software.empty() && record.listed.software() != request.software)
+        return;
     if (std::binary_search(chosen.excluded.begin(), chosen.excluded.end(), slot)) {
         ++chosen.excludedCount;
         return;
     }
-    const target_record& record = m_table.record(slot);
     if (!mayUseTarget(request, record)) {
         ++chosen.barredCheapCount;
         return;
--- a/src/router.h
+++ b/src/router.h
@@ -37,6 +37,7 @@
     bool idempotent = false;
     bool resumable = false;
     bool returnable = false; // the target can reject it as "not run" until it starts
+    target_software software; // only targets with this one may run it; empty: any
     std::vector<target_id> excluded; // tried before, or reserved for a quarantine suspect
     std::uint64_t seed = 0; // of the random choices; a different one for each call
 };
@@ -137,6 +138,8 @@
     // Expires targets; call about once a second.
     void tick(instant now);
 
+    // Whether a target of the class with this software is live.
+    bool hasLive(const routing_class_id& name, const target_software& software) const;
     // Returns a decision; call started() with it to count the attempt.
     route_decision choose(const route_request& request, instant now);
 
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -68,6 +68,21 @@
             }
             m_router.applyList(m_rows, now);
         }
+        void setSoftware(std::size_t replica, const std::string& version)
+        {
+            m_rows[replica].softwareVersion = version;
+            m_router.applyList(m_rows, now);
+        }
+        void removeReplica(const target_id& target)
+        {
+            std::erase_if(m_rows, [&target](const listed_target& row) { return row.id == target; });
+            m_router.applyList(m_rows, now);
+        }
+        void removeSoftware(const std::string& version)
+        {
+            std::erase_if(m_rows, [&version](const listed_target& row) { return row.softwareVersion == version; });
+            m_router.applyList(m_rows, now);
+        }
         void add(const batch_spec& spec) { runner.add(spec, batchRoute(), 1, {}, 0, now, wallStart); }
         void pass(duration time)
         {
@@ -215,6 +230,113 @@
     BOOST_TEST(harness.runner.listed(batch_id("b")).front().text == "e1\ne2\ne3\ne4\ne5\ne6");
 }
 
+// --- Software versions of replicas
+
+BOOST_AUTO_TEST_CASE(a_text_goes_on_only_at_the_software_that_began_it)
+{
+    batch_harness harness(4);
+    for (const std::size_t replica : { 0, 1 })
+        harness.setSoftware(replica, "v1");
+    for (const std::size_t replica : { 2, 3 })
+        harness.setSoftware(replica, "v2");
+    harness.add(specOf("b", 4, 4, 1));
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 16u);
+    for (const auto attempt : harness.open()) {
+        harness.head(attempt, weight_version(2));
+        harness.events(attempt, 1, 3);
+        harness.done(attempt, false);
+    }
+    harness.pass(100ms);
+    std::map<std::size_t, target_software> began;
+    for (std::size_t i = 0; i < 16; ++i)
+        began[harness.sent[i].index] = harness.sent[i].choice.software;
+    BOOST_REQUIRE(harness.sent.size() == 32u);
+    for (std::size_t i = 16; i < 32; ++i) {
+        BOOST_TEST(harness.sent[i].lastEventId.value_or(0) == 3u);
+        BOOST_TEST((harness.sent[i].choice.software == began.at(harness.sent[i].index)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_text_whose_software_is_gone_is_generated_anew)
+{
+    batch_harness harness(2);
+    harness.setSoftware(0, "v1");
+    harness.setSoftware(1, "v2");
+    harness.add(specOf("b", 1, 1, 1));
+    harness.pass(20ms);
+    const auto first = harness.open().front();
+    harness.head(first, weight_version(2));
+    harness.events(first, 1, 3);
+    harness.removeSoftware(harness.sent.front().choice.software.version);
+    harness.done(first, false);
+    harness.pass(50ms);
+    BOOST_REQUIRE(harness.sent.size() == 2u);
+    BOOST_TEST(!harness.sent[1].lastEventId.has_value());
+    harness.finish(harness.open().front(), 5);
+    harness.judgeAll();
+    harness.pass(100ms);
+    harness.writeAll();
+    BOOST_TEST(harness.runner.listed(batch_id("b")).front().text == "e1\ne2\ne3\ne4\ne5");
+    BOOST_TEST(harness.runner.counts().begunAnew == 1u);
+}
+
+// The replica with its software is there but was just seen to fail; another one is free.
+BOOST_AUTO_TEST_CASE(a_text_waits_for_its_software_but_not_for_long)
+{
+    batch_harness harness(2);
+    harness.setSoftware(0, "v1");
+    harness.setSoftware(1, "v2");
+    harness.add(specOf("b", 1, 1, 1));
+    harness.pass(20ms);
+    for (int round = 0; round < 3 && harness.sent.back().lastEventId.value_or(0) == 2U * static_cast<unsigned>(round); ++round) {
+        const auto attempt = harness.open().front();
+        harness.head(attempt, weight_version(2));
+        harness.events(attempt, 2 * round + 1, 2 * round + 2);
+        harness.done(attempt, false);
+        for (int i = 0; i < 15; ++i)
+            harness.pass(20ms); // it is avoided for 250 ms
+    }
+    BOOST_REQUIRE(harness.sent.size() == 4u);
+    for (const auto& run : harness.sent)
+        BOOST_TEST((run.choice.software == harness.sent.front().choice.software));
+}
+
+BOOST_AUTO_TEST_CASE(events_of_a_replica_that_came_back_with_other_software_are_not_joined)
+{
+    batch_harness harness(1);
+    harness.setSoftware(0, "v1");
+    harness.add(specOf("b", 1, 1, 1));
+    harness.pass(20ms);
+    const auto first = harness.open().front();
+    harness.head(first, weight_version(2));
+    harness.events(first, 1, 3);
+    harness.done(first, false);
+    harness.pass(300ms);
+    BOOST_REQUIRE(harness.sent.size() == 2u);
+    const auto second = harness.open().front();
+    harness.head(second, weight_version(2));
+    harness.setSoftware(0, "v2");
+    harness.events(second, 4, 5);
+    harness.pass(300ms);
+    BOOST_REQUIRE(harness.sent.size() == 3u);
+    BOOST_TEST(!harness.sent[2].lastEventId.has_value());
+}
+
+// A text stored by an instance that did not know software versions.
+BOOST_AUTO_TEST_CASE(a_stored_text_without_its_software_is_generated_anew)
+{
+    batch_harness harness(1);
+    harness.setSoftware(0, "v1");
+    partial_texts texts;
+    texts[item_id("g0i0")] = { { "e1", "e2" }, 2, { weight_version(2) }, {}, false };
+    harness.runner.restoreTexts(texts, harness.now);
+    harness.add(specOf("b", 1, 1, 1));
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 1u);
+    BOOST_TEST(!harness.sent.front().lastEventId.has_value());
+}
+
 // A run is cancelled if the replica reports weights older than the batch accepts.
 BOOST_AUTO_TEST_CASE(weights_older_than_the_minimum_are_not_used)
 {
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -50,7 +50,7 @@
             m_router.applyList(m_rows, now);
         }
 
-        void arrive(const site_route& route, std::optional<duration> deadline = 2s, forward_id id = forward_id(1))
+        void arrive(const site_route& route, std::optional<duration> deadline = 2s, forward_id id = forward_id(1), target_software software = {})
         {
             forward_request request;
             request.id = id;
@@ -59,6 +59,7 @@
             request.account = client_account_id("acme");
             request.deadline = deadline;
             request.fingerprint = fingerprint;
+            request.software = std::move(software);
             m_machine.setWallTime(wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now - start));
             act(m_machine.arrive(std::move(request), now));
         }
@@ -81,6 +82,12 @@
             return *open.begin();
         }
 
+        void setSoftware(std::size_t replica, const std::string& version)
+        {
+            m_rows[replica].softwareVersion = version;
+            m_router.applyList(m_rows, now);
+        }
+
         // All targets name a limit; the first allowance is none.
         void nameLimits(double perSecond)
         {
@@ -468,6 +475,57 @@
     }
 }
 
+// --- Software versions of replicas
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_only_at_the_software_that_began_it)
+{
+    auto route = routeOf(route_kind::Stream, 10);
+    route.resumable = true;
+    for (std::uint64_t number = 0; number < 20; ++number) {
+        forwarding_harness harness(4);
+        for (std::size_t replica = 0; replica < 4; ++replica)
+            harness.setSoftware(replica, replica < 2 ? "v1" : "v2");
+        harness.arrive(route, 2s, forward_id(number + 1));
+        const auto first = harness.onlyOpen();
+        harness.head(first, good);
+        harness.machine().progress(first, 7, harness.now);
+        harness.done(first, transfer_state::Truncated);
+        BOOST_REQUIRE(harness.sends.size() == 2u);
+        BOOST_TEST((harness.sends[1].choice.software == harness.sends[0].choice.software));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_begin_at_other_software)
+{
+    auto route = routeOf(route_kind::Stream);
+    route.resumable = true;
+    forwarding_harness harness(2);
+    harness.setSoftware(0, "v1");
+    harness.setSoftware(1, "v2");
+    harness.arrive(route);
+    harness.done(harness.onlyOpen(), transfer_state::NoAnswer);
+    BOOST_REQUIRE(harness.sends.size() == 2u);
+    BOOST_TEST((harness.sends[1].choice.software != harness.sends[0].choice.software));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_software_is_gone_is_refused)
+{
+    auto route = routeOf(route_kind::Stream);
+    route.resumable = true;
+    forwarding_harness harness(2);
+    harness.setSoftware(0, "v2");
+    harness.setSoftware(1, "v2");
+    harness.arrive(route, 2s, forward_id(1), { pool_id(app.str()), "v1" });
+    BOOST_REQUIRE(harness.refusals.size() == 1u);
+    BOOST_TEST(harness.refusals.front().status == 503);
+    // The route no longer leads to the service where it began.
+    harness.arrive(route, 2s, forward_id(2), { pool_id("former"), "v2" });
+    BOOST_TEST(harness.refusals.size() == 2u);
+    BOOST_TEST(harness.sends.empty());
+}
+
+// --- Limits that targets name
+
 BOOST_AUTO_TEST_CASE(a_request_waits_for_a_target_at_its_limit)
 {
     forwarding_harness harness(2);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -58,10 +58,11 @@
 BOOST_AUTO_TEST_CASE(callers_headers_are_filtered)
 {
     const header_list sent { { "host", "h.example" }, { "credential", "secret" }, { "tenant", "forged" }, { "connection", "close, x-hop" }, { "x-hop", "1" },
-        { "transfer-encoding", "chunked" }, { "x-kept", "2" }, { "attempt-id", "a1" }, { "deadline-ms", "1500" }, { "target-instance", "forged" } };
+        { "transfer-encoding", "chunked" }, { "x-kept", "2" }, { "attempt-id", "a1" }, { "resumes", "a0" }, { "deadline-ms", "1500" }, { "target-instance", "forged" } };
     const auto caller = platform::decodeCaller(sent);
     BOOST_TEST(caller.key == "secret");
     BOOST_TEST(caller.id.str() == "a1");
+    BOOST_TEST(caller.resumes.str() == "a0");
     BOOST_TEST(caller.deadline->count() == 1500);
     platform::target_call call;
     call.id = caller.id;
