--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -234,6 +234,7 @@
     request.deadline = deadline;
     request.fingerprint = fingerprintOf({}, "POST", call.host + call.path, call.body);
     request.counted = false;
+    request.isOwed = true;
     execute(m_forwarding.arrive(std::move(request), m_context.now));
 }
 
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -131,7 +131,7 @@
         return true; // too late; tickOne() answers when the deadline passes
 
     // Step 1. Requests that may have crashed targets.
-    const auto verdict = m_quarantine.verdictFor(forward.request.fingerprint, m_wallTime);
+    const auto verdict = m_quarantine.verdictFor(forward.request.fingerprint, m_wallTime, forward.request.isOwed);
     if (verdict == quarantine_verdict::Refused) {
         ++m_counts.quarantined;
         refuse(forward, forward.mayHaveRun ? statusBadGateway : statusUnavailable, m_quarantine.retryAfter(forward.request.fingerprint, m_wallTime), "targets died while they ran this request", now);
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -54,6 +54,7 @@
     token_count promptTokens;
     token_count expectedTokens;
     bool counted = true; // whether it counts as usage
+    bool isOwed = false; // belongs to work accepted earlier: not refused if targets crash while they run it
 };
 
 // Status line and headers of a target's answer.
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -114,11 +114,11 @@
     return count.all >= m_settings.crashesToQuarantine && count.fromIsolatedRun;
 }
 
-quarantine_verdict quarantine::verdictFor(request_fingerprint request, wall_time now) const
+quarantine_verdict quarantine::verdictFor(request_fingerprint request, wall_time now, bool isOwed) const
 {
     if (countBlames(request, now).all == 0)
         return quarantine_verdict::Clear;
-    if (isQuarantined(request, now))
+    if (!isOwed && isQuarantined(request, now))
         return quarantine_verdict::Refused;
     return m_isolatedRuns.contains(request) ? quarantine_verdict::Wait : quarantine_verdict::RunIsolated;
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -73,7 +73,9 @@
 public:
     explicit quarantine(quarantine_settings settings = {});
 
-    quarantine_verdict verdictFor(request_fingerprint request, wall_time now) const;
+    // Work that was accepted to be done later is owed: it is never refused, but runs isolated from
+    // other suspects as long as crashes are held against it.
+    quarantine_verdict verdictFor(request_fingerprint request, wall_time now, bool isOwed = false) const;
     // Time until a quarantined request may be retried; zero if it is not quarantined.
     duration retryAfter(request_fingerprint request, wall_time now) const;
 
--- a/src/serving_attempt.cpp
+++ b/src/serving_attempt.cpp
@@ -49,7 +49,7 @@
     // Step 1. Refuse quarantined requests; a suspect runs in isolation, one attempt at a time.
     if (refuseIfQuarantined(request, now, wall))
         return;
-    const auto verdict = m_quarantine.verdictFor(request.fingerprint, wall);
+    const auto verdict = m_quarantine.verdictFor(request.fingerprint, wall, request.job.has_value());
     if (verdict == quarantine_verdict::Wait) {
         waitForTarget(request, now);
         return;
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -164,7 +164,7 @@
 
 bool serving::refuseIfQuarantined(open_request& request, instant now, wall_time wall)
 {
-    if (m_quarantine.verdictFor(request.fingerprint, wall) != quarantine_verdict::Refused)
+    if (m_quarantine.verdictFor(request.fingerprint, wall, request.job.has_value()) != quarantine_verdict::Refused)
         return false;
     ++m_counts.quarantined;
     const auto retryAfter = m_quarantine.retryAfter(request.fingerprint, wall);
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -239,6 +239,7 @@
         self.executed_requests = []  # (path, headers) of requests that started to run
         self.refuse_requests = False  # answers 503 with Not-Executed
         self.requests_to_break = 0  # number of requests to break: a stream after its third event, a plain one before its answer
+        self.crashes_left = 0  # number of requests that find it crashing; it restarts at once
         self.orders_applied = 0
         self.highest_fencing_number = 0
         self.state = "ready"
@@ -266,7 +267,9 @@
             request.respond(503, None, {"Not-Executed": "1"})
         else:
             self.executed_requests.append((request.route, dict(request.headers)))
-            if "poison" in request.route:  # crashes and restarts at once
+            is_crashing = self.crashes_left > 0
+            self.crashes_left -= is_crashing
+            if is_crashing or "poison" in request.route:  # crashes and restarts at once
                 self.incarnation += 1
                 self.publish_heartbeat()
                 request.break_connection()
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -50,7 +50,7 @@
             m_router.applyList(m_rows, now);
         }
 
-        void arrive(const site_route& route, std::optional<duration> deadline = 2s, forward_id id = forward_id(1), target_software software = {})
+        void arrive(const site_route& route, std::optional<duration> deadline = 2s, forward_id id = forward_id(1), target_software software = {}, bool isOwed = false)
         {
             forward_request request;
             request.id = id;
@@ -60,6 +60,7 @@
             request.deadline = deadline;
             request.fingerprint = fingerprint;
             request.software = std::move(software);
+            request.isOwed = isOwed;
             m_machine.setWallTime(wallStart + std::chrono::duration_cast<std::chrono::milliseconds>(now - start));
             act(m_machine.arrive(std::move(request), now));
         }
@@ -416,6 +417,29 @@
 
 // An instance never runs a request again that is not idempotent, so it sees at most one
 // crash. If the caller repeats the request at other instances, their reports must add up.
+// Targets that crash by themselves while they run it: it runs alone, and is never refused for that.
+BOOST_AUTO_TEST_CASE(a_request_that_is_owed_is_not_refused_after_crashes)
+{
+    forwarding_harness harness(4);
+    for (std::uint64_t call = 1; call <= 5; ++call) {
+        harness.arrive(routeOf(route_kind::Idempotent, 1), 2s, forward_id(call), {}, true);
+        const auto attempt = harness.onlyOpen();
+        const auto target = harness.sends.back().choice.target;
+        harness.done(attempt, transfer_state::NoAnswer);
+        harness.restart(target);
+        harness.pass(100ms);
+    }
+    BOOST_TEST(harness.sends.size() == 5u);
+    // The same request of a caller is still refused.
+    harness.arrive(routeOf(route_kind::Idempotent, 1), 2s, forward_id(6));
+    BOOST_TEST(harness.sends.size() == 5u);
+    harness.arrive(routeOf(route_kind::Idempotent, 1), 2s, forward_id(7), {}, true);
+    const auto attempt = harness.onlyOpen();
+    harness.head(attempt, good);
+    harness.done(attempt, transfer_state::Complete);
+    BOOST_TEST(harness.deliveries.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_at_several_instances_add_up)
 {
     forwarding_harness first(4);
