--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -131,6 +131,7 @@
     void execute(std::vector<batch_action> actions);
     void startRun(const run_item& action);
     void onRunEvent(attempt_id attempt, http::event& event);
+    void breakOffRun(attempt_id attempt);
     void callJudge(const judge_item& action);
     void writePage(const write_page& action);
     void saveTexts(const save_texts& action);
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -59,6 +59,7 @@
     request.body = item.body;
     request.connectTimeout = targetConnectTimeout;
     request.unacknowledgedTimeout = targetUnacknowledgedTimeout;
+    request.maxBodyBytes = 0;
     logEvent(log_level::Info, "batch", "run",
         { { "batch", action.batch.str() }, { "item", item.id.str() }, { "target", action.choice.target.str() }, { "behind", std::to_string(action.lastEventId.value_or(0)) },
             { "software", toString(action.choice.software) }, { "began", action.began.empty() ? std::string() : toString(action.began) },
@@ -93,8 +94,11 @@
         std::vector<batch_event> events;
         for (auto& streamEvent : run.reader.feed(event.bytes))
             events.push_back({ streamEvent.id, std::move(streamEvent.data), streamEvent.version });
+        const bool isTooLong = run.reader.isTooLong();
         if (!events.empty())
             execute(m_runner.events(attempt, events, m_context.now));
+        if (isTooLong && m_runs.contains(attempt))
+            breakOffRun(attempt);
         return;
     }
     const bool complete = event.outcome == http::transfer_result::Complete && run.reader.remainder().empty();
@@ -107,6 +111,16 @@
     execute(m_runner.done(attempt, complete, sent, m_context.now));
 }
 
+// Ends a run whose answer goes on without the end of an event.
+void batches::breakOffRun(attempt_id attempt)
+{
+    const auto found = m_runs.find(attempt);
+    logEvent(log_level::Warning, "batch", "run_broken_off", { { "item", found->second.item.str() }, { "target", found->second.target.str() } });
+    m_context.net.cancel(found->second.transfer);
+    m_runs.erase(found);
+    execute(m_runner.done(attempt, false, true, m_context.now));
+}
+
 void batches::callJudge(const judge_item& action)
 {
     const auto& item = m_runner.spec(action.batch)->items[action.index];
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -308,6 +308,9 @@
     request.reuse = action.repeatable ? http::connection_reuse::Allowed : http::connection_reuse::Forbidden;
     request.connectTimeout = targetConnectTimeout;
     request.unacknowledgedTimeout = targetUnacknowledgedTimeout;
+    const auto* route = m_context.site ? m_context.site->find(forward.host, forward.target) : nullptr;
+    if (route != nullptr && route->kind == route_kind::Stream)
+        request.maxBodyBytes = 0; // onBytes() bounds it
     auto& openAttempt = m_attempts[action.attempt];
     openAttempt.forward = action.id;
     openAttempt.target = action.choice.target;
@@ -365,6 +368,8 @@
 {
     if (!openAttempt.streaming) {
         openAttempt.body += bytes;
+        if (openAttempt.body.size() > http::maxAnswerBytes)
+            breakOff(attempt);
         return;
     }
     const auto forward = openAttempt.forward;
@@ -379,6 +384,18 @@
             return;
         }
     }
+    if (openAttempt.reader.isTooLong())
+        breakOff(attempt);
+}
+
+// Ends an attempt whose answer goes on without end.
+void caller_frontend::breakOff(attempt_id attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    logEvent(log_level::Warning, "front", "broken_off", { { "request", m_forwards.at(found->second.forward).callerId.str() }, { "target", found->second.target.str() } });
+    m_context.net.cancel(found->second.transfer);
+    execute(m_forwarding.done(attempt, transfer_state::Truncated, m_context.now));
+    m_attempts.erase(attempt);
 }
 
 void caller_frontend::deliver(const forward_deliver& action)
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -99,6 +99,7 @@
     void onTransfer(attempt_id attempt, http::event& event);
     void onHead(attempt_id attempt, open_attempt& openAttempt, const http::event& event);
     void onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes);
+    void breakOff(attempt_id attempt);
     void deliver(const forward_deliver& action);
     void logOutcome(const open_forward& forward, std::string_view outcome, int status, const std::string& detail) const;
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -16,6 +16,8 @@
 
     constexpr long maxKeptConnections = 256;
     constexpr long keepAliveSeconds = 1; // the shortest that the kernel accepts
+    // Of all answers under way that callers collect; beyond, the largest breaks off.
+    constexpr std::size_t maxCollectedBytes = 64U << 20U;
 
     struct transfer {
         request outgoing;
@@ -24,6 +26,10 @@
         std::vector<event>* pendingEvents = nullptr;
         header_list headers;
         bool headReported = false;
+        std::size_t headBytes = 0;
+        std::size_t bodyBytes = 0;
+        const std::unordered_map<std::uint64_t, std::unique_ptr<transfer>>* all = nullptr; // of the client
+        const char* limitExceeded = nullptr; // set if the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
     };
 
@@ -71,11 +77,38 @@
         return text.substr(first, last - first + 1);
     }
 
+    bool isTooLarge(transfer& t)
+    {
+        if (t.outgoing.maxBodyBytes == 0)
+            return false;
+        if (t.bodyBytes > t.outgoing.maxBodyBytes) {
+            t.limitExceeded = "the answer's body is too large";
+            return true;
+        }
+        std::size_t collected = 0;
+        std::size_t largest = 0;
+        for (const auto& [id, other] : *t.all) {
+            if (other->outgoing.maxBodyBytes == 0)
+                continue;
+            collected += other->bodyBytes;
+            largest = std::max(largest, other->bodyBytes);
+        }
+        if (collected <= maxCollectedBytes || t.bodyBytes < largest)
+            return false;
+        t.limitExceeded = "the answers under way are too large together";
+        return true;
+    }
+
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
     {
         auto& t = *static_cast<transfer*>(user);
         const std::string_view line(data, size * count);
         t.lastByte = std::chrono::steady_clock::now();
+        t.headBytes += line.size();
+        if (t.headBytes > t.outgoing.maxHeadBytes) {
+            t.limitExceeded = "the answer's head is too large";
+            return 0;
+        }
         // A new status line starts a new head, e.g. after "100 Continue".
         if (line.substr(0, 5) == "HTTP/") {
             t.headers.clear();
@@ -91,6 +124,9 @@
     {
         auto& t = *static_cast<transfer*>(user);
         t.lastByte = std::chrono::steady_clock::now();
+        t.bodyBytes += size * count;
+        if (isTooLarge(t))
+            return 0;
         reportHead(t);
         event body;
         body.what = event::kind::Body;
@@ -203,6 +239,7 @@
     transfer& t = *owned;
     t.outgoing = std::move(outgoing);
     t.pendingEvents = &m_state->pending;
+    t.all = &m_state->transfers;
     t.lastByte = std::chrono::steady_clock::now();
     t.easy = curl_easy_init();
 
@@ -309,7 +346,8 @@
         const CURLcode code = message->data.result;
         if (code == CURLE_OK)
             reportHead(*t);
-        m_state->finish(*t, outcomeOf(*t, code), code == CURLE_OK ? "" : curl_easy_strerror(code));
+        const char* detail = t->limitExceeded != nullptr ? t->limitExceeded : curl_easy_strerror(code);
+        m_state->finish(*t, outcomeOf(*t, code), code == CURLE_OK ? "" : detail);
     }
     m_state->failIdleTransfers();
     return std::exchange(m_state->pending, {});
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,6 +1,7 @@
 // HTTP client on a libcurl multi handle, driven by one thread: many concurrent requests,
 // whose answers are delivered as events. The outcome of a failed request says whether the
-// peer may have run it, so that callers retry only what is safe to retry.
+// peer may have run it, so that callers retry only what is safe to retry. A faulty peer may send
+// without end: heads, bodies and all bodies together are bounded, and larger ones break off.
 #pragma once
 
 #include <chrono>
@@ -32,6 +33,10 @@
     Forbidden,
 };
 
+// Bound on the body of an answer: above the largest body that callers may send, which a
+// service may return.
+constexpr std::size_t maxAnswerBytes = 33U << 20U;
+
 struct request {
     std::uint64_t id = 0; // chosen by the caller, unique among open requests
     std::string method = "GET";
@@ -46,6 +51,8 @@
     // 0 = the system's default. Only this detects a network path that drops all packets.
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
     std::string target; // path and query to send verbatim; empty = those of the URL
+    std::size_t maxHeadBytes = 64U << 10U; // of the answer, with heads before the final one and trailers
+    std::size_t maxBodyBytes = maxAnswerBytes; // of the answer; 0 = none, if it is used as it arrives
     std::string caFile; // PEM bundle to trust for https; empty = the system's
 };
 
