--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -168,6 +168,8 @@
 // exist for as long as other duties keep the lease alive.
 void duty_leases::deleteKey(const duty_id& duty, fencing_number fencing, instant now)
 {
+    auto& releasedUpTo = m_releasedUpTo[duty];
+    releasedUpTo = std::max(releasedUpTo, fencing);
     m_releasedKeys[duty] = released_key { fencing, now + period() / claimsPerLease };
     kv_transaction transaction;
     transaction.compares.push_back({ dutyKey(duty), kv_field::CreateRevision, revision(fencing.value()), {} });
@@ -203,9 +205,8 @@
 {
     if (now >= m_until || m_held.contains(duty))
         return;
-    // A key whose deletion may be in flight must not be acted on.
-    const auto released = m_releasedKeys.find(duty);
-    if (released != m_releasedKeys.end() && fencing <= released->second.fencing)
+    const auto released = m_releasedUpTo.find(duty);
+    if (released != m_releasedUpTo.end() && fencing <= released->second)
         return;
     if (!contains(m_preferred, duty)) {
         deleteKey(duty, fencing, now);
--- a/src/lease.h
+++ b/src/lease.h
@@ -150,13 +150,16 @@
     std::map<duty_id, instant> m_nextClaim;
     std::map<duty_id, duty_holder> m_holders;
     std::vector<duty_id> m_releasing;
-    // Released duties whose key under m_lease may not be deleted yet. A deletion may be in
-    // flight, so this key is never held again. Erased once the deletion is confirmed.
+    // Released duties whose key under m_lease may not be deleted yet. Erased once the deletion is
+    // confirmed.
     struct released_key {
         fencing_number fencing;
         instant retryAt {};
     };
     std::map<duty_id, released_key> m_releasedKeys;
+    // The highest number under which this instance has released a duty. A late answer may still show
+    // that key, which may be gone, so it is never held again.
+    std::map<duty_id, fencing_number> m_releasedUpTo;
     // Duties whose claim lost its answer, with the time until which it may still take effect.
     std::map<duty_id, instant> m_lostClaims;
     std::map<std::uint64_t, open_call> m_calls;
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -299,6 +299,48 @@
     return held;
 }
 
+// Two claims are under way; the answer to the first, which created the key, comes after the duty was
+// released again and its key deleted.
+BOOST_AUTO_TEST_CASE(a_late_answer_does_not_bring_a_released_duty_back)
+{
+    const duty_id duty("orders");
+    service keys;
+    duty_leases leases({ instance_id("a"), incarnation(1) });
+    leases.setPreferredDuties({ duty }, { duty });
+    std::optional<std::uint64_t> lateClaim;
+    result<kv_answer> lateAnswer = failure(error_code::Unknown, "test", "");
+    bool gained = false;
+    for (instant now { 1h }; now < instant { 1h + 4s }; now += 50ms) {
+        auto actions = leases.tick(now);
+        while (!actions.empty()) {
+            std::vector<lease_action> next;
+            for (const auto& action : actions) {
+                gained = gained || std::holds_alternative<duty_gained>(action);
+                const auto* call = std::get_if<lease_call>(&action);
+                if (call == nullptr)
+                    continue;
+                auto answer = keys.act(call->call, now.time_since_epoch());
+                if (!lateClaim && std::holds_alternative<kv_transaction>(call->call)) {
+                    lateClaim = call->id;
+                    lateAnswer = std::move(answer);
+                    continue;
+                }
+                for (auto& more : leases.onAnswer(call->id, answer, now))
+                    next.push_back(std::move(more));
+            }
+            actions = std::move(next);
+        }
+        if (gained)
+            leases.setPreferredDuties({}, {});
+    }
+    BOOST_REQUIRE(gained);
+    const instant end { 1h + 4s };
+    BOOST_REQUIRE(!leases.holds(duty, end));
+    leases.setPreferredDuties({ duty }, { duty });
+    leases.onAnswer(*lateClaim, lateAnswer, end);
+    BOOST_TEST(!leases.holds(duty, end).has_value());
+}
+
 // A restarted instance doesn't wait for the lease of its earlier incarnation to expire, if
 // that process is known to have ended. It never removes another instance's key.
 BOOST_AUTO_TEST_CASE(key_of_an_earlier_incarnation_is_replaced_at_once)
