--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -110,8 +110,8 @@
     // How long a target is avoided after it stalled, could not be reached, or reported
     // another incarnation or a wrong version: its list entry is refreshed every 1.2 s.
     duration avoidUntilRefresh = std::chrono::milliseconds(1500);
-    // How long a text waits for a target with the software that began it while others are free:
-    // about half the time in which an item is generated anew.
+    // How long a text waits for a target with the software that began it while others are free;
+    // short against the seconds in which an item is generated.
     duration maxResumeWait = std::chrono::milliseconds(500);
     duration judgeRetryDelay = std::chrono::milliseconds(250); // before a judge is asked again: above a judge's latency target of 150 ms
     duration pageRetryDelay = std::chrono::milliseconds(250); // before a failed page write is repeated; the same delay as for submissions
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -79,7 +79,7 @@
     return decision;
 }
 
-// The software that goes on with a text has to be the one that began it.
+// Discards the text so far; the item is generated anew.
 void batch_runner::dropText(item_state& item)
 {
     item.generated = {};
@@ -244,7 +244,7 @@
         const bool versionUnknown = run.version == weight_version(); // neither the head nor an event has stated a version
         if (hasGap || isSecondVersion || versionUnknown) {
             if (isSecondVersion) {
-                dropText(item); // generate the text anew with one version
+                dropText(item); // the route demands a single version
             }
             m_actions.emplace_back(cancel_run { attempt });
             endRun(attempt, attempt_outcome::Failure, now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -27,7 +27,8 @@
         header_list headers;
         bool headReported = false;
         std::size_t headBytes = 0;
-        std::size_t bodyBytes = 0;
+        std::size_t bodyBytes = 0; // if they are bounded
+        std::size_t* collectedBytes = nullptr; // sum over all transfers of the client
         const std::unordered_map<std::uint64_t, std::unique_ptr<transfer>>* all = nullptr; // of the client
         const char* limitExceeded = nullptr; // set if the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
@@ -77,26 +78,22 @@
         return text.substr(first, last - first + 1);
     }
 
-    bool isTooLarge(transfer& t)
+    // Counts bytes of a body; false if the answer has become too large.
+    bool countBody(transfer& t, std::size_t bytes)
     {
         if (t.outgoing.maxBodyBytes == 0)
-            return false;
+            return true;
+        t.bodyBytes += bytes;
+        *t.collectedBytes += bytes;
         if (t.bodyBytes > t.outgoing.maxBodyBytes) {
             t.limitExceeded = "the answer's body is too large";
-            return true;
-        }
-        std::size_t collected = 0;
-        std::size_t largest = 0;
-        for (const auto& [id, other] : *t.all) {
-            if (other->outgoing.maxBodyBytes == 0)
-                continue;
-            collected += other->bodyBytes;
-            largest = std::max(largest, other->bodyBytes);
-        }
-        if (collected <= maxCollectedBytes || t.bodyBytes < largest)
             return false;
+        }
+        const auto isLarger = [&t](const auto& entry) { return entry.second->bodyBytes > t.bodyBytes; };
+        if (*t.collectedBytes <= maxCollectedBytes || std::any_of(t.all->begin(), t.all->end(), isLarger))
+            return true;
         t.limitExceeded = "the answers under way are too large together";
-        return true;
+        return false;
     }
 
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
@@ -124,8 +121,7 @@
     {
         auto& t = *static_cast<transfer*>(user);
         t.lastByte = std::chrono::steady_clock::now();
-        t.bodyBytes += size * count;
-        if (isTooLarge(t))
+        if (!countBody(t, size * count))
             return 0;
         reportHead(t);
         event body;
@@ -181,9 +177,11 @@
     CURLM* multi = nullptr;
     std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
     std::vector<event> pending;
+    std::size_t collectedBytes = 0;
 
-    void release(transfer& t) const
+    void release(const transfer& t)
     {
+        collectedBytes -= t.bodyBytes;
         curl_multi_remove_handle(multi, t.easy);
         curl_easy_cleanup(t.easy);
         curl_slist_free_all(t.headerLines);
@@ -240,6 +238,7 @@
     t.outgoing = std::move(outgoing);
     t.pendingEvents = &m_state->pending;
     t.all = &m_state->transfers;
+    t.collectedBytes = &m_state->collectedBytes;
     t.lastByte = std::chrono::steady_clock::now();
     t.easy = curl_easy_init();
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -52,7 +52,7 @@
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
     std::string target; // path and query to send verbatim; empty = those of the URL
     std::size_t maxHeadBytes = 64U << 10U; // of the answer, with heads before the final one and trailers
-    std::size_t maxBodyBytes = maxAnswerBytes; // of the answer; 0 = none, if it is used as it arrives
+    std::size_t maxBodyBytes = maxAnswerBytes; // of the answer; 0 = no bound, for one that is used as it arrives
     std::string caFile; // PEM bundle to trust for https; empty = the system's
 };
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -198,7 +198,7 @@
     if (allowed.empty())
         return no_route { no_route_reason::NoLiveTarget, noTargetRetryAfter };
 
-    // Step 2. Choose among the others; an allowance is asked for where a limit was in the way.
+    // Step 2. Choose a target; where a limit was in the way, an allowance is to be asked for.
     seeded_random random(request.seed);
     selection chosen { request, {}, {}, false, {}, 0, 0, {} };
     auto decision = chooseFrom(chosen, random, now);
