Logs name the connection of failed attempts, and count what requests to targets end with

Cause: an attempt that ended with 'Timeout was reached' looked the same whether it never had a connection or hung on a kept one. Change: http::event says which connection was used; target_link carries the requests of callers and items and logs their ends.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-batches::batches(context& shared, members& membership, caller_frontend& calls, target_limits& limits)
+batches::batches(context& shared, target_link& link, members& membership, caller_frontend& calls, target_limits& limits)
     : m_context(shared)
+    , m_link(link)
     , m_members(membership)
     , m_frontend(calls)
     , m_limits(limits)
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -11,6 +11,7 @@
 #include "edge/caller_frontend.h"
 #include "edge/members.h"
 #include "edge/target_limits.h"
+#include "edge/target_link.h"
 #include "http/server.h"
 #include "platform/batch_codec.h"
 
@@ -24,7 +25,7 @@
 
 class batches {
 public:
-    batches(context& shared, members& membership, caller_frontend& calls, target_limits& limits);
+    batches(context& shared, target_link& link, members& membership, caller_frontend& calls, target_limits& limits);
 
     // Requests of callers that have been authenticated.
     struct submit_options {
@@ -137,6 +138,7 @@
     void saveTexts(const save_texts& action);
 
     context& m_context;
+    target_link& m_link;
     members& m_members;
     caller_frontend& m_frontend;
     target_limits& m_limits;
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -26,7 +26,7 @@
             const auto found = m_runs.find(cancellation->attempt);
             if (found == m_runs.end())
                 continue;
-            m_context.net.cancel(found->second.transfer);
+            m_link.cancel(found->second.transfer);
             m_runs.erase(found);
         } else if (const auto* call = std::get_if<judge_item>(&action))
             callJudge(*call);
@@ -70,7 +70,7 @@
     run.targetIncarnation = action.choice.incarnation;
     run.sentAt = m_context.now;
     run.item = item.id;
-    run.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
+    run.transfer = m_link.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
 }
 
 void batches::onRunEvent(attempt_id attempt, http::event& event)
@@ -104,7 +104,8 @@
     const bool complete = event.outcome == http::transfer_result::Complete && run.reader.remainder().empty();
     if (!complete || !isSuccess(run.head.status)) {
         logEvent(log_level::Info, "batch", "run_failed",
-            { { "item", run.item.str() }, { "target", run.target.str() }, { "status", std::to_string(event.status) }, { "not_run", run.head.notRun ? "1" : "0" }, { "detail", event.detail } });
+            { { "item", run.item.str() }, { "target", run.target.str() }, { "status", std::to_string(event.status) }, { "not_run", run.head.notRun ? "1" : "0" },
+                { "detail", event.detail }, { "connection", std::string(toString(event.connection)) } });
     }
     const bool sent = event.outcome != http::transfer_result::NotSent;
     m_runs.erase(found);
@@ -116,7 +117,7 @@
 {
     const auto found = m_runs.find(attempt);
     logEvent(log_level::Warning, "batch", "run_broken_off", { { "item", found->second.item.str() }, { "target", found->second.target.str() } });
-    m_context.net.cancel(found->second.transfer);
+    m_link.cancel(found->second.transfer);
     m_runs.erase(found);
     execute(m_runner.done(attempt, false, true, m_context.now));
 }
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -5,6 +5,7 @@
 #include "edge/departures.h"
 #include "edge/stream_directory.h"
 #include "edge/target_limits.h"
+#include "edge/target_link.h"
 #include "edge/usage_duty.h"
 #include "http_status.h"
 #include "log.h"
@@ -51,8 +52,9 @@
 
 } // namespace
 
-caller_frontend::caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams)
+caller_frontend::caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams)
     : m_context(shared)
+    , m_link(link)
     , m_usage(usage)
     , m_departures(leavingTargets)
     , m_limits(limits)
@@ -249,7 +251,7 @@
             const auto found = m_attempts.find(cancellation->attempt);
             if (found == m_attempts.end())
                 continue;
-            m_context.net.cancel(found->second.transfer);
+            m_link.cancel(found->second.transfer);
             m_attempts.erase(found);
         } else if (const auto* delivery = std::get_if<forward_deliver>(&action))
             deliver(*delivery);
@@ -317,7 +319,7 @@
     openAttempt.targetIncarnation = action.choice.incarnation;
     openAttempt.software = action.choice.software;
     openAttempt.sentAt = m_context.now;
-    openAttempt.transfer = m_context.net.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
+    openAttempt.transfer = m_link.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
 }
 
 void caller_frontend::onTransfer(attempt_id attempt, http::event& event)
@@ -334,7 +336,8 @@
             const auto& forward = m_forwards.at(found->second.forward);
             logEvent(log_level::Info, "front", "attempt_failed",
                 { { "request", forward.callerId.str() }, { "target", found->second.target.str() }, { "status", std::to_string(event.status) },
-                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "after_ms", msText(m_context.now - forward.arrived) } });
+                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "connection", std::string(toString(event.connection)) },
+                    { "took_ms", msText(m_context.now - found->second.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
         }
         if (found->second.streaming && event.outcome == http::transfer_result::Complete && !found->second.reader.remainder().empty())
             m_forwards.at(found->second.forward).exchange->append(found->second.reader.remainder());
@@ -393,7 +396,7 @@
 {
     const auto found = m_attempts.find(attempt);
     logEvent(log_level::Warning, "front", "broken_off", { { "request", m_forwards.at(found->second.forward).callerId.str() }, { "target", found->second.target.str() } });
-    m_context.net.cancel(found->second.transfer);
+    m_link.cancel(found->second.transfer);
     execute(m_forwarding.done(attempt, transfer_state::Truncated, m_context.now));
     m_attempts.erase(attempt);
 }
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -21,6 +21,7 @@
 class departures;
 class stream_directory;
 class target_limits;
+class target_link;
 class usage_duty;
 
 // A healthy target accepts a connection and acknowledges bytes within a few milliseconds;
@@ -30,7 +31,7 @@
 
 class caller_frontend {
 public:
-    caller_frontend(context& shared, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams);
+    caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams);
 
     void setBatches(batches& owner) { m_batches = &owner; }
     // Handles a request from the listener for callers.
@@ -104,6 +105,7 @@
     void logOutcome(const open_forward& forward, std::string_view outcome, int status, const std::string& detail) const;
 
     context& m_context;
+    target_link& m_link;
     usage_duty& m_usage;
     departures& m_departures;
     target_limits& m_limits;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -15,6 +15,7 @@
 #include "edge/quarantine_gossip.h"
 #include "edge/stream_directory.h"
 #include "edge/target_limits.h"
+#include "edge/target_link.h"
 #include "edge/usage_duty.h"
 #include "edge/weight_duty.h"
 #include "http/server.h"
@@ -89,8 +90,9 @@
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
             , m_limits(m_context, m_members)
             , m_streams(m_context, m_members)
-            , m_frontend(m_context, m_usage, m_blameMarks, m_departures, m_limits, m_streams)
-            , m_batches(m_context, m_members, m_frontend, m_limits)
+            , m_link(m_context)
+            , m_frontend(m_context, m_link, m_usage, m_blameMarks, m_departures, m_limits, m_streams)
+            , m_batches(m_context, m_link, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members)
             , m_weights(m_context, m_members, m_platformView, m_demand, m_departures, m_limits)
             , m_capacity(m_context, m_members, m_platformView, m_demand)
@@ -133,6 +135,7 @@
         quarantine_gossip m_quarantineGossip;
         target_limits m_limits;
         stream_directory m_streams;
+        target_link m_link;
         caller_frontend m_frontend;
         batches m_batches;
         demand_reports m_demand;
@@ -334,6 +337,7 @@
         m_quarantineGossip.tick();
         m_departures.tick();
         m_limits.tick();
+        m_link.tick();
         m_streams.tick();
         if (m_context.stopping && m_batches.allHandedOver())
             m_members.leave();
--- a/src/edge/transfers.cpp
+++ b/src/edge/transfers.cpp
@@ -25,6 +25,7 @@
             answer.status = e.status;
             answer.outcome = e.outcome;
             answer.detail = std::move(e.detail);
+            answer.connection = e.connection;
             onAnswer(answer);
         }
     });
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,6 +26,7 @@
         std::vector<event>* pendingEvents = nullptr;
         header_list headers;
         bool headReported = false;
+        bool connected = false;
         std::size_t headBytes = 0;
         std::size_t bodyBytes = 0; // if they are bounded
         std::size_t* collectedBytes = nullptr; // sum over all transfers of the client
@@ -142,6 +143,22 @@
         return CURL_SOCKOPT_OK;
     }
 
+    // Called when a connection is there, before the request is sent on it.
+    int onConnected(void* user, char*, char*, int, int)
+    {
+        static_cast<transfer*>(user)->connected = true;
+        return CURL_PREREQFUNC_OK;
+    }
+
+    connection_use connectionOf(const transfer& t)
+    {
+        if (!t.connected)
+            return connection_use::None;
+        long opened = 0;
+        curl_easy_getinfo(t.easy, CURLINFO_NUM_CONNECTS, &opened);
+        return opened == 0 ? connection_use::Kept : connection_use::New;
+    }
+
     // Headers that libcurl adds by default unless they are suppressed.
     constexpr std::string_view libcurlHeaders[] = { "Accept", "Content-Type", "User-Agent" };
 
@@ -164,6 +181,19 @@
 
 } // namespace
 
+std::string_view toString(connection_use use)
+{
+    switch (use) {
+    case connection_use::None:
+        return "none";
+    case connection_use::New:
+        return "new";
+    case connection_use::Kept:
+        return "kept";
+    }
+    return "none";
+}
+
 std::string_view findHeader(const header_list& headers, std::string_view lowerName)
 {
     for (const auto& [name, value] : headers) {
@@ -195,6 +225,7 @@
         done.status = statusOf(t.easy);
         done.outcome = outcome;
         done.detail = std::move(detail);
+        done.connection = connectionOf(t);
         pending.push_back(std::move(done));
         const auto id = t.outgoing.id;
         release(t);
@@ -297,6 +328,8 @@
 
     // Step 4. Callbacks for the answer.
     curl_easy_setopt(t.easy, CURLOPT_PRIVATE, &t);
+    curl_easy_setopt(t.easy, CURLOPT_PREREQFUNCTION, onConnected);
+    curl_easy_setopt(t.easy, CURLOPT_PREREQDATA, &t);
     curl_easy_setopt(t.easy, CURLOPT_HEADERFUNCTION, onHeader);
     curl_easy_setopt(t.easy, CURLOPT_HEADERDATA, &t);
     curl_easy_setopt(t.easy, CURLOPT_WRITEFUNCTION, onBody);
@@ -372,6 +405,7 @@
                 out.status = e.status;
                 out.outcome = e.outcome;
                 out.detail = std::move(e.detail);
+                out.connection = e.connection;
                 return out;
             }
         }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,6 +56,14 @@
     std::string caFile; // PEM bundle to trust for https; empty = the system's
 };
 
+// The connection that a request used.
+enum class connection_use {
+    None, // it ended before there was one
+    New,
+    Kept, // of an earlier request
+};
+std::string_view toString(connection_use use);
+
 struct event {
     enum class kind { Head,
         Body,
@@ -67,6 +75,7 @@
     std::string bytes; // Body
     transfer_result outcome = transfer_result::NotSent; // Done
     std::string detail; // Done: libcurl's error message
+    connection_use connection = connection_use::None; // Done
 };
 
 // The value of a header, or an empty view. Names in `headers` must be in lower case.
@@ -99,6 +108,7 @@
     header_list headers;
     std::string body;
     std::string detail;
+    connection_use connection = connection_use::None;
 };
 
 // Performs one request and blocks until its end. For tools, and for threads that talk to one
