--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -97,6 +97,7 @@
             , m_weights(m_context, m_members, m_platformView, m_demand, m_departures, m_limits)
             , m_capacity(m_context, m_members, m_platformView, m_demand)
         {
+            m_net.setSourceAddress(m_settings.instance.address);
             m_usage.setMembers(m_members);
             m_frontend.setBatches(m_batches);
             m_store.setPeers([this] { return m_members.otherAddresses(); });
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -3,6 +3,8 @@
 
 #include "settings_reader.h"
 
+#include <arpa/inet.h>
+
 namespace lovagerail::edge {
 
 namespace {
@@ -26,6 +28,7 @@
             text("instance", "name", field_kind::Text, true, [](s& v) -> std::string& { return v.instance.name; }),
             text("instance", "failure_domain", field_kind::Text, true, [](s& v) -> std::string& { return v.instance.failureDomain; }),
             text("instance", "region", field_kind::Text, false, [](s& v) -> std::string& { return v.instance.region; }),
+            text("instance", "address", field_kind::Text, false, [](s& v) -> std::string& { return v.instance.address; }),
             text("listen", "callers", field_kind::Address, false, [](s& v) -> std::string& { return v.listen.callers; }),
             text("listen", "readiness", field_kind::Address, false, [](s& v) -> std::string& { return v.listen.readiness; }),
             text("listen", "instances", field_kind::Address, false, [](s& v) -> std::string& { return v.listen.instances; }),
@@ -47,6 +50,9 @@
     void checkTogether(const std::string& file, entry_reading& out)
     {
         const auto& v = out.value;
+        in_addr parsed {};
+        if (!v.instance.address.empty() && inet_pton(AF_INET, v.instance.address.c_str(), &parsed) != 1)
+            out.faults.push_back({ file, 0, 0, "instance.address: expected an IP number" });
         if (v.listen.callers.empty() != v.listen.readiness.empty())
             out.faults.push_back({ file, 0, 0, "listen.callers and listen.readiness: expected both or neither" });
         if (!v.listen.callers.empty() && v.listen.instances.empty())
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -17,6 +17,7 @@
         std::string name;
         std::string failureDomain;
         std::string region;
+        std::string address; // IP of its outgoing connections; empty: the system chooses
     } instance;
     struct {
         std::string callers; // IP:port; empty on an instance that serves no callers
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -208,6 +208,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
     std::vector<event> pending;
     std::size_t collectedBytes = 0;
+    std::string sourceAddress; // as libcurl expects it; empty = the system chooses
 
     void release(const transfer& t)
     {
@@ -262,6 +263,8 @@
     curl_multi_cleanup(m_state->multi);
 }
 
+void client::setSourceAddress(std::string address) { m_state->sourceAddress = address.empty() ? std::string() : "host!" + address; }
+
 void client::start(request outgoing)
 {
     auto owned = std::make_unique<transfer>();
@@ -283,6 +286,8 @@
     curl_easy_setopt(t.easy, CURLOPT_PROXY, "");
     curl_easy_setopt(t.easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(t.easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    if (!m_state->sourceAddress.empty())
+        curl_easy_setopt(t.easy, CURLOPT_INTERFACE, m_state->sourceAddress.c_str());
     if (!t.outgoing.target.empty())
         curl_easy_setopt(t.easy, CURLOPT_REQUEST_TARGET, t.outgoing.target.c_str());
     if (t.outgoing.unacknowledgedTimeout.count() > 0) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -88,6 +88,8 @@
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
+    // The IP that connections are made from; empty = the system chooses.
+    void setSourceAddress(std::string address);
     void start(request outgoing);
     // Closes the connection; no event of this request follows.
     void cancel(std::uint64_t id);
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -31,10 +31,11 @@
 
 
 class Entry(Program):
-    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings, store_address):
+    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings, store_address, source_address):
         self.callers, self.readiness, self.instances, self.metrics = (f"http://127.0.0.1:{ports + i}" for i in range(4))
         addresses = [f"127.0.0.1:{ports + i}" for i in range(4)]
-        sections = {"instance": {"name": name, "failure_domain": zone, "region": "land"},
+        self.source_address = source_address
+        sections = {"instance": {"name": name, "failure_domain": zone, "region": "land", "address": source_address},
                     "listen": {"callers": addresses[0], "readiness": addresses[1], "instances": addresses[2], "metrics": addresses[3], "seeds": seeds},
                     "store": {"address": store_address},
                     "duties": {"address": platform.duties.address, "usage_window": "2s", "usage_late": "10s", **duty_settings},
@@ -82,7 +83,7 @@
 
     def entry(self, index):
         return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds, self.duty_settings,
-                     self.store_addresses.get(index, self.platform.store.address))
+                     self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}")
 
     def submit(self, entry, name, body):
         return entry.send_request("/steps/" + name, name, body=json.dumps(body).encode())
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -10,7 +10,12 @@
 """
 
 import base64
+import contextlib
+import ctypes
+import ipaddress
 import json
+import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -20,6 +25,20 @@
 
 WATCH_POLL_INTERVAL_S = 0.02
 UNANSWERED_HOLD_S = 10  # longer than any caller waits
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27  # of Linux; missing in Python's socket module
+BPF_LOAD_WORD, BPF_JUMP_IF_EQUAL, BPF_RETURN = 0x20, 0x15, 0x06
+BPF_SOURCE_IP = 0xFFF00000 + 12  # its offset in the IP header
+BPF_WHOLE_PACKET = 0xFFFFFFFF
+
+
+def drop_packets_from(sock, addresses):
+    """Makes the kernel drop all packets from these IPs to the socket, those that open a connection included."""
+    count = len(addresses)
+    program = [(BPF_LOAD_WORD, 0, 0, BPF_SOURCE_IP)]
+    program += [(BPF_JUMP_IF_EQUAL, count - i, 0, int(ipaddress.ip_address(address))) for i, address in enumerate(addresses)]
+    program += [(BPF_RETURN, 0, 0, BPF_WHOLE_PACKET), (BPF_RETURN, 0, 0, 0)]
+    code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *instruction) for instruction in program))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HxxxxxxP", len(program), ctypes.addressof(code)))
 
 
 class Server:
@@ -27,6 +46,8 @@
 
     def __init__(self):
         self.extra_headers = {}  # sent with each answer
+        self.connections = set()  # open ones
+        self.resetting = set()  # IPs whose connections are reset
         self.port = free_ports()
         self.address = f"127.0.0.1:{self.port}"
         server = self
@@ -34,7 +55,20 @@
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                server.connections.add(self.connection)
+
+            def finish(self):
+                server.connections.discard(self.connection)
+                super().finish()
+
             def _handle(self):
+                if self.client_address[0] in server.resetting:
+                    self.close_connection = True
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    self.connection.close()
+                    return
                 length = int(self.headers.get("Content-Length") or 0)
                 self.body = self.rfile.read(length) if length else b""
                 parts = urllib.parse.urlsplit(self.path)
@@ -72,6 +106,21 @@
         self._server.daemon_threads = True
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    def partition_from(self, addresses, how="silent"):
+        """Cuts the server off from callers at these IPs until heal(): packets are dropped, or connections reset."""
+        if how == "reset":
+            self.resetting = set(addresses)
+            return
+        for sock in (self._server.socket, *list(self.connections)):
+            with contextlib.suppress(OSError):  # closed meanwhile
+                drop_packets_from(sock, addresses)
+
+    def heal(self):
+        self.resetting = set()
+        for sock in (self._server.socket, *list(self.connections)):
+            with contextlib.suppress(OSError):  # closed meanwhile, or has no filter
+                sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
     def close(self):
         self._server.shutdown()
         self._server.server_close()
@@ -236,6 +285,7 @@
         self.software = software  # version of its software
         self.event_text = "e{number}"  # data of an event; may use {software}
         self.arrivals = []  # (monotonic time, path) of all requests, in the order of arrival
+        self.arrival_sources = []  # (monotonic time, IP of the sender) of the same requests
         self.executed_requests = []  # (path, headers) of requests that started to run
         self.refuse_requests = False  # answers 503 with Not-Executed
         self.requests_to_break = 0  # number of requests to break: a stream after its third event, a plain one before its answer
@@ -256,6 +306,7 @@
 
     def handle(self, request):
         self.arrivals.append((time.monotonic(), request.route))
+        self.arrival_sources.append((time.monotonic(), request.client_address[0]))
         if request.route == "/report":
             models = [{"name": name, "version": version, "adapters": []} for name, version in (self.versions or {}).items()]
             request.respond(200, {"stage": "hybrid", "models": models, "busy": False, "sequence": self.orders_applied})
