Requests go through another instance while this one reaches no target

Seen by callers: at instances that were partitioned from all replicas 0 of 20 requests were served, at the others all. Cause: an instance had one path to a target, its own. It tried target after target on a path that was gone (450 of 490 failed attempts never had a connection), while the other instances reached the same targets. The class: the failure of the own path is taken for that of the peer behind it. Then a few others are asked whether they reach targets, and requests of callers, judge calls and items go through one that does. Both instances keep the outcomes apart (not sent, silent, answered), so a request changes its path only while nothing of it was sent.

--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -70,7 +70,7 @@
     run.targetIncarnation = action.choice.incarnation;
     run.sentAt = m_context.now;
     run.item = item.id;
-    run.transfer = m_link.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
+    run.transfer = m_link.open(std::move(request), action.choice.target, action.choice.incarnation, path_rule::Any, [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
 }
 
 void batches::onRunEvent(attempt_id attempt, http::event& event)
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -319,7 +319,7 @@
     openAttempt.targetIncarnation = action.choice.incarnation;
     openAttempt.software = action.choice.software;
     openAttempt.sentAt = m_context.now;
-    openAttempt.transfer = m_link.open(std::move(request), [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
+    openAttempt.transfer = m_link.open(std::move(request), action.choice.target, action.choice.incarnation, path_rule::Any, [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
 }
 
 void caller_frontend::onTransfer(attempt_id attempt, http::event& event)
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -13,6 +13,7 @@
 #include "edge/metrics.h"
 #include "edge/platform_view.h"
 #include "edge/quarantine_gossip.h"
+#include "edge/request_relay.h"
 #include "edge/stream_directory.h"
 #include "edge/target_limits.h"
 #include "edge/target_link.h"
@@ -45,6 +46,7 @@
     constexpr duration settingsCheckPeriod = std::chrono::seconds(2);
     constexpr std::size_t maxCallerBodyBytes = 64U << 20U; // the limit of the configuration is checked per request
     constexpr std::size_t maxPeerBodyBytes = 16U << 20U;
+    constexpr std::size_t maxRelayedUnreadBytes = 8U << 20U; // of an answer that is passed on to another instance
     constexpr std::size_t maxPeerHeaderBytes = 64U << 10U;
     constexpr unsigned callerIdleSeconds = 120; // longer than the idle timeouts that callers are told
     constexpr unsigned readinessIdleSeconds = 30;
@@ -90,8 +92,9 @@
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
             , m_limits(m_context, m_members)
             , m_streams(m_context, m_members)
-            , m_link(m_context)
+            , m_link(m_context, m_members)
             , m_frontend(m_context, m_link, m_usage, m_blameMarks, m_departures, m_limits, m_streams)
+            , m_relay(m_context, m_link, [this](const target_id& target, incarnation number, const platform::target_head& head, instant sentAt) { m_frontend.recordTargetState(target, number, head, sentAt); })
             , m_batches(m_context, m_link, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members)
             , m_weights(m_context, m_members, m_platformView, m_demand, m_departures, m_limits)
@@ -138,6 +141,7 @@
         stream_directory m_streams;
         target_link m_link;
         caller_frontend m_frontend;
+        request_relay m_relay;
         batches m_batches;
         demand_reports m_demand;
         weight_duty m_weights;
@@ -189,6 +193,7 @@
         peerLimits.bodyBytes = maxPeerBodyBytes;
         peerLimits.headerBytes = maxPeerHeaderBytes;
         peerLimits.idleSeconds = callerIdleSeconds;
+        peerLimits.unreadBytes = maxRelayedUnreadBytes;
         http::server_limits internalLimits;
         internalLimits.idleSeconds = readinessIdleSeconds;
         struct listener_spec {
@@ -230,6 +235,10 @@
             m_streams.onQuestion(exchange);
         else if (exchange->path == "/limits")
             m_limits.onPeerRequest(exchange);
+        else if (exchange->path == "/relay")
+            m_relay.onRequest(exchange);
+        else if (exchange->path == "/paths")
+            m_relay.onQuestion(exchange);
         else if (exchange->path == "/departures")
             m_departures.onPeerRequest(exchange);
         else if (exchange->path == "/demand")
@@ -315,7 +324,7 @@
             return true;
         // Every request that was read is answered completely.
         const bool answered = m_callers == nullptr || m_callers->openRequests() == 0;
-        return sinceStop >= balancerDrainTime && answered && m_frontend.openCount() == 0 && m_batches.allHandedOver() && m_usage.allCopied() && m_members.hasLeft();
+        return sinceStop >= balancerDrainTime && answered && m_frontend.openCount() == 0 && m_relay.openCount() == 0 && m_batches.allHandedOver() && m_usage.allCopied() && m_members.hasLeft();
     }
 
     void entry_loop::tick()
@@ -339,12 +348,15 @@
         m_departures.tick();
         m_limits.tick();
         m_link.tick();
+        m_relay.tick();
         m_streams.tick();
         if (m_context.stopping && m_batches.allHandedOver())
             m_members.leave();
         if (m_context.now >= m_nextClosedCallerCheck && m_callers) {
             m_nextClosedCallerCheck = m_context.now + closedCallerCheckPeriod;
             m_callers->dropClosedCallers();
+            if (m_peers && m_relay.openCount() > 0)
+                m_peers->dropClosedCallers();
         }
         if (m_context.now >= m_nextSettingsCheck)
             reloadIfFileChanged();
@@ -371,7 +383,7 @@
                 if (server != nullptr)
                     server->run();
             }
-            const bool busy = m_frontend.openCount() > 0 || m_batches.openCount() > 0;
+            const bool busy = m_frontend.openCount() > 0 || m_batches.openCount() > 0 || m_relay.openCount() > 0;
             m_net.poll(busy ? maxBusyPollWait : maxIdlePollWait, descriptors);
             updateClock();
             for (int signal = readSignal(m_signals); signal != 0; signal = readSignal(m_signals))
--- /dev/null
+++ b/src/edge/relay_codec.h
@@ -0,0 +1,35 @@
+// Requests to targets that another instance sends on: how they travel between instances. Headers
+// and body of the request are passed on as they are, and so is the answer.
+#pragma once
+
+#include "http/client.h"
+#include "http/server.h"
+#include "types.h"
+
+#include <optional>
+
+namespace lovagerail::edge {
+
+struct relayed_call {
+    target_id target;
+    incarnation targetIncarnation;
+    http::request request; // without the URL: the relay knows the target's address
+};
+
+// The call to the relay at `address` (IP:port). `original` is the request as it would be sent to the target.
+http::request encodeRelayedCall(const http::request& original, const target_id& target, incarnation targetIncarnation, const std::string& address);
+// Empty if it is not such a call.
+std::optional<relayed_call> decodeRelayedCall(const http::exchange& exchange);
+
+// What the relay says of the request in the head of its answer.
+enum class relay_outcome {
+    NotRelayed, // nothing was sent to the target
+    PathBroken, // nothing was sent, as the relay does not reach the target
+    Silent, // sent to the target, no answer: it may have run
+    Answered, // the rest of the head, and the body, are the target's
+};
+void setRelayOutcome(http::header_list& headers, relay_outcome outcome);
+// Removes what setRelayOutcome() has added. An answer without it is not a relay's.
+relay_outcome takeRelayOutcome(http::header_list& headers);
+
+} // namespace lovagerail::edge
--- a/src/edge/transfers.h
+++ b/src/edge/transfers.h
@@ -18,7 +18,7 @@
     using event_function = std::function<void(http::event&)>;
     using answer_function = std::function<void(const http::answer&)>;
 
-    void setSourceAddress(std::string address) { m_client.setSourceAddress(std::move(address)); }
+    void setSourceAddress(const std::string& address) { m_client.setSourceAddress(address); }
     // Events come from a later poll(); the id is returned for cancel().
     std::uint64_t open(http::request request, event_function onEvent);
     // Collects the events of a call and reports the complete answer.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -146,7 +146,14 @@
     // Called when a connection is there, before the request is sent on it.
     int onConnected(void* user, char*, char*, int, int)
     {
-        static_cast<transfer*>(user)->connected = true;
+        auto& t = *static_cast<transfer*>(user);
+        t.connected = true;
+        if (t.outgoing.reportConnected) {
+            event connected;
+            connected.what = event::kind::Connected;
+            connected.id = t.outgoing.id;
+            t.pendingEvents->push_back(std::move(connected));
+        }
         return CURL_PREREQFUNC_OK;
     }
 
@@ -263,7 +270,7 @@
     curl_multi_cleanup(m_state->multi);
 }
 
-void client::setSourceAddress(std::string address) { m_state->sourceAddress = address.empty() ? std::string() : "host!" + address; }
+void client::setSourceAddress(const std::string& address) { m_state->sourceAddress = address.empty() ? std::string() : "host!" + address; }
 
 void client::start(request outgoing)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -54,6 +54,7 @@
     std::size_t maxHeadBytes = 64U << 10U; // of the answer, with heads before the final one and trailers
     std::size_t maxBodyBytes = maxAnswerBytes; // of the answer; 0 = no bound, for one that is used as it arrives
     std::string caFile; // PEM bundle to trust for https; empty = the system's
+    bool reportConnected = false; // emit the event Connected
 };
 
 // The connection that a request used.
@@ -65,7 +66,8 @@
 std::string_view toString(connection_use use);
 
 struct event {
-    enum class kind { Head,
+    enum class kind { Connected, // from now on bytes of the request may be sent
+        Head,
         Body,
         Done };
     kind what = kind::Done;
@@ -89,7 +91,7 @@
     client& operator=(const client&) = delete;
 
     // The IP that connections are made from; empty = the system chooses.
-    void setSourceAddress(std::string address);
+    void setSourceAddress(const std::string& address);
     void start(request outgoing);
     // Closes the connection; no event of this request follows.
     void cancel(std::uint64_t id);
