An instance that reaches no target hands on the duty that needs them

Seen by trainers: for the 12 s of a cut no new version of weights is loaded, so steps fail in and long after it. Change: an instance that is cut off alone says so by a key under its lease, releases duties that need targets, and takes none until 3 s after its paths are back; rendezvous hashing passes over it. If nobody is able, all count and the holder keeps the duty. Orders and reports are evidence too. Calls to the store: two for each instance that is cut off, per cut.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -85,7 +85,7 @@
             , m_store({}, settings.store.address, m_net)
             , m_targets(routerSettings(settings))
             , m_context { m_settings, m_net, m_store, m_targets, incarnation(static_cast<std::uint64_t>(daemon::wallNow().time_since_epoch().count())) }
-            , m_members(m_context, { usageDuty, targetsDuty })
+            , m_members(m_context, { { usageDuty, false }, { targetsDuty, true } })
             , m_platformView(m_context, m_members)
             , m_departures(m_context, m_platformView)
             , m_usage(m_context)
@@ -97,7 +97,7 @@
             , m_relay(m_context, m_link, [this](const target_id& target, incarnation number, const platform::target_head& head, instant sentAt) { m_frontend.recordTargetState(target, number, head, sentAt); })
             , m_batches(m_context, m_link, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members)
-            , m_weights(m_context, m_members, m_platformView, m_demand, m_departures, m_limits)
+            , m_weights(m_context, m_link, m_members, m_platformView, m_demand, m_departures, m_limits)
             , m_capacity(m_context, m_members, m_platformView, m_demand)
         {
             m_net.setSourceAddress(m_settings.instance.address);
@@ -348,6 +348,7 @@
         m_departures.tick();
         m_limits.tick();
         m_link.tick();
+        m_members.setUnable(m_link.paths().isCutOffAlone(m_context.now));
         m_relay.tick();
         m_streams.tick();
         if (m_context.stopping && m_batches.allHandedOver())
--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -12,6 +12,9 @@
 namespace {
 
     constexpr std::string_view nodePrefix = "node/";
+    constexpr std::string_view unablePrefix = "unable/";
+    // An instance whose paths come and go takes no duty in between.
+    constexpr duration ableAgainAfter = std::chrono::seconds(3);
     // A longer lease would only delay a take-over.
     constexpr std::chrono::seconds leaseDuration { 3 };
     constexpr std::chrono::milliseconds longestDutyCall { 1500 };
@@ -33,7 +36,7 @@
 
 } // namespace
 
-members::members(context& shared, std::vector<duty_id> duties)
+members::members(context& shared, std::vector<claimable_duty> duties)
     : m_context(shared)
     , m_duties(std::move(duties))
     , m_leases(leaseSettings(shared))
@@ -103,11 +106,18 @@
 {
     const auto membersBefore = std::exchange(m_members, {});
     const auto holdersBefore = std::exchange(m_holders, {});
+    const auto unableBefore = std::exchange(m_unableMembers, {});
     for (const auto& entry : entries) {
         const auto holder = entry.key.rfind(dutyPrefix, 0) == 0 ? decodeHolder(entry) : std::nullopt;
         if (!holder)
             continue;
         const auto duty = entry.key.substr(dutyPrefix.size());
+        if (duty.rfind(unablePrefix, 0) == 0) {
+            if (!unableBefore.contains(holder->instance))
+                logEvent(log_level::Warning, "members", "unable", { { "member", holder->instance.str() } });
+            m_unableMembers.insert(holder->instance);
+            continue;
+        }
         if (duty.rfind(nodePrefix, 0) != 0) {
             m_holders[duty_id(duty)] = holder->instance;
             continue;
@@ -134,29 +144,42 @@
     m_known = true;
 }
 
+void members::setUnable(bool unable)
+{
+    if (unable)
+        m_unableUntil = m_context.now + ableAgainAfter;
+}
+
+bool members::isUnable(const instance_id& name) const
+{
+    return name.str() == m_context.settings.instance.name ? m_context.now < m_unableUntil : m_unableMembers.contains(name);
+}
+
 // Each duty has one preferred member by rendezvous hashing; the others don't claim it while
-// that member is alive.
+// that member is alive and can do it. If no member can, all count.
 void members::updateDutyChoices()
 {
     std::vector<duty_id> preferred;
     std::vector<duty_id> allowed { membershipDuty() };
     if (!m_leaving)
         preferred.push_back(membershipDuty());
-    if (!m_releasing && m_known && joined()) {
-        const auto liveNames = names();
-        for (const auto& duty : m_duties) {
-            allowed.push_back(duty);
-            const auto* chosen = rendezvousFirst(duty.str(), liveNames);
-            if (chosen != nullptr && chosen->str() == m_context.settings.instance.name)
-                preferred.push_back(duty);
-        }
+    const instance_id self(m_context.settings.instance.name);
+    const auto liveNames = names();
+    auto ableNames = liveNames;
+    std::erase_if(ableNames, [this](const instance_id& name) { return isUnable(name); });
+    if (!m_leaving && isUnable(self)) {
+        preferred.push_back(unableDuty());
+        allowed.push_back(unableDuty());
     }
-    if (!m_releasing) {
+    for (const auto& duty : m_duties) {
+        const bool isHandedOn = duty.needsTargets && isUnable(self) && !ableNames.empty();
+        if (m_releasing || isHandedOn)
+            continue;
         // A duty that we hold is kept even if another member has become the preferred one.
-        for (const auto& duty : m_duties) {
-            if (std::find(allowed.begin(), allowed.end(), duty) == allowed.end())
-                allowed.push_back(duty);
-        }
+        allowed.push_back(duty.id);
+        const auto* chosen = rendezvousFirst(duty.id.str(), duty.needsTargets && !ableNames.empty() ? ableNames : liveNames);
+        if (m_known && joined() && chosen != nullptr && *chosen == self)
+            preferred.push_back(duty.id);
     }
     m_leases.setPreferredDuties(preferred, allowed);
 }
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -1,7 +1,8 @@
 // Membership and duties. A duty is a task that only one instance at a time may perform; its
 // holder keeps an entry in the store under a lease and has a fencing number for it.
 //
-// Each live instance holds the duty "node/NAME", which makes it a member. All duties of an
+// Each live instance holds the duty "node/NAME", which makes it a member. One that reaches no target
+// while others do also holds "unable/NAME": these take over its duties that need targets. All duties of an
 // instance are attached to one lease, so they expire together.
 #pragma once
 
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,15 +23,26 @@
     std::string address; // IP:port of its listener for other instances
 };
 
+// A duty that an instance may claim, besides its membership.
+struct claimable_duty {
+    duty_id id;
+    bool needsTargets = false; // it can't be done without reaching targets
+};
+
 class members {
 public:
-    members(context& shared, std::vector<duty_id> duties);
+    members(context& shared, std::vector<claimable_duty> duties);
 
     // Takes the current entries under the prefix of duties.
     void applyEntries(const std::vector<kv_entry>& entries);
     void tick();
     // The store is reachable again after an outage.
     void onStoreRegained() { m_leases.onServiceAvailable(); }
+    // Whether this instance reaches no target while others do. It hands duties on while it is so,
+    // and for a while after.
+    void setUnable(bool unable);
+    // Whether the member says so of itself; this instance included.
+    bool isUnable(const instance_id& name) const;
     // Gives up all duties except membership, at the start of a planned shutdown.
     void releaseDuties();
     void leave();
@@ -59,13 +72,16 @@
 
 private:
     duty_id membershipDuty() const { return duty_id("node/" + m_context.settings.instance.name); }
+    duty_id unableDuty() const { return duty_id("unable/" + m_context.settings.instance.name); }
     void updateDutyChoices();
     void execute(std::vector<lease_action> actions);
 
     context& m_context;
-    std::vector<duty_id> m_duties; // that this instance may claim, besides its membership
+    std::vector<claimable_duty> m_duties;
     duty_leases m_leases;
     bool m_known = false;
+    instant m_unableUntil {};
+    std::set<instance_id> m_unableMembers; // by the last list
     bool m_releasing = false;
     bool m_leaving = false;
     std::map<instance_id, member> m_members;
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -291,6 +291,22 @@
     }
 }
 
+void target_link::callDirect(http::request request, const target_id& target, transfers::answer_function onAnswer)
+{
+    m_context.net.call(std::move(request), [this, target, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+        recordOwnPath(target, answer.status != 0);
+        onAnswer(answer);
+    });
+}
+
+void target_link::recordOwnPath(const target_id& target, bool wasReached)
+{
+    if (wasReached)
+        m_paths.reached(target, m_context.now);
+    else
+        m_paths.failed(target, m_context.now);
+}
+
 void target_link::testPath(const target_id& target, std::function<void(bool reached)> onEnd)
 {
     const auto slot = m_context.targets.table().find(target);
@@ -302,12 +318,8 @@
     request.reuse = http::connection_reuse::Forbidden; // kept connections may live on while new ones fail
     request.connectTimeout = request.totalTimeout = pathTestTimeout;
     m_context.net.call(std::move(request), [this, target, onEnd = std::move(onEnd)](const http::answer& answer) {
-        const bool reached = answer.status != 0;
-        if (reached)
-            m_paths.reached(target, m_context.now);
-        else
-            m_paths.failed(target, m_context.now);
-        onEnd(reached);
+        recordOwnPath(target, answer.status != 0);
+        onEnd(answer.status != 0);
     });
 }
 
--- a/src/edge/target_link.h
+++ b/src/edge/target_link.h
@@ -29,6 +29,8 @@
     // Like transfers::open(); the id is for cancel() of this class.
     std::uint64_t open(http::request request, const target_id& target, incarnation targetIncarnation, path_rule rule, transfers::event_function onEvent);
     void cancel(std::uint64_t id);
+    // A call that is this instance's own, such as an order: it has no other path.
+    void callDirect(http::request request, const target_id& target, transfers::answer_function onAnswer);
     // Whether bytes of an open request may have left for the target.
     bool mayHaveBeenSent(std::uint64_t id) const;
     // Sends the target a request that it answers without running anything.
@@ -78,6 +80,7 @@
     void checkConnecting();
     void ask(const ask_for_relays& question);
     void updateMembers();
+    void recordOwnPath(const target_id& target, bool wasReached);
     void countEnd(end_kind kind) { ++m_ends[static_cast<std::size_t>(kind)]; }
     void logEnds();
 
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -5,6 +5,7 @@
 
 #include "edge/departures.h"
 #include "edge/target_limits.h"
+#include "edge/target_link.h"
 #include "log.h"
 #include "platform/duty_codec.h"
 #include "platform/headers.h"
@@ -39,8 +40,9 @@
 
 } // namespace
 
-weight_duty::weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets, target_limits& limits)
+weight_duty::weight_duty(context& shared, target_link& link, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets, target_limits& limits)
     : m_context(shared)
+    , m_link(link)
     , m_members(membership)
     , m_platformView(platformView)
     , m_demand(demand)
@@ -218,7 +220,7 @@
     auto request = platform::encodeReportCall(load.target, listed.address);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
-    m_context.net.call(std::move(request), [this, service, load, targetIncarnation = listed.incarnation, term = *m_term](const http::answer& answer) {
+    m_link.callDirect(std::move(request), load.target, [this, service, load, targetIncarnation = listed.incarnation, term = *m_term](const http::answer& answer) {
         observeAnswer(load.target, targetIncarnation, answer);
         const auto report = platform::decodeReport(answer);
         if (!report || m_term != term) {
@@ -247,7 +249,7 @@
     auto request = platform::encodeReportCall(target, entry->second.listed.address);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = orderTimeout;
-    m_context.net.call(std::move(request), [this, service, target, targetIncarnation = entry->second.listed.incarnation, term = *m_term](const http::answer& answer) {
+    m_link.callDirect(std::move(request), target, [this, service, target, targetIncarnation = entry->second.listed.incarnation, term = *m_term](const http::answer& answer) {
         observeAnswer(target, targetIncarnation, answer);
         const auto report = platform::decodeReport(answer);
         const auto sets = m_weightSets.find(service);
@@ -274,7 +276,7 @@
     auto request = platform::encodeLoadOrder({ instance_id(m_context.settings.instance.name), heldDuty->fencing }, wireOrder);
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = m_members.callTimeout(*heldDuty, orderTimeout);
-    m_context.net.call(std::move(request), [this, service, load, ordersTaken, targetIncarnation = entry->second.listed.incarnation, term = heldDuty->fencing](const http::answer& answer) {
+    m_link.callDirect(std::move(request), load.target, [this, service, load, ordersTaken, targetIncarnation = entry->second.listed.incarnation, term = heldDuty->fencing](const http::answer& answer) {
         observeAnswer(load.target, targetIncarnation, answer);
         const auto outcome = platform::decodeDutyAnswer(answer);
         logEvent(log_level::Info, "weights", "ordered",
--- a/src/edge/weight_duty.h
+++ b/src/edge/weight_duty.h
@@ -14,10 +14,11 @@
 
 class departures;
 class target_limits;
+class target_link;
 
 class weight_duty {
 public:
-    weight_duty(context& shared, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets, target_limits& limits);
+    weight_duty(context& shared, target_link& link, members& membership, const platform_view& platformView, const demand_reports& demand, departures& leavingTargets, target_limits& limits);
 
     void tick();
 
@@ -35,6 +36,7 @@
     void recordOutcome(const service_id& service, const weight_load& load, load_outcome outcome, fencing_number term);
 
     context& m_context;
+    target_link& m_link;
     members& m_members;
     const platform_view& m_platformView;
     const demand_reports& m_demand;
--- a/src/target_paths.cpp
+++ b/src/target_paths.cpp
@@ -176,6 +176,9 @@
         m_nextTest = now + m_settings.testPeriod;
         m_actions.emplace_back(test_path { m_targets[m_nextTested++ % m_targets.size()] });
     }
+    // Also without requests: duties depend on whether others reach targets.
+    if (isCutOff() && !hasRelay(now) && !isAsking(now))
+        startQuestion(*m_failedTargets.begin(), now);
     return std::exchange(m_actions, {});
 }
 
--- a/tests/test_target_paths.cpp
+++ b/tests/test_target_paths.cpp
@@ -144,6 +144,17 @@
     BOOST_TEST(w.send());
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_without_requests_learns_that_others_reach_targets)
+{
+    world w(3, 4);
+    w.isCut = true;
+    w.paths.failed(targetName(0), w.now);
+    w.paths.failed(targetName(1), w.now);
+    w.round();
+    w.round();
+    BOOST_TEST(w.paths.isCutOffAlone(w.now));
+}
+
 BOOST_AUTO_TEST_CASE(targets_that_are_down_for_all_leave_the_own_path)
 {
     world w(3, 4);
