Breaks at an instance that lost its paths are not held against requests

Cause: an attempt that breaks off counts as a crash of its target; two such marks quarantine the request everywhere. At an instance that is cut off every attempt breaks. The same class: the end of the own path is taken for the end of the peer. Change: once an instance knows that it is cut off while others reach targets (for 300 ms, in which a path test would have shown otherwise), it withdraws its marks of the last 3 s at all instances, and makes none until its paths are back.

--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -53,6 +53,8 @@
     // limit, and whether it leaves. `incarnationNumber` is the one that the request was sent to.
     void recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head, instant sentAt);
 
+    // Whether this instance reaches no target while others do.
+    void setCutOff(bool cutOff) { m_forwarding.setCutOff(cutOff, m_context.now); }
     void tick();
     std::size_t openCount() const { return m_forwards.size(); }
     const forwarding_counts& counts() const { return m_forwarding.counts(); }
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -348,7 +348,9 @@
         m_departures.tick();
         m_limits.tick();
         m_link.tick();
-        m_members.setUnable(m_link.paths().isCutOffAlone(m_context.now));
+        const bool isCutOffAlone = m_link.paths().isCutOffAlone(m_context.now);
+        m_members.setUnable(isCutOffAlone);
+        m_frontend.setCutOff(isCutOffAlone);
         m_relay.tick();
         m_streams.tick();
         if (m_context.stopping && m_batches.allHandedOver())
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -377,7 +377,7 @@
         ++forward->runs;
         endAttempt(*forward, ended, attempt_outcome::Reset, now);
         if (end != transfer_state::Complete)
-            reportBrokenAttempt(*forward, ended);
+            reportBrokenAttempt(*forward, ended, now);
         retryOrRefuse(*forward, now);
     }
     return takeActions();
@@ -467,13 +467,27 @@
 }
 
 // Reports to the quarantine that the attempt broke off, as the request may have crashed the target.
-void request_forwarder::reportBrokenAttempt(const open_forward& forward, const open_attempt& attempt)
+void request_forwarder::reportBrokenAttempt(const open_forward& forward, const open_attempt& attempt, instant now)
 {
+    if (m_cutOff)
+        return;
     // Each isolated run is a report of its own; the id is unique over all instances.
     std::string run;
     if (attempt.isolated)
         run = std::to_string(m_wallTime.time_since_epoch().count()) + "/" + std::to_string(attempt.id.value());
     m_quarantine.attemptBroke(forward.request.fingerprint, attempt.choice.target, attempt.choice.incarnation, run, m_wallTime);
+    m_reportedBreaks.push_back({ forward.request.fingerprint, { attempt.choice.target, attempt.choice.incarnation, run }, now });
+}
+
+void request_forwarder::setCutOff(bool cutOff, instant now)
+{
+    m_cutOff = cutOff;
+    while (!m_reportedBreaks.empty() && now - m_reportedBreaks.front().reportedAt > m_settings.cutOffDetection)
+        m_reportedBreaks.pop_front();
+    if (!cutOff)
+        return;
+    for (const auto& reported : std::exchange(m_reportedBreaks, {}))
+        m_quarantine.withdraw(reported.request, reported.blame, m_wallTime);
 }
 
 // Tells the quarantine the current incarnation of each target with a report: a new one
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -22,6 +22,7 @@
 #include "types.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -122,6 +123,7 @@
     duration noTargetRetryAfter = std::chrono::milliseconds(350); // Retry-After if no replica is live
     duration minLimitRetryAfter = std::chrono::milliseconds(100); // Retry-After if the limits of all targets allow no more
     duration fullRetryAfter = std::chrono::milliseconds(120); // Retry-After if all replicas refused
+    duration cutOffDetection = std::chrono::seconds(3); // longest time from losing the paths to targets until setCutOff()
     retry_settings retries;
 };
 
@@ -157,6 +159,10 @@
     void progress(attempt_id attempt, std::uint64_t lastEventId, instant now);
     std::vector<forward_action> done(attempt_id attempt, transfer_state end, instant now);
 
+    // This instance reaches no target while others do: attempts that break off say nothing of the
+    // targets, and those of the last seconds did not either.
+    void setCutOff(bool cutOff, instant now);
+
     // Handles deadlines, hedges and delayed attempts. To be called about every 20 ms while open() > 0.
     std::vector<forward_action> tick(instant now);
 
@@ -199,7 +205,7 @@
     bool trySend(open_forward& forward, instant now);
     void waitForLimit(open_forward& forward, const routing_class_id& routingClass, instant now);
     void sendTo(open_forward& forward, const route_choice& choice, const route_request& routeRequest, bool isolated, instant now);
-    void reportBrokenAttempt(const open_forward& forward, const open_attempt& attempt);
+    void reportBrokenAttempt(const open_forward& forward, const open_attempt& attempt, instant now);
     void checkForCrashes();
     void endAttempt(open_forward& forward, const open_attempt& attempt, attempt_outcome outcome, instant now);
     void onRunStarted(open_forward& forward, const open_attempt& attempt, instant now);
@@ -216,6 +222,13 @@
     quarantine& m_quarantine;
     wall_time m_wallTime {};
     retry_policy m_retries;
+    bool m_cutOff = false;
+    struct reported_break {
+        request_fingerprint request;
+        blame_id blame;
+        instant reportedAt;
+    };
+    std::deque<reported_break> m_reportedBreaks; // of the last cutOffDetection, oldest first
     std::uint64_t m_lastAttempt = 0;
     std::map<forward_id, open_forward> m_open;
     std::map<attempt_id, forward_id> m_byAttempt; // exactly the open attempts
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -208,6 +208,16 @@
     dropExpired(now);
 }
 
+void quarantine::withdraw(request_fingerprint request, const blame_id& blame, wall_time now)
+{
+    const auto found = m_suspects.find(request);
+    if (found == m_suspects.end())
+        return;
+    const auto mark = found->second.find(blame);
+    if (mark != found->second.end() && !mark->second.cleared && mark->second.until > now)
+        recordMark({ request, blame, mark->second.until, true });
+}
+
 // Extends a blame to the lifetime of a confirmed crash.
 void quarantine::confirmBlame(request_fingerprint request, const blame_id& blame, wall_time now)
 {
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -88,6 +88,8 @@
     // An attempt broke off before its response was complete. `isolatedAttempt` names the
     // attempt if it ran as a suspect, else it is empty.
     void attemptBroke(request_fingerprint request, const target_id& target, incarnation targetIncarnation, const std::string& isolatedAttempt, wall_time now);
+    // An attempt that attemptBroke() recorded broke off for another reason.
+    void withdraw(request_fingerprint request, const blame_id& blame, wall_time now);
     // This incarnation of the target is known to have crashed; confirms its blames.
     void targetCrashed(const target_id& target, incarnation targetIncarnation, wall_time now);
     // The target is known to run as this incarnation, so earlier ones have ended;
--- a/src/target_paths.cpp
+++ b/src/target_paths.cpp
@@ -38,7 +38,10 @@
 
 void target_paths::failed(const target_id& target, instant now)
 {
+    const bool wasCutOff = isCutOff();
     m_failedTargets.insert(target);
+    if (isCutOff() && !wasCutOff)
+        m_cutOffSince = now;
     // One failure says little. Without other evidence, a second target tells whether it was the
     // target or the path.
     const bool knowsLittle = !m_lastReached || now - *m_lastReached >= m_settings.evidenceTime;
@@ -93,6 +96,8 @@
     return std::nullopt;
 }
 
+bool target_paths::isCutOffAlone(instant now) const { return isCutOff() && now - m_cutOffSince >= m_settings.confirmTime && hasRelay(now); }
+
 bool target_paths::hasRelay(instant now) const
 {
     return std::any_of(m_others.begin(), m_others.end(), [now](const auto& entry) { return entry.second.relayUntil && now < *entry.second.relayUntil; });
--- a/src/target_paths.h
+++ b/src/target_paths.h
@@ -31,6 +31,7 @@
     duration relayTime = std::chrono::seconds(3); // how long an instance stays a relay after its last success
     duration uselessTime = std::chrono::seconds(1); // before an instance that can't help is asked again
     duration questionTime = std::chrono::milliseconds(250); // answers are waited for
+    duration confirmTime = std::chrono::milliseconds(300); // from the failures that mean cut off, until it is certain
     std::size_t askedAtOnce = 4;
     std::size_t namedTargets = 4; // in a question
 };
@@ -84,8 +85,9 @@
     std::optional<bool> reachesTargets(instant now) const;
     // The own paths to all targets are taken to be broken.
     bool isCutOff() const { return m_failedTargets.size() >= m_settings.failuresToCutOff; }
-    // Cut off while another instance reaches targets.
-    bool isCutOffAlone(instant now) const { return isCutOff() && hasRelay(now); }
+    // Cut off while another instance reaches targets, and for long enough that a path test would have shown
+    // otherwise.
+    bool isCutOffAlone(instant now) const;
 
     std::vector<path_action> tick(instant now);
 
@@ -108,6 +110,7 @@
     std::map<instance_id, other_instance> m_others;
     std::vector<target_id> m_targets;
     std::set<target_id> m_failedTargets; // live ones that failed since a target was last reached
+    instant m_cutOffSince {}; // if isCutOff()
     std::optional<instant> m_lastReached;
     std::set<instance_id> m_asked; // and have not answered
     instant m_askedUntil {};
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -417,6 +417,31 @@
 
 // An instance never runs a request again that is not idempotent, so it sees at most one
 // crash. If the caller repeats the request at other instances, their reports must add up.
+BOOST_AUTO_TEST_CASE(breaks_at_an_instance_that_lost_its_paths_blame_no_request)
+{
+    forwarding_harness harness(4);
+    harness.arrive(routeOf(route_kind::Idempotent, 5));
+    harness.done(harness.onlyOpen(), transfer_state::NoAnswer);
+    harness.done(harness.onlyOpen(), transfer_state::NoAnswer);
+    BOOST_REQUIRE(harness.refusals.size() == 1U);
+    forwarding_harness other(4);
+    other.marks.mergeMarks(harness.marks.takePendingChanges(), wallStart);
+
+    // It finds that it was cut off: the reports are withdrawn at all instances, later ones are not made.
+    harness.machine().setCutOff(true, harness.now);
+    other.marks.mergeMarks(harness.marks.takePendingChanges(), wallStart);
+    other.arrive(routeOf(route_kind::Idempotent, 5));
+    BOOST_TEST(other.sends.size() == 1U);
+    harness.arrive(routeOf(route_kind::Idempotent, 5), 2s, forward_id(2));
+    harness.done(harness.onlyOpen(), transfer_state::NoAnswer);
+    BOOST_TEST(harness.marks.takePendingChanges().empty());
+
+    // After the cut crashes count again.
+    harness.machine().setCutOff(false, harness.now);
+    harness.done(harness.onlyOpen(), transfer_state::NoAnswer);
+    BOOST_TEST(!harness.marks.takePendingChanges().empty());
+}
+
 // Targets that crash by themselves while they run it: it runs alone, and is never refused for that.
 BOOST_AUTO_TEST_CASE(a_request_that_is_owed_is_not_refused_after_crashes)
 {
--- a/tests/test_target_paths.cpp
+++ b/tests/test_target_paths.cpp
@@ -150,8 +150,8 @@
     w.isCut = true;
     w.paths.failed(targetName(0), w.now);
     w.paths.failed(targetName(1), w.now);
-    w.round();
-    w.round();
+    for (const auto until = w.now + 500ms; w.now < until;)
+        w.round();
     BOOST_TEST(w.paths.isCutOffAlone(w.now));
 }
 
