A request of which nothing was sent ends as not run

Seen by callers: at an instance whose connections to replicas hang, a request whose time ends while it connects gets 504, which allows no repetition of work that may run once, though no byte has left. Cause: an open attempt counted as sent from its start. Change: the owner of the attempts tells the state machine which are still connecting; such a request ends as 503 and counts as no use. Evidence: forwarding: a_request_of_which_nothing_was_sent_ends_as_not_run (504 before, by the code); test_entry_cut_outcomes.py: deadlines of 60 to 450 ms ended as 503 and 504 before, all as 503 now.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -425,7 +425,11 @@
 
 void caller_frontend::tick()
 {
-    // Step 1. Cancel requests whose caller has disconnected, so that they keep no target busy.
+    // Step 1. What is known of attempts that are still connecting.
+    for (const auto& [attempt, openAttempt] : m_attempts)
+        m_forwarding.setUnsent(attempt, !m_link.mayHaveBeenSent(openAttempt.transfer));
+
+    // Step 2. Cancel requests whose caller has disconnected, so that they keep no target busy.
     std::vector<forward_id> disconnected;
     for (const auto& [id, forward] : m_forwards) {
         if (forward.exchange && forward.exchange->callerDisconnected())
@@ -438,7 +442,7 @@
         m_forwards.erase(found);
     }
 
-    // Step 2. Deadlines, hedges and delayed retries.
+    // Step 3. Deadlines, hedges and delayed retries.
     m_forwarding.setWallTime(m_context.wall);
     execute(m_forwarding.tick(m_context.now));
 }
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -238,7 +238,8 @@
     for (const auto& attempt : attempts) {
         if (except && attempt.id == *except)
             continue;
-        onRunStarted(forward, attempt, now);
+        if (!attempt.unsent)
+            onRunStarted(forward, attempt, now);
         m_actions.emplace_back(forward_cancel { attempt.id });
         endAttempt(forward, attempt, attempt_outcome::Timeout, now);
     }
@@ -274,6 +275,17 @@
     return takeActions();
 }
 
+void request_forwarder::setUnsent(attempt_id attempt, bool unsent)
+{
+    auto* forward = find(attempt);
+    if (forward == nullptr)
+        return;
+    for (auto& openAttempt : forward->attempts) {
+        if (openAttempt.id == attempt)
+            openAttempt.unsent = unsent;
+    }
+}
+
 std::vector<forward_action> request_forwarder::head(attempt_id attempt, const forward_head& head, instant now)
 {
     auto* forward = find(attempt);
@@ -413,7 +425,7 @@
 
 void request_forwarder::expire(open_forward& forward, instant now)
 {
-    const bool offered = forward.mayHaveRun || !forward.attempts.empty();
+    const bool offered = forward.mayHaveRun || std::any_of(forward.attempts.begin(), forward.attempts.end(), [](const open_attempt& attempt) { return !attempt.unsent; });
     refuse(forward, offered ? statusTimeout : statusUnavailable, m_settings.fullRetryAfter, offered ? "out of time at a replica" : "out of time before a replica accepted the request", now);
 }
 
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -153,6 +153,9 @@
     std::vector<forward_action> arrive(forward_request request, instant now);
     std::vector<forward_action> callerDisconnected(forward_id id, instant now);
 
+    // Whether certainly no byte of an open attempt has left for its target. Attempts count as sent
+    // until the owner says otherwise.
+    void setUnsent(attempt_id attempt, bool unsent);
     std::vector<forward_action> head(attempt_id attempt, const forward_head& head, instant now);
     // Notes an event of the stream to the caller. The owner must pass on only events after
     // the last one noted, as a resumed stream may repeat some.
@@ -179,6 +182,7 @@
         instant lastReceivedAt;
         std::optional<forward_head> head;
         bool isolated = false;
+        bool unsent = false;
     };
     struct open_forward {
         forward_request request;
--- a/tests/process/test_entry_cut_outcomes.py
+++ b/tests/process/test_entry_cut_outcomes.py
@@ -5,7 +5,8 @@
 import unittest
 
 from cut_case import CONTACT_TIME_S, CutCase
-from entry_world import submission
+from entry_world import HOST, KEY, submission
+from kit import call
 
 
 class EntryCutOutcomes(CutCase):
@@ -34,6 +35,18 @@
             self.assertEqual(response.status, 503, "not run")
             self.assertLess(time.monotonic() - started, 2)
 
+    def test_requests_of_which_nothing_was_sent_end_as_not_run(self):
+        entries = self.start_entries(2)
+        self.load(entries, 1, self.send_plain)
+        self.cut(entries)
+        time.sleep(CONTACT_TIME_S)
+        statuses = set()
+        for number, deadline_ms in enumerate((60, 90, 250, 450)):
+            for entry in entries:
+                name = f"short-{number}-{entry.name}"
+                statuses.add(call("POST", f"{entry.callers}/once/{name}", b"hello", {**HOST, **KEY, "Attempt-Id": name, "Deadline-Ms": str(deadline_ms)}).status)
+        self.assertEqual(statuses, {503})
+
     def test_items_of_a_batch_that_a_cut_instance_accepts(self):
         entries = self.start_entries(4)
         self.submit(entries[0], "warm", submission(4, step=9))
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -277,6 +277,25 @@
     BOOST_TEST(harness.open.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_of_which_nothing_was_sent_ends_as_not_run)
+{
+    forwarding_harness harness(2);
+    harness.arrive(routeOf(route_kind::AtMostOnce), 5s);
+    harness.machine().setUnsent(harness.onlyOpen(), true);
+    harness.pass(1501ms);
+    BOOST_REQUIRE(harness.refusals.size() == 1u);
+    BOOST_TEST(harness.refusals[0].status == 503);
+    BOOST_TEST(harness.open.empty());
+
+    // An attempt that was sent after all.
+    harness.arrive(routeOf(route_kind::AtMostOnce), 5s, forward_id(2));
+    harness.machine().setUnsent(harness.onlyOpen(), true);
+    harness.machine().setUnsent(harness.onlyOpen(), false);
+    harness.pass(1501ms);
+    BOOST_REQUIRE(harness.refusals.size() == 2u);
+    BOOST_TEST(harness.refusals[1].status == 504);
+}
+
 // If a replica doesn't answer an idempotent request, a second attempt starts well before
 // the caller's deadline.
 BOOST_AUTO_TEST_CASE(an_attempt_without_an_answer_is_hedged)
