Answers on kept connections do not hide that new ones fail

Cause: where the cut refuses new connections and old ones live on, each answer on a kept connection cleared the evidence of the cut. Change: only an answer on a new connection refutes that connections fail; an answer on a kept one refutes only requests without an answer.

--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -26,6 +26,9 @@
     constexpr std::chrono::milliseconds questionTimeout { 250 };
     constexpr std::uint32_t maxRelaysTried = 4;
 
+    connection_age ageOf(http::connection_use use) { return use == http::connection_use::Kept ? connection_age::Kept : connection_age::New; }
+    path_failure failureOf(http::connection_use use) { return use == http::connection_use::None ? path_failure::NotConnected : path_failure::Silent; }
+
     std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
 
 } // namespace
@@ -163,9 +166,10 @@
     switch (event.what) {
     case http::event::kind::Connected:
         call.connected = true;
+        call.connection = event.connection;
         return;
     case http::event::kind::Head:
-        m_paths.reached(call.target, m_context.now);
+        m_paths.reached(ageOf(call.connection), m_context.now);
         report(id, event);
         return;
     case http::event::kind::Body:
@@ -179,7 +183,7 @@
         report(id, event);
         return;
     }
-    m_paths.failed(call.target, m_context.now);
+    m_paths.failed(call.target, failureOf(event.connection), m_context.now);
     if (event.outcome == http::transfer_result::NotSent) {
         countEnd(end_kind::NotConnected);
         startAgain(id, call, event);
@@ -272,7 +276,7 @@
         if (call.roundsConnecting < minRoundsConnecting || m_context.now - call.startedAt < hangingAfter)
             continue;
         if (!std::exchange(call.countedAsFailed, true))
-            m_paths.failed(call.target, m_context.now);
+            m_paths.failed(call.target, path_failure::NotConnected, m_context.now);
         if (call.rule == path_rule::Any && call.relaysTried < maxRelaysTried)
             hanging.push_back(id);
     }
@@ -294,17 +298,17 @@
 void target_link::callDirect(http::request request, const target_id& target, transfers::answer_function onAnswer)
 {
     m_context.net.call(std::move(request), [this, target, onAnswer = std::move(onAnswer)](const http::answer& answer) {
-        recordOwnPath(target, answer.status != 0);
+        recordOwnPath(target, answer);
         onAnswer(answer);
     });
 }
 
-void target_link::recordOwnPath(const target_id& target, bool wasReached)
+void target_link::recordOwnPath(const target_id& target, const http::answer& answer)
 {
-    if (wasReached)
-        m_paths.reached(target, m_context.now);
+    if (answer.status != 0)
+        m_paths.reached(ageOf(answer.connection), m_context.now);
     else
-        m_paths.failed(target, m_context.now);
+        m_paths.failed(target, failureOf(answer.connection), m_context.now);
 }
 
 void target_link::testPath(const target_id& target, std::function<void(bool reached)> onEnd)
@@ -318,7 +322,7 @@
     request.reuse = http::connection_reuse::Forbidden; // kept connections may live on while new ones fail
     request.connectTimeout = request.totalTimeout = pathTestTimeout;
     m_context.net.call(std::move(request), [this, target, onEnd = std::move(onEnd)](const http::answer& answer) {
-        recordOwnPath(target, answer.status != 0);
+        recordOwnPath(target, answer);
         onEnd(answer.status != 0);
     });
 }
--- a/src/edge/target_link.h
+++ b/src/edge/target_link.h
@@ -62,6 +62,7 @@
         instance_id relay; // empty on an own connection
         std::optional<relay_outcome> relayOutcome; // once its head was received
         bool connected = false; // to the target or the relay
+        http::connection_use connection = http::connection_use::None;
         bool triedDirect = false;
         bool countedAsFailed = false; // that there is no connection yet
         std::uint32_t roundsConnecting = 0; // of the event loop
@@ -80,7 +81,7 @@
     void checkConnecting();
     void ask(const ask_for_relays& question);
     void updateMembers();
-    void recordOwnPath(const target_id& target, bool wasReached);
+    void recordOwnPath(const target_id& target, const http::answer& answer);
     void countEnd(end_kind kind) { ++m_ends[static_cast<std::size_t>(kind)]; }
     void logEnds();
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -143,6 +143,15 @@
         return CURL_SOCKOPT_OK;
     }
 
+    connection_use connectionOf(const transfer& t)
+    {
+        if (!t.connected)
+            return connection_use::None;
+        long opened = 0;
+        curl_easy_getinfo(t.easy, CURLINFO_NUM_CONNECTS, &opened);
+        return opened == 0 ? connection_use::Kept : connection_use::New;
+    }
+
     // Called when a connection is there, before the request is sent on it.
     int onConnected(void* user, char*, char*, int, int)
     {
@@ -152,20 +161,12 @@
             event connected;
             connected.what = event::kind::Connected;
             connected.id = t.outgoing.id;
+            connected.connection = connectionOf(t);
             t.pendingEvents->push_back(std::move(connected));
         }
         return CURL_PREREQFUNC_OK;
     }
 
-    connection_use connectionOf(const transfer& t)
-    {
-        if (!t.connected)
-            return connection_use::None;
-        long opened = 0;
-        curl_easy_getinfo(t.easy, CURLINFO_NUM_CONNECTS, &opened);
-        return opened == 0 ? connection_use::Kept : connection_use::New;
-    }
-
     // Headers that libcurl adds by default unless they are suppressed.
     constexpr std::string_view libcurlHeaders[] = { "Accept", "Content-Type", "User-Agent" };
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -77,7 +77,7 @@
     std::string bytes; // Body
     transfer_result outcome = transfer_result::NotSent; // Done
     std::string detail; // Done: libcurl's error message
-    connection_use connection = connection_use::None; // Done
+    connection_use connection = connection_use::None; // Connected and Done
 };
 
 // The value of a header, or an empty view. Names in `headers` must be in lower case.
--- a/src/target_paths.cpp
+++ b/src/target_paths.cpp
@@ -25,21 +25,25 @@
 {
     m_targets = std::move(targets);
     const std::set<target_id> listed(m_targets.begin(), m_targets.end());
-    std::erase_if(m_failedTargets, [&listed](const target_id& target) { return !listed.contains(target); });
+    std::erase_if(m_failedTargets, [&listed](const auto& entry) { return !listed.contains(entry.first); });
     for (auto& [name, other] : m_others)
         std::erase_if(other.cannotReachUntil, [&listed](const auto& entry) { return !listed.contains(entry.first); });
 }
 
-void target_paths::reached(const target_id&, instant now)
+void target_paths::reached(connection_age age, instant now)
 {
-    m_failedTargets.clear();
-    m_lastReached = now;
+    if (age == connection_age::New)
+        m_failedTargets.clear();
+    else
+        std::erase_if(m_failedTargets, [](const auto& entry) { return entry.second == path_failure::Silent; });
+    if (m_failedTargets.empty())
+        m_lastReached = now;
 }
 
-void target_paths::failed(const target_id& target, instant now)
+void target_paths::failed(const target_id& target, path_failure failure, instant now)
 {
     const bool wasCutOff = isCutOff();
-    m_failedTargets.insert(target);
+    m_failedTargets[target] = failure;
     if (isCutOff() && !wasCutOff)
         m_cutOffSince = now;
     // One failure says little. Without other evidence, a second target tells whether it was the
@@ -183,7 +187,7 @@
     }
     // Also without requests: duties depend on whether others reach targets.
     if (isCutOff() && !hasRelay(now) && !isAsking(now))
-        startQuestion(*m_failedTargets.begin(), now);
+        startQuestion(m_failedTargets.begin()->first, now);
     return std::exchange(m_actions, {});
 }
 
--- a/src/target_paths.h
+++ b/src/target_paths.h
@@ -59,6 +59,16 @@
 };
 using path_action = std::variant<ask_for_relays, test_path>;
 
+enum class connection_age {
+    New,
+    Kept, // of an earlier request
+};
+
+enum class path_failure {
+    NotConnected, // refused, or it hangs
+    Silent, // connected, but the request got no answer
+};
+
 class target_paths {
 public:
     explicit target_paths(target_path_settings settings = {});
@@ -68,9 +78,10 @@
     // The live targets.
     void setTargets(std::vector<target_id> targets);
 
-    // Events of the own path. A connection that hangs counts as failed.
-    void reached(const target_id& target, instant now);
-    void failed(const target_id& target, instant now);
+    // Events of the own path. An answer on a connection of earlier says nothing of new ones, which
+    // may fail while old ones live on.
+    void reached(connection_age age, instant now);
+    void failed(const target_id& target, path_failure failure, instant now);
 
     // An instance that was asked says whether it reaches targets.
     void answered(const instance_id& instance, bool reachesTargets, instant now);
@@ -109,9 +120,9 @@
     std::vector<instance_id> m_order; // of the other instances; the keys of m_others
     std::map<instance_id, other_instance> m_others;
     std::vector<target_id> m_targets;
-    std::set<target_id> m_failedTargets; // live ones that failed since a target was last reached
+    std::map<target_id, path_failure> m_failedTargets; // live ones that failed since a target was last reached
     instant m_cutOffSince {}; // if isCutOff()
-    std::optional<instant> m_lastReached;
+    std::optional<instant> m_lastReached; // on a new connection, or on a kept one while new ones did not fail
     std::set<instance_id> m_asked; // and have not answered
     instant m_askedUntil {};
     instant m_nextTest {};
--- a/tests/test_target_paths.cpp
+++ b/tests/test_target_paths.cpp
@@ -67,9 +67,9 @@
         void end(const target_id& target, bool wasReached)
         {
             if (wasReached)
-                paths.reached(target, now);
+                paths.reached(connection_age::New, now);
             else
-                paths.failed(target, now);
+                paths.failed(target, path_failure::NotConnected, now);
         }
 
         // Sends a request to each target in turn until one answers, as the forwarder does; whether one did.
@@ -137,7 +137,7 @@
 {
     world w(3, 4);
     w.isCut = true;
-    w.paths.failed(targetName(0), w.now);
+    w.paths.failed(targetName(0), path_failure::NotConnected, w.now);
     w.round();
     BOOST_TEST(w.tests == 1U);
     BOOST_TEST(w.paths.isCutOff());
@@ -148,13 +148,34 @@
 {
     world w(3, 4);
     w.isCut = true;
-    w.paths.failed(targetName(0), w.now);
-    w.paths.failed(targetName(1), w.now);
+    w.paths.failed(targetName(0), path_failure::NotConnected, w.now);
+    w.paths.failed(targetName(1), path_failure::NotConnected, w.now);
     for (const auto until = w.now + 500ms; w.now < until;)
         w.round();
     BOOST_TEST(w.paths.isCutOffAlone(w.now));
 }
 
+BOOST_AUTO_TEST_CASE(kept_connections_that_live_on_hide_no_cut)
+{
+    world w(3, 6);
+    w.isCut = true;
+    w.paths.failed(targetName(0), path_failure::NotConnected, w.now);
+    w.paths.reached(connection_age::Kept, w.now);
+    w.paths.failed(targetName(1), path_failure::NotConnected, w.now);
+    w.paths.reached(connection_age::Kept, w.now);
+    for (const auto until = w.now + 500ms; w.now < until;)
+        w.round();
+    BOOST_TEST(w.paths.isCutOffAlone(w.now));
+
+    // Requests that got no answer are no sign of a cut if others on the same connections do.
+    w.isCut = false;
+    w.paths.reached(connection_age::New, w.now);
+    w.paths.failed(targetName(0), path_failure::Silent, w.now);
+    w.paths.reached(connection_age::Kept, w.now);
+    w.paths.failed(targetName(1), path_failure::Silent, w.now);
+    BOOST_TEST(!w.paths.isCutOff());
+}
+
 BOOST_AUTO_TEST_CASE(targets_that_are_down_for_all_leave_the_own_path)
 {
     world w(3, 4);
