Relayed requests are checked, and questions share one round of path tests

Cause: a relay took any method and path from another instance; each question of an instance that is cut off began path tests of its own; a request whose time is up while it hangs could end while others were looked through. Change: methods are letters and paths begin with a slash; questions that come while tests run share their answer; ids are looked up anew. Evidence: relay_codec tests (parts that lack, generated headers, what arrives at the target); test_entry_malformed with the new paths passes.

--- a/src/edge/relay_codec.cpp
+++ b/src/edge/relay_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <string_view>
 
@@ -71,7 +72,9 @@
     const auto number = http::findHeader(exchange.headers, incarnationHeader);
     std::uint64_t incarnationNumber = 0;
     const auto [end, fault] = std::from_chars(number.data(), number.data() + number.size(), incarnationNumber);
-    if (out.target.empty() || out.request.method.empty() || out.request.target.empty() || number.empty() || fault != std::errc() || end != number.data() + number.size())
+    const auto& method = out.request.method;
+    const bool isMethod = !method.empty() && std::all_of(method.begin(), method.end(), [](unsigned char c) { return std::isalpha(c) != 0; });
+    if (out.target.empty() || !isMethod || out.request.target.rfind('/', 0) != 0 || number.empty() || fault != std::errc() || end != number.data() + number.size())
         return std::nullopt;
     out.targetIncarnation = incarnation(incarnationNumber);
     if (!http::findHeader(exchange.headers, onceHeader).empty())
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -6,7 +6,7 @@
 #include "json_text.h"
 #include "log.h"
 
-#include <memory>
+#include <utility>
 
 namespace lovagerail::edge {
 
@@ -117,20 +117,22 @@
     }
 
     // Step 2. Without any, test the targets that the other instance names.
-    struct question {
-        http::exchange_ptr exchange; // null once it was answered
-        std::size_t openTests = 0;
-    };
-    const auto asked = std::make_shared<question>(question { exchange, body->size() });
-    if (asked->openTests == 0)
-        answerQuestion(exchange, false);
-    for (const auto& name : *body) {
-        m_link.testPath(target_id(name.isString() ? name.asString() : std::string()), [asked](bool reached) {
-            --asked->openTests;
-            if (asked->exchange && (reached || asked->openTests == 0))
-                answerQuestion(std::exchange(asked->exchange, nullptr), reached);
-        });
-    }
+    m_questions.push_back(exchange);
+    if (m_openTests > 0)
+        return;
+    m_openTests = body->size() + 1; // this call itself is the last one, as tests may end at once
+    for (const auto& name : *body)
+        m_link.testPath(target_id(name.isString() ? name.asString() : std::string()), [this](bool reached) { onTested(reached); });
+    onTested(false);
+}
+
+void request_relay::onTested(bool reached)
+{
+    --m_openTests;
+    if (!reached && m_openTests > 0)
+        return;
+    for (const auto& exchange : std::exchange(m_questions, {}))
+        answerQuestion(exchange, reached);
 }
 
 void request_relay::tick()
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <vector>
 
 namespace lovagerail::edge {
 
@@ -39,10 +40,14 @@
 
     void refuse(const http::exchange_ptr& exchange, relay_outcome outcome) const;
     void onEvent(std::uint64_t id, http::event& event);
+    void onTested(bool reached);
 
     context& m_context;
     target_link& m_link;
     head_function m_onHead;
+    // A round of path tests that is under way answers all questions that come meanwhile.
+    std::vector<http::exchange_ptr> m_questions;
+    std::size_t m_openTests = 0;
     std::uint64_t m_lastId = 0;
     std::map<std::uint64_t, open_relay> m_open;
 };
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -281,7 +281,10 @@
             hanging.push_back(id);
     }
     for (const auto id : hanging) {
-        auto& call = m_calls.at(id);
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            continue; // cancelled by the end of an earlier one
+        auto& call = found->second;
         const auto path = m_paths.pathTo(call.target, m_context.now);
         if (path.kind != path_kind::Relayed)
             continue;
--- a/tests/process/test_entry_malformed.py
+++ b/tests/process/test_entry_malformed.py
@@ -11,7 +11,7 @@
 BODIES = (b"", b"\x00\xff", b"null", b"7", b"[7,null,[],{}]", b'{"batch":7,"texts":7,"at":"x"}', b"{" * 200, b'[{"target":7,"incarnation":-1}]',
           b'{"a":' + b"9" * 400 + b"}", b"x" * 70000)
 PEER_PATHS = ("/store", "/known", "/known?1.2", "/usage", "/usage?x", "/usage?99999999999999999999", "/marks", "/demand", "/departures", "/submit", "/owner", "/owner?x",
-              "/handover", "/heads", "/lots/x", "/lots/x?after=-1", "/items/x?id=", "/nothing", "/%00%ff?%")
+              "/handover", "/heads", "/relay", "/paths", "/limits", "/origins", "/origin", "/lots/x", "/lots/x?after=-1", "/items/x?id=", "/nothing", "/%00%ff?%")
 CALLER_PATHS = ("/plain/x", "/talk/x", "/steps/x", "/lots/x?after=99999999999999999999", "/items/x?id=%ff", "/")
 RAW_MESSAGES = (b"\r\n\r\n", b"GET\r\n\r\n", b"POST /plain/x HTTP/1.1\r\nContent-Length: -5\r\n\r\n", b"POST /plain/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
                 b"GET /plain/x HTTP/9.9\r\nHost: \xff\r\n\r\n", os.urandom(3000))
@@ -45,7 +45,8 @@
     def send(self, address, method, path, body):
         connection = http.client.HTTPConnection(address, timeout=3)
         try:
-            connection.request(method, path, body, {**HOST, **KEY, "Attempt-Id": "m", "Deadline-Ms": "200", "x-batch": "b", "x-account": "acme", "x-method": "GET", "x-target": "/kv-key?key=a"})
+            connection.request(method, path, body, {**HOST, **KEY, "Attempt-Id": "m", "Deadline-Ms": "200", "x-batch": "b", "x-account": "acme", "x-method": "GET", "x-target": "/kv-key?key=a",
+                                                     "lovagerail-target": "i-0", "lovagerail-incarnation": "1", "lovagerail-method": "G\tT", "lovagerail-path": "x"})
             connection.getresponse().read()
         except (OSError, http.client.HTTPException):
             pass  # it may close the connection
