Requests under way keep no second copy of their body once they were sent

Cause: target_link kept each request until its end, to send it on another path; once bytes may have been sent it never is, so a large body stood in memory once more. The update of a deadline stood three times. Change: the body is dropped with the connection, and such a request is not started again; updateDeadline().

--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -49,7 +49,7 @@
     call.targetIncarnation = targetIncarnation;
     call.rule = rule;
     call.onEvent = std::move(onEvent);
-    call.openedAt = call.deadlineWrittenAt = m_context.now;
+    call.deadlineWrittenAt = m_context.now;
     start(id, call);
     return id;
 }
@@ -112,14 +112,20 @@
     call.transfer = m_context.net.open(encodeRelayedCall(call.request, call.target, call.targetIncarnation, peer->address), [this, id](http::event& event) { onRelayedEvent(id, event); });
 }
 
+// Brings the deadline that the request's headers state up to date; false if it has passed.
+bool target_link::updateDeadline(open_call& call, instant now)
+{
+    const auto passed = toMilliseconds(now - call.deadlineWrittenAt);
+    call.deadlineWrittenAt += passed;
+    return platform::shortenDeadline(call.request.headers, passed);
+}
+
 // Sends a request that ended unsent on another path, or ends it if there is none.
 void target_link::startAgain(std::uint64_t id, open_call& call, http::event& unsent)
 {
     call.transfer = 0;
     call.connected = false;
-    const auto passed = toMilliseconds(m_context.now - call.deadlineWrittenAt);
-    call.deadlineWrittenAt += passed;
-    if (call.rule == path_rule::OwnOnly || call.relaysTried >= maxRelaysTried || !platform::shortenDeadline(call.request.headers, passed)) {
+    if (call.bodyDropped || call.rule == path_rule::OwnOnly || call.relaysTried >= maxRelaysTried || !updateDeadline(call, m_context.now)) {
         report(id, unsent);
         return;
     }
@@ -167,6 +173,8 @@
     case http::event::kind::Connected:
         call.connected = true;
         call.connection = event.connection;
+        call.request.body = {};
+        call.bodyDropped = true;
         return;
     case http::event::kind::Head:
         m_paths.reached(ageOf(call.connection), m_context.now);
@@ -252,9 +260,7 @@
         const auto path = m_paths.pathTo(call.target, m_context.now);
         if (path.kind == path_kind::Undecided && m_context.now < call.waitsUntil)
             continue;
-        const auto passed = toMilliseconds(m_context.now - call.deadlineWrittenAt);
-        call.deadlineWrittenAt += passed;
-        if (!platform::shortenDeadline(call.request.headers, passed))
+        if (!updateDeadline(call, m_context.now))
             endUnsent(id, "no time left for another path");
         else if (path.kind == path_kind::Relayed)
             startRelayed(id, call, path.relay);
@@ -289,9 +295,7 @@
         if (path.kind != path_kind::Relayed)
             continue;
         m_context.net.cancel(call.transfer);
-        const auto passed = toMilliseconds(m_context.now - call.deadlineWrittenAt);
-        call.deadlineWrittenAt += passed;
-        if (platform::shortenDeadline(call.request.headers, passed))
+        if (updateDeadline(call, m_context.now))
             startRelayed(id, call, path.relay);
         else
             endUnsent(id, "no time left for another path");
--- a/src/edge/target_link.h
+++ b/src/edge/target_link.h
@@ -55,7 +55,6 @@
         path_rule rule = path_rule::Any;
         transfers::event_function onEvent;
         std::uint64_t transfer = 0; // 0: waits for a path
-        instant openedAt {};
         instant deadlineWrittenAt {}; // the request's headers state what is left from then on
         instant startedAt {}; // of this transfer
         instant waitsUntil {}; // for a path
@@ -63,6 +62,7 @@
         std::optional<relay_outcome> relayOutcome; // once its head was received
         bool connected = false; // to the target or the relay
         http::connection_use connection = http::connection_use::None;
+        bool bodyDropped = false; // bytes may have been sent, so the request is not sent again
         bool triedDirect = false;
         bool countedAsFailed = false; // that there is no connection yet
         std::uint32_t roundsConnecting = 0; // of the event loop
@@ -72,6 +72,7 @@
     void start(std::uint64_t id, open_call& call);
     void startDirect(std::uint64_t id, open_call& call, bool doubted);
     void startRelayed(std::uint64_t id, open_call& call, const instance_id& relay);
+    static bool updateDeadline(open_call& call, instant now);
     void startAgain(std::uint64_t id, open_call& call, http::event& unsent);
     void onDirectEvent(std::uint64_t id, http::event& event);
     void onRelayedEvent(std::uint64_t id, http::event& event);
