Tests of relays that are lost, reach only some targets, or do not answer

Cause: three of 14 mutants of target_paths, forwarding and relay_codec were not noticed: a lost relay that stays in use, one that is used for targets it does not reach, instances that are asked again at once. Change: two unit tests. No change of behaviour.

--- a/tests/test_target_paths.cpp
+++ b/tests/test_target_paths.cpp
@@ -176,6 +176,47 @@
     BOOST_TEST(!w.paths.isCutOff());
 }
 
+BOOST_AUTO_TEST_CASE(a_relay_that_is_lost_or_does_not_reach_a_target_is_not_used_for_it)
+{
+    world w(2, 4);
+    w.isCut = true;
+    w.paths.failed(targetName(0), path_failure::NotConnected, w.now);
+    w.paths.failed(targetName(1), path_failure::NotConnected, w.now);
+    w.paths.answered(instanceName(0), true, w.now);
+    w.paths.answered(instanceName(1), true, w.now);
+
+    w.paths.relayFailed(instanceName(0), targetName(0), w.now);
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(w.paths.pathTo(targetName(0), w.now).relay == instanceName(1));
+    std::set<instance_id> used;
+    for (int i = 0; i < 4; ++i)
+        used.insert(w.paths.pathTo(targetName(1), w.now).relay);
+    BOOST_TEST(used.size() == 2U);
+
+    w.paths.relayLost(instanceName(1), w.now);
+    BOOST_TEST((w.paths.pathTo(targetName(0), w.now).kind == path_kind::DirectDoubted));
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(w.paths.pathTo(targetName(1), w.now).relay == instanceName(0));
+}
+
+BOOST_AUTO_TEST_CASE(instances_that_do_not_answer_are_asked_once_a_second)
+{
+    world w(3, 4);
+    w.isCut = true;
+    w.paths.failed(targetName(0), path_failure::NotConnected, w.now);
+    w.paths.failed(targetName(1), path_failure::NotConnected, w.now);
+    std::size_t asked = 0;
+    for (const auto until = w.now + 5s; w.now < until; w.now += roundTime) {
+        for (const auto& action : w.paths.tick(w.now)) {
+            if (const auto* question = std::get_if<ask_for_relays>(&action))
+                asked += question->instances.size();
+        }
+        w.paths.pathTo(targetName(2), w.now);
+    }
+    BOOST_TEST(asked >= 3U * 4U);
+    BOOST_TEST(asked <= 3U * 6U);
+}
+
 BOOST_AUTO_TEST_CASE(targets_that_are_down_for_all_leave_the_own_path)
 {
     world w(3, 4);
