Path tests close their connection

Cause: a replica that rejects a request may go on reading on its connection. Change: http::request::closeAfter. Evidence: test_entry_cut_outcomes: connections of path tests close; fails without the change.

--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -327,6 +327,7 @@
     }
     auto request = platform::encodePathTest(m_context.targets.table().record(*slot).listed.address);
     request.reuse = http::connection_reuse::Forbidden; // kept connections may live on while new ones fail
+    request.closeAfter = true; // a target may go on reading after it has rejected a request
     request.connectTimeout = request.totalTimeout = pathTestTimeout;
     m_context.net.call(std::move(request), [this, target, onEnd = std::move(onEnd)](const http::answer& answer) {
         recordOwnPath(target, answer);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -311,6 +311,9 @@
     if (t.outgoing.reuse == connection_reuse::Forbidden)
         curl_easy_setopt(t.easy, CURLOPT_FRESH_CONNECT, 1L);
 
+    if (t.outgoing.closeAfter)
+        curl_easy_setopt(t.easy, CURLOPT_FORBID_REUSE, 1L);
+
     // Step 2. Send exactly the given headers, without libcurl's defaults.
     for (const auto& [name, value] : t.outgoing.headers) {
         // libcurl omits an empty header unless it is written with a semicolon.
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -54,6 +54,7 @@
     std::size_t maxHeadBytes = 64U << 10U; // of the answer, with heads before the final one and trailers
     std::size_t maxBodyBytes = maxAnswerBytes; // of the answer; 0 = no bound, for one that is used as it arrives
     std::string caFile; // PEM bundle to trust for https; empty = the system's
+    bool closeAfter = false; // no later request uses its connection
     bool reportConnected = false; // emit the event Connected
 };
 
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -46,7 +46,8 @@
 
     def __init__(self):
         self.extra_headers = {}  # sent with each answer
-        self.connections = set()  # open ones
+        self.connections = {}  # open ones, each with the routes of its requests so far
+        self.closed_connections = []  # the routes of each
         self.resetting = set()  # IPs whose connections are reset
         self.port = free_ports()
         self.address = f"127.0.0.1:{self.port}"
@@ -57,10 +58,10 @@
 
             def setup(self):
                 super().setup()
-                server.connections.add(self.connection)
+                self.routes = server.connections[self.connection] = []
 
             def finish(self):
-                server.connections.discard(self.connection)
+                server.closed_connections.append(server.connections.pop(self.connection))
                 super().finish()
 
             def _handle(self):
@@ -73,6 +74,7 @@
                 self.body = self.rfile.read(length) if length else b""
                 parts = urllib.parse.urlsplit(self.path)
                 self.route = parts.path
+                self.routes.append(self.route)
                 self.query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
                 try:
                     server.handle(self)
--- a/tests/process/test_entry_cut_duty.py
+++ b/tests/process/test_entry_cut_duty.py
@@ -24,8 +24,8 @@
 
     def test_a_holder_that_reaches_no_replica_hands_its_duty_on(self):
         entries = self.start_entries(4)
-        holder = wait_until(lambda: self.holder(entries), "a holder")
         self.publish(2, HANDED_ON_S)
+        holder = self.holder(entries)  # it has acted: while members join, a claim may be given back
         self.cut([holder])
         self.publish(3, HANDED_ON_S)
         self.assertIsNot(self.holder(entries), holder)
@@ -42,8 +42,8 @@
 
     def test_a_holder_keeps_its_duty_if_nobody_reaches_a_replica(self):
         entries = self.start_entries(3)
-        holder = wait_until(lambda: self.holder(entries), "a holder")
         self.publish(2, HANDED_ON_S)
+        holder = self.holder(entries)
         self.cut(entries)
         self.platform.publish_version("m", 3)
         end = time.monotonic() + HANDED_ON_S
--- a/tests/process/test_entry_cut_outcomes.py
+++ b/tests/process/test_entry_cut_outcomes.py
@@ -23,6 +23,12 @@
         self.assertTrue(all(itertools.chain(*outcomes.values())))
         sources = {source for shop in self.shops for at, source in shop.arrival_sources if at >= healed_at}
         self.assertEqual(sources, {entry.source_address for entry in cut_entries})
+        # A target may go on reading after it has rejected a request, as it does with a path test.
+        for replica in self.platform.replicas:
+            self.assertFalse([routes for routes in replica.connections.values() if "/" in routes], "a path test closes its connection")
+        closed = [routes for replica in self.platform.replicas for routes in replica.closed_connections if "/" in routes]
+        self.assertTrue(closed, "paths were tested")
+        self.assertTrue(all(routes == ["/"] for routes in closed), closed)
 
     def test_requests_are_refused_early_if_no_instance_reaches_a_replica(self):
         entries = self.start_entries(3)
