--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -74,6 +74,23 @@
     return out;
 }
 
+std::string_view toString(cancel_reason reason)
+{
+    switch (reason) {
+    case cancel_reason::BatchClosed:
+        return "batch_closed";
+    case cancel_reason::Stalled:
+        return "stalled";
+    case cancel_reason::Moved:
+        return "moved";
+    case cancel_reason::WrongAnswer:
+        return "wrong_answer";
+    case cancel_reason::BrokenText:
+        return "broken_text";
+    }
+    return "unknown";
+}
+
 batch_runner::batch_runner(batch_runner_settings settings, router& targets)
     : m_settings(settings)
     , m_router(targets)
@@ -278,7 +295,7 @@
             attempts.push_back(attempt);
     }
     for (const auto attempt : attempts) {
-        m_actions.emplace_back(cancel_run { attempt });
+        m_actions.emplace_back(cancel_run { attempt, cancel_reason::BatchClosed });
         endRun(attempt, attempt_outcome::Refused, now);
     }
 }
@@ -400,7 +417,7 @@
     for (const auto attempt : stalled) {
         const auto run = m_runs.at(attempt);
         ++m_counts.stalled;
-        m_actions.emplace_back(cancel_run { attempt });
+        m_actions.emplace_back(cancel_run { attempt, cancel_reason::Stalled });
         endRun(attempt, attempt_outcome::Timeout, now);
         m_batches.at(run.batch).items[run.index].avoidUntil[run.target] = now + m_settings.avoidUntilRefresh;
     }
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -67,8 +67,18 @@
     std::optional<weight_version> expectVersion;
     target_software began; // software that generated the text so far; empty if there is none
 };
+enum class cancel_reason {
+    BatchClosed, // ended, or owned by another instance from now on
+    Stalled, // no event within the time-out
+    Moved, // to a faster target
+    WrongAnswer, // of another item, or from weights that the batch does not allow
+    BrokenText, // a gap, a second version where one is allowed, or other software
+};
+std::string_view toString(cancel_reason reason);
+
 struct cancel_run {
     attempt_id attempt;
+    cancel_reason reason = cancel_reason::BatchClosed;
 };
 struct judge_item {
     batch_id batch;
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -208,7 +208,7 @@
     }
     ++m_counts.wrongVersion;
     item.avoidUntil[run.target] = now + m_settings.avoidUntilRefresh;
-    m_actions.emplace_back(cancel_run { attempt });
+    m_actions.emplace_back(cancel_run { attempt, cancel_reason::WrongAnswer });
     endRun(attempt, attempt_outcome::Refused, now);
     return takeActions();
 }
@@ -224,7 +224,7 @@
     // A target that came back under its id with other software may have made these events.
     if (const auto slot = m_router.table().find(run.target); slot && m_router.table().record(*slot).listed.software() != run.software) {
         dropText(item);
-        m_actions.emplace_back(cancel_run { attempt });
+        m_actions.emplace_back(cancel_run { attempt, cancel_reason::BrokenText });
         endRun(attempt, attempt_outcome::Failure, now);
         ++m_counts.broken;
         return takeActions();
@@ -246,7 +246,7 @@
             if (isSecondVersion) {
                 dropText(item); // the route demands a single version
             }
-            m_actions.emplace_back(cancel_run { attempt });
+            m_actions.emplace_back(cancel_run { attempt, cancel_reason::BrokenText });
             endRun(attempt, attempt_outcome::Failure, now);
             ++m_counts.broken;
             return takeActions();
@@ -381,7 +381,7 @@
             continue;
         ++m_counts.moved;
         ++item.moves;
-        m_actions.emplace_back(cancel_run { attempt });
+        m_actions.emplace_back(cancel_run { attempt, cancel_reason::Moved });
         endRun(attempt, attempt_outcome::Refused, now);
         item.avoidUntil[run.target] = now + m_settings.paceExpiry;
         dispatch(batch, now);
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -26,6 +26,9 @@
             const auto found = m_runs.find(cancellation->attempt);
             if (found == m_runs.end())
                 continue;
+            logEvent(log_level::Info, "batch", "run_cancelled",
+                { { "item", found->second.item.str() }, { "target", found->second.target.str() }, { "reason", std::string(toString(cancellation->reason)) },
+                    { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - found->second.sentAt).count()) } });
             m_link.cancel(found->second.transfer);
             m_runs.erase(found);
         } else if (const auto* call = std::get_if<judge_item>(&action))
