Weight orders use kept connections

Ruled out: for other duty calls a repeat by libcurl could be carried out twice; an order names the count of orders that its target must have taken, so the target refuses the repeat. Change: an order with that count may use a kept connection; a test for each kind of call.

--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -2,6 +2,7 @@
 // that must never be forwarded.
 #include "platform/batch_codec.h"
 #include "platform/desired_state.h"
+#include "platform/duty_codec.h"
 #include "platform/headers.h"
 #include "platform/store_codec.h"
 
@@ -147,6 +148,19 @@
     BOOST_TEST(conflict->entries[0].value == "x");
 }
 
+// Guards against a duty's call that libcurl repeats on a kept connection and that is then carried
+// out twice: only an order that its target refuses the second time may use one.
+BOOST_AUTO_TEST_CASE(only_orders_with_the_expected_count_use_kept_connections)
+{
+    using namespace platform;
+    const duty_proof proof { instance_id("entry-1"), fencing_number(4) };
+    load_order order { target_id("t-1"), "http://10.0.0.1:80", model_id("m"), weight_version(2), swap_mode::KeepRuns, 7 };
+    BOOST_CHECK(encodeLoadOrder(proof, order).reuse == http::connection_reuse::Allowed);
+    order.ordersTaken.reset();
+    BOOST_CHECK(encodeLoadOrder(proof, order).reuse == http::connection_reuse::Forbidden);
+    BOOST_CHECK(encodeCapacity("10.0.0.2:80", proof, { "s", failure_domain_id("d"), 3, false }).reuse == http::connection_reuse::Forbidden);
+}
+
 BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
 {
     const auto site = platform::decodeSite(R"({"version":3,"routes":[
