Evacuated failure domains get no new requests and no capacity

Cause: operators' keys op/evacuate/ZONE were not read by anything.

Change: where the settings have bounds.evacuation, the requests are a fourth document of platform_view. Targets of an evacuated failure domain are not live in the table, so routing, path tests, relays and orders of weights skip them; the capacity duty orders nothing there and does not count them. src/evacuations.h decides which requests are in force and how the copy is kept fresh, also below a source of an older version. The settings gain the table from failure domains to regions, which names the known failure domains.

Before: 361 unit tests; a key had no effect. After: 371 unit tests pass; tests/process/test_entry_evacuations.py: 3 pass (no request at the evacuated targets later than 5 s after the put, used again after the removal, no store calls without the bound).

--- a/src/capacity_orders.cpp
+++ b/src/capacity_orders.cpp
@@ -2,6 +2,7 @@
 #include "capacity_orders.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace lovagerail {
@@ -50,8 +51,13 @@
 capacity_view capacity_orders::view(instant now) const
 {
     capacity_view out;
-    out.targets = m_targets;
+    std::copy_if(m_targets.begin(), m_targets.end(), std::back_inserter(out.targets), [this](const capacity_target& target) { return !m_excluded.contains(target.failureDomain); });
     for (const auto& [place, state] : m_places) {
+        if (m_excluded.contains(place.failureDomain)) {
+            for (const auto kind : { supply_kind::Firm, supply_kind::Cheap })
+                out.backedOff.push_back({ kind, place.failureDomain });
+            continue;
+        }
         if (state.wanted > state.listed)
             out.starting.insert(out.starting.end(), state.wanted - state.listed, place);
         for (const auto kind : { supply_kind::Firm, supply_kind::Cheap }) {
@@ -83,6 +89,11 @@
     for (auto& [place, state] : m_places) {
         if (!state.repeatAt || now < *state.repeatAt)
             continue;
+        if (m_excluded.contains(place.failureDomain)) {
+            state.repeatAt.reset();
+            state.wanted = state.listed;
+            continue;
+        }
         if (wantedInDomain(place.failureDomain) <= m_settings.maxPerDomain)
             addOrder(place, state.wanted, "outcome unknown", out, now);
         else {
@@ -93,8 +104,10 @@
 
     // Step 2. Plan within the platform's bounds for a failure domain.
     std::set<failure_domain_id> domains;
-    for (const auto& [place, state] : m_places)
-        domains.insert(place.failureDomain);
+    for (const auto& [place, state] : m_places) {
+        if (!m_excluded.contains(place.failureDomain))
+            domains.insert(place.failureDomain);
+    }
     pool.failureDomains.assign(domains.begin(), domains.end());
     pool.floor = m_settings.minPerDomain * static_cast<std::uint32_t>(domains.size());
     pool.ceiling = m_settings.maxPerDomain * static_cast<std::uint32_t>(domains.size());
--- a/src/capacity_orders.h
+++ b/src/capacity_orders.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lovagerail {
@@ -54,6 +55,8 @@
     // Sets the listed targets of the pool. The known failure domains are those in which a
     // target was ever listed.
     void updateTargets(std::vector<capacity_target> targets, instant now);
+    // Sets the failure domains where nothing is ordered and whose targets do not count.
+    void setExcluded(std::set<failure_domain_id> domains) { m_excluded = std::move(domains); }
     // Returns the orders to send now; each place has at most one unanswered order. The
     // pool's floor, ceiling and failure domains are filled in here.
     std::vector<place_order> plan(target_pool pool, instant now);
@@ -82,6 +85,7 @@
     capacity_order_settings m_settings;
     capacity_planner m_planner;
     std::vector<capacity_target> m_targets;
+    std::set<failure_domain_id> m_excluded;
     std::optional<instant> m_lastWithoutQueue; // last time without a queue
     std::map<capacity_place, place_state, by_place> m_places; // where a target was ever listed or ordered
 };
--- a/src/edge/capacity_duty.cpp
+++ b/src/edge/capacity_duty.cpp
@@ -127,6 +127,7 @@
         if (service.maxTargets == 0)
             continue;
         auto& orders = ordersFor(service);
+        orders.setExcluded(m_platformView.evacuated());
         orders.updateTargets(targetsOf(id), m_context.now);
         orders.observe(demandOf(service), m_context.now);
         target_pool pool;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -114,7 +114,7 @@
         result<std::unique_ptr<http::server>> listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest) const;
         void onPeerRequest(const http::exchange_ptr& exchange);
         void onReadiness(const http::exchange_ptr& exchange) const;
-        bool ready() const { return m_context.site && m_platformView.targetsKnown() && !m_context.stopping; }
+        bool ready() const { return m_context.site && m_platformView.mayServe() && !m_context.stopping; }
         void updateClock();
         void onSignal(int signal);
         void reload(const char* reason);
@@ -365,7 +365,7 @@
             reloadIfFileChanged();
         if (m_context.now >= m_nextStoreCallsLog)
             logStoreCalls();
-        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount() });
+        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount(), m_platformView.evacuated().size() });
         if (ready() != m_wasReady) {
             m_wasReady = ready();
             logEvent(log_level::Info, "main", m_wasReady ? "ready" : "not_ready");
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -42,6 +42,8 @@
             time("bounds", "drain", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.drain; }),
             time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
             time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
+            time("bounds", "evacuation", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.evacuation; }),
+            textMapField<s>("placement", "regions", [](s& v) -> std::map<std::string, std::string>& { return v.placement.regions; }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
         return table;
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,7 +42,13 @@
         std::chrono::milliseconds drain { 2000 }; // a target gets no new requests this long after the store lists it as leaving
         std::chrono::milliseconds stop { 8000 }; // from SIGTERM to SIGKILL
         std::chrono::milliseconds resultsKept { 120'000 }; // retention of results, from a batch's submission
+        // A failure domain gets no new requests this long after the store has accepted its
+        // evacuation. 0: the deployment has no evacuations, and the store is not read for them.
+        std::chrono::milliseconds evacuation { 0 };
     } bounds;
+    struct {
+        std::map<std::string, std::string> regions; // region of each failure domain
+    } placement;
     struct {
         std::string level = "info";
     } log;
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -47,7 +47,7 @@
     constexpr std::size_t readerCount = 3; // instances at the start of the tree's order that may read the store
     constexpr std::string_view firstCallMark = ".first"; // in the query of a first call, which is answered at once
 
-    constexpr const char* documentNames[] = { "config", "members", "targets" };
+    constexpr const char* documentNames[] = { "config", "members", "targets", "evacuations" };
 
     // The relevant content of a target's entry as text: periodic check-ins give an entry a new
     // revision without changing anything that matters.
@@ -93,6 +93,7 @@
 platform_view::platform_view(context& shared, members& membership)
     : m_context(shared)
     , m_members(membership)
+    , m_evacuations(shared.settings.bounds.evacuation)
 {
 }
 
@@ -101,6 +102,32 @@
     return std::chrono::duration_cast<duration>(m_context.settings.bounds.drain * share);
 }
 
+duration platform_view::readPeriod(document_index index) const
+{
+    if (index == TargetsIndex)
+        return std::min(shareOfDrainBound(listReadShare), maxListReadPeriod);
+    return index == EvacuationsIndex && !mustReadStore() ? m_evacuations.readPeriod() : duration {};
+}
+
+std::string_view platform_view::prefixOf(document_index index)
+{
+    switch (index) {
+    case ConfigIndex:
+        return platform::configKey;
+    case MembersIndex:
+        return dutyPrefix;
+    case TargetsIndex:
+        return platform::targetPrefix;
+    default:
+        return platform::evacuatePrefix;
+    }
+}
+
+bool platform_view::mayServe() const
+{
+    return targetsKnown() && m_evacuations.mayServe(m_documents[EvacuationsIndex].known, m_context.now - m_targetsKnownAt);
+}
+
 // --- From the store ----------------------------------------------------------
 
 void platform_view::scheduleRetry(document& doc) const
@@ -134,7 +161,7 @@
         }
         answeredDoc.reading = false;
         answeredDoc.retryDelay = {};
-        answeredDoc.readAt = askedAt + (index == TargetsIndex ? std::min(shareOfDrainBound(listReadShare), maxListReadPeriod) : duration {});
+        answeredDoc.readAt = askedAt + readPeriod(index);
         updateDocument(index, answer->entries, answer->at, askedAt);
         if (index != TargetsIndex && mustReadStore())
             startWatch(index);
@@ -142,15 +169,16 @@
     if (index == ConfigIndex)
         m_context.store.call(documentNames[index], readKey(std::string(platform::configKey)), onAnswer);
     else
-        m_context.store.list(documentNames[index], std::string(index == MembersIndex ? dutyPrefix : platform::targetPrefix), onAnswer);
+        m_context.store.list(documentNames[index], std::string(prefixOf(index)), onAnswer);
 }
 
 void platform_view::startWatch(document_index index)
 {
     auto& doc = m_documents[index];
-    const auto prefix = index == ConfigIndex ? platform::configKey : dutyPrefix;
-    const auto wait = index == ConfigIndex ? configWatchWait : membersWatchWait;
-    doc.watch = m_context.store.watch(std::string(prefix), doc.at, wait, [this, index](const platform::store_watch_response& response) {
+    auto wait = index == MembersIndex ? membersWatchWait : configWatchWait;
+    if (index == EvacuationsIndex)
+        wait = std::min(wait, std::chrono::duration_cast<std::chrono::milliseconds>(m_evacuations.readPeriod()));
+    doc.watch = m_context.store.watch(std::string(prefixOf(index)), doc.at, wait, [this, index](const platform::store_watch_response& response) {
         auto& watchedDoc = m_documents[index];
         if (response.compacted) {
             watchedDoc.watch = 0; // tick() reads the whole document again
@@ -201,8 +229,8 @@
 std::string platform_view::digests() const
 {
     std::string out;
-    for (const auto& doc : m_documents)
-        out += (out.empty() ? "" : ".") + std::to_string(doc.digest);
+    for (std::size_t i = 0; i < documentCount(); ++i)
+        out += (out.empty() ? "" : ".") + std::to_string(m_documents[i].digest);
     return out;
 }
 
@@ -229,7 +257,7 @@
         std::erase(sources, listen.instances);
     }
     m_source.setSources(std::move(sources), isReader, m_context.now);
-    const bool hasCopy = std::all_of(m_documents.begin(), m_documents.end(), [](const document& doc) { return doc.known; });
+    const bool hasCopy = std::all_of(m_documents.begin(), m_documents.begin() + EvacuationsIndex, [](const document& doc) { return doc.known; });
     m_source.update(!hasCopy || isStale(isReader), hasCopy, m_context.now);
 }
 
@@ -237,6 +265,9 @@
 {
     const auto listAge = m_context.now - m_documents[TargetsIndex].confirmedAt;
     const auto configAge = m_context.now - m_documents[ConfigIndex].confirmedAt;
+    const auto& evacuationsDoc = m_documents[EvacuationsIndex];
+    if (evacuationsDoc.known && m_evacuations.isStale(m_context.now - evacuationsDoc.confirmedAt, isReader))
+        return true;
     return listAge > shareOfDrainBound(isReader ? readerListStaleShare : listStaleShare) || configAge > (isReader ? readerConfigStaleAge : configStaleAge);
 }
 
@@ -273,7 +304,10 @@
     // The ages are as of the source's answer, so the time that it held the call open does not
     // count; only the transit of the answer is neglected.
     bool complete = true;
-    for (std::size_t i = 0; i < DocumentCount; ++i) {
+    m_evacuations.onSourceAnswer(body->isMember(documentNames[EvacuationsIndex]));
+    for (std::size_t i = 0; i < documentCount(); ++i) {
+        if (i == EvacuationsIndex && m_evacuations.readsItself())
+            continue;
         const auto& documentJson = (*body)[documentNames[i]];
         const auto confirmedAt = m_context.now - std::chrono::milliseconds(jsonCount(documentJson, "age_ms"));
         const revision documentRevision(jsonCount(documentJson, "at"));
@@ -281,7 +315,7 @@
             updateDocument(static_cast<document_index>(i), entriesFromJson(jsonList(documentJson, "entries")), documentRevision, confirmedAt);
         else if (documentRevision >= m_documents[i].at)
             m_documents[i].confirmedAt = std::max(m_documents[i].confirmedAt, confirmedAt);
-        complete = complete && m_documents[i].known;
+        complete = complete && (m_documents[i].known || i == EvacuationsIndex);
     }
     m_sourceDigests = jsonText(*body, "versions");
     if (!complete) {
@@ -310,7 +344,7 @@
     knownDigests.resize(std::max<std::size_t>(knownDigests.size(), DocumentCount));
     Json::Value out(Json::objectValue);
     out["versions"] = digests();
-    for (std::size_t i = 0; i < DocumentCount; ++i) {
+    for (std::size_t i = 0; i < documentCount(); ++i) {
         const auto& doc = m_documents[i];
         Json::Value documentJson(Json::objectValue);
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - doc.confirmedAt);
@@ -338,6 +372,8 @@
         m_outageGraceUntil = m_context.now + outageGracePeriod;
         m_storeReturned = true;
     }
+    if (index == TargetsIndex && !doc.known)
+        m_targetsKnownAt = m_context.now;
     doc.entries = std::move(entries);
     doc.at = at;
     doc.known = true;
@@ -349,6 +385,8 @@
         return;
     else if (index == ConfigIndex)
         applyConfig();
+    else if (index == EvacuationsIndex)
+        applyEvacuations();
     else
         m_members.applyEntries(doc.entries);
 }
@@ -374,9 +412,51 @@
         logEvent(log_level::Info, "config", "in_force",
             { { "version", std::to_string(site->version) }, { "routes", std::to_string(site->routes.size()) }, { "accounts", std::to_string(site->accounts.size()) } });
         m_context.site = std::make_shared<const site_config>(std::move(*site));
+        updateDomains();
     }
 }
 
+void platform_view::applyEvacuations()
+{
+    std::vector<evacuation_request> requests;
+    for (const auto& entry : m_documents[EvacuationsIndex].entries)
+        requests.push_back({ entry.key, platform::decodeEvacuation(entry.key) });
+    applyEvacuationChanges(m_evacuations.setRequests(std::move(requests)));
+}
+
+// Failure domains exist that the settings or the services name, or that hold a target.
+void platform_view::updateDomains()
+{
+    if (!m_evacuations.enabled())
+        return;
+    std::set<failure_domain_id> domains;
+    for (const auto& [domain, region] : m_context.settings.placement.regions)
+        domains.emplace(domain);
+    for (const auto& entry : m_targets)
+        domains.insert(entry.listed.failureDomain);
+    if (m_context.site) {
+        for (const auto& [id, service] : m_context.site->services) {
+            for (const auto& [domain, price] : service.prices)
+                domains.insert(domain);
+        }
+    }
+    // A request stays in force if the last target of a failure domain that is not named ends.
+    domains.insert(m_evacuations.inForce().begin(), m_evacuations.inForce().end());
+    applyEvacuationChanges(m_evacuations.setDomains(std::move(domains)));
+}
+
+void platform_view::applyEvacuationChanges(const evacuation_changes& changes)
+{
+    for (const auto& domain : changes.began)
+        logEvent(log_level::Warning, "evacuations", "began", { { "domain", domain.str() } });
+    for (const auto& domain : changes.ended)
+        logEvent(log_level::Info, "evacuations", "ended", { { "domain", domain.str() } });
+    for (const auto& request : changes.ignored)
+        logEvent(log_level::Warning, "evacuations", "ignored", { { "key", request.key }, { "reason", request.domain ? "unknown failure domain" : "malformed key" } });
+    if (!changes.began.empty() || !changes.ended.empty())
+        m_context.targets.setEvacuated(m_evacuations.inForce());
+}
+
 void platform_view::applyTargets()
 {
     const auto& doc = m_documents[TargetsIndex];
@@ -418,8 +498,9 @@
     }
     for (const auto& [id, state] : statesBefore)
         logEvent(log_level::Info, "targets", "gone", { { "target", id.str() } });
-    m_context.targets.applyList(rows, m_context.now);
     m_targets = std::move(entries);
+    updateDomains(); // before the targets may be used
+    m_context.targets.applyList(rows, m_context.now);
 }
 
 // --- Periodic work -----------------------------------------------------------
@@ -432,11 +513,16 @@
         if (m_sourceCall != 0)
             m_context.net.cancel(std::exchange(m_sourceCall, 0));
         m_askedSource.clear();
-        for (const auto index : { MembersIndex, ConfigIndex, TargetsIndex })
-            readFromStore(index);
+        m_evacuations.onSourceLeft();
+        for (const auto index : { MembersIndex, ConfigIndex, EvacuationsIndex, TargetsIndex }) {
+            if (index < documentCount())
+                readFromStore(index);
+        }
     } else {
         stopWatches();
         askSource();
+        if (m_evacuations.readsItself())
+            readFromStore(EvacuationsIndex);
     }
 
     // Step 2. Answer children whose long poll has a change or has timed out.
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -1,7 +1,9 @@
 // This instance's replica of the platform's state: the configuration in force, the list of
 // targets, and the members with their duties.
 //
-// Each of the three is a document, a set of entries of the store. The instances form a tree
+// Each of the three is a document, a set of entries of the store. Where the settings have a bound
+// for evacuations (evacuations.h), the requests for these are a fourth one, which instances of
+// older versions neither ask for nor deliver. The instances form a tree
 // by rendezvous order. Only the root reads the documents from the store; the others long-poll
 // their parent, which answers at once when something changes. So the number of store calls
 // does not grow with the number of instances. view_source decides what an instance does whose
@@ -10,12 +12,14 @@
 
 #include "edge/context.h"
 #include "edge/members.h"
+#include "evacuations.h"
 #include "http/server.h"
 #include "platform/desired_state.h"
 #include "view_source.h"
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +37,11 @@
 
     // Whether a first list of targets was read.
     bool targetsKnown() const { return m_documents[TargetsIndex].known; }
+    // Whether requests may be sent to targets: the first list was read, and so were the evacuations
+    // as far as they can be.
+    bool mayServe() const;
+    // Failure domains that get no new requests.
+    const std::set<failure_domain_id>& evacuated() const { return m_evacuations.inForce(); }
     const std::vector<platform::target_entry>& targets() const { return m_targets; }
     // Our parent and children in the tree. What every instance relays to its neighbours
     // reaches all instances.
@@ -45,6 +54,7 @@
         ConfigIndex,
         MembersIndex,
         TargetsIndex,
+        EvacuationsIndex, // only where there are evacuations
         DocumentCount,
     };
     struct document {
@@ -67,6 +77,10 @@
     };
 
     duration shareOfDrainBound(double share) const;
+    // Number of documents in use; those after them are never read, asked for or delivered.
+    std::size_t documentCount() const { return m_evacuations.enabled() ? DocumentCount : EvacuationsIndex; }
+    duration readPeriod(document_index index) const;
+    static std::string_view prefixOf(document_index index);
 
     // Reading from the store.
     bool mustReadStore() const { return m_source.readsStore(m_context.now); }
@@ -93,11 +107,16 @@
     void updateDocument(document_index index, std::vector<kv_entry> entries, revision at, instant confirmedAt);
     void applyConfig();
     void applyTargets();
+    void applyEvacuations();
+    void updateDomains();
+    void applyEvacuationChanges(const evacuation_changes& changes);
 
     context& m_context;
     members& m_members;
     std::array<document, DocumentCount> m_documents;
     std::vector<platform::target_entry> m_targets;
+    evacuations m_evacuations;
+    instant m_targetsKnownAt {}; // when the first list of targets was read
     std::optional<instant> m_outageGraceUntil; // entries that expired in an outage may be missing until then
     view_source m_source;
     std::uint64_t m_sourceCall = 0; // the open call to the source; 0 = none
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -321,7 +321,7 @@
 void target_link::testPath(const target_id& target, std::function<void(bool reached)> onEnd)
 {
     const auto slot = m_context.targets.table().find(target);
-    if (!slot) {
+    if (!slot || m_context.targets.table().isEvacuated(*slot)) {
         onEnd(false);
         return;
     }
--- a/src/edge/weight_duty.cpp
+++ b/src/edge/weight_duty.cpp
@@ -162,6 +162,8 @@
     m_targetEntries.clear();
     std::map<service_id, std::vector<weight_replica>> replicas;
     for (const auto& entry : m_platformView.targets()) {
+        if (m_platformView.evacuated().contains(entry.listed.failureDomain))
+            continue; // neither orders nor questions are sent there
         m_targetEntries[entry.listed.id] = entry;
         if (entry.listed.state != target_state::Live || entry.models.empty())
             continue;
--- a/src/router.h
+++ b/src/router.h
@@ -125,6 +125,8 @@
     void applyCacheEvent(const target_id& target, const cache_event& event, instant now);
     void advanceState(const target_id& target, incarnation seen, target_state state, instant now);
     void setLabels(const target_id& target, label_map labels);
+    // Targets in these failure domains get no further requests.
+    void setEvacuated(std::set<failure_domain_id> domains) { m_table.setEvacuated(std::move(domains)); }
     void setClass(const routing_class_id& name, target_predicate predicate);
     void removeClass(const routing_class_id& name);
     void setPolicy(policy_kind policy) { m_settings.policy = policy; }
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +36,7 @@
         Url,
         UrlList,
         AddressList, // may be empty
+        TextMap, // a table of texts; may be empty
         Count,
         Size, // "64 KiB"
         Time, // "250ms"
@@ -55,6 +57,7 @@
         std::function<std::int64_t&(Settings&)> number;
         std::function<std::chrono::milliseconds&(Settings&)> time;
         std::function<std::vector<std::string>&(Settings&)> list;
+        std::function<std::map<std::string, std::string>&(Settings&)> textMap {};
     };
 
     template <typename Settings>
@@ -78,6 +81,12 @@
         return { section, key, field_kind::Time, false, minimum, maximum, {}, {}, std::move(where), {} };
     }
 
+    template <typename Settings>
+    field<Settings> textMapField(const char* section, const char* key, std::function<std::map<std::string, std::string>&(Settings&)> where)
+    {
+        return { section, key, field_kind::TextMap, false, 0, 0, {}, {}, {}, {}, std::move(where) };
+    }
+
     struct unit {
         std::string_view name;
         std::int64_t factor;
@@ -157,6 +166,8 @@
             return "a list of one or more URLs that start with http:// or https://";
         case field_kind::AddressList:
             return "a list of texts \"IP:port\"";
+        case field_kind::TextMap:
+            return "a table whose values are texts that are not empty";
         case field_kind::Count:
             return "a whole number from " + std::to_string(f.minimum) + " to " + std::to_string(f.maximum);
         case field_kind::Size:
@@ -207,6 +218,20 @@
             f.list(out) = std::move(texts);
             return true;
         }
+        case field_kind::TextMap: {
+            const auto* entries = node.as_table();
+            if (entries == nullptr)
+                return false;
+            std::map<std::string, std::string> texts;
+            for (const auto& [name, item] : *entries) {
+                const auto one = item.template value_exact<std::string>();
+                if (!one || one->empty())
+                    return false;
+                texts.emplace(name.str(), *one);
+            }
+            f.textMap(out) = std::move(texts);
+            return true;
+        }
         case field_kind::Count: {
             const auto number = node.value_exact<std::int64_t>();
             if (!number || !inRange(*number))
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -159,6 +159,15 @@
     return { *slot, target_change::Updated };
 }
 
+void target_table::setEvacuated(std::set<failure_domain_id> domains)
+{
+    if (domains == m_evacuated)
+        return;
+    m_evacuated = std::move(domains);
+    for (const auto& [id, slot] : m_slotById)
+        updateClasses(slot);
+}
+
 slot_change target_table::setLabels(const target_id& id, label_map labels)
 {
     if (labels.empty())
@@ -252,7 +261,7 @@
     if (slot.value() >= m_slots.size())
         return false;
     const slot_entry& entry = m_slots[slot.value()];
-    return entry.used && !entry.record.absent && !entry.record.leavingInList && entry.record.listed.state == target_state::Live;
+    return entry.used && !m_evacuated.contains(entry.record.listed.failureDomain) && !entry.record.absent && !entry.record.leavingInList && entry.record.listed.state == target_state::Live;
 }
 
 std::vector<target_slot> target_table::all() const
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,9 @@
     // Advances the state of one incarnation; older incarnations are ignored. For a target
     // that is not known yet, the state is kept until its first row arrives.
     slot_change advanceState(const target_id& id, incarnation seen, target_state state, instant now);
+    // Replaces the set of evacuated failure domains: their targets are not live, whatever their
+    // state, until the domain is no longer in the set.
+    void setEvacuated(std::set<failure_domain_id> domains);
     // Operators' labels override listed ones of the same name, for all incarnations; each
     // call replaces the earlier ones. The target need not be known yet.
     slot_change setLabels(const target_id& id, label_map labels);
@@ -131,6 +135,7 @@
     std::optional<target_slot> find(const target_id& id) const;
     const target_record& record(target_slot slot) const;
     bool isLive(target_slot slot) const;
+    bool isEvacuated(target_slot slot) const { return m_evacuated.contains(record(slot).listed.failureDomain); }
     // Number of slots, used and free; all slot numbers are below it.
     std::size_t slotCount() const { return m_slots.size(); }
     std::size_t size() const { return m_slotById.size(); }
@@ -165,6 +170,7 @@
     std::vector<target_slot> m_free;
     std::map<target_id, target_slot> m_slotById; // exactly the used slots
     std::map<target_id, label_map> m_operatorLabels;
+    std::set<failure_domain_id> m_evacuated;
     std::map<target_id, pending_state> m_pendingStates; // of unknown targets only
     std::map<routing_class_id, routing_class> m_classes;
     std::uint64_t m_lastVersion = 0; // never reused, also when a class is removed and set again
