Cold targets get no more than their bound from all instances together

Cause: coldPerS of services and coldRemainingMs of targets were not used.

Change: where the settings have bounds.coldOvershoot, a target that its entry says is cold has a limit of its own beside the one that it may name; a request needs an allowance under both. The limit is shared out like named limits, by separate calls, with short allowances and at a rate that leaves room for two instances that share out at once and for equal shares. Without an answer, instances take turns by the wall clock. Whether a target is cold is part of the digest of the target list where the rule is enabled.

--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -372,7 +372,7 @@
         if (!m_router.table().isLive(slot) || m_router.table().record(slot).listed.pool != pool_id(service.str()))
             continue;
         ++live;
-        if (!isFull(slot, now) && m_router.limits().mayStart(slot, now))
+        if (!isFull(slot, now) && m_router.mayStart(slot, now))
             return false;
     }
     return live > 0;
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -339,7 +339,7 @@
         if (!software.empty() && listed.software() != software)
             continue;
         const auto avoided = item.avoidUntil.find(target);
-        if (!m_router.limits().mayStart(slot, now) || std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
+        if (!m_router.mayStart(slot, now) || std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
             continue;
         const auto pace = paceOf(target, now);
         if (pace && (!best || *pace < *best))
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -233,7 +233,7 @@
             m_streams.onCopies(exchange);
         else if (exchange->path == "/origin")
             m_streams.onQuestion(exchange);
-        else if (exchange->path == "/limits")
+        else if (exchange->path == "/limits" || exchange->path == "/cold-limits")
             m_limits.onPeerRequest(exchange);
         else if (exchange->path == "/relay")
             m_relay.onRequest(exchange);
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -43,6 +43,8 @@
             time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
             time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
             time("bounds", "evacuation", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.evacuation; }),
+            decimalField<s>("bounds", "cold_overshoot", 1, 100, [](s& v) -> double& { return v.bounds.coldOvershoot; }),
+            decimalField<s>("bounds", "cold_slack", 0, 100'000, [](s& v) -> double& { return v.bounds.coldSlack; }),
             textMapField<s>("placement", "regions", [](s& v) -> std::map<std::string, std::string>& { return v.placement.regions; }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -45,6 +45,10 @@
         // A failure domain gets no new requests this long after the store has accepted its
         // evacuation. 0: the deployment has no evacuations, and the store is not read for them.
         std::chrono::milliseconds evacuation { 0 };
+        // A cold target gets at most its service's rate times `coldOvershoot` plus `coldSlack`
+        // requests in any second. 0: the deployment has no limits of cold targets.
+        double coldOvershoot = 0;
+        double coldSlack = 0; // requests
     } bounds;
     struct {
         std::map<std::string, std::string> regions; // region of each failure domain
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -51,7 +51,7 @@
 
     // The relevant content of a target's entry as text: periodic check-ins give an entry a new
     // revision without changing anything that matters.
-    std::string targetText(const kv_entry& entry)
+    std::string targetText(const kv_entry& entry, bool withCold)
     {
         const auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision);
         if (!target)
@@ -63,14 +63,16 @@
             out << ' ' << part;
         for (const auto& [name, value] : listed.labels)
             out << ' ' << name << '=' << value;
+        if (withCold && target->slowStartRemaining.count() > 0)
+            out << " cold"; // how long is left changes with each check-in, and is not needed
         return out.str();
     }
 
-    std::uint64_t digestOf(const std::vector<kv_entry>& entries, bool areTargets)
+    std::uint64_t digestOf(const std::vector<kv_entry>& entries, bool areTargets, bool withCold)
     {
         std::ostringstream out;
         for (const auto& entry : entries)
-            out << entry.key << ' ' << (areTargets ? targetText(entry) : std::to_string(entry.modRevision.value())) << '\n';
+            out << entry.key << ' ' << (areTargets ? targetText(entry, withCold) : std::to_string(entry.modRevision.value())) << '\n';
         const auto text = out.str();
         return XXH64(text.data(), text.size(), entries.size() + 1);
     }
@@ -365,7 +367,7 @@
     if (doc.known && at < doc.at)
         return; // never go back to an older revision
     std::sort(entries.begin(), entries.end(), [](const kv_entry& a, const kv_entry& b) { return a.key < b.key; });
-    const auto digest = digestOf(entries, index == TargetsIndex);
+    const auto digest = digestOf(entries, index == TargetsIndex, m_context.settings.bounds.coldOvershoot > 0);
     const bool unchanged = doc.known && digest == doc.digest;
     // An outage shows as a gap between confirmations, whether or not the list changed.
     if (index == TargetsIndex && doc.known && confirmedAt - doc.confirmedAt > outageThreshold) {
@@ -413,6 +415,22 @@
             { { "version", std::to_string(site->version) }, { "routes", std::to_string(site->routes.size()) }, { "accounts", std::to_string(site->accounts.size()) } });
         m_context.site = std::make_shared<const site_config>(std::move(*site));
         updateDomains();
+        applyColdLimits();
+    }
+}
+
+void platform_view::applyColdLimits()
+{
+    const auto& bounds = m_context.settings.bounds;
+    if (bounds.coldOvershoot == 0 || !m_context.site)
+        return;
+    for (const auto& entry : m_targets) {
+        const auto* service = m_context.site->service(entry.service);
+        std::optional<double> perSecond;
+        if (service != nullptr && service->coldPerSecond > 0 && entry.slowStartRemaining.count() > 0)
+            perSecond = sharedColdRate({ service->coldPerSecond, bounds.coldOvershoot, bounds.coldSlack });
+        if (m_context.targets.setColdLimit(entry.listed.id, perSecond, m_context.now))
+            logEvent(log_level::Info, "targets", perSecond ? "cold" : "warm", { { "target", entry.listed.id.str() } });
     }
 }
 
@@ -501,6 +519,7 @@
     m_targets = std::move(entries);
     updateDomains(); // before the targets may be used
     m_context.targets.applyList(rows, m_context.now);
+    applyColdLimits();
 }
 
 // --- Periodic work -----------------------------------------------------------
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -107,6 +107,8 @@
     void updateDocument(document_index index, std::vector<kv_entry> entries, revision at, instant confirmedAt);
     void applyConfig();
     void applyTargets();
+    // Sets the limits of cold targets, by the list and the configuration.
+    void applyColdLimits();
     void applyEvacuations();
     void updateDomains();
     void applyEvacuationChanges(const evacuation_changes& changes);
--- a/src/edge/target_limits.h
+++ b/src/edge/target_limits.h
@@ -1,6 +1,10 @@
-// Limits that targets name in their answers, kept by all instances together (request_limits.h):
-// asks for allowances, and gives them out for the pools that this instance is chosen for. Logs
-// each limit and, while it holds, what this instance sends to the target.
+// Limits that targets name in their answers, and limits of cold targets, kept by all instances
+// together (request_limits.h): asks for allowances, and gives them out for the pools that this
+// instance is chosen for. Logs each named limit and, while a limit holds, what this instance sends
+// to the target.
+//
+// The two kinds are asked for by separate calls: an instance of an older version shares out named
+// limits only, and counts as silent for the others.
 #pragma once
 
 #include "edge/context.h"
@@ -12,6 +16,7 @@
 #include <array>
 #include <json/value.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,20 +55,30 @@
         duration age {}; // of the limit
     };
 
+    struct limit_kind {
+        const char* path; // of the calls
+        request_limits& enforced;
+        limit_allocator shared; // for all instances
+        limit_allocator own; // named limits: for this instance alone, of its equal part
+        std::map<instance_id, instant> silentUntil {}; // members that did not answer; others are asked until then
+        std::map<target_id, std::optional<wall_time>> lastTurns {}; // cold limits: of this instance, while nobody shares them out
+    };
+
     // The instance that shares out the limits of a pool, of those that answered lately; null if
     // neither of the first two did, so that this instance has to go by itself.
-    std::optional<instance_id> allocatorFor(const pool_id& pool) const;
-    void askForAllowances();
-    void sendAsks(const instance_id& allocator, const std::vector<ask>& asks);
-    void onAllowances(const instance_id& allocator, const std::vector<ask>& asks, instant askedAt, const http::answer& answer);
-    void apply(const ask& asked, const allowance& given, instant askedAt);
+    std::optional<instance_id> allocatorFor(const limit_kind& kind, const pool_id& pool) const;
+    // What this instance may take without being told.
+    allowance ownPart(limit_kind& kind, const ask& asked);
+    void askForAllowances(limit_kind& kind);
+    void sendAsks(limit_kind& kind, const instance_id& allocator, const std::vector<ask>& asks);
+    void onAllowances(limit_kind& kind, const instance_id& allocator, const std::vector<ask>& asks, instant askedAt, const http::answer& answer);
+    void apply(limit_kind& kind, const ask& asked, const allowance& given, instant askedAt);
     void logSends();
 
     context& m_context;
     members& m_members;
-    limit_allocator m_allocator; // for all instances
-    limit_allocator m_ownAllocator; // for this instance alone, of its equal part
-    std::map<instance_id, instant> m_silentUntil; // members that did not answer; others are asked until then
+    limit_kind m_named;
+    limit_kind m_cold;
     std::map<target_id, send_counts> m_sends; // to targets with a limit, since the last log line
     instant m_nextLog {};
 };
--- a/src/request_limits.cpp
+++ b/src/request_limits.cpp
@@ -14,6 +14,45 @@
 
 } // namespace
 
+request_limit_settings coldLimitSettings()
+{
+    request_limit_settings out;
+    out.allowanceLifetime = std::chrono::milliseconds(200);
+    out.allowanceSpan = std::chrono::milliseconds(100);
+    out.burstSpan = std::chrono::milliseconds(100);
+    return out;
+}
+
+double sharedColdRate(const cold_bound& bound)
+{
+    // Requests in a second: what each of the two gives out in it and in the lifetime before, what it
+    // had saved up, and the turns of the instances.
+    constexpr double allocators = 2;
+    constexpr double minShareOfBound = 0.1; // a bound of a few requests leaves nothing for bursts
+    const auto settings = coldLimitSettings();
+    const double seconds = allocators * (1 + secondsOf(settings.allowanceLifetime) + secondsOf(settings.burstSpan)) + 1 + secondsOf(settings.allowanceLifetime);
+    const double bursts = allocators + 1;
+    const double most = bound.requestsInAnySecond();
+    return std::min(bound.perSecond, std::max((most - bursts) / seconds, most * minShareOfBound));
+}
+
+allowance takeTurn(double perSecond, std::size_t rank, std::size_t count, wall_time now, std::optional<wall_time>& lastTurn)
+{
+    const double period = static_cast<double>(count) / perSecond;
+    const double sinceEpoch = std::chrono::duration<double>(now.time_since_epoch()).count();
+    const double sinceTurn = std::fmod(sinceEpoch + period - static_cast<double>(rank) / perSecond, period);
+    const bool isTurn = sinceTurn < 1 / perSecond;
+    const bool taken = lastTurn && now >= *lastTurn && std::chrono::duration<double>(now - *lastTurn).count() <= sinceTurn;
+    allowance out;
+    out.sharePerSecond = perSecond / static_cast<double>(count);
+    if (isTurn && !taken) {
+        lastTurn = now;
+        out.requests = 1;
+    }
+    out.askAgainIn = std::min(spanOf(period - sinceTurn), duration(std::chrono::seconds(1)));
+    return out;
+}
+
 request_limits::request_limits(request_limit_settings settings)
     : m_settings(settings)
 {
--- a/src/request_limits.h
+++ b/src/request_limits.h
@@ -1,4 +1,5 @@
-// Limits that targets name: the requests per second that one takes from all instances together.
+// Limits of targets: the requests per second that one takes from all instances together, as it
+// names in its answers, or while it is cold.
 //
 // One instance shares a limit out. Each of the others asks it for allowances while it has
 // requests for the target; an allowance is a number of requests to be sent within a second. So
@@ -34,6 +35,29 @@
     double sharePerSecond = 0; // of the instance, while as many ask as now
 };
 
+// What a cold target may get in any second, from all instances together.
+struct cold_bound {
+    double perSecond = 0; // its rate; 0: no limit
+    double overshoot = 1; // factor
+    double slack = 0; // requests beyond that
+
+    double requestsInAnySecond() const { return perSecond * overshoot + slack; }
+};
+
+// The settings under which limits of cold targets are shared out: allowances live for a short time,
+// so that few are open when the instance that shares out changes.
+request_limit_settings coldLimitSettings();
+
+// The rate that may be shared out so that the bound holds while two instances share it out at once,
+// as their lists of members differ, and each instance also takes its equal share.
+double sharedColdRate(const cold_bound& bound);
+
+// The equal share of an instance while nobody shares a limit out: one request in each of its turns.
+// The turns of the instances follow each other by the wall clock, so that the requests of all are
+// spread evenly without messages. `rank` is its position among the `count` instances. `lastTurn` is
+// when it was given a request last.
+allowance takeTurn(double perSecond, std::size_t rank, std::size_t count, wall_time now, std::optional<wall_time>& lastTurn);
+
 enum class limit_change {
     None,
     Named, // for the first time, or another number than before
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <set>
 #include <xxhash.h>
 
@@ -89,6 +90,7 @@
     , m_load(m_settings.load)
     , m_prefixes(m_settings.prefixes)
     , m_health(m_settings.health)
+    , m_coldLimits(coldLimitSettings())
 {
 }
 
@@ -134,10 +136,22 @@
     return m_limits.observe(*slot, perSecond, sentAt, now);
 }
 
+bool router::setColdLimit(const target_id& target, std::optional<double> perSecond, instant now)
+{
+    const auto slot = m_table.find(target);
+    if (!slot || m_coldLimits.limitOf(*slot) == perSecond)
+        return false;
+    m_coldLimits.observe(*slot, perSecond, now, now);
+    return true;
+}
+
 void router::sentBeside(const target_id& target, instant now)
 {
-    if (const auto slot = m_table.find(target))
-        m_limits.started(*slot, now);
+    const auto slot = m_table.find(target);
+    if (!slot)
+        return;
+    m_limits.started(*slot, now);
+    m_coldLimits.started(*slot, now);
 }
 
 void router::setLabels(const target_id& target, label_map labels)
@@ -173,6 +187,7 @@
         m_health.onTargetRemoved(change.slot);
         m_prefixes.clear(change.slot);
         m_limits.reset(change.slot);
+        m_coldLimits.reset(change.slot);
         m_load.reset(change.slot, m_table.record(change.slot).listed.kind);
     }
     const listed_target& listed = m_table.record(change.slot).listed;
@@ -202,8 +217,12 @@
     seeded_random random(request.seed);
     selection chosen { request, {}, {}, false, {}, 0, 0, {} };
     auto decision = chooseFrom(chosen, random, now);
-    for (const auto slot : chosen.limited)
-        m_limits.want(slot);
+    for (const auto slot : chosen.limited) {
+        if (!m_limits.mayStart(slot, now))
+            m_limits.want(slot);
+        if (!m_coldLimits.mayStart(slot, now))
+            m_coldLimits.want(slot);
+    }
     return decision;
 }
 
@@ -293,6 +312,7 @@
     m_load.recordSent(attempt, choice.slot, { request.promptTokens - cached, request.expectedTokens }, now);
     m_health.recordSent(choice.slot, now);
     m_limits.started(choice.slot, now);
+    m_coldLimits.started(choice.slot, now);
     if (choice.kind == target_kind::Engine)
         m_prefixes.recordSent(choice.slot, request.promptBlocks, now);
 }
@@ -424,7 +444,7 @@
     const double weight = m_health.weight(slot, now);
     if (weight <= 0 && !chosen.ignoreHealth)
         return;
-    if (!m_limits.mayStart(slot, now)) {
+    if (!mayStart(slot, now)) {
         chosen.limited.push_back(slot);
         return;
     }
@@ -539,7 +559,7 @@
     if (!chosen.limited.empty()) {
         double perSecond = 0;
         for (const target_slot slot : std::set<target_slot>(chosen.limited.begin(), chosen.limited.end()))
-            perSecond += m_limits.shareOf(slot);
+            perSecond += shareOfLimits(slot);
         return { no_route_reason::RateLimited, std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / perSecond)) };
     }
     if (chosen.barredCheapCount > 0)
@@ -549,6 +569,17 @@
     return { no_route_reason::NoLiveTarget, noTargetRetryAfter };
 }
 
+// What this instance may send to a target that has one limit or both, per second.
+double router::shareOfLimits(target_slot slot) const
+{
+    double out = std::numeric_limits<double>::infinity();
+    for (const auto* limits : { &m_limits, &m_coldLimits }) {
+        if (limits->limitOf(slot))
+            out = std::min(out, limits->shareOf(slot));
+    }
+    return out;
+}
+
 route_choice router::makeChoice(const selection& chosen, const routing_candidate& candidate, route_reason reason) const
 {
     assert(m_table.isAllowed(chosen.request.routingClass, candidate.slot));
--- a/src/router.h
+++ b/src/router.h
@@ -133,10 +133,15 @@
     // The limit that a target names in the answer to a request sent at `sentAt`; empty if it names
     // none. Answers of an earlier incarnation are ignored.
     limit_change applyLimit(const target_id& target, incarnation seen, std::optional<double> perSecond, instant sentAt, instant now);
+    // The limit of a cold target; empty if it is not cold or has none. True if that changed.
+    bool setColdLimit(const target_id& target, std::optional<double> perSecond, instant now);
     // A request that was sent without choose(), such as an order.
     void sentBeside(const target_id& target, instant now);
     request_limits& limits() { return m_limits; }
     const request_limits& limits() const { return m_limits; }
+    request_limits& coldLimits() { return m_coldLimits; }
+    // Whether both limits allow a request to the target now.
+    bool mayStart(target_slot slot, instant now) const { return m_limits.mayStart(slot, now) && m_coldLimits.mayStart(slot, now); }
     // Expires targets; call about once a second.
     void tick(instant now);
 
@@ -204,6 +209,7 @@
     no_route noRouteFor(const selection& chosen) const;
     route_choice makeChoice(const selection& chosen, const routing_candidate& candidate, route_reason reason) const;
     static exposure_key exposureKey(const route_request& request, const failure_domain_id& domain);
+    double shareOfLimits(target_slot slot) const;
     bool mayUseTarget(const route_request& request, const target_record& record) const;
 
     router_settings m_settings;
@@ -211,7 +217,8 @@
     load_tracker m_load;
     prefix_index m_prefixes;
     health_monitor m_health;
-    request_limits m_limits;
+    request_limits m_limits; // that targets name
+    request_limits m_coldLimits; // of targets while they are cold; the lower of both applies
     policy_set m_policies;
     std::vector<std::uint32_t> m_generations; // by slot; incremented when another target or incarnation takes the slot
     std::map<routing_class_id, class_cache> m_caches;
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -36,6 +36,7 @@
         Url,
         UrlList,
         AddressList, // may be empty
+        Decimal, // a number, whole or not
         TextMap, // a table of texts; may be empty
         Count,
         Size, // "64 KiB"
@@ -50,7 +51,7 @@
         const char* key;
         field_kind kind;
         bool required;
-        std::int64_t minimum; // count, bytes or milliseconds
+        std::int64_t minimum; // number, count, bytes or milliseconds
         std::int64_t maximum;
         // Where to store the value; only the one for the field's kind is set.
         std::function<std::string&(Settings&)> text;
@@ -58,6 +59,7 @@
         std::function<std::chrono::milliseconds&(Settings&)> time;
         std::function<std::vector<std::string>&(Settings&)> list;
         std::function<std::map<std::string, std::string>&(Settings&)> textMap {};
+        std::function<double&(Settings&)> decimal {};
     };
 
     template <typename Settings>
@@ -84,7 +86,13 @@
     template <typename Settings>
     field<Settings> textMapField(const char* section, const char* key, std::function<std::map<std::string, std::string>&(Settings&)> where)
     {
-        return { section, key, field_kind::TextMap, false, 0, 0, {}, {}, {}, {}, std::move(where) };
+        return { section, key, field_kind::TextMap, false, 0, 0, {}, {}, {}, {}, std::move(where), {} };
+    }
+
+    template <typename Settings>
+    field<Settings> decimalField(const char* section, const char* key, std::int64_t minimum, std::int64_t maximum, std::function<double&(Settings&)> where)
+    {
+        return { section, key, field_kind::Decimal, false, minimum, maximum, {}, {}, {}, {}, {}, std::move(where) };
     }
 
     struct unit {
@@ -166,6 +174,8 @@
             return "a list of one or more URLs that start with http:// or https://";
         case field_kind::AddressList:
             return "a list of texts \"IP:port\"";
+        case field_kind::Decimal:
+            return "a number from " + std::to_string(f.minimum) + " to " + std::to_string(f.maximum);
         case field_kind::TextMap:
             return "a table whose values are texts that are not empty";
         case field_kind::Count:
@@ -218,6 +228,14 @@
             f.list(out) = std::move(texts);
             return true;
         }
+        case field_kind::Decimal: {
+            const auto number = node.value<double>();
+            const bool isInRange = number && node.is_number() && *number >= static_cast<double>(f.minimum) && *number <= static_cast<double>(f.maximum);
+            if (!isInRange)
+                return false;
+            f.decimal(out) = *number;
+            return true;
+        }
         case field_kind::TextMap: {
             const auto* entries = node.as_table();
             if (entries == nullptr)
--- a/src/site.h
+++ b/src/site.h
@@ -58,6 +58,7 @@
     std::uint32_t minTargets = 0;
     std::uint32_t maxTargets = 0;
     duration startUp {};
+    double coldPerSecond = 0; // requests per second that a cold target takes from all instances; 0: no limit
     std::map<failure_domain_id, double> prices; // per target and second
     double spotPrice = 1; // as a fraction of the price
 };
