Engine pools that are short of slots are shared between trainers, whole steps first

Cause: owners of batches sent as much as they liked. After an outage of 7 s on deployment A all trainers had two open batches, every one advanced at the same rate, and nearly all were late. Change: the holder of the duty over targets divides a pool whose demand exceeds its slots (src/pool_shares.h): floors, urgency classes, and in a class the step that can still be in time. Shares are in the answers to the demand reports (src/demand_codec.h) and expire after 1.5 s; reports without the new fields are counted and not limited. An owner keeps its running items within its share, sends required groups before the rest and decides once which batch is late (src/batch_contention.cpp). Items carry Request-Priority where the priorities of an engine service differ. Nothing changes while all items find slots.

--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -1,5 +1,6 @@
 // Adding, ending and handing over batches, texts kept for later batches, and the timer;
-// see batch_runner.h. Runs are in batch_runs.cpp, judging and pages in batch_pages.cpp.
+// see batch_runner.h. Runs are in batch_runs.cpp, judging and pages in batch_pages.cpp, what happens
+// when slots are short in batch_contention.cpp.
 #include "batch_runner.h"
 
 #include "json_text.h"
@@ -338,33 +339,6 @@
     return takeActions();
 }
 
-std::vector<model_demand> batch_runner::demand(instant now) const
-{
-    std::map<std::pair<service_id, model_id>, model_demand> byModel;
-    for (const auto& [id, batch] : m_batches) {
-        if (batch.ended)
-            continue;
-        const auto& service = batch.route.services.front().service;
-        auto& modelDemand = byModel[{ service, batch.spec.model }];
-        modelDemand.service = service;
-        modelDemand.model = batch.spec.model;
-        if (modelDemand.work == 0 || batch.spec.minVersion >= modelDemand.minVersion) {
-            modelDemand.work = 0;
-            for (const auto& item : batch.spec.items)
-                modelDemand.work += item.expectedTokens.count();
-        }
-        modelDemand.minVersion = std::max(modelDemand.minVersion, batch.spec.minVersion);
-        modelDemand.running += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.stage == item_stage::Running; }));
-        if (isServiceFull(service, now))
-            modelDemand.queued += static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.stage == item_stage::Waiting; }));
-    }
-    std::vector<model_demand> out;
-    out.reserve(byModel.size());
-    for (auto& [key, modelDemand] : byModel)
-        out.push_back(std::move(modelDemand));
-    return out;
-}
-
 bool batch_runner::isServiceFull(const service_id& service, instant now) const
 {
     std::size_t live = 0;
@@ -434,8 +408,13 @@
             byDue.push_back(&batch);
     }
     std::sort(byDue.begin(), byDue.end(), [](const batch_state* a, const batch_state* b) { return a->dueAt < b->dueAt; });
+    const bool contended = isContended(byDue, now);
+    decideLate(byDue, contended, now);
+    if (contended)
+        dispatchContended(byDue, now);
     for (auto* batch : byDue) {
-        dispatch(*batch, now);
+        if (!contended)
+            dispatch(*batch, now);
         for (std::size_t i = 0; i < batch->items.size(); ++i) {
             auto& item = batch->items[i];
             if (item.stage == item_stage::AwaitingJudge && now >= item.retryAt)
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "batch.h"
+#include "pool_shares.h"
 #include "router.h"
 #include "types.h"
 
@@ -96,7 +97,15 @@
     batch_id batch;
     partial_texts texts;
 };
-using batch_action = std::variant<run_item, cancel_run, judge_item, write_page, save_texts>;
+// For the log: the decision that a batch will be late, or is to be in time again.
+struct note_late {
+    batch_id batch;
+    bool late = false;
+    double work = 0; // left, in seconds of one slot
+    duration timeLeft {};
+    std::size_t competing = 0; // open batches that share the slots, this one included
+};
+using batch_action = std::variant<run_item, cancel_run, judge_item, write_page, save_texts, note_late>;
 
 enum class judge_outcome {
     Scored,
@@ -143,6 +152,8 @@
     // Not shorter, as each write costs a call and most items finish sooner.
     duration saveInterval = std::chrono::milliseconds(2500);
     std::size_t pageBytes = 500'000; // of text in one page; a value in the store holds a megabyte
+    // Between decisions which batch will be late: the inputs change as items end, about ten in this time.
+    duration lateDecisionInterval = std::chrono::milliseconds(100);
     std::uint32_t defaultSlots = 8; // concurrent requests at a replica that doesn't state its slots
 };
 
@@ -161,9 +172,11 @@
     std::uint64_t reused = 0; // texts taken over from an earlier batch
     std::uint64_t begunAnew = 0; // texts dropped as no target with their software could go on
     std::uint64_t saved = 0; // unfinished texts stored
+    std::uint64_t late = 0; // batches that gave way to others, as not all could be in time
+    std::uint64_t held = 0; // ticks in which a model's items waited only because it held its share
 };
 
-// Load of one model; input of the decision which replicas serve it.
+// Load of one model; input of the decisions which replicas serve it and which share of a pool it gets.
 struct model_demand {
     service_id service;
     model_id model;
@@ -173,6 +186,17 @@
     // weights. Items that wait for weights are not helped by more targets.
     std::size_t queued = 0;
     std::uint64_t work = 0; // expected tokens of all items of the newest batch
+
+    // For the shares of a pool; see slot_claim.
+    bool knowsShares = true; // false: reported by an older version, without the fields below
+    std::int32_t priority = 0; // of the most urgent route and account
+    std::size_t waiting = 0; // items that targets could run, whether or not they are full
+    std::size_t urgent = 0; // items that count for batches that are not late, and running ones
+    // Of the batch due first, if possible one that is not late: time left to send its items, time
+    // that they take on one slot, and groups that its trainer still waits for.
+    std::optional<duration> timeLeft;
+    duration slotTime {};
+    std::uint32_t groups = 0;
 };
 
 class batch_runner {
@@ -208,6 +232,8 @@
     const batch_item* unlistedItem(const batch_id& id, const item_id& item) const;
     std::vector<batch_id> all() const;
     std::vector<model_demand> demand(instant now) const;
+    // Limits the running items of these models until the given time; see share_lease::apply().
+    void setShares(std::uint64_t request, std::map<share_key, leased_slots> shares, instant until);
 
     // --- Runs: head, events and end of the answer to an attempt.
     std::vector<batch_action> head(attempt_id attempt, const item_head& head, instant now);
@@ -273,6 +299,14 @@
         instant nextSave {}; // earliest next write of partial texts
         bool writesDeferred = false; // no writes: accept() was not called yet
         bool ended = false;
+        bool late = false; // gives way to other batches; only while items wait for slots
+    };
+    // What is left of a batch for its trainer to go on.
+    struct batch_need {
+        std::size_t open = 0; // items waiting and running
+        double work = 0; // in seconds of one slot; 0 if no run has ended yet
+        std::size_t groups = 0;
+        duration timeLeft {}; // to send the last item
     };
     struct open_run {
         batch_id batch;
@@ -308,7 +342,19 @@
     std::vector<target_id> fullTargets(batch_state& batch, instant now) const;
     route_decision chooseTarget(const batch_state& batch, const item_state& item, route_request& routeRequest, const std::vector<target_id>& full, instant now);
     static void dropText(item_state& item);
-    void dispatch(batch_state& batch, instant now);
+    // Sends waiting items in order, only the marked ones if there are marks.
+    void dispatch(batch_state& batch, instant now, const std::vector<bool>& marked = {});
+    static share_key shareKey(const batch_state& batch);
+    std::size_t runningOf(const share_key& key) const;
+    std::uint32_t slotsOf(target_slot slot) const;
+    std::size_t freeSlots(const service_id& service, std::size_t enough, instant now) const;
+    static std::vector<bool> requiredItems(const batch_state& batch);
+    batch_need needOf(const batch_state& batch, instant now) const;
+    bool isContended(const std::vector<batch_state*>& batches, instant now) const;
+    void decideLate(const std::vector<batch_state*>& batches, bool contended, instant now);
+    void setLate(batch_state& batch, bool late, const slot_job& job, std::size_t competing);
+    void dispatchContended(std::vector<batch_state*> byDue, instant now);
+    void learnPace(const batch_state& batch, const open_run& run, instant now);
     bool send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now);
     void endRun(attempt_id attempt, attempt_outcome outcome, instant now);
     void delayRetry(item_state& item, duration pause, instant now);
@@ -331,6 +377,9 @@
     std::map<batch_id, batch_state> m_batches;
     std::map<attempt_id, open_run> m_runs; // exactly the items that are Running
     std::map<target_id, target_pace> m_paces;
+    std::map<service_id, double> m_secondsPerToken; // of runs, for each expected token; moving average
+    share_lease m_lease;
+    instant m_nextLateDecision {};
     struct kept_text {
         partial_text generated;
         instant until {};
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -18,12 +18,16 @@
 
 } // namespace
 
-bool batch_runner::isFull(target_slot slot, instant now) const
+std::uint32_t batch_runner::slotsOf(target_slot slot) const
 {
     const auto stated = labelNumber(m_router.table().record(slot).listed.labels, "slots");
-    const auto slots = stated == 0 ? m_settings.defaultSlots : stated;
+    return stated == 0 ? m_settings.defaultSlots : stated;
+}
+
+bool batch_runner::isFull(target_slot slot, instant now) const
+{
     const auto load = m_router.load().view(slot, now);
-    return load.ownRequests + load.otherRequests >= slots;
+    return load.ownRequests + load.otherRequests >= slotsOf(slot);
 }
 
 // Replicas with all slots taken, or that have just refused an item of this batch.
@@ -40,21 +44,29 @@
     return out;
 }
 
-void batch_runner::dispatch(batch_state& batch, instant now)
+void batch_runner::dispatch(batch_state& batch, instant now, const std::vector<bool>& marked)
 {
     if (batch.ended)
         return;
     auto full = fullTargets(batch, now);
+    const auto limit = m_lease.limit(shareKey(batch), now);
+    auto running = limit ? runningOf(shareKey(batch)) : 0;
     for (const auto index : batch.order) {
         auto& item = batch.items[index];
-        if (item.stage != item_stage::Waiting || now < item.retryAt)
+        if (item.stage != item_stage::Waiting || now < item.retryAt || (!marked.empty() && !marked[index]))
             continue;
         if (now >= batch.itemDeadline) {
             finishItem(batch, index, false, {}, now);
             continue;
         }
+        // An item that was moved held a slot of the share already.
+        if (limit && running >= *limit && item.moves == 0) {
+            m_counts.held += marked.empty() ? 1 : 0;
+            return;
+        }
         if (!send(batch, index, full, now))
             return; // no free slot; a later item must not overtake this one
+        running += item.stage == item_stage::Running ? 1 : 0;
         full = fullTargets(batch, now);
     }
 }
@@ -281,6 +293,7 @@
         item.avoidUntil[run.target] = now + (sent ? m_settings.avoidAfterFailure : m_settings.avoidUntilRefresh);
     } else if (run.accepted && !item.generated.data.empty()) {
         // Step 2. The text is complete.
+        learnPace(batch, run, now);
         endRun(attempt, attempt_outcome::Success, now);
         finishText(batch, run.index, now);
     } else if (run.head.notRun) {
@@ -301,6 +314,19 @@
     return takeActions();
 }
 
+// Learns how long an expected token takes; callers' estimates may be wrong by a constant factor.
+void batch_runner::learnPace(const batch_state& batch, const open_run& run, instant now)
+{
+    constexpr double paceSmoothing = 0.05; // in the moving average: a step has about a hundred items
+    const auto expected = static_cast<double>(batch.spec.items[run.index].expectedTokens.count());
+    const auto tokens = expected - static_cast<double>(run.resumedFrom) * batch.tokensPerEvent;
+    if (tokens < expected / 2 || expected == 0)
+        return; // a short rest says little
+    const double seconds = std::chrono::duration<double>(now - run.sentAt).count() / tokens;
+    const auto [known, isFirst] = m_secondsPerToken.try_emplace(batch.route.services.front().service, seconds);
+    known->second += isFirst ? 0 : (seconds - known->second) * paceSmoothing;
+}
+
 duration batch_runner::open_run::pace(std::size_t minEvents) const
 {
     return events < std::max<std::size_t>(minEvents, 2) ? duration {} : (lastReceivedAt - firstEventAt) / static_cast<std::int64_t>(events - 1);
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -193,7 +193,9 @@
     if (headRevision != revision())
         sendOwnerHint(head);
     const auto* service = m_context.site->service(route->services.front().service);
-    m_runner.add(std::move(*spec), *route, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
+    auto effectiveRoute = *route;
+    effectiveRoute.priority = m_context.site->priorityOf(*route, head.account);
+    m_runner.add(std::move(*spec), effectiveRoute, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
     return true;
 }
 
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "batch_runner.h"
+#include "demand_codec.h"
 #include "edge/caller_frontend.h"
 #include "edge/members.h"
 #include "edge/target_limits.h"
@@ -43,6 +44,7 @@
     bool allHandedOver() const;
     const batch_run_counts& counts() const { return m_runner.counts(); }
     std::vector<model_demand> demand() const { return m_runner.demand(m_context.now); }
+    void setShares(std::uint64_t request, const granted_shares& granted, instant sentAt) { m_runner.setShares(request, granted.shares, sentAt + granted.validity); }
     std::size_t openCount() const;
 
 private:
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -13,6 +13,20 @@
     // Judges answer within 0.5 s, so this leaves time for the retries that their route allows.
     constexpr duration judgeDeadline = std::chrono::milliseconds(2500);
 
+    constexpr double msPerSecond = 1000;
+
+    // The priority that an engine is told; empty where all its requests have the same.
+    std::optional<std::int32_t> itemPriority(const site_config& site, const batch_spec& spec)
+    {
+        const auto* route = site.find(spec.host, spec.path);
+        if (route == nullptr || route->services.empty())
+            return std::nullopt;
+        const auto* service = site.service(route->services.front().service);
+        if (service == nullptr || !service->engine || !site.prioritiesDiffer(service->id))
+            return std::nullopt;
+        return site.priorityOf(*route, spec.account);
+    }
+
     bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -37,6 +51,11 @@
             writePage(*page);
         else if (const auto* texts = std::get_if<save_texts>(&action))
             saveTexts(*texts);
+        else if (const auto* note = std::get_if<note_late>(&action)) {
+            logEvent(log_level::Info, "batch", note->late ? "late" : "not_late",
+                { { "batch", note->batch.str() }, { "slot_ms", std::to_string(static_cast<std::int64_t>(note->work * msPerSecond)) },
+                    { "left_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(note->timeLeft).count()) }, { "competing", std::to_string(note->competing) } });
+        }
     }
 }
 
@@ -53,6 +72,8 @@
     call.lastEventId = action.lastEventId;
     call.expectVersion = action.expectVersion;
     call.forwarded = item.headers;
+    if (m_context.site)
+        call.priority = itemPriority(*m_context.site, *spec);
 
     http::request request;
     request.method = "POST";
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -96,7 +96,7 @@
             , m_frontend(m_context, m_link, m_usage, m_blameMarks, m_departures, m_limits, m_streams)
             , m_relay(m_context, m_link, [this](const target_id& target, incarnation number, const platform::target_head& head, instant sentAt) { m_frontend.recordTargetState(target, number, head, sentAt); })
             , m_batches(m_context, m_link, m_members, m_frontend, m_limits)
-            , m_demand(m_context, m_members)
+            , m_demand(m_context, m_members, [this](std::uint64_t request, const granted_shares& granted, instant sentAt) { m_batches.setShares(request, granted, sentAt); })
             , m_weights(m_context, m_link, m_members, m_platformView, m_demand, m_departures, m_limits)
             , m_capacity(m_context, m_members, m_platformView, m_demand)
         {
@@ -340,7 +340,8 @@
         m_targets.tick(m_context.now);
         m_frontend.tick();
         m_batches.tick();
-        m_demand.report(m_batches.demand());
+        if (m_demand.isReportDue())
+            m_demand.report(m_batches.demand());
         m_weights.tick();
         m_capacity.tick();
         m_usage.tick();
@@ -365,7 +366,7 @@
             reloadIfFileChanged();
         if (m_context.now >= m_nextStoreCallsLog)
             logStoreCalls();
-        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount() });
+        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount(), &m_demand.shares() });
         if (ready() != m_wasReady) {
             m_wasReady = ready();
             logEvent(log_level::Info, "main", m_wasReady ? "ready" : "not_ready");
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -27,6 +27,22 @@
             family.Add({ { label, series.label } }).Increment(static_cast<double>(series.value));
     }
 
+    // Slots that each model gets of a pool that is short of them, and those that it wants.
+    void addShares(prometheus::Registry& registry, const std::map<service_id, std::vector<slot_share>>& shares)
+    {
+        auto& family = prometheus::BuildGauge().Name("lovagerail_pool_share_slots").Help("Slots of pools that are short of them, by model").Register(registry);
+        for (const auto& [service, models] : shares) {
+            for (const auto& share : models) {
+                const auto set = [&](const char* what, std::size_t slots) {
+                    family.Add({ { "service", service.str() }, { "model", share.model.str() }, { "owner", share.owner.str() }, { "behind", share.behind.str() }, { "what", what } }).Set(static_cast<double>(slots));
+                };
+                set("share", share.slots);
+                set("fair", share.fair);
+                set("wanted", share.wanted);
+            }
+        }
+    }
+
 } // namespace
 
 void metrics_page::answer(const http::exchange_ptr& exchange) const
@@ -42,9 +58,12 @@
         add(registry, "lovagerail_items_total", "Runs and results of batch items", "what",
             { { "runs", b.runs }, { "resumed", b.resumed }, { "refused", b.refused }, { "broken", b.broken }, { "stalled", b.stalled }, { "moved", b.moved }, { "wrong_version", b.wrongVersion },
                 { "completed", b.completed }, { "abandoned", b.abandoned }, { "reused", b.reused }, { "begun_anew", b.begunAnew }, { "stored", b.saved } });
+        add(registry, "lovagerail_contention_total", "Batches that gave way to others, and ticks in which items waited only for their model's share", "what", { { "late", b.late }, { "held", b.held } });
         auto& calls = prometheus::BuildCounter().Name("lovagerail_store_calls_total").Help("Calls to the store by cause").Register(registry);
         for (const auto& [cause, count] : m_view->storeCalls)
             calls.Add({ { "cause", cause } }).Increment(static_cast<double>(count));
+        if (m_view->shares != nullptr)
+            addShares(registry, *m_view->shares);
         prometheus::BuildGauge().Name("lovagerail_open_requests").Help("Requests under way").Register(registry).Add({}).Set(static_cast<double>(m_view->openForwards));
         prometheus::BuildGauge().Name("lovagerail_open_batches").Help("Batches of this instance that are not ended").Register(registry).Add({}).Set(static_cast<double>(m_view->openBatches));
     }
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -16,6 +16,7 @@
     const std::map<std::string, std::uint64_t, std::less<>>& storeCalls; // by cause
     std::size_t openForwards = 0;
     std::size_t openBatches = 0;
+    const std::map<service_id, std::vector<slot_share>>* shares = nullptr; // given by this instance, by service
 };
 
 class metrics_page {
--- a/src/site.cpp
+++ b/src/site.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace lovagerail {
 
@@ -37,4 +38,26 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
+std::int32_t site_config::priorityOf(const site_route& route, const client_account_id& account) const
+{
+    const auto found = accounts.find(account);
+    return found != accounts.end() && found->second.priority >= 0 ? found->second.priority : route.priority;
+}
+
+bool site_config::prioritiesDiffer(const service_id& service) const
+{
+    std::set<std::int32_t> priorities;
+    for (const auto& route : routes) {
+        if (std::any_of(route.services.begin(), route.services.end(), [&service](const weighted_service& one) { return one.service == service; }))
+            priorities.insert(route.priority);
+    }
+    if (priorities.empty())
+        return false;
+    for (const auto& [id, account] : accounts) {
+        if (account.priority >= 0)
+            priorities.insert(account.priority);
+    }
+    return priorities.size() > 1;
+}
+
 } // namespace lovagerail
--- a/src/site.h
+++ b/src/site.h
@@ -86,6 +86,10 @@
     // The host's route with the longest matching path prefix, or null.
     const site_route* find(std::string_view host, std::string_view path) const;
     const site_service* service(const service_id& id) const;
+    // The account's priority if it has one, else the route's.
+    std::int32_t priorityOf(const site_route& route, const client_account_id& account) const;
+    // Whether requests to a service have different priorities: its routes have, or an account has another one than a route.
+    bool prioritiesDiffer(const service_id& service) const;
 };
 
 using site_ptr = std::shared_ptr<const site_config>;
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -140,6 +140,7 @@
         std::vector<judge_item> judges;
         std::vector<write_page> pages;
         std::vector<save_texts> saves;
+        std::vector<note_late> notes;
 
     private:
         static router_settings settings()
@@ -162,6 +163,8 @@
                     pages.push_back(*page);
                 else if (const auto* texts = std::get_if<save_texts>(&action))
                     saves.push_back(*texts);
+                else if (const auto* note = std::get_if<note_late>(&action))
+                    notes.push_back(*note);
             }
         }
 
@@ -622,6 +625,102 @@
     });
 }
 
+// --- Short slots
+
+// Guards against an owner that sends more items of a model than its share, and against a share that
+// holds items back after it has expired.
+BOOST_AUTO_TEST_CASE(running_items_stay_within_a_valid_share)
+{
+    batch_harness harness(2);
+    harness.runner.setShares(1, { { { pool, model }, { 5, 8 } } }, harness.now + 1500ms);
+    harness.add(specOf("b", 5, 4, 1));
+    harness.pass(20ms);
+    BOOST_TEST(harness.runs.size() == 5u);
+    harness.finish(harness.open().front(), 3);
+    harness.pass(20ms);
+    BOOST_TEST(harness.runs.size() == 5u);
+    BOOST_TEST(harness.runner.counts().held > 0u);
+    harness.pass(1500ms);
+    BOOST_TEST(harness.runs.size() == 16u);
+}
+
+// Guards against items that no trainer waits for and that take the slots of required ones.
+BOOST_AUTO_TEST_CASE(required_groups_of_all_batches_are_sent_before_the_rest)
+{
+    batch_harness harness(1);
+    for (const auto* id : { "a", "b" }) {
+        auto spec = specOf(id, 4, 2, 1);
+        spec.requiredGroups = 2;
+        harness.add(spec);
+    }
+    harness.pass(20ms);
+    std::map<batch_id, std::set<std::size_t>> groups;
+    for (const auto& run : harness.sent)
+        groups[run.batch].insert(run.index / 2);
+    BOOST_TEST((groups[batch_id("a")] == std::set<std::size_t> { 2, 3 }));
+    BOOST_TEST((groups[batch_id("b")] == std::set<std::size_t> { 2, 3 }));
+}
+
+// Guards against a different order of sending while all items find slots.
+BOOST_AUTO_TEST_CASE(items_that_all_find_slots_are_sent_batch_by_batch)
+{
+    batch_harness harness(2);
+    for (const auto* id : { "a", "b" }) {
+        auto spec = specOf(id, 4, 2, 1);
+        spec.requiredGroups = 2;
+        harness.add(spec);
+    }
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 16u);
+    for (std::size_t i = 0; i < 16; ++i)
+        BOOST_TEST(harness.sent[i].batch.str() == (i < 8 ? "a" : "b"));
+}
+
+// Guards against two batches that are both late because they share the slots, and against a decision
+// that changes while it stands. The reported demand names the batch that can be in time.
+BOOST_AUTO_TEST_CASE(one_of_two_batches_that_do_not_fit_is_late)
+{
+    batch_harness harness(1);
+    auto first = specOf("first", 1, 8, 1);
+    for (auto& item : first.items)
+        item.id = item_id("first" + item.id.str());
+    harness.add(first);
+    harness.pass(20ms);
+    harness.pass(1s); // items take a second
+    for (const auto attempt : harness.open())
+        harness.finish(attempt, 100);
+    harness.end("first");
+
+    // 24 s of one slot for 4 groups that count, and 30 s for 7; 8 slots do one of the two in 6 s.
+    auto large = specOf("large", 12, 4, 1);
+    large.requiredGroups = 4;
+    for (auto& item : large.items)
+        item.expectedTokens = token_count(150);
+    large.submitted = wallStart - 100ms; // due first
+    harness.add(large);
+    harness.add(specOf("small", 7, 4, 1));
+    std::vector<std::string> late;
+    for (int i = 0; i < 5; ++i) {
+        harness.pass(200ms);
+        late.emplace_back();
+        for (const auto& note : std::exchange(harness.notes, {}))
+            late.back() += note.batch.str() + (note.late ? "+" : "-");
+    }
+    BOOST_TEST(late.front() == "large+");
+    for (std::size_t i = 1; i < late.size(); ++i)
+        BOOST_TEST(late[i].empty());
+    BOOST_TEST(harness.runner.counts().late == 1u);
+    for (const auto& run : harness.sent)
+        BOOST_TEST((run.batch != batch_id("large")));
+    const auto demand = harness.runner.demand(harness.now);
+    BOOST_REQUIRE(demand.size() == 1u);
+    BOOST_TEST(demand[0].groups == 7u);
+    BOOST_TEST(demand[0].urgent == 28u);
+    harness.end("small");
+    harness.pass(200ms);
+    BOOST_TEST((harness.sent.back().batch == batch_id("large")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -79,6 +79,39 @@
     BOOST_TEST(std::count_if(out.begin(), out.end(), [](const auto& one) { return one.first == "Tenant" || one.first == "tenant"; }) == 1);
 }
 
+// Guards against a caller that chooses its items' priority where we set it, and against a header
+// that is sent or removed where priorities don't differ.
+BOOST_AUTO_TEST_CASE(the_priority_replaces_the_callers_where_it_is_set)
+{
+    platform::target_call call;
+    call.forwarded = { { "request-priority", "0" } };
+    BOOST_TEST(valueOf(platform::encodeTargetCall(call), "request-priority") == "0");
+    call.priority = 12;
+    const auto out = platform::encodeTargetCall(call);
+    BOOST_TEST(std::count_if(out.begin(), out.end(), [](const auto& one) { return one.first == "Request-Priority" || one.first == "request-priority"; }) == 1);
+    BOOST_TEST(valueOf(out, "Request-Priority") == "9");
+}
+
+// Guards against priorities that are sent where all requests of a service have the same, and an
+// account's priority that is ignored.
+BOOST_AUTO_TEST_CASE(priorities_are_of_accounts_before_routes)
+{
+    site_config site;
+    site.routes.resize(3);
+    for (auto& route : site.routes)
+        route.services = { { service_id("engines"), 1 } };
+    site.routes[2].services = { { service_id("plain"), 1 } };
+    site.routes[2].priority = 3;
+    BOOST_TEST(!site.prioritiesDiffer(service_id("engines")));
+    site.routes[1].priority = 1;
+    BOOST_TEST(site.prioritiesDiffer(service_id("engines")));
+    BOOST_TEST(!site.prioritiesDiffer(service_id("plain")));
+    site.accounts[client_account_id("a")].priority = 2;
+    BOOST_TEST(site.priorityOf(site.routes[1], client_account_id("a")) == 2);
+    BOOST_TEST(site.priorityOf(site.routes[1], client_account_id("b")) == 1);
+    BOOST_TEST(site.prioritiesDiffer(service_id("plain")));
+}
+
 BOOST_AUTO_TEST_CASE(not_run_is_read_from_its_header_or_status_421)
 {
     BOOST_TEST(platform::decodeTargetHead(503, { { "not-executed", "1" } }).notRun);
