--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -33,8 +33,8 @@
         auto& family = prometheus::BuildGauge().Name("lovagerail_pool_share_slots").Help("Slots of pools that are short of them, by model").Register(registry);
         for (const auto& [service, models] : shares) {
             for (const auto& share : models) {
-                const auto set = [&](const char* what, std::size_t slots) {
-                    family.Add({ { "service", service.str() }, { "model", share.model.str() }, { "owner", share.owner.str() }, { "behind", share.behind.str() }, { "what", what } }).Set(static_cast<double>(slots));
+                const auto set = [&family, &share, &name = service](const char* what, std::size_t slots) {
+                    family.Add({ { "service", name.str() }, { "model", share.model.str() }, { "owner", share.owner.str() }, { "behind", share.behind.str() }, { "what", what } }).Set(static_cast<double>(slots));
                 };
                 set("share", share.slots);
                 set("fair", share.fair);
--- a/src/pool_shares.cpp
+++ b/src/pool_shares.cpp
@@ -110,6 +110,7 @@
         model.parts.push_back(&claim);
     }
     std::vector<model_claim> out;
+    out.reserve(byModel.size());
     for (auto& [key, model] : byModel)
         out.push_back(std::move(model));
     return out;
@@ -119,6 +120,7 @@
 void pool_shares::setFairShares(std::vector<model_claim>& models, std::size_t slots) const
 {
     std::vector<model_claim*> byDemand;
+    byDemand.reserve(models.size());
     for (auto& model : models)
         byDemand.push_back(&model);
     std::sort(byDemand.begin(), byDemand.end(), [](const model_claim* a, const model_claim* b) { return a->demand() < b->demand(); });
--- a/tests/test_pool_shares.cpp
+++ b/tests/test_pool_shares.cpp
@@ -122,8 +122,8 @@
 BOOST_AUTO_TEST_CASE(a_trainer_that_is_behind_gets_more)
 {
     pool_shares shares;
-    auto a = claimFor("a", 160, 200);
-    auto b = claimFor("b", 50, 200);
+    auto a = claimFor("a", 50, 200); // less than its fair share
+    auto b = claimFor("b", 160, 200);
     a.work = b.work = 800;
     for (auto now = start; now < start + 10s; now += 400ms)
         shares.divide({ a, b }, slots, now);
@@ -132,7 +132,7 @@
     std::map<std::string, std::size_t> given;
     for (auto now = start + 10s; now < start + 12s; now += 400ms)
         given = slotsOf(shares.divide({ a, b }, slots, now));
-    BOOST_TEST(given.at("b") > given.at("a"));
+    BOOST_TEST(given.at("a") > given.at("b"));
 }
 
 // Guards against shares that swing between models: with steady demand they keep their order, and
