Requests run only in the regions that their route and account allow

Cause: allowedRegions of routes and accounts was not read.

Change: restricted requests and batches use routing classes of their own, which hold targets in allowed regions only; without a live one they are refused at once as not run. Judge calls are under the list of the judge's route and of the batch's account. Owners, handover, adoption, forwarded submissions, relays to targets and relayed store calls use only instances in an allowed region or in the region of the instance that the caller connected to. Members state their region, and heads of batches keep the caller's; both fields are optional.

Not covered: loads of weights and orders of capacity do not know of the lists.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -58,6 +58,8 @@
     out["submitted"] = Json::Int64(head.submitted.time_since_epoch().count());
     out["items"] = head.items;
     out["ended"] = head.ended;
+    if (!head.originRegion.empty())
+        out["region"] = head.originRegion.str();
     return writeJson(out);
 }
 
@@ -73,6 +75,7 @@
     out.host = jsonText(*value, "host");
     out.path = jsonText(*value, "path");
     out.account = client_account_id(jsonText(*value, "account"));
+    out.originRegion = region_id(jsonText(*value, "region"));
     out.submitted = wall_time(std::chrono::milliseconds(static_cast<std::int64_t>(jsonCount(*value, "submitted"))));
     out.items = static_cast<std::uint32_t>(jsonCount(*value, "items"));
     out.ended = jsonFlag(*value, "ended");
--- a/src/batch.h
+++ b/src/batch.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "kv.h"
+#include "regions.h"
 #include "site.h"
 #include "types.h"
 
@@ -79,6 +80,7 @@
     wall_time submitted {};
     std::uint32_t items = 0; // number of items
     bool ended = false;
+    region_id originRegion {}; // of the instance that its caller connected to; empty if not known
 };
 
 // Keys in the store. Pages of results are numbered from 0 without gaps.
--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -210,13 +210,19 @@
         pools.insert(pool_id(routeService.service.str()));
         services += " " + routeService.service.str();
     }
+    const auto& regions = batch.route.allowedRegions;
+    if (regions) {
+        services += " in";
+        for (const auto& region : *regions)
+            services += " " + region.str();
+    }
     const auto minVersion = batch.spec.minVersion.value();
     const auto label = "version:" + batch.spec.model.str();
     batch.routingClass = routing_class_id("items" + services + " " + batch.spec.model.str() + " from " + std::to_string(minVersion));
     if (m_router.table().hasClass(batch.routingClass))
         return;
-    m_router.setClass(batch.routingClass, [pools, label, minVersion](const target_record& record) {
-        return pools.contains(record.listed.pool) && labelNumber(record.listed.labels, label) >= minVersion;
+    m_router.setClass(batch.routingClass, [pools, label, minVersion, regions](const target_record& record) {
+        return pools.contains(record.listed.pool) && isAllowed(regions, record.listed.region) && labelNumber(record.listed.labels, label) >= minVersion;
     });
 }
 
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -68,7 +68,12 @@
         return;
     }
 
-    // Step 2. Refuse a malformed body.
+    // Step 2. Refuse a batch that no target may run, and a malformed body.
+    if (!hasAllowedTarget(head)) {
+        logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", "no live target in an allowed region" } });
+        respond(exchange, statusUnavailable, "");
+        return;
+    }
     head.owner = instance_id(m_context.settings.instance.name);
     head.ownerIncarnation = m_context.ownIncarnation;
     head.submitted = m_context.wall;
@@ -193,10 +198,35 @@
     if (headRevision != revision())
         sendOwnerHint(head);
     const auto* service = m_context.site->service(route->services.front().service);
-    m_runner.add(std::move(*spec), *route, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
+    auto runRoute = *route;
+    runRoute.allowedRegions = m_context.site->allowedRegions(route, head.account);
+    m_runner.add(std::move(*spec), runRoute, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
     return true;
 }
 
+body_regions batches::regionsOf(const batch_head& head) const
+{
+    if (!m_context.site)
+        return {};
+    return { m_context.site->allowedRegions(m_context.site->find(head.host, head.path), head.account), head.originRegion };
+}
+
+// Whether a live target of the route is in an allowed region; also true if all regions are allowed.
+bool batches::hasAllowedTarget(const batch_head& head) const
+{
+    const auto where = regionsOf(head);
+    const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
+    if (!where.allowed || route == nullptr)
+        return true;
+    const auto& table = m_context.targets.table();
+    const auto slots = table.all();
+    return std::any_of(slots.begin(), slots.end(), [&](target_slot slot) {
+        const auto& listed = table.record(slot).listed;
+        return table.isLive(slot) && isAllowed(where.allowed, listed.region)
+            && std::any_of(route->services.begin(), route->services.end(), [&listed](const weighted_service& weighted) { return weighted.service.str() == listed.pool.str(); });
+    });
+}
+
 // The instance that runs all batches of the route, chosen by rendezvous hashing: it knows
 // all of the route's work on its replicas, keeps its connections to them from one training
 // step to the next, and has the texts of items that are submitted again. Null if that is
@@ -204,12 +234,11 @@
 const member* batches::preferredOwner(const batch_head& head) const
 {
     const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
-    std::vector<instance_id> names;
-    for (const auto& peer : m_members.others())
-        names.push_back(peer.name);
     const instance_id self(m_context.settings.instance.name);
-    if (!m_stopping)
-        names.push_back(self);
+    auto places = m_members.places();
+    if (m_stopping)
+        std::erase_if(places, [&self](const instance_place& place) { return place.name == self; });
+    const auto names = ownersFor(places, regionsOf(head));
     if (route == nullptr || names.empty())
         return nullptr;
     const auto* chosen = rendezvousFirst(route->host + route->prefix, names);
@@ -222,7 +251,7 @@
 {
     auto outgoing = peerCall(owner.address, "/submit", exchange->body, std::chrono::duration_cast<std::chrono::milliseconds>(defaultSubmitTimeout));
     outgoing.method = "POST"; // also with an empty body, so that the owner reports what is wrong with it
-    outgoing.headers = { { "x-batch", head.id.str() }, { "x-host", head.host }, { "x-path", head.path }, { "x-account", head.account.str() } };
+    outgoing.headers = { { "x-batch", head.id.str() }, { "x-host", head.host }, { "x-path", head.path }, { "x-account", head.account.str() }, { "x-region", head.originRegion.str() } };
     outgoing.unacknowledgedTimeout = targetUnacknowledgedTimeout;
     const auto transfer = m_context.net.call(std::move(outgoing), [this, exchange, head, options](const http::answer& answer) {
         std::erase_if(m_forwardedSubmits, [&exchange](const forwarded_submit& forwarded) { return forwarded.exchange == exchange; });
@@ -246,6 +275,7 @@
         head.host = header("x-host");
         head.path = header("x-path");
         head.account = client_account_id(header("x-account"));
+        head.originRegion = region_id(header("x-region"));
         onSubmit(exchange, std::move(head), { std::nullopt, false });
         return true;
     }
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -105,6 +105,9 @@
     void findHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead);
     void respond(const http::exchange_ptr& exchange, int status, std::string body) const;
     bool isAlive(const batch_head& head) const;
+    // Where the submission and the items of the batch may be.
+    body_regions regionsOf(const batch_head& head) const;
+    bool hasAllowedTarget(const batch_head& head) const;
 
     // Ending a batch.
     void requestEnd(const batch_id& id, const http::exchange_ptr& exchange);
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -199,9 +199,9 @@
 void batches::handOver(const batch_id& id)
 {
     auto& owned = m_owned.at(id);
-    std::vector<instance_id> names;
-    for (const auto& peer : m_members.others())
-        names.push_back(peer.name);
+    auto places = m_members.places();
+    std::erase_if(places, [this](const instance_place& place) { return place.name.str() == m_context.settings.instance.name; });
+    const auto names = ownersFor(places, regionsOf(owned.head));
     const auto* newOwner = rendezvousFirst(id.str(), names);
     if (newOwner == nullptr)
         return;
@@ -235,14 +235,19 @@
         m_recheckOwned = true;
     }
     for (const auto& name : ready ? m_members.takeLostMembers() : std::vector<instance_id>()) {
-        if (adoptionDelay(name, instance_id(m_context.settings.instance.name), m_members.names()))
+        // Only members of allowed regions count for a batch. One that is among its adopters is among
+        // those of its own region too.
+        const instance_id self(m_context.settings.instance.name);
+        const auto nearby = instancesFor(m_members.places(), { std::set<region_id> { m_members.ownRegion() }, {} });
+        if (adoptionDelay(name, self, m_members.names()) || (m_context.site->hasRegionRules() && adoptionDelay(name, self, nearby)))
             m_scanDone = false;
     }
     if (!ready || m_orphans.empty())
         return;
-    const auto names = m_members.names();
+    const auto places = m_members.places();
     std::vector<batch_id> adoptable;
     for (const auto& [id, orphan] : m_orphans) {
+        const auto names = instancesFor(places, regionsOf(orphan.head));
         const auto delay = adoptionDelay(orphan.head.owner, instance_id(m_context.settings.instance.name), names);
         if (!delay || m_context.now - m_orphanSince.at(id) >= *delay)
             adoptable.push_back(id);
@@ -255,6 +260,7 @@
             continue;
         const instance_id self(m_context.settings.instance.name);
         const bool ownerReturned = orphan.head.owner != self && m_members.find(orphan.head.owner) != nullptr;
+        const auto names = instancesFor(places, regionsOf(orphan.head));
         if (ownerReturned || !adoptionDelay(orphan.head.owner, self, names))
             continue;
         adopt(orphan.head, orphan.headRevision, [this, id](bool adopted) {
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -73,7 +73,7 @@
     run.targetIncarnation = action.choice.incarnation;
     run.sentAt = m_context.now;
     run.item = item.id;
-    run.transfer = m_link.open(std::move(request), action.choice.target, action.choice.incarnation, path_rule::Any, [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
+    run.transfer = m_link.open(std::move(request), action.choice.target, action.choice.incarnation, path_rule::Any, regionsOf(m_owned.at(action.batch).head), [this, attempt = action.attempt](http::event& event) { onRunEvent(attempt, event); });
 }
 
 void batches::onRunEvent(attempt_id attempt, http::event& event)
@@ -128,7 +128,8 @@
 void batches::callJudge(const judge_item& action)
 {
     const auto& item = m_runner.spec(action.batch)->items[action.index];
-    m_frontend.callService(*item.judge, judgeDeadline, [this, batch = action.batch, index = action.index](const caller_frontend::service_answer& answer) {
+    const auto& head = m_owned.at(action.batch).head;
+    m_frontend.callService(*item.judge, judgeDeadline, head.account, head.originRegion, [this, batch = action.batch, index = action.index](const caller_frontend::service_answer& answer) {
         auto outcome = judge_outcome::Retry;
         if (isSuccess(answer.status) && !answer.proof.empty())
             outcome = judge_outcome::Scored;
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -138,6 +138,7 @@
     head.host = caller.host;
     head.path = exchange->path;
     head.account = account;
+    head.originRegion = m_context.ownRegion();
     m_batches->onSubmit(exchange, std::move(head), { caller.deadline, true });
 }
 
@@ -189,6 +190,8 @@
     forward.route = route.id.str();
     forward.maxAttempts = route.maxAttempts;
     forward.arrived = m_context.now;
+    forward.where = { m_context.site->allowedRegions(&route, account), m_context.ownRegion() };
+    const auto allowed = forward.where.allowed;
     forward.stream = software.empty() ? caller.id : caller.resumes;
     m_forwards[id] = std::move(forward);
 
@@ -196,6 +199,7 @@
     request.id = id;
     request.callerId = caller.id;
     request.route = route;
+    request.route.allowedRegions = allowed;
     request.software = software;
     request.account = account;
     request.fingerprint = fingerprintOf(account, exchange->method, caller.host + targetOf(*exchange), exchange->body);
@@ -208,7 +212,7 @@
     execute(m_forwarding.arrive(std::move(request), m_context.now));
 }
 
-void caller_frontend::callService(const judge_call& call, duration deadline, service_callback onAnswer)
+void caller_frontend::callService(const judge_call& call, duration deadline, const client_account_id& account, const region_id& origin, service_callback onAnswer)
 {
     const auto* route = m_context.site ? m_context.site->find(call.host, call.path) : nullptr;
     if (route == nullptr || route->kind == route_kind::Batch) {
@@ -217,6 +221,8 @@
     }
     const forward_id id(++m_lastForwardId);
     open_forward forward;
+    const body_regions where { m_context.site->allowedRegions(route, account), origin };
+    forward.where = where;
     forward.onServiceAnswer = std::move(onAnswer);
     forward.callerId = call.id;
     forward.method = "POST";
@@ -232,6 +238,7 @@
     request.id = id;
     request.callerId = call.id;
     request.route = *route;
+    request.route.allowedRegions = where.allowed;
     request.route.timeout = {}; // only the deadline applies
     request.deadline = deadline;
     request.fingerprint = fingerprintOf({}, "POST", call.host + call.path, call.body);
@@ -319,7 +326,7 @@
     openAttempt.targetIncarnation = action.choice.incarnation;
     openAttempt.software = action.choice.software;
     openAttempt.sentAt = m_context.now;
-    openAttempt.transfer = m_link.open(std::move(request), action.choice.target, action.choice.incarnation, path_rule::Any, [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
+    openAttempt.transfer = m_link.open(std::move(request), action.choice.target, action.choice.incarnation, path_rule::Any, forward.where, [this, attempt = action.attempt](http::event& event) { onTransfer(attempt, event); });
 }
 
 void caller_frontend::onTransfer(attempt_id attempt, http::event& event)
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -38,7 +38,7 @@
     void onRequest(const http::exchange_ptr& exchange);
 
     // A call that the gateway itself makes to a service (a judge), with routing and retries
-    // as for callers. The callback gets the answer's status and proof; status 0 if no target
+    // as for callers. The account and the caller's region decide where it may run. The callback gets the answer's status and proof; status 0 if no target
     // answered.
     struct service_answer {
         int status = 0;
@@ -47,7 +47,7 @@
         std::uint32_t maxAttempts = 0;
     };
     using service_callback = std::function<void(const service_answer&)>;
-    void callService(const judge_call& call, duration deadline, service_callback onAnswer);
+    void callService(const judge_call& call, duration deadline, const client_account_id& account, const region_id& origin, service_callback onAnswer);
 
     // Takes note of what a target states about itself in the headers of an answer: its load, its
     // limit, and whether it leaves. `incarnationNumber` is the one that the request was sent to.
@@ -69,6 +69,7 @@
         std::string host;
         http::header_list headers;
         std::string serviceBody;
+        body_regions where;
         client_account_id account;
         std::string route;
         std::uint32_t maxAttempts = 0;
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -5,6 +5,7 @@
 #include "edge/entry_settings.h"
 #include "edge/store_link.h"
 #include "edge/transfers.h"
+#include "regions.h"
 #include "router.h"
 #include "site.h"
 #include "types.h"
@@ -21,6 +22,8 @@
     wall_time wall {};
     site_ptr site {}; // configuration in force; null until the first one was read
     bool stopping = false;
+
+    region_id ownRegion() const { return region_id(settings.regionOf(settings.instance.failureDomain)); }
 };
 
 } // namespace lovagerail::edge
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -103,7 +103,7 @@
             m_net.setSourceAddress(m_settings.instance.address);
             m_usage.setMembers(m_members);
             m_frontend.setBatches(m_batches);
-            m_store.setPeers([this] { return m_members.otherAddresses(); });
+            m_store.setPeers([this] { return m_members.storePeers(); });
         }
 
         result<void> listen();
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -53,6 +53,14 @@
     struct {
         std::map<std::string, std::string> regions; // region of each failure domain
     } placement;
+    // Region of the failure domain; empty if it is not known.
+    std::string regionOf(const std::string& domain) const
+    {
+        const auto found = placement.regions.find(domain);
+        return found != placement.regions.end() ? found->second : domain == instance.failureDomain ? instance.region
+                                                                                                   : std::string();
+    }
+
     struct {
         std::string level = "info";
     } log;
--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -25,6 +25,7 @@
         out.self = instance_id(shared.settings.instance.name);
         out.incarnationNumber = shared.ownIncarnation;
         out.address = shared.settings.listen.instances;
+        out.region = shared.settings.regionOf(shared.settings.instance.failureDomain);
         out.time = leaseDuration;
         // The platform restarts a process only after the old one has exited.
         out.replacesEarlierIncarnation = true;
@@ -102,6 +103,26 @@
     return out;
 }
 
+std::vector<instance_place> members::places() const
+{
+    std::vector<instance_place> out { { instance_id(m_context.settings.instance.name), ownRegion() } };
+    for (const auto& peer : others())
+        out.push_back({ peer.name, peer.region });
+    return out;
+}
+
+std::vector<std::string> members::storePeers() const
+{
+    if (!m_context.site || !m_context.site->hasRegionRules())
+        return otherAddresses();
+    std::vector<std::string> out;
+    for (const auto& peer : others()) {
+        if (!peer.region.empty() && peer.region == ownRegion())
+            out.push_back(peer.address);
+    }
+    return out;
+}
+
 void members::applyEntries(const std::vector<kv_entry>& entries)
 {
     const auto membersBefore = std::exchange(m_members, {});
@@ -123,7 +144,7 @@
             continue;
         }
         const instance_id name(duty.substr(nodePrefix.size()));
-        m_members[name] = { name, holder->incarnationNumber, holder->address };
+        m_members[name] = { name, holder->incarnationNumber, holder->address, region_id(holder->region) };
         const auto previous = membersBefore.find(name);
         if (previous != membersBefore.end() && previous->second.incarnationNumber == holder->incarnationNumber)
             continue;
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -8,6 +8,7 @@
 
 #include "edge/context.h"
 #include "lease.h"
+#include "regions.h"
 
 #include <map>
 #include <optional>
@@ -21,6 +22,7 @@
     instance_id name;
     incarnation incarnationNumber;
     std::string address; // IP:port of its listener for other instances
+    region_id region; // empty if it does not state it
 };
 
 // A duty that an instance may claim, besides its membership.
@@ -59,11 +61,17 @@
     bool known() const { return m_known; }
     std::vector<member> others() const;
     std::vector<std::string> otherAddresses() const;
+    // Instances through which calls to the store may go: these carry bodies of requests, so only
+    // those in this region where the configuration names allowed regions.
+    std::vector<std::string> storePeers() const;
     const member* find(const instance_id& name) const;
     // The member that holds a duty according to the last list; null if none does.
     const member* holderOf(const duty_id& duty) const;
     // Names of all members and of this instance, for rendezvous hashing.
     std::vector<instance_id> names() const;
+    // The same with their regions.
+    std::vector<instance_place> places() const;
+    region_id ownRegion() const { return m_context.ownRegion(); }
     // True once after our membership entry was created: before that, others may have
     // considered this instance gone and taken over its batches.
     bool takeJoinedEvent() { return std::exchange(m_joinedEvent, false); }
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -480,9 +480,10 @@
     const auto& doc = m_documents[TargetsIndex];
     std::vector<platform::target_entry> entries;
     for (const auto& entry : doc.entries) {
-        if (auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision))
+        if (auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision)) {
+            target->listed.region = region_id(m_context.settings.regionOf(target->listed.failureDomain.str()));
             entries.push_back(std::move(*target));
-        else
+        } else
             logEvent(log_level::Debug, "targets", "ignored", { { "key", entry.key } });
     }
 
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -66,7 +66,7 @@
     relay.target = call->target;
     relay.targetIncarnation = call->targetIncarnation;
     relay.sentAt = m_context.now;
-    relay.call = m_link.open(std::move(request), call->target, call->targetIncarnation, path_rule::OwnOnly, [this, id](http::event& event) { onEvent(id, event); });
+    relay.call = m_link.open(std::move(request), call->target, call->targetIncarnation, path_rule::OwnOnly, {}, [this, id](http::event& event) { onEvent(id, event); });
 }
 
 void request_relay::onEvent(std::uint64_t id, http::event& event)
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -39,7 +39,7 @@
 {
 }
 
-std::uint64_t target_link::open(http::request request, const target_id& target, incarnation targetIncarnation, path_rule rule, transfers::event_function onEvent)
+std::uint64_t target_link::open(http::request request, const target_id& target, incarnation targetIncarnation, path_rule rule, body_regions where, transfers::event_function onEvent)
 {
     const auto id = ++m_lastId;
     auto& call = m_calls[id];
@@ -48,6 +48,7 @@
     call.target = target;
     call.targetIncarnation = targetIncarnation;
     call.rule = rule;
+    call.where = std::move(where);
     call.onEvent = std::move(onEvent);
     call.deadlineWrittenAt = m_context.now;
     start(id, call);
@@ -70,10 +71,19 @@
     return found == m_calls.end() || found->second.connected;
 }
 
+// The path for a request, through instances that may hold its body only.
+target_path target_link::pathFor(const open_call& call)
+{
+    return m_paths.pathTo(call.target, m_context.now, [this, &call](const instance_id& name) {
+        const auto* peer = m_members.find(name);
+        return !call.where.allowed || (peer != nullptr && call.where.mayHold(peer->region));
+    });
+}
+
 // Starts a request that has not begun, or of which nothing was sent. Waits if the path is undecided.
 void target_link::start(std::uint64_t id, open_call& call)
 {
-    const auto path = call.rule == path_rule::OwnOnly ? target_path { path_kind::DirectDoubted } : m_paths.pathTo(call.target, m_context.now);
+    const auto path = call.rule == path_rule::OwnOnly ? target_path { path_kind::DirectDoubted } : pathFor(call);
     if (path.kind == path_kind::Relayed)
         startRelayed(id, call, path.relay);
     else if (path.kind != path_kind::Undecided)
@@ -129,7 +139,7 @@
         report(id, unsent);
         return;
     }
-    const auto path = m_paths.pathTo(call.target, m_context.now);
+    const auto path = pathFor(call);
     const bool isDirect = path.kind == path_kind::Direct || path.kind == path_kind::DirectDoubted;
     if (path.kind == path_kind::Relayed)
         startRelayed(id, call, path.relay);
@@ -257,7 +267,7 @@
         if (found == m_calls.end())
             continue;
         auto& call = found->second;
-        const auto path = m_paths.pathTo(call.target, m_context.now);
+        const auto path = pathFor(call);
         if (path.kind == path_kind::Undecided && m_context.now < call.waitsUntil)
             continue;
         if (!updateDeadline(call, m_context.now))
@@ -291,7 +301,7 @@
         if (found == m_calls.end())
             continue; // cancelled by the end of an earlier one
         auto& call = found->second;
-        const auto path = m_paths.pathTo(call.target, m_context.now);
+        const auto path = pathFor(call);
         if (path.kind != path_kind::Relayed)
             continue;
         m_context.net.cancel(call.transfer);
--- a/src/edge/target_link.h
+++ b/src/edge/target_link.h
@@ -26,8 +26,9 @@
 public:
     target_link(context& shared, members& membership);
 
+    // `where`: the instances that may hold the body, so that the request may go through them.
     // Like transfers::open(); the id is for cancel() of this class.
-    std::uint64_t open(http::request request, const target_id& target, incarnation targetIncarnation, path_rule rule, transfers::event_function onEvent);
+    std::uint64_t open(http::request request, const target_id& target, incarnation targetIncarnation, path_rule rule, body_regions where, transfers::event_function onEvent);
     void cancel(std::uint64_t id);
     // A call that is this instance's own, such as an order: it has no other path.
     void callDirect(http::request request, const target_id& target, transfers::answer_function onAnswer);
@@ -53,6 +54,7 @@
         target_id target;
         incarnation targetIncarnation;
         path_rule rule = path_rule::Any;
+        body_regions where;
         transfers::event_function onEvent;
         std::uint64_t transfer = 0; // 0: waits for a path
         instant deadlineWrittenAt {}; // the request's headers state what is left from then on
@@ -69,6 +71,7 @@
         std::uint32_t relaysTried = 0;
     };
 
+    target_path pathFor(const open_call& call);
     void start(std::uint64_t id, open_call& call);
     void startDirect(std::uint64_t id, open_call& call, bool doubted);
     void startRelayed(std::uint64_t id, open_call& call, const instance_id& relay);
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -80,21 +80,39 @@
     return std::exchange(m_actions, {});
 }
 
+// The class of the service's replicas in these regions. Classes are few: one for each list that
+// routes and accounts yield.
+routing_class_id request_forwarder::classOf(const service_id& service, const region_list& regions) const
+{
+    if (!regions)
+        return serviceClass(service);
+    auto name = serviceClass(service).str() + " in";
+    for (const auto& region : *regions)
+        name += " " + region.str();
+    const routing_class_id out(name);
+    if (!m_router.table().hasClass(out)) {
+        m_router.setClass(out, [pool = pool_id(service.str()), regions](const target_record& record) {
+            return record.listed.pool == pool && isAllowed(regions, record.listed.region);
+        });
+    }
+    return out;
+}
+
 routing_class_id request_forwarder::classFor(const open_forward& forward) const
 {
     // A stream that has begun stays with its service, as long as the route leads there.
     const auto& request = forward.request;
     if (!forward.software.empty()) {
         const service_id service(forward.software.pool.str());
-        const bool isAllowed = std::any_of(request.route.services.begin(), request.route.services.end(), [&service](const weighted_service& weighted) { return weighted.service == service; });
-        return isAllowed ? serviceClass(service) : routing_class_id();
+        const bool leadsThere = std::any_of(request.route.services.begin(), request.route.services.end(), [&service](const weighted_service& weighted) { return weighted.service == service; });
+        return leadsThere ? classOf(service, request.route.allowedRegions) : routing_class_id();
     }
-    auto chosen = serviceClass(pickService(request).service);
+    auto chosen = classOf(pickService(request).service, request.route.allowedRegions);
     if (m_router.table().hasClass(chosen) && !m_router.table().allowed(chosen).empty())
         return chosen;
     // The chosen service has no replica: use another service of the route.
     for (const auto& alternative : request.route.services) {
-        auto fallback = serviceClass(alternative.service);
+        auto fallback = classOf(alternative.service, request.route.allowedRegions);
         if (alternative.weight > 0 && m_router.table().hasClass(fallback) && !m_router.table().allowed(fallback).empty())
             return fallback;
     }
@@ -116,7 +134,7 @@
     forward.request = std::move(request);
     auto& stored = m_open.emplace(id, std::move(forward)).first->second;
     if (!trySend(stored, now) && !stored.nextAttemptAt)
-        refuse(stored, statusUnavailable, m_settings.noTargetRetryAfter, "no live replica", now);
+        refuse(stored, statusUnavailable, m_settings.noTargetRetryAfter, stored.request.route.allowedRegions ? "no live replica in an allowed region" : "no live replica", now);
     return takeActions();
 }
 
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -45,7 +45,7 @@
 struct forward_request {
     forward_id id;
     request_id callerId; // echoed by targets
-    site_route route; // as configured when the request arrived
+    site_route route; // as configured when the request arrived; with the regions that the account allows too
     client_account_id account; // empty on open routes
     request_fingerprint fingerprint; // identifies equal requests for the quarantine
     std::optional<duration> deadline; // after arrival, set by the caller
@@ -205,6 +205,7 @@
 
     open_forward* find(attempt_id attempt);
     attempt_id newAttempt() { return attempt_id(++m_lastAttempt); }
+    routing_class_id classOf(const service_id& service, const region_list& regions) const;
     routing_class_id classFor(const open_forward& forward) const;
     bool trySend(open_forward& forward, instant now);
     void waitForLimit(open_forward& forward, const routing_class_id& routingClass, instant now);
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -76,6 +76,8 @@
     out["incarnation"] = Json::UInt64(m_settings.incarnationNumber.value());
     if (!m_settings.address.empty())
         out["address"] = m_settings.address;
+    if (!m_settings.region.empty())
+        out["region"] = m_settings.region;
     return writeJson(out);
 }
 
@@ -244,7 +246,7 @@
     const auto parsed = parseJson(entry.value);
     if (!parsed || !parsed->isObject() || !(*parsed)["instance"].isString() || !(*parsed)["incarnation"].isUInt64())
         return std::nullopt;
-    return duty_holder { instance_id(jsonText(*parsed, "instance")), incarnation(jsonCount(*parsed, "incarnation")), fencingOf(entry), jsonText(*parsed, "address") };
+    return duty_holder { instance_id(jsonText(*parsed, "instance")), incarnation(jsonCount(*parsed, "incarnation")), fencingOf(entry), jsonText(*parsed, "address"), jsonText(*parsed, "region") };
 }
 
 void duty_leases::recordHolder(const duty_id& duty, const kv_entry& entry)
--- a/src/lease.h
+++ b/src/lease.h
@@ -32,6 +32,7 @@
     instance_id self;
     incarnation incarnationNumber;
     std::string address {}; // stored in the key for those who look up the holder; may be empty
+    std::string region {}; // likewise
     // True if the process of an earlier incarnation is known to have ended, so that its keys
     // may be removed without waiting for their lease. Set by whoever starts the process,
     // e.g. on a platform that starts an instance again only after the old process ended.
@@ -56,6 +57,7 @@
     incarnation incarnationNumber;
     fencing_number fencing;
     std::string address {};
+    std::string region {}; // empty if the holder does not state it
 };
 // Empty if the entry is not a duty's.
 std::optional<duty_holder> decodeHolder(const kv_entry& entry);
--- a/src/site.cpp
+++ b/src/site.cpp
@@ -37,4 +37,16 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
+region_list site_config::allowedRegions(const site_route* route, const client_account_id& account) const
+{
+    const auto found = accounts.find(account);
+    return commonRegions(route == nullptr ? region_list() : route->allowedRegions, found == accounts.end() ? region_list() : found->second.allowedRegions);
+}
+
+bool site_config::hasRegionRules() const
+{
+    return std::any_of(routes.begin(), routes.end(), [](const site_route& route) { return route.allowedRegions.has_value(); })
+        || std::any_of(accounts.begin(), accounts.end(), [](const auto& entry) { return entry.second.allowedRegions.has_value(); });
+}
+
 } // namespace lovagerail
--- a/src/site.h
+++ b/src/site.h
@@ -3,6 +3,7 @@
 // callers' requests. Each newer revision replaces it as a whole.
 #pragma once
 
+#include "regions.h"
 #include "types.h"
 
 #include <cstdint>
@@ -43,6 +44,7 @@
     std::uint32_t maxAttempts = 1;
     duration resultDeadline {}; // batches: deadline for the results, from submission
     duration itemTtl {}; // batches: an item may be abandoned this long after submission
+    region_list allowedRegions; // requests run only there
 
     bool idempotent() const { return kind == route_kind::Idempotent || (kind == route_kind::Stream && resumable); }
 };
@@ -67,6 +69,7 @@
     client_account_id id;
     std::int32_t priority = -1; // overrides the route's priority; -1: not set
     std::vector<std::string> keys;
+    region_list allowedRegions; // as for routes; where both have lists, both apply
 };
 
 struct caller_limits {
@@ -87,6 +90,10 @@
     // The host's route with the longest matching path prefix, or null.
     const site_route* find(std::string_view host, std::string_view path) const;
     const site_service* service(const service_id& id) const;
+    // Regions that the route (null: none) and the account allow.
+    region_list allowedRegions(const site_route* route, const client_account_id& account) const;
+    // Whether any route or account names allowed regions.
+    bool hasRegionRules() const;
 };
 
 using site_ptr = std::shared_ptr<const site_config>;
--- a/src/target_paths.cpp
+++ b/src/target_paths.cpp
@@ -107,12 +107,12 @@
     return std::any_of(m_others.begin(), m_others.end(), [now](const auto& entry) { return entry.second.relayUntil && now < *entry.second.relayUntil; });
 }
 
-std::optional<instance_id> target_paths::pickRelay(const target_id& target, instant now)
+std::optional<instance_id> target_paths::pickRelay(const target_id& target, instant now, const relay_filter& mayRelay)
 {
     std::vector<instance_id> relays;
     for (const auto& name : m_order) {
         const auto& other = m_others.at(name);
-        if (!other.relayUntil || now >= *other.relayUntil)
+        if (!other.relayUntil || now >= *other.relayUntil || !mayRelay(name))
             continue;
         const auto unreached = other.cannotReachUntil.find(target);
         if (unreached == other.cannotReachUntil.end() || now >= unreached->second)
@@ -147,13 +147,13 @@
 }
 
 // Asks the next few instances that may help; false if there is none.
-bool target_paths::startQuestion(const target_id& target, instant now)
+bool target_paths::startQuestion(const target_id& target, instant now, const relay_filter& mayRelay)
 {
     ask_for_relays question;
     for (const auto& name : m_order) {
         const auto& other = m_others.at(name);
         const bool isRelay = other.relayUntil && now < *other.relayUntil;
-        if (question.instances.size() < m_settings.askedAtOnce && now >= other.uselessUntil && !isRelay)
+        if (question.instances.size() < m_settings.askedAtOnce && now >= other.uselessUntil && !isRelay && mayRelay(name))
             question.instances.push_back(name);
     }
     if (question.instances.empty())
@@ -168,13 +168,13 @@
     return true;
 }
 
-target_path target_paths::pathTo(const target_id& target, instant now)
+target_path target_paths::pathTo(const target_id& target, instant now, const relay_filter& mayRelay)
 {
     if (!isCutOff())
         return { path_kind::Direct };
-    if (auto relay = pickRelay(target, now))
+    if (auto relay = pickRelay(target, now, mayRelay))
         return { path_kind::Relayed, std::move(*relay) };
-    if (isAsking(now) || startQuestion(target, now))
+    if (isAsking(now) || startQuestion(target, now, mayRelay))
         return { path_kind::Undecided };
     return { path_kind::DirectDoubted };
 }
@@ -187,7 +187,7 @@
     }
     // Also without requests: duties depend on whether others reach targets.
     if (isCutOff() && !hasRelay(now) && !isAsking(now))
-        startQuestion(m_failedTargets.begin()->first, now);
+        startQuestion(m_failedTargets.begin()->first, now, anyRelay);
     return std::exchange(m_actions, {});
 }
 
--- a/src/target_paths.h
+++ b/src/target_paths.h
@@ -16,6 +16,7 @@
 
 #include "types.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -91,7 +92,9 @@
     // The instance does not answer, or can't relay.
     void relayLost(const instance_id& instance, instant now);
 
-    target_path pathTo(const target_id& target, instant now);
+    // Relays that `mayRelay` refuses are neither used nor asked for.
+    using relay_filter = std::function<bool(const instance_id&)>;
+    target_path pathTo(const target_id& target, instant now, const relay_filter& mayRelay = anyRelay);
     // Whether this instance reaches targets, as far as it knows by itself; empty without evidence.
     std::optional<bool> reachesTargets(instant now) const;
     // The own paths to all targets are taken to be broken.
@@ -109,10 +112,11 @@
         std::map<target_id, instant> cannotReachUntil;
     };
 
+    static bool anyRelay(const instance_id& /*name*/) { return true; }
     bool hasRelay(instant now) const;
-    std::optional<instance_id> pickRelay(const target_id& target, instant now);
+    std::optional<instance_id> pickRelay(const target_id& target, instant now, const relay_filter& mayRelay);
     bool isAsking(instant now) const { return !m_asked.empty() && now < m_askedUntil; }
-    bool startQuestion(const target_id& target, instant now);
+    bool startQuestion(const target_id& target, instant now, const relay_filter& mayRelay);
     std::vector<target_id> targetsToName(const target_id& target);
     std::optional<target_id> nextUnfailed();
 
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -9,6 +9,7 @@
 // n targets and c classes: an event of one target is O(log n + c), changing a class O(n).
 #pragma once
 
+#include "regions.h"
 #include "types.h"
 
 #include <cstdint>
@@ -56,6 +57,7 @@
     std::string softwareVersion;
     lovagerail::incarnation incarnation;
     target_state state = target_state::Live;
+    region_id region {}; // of the failure domain; empty if the settings don't name it
 
     target_software software() const { return { pool, softwareVersion }; }
     friend bool operator==(const listed_target&, const listed_target&) = default;
