--- a/src/site.cpp
+++ b/src/site.cpp
@@ -60,4 +60,16 @@
     return priorities.size() > 1;
 }
 
+region_list site_config::allowedRegions(const site_route* route, const client_account_id& account) const
+{
+    const auto found = accounts.find(account);
+    return commonRegions(route == nullptr ? region_list() : route->allowedRegions, found == accounts.end() ? region_list() : found->second.allowedRegions);
+}
+
+bool site_config::hasRegionRules() const
+{
+    return std::any_of(routes.begin(), routes.end(), [](const site_route& route) { return route.allowedRegions.has_value(); })
+        || std::any_of(accounts.begin(), accounts.end(), [](const auto& entry) { return entry.second.allowedRegions.has_value(); });
+}
+
 } // namespace lovagerail
