Router prefers targets with an idle kept connection of this instance

Change: connection_pool_view counts, per target slot, the connections in use and the idle ones with the time until which the target keeps them open (Keep-Alive: timeout, Connection: close, cancelled, failed, a new incarnation). target_link reports connections to it. Up to 8 targets with a spare idle connection become candidates beside the sampled ones, and [targets] connection_cost is added to the cost of candidates that need a new connection. A target that is full, fails or starts (weight below 0.9), or whose expected time is above 1.5 times the shortest, gets no preference. Attempts started without a connection yet take idle ones out of the count. New connections are counted by cause, logged each 10 s (targets step=connections).

The effect on the number of connections is not measured yet.

--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -55,12 +55,6 @@
     return out;
 }
 
-std::uint32_t labelNumber(const label_map& labels, const std::string& name)
-{
-    const auto found = labels.find(name);
-    return found == labels.end() ? 0 : static_cast<std::uint32_t>(std::strtoul(found->second.c_str(), nullptr, 10));
-}
-
 std::vector<block_hash> hashParts(const model_id& model, const std::vector<prompt_part>& parts)
 {
     std::vector<block_hash> out;
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -344,9 +344,6 @@
 // at the same router.
 constexpr std::uint64_t firstRunNumber = std::uint64_t { 1 } << 40U;
 
-// The value of a numeric label; 0 if it is missing.
-std::uint32_t labelNumber(const label_map& labels, const std::string& name);
-
 // Hashes of a prompt's parts for prefix-aware routing, one block for each `prefixBlockTokens` tokens.
 std::vector<block_hash> hashParts(const model_id& model, const std::vector<prompt_part>& parts);
 
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -169,6 +169,7 @@
         // Each new connection to a target has a cost, so an instance uses a small subset of a
         // service's replicas, and the others only when these are full.
         out.subsetSize = 8;
+        out.connectionCost = settings.targets.connectionCost;
         // Initial estimates, corrected by observation: current engines generate a token of a
         // small batch in about 1 ms and prefill about 100 prompt tokens per ms.
         out.load.initialSpeed.prefillTokensPerSecond = 100'000;
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -42,6 +42,7 @@
             time("bounds", "drain", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.drain; }),
             time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
             time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
+            time("targets", "connection_cost", 0, msPerSecond, [](s& v) -> std::chrono::milliseconds& { return v.targets.connectionCost; }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
         return table;
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -42,6 +42,10 @@
         std::chrono::milliseconds stop { 8000 }; // from SIGTERM to SIGKILL
         std::chrono::milliseconds resultsKept { 120'000 }; // retention of results, from a batch's submission
     } bounds;
+    struct {
+        // What a new connection to a target costs; 0: targets with a kept connection are not preferred.
+        std::chrono::milliseconds connectionCost { 0 };
+    } targets;
     struct {
         std::string level = "info";
     } log;
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -16,6 +16,7 @@
 
     constexpr std::string_view duty = "targets";
     constexpr duration logPeriod = std::chrono::seconds(1);
+    constexpr duration connectionsLogPeriod = std::chrono::seconds(10);
     constexpr duration updatePeriod = std::chrono::milliseconds(200);
     // Targets accept connections within a few milliseconds.
     constexpr duration hangingAfter = std::chrono::milliseconds(100);
@@ -29,6 +30,14 @@
     connection_age ageOf(http::connection_use use) { return use == http::connection_use::Kept ? connection_age::Kept : connection_age::New; }
     path_failure failureOf(http::connection_use use) { return use == http::connection_use::None ? path_failure::NotConnected : path_failure::Silent; }
 
+    // What became of the connection of a request that has ended.
+    connection_end connectionEnd(const http::persistence& persistence, bool complete)
+    {
+        if (!complete || persistence.closes)
+            return { connection_end::kind::Closed, {} };
+        return { connection_end::kind::Kept, persistence.idleTimeout };
+    }
+
     std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
 
 } // namespace
@@ -59,8 +68,10 @@
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
         return;
-    if (found->second.transfer != 0)
+    if (found->second.transfer != 0) {
         m_context.net.cancel(found->second.transfer);
+        m_context.targets.connections().ended(id, { connection_end::kind::Cancelled, {} }, m_context.now);
+    }
     m_calls.erase(found);
 }
 
@@ -86,6 +97,7 @@
 {
     call.triedDirect = true;
     call.connected = false;
+    call.persistence = {};
     call.relay = {};
     call.startedAt = m_context.now;
     call.roundsConnecting = 0;
@@ -173,11 +185,13 @@
     case http::event::kind::Connected:
         call.connected = true;
         call.connection = event.connection;
+        recordConnected(id, call);
         call.request.body = {};
         call.bodyDropped = true;
         return;
     case http::event::kind::Head:
         m_paths.reached(ageOf(call.connection), m_context.now);
+        call.persistence = http::persistenceOf(event.headers);
         report(id, event);
         return;
     case http::event::kind::Body:
@@ -186,6 +200,7 @@
     case http::event::kind::Done:
         break;
     }
+    m_context.targets.connections().ended(id, connectionEnd(call.persistence, event.outcome == http::transfer_result::Complete), m_context.now);
     if (event.status != 0) {
         countEnd(end_kind::Answered);
         report(id, event);
@@ -304,8 +319,10 @@
 
 void target_link::callDirect(http::request request, const target_id& target, transfers::answer_function onAnswer)
 {
-    m_context.net.call(std::move(request), [this, target, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+    const auto reuse = request.reuse;
+    m_context.net.call(std::move(request), [this, target, reuse, onAnswer = std::move(onAnswer)](const http::answer& answer) {
         recordOwnPath(target, answer);
+        recordDirectCall(target, reuse, answer);
         onAnswer(answer);
     });
 }
@@ -318,6 +335,32 @@
         m_paths.failed(target, failureOf(answer.connection), m_context.now);
 }
 
+void target_link::recordConnected(std::uint64_t id, const open_call& call)
+{
+    const auto slot = m_context.targets.table().find(call.target);
+    if (!slot)
+        return;
+    auto& connections = m_context.targets.connections();
+    if (call.connection == http::connection_use::Kept)
+        connections.reused(id, *slot, m_context.now);
+    else
+        connections.opened(id, *slot, call.request.reuse == http::connection_reuse::Forbidden, m_context.now);
+}
+
+// The connection of a call of which only the answer is seen.
+void target_link::recordDirectCall(const target_id& target, http::connection_reuse reuse, const http::answer& answer)
+{
+    if (answer.connection == http::connection_use::None)
+        return;
+    open_call call;
+    call.request.reuse = reuse;
+    call.target = target;
+    call.connection = answer.connection;
+    const auto id = ++m_lastId;
+    recordConnected(id, call);
+    m_context.targets.connections().ended(id, connectionEnd(http::persistenceOf(answer.headers), answer.outcome == http::transfer_result::Complete), m_context.now);
+}
+
 void target_link::testPath(const target_id& target, std::function<void(bool reached)> onEnd)
 {
     const auto slot = m_context.targets.table().find(target);
@@ -331,6 +374,8 @@
     request.connectTimeout = request.totalTimeout = pathTestTimeout;
     m_context.net.call(std::move(request), [this, target, onEnd = std::move(onEnd)](const http::answer& answer) {
         recordOwnPath(target, answer);
+        if (answer.connection != http::connection_use::None)
+            m_context.targets.connections().openedForOneUse();
         onEnd(answer.status != 0);
     });
 }
@@ -393,6 +438,24 @@
         m_nextLog = m_context.now + logPeriod;
         logEnds();
     }
+    if (m_context.now >= m_nextConnectionsLog) {
+        m_nextConnectionsLog = m_context.now + connectionsLogPeriod;
+        logConnections();
+    }
+}
+
+// Connections to targets since the last such line, by cause.
+void target_link::logConnections()
+{
+    const auto& counts = m_context.targets.connections().counts();
+    const auto before = std::exchange(m_loggedConnections, counts);
+    const auto opened = [&](connection_cause cause) { return std::to_string(counts.of(cause) - before.of(cause)); };
+    if (counts.reused == before.reused && counts.opened == before.opened)
+        return;
+    logEvent(log_level::Info, duty, "connections",
+        { { "reused", std::to_string(counts.reused - before.reused) }, { "first_use", opened(connection_cause::FirstUse) },
+            { "closed_by_target", opened(connection_cause::ClosedByTarget) }, { "cancelled", opened(connection_cause::Cancelled) },
+            { "reuse_forbidden", opened(connection_cause::ReuseForbidden) }, { "all_busy", opened(connection_cause::AllBusy) } });
 }
 
 void target_link::logEnds()
--- a/src/edge/target_link.h
+++ b/src/edge/target_link.h
@@ -1,12 +1,14 @@
 // Carries the requests of this instance to targets, on its own connections or through another
 // instance (target_paths.h). A request changes its path only while nothing of it was sent, so
-// its outcome means the same on both. Logs how requests end, and changes of the paths.
+// its outcome means the same on both. Logs how requests end, and changes of the paths. Reports the
+// connections that it opens and keeps to the router (connection_pool_view.h).
 #pragma once
 
 #include "edge/context.h"
 #include "edge/members.h"
 #include "edge/relay_codec.h"
 #include "edge/transfers.h"
+#include "http/persistence.h"
 #include "target_paths.h"
 
 #include <array>
@@ -62,6 +64,7 @@
         std::optional<relay_outcome> relayOutcome; // once its head was received
         bool connected = false; // to the target or the relay
         http::connection_use connection = http::connection_use::None;
+        http::persistence persistence; // of the connection, as the answer's head states
         bool bodyDropped = false; // bytes may have been sent, so the request is not sent again
         bool triedDirect = false;
         bool countedAsFailed = false; // that there is no connection yet
@@ -83,8 +86,11 @@
     void ask(const ask_for_relays& question);
     void updateMembers();
     void recordOwnPath(const target_id& target, const http::answer& answer);
+    void recordConnected(std::uint64_t id, const open_call& call);
+    void recordDirectCall(const target_id& target, http::connection_reuse reuse, const http::answer& answer);
     void countEnd(end_kind kind) { ++m_ends[static_cast<std::size_t>(kind)]; }
     void logEnds();
+    void logConnections();
 
     context& m_context;
     members& m_members;
@@ -93,6 +99,8 @@
     std::map<std::uint64_t, open_call> m_calls;
     std::array<std::uint32_t, static_cast<std::size_t>(end_kind::Count)> m_ends {}; // since the last log line
     instant m_nextLog {};
+    instant m_nextConnectionsLog {};
+    connection_counts m_loggedConnections; // when last logged
     instant m_nextUpdate {};
     bool m_wasCutOff = false;
 };
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -18,6 +18,14 @@
     constexpr std::size_t drawsPerSample = 4; // random draws per wanted sample; if none yields a candidate, the whole subset is scanned
     constexpr std::size_t smallClassTargets = 256; // targets; up to this size caches are rebuilt at each change of the class
     constexpr duration cacheLifetime = std::chrono::seconds(1); // of the caches of a larger class
+    // Bounds the search for targets with an idle connection where most of them are of other classes.
+    constexpr std::size_t maxConnectedExamined = 64;
+    // A target whose attempts fail more often than this, or that has just started, gets no preference
+    // for its idle connections: they would send it more requests than its health allows.
+    constexpr double minConnectedWeight = 0.9;
+    // The same for a target whose expected time exceeds the shortest by this factor, as the cost leaves
+    // out the decoding time. Learned times of equal targets differ by less.
+    constexpr double maxConnectedTime = 1.5;
     constexpr duration minRetryAfter = std::chrono::milliseconds(100);
     constexpr duration noTargetRetryAfter = std::chrono::seconds(1);
 
@@ -160,6 +168,7 @@
 {
     for (const slot_change& change : m_table.expire(now))
         applyChange(change, now);
+    m_connections.tick(now);
 }
 
 // Keeps the state per slot consistent with the table: a new incarnation of a target
@@ -173,6 +182,7 @@
         m_health.onTargetRemoved(change.slot);
         m_prefixes.clear(change.slot);
         m_limits.reset(change.slot);
+        m_connections.reset(change.slot);
         m_load.reset(change.slot, m_table.record(change.slot).listed.kind);
     }
     const listed_target& listed = m_table.record(change.slot).listed;
@@ -224,6 +234,7 @@
     if (isDefault) {
         addSamples(chosen, cache, random, now);
         addPrefixTargets(chosen, cache, now);
+        addConnectedTargets(chosen, random, now);
         applyBoundedLoad(chosen);
     }
     if (chosen.candidates.empty())
@@ -253,6 +264,7 @@
     }
 
     // Step 4. Let the policy pick.
+    applyConnectionCost(chosen, now);
     const std::size_t index = m_policies.pick(m_settings.policy, chosen.candidates, random);
     const routing_candidate& picked = chosen.candidates[index];
     if (chosen.ignoreHealth)
@@ -495,6 +507,61 @@
     }
 }
 
+// Attempts that were started and have no connection yet will take an idle one each.
+std::size_t router::spareConnections(target_slot slot, instant now) const
+{
+    const std::size_t idle = m_connections.idle(slot, now);
+    const std::size_t outstanding = m_load.ownOutstanding(slot);
+    const std::size_t connected = m_connections.inUse(slot);
+    const std::size_t waiting = outstanding > connected ? outstanding - connected : 0;
+    return idle > waiting ? idle - waiting : 0;
+}
+
+// By its stated slots, or by the limit learned from its reports.
+bool router::isFull(target_slot slot, double requests) const
+{
+    const listed_target& listed = m_table.record(slot).listed;
+    const auto stated = labelNumber(listed.labels, "slots");
+    const target_speed& speed = m_load.speed(slot);
+    const double learned = listed.kind == target_kind::Engine ? speed.batchLimit : speed.serviceWorkers;
+    return requests >= (stated > 0 ? stated : learned);
+}
+
+// Adds targets to which a request needs no new connection, from a random one on.
+void router::addConnectedTargets(selection& chosen, seeded_random& random, instant now) const
+{
+    const std::set<target_slot>& slots = m_connections.slotsWithIdle();
+    if (m_settings.connectionCost <= duration {} || slots.empty())
+        return;
+    const std::size_t wanted = chosen.candidates.size() + m_settings.connectedCandidates;
+    auto next = std::next(slots.begin(), static_cast<std::ptrdiff_t>(random.below(slots.size())));
+    for (std::size_t i = 0; i < std::min(slots.size(), maxConnectedExamined) && chosen.candidates.size() < wanted; ++i, ++next) {
+        if (next == slots.end())
+            next = slots.begin();
+        if (spareConnections(*next, now) > 0)
+            addCandidate(chosen, *next, now);
+    }
+}
+
+// Adds the cost of a connection to candidates that need a new one, and to those that must not
+// be preferred for an idle one.
+void router::applyConnectionCost(selection& chosen, instant now) const
+{
+    if (m_settings.connectionCost <= duration {})
+        return;
+    duration shortest = duration::max();
+    for (const routing_candidate& candidate : chosen.candidates)
+        shortest = std::min(shortest, candidate.total);
+    for (routing_candidate& candidate : chosen.candidates) {
+        const bool isSlow = candidate.total > scale(shortest, maxConnectedTime);
+        const bool isPreferred = !isSlow && candidate.weight >= minConnectedWeight && !isFull(candidate.slot, candidate.load) && spareConnections(candidate.slot, now) > 0;
+        if (isPreferred)
+            continue;
+        candidate.cost += m_settings.connectionCost;
+        candidate.costUncached += m_settings.connectionCost;
+    }
+}
+
 // Consistent hashing with bounded loads: a candidate far above the mean load loses its
 // prefix bonus, as many instances may prefer it at once before reports show their requests.
 void router::applyBoundedLoad(selection& chosen) const
--- a/src/router.h
+++ b/src/router.h
@@ -8,6 +8,7 @@
 // of these can take the request.
 #pragma once
 
+#include "connection_pool_view.h"
 #include "health.h"
 #include "load.h"
 #include "prefix_index.h"
@@ -101,6 +102,10 @@
     double slowdownWeight = 0.1; // how much of the decoding time added by other streams counts in the score
     std::uint32_t cheapExposure = 64; // cap on attempts on cheap targets per account or run and failure domain
     duration cheapTargetBonus = std::chrono::milliseconds(2); // subtracted from the cost of cheap targets
+    // Cost of a new connection to a target, added to the cost of targets to which this instance has
+    // no idle one; 0: connections don't matter.
+    duration connectionCost {};
+    std::size_t connectedCandidates = 8; // targets with an idle connection per decision, besides the others
     double deadlineMargin = 0.8; // a target is too slow if this share of its expected time exceeds the time left
     target_table_settings table;
     load_settings load;
@@ -135,6 +140,11 @@
     void sentBeside(const target_id& target, instant now);
     request_limits& limits() { return m_limits; }
     const request_limits& limits() const { return m_limits; }
+    // This instance's connections to targets; whoever sends the requests reports them.
+    connection_pool_view& connections() { return m_connections; }
+    const connection_pool_view& connections() const { return m_connections; }
+    // Idle connections to a target that no attempt under way is going to take.
+    std::size_t spareConnections(target_slot slot, instant now) const;
     // Expires targets; call about once a second.
     void tick(instant now);
 
@@ -197,7 +207,10 @@
     void addAll(selection& chosen, const std::vector<target_slot>& slots, instant now) const;
     void addSamples(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const;
     void addPrefixTargets(selection& chosen, const class_cache& cache, instant now) const;
+    void addConnectedTargets(selection& chosen, seeded_random& random, instant now) const;
     void applyBoundedLoad(selection& chosen) const;
+    void applyConnectionCost(selection& chosen, instant now) const;
+    bool isFull(target_slot slot, double requests) const;
     bool keepFeasible(selection& chosen, instant now) const;
     no_route noRouteFor(const selection& chosen) const;
     route_choice makeChoice(const selection& chosen, const routing_candidate& candidate, route_reason reason) const;
@@ -210,6 +223,7 @@
     prefix_index m_prefixes;
     health_monitor m_health;
     request_limits m_limits;
+    connection_pool_view m_connections;
     policy_set m_policies;
     std::vector<std::uint32_t> m_generations; // by slot; incremented when another target or incarnation takes the slot
     std::map<routing_class_id, class_cache> m_caches;
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cstdlib>
 #include <utility>
 
 namespace lovagerail {
@@ -32,6 +33,12 @@
 
 } // namespace
 
+std::uint32_t labelNumber(const label_map& labels, const std::string& name)
+{
+    const auto found = labels.find(name);
+    return found == labels.end() ? 0 : static_cast<std::uint32_t>(std::strtoul(found->second.c_str(), nullptr, 10));
+}
+
 std::string toString(const target_software& software) { return software.pool.str() + "/" + software.version; }
 
 target_table::target_table(target_table_settings settings)
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -23,6 +23,8 @@
 using target_slot = number_id<struct target_slot_tag, std::uint32_t>;
 using routing_class_id = name_id<struct routing_class_tag>;
 using label_map = std::map<std::string, std::string>;
+// The value of a numeric label; 0 if it is missing.
+std::uint32_t labelNumber(const label_map& labels, const std::string& name);
 
 enum class target_kind { Engine,
     Service };
