Fewer services for instances with a low rate; new connections by cause

Cause: 55 instances send 0.2 to 1 caller requests a second each to all 7 plain targets, so nearly each request opens a connection.

Change: with a connection cost, an instance samples plain targets from as many as get three of its requests each in 10 s, more than it has in flight, at least two; its own failure domain first, then by rendezvous hashing; from all if these are full or unhealthy. Connected candidates come from the instance's own subset first. Metric lovagerail_target_connections_total by cause.

--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -45,6 +45,10 @@
         auto& calls = prometheus::BuildCounter().Name("lovagerail_store_calls_total").Help("Calls to the store by cause").Register(registry);
         for (const auto& [cause, count] : m_view->storeCalls)
             calls.Add({ { "cause", cause } }).Increment(static_cast<double>(count));
+        const auto& c = m_view->connections;
+        add(registry, "lovagerail_target_connections_total", "Requests on kept connections to targets, and new connections by cause", "use",
+            { { "reused", c.reused }, { "first_use", c.of(connection_cause::FirstUse) }, { "closed_by_target", c.of(connection_cause::ClosedByTarget) }, { "cancelled", c.of(connection_cause::Cancelled) },
+                { "reuse_forbidden", c.of(connection_cause::ReuseForbidden) }, { "all_busy", c.of(connection_cause::AllBusy) } });
         prometheus::BuildGauge().Name("lovagerail_open_requests").Help("Requests under way").Register(registry).Add({}).Set(static_cast<double>(m_view->openForwards));
         prometheus::BuildGauge().Name("lovagerail_open_batches").Help("Batches of this instance that are not ended").Register(registry).Add({}).Set(static_cast<double>(m_view->openBatches));
     }
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "batch_runner.h"
+#include "connection_pool_view.h"
 #include "forwarding.h"
 #include "http/server.h"
 
@@ -14,6 +15,7 @@
     const forwarding_counts& forwards;
     const batch_run_counts& batches;
     const std::map<std::string, std::uint64_t, std::less<>>& storeCalls; // by cause
+    const connection_counts& connections; // to targets
     std::size_t openForwards = 0;
     std::size_t openBatches = 0;
 };
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <set>
 #include <xxhash.h>
 
@@ -26,6 +27,10 @@
     // The same for a target whose expected time exceeds the shortest by this factor, as the cost leaves
     // out the decoding time. Learned times of equal targets differ by less.
     constexpr double maxConnectedTime = 1.5;
+    // With random arrivals, a service that gets this many requests on average in the time for which
+    // it keeps a connection open gets none in 5% of such times.
+    constexpr double requestsPerKeepTime = 3;
+    constexpr std::size_t minFewServices = 2;
     constexpr duration minRetryAfter = std::chrono::milliseconds(100);
     constexpr duration noTargetRetryAfter = std::chrono::seconds(1);
 
@@ -162,6 +167,7 @@
 {
     m_table.removeClass(name);
     m_caches.erase(name);
+    m_sentCounts.erase(name);
 }
 
 void router::tick(instant now)
@@ -234,7 +240,7 @@
     if (isDefault) {
         addSamples(chosen, cache, random, now);
         addPrefixTargets(chosen, cache, now);
-        addConnectedTargets(chosen, random, now);
+        addConnectedTargets(chosen, cache, random, now);
         applyBoundedLoad(chosen);
     }
     if (chosen.candidates.empty())
@@ -305,6 +311,8 @@
     m_load.recordSent(attempt, choice.slot, { request.promptTokens - cached, request.expectedTokens }, now);
     m_health.recordSent(choice.slot, now);
     m_limits.started(choice.slot, now);
+    if (choice.kind == target_kind::Service && m_settings.connectionCost > duration {})
+        m_sentCounts[request.routingClass] = { recentlySent(request.routingClass, now) + 1, now };
     if (choice.kind == target_kind::Engine)
         m_prefixes.recordSent(choice.slot, request.promptBlocks, now);
 }
@@ -365,6 +373,7 @@
     cache.version = version;
     cache.builtAt = now;
     cache.subset = chooseSubset(allowed);
+    cache.ranked = rankSubset(cache.subset);
     cache.ring = buildRing(allowed);
     return cache;
 }
@@ -397,6 +406,28 @@
     return subset;
 }
 
+// Orders a subset so that the first n of it spread over as many failure domains as possible,
+// from this instance's own one on, and differ between instances by rendezvous hashing.
+std::vector<target_slot> router::rankSubset(const std::vector<target_slot>& subset) const
+{
+    const std::uint64_t seed = hashName(m_settings.instance, 0);
+    std::vector<std::pair<std::uint64_t, target_slot>> hashed;
+    for (const target_slot slot : subset)
+        hashed.emplace_back(hashName(m_table.record(slot).listed.id.str(), seed), slot);
+    std::sort(hashed.begin(), hashed.end());
+    std::map<failure_domain_id, std::size_t> inDomain;
+    std::vector<std::tuple<std::size_t, bool, std::uint64_t, target_slot>> ranked; // rank within the domain, in another domain, hash
+    for (const auto& [hash, slot] : hashed) {
+        const failure_domain_id& domain = m_table.record(slot).listed.failureDomain;
+        ranked.emplace_back(inDomain[domain]++, domain != m_settings.failureDomain, hash, slot);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<target_slot> out;
+    for (const auto& entry : ranked)
+        out.push_back(std::get<target_slot>(entry));
+    return out;
+}
+
 std::vector<std::pair<std::uint64_t, target_slot>> router::buildRing(const std::vector<target_slot>& allowed) const
 {
     std::vector<std::pair<std::uint64_t, target_slot>> ring;
@@ -480,14 +511,52 @@
         return;
     const bool isService = m_table.record(cache.subset.front()).listed.kind == target_kind::Service;
     const std::size_t randomCandidates = isService ? m_settings.serviceRandomCandidates : m_settings.randomCandidates;
-    const std::size_t sampleCount = std::min(randomCandidates, cache.subset.size());
+    const std::size_t few = isService ? fewServices(chosen.request.routingClass, cache, now) : cache.subset.size();
+    if (few < cache.subset.size()) {
+        addRandom(chosen, std::span(cache.ranked).first(few), randomCandidates, random, now);
+        const bool anyUsable = std::any_of(chosen.candidates.begin(), chosen.candidates.end(), [this](const routing_candidate& candidate) {
+            return candidate.weight >= minConnectedWeight && !isFull(candidate.slot, candidate.load);
+        });
+        if (anyUsable)
+            return;
+    }
+    addRandom(chosen, cache.subset, randomCandidates, random, now);
+}
+
+// Draws until there are as many candidates as wanted.
+void router::addRandom(selection& chosen, std::span<const target_slot> slots, std::size_t wanted, seeded_random& random, instant now) const
+{
+    const std::size_t sampleCount = std::min(wanted, slots.size());
     for (std::size_t draw = 0; draw < sampleCount * drawsPerSample; ++draw) {
-        addCandidate(chosen, cache.subset[random.below(cache.subset.size())], now);
+        addCandidate(chosen, slots[random.below(slots.size())], now);
         if (chosen.candidates.size() >= sampleCount)
             return;
     }
 }
 
+double router::recentlySent(const routing_class_id& name, instant now) const
+{
+    const auto found = m_sentCounts.find(name);
+    if (found == m_sentCounts.end())
+        return 0;
+    const double age = std::chrono::duration<double>(now - found->second.at) / m_settings.serviceKeepTime;
+    return found->second.requests * std::exp(-std::max(0.0, age));
+}
+
+// How many services of the class, by rank, this instance samples from: so few that each gets
+// several requests in the time for which it keeps a connection open, but more than requests are
+// in flight, and at least two, so that there is a choice.
+std::size_t router::fewServices(const routing_class_id& name, const class_cache& cache, instant now) const
+{
+    if (m_settings.connectionCost <= duration {})
+        return cache.subset.size();
+    std::size_t outstanding = 0;
+    for (const target_slot slot : cache.subset)
+        outstanding += m_load.ownOutstanding(slot);
+    const auto byRate = static_cast<std::size_t>(recentlySent(name, now) / requestsPerKeepTime);
+    return std::min(cache.subset.size(), std::max({ minFewServices, byRate, outstanding + 1 }));
+}
+
 // Adds the targets with the longest cached prefixes, and those that the consistent-hash
 // ring assigns to the prompt's first kilobyte; all instances compute the latter alike
 // without communicating.
@@ -527,13 +596,28 @@
     return requests >= (stated > 0 ? stated : learned);
 }
 
-// Adds targets to which a request needs no new connection, from a random one on.
-void router::addConnectedTargets(selection& chosen, seeded_random& random, instant now) const
+// Adds targets to which a request needs no new connection: those of this instance's subset, as
+// the subsets of other instances differ, and if there are none, others from a random one on.
+void router::addConnectedTargets(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const
 {
     const std::set<target_slot>& slots = m_connections.slotsWithIdle();
-    if (m_settings.connectionCost <= duration {} || slots.empty())
+    if (m_settings.connectionCost <= duration {} || slots.empty() || cache.subset.empty())
+        return;
+    // An instance with a high rate to services has connections to all of them. If all were candidates,
+    // all instances would send to the one with the least reported load, and it would refuse many.
+    const bool isService = m_table.record(cache.subset.front()).listed.kind == target_kind::Service;
+    if (isService && fewServices(chosen.request.routingClass, cache, now) >= cache.subset.size())
         return;
     const std::size_t wanted = chosen.candidates.size() + m_settings.connectedCandidates;
+    bool anyInSubset = false;
+    for (std::size_t i = 0; i < std::min(cache.ranked.size(), maxConnectedExamined) && chosen.candidates.size() < wanted; ++i) {
+        if (!slots.contains(cache.ranked[i]) || spareConnections(cache.ranked[i], now) == 0)
+            continue;
+        addCandidate(chosen, cache.ranked[i], now);
+        anyInSubset = anyInSubset || std::any_of(chosen.candidates.begin(), chosen.candidates.end(), [&](const routing_candidate& candidate) { return candidate.slot == cache.ranked[i]; });
+    }
+    if (anyInSubset)
+        return;
     auto next = std::next(slots.begin(), static_cast<std::ptrdiff_t>(random.below(slots.size())));
     for (std::size_t i = 0; i < std::min(slots.size(), maxConnectedExamined) && chosen.candidates.size() < wanted; ++i, ++next) {
         if (next == slots.end())
--- a/src/router.h
+++ b/src/router.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <tuple>
 #include <variant>
@@ -106,6 +107,9 @@
     // no idle one; 0: connections don't matter.
     duration connectionCost {};
     std::size_t connectedCandidates = 8; // targets with an idle connection per decision, besides the others
+    // With a connection cost: for how long services keep idle connections open. An instance samples
+    // from no more of a class's services than get several of its requests in this time.
+    duration serviceKeepTime = std::chrono::seconds(10);
     double deadlineMargin = 0.8; // a target is too slow if this share of its expected time exceeds the time left
     target_table_settings table;
     load_settings load;
@@ -174,6 +178,7 @@
         std::uint64_t version = 0; // of the class when this was built; 0: never built
         instant builtAt;
         std::vector<target_slot> subset; // sorted
+        std::vector<target_slot> ranked; // the same, those first that an instance with a low rate uses
         std::vector<std::pair<std::uint64_t, target_slot>> ring; // sorted
     };
     struct exposure_key {
@@ -195,6 +200,11 @@
         std::optional<exposure_key> exposure; // counted in m_exposure until it ends
     };
     struct selection;
+    // Requests of a class that this instance sent to services, as an exponentially decayed count.
+    struct sent_count {
+        double requests = 0; // at `at`
+        instant at;
+    };
 
     void applyChange(const slot_change& change, instant now);
     std::uint32_t& generation(target_slot slot);
@@ -206,8 +216,12 @@
     void addCandidate(selection& chosen, target_slot slot, instant now) const;
     void addAll(selection& chosen, const std::vector<target_slot>& slots, instant now) const;
     void addSamples(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const;
+    void addRandom(selection& chosen, std::span<const target_slot> slots, std::size_t wanted, seeded_random& random, instant now) const;
+    std::vector<target_slot> rankSubset(const std::vector<target_slot>& subset) const;
+    std::size_t fewServices(const routing_class_id& name, const class_cache& cache, instant now) const;
+    double recentlySent(const routing_class_id& name, instant now) const;
     void addPrefixTargets(selection& chosen, const class_cache& cache, instant now) const;
-    void addConnectedTargets(selection& chosen, seeded_random& random, instant now) const;
+    void addConnectedTargets(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const;
     void applyBoundedLoad(selection& chosen) const;
     void applyConnectionCost(selection& chosen, instant now) const;
     bool isFull(target_slot slot, double requests) const;
@@ -227,6 +241,7 @@
     policy_set m_policies;
     std::vector<std::uint32_t> m_generations; // by slot; incremented when another target or incarnation takes the slot
     std::map<routing_class_id, class_cache> m_caches;
+    std::map<routing_class_id, sent_count> m_sentCounts; // of classes with services; empty without a connection cost
     std::map<attempt_id, attempt_state> m_attempts;
     std::map<exposure_key, std::uint32_t> m_exposure; // attempts in flight; positive counts only
 };
--- a/tests/test_connection_pool_view.cpp
+++ b/tests/test_connection_pool_view.cpp
@@ -32,11 +32,11 @@
         return listed;
     }
 
-    router routerOf(std::uint32_t targets, const std::string& instance, duration cost, target_kind kind = target_kind::Engine)
+    router routerOf(std::uint32_t targets, const std::string& instance, duration cost, target_kind kind = target_kind::Engine, const std::string& domain = "a")
     {
         router_settings settings;
         settings.instance = instance;
-        settings.failureDomain = failure_domain_id("a");
+        settings.failureDomain = failure_domain_id(domain);
         settings.subsetSize = 8;
         settings.connectionCost = cost;
         settings.load.initialSpeed.prefillTokensPerSecond = 100'000;
@@ -315,6 +315,98 @@
     }
 }
 
+// With a few requests in the time for which a connection stays open, all services would get a new
+// connection for nearly each request; and all instances must not use the same few services.
+BOOST_AUTO_TEST_CASE(an_instance_with_a_low_rate_uses_few_services_that_differ_between_instances)
+{
+    constexpr std::uint32_t services = 7;
+    constexpr int instances = 55;
+    const auto used = [](router& subject, instant from, duration step, int requests) {
+        std::map<target_id, int> counts;
+        for (int i = 0; i < requests; ++i) {
+            const auto now = from + i * step;
+            const auto number = static_cast<std::uint64_t>(now.time_since_epoch().count());
+            const auto choice = std::get<route_choice>(subject.choose(requestOf(number), now));
+            ++counts[choice.target];
+            subject.started(attempt_id(number), choice, requestOf(number), now);
+            subject.ended(attempt_id(number), { attempt_outcome::Success, token_count(1), std::nullopt }, now + 20ms);
+        }
+        return counts;
+    };
+    std::map<target_id, int> all;
+    for (int i = 0; i < instances; ++i) {
+        auto subject = routerOf(services, "edge-" + std::to_string(i), connectionCost, target_kind::Service, std::string(1, static_cast<char>('a' + i % 6)));
+        const auto counts = used(subject, instant { 60s }, 3s, 40);
+        BOOST_TEST(counts.size() <= 2U);
+        for (const auto& [target, count] : counts)
+            all[target] += count;
+    }
+    BOOST_TEST(all.size() == services);
+    auto plain = routerOf(services, "edge-1", {}, target_kind::Service);
+    BOOST_TEST(used(plain, instant { 60s }, 3s, 40).size() > 2U);
+    auto busy = routerOf(services, "edge-1", connectionCost, target_kind::Service);
+    (void)used(busy, instant { 60s }, 100ms, 400);
+    BOOST_TEST(used(busy, instant { 100s }, 100ms, 100).size() > 2U);
+}
+
+// If an instance with connections to all services took the least loaded of all, all such instances
+// would send to the same one until the next reports.
+BOOST_AUTO_TEST_CASE(an_instance_with_a_high_rate_samples_services_at_random)
+{
+    constexpr std::uint32_t services = 7;
+    const instant now { 100s };
+    auto subject = routerOf(services, "edge-1", connectionCost, target_kind::Service);
+    for (std::uint64_t i = 1; i <= 400; ++i) {
+        const auto at = now - 40s + i * 100ms;
+        const auto choice = std::get<route_choice>(subject.choose(requestOf(i), at));
+        subject.started(attempt_id(i), choice, requestOf(i), at);
+        subject.ended(attempt_id(i), { attempt_outcome::Success, token_count(1), std::nullopt }, at + 20ms);
+    }
+    for (std::uint32_t i = 0; i < services; ++i) {
+        leaveIdle(subject, "t" + std::to_string(i), now, 1000 + i);
+        subject.applyReport(reportOf("t" + std::to_string(i), i == 3 ? 0 : slotsPerTarget + 3, now), now);
+    }
+    const int leastLoaded = chosenOf(subject, "t3", now);
+    BOOST_TEST(leastLoaded > 80);
+    BOOST_TEST(leastLoaded < 160);
+}
+
+BOOST_AUTO_TEST_CASE(all_services_are_candidates_while_the_few_are_full_or_unhealthy)
+{
+    constexpr std::uint32_t services = 7;
+    const instant now { 60s };
+    for (const bool areFull : { true, false }) {
+        auto subject = routerOf(services, "edge-1", connectionCost, target_kind::Service);
+        std::set<target_id> few;
+        for (int i = 0; i < 2; ++i) {
+            auto request = requestOf(1);
+            request.excluded = { few.begin(), few.end() };
+            few.insert(std::get<route_choice>(subject.choose(request, now)).target);
+        }
+        std::uint64_t attempt = 0;
+        for (const auto& target : few) {
+            if (areFull) {
+                subject.applyReport(reportOf(target.str(), slotsPerTarget + 2, now), now);
+                continue;
+            }
+            auto only = requestOf(1);
+            for (std::uint32_t i = 0; i < services; ++i) {
+                if (target_id("t" + std::to_string(i)) != target)
+                    only.excluded.push_back(target_id("t" + std::to_string(i)));
+            }
+            const auto choice = std::get<route_choice>(subject.choose(only, now));
+            for (int i = 0; i < 3; ++i) {
+                subject.started(attempt_id(++attempt), choice, only, now);
+                subject.ended(attempt_id(attempt), { attempt_outcome::Refused, {}, std::nullopt }, now);
+            }
+        }
+        int others = 0;
+        for (std::uint64_t seed = 1; seed <= 100; ++seed)
+            others += !few.contains(std::get<route_choice>(subject.choose(requestOf(seed), now)).target);
+        BOOST_TEST(others > 90);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
