--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -169,6 +169,7 @@
         // Each new connection to a target has a cost, so an instance uses a small subset of a
         // service's replicas, and the others only when these are full.
         out.subsetSize = 8;
+        out.connectionCost = settings.targets.connectionCost;
         // Initial estimates, corrected by observation: current engines generate a token of a
         // small batch in about 1 ms and prefill about 100 prompt tokens per ms.
         out.load.initialSpeed.prefillTokensPerSecond = 100'000;
@@ -366,7 +367,7 @@
             reloadIfFileChanged();
         if (m_context.now >= m_nextStoreCallsLog)
             logStoreCalls();
-        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount(), m_platformView.evacuated().size(), &m_demand.shares() });
+        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_targets.connections().counts(), m_frontend.openCount(), m_batches.openCount(), m_platformView.evacuated().size(), &m_demand.shares() });
         if (ready() != m_wasReady) {
             m_wasReady = ready();
             logEvent(log_level::Info, "main", m_wasReady ? "ready" : "not_ready");
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -46,6 +46,7 @@
             decimalField<s>("bounds", "cold_overshoot", 1, 100, [](s& v) -> double& { return v.bounds.coldOvershoot; }),
             decimalField<s>("bounds", "cold_slack", 0, 100'000, [](s& v) -> double& { return v.bounds.coldSlack; }),
             textMapField<s>("placement", "regions", [](s& v) -> std::map<std::string, std::string>& { return v.placement.regions; }),
+            time("targets", "connection_cost", 0, msPerSecond, [](s& v) -> std::chrono::milliseconds& { return v.targets.connectionCost; }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
         return table;
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -61,6 +61,10 @@
                                                                                                    : std::string();
     }
 
+    struct {
+        // What a new connection to a target costs; 0: targets with a kept connection are not preferred.
+        std::chrono::milliseconds connectionCost { 0 };
+    } targets;
     struct {
         std::string level = "info";
     } log;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <xxhash.h>
@@ -19,6 +20,18 @@
     constexpr std::size_t drawsPerSample = 4; // random draws per wanted sample; if none yields a candidate, the whole subset is scanned
     constexpr std::size_t smallClassTargets = 256; // targets; up to this size caches are rebuilt at each change of the class
     constexpr duration cacheLifetime = std::chrono::seconds(1); // of the caches of a larger class
+    // Bounds the search for targets with an idle connection where most of them are of other classes.
+    constexpr std::size_t maxConnectedExamined = 64;
+    // A target whose attempts fail more often than this, or that has just started, gets no preference
+    // for its idle connections: they would send it more requests than its health allows.
+    constexpr double minConnectedWeight = 0.9;
+    // The same for a target whose expected time exceeds the shortest by this factor, as the cost leaves
+    // out the decoding time. Learned times of equal targets differ by less.
+    constexpr double maxConnectedTime = 1.5;
+    // With random arrivals, a service that gets this many requests on average in the time for which
+    // it keeps a connection open gets none in 5% of such times.
+    constexpr double requestsPerKeepTime = 3;
+    constexpr std::size_t minFewServices = 2;
     constexpr duration minRetryAfter = std::chrono::milliseconds(100);
     constexpr duration noTargetRetryAfter = std::chrono::seconds(1);
 
@@ -168,12 +181,14 @@
 {
     m_table.removeClass(name);
     m_caches.erase(name);
+    m_sentCounts.erase(name);
 }
 
 void router::tick(instant now)
 {
     for (const slot_change& change : m_table.expire(now))
         applyChange(change, now);
+    m_connections.tick(now);
 }
 
 // Keeps the state per slot consistent with the table: a new incarnation of a target
@@ -188,6 +203,7 @@
         m_prefixes.clear(change.slot);
         m_limits.reset(change.slot);
         m_coldLimits.reset(change.slot);
+        m_connections.reset(change.slot);
         m_load.reset(change.slot, m_table.record(change.slot).listed.kind);
     }
     const listed_target& listed = m_table.record(change.slot).listed;
@@ -243,6 +259,7 @@
     if (isDefault) {
         addSamples(chosen, cache, random, now);
         addPrefixTargets(chosen, cache, now);
+        addConnectedTargets(chosen, cache, random, now);
         applyBoundedLoad(chosen);
     }
     if (chosen.candidates.empty())
@@ -272,6 +289,7 @@
     }
 
     // Step 4. Let the policy pick.
+    applyConnectionCost(chosen, now);
     const std::size_t index = m_policies.pick(m_settings.policy, chosen.candidates, random);
     const routing_candidate& picked = chosen.candidates[index];
     if (chosen.ignoreHealth)
@@ -313,6 +331,8 @@
     m_health.recordSent(choice.slot, now);
     m_limits.started(choice.slot, now);
     m_coldLimits.started(choice.slot, now);
+    if (choice.kind == target_kind::Service && m_settings.connectionCost > duration {})
+        m_sentCounts[request.routingClass] = { recentlySent(request.routingClass, now) + 1, now };
     if (choice.kind == target_kind::Engine)
         m_prefixes.recordSent(choice.slot, request.promptBlocks, now);
 }
@@ -373,6 +393,7 @@
     cache.version = version;
     cache.builtAt = now;
     cache.subset = chooseSubset(allowed);
+    cache.ranked = rankSubset(cache.subset);
     cache.ring = buildRing(allowed);
     return cache;
 }
@@ -405,6 +426,28 @@
     return subset;
 }
 
+// Orders a subset so that the first n of it spread over as many failure domains as possible,
+// from this instance's own one on, and differ between instances by rendezvous hashing.
+std::vector<target_slot> router::rankSubset(const std::vector<target_slot>& subset) const
+{
+    const std::uint64_t seed = hashName(m_settings.instance, 0);
+    std::vector<std::pair<std::uint64_t, target_slot>> hashed;
+    for (const target_slot slot : subset)
+        hashed.emplace_back(hashName(m_table.record(slot).listed.id.str(), seed), slot);
+    std::sort(hashed.begin(), hashed.end());
+    std::map<failure_domain_id, std::size_t> inDomain;
+    std::vector<std::tuple<std::size_t, bool, std::uint64_t, target_slot>> ranked; // rank within the domain, in another domain, hash
+    for (const auto& [hash, slot] : hashed) {
+        const failure_domain_id& domain = m_table.record(slot).listed.failureDomain;
+        ranked.emplace_back(inDomain[domain]++, domain != m_settings.failureDomain, hash, slot);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<target_slot> out;
+    for (const auto& entry : ranked)
+        out.push_back(std::get<target_slot>(entry));
+    return out;
+}
+
 std::vector<std::pair<std::uint64_t, target_slot>> router::buildRing(const std::vector<target_slot>& allowed) const
 {
     std::vector<std::pair<std::uint64_t, target_slot>> ring;
@@ -488,14 +531,52 @@
         return;
     const bool isService = m_table.record(cache.subset.front()).listed.kind == target_kind::Service;
     const std::size_t randomCandidates = isService ? m_settings.serviceRandomCandidates : m_settings.randomCandidates;
-    const std::size_t sampleCount = std::min(randomCandidates, cache.subset.size());
+    const std::size_t few = isService ? fewServices(chosen.request.routingClass, cache, now) : cache.subset.size();
+    if (few < cache.subset.size()) {
+        addRandom(chosen, std::span(cache.ranked).first(few), randomCandidates, random, now);
+        const bool anyUsable = std::any_of(chosen.candidates.begin(), chosen.candidates.end(), [this](const routing_candidate& candidate) {
+            return candidate.weight >= minConnectedWeight && !isFull(candidate.slot, candidate.load);
+        });
+        if (anyUsable)
+            return;
+    }
+    addRandom(chosen, cache.subset, randomCandidates, random, now);
+}
+
+// Draws until there are as many candidates as wanted.
+void router::addRandom(selection& chosen, std::span<const target_slot> slots, std::size_t wanted, seeded_random& random, instant now) const
+{
+    const std::size_t sampleCount = std::min(wanted, slots.size());
     for (std::size_t draw = 0; draw < sampleCount * drawsPerSample; ++draw) {
-        addCandidate(chosen, cache.subset[random.below(cache.subset.size())], now);
+        addCandidate(chosen, slots[random.below(slots.size())], now);
         if (chosen.candidates.size() >= sampleCount)
             return;
     }
 }
 
+double router::recentlySent(const routing_class_id& name, instant now) const
+{
+    const auto found = m_sentCounts.find(name);
+    if (found == m_sentCounts.end())
+        return 0;
+    const double age = std::chrono::duration<double>(now - found->second.at) / m_settings.serviceKeepTime;
+    return found->second.requests * std::exp(-std::max(0.0, age));
+}
+
+// How many services of the class, by rank, this instance samples from: so few that each gets
+// several requests in the time for which it keeps a connection open, but more than requests are
+// in flight, and at least two, so that there is a choice.
+std::size_t router::fewServices(const routing_class_id& name, const class_cache& cache, instant now) const
+{
+    if (m_settings.connectionCost <= duration {})
+        return cache.subset.size();
+    std::size_t outstanding = 0;
+    for (const target_slot slot : cache.subset)
+        outstanding += m_load.ownOutstanding(slot);
+    const auto byRate = static_cast<std::size_t>(recentlySent(name, now) / requestsPerKeepTime);
+    return std::min(cache.subset.size(), std::max({ minFewServices, byRate, outstanding + 1 }));
+}
+
 // Adds the targets with the longest cached prefixes, and those that the consistent-hash
 // ring assigns to the prompt's first kilobyte; all instances compute the latter alike
 // without communicating.
@@ -515,6 +596,76 @@
     }
 }
 
+// Attempts that were started and have no connection yet will take an idle one each.
+std::size_t router::spareConnections(target_slot slot, instant now) const
+{
+    const std::size_t idle = m_connections.idle(slot, now);
+    const std::size_t outstanding = m_load.ownOutstanding(slot);
+    const std::size_t connected = m_connections.inUse(slot);
+    const std::size_t waiting = outstanding > connected ? outstanding - connected : 0;
+    return idle > waiting ? idle - waiting : 0;
+}
+
+// By its stated slots, or by the limit learned from its reports.
+bool router::isFull(target_slot slot, double requests) const
+{
+    const listed_target& listed = m_table.record(slot).listed;
+    const auto stated = labelNumber(listed.labels, "slots");
+    const target_speed& speed = m_load.speed(slot);
+    const double learned = listed.kind == target_kind::Engine ? speed.batchLimit : speed.serviceWorkers;
+    return requests >= (stated > 0 ? stated : learned);
+}
+
+// Adds targets to which a request needs no new connection: those of this instance's subset, as
+// the subsets of other instances differ, and if there are none, others from a random one on.
+void router::addConnectedTargets(selection& chosen, const class_cache& cache, seeded_random& random, instant now) const
+{
+    const std::set<target_slot>& slots = m_connections.slotsWithIdle();
+    if (m_settings.connectionCost <= duration {} || slots.empty() || cache.subset.empty())
+        return;
+    // An instance with a high rate to services has connections to all of them. If all were candidates,
+    // all instances would send to the one with the least reported load, and it would refuse many.
+    const bool isService = m_table.record(cache.subset.front()).listed.kind == target_kind::Service;
+    if (isService && fewServices(chosen.request.routingClass, cache, now) >= cache.subset.size())
+        return;
+    const std::size_t wanted = chosen.candidates.size() + m_settings.connectedCandidates;
+    bool anyInSubset = false;
+    for (std::size_t i = 0; i < std::min(cache.ranked.size(), maxConnectedExamined) && chosen.candidates.size() < wanted; ++i) {
+        if (!slots.contains(cache.ranked[i]) || spareConnections(cache.ranked[i], now) == 0)
+            continue;
+        addCandidate(chosen, cache.ranked[i], now);
+        anyInSubset = anyInSubset || std::any_of(chosen.candidates.begin(), chosen.candidates.end(), [&](const routing_candidate& candidate) { return candidate.slot == cache.ranked[i]; });
+    }
+    if (anyInSubset)
+        return;
+    auto next = std::next(slots.begin(), static_cast<std::ptrdiff_t>(random.below(slots.size())));
+    for (std::size_t i = 0; i < std::min(slots.size(), maxConnectedExamined) && chosen.candidates.size() < wanted; ++i, ++next) {
+        if (next == slots.end())
+            next = slots.begin();
+        if (spareConnections(*next, now) > 0)
+            addCandidate(chosen, *next, now);
+    }
+}
+
+// Adds the cost of a connection to candidates that need a new one, and to those that must not
+// be preferred for an idle one.
+void router::applyConnectionCost(selection& chosen, instant now) const
+{
+    if (m_settings.connectionCost <= duration {})
+        return;
+    duration shortest = duration::max();
+    for (const routing_candidate& candidate : chosen.candidates)
+        shortest = std::min(shortest, candidate.total);
+    for (routing_candidate& candidate : chosen.candidates) {
+        const bool isSlow = candidate.total > scale(shortest, maxConnectedTime);
+        const bool isPreferred = !isSlow && candidate.weight >= minConnectedWeight && !isFull(candidate.slot, candidate.load) && spareConnections(candidate.slot, now) > 0;
+        if (isPreferred)
+            continue;
+        candidate.cost += m_settings.connectionCost;
+        candidate.costUncached += m_settings.connectionCost;
+    }
+}
+
 // Consistent hashing with bounded loads: a candidate far above the mean load loses its
 // prefix bonus, as many instances may prefer it at once before reports show their requests.
 void router::applyBoundedLoad(selection& chosen) const
