Targets on shared machines: the slowdown that they state counts in the choice of targets

Cause: Server-Load of some services has a fourth number, how long work currently takes on the machine. The decoder expected exactly three numbers and ignored the load of such targets as a whole.

Change: the fourth number is decoded as a slowdown; one that can't be read leaves the three counts valid and is logged once per target. load_tracker keeps the last stated value with its age, an average over seconds and the target's normal slowdown, and uses them for expected waits, processing times and, where a slowness lasts, decoding. Learned speeds are divided by the slowdown under which they were observed. Log lines targets step=slow, usual, malformed_slowdown; the run line has the slowdown; gauge lovagerail_slow_targets.

--- a/bench/queue_model.cpp
+++ b/bench/queue_model.cpp
@@ -6,6 +6,16 @@
 
 namespace lovagerail::bench {
 
+namespace {
+
+    // Exact for a factor of 1, so that replays without slow machines stay as they are.
+    duration scale(duration span, double factor)
+    {
+        return factor == 1 ? span : std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
+    }
+
+} // namespace
+
 void event_queue::schedule(instant when, std::function<void()> action)
 {
     m_events.push({ std::max(when, m_now), m_nextOrder++, std::move(action) });
@@ -57,7 +67,7 @@
 target_load simulated_engine::load() const
 {
     const double usage = static_cast<double>(m_kvUsed) / static_cast<double>(m_model.kvTokens);
-    return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size()), std::min(1.0, usage) };
+    return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size()), std::min(1.0, usage), m_slowdown };
 }
 
 // Moves waiting requests into the batch while the batch and the KV cache have room.
@@ -95,7 +105,7 @@
         if (item.remainingPrefill == 0 && chunk > 0)
             ++decoding;
     }
-    const duration span = m_model.stepBase + m_model.stepPerStream * decoding + m_model.perPrefillToken * static_cast<std::int64_t>(prefill);
+    const duration span = scale(m_model.stepBase + m_model.stepPerStream * decoding + m_model.perPrefillToken * static_cast<std::int64_t>(prefill), m_slowdown);
     m_busySeconds += std::chrono::duration<double>(span).count();
     m_events.schedule(m_events.now() + span, [this, epoch = m_epoch] { endStep(epoch); });
 }
@@ -198,14 +208,14 @@
 
 target_load simulated_service::load() const
 {
-    return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size()), 0 };
+    return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size()), 0, m_slowdown };
 }
 
 void simulated_service::startNext()
 {
     while (!m_waiting.empty() && m_running.size() < m_workers) {
         const std::uint64_t number = ++m_started;
-        const duration span = m_waiting.front().serviceTime;
+        const duration span = scale(m_waiting.front().serviceTime, m_slowdown);
         m_running.emplace_back(number, std::move(m_waiting.front()));
         m_waiting.pop_front();
         m_busySeconds += std::chrono::duration<double>(span).count();
--- a/bench/queue_model.h
+++ b/bench/queue_model.h
@@ -57,6 +57,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     double kvCacheUsage = 0;
+    double slowdown = 1; // of the machine now
 };
 
 struct engine_model {
@@ -77,6 +78,8 @@
 
     void submit(simulated_request request);
     void fail();
+    // The machine takes so many times the usual time from the next step or request on.
+    void setSlowdown(double slowdown) { m_slowdown = slowdown; }
     target_load load() const;
     double busySeconds() const { return m_busySeconds; }
 
@@ -104,6 +107,7 @@
     std::uint64_t m_kvUsed = 0;
     std::uint64_t m_epoch = 0; // incremented by fail(), so that a step scheduled before it is ignored
     bool m_stepping = false;
+    double m_slowdown = 1; // of the machine, above 0
     double m_busySeconds = 0;
     std::uint64_t m_seq = 0;
     std::list<block_hash> m_lruOrder; // least recently used first
@@ -117,6 +121,8 @@
 
     void submit(simulated_request request);
     void fail();
+    // The machine takes so many times the usual time from the next step or request on.
+    void setSlowdown(double slowdown) { m_slowdown = slowdown; }
     target_load load() const;
     double busySeconds() const { return m_busySeconds; }
 
@@ -128,6 +134,7 @@
     std::deque<simulated_request> m_waiting;
     std::vector<std::pair<std::uint64_t, simulated_request>> m_running; // with the sequence number of their start
     std::uint64_t m_started = 0;
+    double m_slowdown = 1; // of the machine, above 0
     double m_busySeconds = 0;
 };
 
--- a/bench/serving_replay.cpp
+++ b/bench/serving_replay.cpp
@@ -55,12 +55,16 @@
         void addTargets(std::uint32_t count, bool isEngine);
         void addRouters();
         void scheduleReports(std::uint32_t number);
+        void scheduleMachine(std::uint32_t number);
+        void setSlowdown(std::uint32_t number, double slowdown);
         void scheduleLists();
         void scheduleDomainLoss();
         void setDomain(bool up);
         std::vector<listed_target> targetListAt(instant when) const;
         void deliverCacheEvent(std::uint32_t number, const cache_event& event);
+        load_report measure(std::uint32_t number) const;
         void report(std::uint32_t number);
+        void reportInAnswer(std::uint32_t instance, const load_report& report);
         bool isDomainLost(instant when) const;
         duration delay(std::uint32_t instance, std::uint32_t domain) const;
 
@@ -100,8 +104,12 @@
         addTargets(engineCount(m_plan.trace.site), true);
         addTargets(serviceCount(m_plan.trace.site), false);
         addRouters();
-        for (std::uint32_t number = 0; number < m_targets.size(); ++number)
-            scheduleReports(number);
+        for (std::uint32_t number = 0; number < m_targets.size(); ++number) {
+            if (!m_plan.reportsInAnswers)
+                scheduleReports(number);
+            if (m_plan.machines != machine_load::Constant)
+                scheduleMachine(number);
+        }
         scheduleLists();
         scheduleDomainLoss();
         for (const arrival& item : m_trace)
@@ -154,11 +162,9 @@
             m_events.schedule(at, [this, number] { report(number); });
     }
 
-    void replayer::report(std::uint32_t number)
+    load_report replayer::measure(std::uint32_t number) const
     {
         const simulated_target& target = m_targets[number];
-        if (!target.up)
-            return;
         const target_load load = target.engine ? target.engine->load() : target.service->load();
         load_report report;
         report.target = target.row.id;
@@ -167,13 +173,64 @@
         report.waiting = load.waiting;
         report.kvCacheUsage = load.kvCacheUsage;
         report.model = model_id(target.engine ? "m" : "");
+        if (m_plan.machines != machine_load::Constant)
+            report.slowdown = load.slowdown;
         report.measuredAt = m_events.now();
+        return report;
+    }
+
+    // As in the daemon, which doesn't know the target's clock, the time of arrival counts as the time of
+    // measurement.
+    void replayer::reportInAnswer(std::uint32_t instance, const load_report& report)
+    {
+        load_report arrived = report;
+        arrived.measuredAt = m_events.now();
+        m_routers[instance].applyReport(arrived, m_events.now());
+    }
+
+    void replayer::report(std::uint32_t number)
+    {
+        if (!m_targets[number].up)
+            return;
+        const load_report report = measure(number);
         m_events.schedule(m_events.now() + domainDelay + m_plan.reportDelay, [this, report] {
             for (router& each : m_routers)
                 each.applyReport(report, m_events.now());
         });
     }
 
+    // Schedules all changes of one machine's speed; they depend only on the seed and the target.
+    void replayer::scheduleMachine(std::uint32_t number)
+    {
+        constexpr std::uint64_t machineSeed = 1000;
+        constexpr double slowFactor = 4;
+        seeded_random random(m_plan.trace.seed * machineSeed + number);
+        const auto milliseconds = [&random](std::size_t from, std::size_t to) { return std::chrono::milliseconds(from + random.below(to - from)); };
+        const bool isNoisy = m_plan.machines != machine_load::Slowness;
+        const bool canBeSlow = m_plan.machines != machine_load::Noise;
+        instant slowFrom = instant {} + milliseconds(0, 45'000);
+        instant slowUntil = slowFrom + milliseconds(2'000, 8'000);
+        for (instant at; at.time_since_epoch() < m_plan.trace.length; at += milliseconds(50, 350)) {
+            if (at >= slowUntil) {
+                slowFrom = at + milliseconds(20'000, 70'000);
+                slowUntil = slowFrom + milliseconds(2'000, 8'000);
+            }
+            // Half of the time as usual; otherwise 1 to 4 times as slow.
+            const double noise = isNoisy && random.below(2) == 0 ? 1 + 3 * static_cast<double>(random.below(1000)) / 1000 : 1;
+            const double slowness = canBeSlow && at >= slowFrom ? slowFactor : 1;
+            m_events.schedule(at, [this, number, slowdown = noise * slowness] { setSlowdown(number, slowdown); });
+        }
+        m_events.schedule(instant {} + m_plan.trace.length, [this, number] { setSlowdown(number, 1); });
+    }
+
+    void replayer::setSlowdown(std::uint32_t number, double slowdown)
+    {
+        if (m_targets[number].engine)
+            m_targets[number].engine->setSlowdown(slowdown);
+        else
+            m_targets[number].service->setSlowdown(slowdown);
+    }
+
     void replayer::deliverCacheEvent(std::uint32_t number, const cache_event& event)
     {
         for (std::uint32_t i = 0; i < instanceCount; ++i) {
@@ -321,8 +378,10 @@
         simulated.promptTokens = request->item->promptTokens;
         simulated.outputTokens = request->item->outputTokens;
         simulated.serviceTime = request->item->serviceTime;
-        simulated.onFirstToken = [this, request, number, returnDelay, cachedAtTarget](token_count cached) {
+        simulated.onFirstToken = [this, request, number, target, returnDelay, cachedAtTarget](token_count cached) {
             *cachedAtTarget = cached;
+            if (m_plan.reportsInAnswers)
+                m_events.schedule(m_events.now() + returnDelay, [this, request, report = measure(target)] { reportInAnswer(request->instance, report); });
             m_events.schedule(m_events.now() + returnDelay, [this, request, number, cached] { onFirstToken(request, number, cached); });
         };
         simulated.onDone = [this, request, number, returnDelay, cachedAtTarget] {
@@ -361,8 +420,10 @@
     {
         attempt_end end;
         end.generated = token_count(request->item->outputTokens);
-        if (request->item->toEngine)
+        if (request->item->toEngine) {
             end.cachedTokens = cached;
+            m_result.generations.push_back(m_events.now() - request->item->at);
+        }
         m_routers[request->instance].ended(number, end, m_events.now());
     }
 
@@ -383,6 +444,7 @@
     void replayer::finish()
     {
         std::sort(m_result.firstToken.begin(), m_result.firstToken.end());
+        std::sort(m_result.generations.begin(), m_result.generations.end());
         std::sort(m_result.calls.begin(), m_result.calls.end());
         for (auto& times : m_result.firstTokenByAccount)
             std::sort(times.begin(), times.end());
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -66,7 +66,8 @@
     logEvent(log_level::Info, "batch", "run",
         { { "batch", action.batch.str() }, { "item", item.id.str() }, { "target", action.choice.target.str() }, { "behind", std::to_string(action.lastEventId.value_or(0)) },
             { "software", toString(action.choice.software) }, { "began", action.began.empty() ? std::string() : toString(action.began) },
-            { "load", std::to_string(m_context.targets.load().ownOutstanding(action.choice.slot)) } });
+            { "load", std::to_string(m_context.targets.load().ownOutstanding(action.choice.slot)) },
+            { "slowdown", std::to_string(m_context.targets.load().view(action.choice.slot, m_context.now).lastingSlowdown) } });
     m_limits.onSend(action.choice.target, send_kind::Item);
     auto& run = m_runs[action.attempt];
     run.target = action.choice.target;
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -460,8 +460,36 @@
     report.incarnation = m_context.targets.table().record(*slot).listed.incarnation;
     report.running = head.load->running;
     report.waiting = head.load->waiting;
+    report.slowdown = head.load->slowdown;
     report.measuredAt = m_context.now;
     m_context.targets.applyReport(report, m_context.now);
+    recordSlowness(target, *slot, head.malformedSlowdown);
+}
+
+// Logs the beginning and the end of a target's lasting slowness, and the first malformed statement of it.
+void caller_frontend::recordSlowness(const target_id& target, target_slot slot, bool malformed)
+{
+    // Both limits are outside the noise of shared machines, averaged over seconds; they are apart, so
+    // that a target near one of them isn't logged again and again.
+    constexpr double slowFrom = 2.5;
+    constexpr double usualBelow = 1.5;
+    const auto isUnlisted = [this](const target_id& id) {
+        const auto found = m_context.targets.table().find(id);
+        return !found || !m_context.targets.table().isLive(*found);
+    };
+    if (malformed && !m_malformedSlowdowns.contains(target)) {
+        std::erase_if(m_malformedSlowdowns, isUnlisted);
+        m_malformedSlowdowns.insert(target);
+        logEvent(log_level::Warning, "targets", "malformed_slowdown", { { "target", target.str() } });
+    }
+    const double slowdown = m_context.targets.load().view(slot, m_context.now).lastingSlowdown;
+    if (slowdown >= slowFrom && !m_slowTargets.contains(target)) {
+        std::erase_if(m_slowTargets, isUnlisted);
+        m_slowTargets.insert(target);
+        logEvent(log_level::Info, "targets", "slow", { { "target", target.str() }, { "slowdown", std::to_string(slowdown) } });
+    } else if (slowdown < usualBelow && m_slowTargets.erase(target) > 0) {
+        logEvent(log_level::Info, "targets", "usual", { { "target", target.str() }, { "slowdown", std::to_string(slowdown) } });
+    }
 }
 
 } // namespace lovagerail::edge
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace lovagerail::edge {
@@ -56,6 +57,8 @@
     // Whether this instance reaches no target while others do.
     void setCutOff(bool cutOff) { m_forwarding.setCutOff(cutOff, m_context.now); }
     void tick();
+    // Targets that were last seen to be slow for seconds; some may have gone since.
+    std::size_t slowTargetCount() const { return m_slowTargets.size(); }
     std::size_t openCount() const { return m_forwards.size(); }
     const forwarding_counts& counts() const { return m_forwarding.counts(); }
 
@@ -91,6 +94,7 @@
         platform::event_reader reader;
     };
 
+    void recordSlowness(const target_id& target, target_slot slot, bool malformed);
     void refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason);
     void respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const;
     bool authenticate(const http::exchange_ptr& exchange, const platform::caller_headers& caller, client_account_id& account);
@@ -111,6 +115,8 @@
     usage_duty& m_usage;
     departures& m_departures;
     target_limits& m_limits;
+    std::set<target_id> m_slowTargets; // logged as slow and not as usual since; unlisted ones are dropped at the next insertion
+    std::set<target_id> m_malformedSlowdowns; // logged; dropped in the same way
     stream_directory& m_streams;
     batches* m_batches = nullptr;
     request_forwarder m_forwarding;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -365,7 +365,7 @@
             reloadIfFileChanged();
         if (m_context.now >= m_nextStoreCallsLog)
             logStoreCalls();
-        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount() });
+        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_frontend.openCount(), m_batches.openCount(), m_frontend.slowTargetCount() });
         if (ready() != m_wasReady) {
             m_wasReady = ready();
             logEvent(log_level::Info, "main", m_wasReady ? "ready" : "not_ready");
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -47,6 +47,7 @@
             calls.Add({ { "cause", cause } }).Increment(static_cast<double>(count));
         prometheus::BuildGauge().Name("lovagerail_open_requests").Help("Requests under way").Register(registry).Add({}).Set(static_cast<double>(m_view->openForwards));
         prometheus::BuildGauge().Name("lovagerail_open_batches").Help("Batches of this instance that are not ended").Register(registry).Add({}).Set(static_cast<double>(m_view->openBatches));
+        prometheus::BuildGauge().Name("lovagerail_slow_targets").Help("Targets that state a slowdown lasting seconds").Register(registry).Add({}).Set(static_cast<double>(m_view->slowTargets));
     }
     exchange->answer(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, prometheus::TextSerializer().Serialize(registry.Collect()));
 }
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -16,6 +16,7 @@
     const std::map<std::string, std::uint64_t, std::less<>>& storeCalls; // by cause
     std::size_t openForwards = 0;
     std::size_t openBatches = 0;
+    std::size_t slowTargets = 0; // by the slowdown that they state, averaged over seconds
 };
 
 class metrics_page {
--- a/src/load.cpp
+++ b/src/load.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
 #include <numbers>
 
 namespace lovagerail {
@@ -35,6 +36,12 @@
         return std::max(0.0, mean * std::erfc(-z / std::numbers::sqrt2) / 2 + deviation * density);
     }
 
+    // Weight of a value of this age: in full for one half-life, and half as much after each further one.
+    double freshness(double ageSeconds, duration halfLife)
+    {
+        return std::exp2(-std::max(0.0, ageSeconds / toSeconds(halfLife) - 1));
+    }
+
     // Time that one stream needs for a token while `batch` streams run beside it.
     double tokenSeconds(const target_speed& speed, double batch)
     {
@@ -135,6 +142,7 @@
     load.kvCacheUsage = std::clamp(report.kvCacheUsage, 0.0, 1.0);
     load.measuredAt = report.measuredAt;
     load.reported = true;
+    applySlowdown(load, report);
 
     // Step 3. Learn how many requests the target runs at a time.
     learnLimit(load, report);
@@ -147,17 +155,24 @@
     const double wait = waitSeconds(load, now);
     load_estimate estimate;
     estimate.requests = requestsNow(load, now);
-    estimate.wait = fromSeconds(wait);
     if (load.kind == target_kind::Service) {
-        estimate.processingTime = fromSeconds(load.speed.serviceSeconds);
+        const double machine = slowdownFor(load, wait + load.speed.serviceSeconds, now);
+        estimate.wait = fromSeconds(wait * machine);
+        estimate.processingTime = fromSeconds(load.speed.serviceSeconds * machine);
         estimate.total = estimate.wait + estimate.processingTime;
         return estimate;
     }
+    // The wait and the prefill meet the present noise of the machine; decoding outlasts it.
     const auto tokens = static_cast<double>(cost.decode.count());
-    const double decode = tokens * tokenSeconds(load.speed, estimate.requests);
-    estimate.slowdown = fromSeconds(decode - tokens * load.speed.secondsPerToken);
-    estimate.processingTime = fromSeconds(static_cast<double>(cost.prefill.count()) / load.speed.prefillTokensPerSecond);
-    estimate.total = estimate.wait + estimate.processingTime + fromSeconds(decode);
+    const double prefill = static_cast<double>(cost.prefill.count()) / load.speed.prefillTokensPerSecond;
+    const double usualDecode = tokens * tokenSeconds(load.speed, estimate.requests);
+    const double machineAtStart = slowdownFor(load, wait + prefill, now);
+    const double machine = slowdownFor(load, wait + prefill + usualDecode, now);
+    estimate.wait = fromSeconds(wait * machineAtStart);
+    estimate.processingTime = fromSeconds(prefill * machineAtStart);
+    const double excess = std::max(0.0, machine / normalSlowdown(load, now) - m_settings.lastingSlowdownThreshold);
+    estimate.slowdown = fromSeconds(usualDecode - tokens * load.speed.secondsPerToken + m_settings.lastingSlowdownWeight * usualDecode * excess);
+    estimate.total = estimate.wait + estimate.processingTime + fromSeconds(usualDecode * machine);
     return estimate;
 }
 
@@ -170,9 +185,15 @@
     view.pendingPrefillTokens = pendingPrefill(load, now);
     view.kvCacheUsage = load.kvCacheUsage;
     view.reported = load.reported;
+    view.lastingSlowdown = lastingSlowdown(load, now);
     return view;
 }
 
+double load_tracker::slowdown(target_slot slot, duration work, instant now) const
+{
+    return slowdownFor(at(slot), toSeconds(work), now);
+}
+
 std::uint32_t load_tracker::ownOutstanding(target_slot slot) const
 {
     return at(slot).ownRequests;
@@ -215,7 +236,8 @@
         return 0;
     const double age = std::max(0.0, toSeconds(now - load.measuredAt));
     const bool isEngine = load.kind == target_kind::Engine;
-    const double meanRequestSeconds = isEngine ? load.meanDecodeTokens * load.speed.secondsPerToken : load.speed.serviceSeconds;
+    const double usualSeconds = isEngine ? load.meanDecodeTokens * load.speed.secondsPerToken : load.speed.serviceSeconds;
+    const double meanRequestSeconds = usualSeconds * slowdownFor(load, usualSeconds, now);
     const double unfinishedShare = std::exp2(-age / std::max(meanRequestSeconds, 1e-3));
     const double reportFreshness = std::exp2(-std::max(0.0, age / toSeconds(m_settings.reportHalfLife) - 1));
     return reportFreshness * (load.otherRequestsAverage + unfinishedShare * (load.otherRequests - load.otherRequestsAverage));
@@ -258,6 +280,53 @@
     return wait;
 }
 
+// The averages weigh a report by the time since the one before, so that they are averages over time
+// whatever the rate of reports.
+void load_tracker::applySlowdown(slot_load& load, const load_report& report) const
+{
+    if (!m_settings.useSlowdown || !report.slowdown)
+        return;
+    const double value = std::clamp(*report.slowdown, 1 / m_settings.maxSlowdown, m_settings.maxSlowdown);
+    const double span = load.slowdownAt ? toSeconds(report.measuredAt - *load.slowdownAt) : std::numeric_limits<double>::infinity();
+    const auto weight = [span](duration halfLife, double largest) { return std::min(largest, 1 - std::exp2(-span / toSeconds(halfLife))); };
+    load.averageSlowdown += weight(m_settings.slowdownAverageHalfLife, m_settings.maxSlowdownWeight) * (value - load.averageSlowdown);
+    load.normalSlowdown += weight(m_settings.normalSlowdownHalfLife, m_settings.maxNormalSlowdownWeight) * (value - load.normalSlowdown);
+    load.reportedSlowdown = value;
+    load.slowdownAt = report.measuredAt;
+}
+
+double load_tracker::normalSlowdown(const slot_load& load, instant now) const
+{
+    if (!load.slowdownAt)
+        return 1;
+    const double age = toSeconds(now - *load.slowdownAt);
+    return 1 + freshness(age, m_settings.normalSlowdownHalfLife) * (load.normalSlowdown - 1);
+}
+
+double load_tracker::lastingSlowdown(const slot_load& load, instant now) const
+{
+    if (!load.slowdownAt)
+        return 1;
+    const double age = toSeconds(now - *load.slowdownAt);
+    const double normal = normalSlowdown(load, now);
+    return normal + freshness(age, m_settings.slowdownFadeHalfLife) * (load.averageSlowdown - normal);
+}
+
+// The mean, over the time of the work, of a slowdown that moves exponentially from the last reported
+// value to the lasting one. The same holds backwards in time, for work that has just ended.
+double load_tracker::slowdownFor(const slot_load& load, double workSeconds, instant now) const
+{
+    if (!load.slowdownAt)
+        return 1;
+    const double halfLife = toSeconds(m_settings.slowdownNoiseHalfLife);
+    const double age = std::max(0.0, toSeconds(now - *load.slowdownAt)) / halfLife;
+    const double work = workSeconds / halfLife;
+    constexpr double shortWork = 1e-3; // in half-lives; below it, the mean is the value at the beginning
+    const double meanOverWork = work < shortWork ? 1 : (1 - std::exp2(-work)) / (work * std::numbers::ln2);
+    const double lasting = lastingSlowdown(load, now);
+    return lasting + std::exp2(-age) * meanOverWork * (load.reportedSlowdown - lasting);
+}
+
 // A single report with more running requests than the limit moves the limit up. The limit
 // is lowered only after several consecutive reports with waiting requests, since a few
 // requests wait for the next step at any time.
@@ -273,12 +342,13 @@
 }
 
 // The time to the first token is that of the prefill work ahead, of the request's own
-// prefill, and of one and a half decode steps. Nothing is learned if the request also
-// waited for a place in the batch.
+// prefill, and of one and a half decode steps, all as slow as the machine was. Nothing is learned if
+// the request also waited for a place in the batch.
 void load_tracker::learnPrefill(slot_load& load, const attempt_entry& entry, instant now) const
 {
     const double tokens = entry.prefillTokensAhead + static_cast<double>(entry.cost.prefill.count());
-    const double seconds = toSeconds(now - entry.sentAt) - 1.5 * tokenSeconds(load.speed, entry.requestsAhead);
+    const double elapsed = toSeconds(now - entry.sentAt);
+    const double seconds = elapsed / slowdownFor(load, elapsed, now) - 1.5 * tokenSeconds(load.speed, entry.requestsAhead);
     if (load.kind == target_kind::Service || tokens < minLearnedTokens || seconds <= 0)
         return;
     if (entry.requestsAhead + 1 > load.speed.batchLimit)
@@ -290,7 +360,9 @@
 {
     if (load.kind == target_kind::Service) {
         const double rounds = std::max(1.0, (entry.requestsAhead + 1) / load.speed.serviceWorkers);
-        updateEstimate(load.speed.serviceSeconds, toSeconds(now - entry.sentAt) / rounds, m_settings.initialSpeed.serviceSeconds, m_settings.learningRate);
+        const double elapsed = toSeconds(now - entry.sentAt);
+        const double usualSeconds = elapsed / slowdownFor(load, elapsed, now) / rounds;
+        updateEstimate(load.speed.serviceSeconds, usualSeconds, m_settings.initialSpeed.serviceSeconds, m_settings.learningRate);
         return;
     }
     const double rate = m_settings.learningRate;
@@ -298,7 +370,8 @@
     load.meanDecodeTokens += rate * (static_cast<double>(generated.count()) - load.meanDecodeTokens);
     if (!entry.started || generated < token_count(2))
         return;
-    const double perToken = toSeconds(now - entry.firstTokenAt) / static_cast<double>(generated.count() - 1);
+    const double elapsed = toSeconds(now - entry.firstTokenAt);
+    const double perToken = elapsed / slowdownFor(load, elapsed, now) / static_cast<double>(generated.count() - 1);
     const double batch = (entry.requestsAhead + requestsNow(load, now)) / 2;
     const double alone = perToken / (tokenSeconds(load.speed, batch) / load.speed.secondsPerToken);
     updateEstimate(load.speed.secondsPerToken, alone, m_settings.initialSpeed.secondsPerToken, m_settings.learningRate);
--- a/src/load.h
+++ b/src/load.h
@@ -7,6 +7,12 @@
 // a cost model each, whose parameters are learned from observed times by bounded moving
 // averages.
 //
+// Targets on shared machines also report how much slower than usual work is at the moment. The value
+// changes many times per second, and a report may be old when it is used. So the expected slowdown of
+// a request moves from the last reported value towards an average over seconds as the report ages and
+// as the request outlasts short noise; without reports, both fade to the usual speed. Learned times
+// are divided by the slowdown under which they were observed, so that it is not counted twice.
+//
 // Every event is O(log f) for f requests in flight; an estimate is O(1).
 #pragma once
 
@@ -16,6 +22,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lovagerail {
@@ -27,6 +34,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     double kvCacheUsage = 0; // 0..1
+    // How long work takes at the moment, in multiples of the usual time; empty if not stated.
+    std::optional<double> slowdown;
     weight_version version;
     model_id model;
     instant measuredAt;
@@ -38,7 +47,8 @@
     token_count decode; // expected generated tokens
 };
 
-// Learned speeds of one target; initial values until something was observed.
+// Learned speeds of one target while its machine is as fast as usual; initial values until something
+// was observed.
 struct target_speed {
     double prefillTokensPerSecond = 8000;
     double secondsPerToken = 0.02; // of one stream in a small batch
@@ -58,6 +68,28 @@
     // A report counts in full up to this age; after it, its weight halves in each further
     // such span.
     duration reportHalfLife = std::chrono::seconds(10);
+    bool useSlowdown = true; // false: reported slowdowns are ignored, for comparison
+    // In this time half of a difference between the reported slowdown and its average is expected to
+    // pass: noise on shared machines lasts hundreds of milliseconds.
+    duration slowdownNoiseHalfLife = std::chrono::milliseconds(250);
+    // Half-life of the average itself: it follows slowdowns that last seconds.
+    duration slowdownAverageHalfLife = std::chrono::milliseconds(1500);
+    // Largest weight of one report in that average, however long the last one is ago: a single
+    // report may show noise.
+    double maxSlowdownWeight = 0.3;
+    // The average counts in full for one such span without reports, and half as much after each further
+    // one. It fades to what is normal for the target, as otherwise targets without recent reports
+    // would look faster than all others under noise.
+    duration slowdownFadeHalfLife = std::chrono::seconds(3);
+    // Half-life of the normal slowdown of a target; it fades to 1 in the same way without reports.
+    duration normalSlowdownHalfLife = std::chrono::seconds(20);
+    double maxNormalSlowdownWeight = 0.1; // of one report in the normal slowdown
+    // A decode counts as slowed down by its machine only by what exceeds so many times the target's normal
+    // slowdown, and with this weight: with the whole value, noise draws requests away from their
+    // cached prefixes (docs/design/SHARED-TARGETS.md has the figures).
+    double lastingSlowdownThreshold = 1.5;
+    double lastingSlowdownWeight = 0.3;
+    double maxSlowdown = 16; // reported values are limited to this factor, up and down
 };
 
 // The known load of one target, for scores and reports to operators.
@@ -67,6 +99,7 @@
     double pendingPrefillTokens = 0;
     double kvCacheUsage = 0;
     bool reported = false;
+    double lastingSlowdown = 1; // average over seconds of the reported slowdown, as it counts now; 1 if none is known
 };
 
 // Expected times of a request if it were sent to a target now.
@@ -74,7 +107,7 @@
     double requests = 0; // at the target now, ours and other senders'
     duration wait {}; // until its own work begins
     duration processingTime {}; // its prefill, or its processing time at a plain service
-    duration slowdown {}; // of its decoding by the other streams
+    duration slowdown {}; // of its decoding by the other streams, and by a lasting slowness of the machine
     duration total {}; // until the complete answer
 };
 
@@ -102,6 +135,9 @@
     load_view view(target_slot slot, instant now) const;
     // Requests that we sent and that haven't ended.
     std::uint32_t ownOutstanding(target_slot slot) const;
+    // The mean slowdown that work of this length, at the usual speed, is expected to meet if it
+    // starts now; 1 where targets state none.
+    double slowdown(target_slot slot, duration work, instant now) const;
     const target_speed& speed(target_slot slot) const;
 
 private:
@@ -125,6 +161,10 @@
         double waitingShare = 0; // share of requests that had not started
         std::uint32_t waitingReports = 0; // consecutive reports with requests waiting
         double kvCacheUsage = 0;
+        std::optional<instant> slowdownAt; // of the newest report with a slowdown; empty: none yet
+        double reportedSlowdown = 1; // by that report; within load_settings::maxSlowdown
+        double averageSlowdown = 1; // moving average over seconds, in the same bounds
+        double normalSlowdown = 1; // moving average over tens of seconds, in the same bounds
         target_speed speed;
         double meanPrefillTokens = 500; // of one request
         double meanDecodeTokens = 200;
@@ -147,6 +187,10 @@
     double requestsNow(const slot_load& load, instant now) const;
     double pendingPrefill(const slot_load& load, instant now) const;
     double waitSeconds(const slot_load& load, instant now) const;
+    void applySlowdown(slot_load& load, const load_report& report) const;
+    double normalSlowdown(const slot_load& load, instant now) const;
+    double lastingSlowdown(const slot_load& load, instant now) const;
+    double slowdownFor(const slot_load& load, double workSeconds, instant now) const;
     void learnLimit(slot_load& load, const load_report& report) const;
     void learnPrefill(slot_load& load, const attempt_entry& entry, instant now) const;
     void learnFromAnswer(slot_load& load, const attempt_entry& entry, token_count generated, instant now) const;
--- a/tests/test_load.cpp
+++ b/tests/test_load.cpp
@@ -3,6 +3,8 @@
 #include "load.h"
 #include "property.h"
 
+#include <cmath>
+
 namespace lovagerail {
 namespace {
 
@@ -10,6 +12,14 @@
 
     const target_slot slot(0);
 
+    load_report slowReport(double slowdown, instant measuredAt)
+    {
+        load_report report;
+        report.slowdown = slowdown;
+        report.measuredAt = measuredAt;
+        return report;
+    }
+
     load_report reportOf(std::uint32_t running, std::uint32_t waiting, instant measuredAt)
     {
         load_report report;
@@ -173,6 +183,148 @@
     BOOST_TEST(tracker.speed(service).serviceWorkers == 10, boost::test_tools::tolerance(0.05));
 }
 
+// A target that states no slowdown must be estimated exactly as before targets stated any.
+BOOST_AUTO_TEST_CASE(without_stated_slowdowns_nothing_changes)
+{
+    load_settings ignoring;
+    ignoring.useSlowdown = false;
+    load_tracker tracker;
+    load_tracker reference(ignoring);
+    for (const target_slot each : { slot, target_slot(1) }) {
+        tracker.reset(each, each == slot ? target_kind::Engine : target_kind::Service);
+        reference.reset(each, each == slot ? target_kind::Engine : target_kind::Service);
+        instant now { 1s };
+        for (std::uint64_t attempt = 1; attempt <= 50; ++attempt) {
+            const attempt_id id(each.value() * 100 + attempt);
+            for (load_tracker* one : { &tracker, &reference }) {
+                load_report report = reportOf(5, attempt % 3, now);
+                if (one == &reference)
+                    report.slowdown = 3;
+                one->recordSent(id, each, { token_count(2000), token_count(100) }, now);
+                one->applyReport(each, report, now);
+                one->firstToken(id, now + 300ms);
+                one->finished(id, true, token_count(100), now + 2s);
+            }
+            now += 700ms;
+            const load_estimate estimate = tracker.estimate(each, { token_count(900), token_count(90) }, now);
+            const load_estimate expected = reference.estimate(each, { token_count(900), token_count(90) }, now);
+            BOOST_TEST((estimate.wait == expected.wait && estimate.processingTime == expected.processingTime));
+            BOOST_TEST((estimate.slowdown == expected.slowdown && estimate.total == expected.total));
+        }
+    }
+}
+
+// A report of the present moment is what a short request meets; for work of seconds, and some seconds
+// later, a single report is likely to show noise that has passed.
+BOOST_AUTO_TEST_CASE(noise_counts_for_short_work_only_while_it_is_fresh)
+{
+    load_tracker tracker;
+    tracker.reset(slot, target_kind::Service);
+    instant now { 1s };
+    for (int i = 0; i < 100; ++i) {
+        tracker.applyReport(slot, slowReport(1, now), now);
+        now += 50ms;
+    }
+    for (int i = 0; i < 4; ++i) { // 200 ms of noise
+        tracker.applyReport(slot, slowReport(4, now), now);
+        now += 50ms;
+    }
+    BOOST_TEST(tracker.slowdown(slot, 20ms, now - 50ms) > 3.5);
+    BOOST_TEST(tracker.slowdown(slot, 5s, now - 50ms) < 1.6);
+    BOOST_TEST(tracker.slowdown(slot, 20ms, now + 1s) < 1.5);
+    BOOST_TEST(tracker.view(slot, now).lastingSlowdown < 1.4);
+    BOOST_TEST(tracker.slowdown(slot, 20ms, now + 5min) == 1, boost::test_tools::tolerance(0.01));
+}
+
+// Slowness of seconds must be seen as lasting, also by work of seconds, and must end with the reports of it.
+BOOST_AUTO_TEST_CASE(slowness_of_seconds_is_lasting)
+{
+    load_tracker tracker;
+    instant now { 1s };
+    for (int i = 0; i < 60; ++i) { // 3 s
+        tracker.applyReport(slot, slowReport(4, now), now);
+        now += 50ms;
+    }
+    BOOST_TEST(tracker.slowdown(slot, 5s, now) > 2.8);
+    BOOST_TEST(tracker.view(slot, now).lastingSlowdown > 2.8);
+    for (int i = 0; i < 100; ++i) { // 5 s
+        tracker.applyReport(slot, slowReport(1, now), now);
+        now += 50ms;
+    }
+    BOOST_TEST(tracker.view(slot, now).lastingSlowdown < 1.5);
+}
+
+// An aged slowdown may not keep a target unused for ever, nor may a sparsely used target look faster
+// than the others under the same noise.
+BOOST_AUTO_TEST_CASE(a_slowdown_loses_weight_with_age)
+{
+    load_tracker tracker;
+    instant now { 1s };
+    for (int i = 0; i < 200; ++i) { // every second report shows noise
+        tracker.applyReport(slot, slowReport(i % 2 == 0 ? 1 : 2, now), now);
+        now += 200ms;
+    }
+    const double normal = tracker.slowdown(slot, 2s, now + 15s);
+    BOOST_TEST(normal > 1.3);
+    BOOST_TEST(normal < 1.7);
+    double last = 16;
+    for (const duration age : { duration(0s), duration(1s), duration(4s), duration(40s), duration(5min) }) {
+        const double value = tracker.slowdown(slot, 2s, now + age);
+        BOOST_TEST(value <= last + 0.01);
+        last = value;
+    }
+    BOOST_TEST(last == 1, boost::test_tools::tolerance(0.01));
+}
+
+// A target that is steadily twice as slow and says so: its learned time stays the usual one, so that the
+// estimate is the observed time and not twice that.
+BOOST_AUTO_TEST_CASE(a_stated_slowdown_is_not_learned_as_speed_as_well)
+{
+    load_tracker tracker;
+    const target_slot service(1);
+    tracker.reset(service, target_kind::Service);
+    instant now { 1s };
+    for (std::uint64_t attempt = 1; attempt <= 300; ++attempt) {
+        tracker.recordSent(attempt_id(attempt), service, {}, now);
+        tracker.applyReport(service, slowReport(2, now + 80ms), now + 80ms);
+        tracker.finished(attempt_id(attempt), true, {}, now + 80ms);
+        now += 100ms;
+    }
+    BOOST_TEST(tracker.speed(service).serviceSeconds == 0.04, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(std::chrono::duration<double>(tracker.estimate(service, {}, now).processingTime).count() == 0.08, boost::test_tools::tolerance(0.05));
+
+    tracker.reset(slot, target_kind::Engine);
+    for (std::uint64_t attempt = 1001; attempt <= 1300; ++attempt) {
+        tracker.recordSent(attempt_id(attempt), slot, { token_count(8000), token_count(100) }, now);
+        tracker.applyReport(slot, slowReport(2, now + 2060ms), now + 2060ms);
+        tracker.firstToken(attempt_id(attempt), now + 2060ms); // 1 s of prefill, one and a half steps of 20 ms
+        tracker.finished(attempt_id(attempt), true, token_count(101), now + 6060ms);
+        now += 7s;
+    }
+    BOOST_TEST(tracker.speed(slot).prefillTokensPerSecond == 8000, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(tracker.speed(slot).secondsPerToken == 0.02, boost::test_tools::tolerance(0.1));
+    const load_estimate estimate = tracker.estimate(slot, { token_count(8000), token_count(100) }, now);
+    BOOST_TEST(std::chrono::duration<double>(estimate.total).count() == 6, boost::test_tools::tolerance(0.1));
+}
+
+// Whatever targets state, and in whatever order, expected slowdowns stay within the bounds.
+BOOST_AUTO_TEST_CASE(any_stated_slowdown_stays_within_bounds)
+{
+    test::checkProperty("stated slowdowns", [] {
+        load_tracker tracker;
+        instant now { 1h };
+        for (const std::uint32_t step : *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 1u << 30))) {
+            now += std::chrono::milliseconds(step % 5000);
+            const instant measuredAt = now - std::chrono::milliseconds((step >> 4) % 300);
+            tracker.applyReport(slot, slowReport(std::exp2(static_cast<int>(step % 64) - 32), measuredAt), now);
+            for (const duration work : { duration(0s), duration(30ms), duration(10s) }) {
+                const double value = tracker.slowdown(slot, work, now);
+                RC_ASSERT(value >= 1.0 / 16 - 1e-9 && value <= 16 + 1e-9);
+            }
+        }
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -91,6 +91,33 @@
     BOOST_TEST(head.proof == "s");
 }
 
+// The three counts must be read whatever stands behind them; a slowdown that can't be read is reported
+// and not guessed.
+BOOST_AUTO_TEST_CASE(the_load_has_three_numbers_or_a_fourth)
+{
+    const auto decode = [](const std::string& text) { return platform::decodeTargetHead(200, { { "server-load", text } }); };
+    BOOST_REQUIRE(decode("3,1,8").load.has_value());
+    BOOST_TEST(!decode("3,1,8").load->slowdown.has_value());
+    BOOST_TEST(!decode("3,1,8").malformedSlowdown);
+    for (const std::string text : { "3, 1, 8, 250", "3,1,8,250,7" }) {
+        const auto head = decode(text);
+        BOOST_REQUIRE(head.load.has_value());
+        BOOST_TEST(head.load->waiting == 1u);
+        BOOST_TEST(head.load->slots == 8u);
+        BOOST_REQUIRE(head.load->slowdown.has_value());
+        BOOST_TEST(*head.load->slowdown == 2.5);
+    }
+    for (const std::string text : { "3,1,8,x", "3,1,8,-50", "3,1,8,0", "3,1,8,1e999", "3,1,8,nan", "3,1,8,inf" }) {
+        const auto head = decode(text);
+        BOOST_REQUIRE(head.load.has_value());
+        BOOST_TEST(head.load->running == 3u);
+        BOOST_TEST(!head.load->slowdown.has_value());
+        BOOST_TEST(head.malformedSlowdown);
+    }
+    for (const std::string text : { "", "3,1", "x,1,8,100", "3,x,8,100", "3,1,-8,100" })
+        BOOST_TEST(!decode(text).load.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_target_states_in_any_answer_that_it_leaves)
 {
     for (const int status : { 200, 202, 409, 500, 503 }) {
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -318,6 +318,40 @@
     BOOST_TEST(!parsePolicy("none").has_value());
 }
 
+// A plain target that says that it is four times as slow as usual must lose requests to the others, and
+// must get them again when the statement is old.
+BOOST_AUTO_TEST_CASE(a_target_that_states_slowness_is_avoided_while_that_is_recent)
+{
+    router_settings settings;
+    settings.instance = "i1";
+    router subject(settings);
+    subject.setClass(green, isGreen);
+    const instant now { 1h };
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        listed_target listed = row(i);
+        listed.kind = target_kind::Service;
+        listed.failureDomain = failure_domain_id("a");
+        subject.applyRow(listed, now);
+    }
+    const auto timesChosen = [&](const char* target, instant when) {
+        int count = 0;
+        for (std::uint64_t seed = 0; seed < 300; ++seed) {
+            const auto decision = subject.choose(requestOf(seed), when);
+            count += std::get<route_choice>(decision).target == target_id(target);
+        }
+        return count;
+    };
+    BOOST_TEST(timesChosen("t1", now) > 50);
+    load_report report;
+    report.target = target_id("t1");
+    report.incarnation = incarnation(1);
+    report.slowdown = 4;
+    report.measuredAt = now;
+    subject.applyReport(report, now);
+    BOOST_TEST(timesChosen("t1", now + 50ms) == 0);
+    BOOST_TEST(timesChosen("t1", now + 10min) > 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
