Batch items move for slowness that lasts, not for noise, and only if that pays for the move

A target's pace was an average over about five events, compared with the minimum over all free targets, so short noise looked like slowness and luck like speed. At the same time a target that became four times slower was left late, as a run's pace was the mean over its whole time.

Change: paces are averages over time (half-life 1.5 s), the reference is the lower quartile of the class, and the destination's expected pace is the median of free targets that are not slow. A run moves once it lags 190 ms behind one that is 1.8 times slower than typical; one gap counts 120 ms at most, so that a pause for loading weights moves nothing. The gain must exceed minMoveGain after the observed time from sending a run to its first event. After a move the target's pace is that of the run that left.

The guard for the cost of a move fails its test when removed. All unit tests pass.

--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -95,6 +95,7 @@
     : m_settings(settings)
     , m_router(targets)
     , m_lastAttempt(firstRunNumber)
+    , m_runStartSeconds(std::chrono::duration<double>(settings.expectedRunStart).count())
 {
 }
 
@@ -426,6 +427,10 @@
 std::vector<batch_action> batch_runner::tick(instant now)
 {
     cancelStalledRuns(now);
+    for (auto& [id, batch] : m_batches) {
+        if (!batch.ended)
+            batch.typicalPace = typicalPace(batch, now);
+    }
     moveStragglers(now);
     // The batch with the earliest due time is served first.
     std::vector<batch_state*> byDue;
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -15,6 +15,7 @@
 
 #include "batch.h"
 #include "router.h"
+#include "stream_pace.h"
 #include "types.h"
 
 #include <json/value.h>
@@ -133,11 +134,21 @@
     duration maxUnlistedTime = std::chrono::seconds(2); // a result is listed after so long even if its group is incomplete
     duration keepTextsFor = std::chrono::seconds(60); // retention of unfinished texts of ended batches
     std::size_t maxKeptTexts = 4096; // items with such texts
-    // A run moves to a replica that is so many times as fast, if this saves at least minMoveGain.
+    // A run moves to a replica that is so many times as fast, if this saves at least minMoveGain after
+    // the time that the new run needs until its first event.
     double moveSpeedup = 1.8;
+    // A run may move once it lags so far behind one that is just fast enough to stay (moveSpeedup times
+    // the typical pace). Lag grows while it is slower and shrinks while it is faster, so that slowness
+    // must last. At four times the typical pace this takes 0.35 s.
+    duration moveLag = std::chrono::milliseconds(190);
+    // One gap adds no more to the lag: loading weights stops a replica once for about a second.
+    duration maxLagPerGap = std::chrono::milliseconds(120);
+    duration paceHalfLife = std::chrono::milliseconds(1500); // of a replica's pace: above the noise of shared machines
+    duration runPaceHalfLife = std::chrono::milliseconds(250); // of a run's present pace
     duration minMoveGain = std::chrono::milliseconds(300);
     std::uint32_t maxMoves = 3; // of one item
     std::size_t minEventsForPace = 3; // of a run, before its pace is used
+    duration expectedRunStart = std::chrono::milliseconds(100); // from sending a run to its first event, until observed
     duration paceExpiry = std::chrono::seconds(5); // a replica's pace is ignored when it is older
     // At most so much work of an item is lost in a crash, unless the store is unavailable.
     // Not shorter, as each write costs a call and most items finish sooner.
@@ -267,6 +278,7 @@
         std::vector<std::size_t> pageItems; // indexes of the items in the page being written, in order
         std::map<target_id, instant> refusedUntil; // targets that refused an item, avoided until then
         double tokensPerEvent = 1;
+        double typicalPace = 0; // seconds per event at the replicas of its class, as of the last tick; 0: unknown
         std::optional<instant> pageDue; // when the next page is due; set while a complete group is in no page
         instant nextPageWrite {}; // earliest next page write
         bool saving = false; // partial texts are being stored
@@ -286,14 +298,9 @@
         bool headSeen = false;
         instant sentAt {};
         instant lastReceivedAt {};
-        instant firstEventAt {};
         std::size_t events = 0; // received in this run
-        // Mean time between its events; 0 if there are fewer than `minEvents`.
-        duration pace(std::size_t minEvents) const;
-    };
-    struct target_pace {
-        double seconds = 0; // between two events of a run, moving average
-        instant at {}; // of the last update
+        pace_average pace; // its present pace
+        double lagSeconds = 0; // behind a run at moveSpeedup times the typical pace; not negative
     };
 
     batch_state* find(const batch_id& id);
@@ -306,7 +313,7 @@
     bool isFull(target_slot slot, instant now) const;
     bool isServiceFull(const service_id& service, instant now) const;
     std::vector<target_id> fullTargets(batch_state& batch, instant now) const;
-    route_decision chooseTarget(const batch_state& batch, const item_state& item, route_request& routeRequest, const std::vector<target_id>& full, instant now);
+    route_decision chooseTarget(const batch_state& batch, route_request& routeRequest, instant now);
     static void dropText(item_state& item);
     void dispatch(batch_state& batch, instant now);
     bool send(batch_state& batch, std::size_t index, const std::vector<target_id>& full, instant now);
@@ -319,9 +326,11 @@
     void writeDuePage(batch_state& batch, instant now);
     void saveDueTexts(batch_state& batch, instant now);
     void cancelStalledRuns(instant now);
-    void updatePace(open_run& run, std::size_t events, instant now);
+    void updatePace(open_run& run, double typicalPace, std::size_t events, instant now);
     std::optional<double> paceOf(const target_id& target, instant now) const;
-    std::optional<double> fastestFree(const batch_state& batch, const item_state& item, const target_software& software, const std::vector<target_id>& full, instant now) const;
+    double typicalPace(const batch_state& batch, instant now) const;
+    std::optional<double> typicalFreePace(const batch_state& batch, const item_state& item, const target_id& from, const std::vector<target_id>& full, instant now) const;
+    bool shouldMove(const open_run& run, batch_state& batch, instant now) const;
     void moveStragglers(instant now);
     std::vector<batch_action> takeActions() { return std::exchange(m_actions, {}); }
 
@@ -330,7 +339,8 @@
     std::uint64_t m_lastAttempt;
     std::map<batch_id, batch_state> m_batches;
     std::map<attempt_id, open_run> m_runs; // exactly the items that are Running
-    std::map<target_id, target_pace> m_paces;
+    std::map<target_id, pace_average> m_paces;
+    double m_runStartSeconds; // from sending a run to its first event, moving average
     struct kept_text {
         partial_text generated;
         instant until {};
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -59,16 +59,15 @@
     }
 }
 
-// Chooses a target among those that may run the item; one much slower than the fastest only if
-// there is no other.
-route_decision batch_runner::chooseTarget(const batch_state& batch, const item_state& item, route_request& routeRequest, const std::vector<target_id>& full, instant now)
+// Chooses a target among those that may run the item; one much slower than is typical only if there
+// is no other.
+route_decision batch_runner::chooseTarget(const batch_state& batch, route_request& routeRequest, instant now)
 {
     const auto requiredExclusions = routeRequest.excluded.size();
-    if (const auto best = fastestFree(batch, item, routeRequest.software, full, now)) {
-        for (const auto& [target, pace] : m_paces) {
-            if (now - pace.at < m_settings.paceExpiry && pace.seconds > *best * m_settings.moveSpeedup)
-                routeRequest.excluded.push_back(target);
-        }
+    for (const auto& [target, pace] : m_paces) {
+        const auto seconds = pace.secondsPerEvent(m_settings.paceExpiry, now);
+        if (batch.typicalPace > 0 && seconds && *seconds > batch.typicalPace * m_settings.moveSpeedup)
+            routeRequest.excluded.push_back(target);
     }
     auto decision = m_router.choose(routeRequest, now);
     if (std::holds_alternative<no_route>(decision) && routeRequest.excluded.size() > requiredExclusions) {
@@ -107,10 +106,10 @@
         routeRequest.excluded.push_back(target);
     routeRequest.seed = XXH64(spec.id.str().data(), spec.id.str().size(), m_lastAttempt);
     routeRequest.software = item.generated.software;
-    auto decision = chooseTarget(batch, item, routeRequest, full, now);
+    auto decision = chooseTarget(batch, routeRequest, now);
     if (std::holds_alternative<no_route>(decision) && !routeRequest.software.empty()) {
         routeRequest.software = {};
-        auto other = chooseTarget(batch, item, routeRequest, full, now);
+        auto other = chooseTarget(batch, routeRequest, now);
         if (std::holds_alternative<route_choice>(other)) {
             if (!item.beginAnewAt)
                 item.beginAnewAt = m_router.hasLive(batch.routingClass, item.generated.software) ? now + m_settings.maxResumeWait : now;
@@ -229,7 +228,7 @@
         ++m_counts.broken;
         return takeActions();
     }
-    updatePace(run, events.size(), now);
+    updatePace(run, batch.typicalPace, events.size(), now);
     run.lastReceivedAt = now;
     for (const auto& event : events) {
         if (event.version)
@@ -301,51 +300,95 @@
     return takeActions();
 }
 
-duration batch_runner::open_run::pace(std::size_t minEvents) const
+// Counts the time since the run's last event towards its lag, its pace and that of its replica. A long
+// gap counts in part only.
+void batch_runner::updatePace(open_run& run, double typicalPace, std::size_t events, instant now)
 {
-    return events < std::max<std::size_t>(minEvents, 2) ? duration {} : (lastReceivedAt - firstEventAt) / static_cast<std::int64_t>(events - 1);
-}
-
-void batch_runner::updatePace(open_run& run, std::size_t events, instant now)
-{
-    constexpr double paceSmoothing = 0.2; // in the moving average
-    if (run.events == 0)
-        run.firstEventAt = now;
-    else {
-        const double seconds = std::chrono::duration<double>(now - run.lastReceivedAt).count() / static_cast<double>(events);
-        auto& pace = m_paces[run.target];
-        const bool isRecent = now - pace.at < m_settings.paceExpiry && pace.seconds > 0;
-        pace.seconds = isRecent ? pace.seconds + (seconds - pace.seconds) * paceSmoothing : seconds;
-        pace.at = now;
+    constexpr double startSmoothing = 0.05; // weight of one run
+    if (run.events == 0) {
+        m_runStartSeconds += startSmoothing * (std::chrono::duration<double>(now - run.sentAt).count() - m_runStartSeconds);
+        run.events = events;
+        return;
     }
+    double seconds = std::chrono::duration<double>(now - run.lastReceivedAt).count();
+    if (typicalPace > 0) {
+        const double allowed = static_cast<double>(events) * typicalPace * m_settings.moveSpeedup;
+        seconds = std::min(seconds, allowed + std::chrono::duration<double>(m_settings.maxLagPerGap).count());
+        run.lagSeconds = std::max(0.0, run.lagSeconds + seconds - allowed);
+    }
+    run.pace.add(seconds, events, m_settings.runPaceHalfLife, now);
+    m_paces[run.target].add(seconds, events, m_settings.paceHalfLife, now);
     run.events += events;
 }
 
 std::optional<double> batch_runner::paceOf(const target_id& target, instant now) const
 {
     const auto found = m_paces.find(target);
-    if (found == m_paces.end() || now - found->second.at >= m_settings.paceExpiry)
-        return std::nullopt;
-    return found->second.seconds;
+    return found == m_paces.end() ? std::nullopt : found->second.secondsPerEvent(m_settings.paceExpiry, now);
+}
+
+// Seconds per event at the batch's replicas, whether they are free or not; 0 if unknown. The lower
+// quartile and not the median, so that it holds while up to three quarters of them are slow.
+double batch_runner::typicalPace(const batch_state& batch, instant now) const
+{
+    constexpr std::size_t quartile = 4;
+    std::vector<double> paces;
+    for (const auto slot : m_router.table().allowed(batch.routingClass)) {
+        if (const auto pace = paceOf(m_router.table().record(slot).listed.id, now))
+            paces.push_back(*pace);
+    }
+    if (paces.empty())
+        return 0;
+    const auto position = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / quartile);
+    std::nth_element(paces.begin(), position, paces.end());
+    return *position;
 }
 
-// The pace, in seconds per event, of the fastest replica that could take this item now.
-std::optional<double> batch_runner::fastestFree(const batch_state& batch, const item_state& item, const target_software& software, const std::vector<target_id>& full, instant now) const
+// The median pace, in seconds per event, of the replicas that could take the item now and are not slow;
+// empty if there is none. One without a recent pace counts as typical, slowed down as it states itself.
+std::optional<double> batch_runner::typicalFreePace(const batch_state& batch, const item_state& item, const target_id& from, const std::vector<target_id>& full, instant now) const
 {
-    std::optional<double> best;
+    std::vector<double> paces;
     for (const auto slot : m_router.table().allowed(batch.routingClass)) {
         const auto& listed = m_router.table().record(slot).listed;
         const auto& target = listed.id;
-        if (!software.empty() && listed.software() != software)
+        if (target == from || (!item.generated.software.empty() && listed.software() != item.generated.software))
             continue;
         const auto avoided = item.avoidUntil.find(target);
         if (!m_router.limits().mayStart(slot, now) || std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
             continue;
-        const auto pace = paceOf(target, now);
-        if (pace && (!best || *pace < *best))
-            best = pace;
+        const auto known = paceOf(target, now);
+        const double pace = known ? *known : batch.typicalPace * m_router.load().view(slot, now).lastingSlowdown;
+        if (pace <= batch.typicalPace * m_settings.moveSpeedup)
+            paces.push_back(pace);
     }
-    return best;
+    if (paces.empty())
+        return std::nullopt;
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+bool batch_runner::shouldMove(const open_run& run, batch_state& batch, instant now) const
+{
+    // Step 1. The slowness has lasted, and it still does.
+    const auto& item = batch.items[run.index];
+    const auto pace = run.pace.secondsPerEvent(m_settings.paceExpiry, now);
+    if (!pace || run.events < m_settings.minEventsForPace || item.moves >= m_settings.maxMoves)
+        return false;
+    if (run.lagSeconds < std::chrono::duration<double>(m_settings.moveLag).count())
+        return false;
+    const auto expected = typicalFreePace(batch, item, run.target, fullTargets(batch, now), now);
+    if (!expected || *pace < *expected * m_settings.moveSpeedup)
+        return false;
+
+    // Step 2. The remaining length is unknown. Take the caller's estimate, but at least a third of the
+    // length so far. What is left must save more than the start of a new run costs.
+    constexpr double minShareLeft = 1.0 / 3;
+    const auto receivedEvents = static_cast<double>(item.generated.data.size());
+    const auto estimatedEvents = static_cast<double>(batch.spec.items[run.index].expectedTokens.count()) / batch.tokensPerEvent;
+    const double remainingEvents = std::max(estimatedEvents - receivedEvents, receivedEvents * minShareLeft);
+    return remainingEvents * (*pace - *expected) - m_runStartSeconds >= std::chrono::duration<double>(m_settings.minMoveGain).count();
 }
 
 // Moves runs from slow replicas to much faster ones with a free slot, where they resume
@@ -355,21 +398,7 @@
 {
     std::vector<attempt_id> moving;
     for (const auto& [attempt, run] : m_runs) {
-        auto& batch = m_batches.at(run.batch);
-        const auto& item = batch.items[run.index];
-        const auto pace = std::chrono::duration<double>(run.pace(m_settings.minEventsForPace)).count();
-        if (pace <= 0 || item.moves >= m_settings.maxMoves)
-            continue;
-        const auto best = fastestFree(batch, item, item.generated.software, fullTargets(batch, now), now);
-        if (!best || pace < *best * m_settings.moveSpeedup)
-            continue;
-        // The remaining length is unknown. Take the caller's estimate, but at least a third
-        // of the length so far.
-        constexpr double minShareLeft = 1.0 / 3;
-        const auto receivedEvents = static_cast<double>(item.generated.data.size());
-        const auto estimatedEvents = static_cast<double>(batch.spec.items[run.index].expectedTokens.count()) / batch.tokensPerEvent;
-        const double remainingEvents = std::max(estimatedEvents - receivedEvents, receivedEvents * minShareLeft);
-        if (remainingEvents * (pace - *best) >= std::chrono::duration<double>(m_settings.minMoveGain).count())
+        if (shouldMove(run, m_batches.at(run.batch), now))
             moving.push_back(attempt);
     }
     for (const auto attempt : moving) {
@@ -377,10 +406,12 @@
         auto& batch = m_batches.at(run.batch);
         auto& item = batch.items[run.index];
         // An earlier move in this loop may have taken the free slot.
-        if (!fastestFree(batch, item, item.generated.software, fullTargets(batch, now), now))
+        if (!typicalFreePace(batch, item, run.target, fullTargets(batch, now), now))
             continue;
         ++m_counts.moved;
         ++item.moves;
+        // Its average still contains the time before; the next items must not be sent there meanwhile.
+        m_paces[run.target].assign(run.pace, now);
         m_actions.emplace_back(cancel_run { attempt, cancel_reason::Moved });
         endRun(attempt, attempt_outcome::Refused, now);
         item.avoidUntil[run.target] = now + m_settings.paceExpiry;
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -410,6 +410,30 @@
     BOOST_TEST((harness.sent.back().choice.target == harness.runs.at(open[0]).choice.target));
 }
 
+// A move costs the time until the new run's first event. Four events that would come 90 ms faster each
+// save 360 ms, which is above minMoveGain, but not by that cost of about 100 ms.
+BOOST_AUTO_TEST_CASE(a_move_that_saves_less_than_it_costs_is_not_made)
+{
+    batch_harness harness(2);
+    auto spec = specOf("b", 1, 2, 1);
+    for (auto& item : spec.items)
+        item.expectedTokens = token_count(8);
+    harness.add(spec);
+    harness.pass(20ms);
+    const auto open = harness.open();
+    BOOST_REQUIRE(open.size() == 2u);
+    for (const auto attempt : open)
+        harness.head(attempt, weight_version(2));
+    for (std::uint64_t event = 1; event <= 16; ++event) {
+        harness.pass(30ms);
+        harness.events(open[0], event, event);
+        if (event % 4 == 0)
+            harness.events(open[1], event / 4, event / 4);
+    }
+    harness.pass(30ms);
+    BOOST_TEST(harness.runner.counts().moved == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_failing_item_is_abandoned_after_exactly_its_attempts)
 {
     batch_harness harness(3);
