--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -19,6 +19,7 @@
     std::size_t openForwards = 0;
     std::size_t openBatches = 0;
     std::size_t evacuatedDomains = 0;
+    std::size_t slowTargets = 0; // by the slowdown that they state, averaged over seconds
     const std::map<service_id, std::vector<slot_share>>* shares = nullptr; // given by this instance, by service
 };
 
