Second attempts for slow requests within an operator's limit on extra work

Cause: hedging starts after 60% of the latency target, whatever the usual time of the route is, and its budget counts requests, not time on targets.

The delay is a quantile of the observed times of the route and pool; each instance spends at most its percentage of the time on targets that it has counted, over 5 minutes and, bounded more loosely, over 10 seconds. A second attempt that outlasts its reservation is cancelled if the limit has no more. None starts while the pool is short of slots, a target names a limit, or the request runs at most once or may crash targets. Without the setting the behaviour is unchanged.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -279,9 +279,22 @@
                 forward.onServiceAnswer({});
         } else if (const auto* start = std::get_if<forward_execution_started>(&action))
             m_usage.count(start->account, start->ago);
+        else if (const auto* hedged = std::get_if<forward_hedged>(&action))
+            logHedge(*hedged);
     }
 }
 
+void caller_frontend::logHedge(const forward_hedged& action) const
+{
+    const auto found = m_forwards.find(action.id);
+    if (found == m_forwards.end())
+        return;
+    logEvent(log_level::Info, "front", "hedge_" + std::string(toString(action.event)),
+        { { "request", found->second.callerId.str() }, { "route", found->second.route }, { "reason", std::string(action.reason) }, { "first", action.first.str() }, { "second", action.second.str() },
+            { "waited_ms", msText(action.waited) }, { "extra_ms", msText(action.extraWork) }, { "saved_ms", msText(action.saved) },
+            { "used_ms", msText(action.usage.extra) }, { "allowed_ms", msText(action.usage.allowed) } });
+}
+
 void caller_frontend::send(const forward_send& action)
 {
     auto& forward = m_forwards.at(action.id);
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -53,6 +53,8 @@
     // limit, and whether it leaves. `incarnationNumber` is the one that the request was sent to.
     void recordTargetState(const target_id& target, incarnation incarnationNumber, const platform::target_head& head, instant sentAt);
 
+    // See request_forwarder.
+    void setExtraWork(std::optional<double> share) { m_forwarding.setExtraWork(share); }
     // Whether this instance reaches no target while others do.
     void setCutOff(bool cutOff) { m_forwarding.setCutOff(cutOff, m_context.now); }
     void tick();
@@ -104,6 +106,7 @@
     void onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes);
     void breakOff(attempt_id attempt);
     void deliver(const forward_deliver& action);
+    void logHedge(const forward_hedged& action) const;
     void logOutcome(const open_forward& forward, std::string_view outcome, int status, const std::string& detail) const;
 
     context& m_context;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -22,6 +22,7 @@
 #include "http/server.h"
 #include "http_status.h"
 #include "log.h"
+#include "settings_reader.h"
 
 #include <csignal>
 #include <malloc.h>
@@ -103,6 +104,7 @@
             m_net.setSourceAddress(m_settings.instance.address);
             m_usage.setMembers(m_members);
             m_frontend.setBatches(m_batches);
+            m_frontend.setExtraWork(extraWorkShare(m_settings));
             m_store.setPeers([this] { return m_members.otherAddresses(); });
         }
 
@@ -266,7 +268,7 @@
             beginStop();
     }
 
-    // Applies changed addresses of peers and the log level; other settings need a restart.
+    // Applies changed addresses of peers, the log level and the limit on extra work; other settings need a restart.
     void entry_loop::reload(const char* reason)
     {
         const auto reading = readEntrySettingsFile(m_file);
@@ -278,11 +280,13 @@
         m_settings.duties = reading.value.duties;
         m_settings.listen.seeds = reading.value.listen.seeds;
         m_settings.log = reading.value.log;
+        m_settings.hedging = reading.value.hedging;
+        m_frontend.setExtraWork(extraWorkShare(m_settings));
         log_level level = log_level::Info;
         parseLogLevel(m_settings.log.level, level);
         setLogLevel(level);
         m_store.setAddress(m_settings.store.address);
-        logEvent(log_level::Info, "main", "reloaded", { { "why", reason }, { "store", m_settings.store.address } });
+        logEvent(log_level::Info, "main", "reloaded", { { "why", reason }, { "store", m_settings.store.address }, { "extra_work", m_settings.hedging.extraWork ? detail::percentText(*m_settings.hedging.extraWork) : "unset" } });
     }
 
     // The platform may rewrite the file without sending SIGHUP.
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -12,6 +12,8 @@
     using namespace detail;
     using s = entry_settings;
 
+    constexpr std::int64_t maxExtraWork = 2000; // hundredths of a percent; above 20% requests of usual speed would be repeated
+
     field<s> text(const char* section, const char* key, field_kind kind, bool required, std::function<std::string&(s&)> where)
     {
         return textField<s>(section, key, kind, required, std::move(where));
@@ -42,6 +44,7 @@
             time("bounds", "drain", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.drain; }),
             time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
             time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
+            numberField<s>("hedging", "extra_work", field_kind::Percent, 0, maxExtraWork, [](s& v) -> std::int64_t& { return v.hedging.extraWork.emplace(0); }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
         return table;
@@ -61,6 +64,14 @@
 
 } // namespace
 
+std::optional<double> extraWorkShare(const entry_settings& settings)
+{
+    constexpr double hundredthsOfPercent = 10'000;
+    if (!settings.hedging.extraWork)
+        return std::nullopt;
+    return static_cast<double>(*settings.hedging.extraWork) / hundredthsOfPercent;
+}
+
 entry_reading readEntrySettings(std::string_view text, const std::string& file)
 {
     return readByTable(fields(), text, file, checkTogether);
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,11 @@
         std::chrono::milliseconds stop { 8000 }; // from SIGTERM to SIGKILL
         std::chrono::milliseconds resultsKept { 120'000 }; // retention of results, from a batch's submission
     } bounds;
+    struct {
+        // Limit on the work of second attempts, in hundredths of a percent of a pool's work; 0: none are
+        // made. Empty: hedging after fixed delays out of a budget of successes.
+        std::optional<std::int64_t> extraWork;
+    } hedging;
     struct {
         std::string level = "info";
     } log;
@@ -49,6 +55,9 @@
 
 using entry_reading = reading_of<entry_settings>;
 
+// The limit on extra work as a share; empty if it is not set.
+std::optional<double> extraWorkShare(const entry_settings& settings);
+
 entry_reading readEntrySettings(std::string_view text, const std::string& file);
 entry_reading readEntrySettingsFile(const std::string& file);
 
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -27,6 +27,25 @@
             family.Add({ { label, series.label } }).Increment(static_cast<double>(series.value));
     }
 
+    void add(prometheus::Registry& registry, const char* name, const char* help, const char* label, const std::map<std::string_view, std::uint64_t>& counts)
+    {
+        auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+        for (const auto& [value, count] : counts)
+            family.Add({ { label, std::string(value) } }).Increment(static_cast<double>(count));
+    }
+
+    struct labelled_time {
+        const char* label;
+        duration value;
+    };
+
+    void addSeconds(prometheus::Registry& registry, const char* name, const char* help, const char* label, std::initializer_list<labelled_time> times)
+    {
+        auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+        for (const auto& series : times)
+            family.Add({ { label, series.label } }).Increment(std::chrono::duration<double>(series.value).count());
+    }
+
 } // namespace
 
 void metrics_page::answer(const http::exchange_ptr& exchange) const
@@ -38,6 +57,12 @@
             { { "arrived", f.requests }, { "delivered", f.delivered }, { "refused", f.refused }, { "failed", f.failed }, { "caller_gone", f.disconnectedCallers }, { "quarantined", f.quarantined }, { "rate_limited", f.rateLimited } });
         add(registry, "lovagerail_attempts_total", "Attempts at targets for callers", "kind",
             { { "all", f.attempts }, { "hedge", f.hedges }, { "refused_by_target", f.refusedByTarget }, { "crossed", f.crossed }, { "resumed", f.resumed } });
+        add(registry, "lovagerail_hedges_total", "Second attempts within the limit on extra work by what became of them", "outcome",
+            { { "won", f.hedgesWon }, { "lost", f.hedgesLost }, { "cancelled", f.hedgesCancelled } });
+        add(registry, "lovagerail_hedges_started_total", "Second attempts within the limit on extra work", "reason", f.hedgesStarted);
+        add(registry, "lovagerail_hedges_refused_total", "Slow requests that got no second attempt at first, by the limit that refused it", "limit", f.hedgesRefused);
+        addSeconds(registry, "lovagerail_target_work_seconds_total", "Time on targets", "kind", { { "first", f.countedWork }, { "extra", f.extraWork } });
+        addSeconds(registry, "lovagerail_hedges_saved_seconds_total", "Expected time that won second attempts saved their callers", "kind", { { "expected", f.timeSaved } });
         const auto& b = m_view->batches;
         add(registry, "lovagerail_items_total", "Runs and results of batch items", "what",
             { { "runs", b.runs }, { "resumed", b.resumed }, { "refused", b.refused }, { "broken", b.broken }, { "stalled", b.stalled }, { "moved", b.moved }, { "wrong_version", b.wrongVersion },
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr std::size_t maxOpenAttempts = 2; // the second is a hedge
+    constexpr duration hedgingCleanupPeriod = std::chrono::minutes(1);
 
     bool isSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -52,6 +53,23 @@
 
 } // namespace
 
+std::string_view toString(hedge_event event)
+{
+    switch (event) {
+    case hedge_event::Started:
+        return "started";
+    case hedge_event::Won:
+        return "won";
+    case hedge_event::Lost:
+        return "lost";
+    case hedge_event::Cancelled:
+        return "cancelled";
+    case hedge_event::Refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
 routing_class_id serviceClass(const service_id& service) { return routing_class_id("service " + service.str()); }
 
 request_forwarder::request_forwarder(forwarding_settings settings, router& targets, quarantine& crashQuarantine)
@@ -59,6 +77,7 @@
     , m_router(targets)
     , m_quarantine(crashQuarantine)
     , m_retries(settings.retries)
+    , m_hedging(settings.hedging)
 {
 }
 
@@ -120,6 +139,27 @@
     return takeActions();
 }
 
+route_request request_forwarder::routeRequestFor(const open_forward& forward, bool isolated) const
+{
+    route_request routeRequest;
+    routeRequest.routingClass = classFor(forward);
+    routeRequest.software = forward.software;
+    routeRequest.account = forward.request.account;
+    routeRequest.promptBlocks = forward.request.promptBlocks;
+    routeRequest.promptTokens = forward.request.promptTokens;
+    routeRequest.expectedTokens = forward.request.expectedTokens;
+    routeRequest.idempotent = forward.request.route.idempotent();
+    routeRequest.resumable = forward.request.route.resumable;
+    routeRequest.returnable = true; // replicas return requests that they did not start
+    routeRequest.excluded = forward.tried;
+    if (isolated) {
+        const auto isolatedTargets = m_quarantine.isolatedTargets();
+        routeRequest.excluded.insert(routeRequest.excluded.end(), isolatedTargets.begin(), isolatedTargets.end());
+    }
+    routeRequest.seed = XXH64(forward.request.callerId.str().data(), forward.request.callerId.str().size(), m_lastAttempt);
+    return routeRequest;
+}
+
 // Starts an attempt at the best replica not tried yet. If all were tried, schedules an
 // attempt at any of them after a pause. Rejects quarantined requests. Returns false if no
 // replica is live.
@@ -144,26 +184,11 @@
     const bool isolated = verdict == quarantine_verdict::RunIsolated;
 
     // Step 2. Choose a target.
-    route_request routeRequest;
-    routeRequest.routingClass = classFor(forward);
-    routeRequest.software = forward.software;
+    const auto routeRequest = routeRequestFor(forward, isolated);
     if (m_limitQueues.contains(routeRequest.routingClass)) {
         waitForLimit(forward, routeRequest.routingClass, now);
         return true;
     }
-    routeRequest.account = forward.request.account;
-    routeRequest.promptBlocks = forward.request.promptBlocks;
-    routeRequest.promptTokens = forward.request.promptTokens;
-    routeRequest.expectedTokens = forward.request.expectedTokens;
-    routeRequest.idempotent = forward.request.route.idempotent();
-    routeRequest.resumable = forward.request.route.resumable;
-    routeRequest.returnable = true; // replicas return requests that they did not start
-    routeRequest.excluded = forward.tried;
-    if (isolated) {
-        const auto isolatedTargets = m_quarantine.isolatedTargets();
-        routeRequest.excluded.insert(routeRequest.excluded.end(), isolatedTargets.begin(), isolatedTargets.end());
-    }
-    routeRequest.seed = XXH64(forward.request.callerId.str().data(), forward.request.callerId.str().size(), m_lastAttempt);
     auto decision = m_router.choose(routeRequest, now);
     if (const auto* none = std::get_if<no_route>(&decision)) {
         if (none->reason == no_route_reason::RateLimited) {
@@ -201,7 +226,16 @@
 void request_forwarder::sendTo(open_forward& forward, const route_choice& choice, const route_request& routeRequest, bool isolated, instant now)
 {
     const auto attempt = newAttempt();
-    forward.attempts.push_back({ attempt, choice, now, now, std::nullopt, isolated });
+    open_attempt sent;
+    sent.id = attempt;
+    sent.choice = choice;
+    sent.sentAt = now;
+    sent.lastReceivedAt = now;
+    sent.isolated = isolated;
+    sent.pool = routeRequest.routingClass;
+    sent.slowdown = currentSlowdown(m_router, choice.slot, now);
+    sent.workFrom = now;
+    forward.attempts.push_back(std::move(sent));
     if (isolated)
         m_quarantine.isolatedRunStarted(forward.request.fingerprint, choice.target);
     forward.tried.push_back(choice.target);
@@ -217,6 +251,9 @@
 void request_forwarder::endAttempt(open_forward& forward, const open_attempt& attempt, attempt_outcome outcome, instant now)
 {
     m_router.ended(attempt.id, { outcome, token_count(), std::nullopt }, now);
+    // After a change of the setting, second attempts may still be open.
+    if (m_hedging.inForce() || std::any_of(forward.attempts.begin(), forward.attempts.end(), [](const open_attempt& candidate) { return candidate.isSecond; }))
+        accountAttempt(forward, attempt.id, outcome, now);
     m_byAttempt.erase(attempt.id);
     if (attempt.isolated)
         m_quarantine.isolatedRunEnded(forward.request.fingerprint);
@@ -300,6 +337,8 @@
             break;
         m_router.firstToken(attempt, now);
         onRunStarted(*forward, openAttempt, now);
+        if (m_hedging.inForce() && !openAttempt.isSecond && head.status < statusServerError)
+            m_hedging.answered(forward->request.route.id, openAttempt.pool, scale(now - openAttempt.sentAt, 1 / openAttempt.slowdown), now);
         const bool streams = forward->request.route.kind == route_kind::Stream && isSuccess(head.status) && head.signedByTarget;
         if (!streams || forward->streaming)
             break;
@@ -308,6 +347,10 @@
             m_actions.emplace_back(forward_begin_stream { forward->request.id, attempt });
         else
             ++m_counts.resumed;
+        if (openAttempt.isSecond)
+            endSecond(*forward, hedge_event::Won, "answered_first", now);
+        else
+            endSecond(*forward, hedge_event::Lost, "first_answered", now);
         cancelAll(*forward, attempt, now);
         break;
     }
@@ -366,8 +409,10 @@
         ++forward->runs;
         const bool mayRetry = failed && !forward->streamStarted && forward->request.route.idempotent() && forward->runs < forward->request.route.maxAttempts
             && forward->expires - now > m_settings.minAttemptTime;
-        if (mayRetry && !forward->attempts.empty())
+        if (mayRetry && !forward->attempts.empty()) {
+            endSecond(*forward, hedge_event::Won, "first_failed", now);
             return takeActions(); // the other attempt may still succeed
+        }
         if (mayRetry && trySend(*forward, now))
             return takeActions();
         m_retries.succeeded(forward->request.route.id.str(), now);
@@ -399,8 +444,10 @@
 // with an error.
 void request_forwarder::retryOrRefuse(open_forward& forward, instant now)
 {
-    if (!forward.attempts.empty())
+    if (!forward.attempts.empty()) {
+        endSecond(forward, hedge_event::Won, "first_failed", now);
         return; // another attempt is still open
+    }
     const bool mayRepeat = !forward.mayHaveRun || forward.request.route.idempotent();
     if (!mayRepeat) {
         refuse(forward, statusBadGateway, {}, "the replica may have run the request", now);
@@ -456,6 +503,7 @@
     }
 
     // Step 4. Hedge: start a second attempt beside one that is slow or has no answer yet.
+    stopSecondBeyondLimit(forward, now);
     if (forward.attempts.size() >= maxOpenAttempts || forward.attempts.empty() || forward.streaming || !forward.request.route.idempotent())
         return;
     const auto& running = forward.attempts.front();
@@ -464,6 +512,15 @@
     // A request that may have crashed a target must not run at two targets at once.
     if (m_quarantine.verdictFor(forward.request.fingerprint, m_wallTime) != quarantine_verdict::Clear)
         return;
+    if (m_hedging.inForce())
+        hedgeWithinLimit(forward, now);
+    else
+        hedgeAfterFixedDelay(forward, now);
+}
+
+void request_forwarder::hedgeAfterFixedDelay(open_forward& forward, instant now)
+{
+    const auto& running = forward.attempts.front();
     const auto waited = now - running.sentAt;
     const bool silent = waited > m_settings.noHeadTimeout;
     const bool slow = forward.request.route.latencyTarget > duration {} && waited > scale(forward.request.route.latencyTarget, m_settings.hedgeAfterShare);
@@ -478,6 +535,157 @@
         forward.tried = tried;
 }
 
+// --- Second attempts within the limit on extra work ----------------------------
+
+void request_forwarder::hedgeWithinLimit(open_forward& forward, instant now)
+{
+    // Step 1. Whether the running attempt is slow. Each request has one second attempt at most.
+    if (forward.hedged || m_hedging.settings().extraWork.value_or(0) <= 0)
+        return;
+    const auto running = forward.attempts.front();
+    const auto& route = forward.request.route;
+    auto fixedDelay = m_settings.noHeadTimeout;
+    if (route.latencyTarget > duration {})
+        fixedDelay = std::min(fixedDelay, scale(route.latencyTarget, m_settings.hedgeAfterShare));
+    const auto waited = now - running.sentAt;
+    const auto delay = m_hedging.delayFor(route.id, running.pool, currentSlowdown(m_router, running.choice.slot, now), fixedDelay, now);
+    if (waited <= delay.time)
+        return;
+
+    // Step 2. Whether the pool and the limit allow a second attempt.
+    const auto timeLeft = forward.expires == instant::max() ? duration::max() : forward.expires - now;
+    if (const auto refusal = m_hedging.check(route.id, running.pool, poolCondition(running.pool, now), timeLeft, now)) {
+        refuseHedge(forward, *refusal, now);
+        return;
+    }
+
+    // Step 3. Choose another target with a free slot, in another failure domain if there is one.
+    auto routeRequest = routeRequestFor(forward, false);
+    routeRequest.avoidedDomain = running.choice.failureDomain;
+    const auto decision = m_router.choose(routeRequest, now);
+    const auto* choice = std::get_if<route_choice>(&decision);
+    if (choice == nullptr || routeRequest.routingClass != running.pool || choice->reason == route_reason::AllEjected) {
+        refuseHedge(forward, hedge_refusal::NoOtherTarget, now);
+        return;
+    }
+    const auto load = m_router.load().view(choice->slot, now);
+    const auto& speed = m_router.load().speed(choice->slot);
+    if (load.ownRequests + load.otherRequests + 1 > (choice->kind == target_kind::Service ? speed.serviceWorkers : speed.batchLimit)) {
+        refuseHedge(forward, hedge_refusal::ShortOfSlots, now);
+        return;
+    }
+    sendTo(forward, *choice, routeRequest, false, now);
+    auto& second = forward.attempts.back();
+    second.isSecond = true;
+    second.hedgeOf = running.choice.target;
+    forward.hedged = true;
+    m_hedging.started(second.id, route.id, second.pool, now);
+    ++m_counts.hedges;
+    ++m_counts.hedgesStarted[toString(delay.reason)];
+    m_actions.emplace_back(forward_hedged { forward.request.id, hedge_event::Started, toString(delay.reason), second.hedgeOf, choice->target, waited, {}, {}, m_hedging.usageOf(second.pool, now) });
+}
+
+// Reports the first refusal of a request; a later check may still allow its second attempt.
+void request_forwarder::refuseHedge(open_forward& forward, hedge_refusal refusal, instant now)
+{
+    if (std::exchange(forward.hedgeRefused, true))
+        return;
+    const auto& running = forward.attempts.front();
+    ++m_counts.hedgesRefused[toString(refusal)];
+    m_actions.emplace_back(forward_hedged { forward.request.id, hedge_event::Refused, toString(refusal), running.choice.target, {}, now - running.sentAt, {}, {}, m_hedging.usageOf(running.pool, now) });
+}
+
+// Cancels a second attempt that takes longer than the limit allows. The first one goes on.
+void request_forwarder::stopSecondBeyondLimit(open_forward& forward, instant now)
+{
+    const auto found = std::find_if(forward.attempts.begin(), forward.attempts.end(), [](const open_attempt& candidate) { return candidate.isSecond; });
+    if (found == forward.attempts.end() || found->head || m_hedging.mayContinue(found->id, now))
+        return;
+    const auto second = *found;
+    endSecond(forward, hedge_event::Cancelled, "extra_work", now);
+    if (!second.unsent)
+        onRunStarted(forward, second, now);
+    m_actions.emplace_back(forward_cancel { second.id });
+    endAttempt(forward, second, attempt_outcome::Timeout, now);
+}
+
+// Counts the work of an attempt that ends and that is still in the list of open ones.
+void request_forwarder::accountAttempt(open_forward& forward, attempt_id attempt, attempt_outcome outcome, instant now)
+{
+    const auto found = std::find_if(forward.attempts.begin(), forward.attempts.end(), [attempt](const open_attempt& candidate) { return candidate.id == attempt; });
+    assert(found != forward.attempts.end());
+    const auto& ended = *found;
+    if (outcome == attempt_outcome::Refused)
+        m_hedging.refusedByTarget(ended.pool, now);
+    if (!ended.isSecond) {
+        if (outcome != attempt_outcome::Success && outcome != attempt_outcome::Failure)
+            return;
+        const auto work = now - ended.workFrom;
+        m_hedging.worked(forward.request.route.id, ended.pool, work, now);
+        m_counts.countedWork += work;
+        if (outcome == attempt_outcome::Success)
+            endSecond(forward, hedge_event::Lost, "first_answered", now);
+        return;
+    }
+    switch (outcome) {
+    case attempt_outcome::Success:
+        endSecond(forward, hedge_event::Won, "answered_first", now);
+        break;
+    case attempt_outcome::Timeout:
+        endSecond(forward, hedge_event::Cancelled, "request_ended", now);
+        break;
+    default:
+        endSecond(forward, hedge_event::Lost, "failed", now);
+        break;
+    }
+}
+
+// Counts and reports the end of the request's second attempt, if it has one; from here on it is an
+// attempt like others.
+void request_forwarder::endSecond(open_forward& forward, hedge_event event, std::string_view reason, instant now)
+{
+    const auto second = std::find_if(forward.attempts.begin(), forward.attempts.end(), [](const open_attempt& candidate) { return candidate.isSecond; });
+    if (second == forward.attempts.end())
+        return;
+    const auto first = std::find_if(forward.attempts.begin(), forward.attempts.end(), [](const open_attempt& candidate) { return !candidate.isSecond; });
+    forward_hedged ended { forward.request.id, event, reason, second->hedgeOf, second->choice.target, {}, {}, {}, {} };
+    if (event == hedge_event::Won && first != forward.attempts.end()) {
+        ended.waited = now - first->sentAt;
+        ended.saved = m_hedging.expectedRemaining(forward.request.route.id, first->pool, scale(ended.waited, 1 / first->slowdown));
+        if (!first->head)
+            m_hedging.answered(forward.request.route.id, first->pool, scale(ended.waited, 1 / first->slowdown), now);
+    }
+    // If the first attempt failed, the second one goes on in its place.
+    const bool goesOn = event == hedge_event::Won && first == forward.attempts.end();
+    const bool cancelled = !goesOn && event != hedge_event::Won && reason != "failed";
+    ended.extraWork = m_hedging.ended(second->id, second->unsent, cancelled, now);
+    ended.usage = m_hedging.usageOf(second->pool, now);
+    second->isSecond = false;
+    second->workFrom = now;
+    m_counts.extraWork += ended.extraWork;
+    m_counts.timeSaved += ended.saved;
+    switch (event) {
+    case hedge_event::Won:
+        ++m_counts.hedgesWon;
+        break;
+    case hedge_event::Lost:
+        ++m_counts.hedgesLost;
+        break;
+    default:
+        ++m_counts.hedgesCancelled;
+        break;
+    }
+    m_actions.emplace_back(std::move(ended));
+}
+
+const pool_condition& request_forwarder::poolCondition(const routing_class_id& pool, instant now)
+{
+    const auto [entry, isNew] = m_poolConditions.try_emplace(pool);
+    if (isNew || now - entry->second.computedAt >= m_settings.poolConditionLifetime)
+        entry->second = { conditionOf(m_router, pool, m_hedging.settings().busyShare, now), now };
+    return entry->second.condition;
+}
+
 // Reports to the quarantine that the attempt broke off, as the request may have crashed the target.
 void request_forwarder::reportBrokenAttempt(const open_forward& forward, const open_attempt& attempt, instant now)
 {
@@ -518,6 +726,11 @@
     for (auto& [id, forward] : m_open)
         tickOne(forward, now);
     checkForCrashes();
+    if (now >= m_nextHedgingCleanup) {
+        m_nextHedgingCleanup = now + hedgingCleanupPeriod;
+        m_hedging.dropIdle(now);
+        m_poolConditions.clear();
+    }
     return takeActions();
 }
 
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "batch.h"
+#include "hedging.h"
 #include "quarantine.h"
 #include "retry.h"
 #include "router.h"
@@ -110,7 +111,27 @@
     client_account_id account;
     duration ago {};
 };
-using forward_action = std::variant<forward_send, forward_cancel, forward_deliver, forward_begin_stream, forward_end_stream, forward_refuse, forward_execution_started>;
+enum class hedge_event {
+    Started,
+    Won, // its answer came first, or the first attempt failed
+    Lost, // the first attempt was answered first, or the second one failed
+    Cancelled, // the request ended without an answer, or the limit has no more
+    Refused,
+};
+// What became of a second attempt within the limit on extra work, or why there was none.
+struct forward_hedged {
+    forward_id id;
+    hedge_event event = hedge_event::Started;
+    std::string_view reason;
+    target_id first;
+    target_id second; // empty if refused
+    duration waited {}; // since the first attempt was sent
+    duration extraWork {}; // counted for this second attempt
+    duration saved {}; // Won: expected time that the first attempt would still have taken
+    hedge_policy::usage usage; // of the pool's limit
+};
+using forward_action = std::variant<forward_send, forward_cancel, forward_deliver, forward_begin_stream, forward_end_stream, forward_refuse, forward_execution_started, forward_hedged>;
+std::string_view toString(hedge_event event);
 
 struct forwarding_settings {
     std::uint32_t maxRefusalsBeyondAttempts = 6; // attempts not run that are allowed beyond the route's maximum of attempts
@@ -123,8 +144,10 @@
     duration noTargetRetryAfter = std::chrono::milliseconds(350); // Retry-After if no replica is live
     duration minLimitRetryAfter = std::chrono::milliseconds(100); // Retry-After if the limits of all targets allow no more
     duration fullRetryAfter = std::chrono::milliseconds(120); // Retry-After if all replicas refused
+    duration poolConditionLifetime = std::chrono::milliseconds(100); // a pool's condition is computed at most this often
     duration cutOffDetection = std::chrono::seconds(3); // longest time from losing the paths to targets until setCutOff()
     retry_settings retries;
+    hedging_settings hedging; // where its limit is given, it replaces hedgeAfterShare, noHeadTimeout and the hedge budget of retries
 };
 
 struct forwarding_counts {
@@ -140,6 +163,15 @@
     std::uint64_t disconnectedCallers = 0;
     std::uint64_t quarantined = 0;
     std::uint64_t rateLimited = 0; // refused as all targets are at the limits that they named
+    // Second attempts within the limit on extra work; `hedges` counts all.
+    std::uint64_t hedgesWon = 0;
+    std::uint64_t hedgesLost = 0;
+    std::uint64_t hedgesCancelled = 0;
+    std::map<std::string_view, std::uint64_t> hedgesStarted; // by reason
+    std::map<std::string_view, std::uint64_t> hedgesRefused; // requests by the limit that first refused them
+    duration extraWork {}; // time on targets of second attempts
+    duration countedWork {}; // time on targets of other attempts that were answered
+    duration timeSaved {}; // expected
 };
 
 class request_forwarder {
@@ -162,6 +194,10 @@
     void progress(attempt_id attempt, std::uint64_t lastEventId, instant now);
     std::vector<forward_action> done(attempt_id attempt, transfer_state end, instant now);
 
+    // Sets the limit on extra work of second attempts as a share of the pool's work; empty: hedging
+    // after fixed delays out of a budget of successes.
+    void setExtraWork(std::optional<double> share) { m_hedging.setExtraWork(share); }
+
     // This instance reaches no target while others do: attempts that break off say nothing of the
     // targets, and those of the last seconds did not either.
     void setCutOff(bool cutOff, instant now);
@@ -183,12 +219,17 @@
         std::optional<forward_head> head;
         bool isolated = false;
         bool unsent = false;
+        routing_class_id pool;
+        double slowdown = 1; // of its target when it was sent
+        instant workFrom; // its time from here on is not extra work; sentAt except for an attempt that was a second one
+        bool isSecond = false; // beside an open first attempt, within the limit on extra work
+        target_id hedgeOf; // target of the first attempt
     };
     struct open_forward {
         forward_request request;
         instant arrived;
         instant expires; // when the caller must be answered at the latest
-        std::vector<open_attempt> attempts; // at most two: the second is a hedge
+        std::vector<open_attempt> attempts; // at most two: the second is a hedge, as long as the first is open
         std::vector<target_id> tried; // excluded while there are other targets
         std::uint32_t runs = 0; // attempts that ran or may have run
         std::uint32_t refusals = 0; // attempts that did not run
@@ -197,6 +238,7 @@
         bool mayHaveRun = false;
         bool usageReported = false;
         bool hedged = false;
+        bool hedgeRefused = false; // a refusal was reported
         std::optional<attempt_id> streaming; // the attempt whose events go to the caller
         bool streamStarted = false; // the caller has the head of a stream
         target_software software; // that made the events which the caller has; empty: none yet
@@ -206,6 +248,7 @@
     open_forward* find(attempt_id attempt);
     attempt_id newAttempt() { return attempt_id(++m_lastAttempt); }
     routing_class_id classFor(const open_forward& forward) const;
+    route_request routeRequestFor(const open_forward& forward, bool isolated) const;
     bool trySend(open_forward& forward, instant now);
     void waitForLimit(open_forward& forward, const routing_class_id& routingClass, instant now);
     void sendTo(open_forward& forward, const route_choice& choice, const route_request& routeRequest, bool isolated, instant now);
@@ -219,6 +262,13 @@
     void finish(open_forward& forward);
     void expire(open_forward& forward, instant now);
     void tickOne(open_forward& forward, instant now);
+    void hedgeAfterFixedDelay(open_forward& forward, instant now);
+    void hedgeWithinLimit(open_forward& forward, instant now);
+    void refuseHedge(open_forward& forward, hedge_refusal refusal, instant now);
+    void stopSecondBeyondLimit(open_forward& forward, instant now);
+    void accountAttempt(open_forward& forward, attempt_id attempt, attempt_outcome outcome, instant now);
+    void endSecond(open_forward& forward, hedge_event event, std::string_view reason, instant now);
+    const pool_condition& poolCondition(const routing_class_id& pool, instant now);
     std::vector<forward_action> takeActions();
 
     forwarding_settings m_settings;
@@ -226,6 +276,13 @@
     quarantine& m_quarantine;
     wall_time m_wallTime {};
     retry_policy m_retries;
+    hedge_policy m_hedging;
+    struct cached_condition {
+        pool_condition condition;
+        instant computedAt;
+    };
+    std::map<routing_class_id, cached_condition> m_poolConditions; // of pools with slow requests lately
+    instant m_nextHedgingCleanup {};
     bool m_cutOff = false;
     struct reported_break {
         request_fingerprint request;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -39,6 +39,7 @@
     std::vector<prefix_match> matches;
     std::vector<target_slot> excluded; // sorted
     bool ignoreHealth = false;
+    bool avoidDomain = false; // leave out targets in request.avoidedDomain
     std::vector<routing_candidate> candidates; // sorted by slot, no slot twice
     std::size_t excludedCount = 0;
     std::size_t barredCheapCount = 0; // cheap targets that this request may not use
@@ -199,8 +200,16 @@
         return no_route { no_route_reason::NoLiveTarget, noTargetRetryAfter };
 
     // Step 2. Choose a target; where a limit was in the way, an allowance is to be asked for.
+    // A healthy target in the domain to avoid is better than an unhealthy one elsewhere.
     seeded_random random(request.seed);
-    selection chosen { request, {}, {}, false, {}, 0, 0, {} };
+    if (!request.avoidedDomain.empty()) {
+        selection elsewhere { request, {}, {}, false, true, {}, 0, 0, {} };
+        auto decision = chooseFrom(elsewhere, random, now);
+        const auto* choice = std::get_if<route_choice>(&decision);
+        if (choice != nullptr && choice->reason != route_reason::AllEjected)
+            return decision;
+    }
+    selection chosen { request, {}, {}, false, false, {}, 0, 0, {} };
     auto decision = chooseFrom(chosen, random, now);
     for (const auto slot : chosen.limited)
         m_limits.want(slot);
@@ -421,6 +430,8 @@
         ++chosen.barredCheapCount;
         return;
     }
+    if (chosen.avoidDomain && record.listed.failureDomain == request.avoidedDomain)
+        return;
     const double weight = m_health.weight(slot, now);
     if (weight <= 0 && !chosen.ignoreHealth)
         return;
--- a/src/router.h
+++ b/src/router.h
@@ -39,6 +39,7 @@
     bool returnable = false; // the target can reject it as "not run" until it starts
     target_software software; // only targets with this one may run it; empty: any
     std::vector<target_id> excluded; // tried before, or reserved for a quarantine suspect
+    failure_domain_id avoidedDomain; // targets outside it are preferred; empty: no wish
     std::uint64_t seed = 0; // of the random choices; a different one for each call
 };
 
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -38,6 +38,7 @@
         Count,
         Size, // "64 KiB"
         Time, // "250ms"
+        Percent, // "2.5%", stored in hundredths of a percent
         Level,
     };
 
@@ -48,7 +49,7 @@
         const char* key;
         field_kind kind;
         bool required;
-        std::int64_t minimum; // count, bytes or milliseconds
+        std::int64_t minimum; // count, bytes, milliseconds or hundredths of a percent
         std::int64_t maximum;
         // Where to store the value; only the one for the field's kind is set.
         std::function<std::string&(Settings&)> text;
@@ -106,6 +107,31 @@
         return std::nullopt;
     }
 
+    // Parses a percentage with at most two decimals, such as "2.5%", in hundredths of a percent;
+    // empty if it is malformed.
+    inline std::optional<std::int64_t> parsePercent(std::string_view text)
+    {
+        if (!text.ends_with('%'))
+            return std::nullopt;
+        text.remove_suffix(1);
+        const auto point = text.find('.');
+        const auto whole = text.substr(0, point);
+        auto decimals = std::string(point == std::string_view::npos ? std::string_view("0") : text.substr(point + 1));
+        constexpr std::size_t maxDigits = 6;
+        constexpr std::size_t maxDecimals = 2;
+        const auto isNumber = [](std::string_view digits) { return !digits.empty() && digits.find_first_not_of("0123456789") == std::string_view::npos; };
+        if (!isNumber(whole) || whole.size() > maxDigits || !isNumber(decimals) || decimals.size() > maxDecimals)
+            return std::nullopt;
+        decimals.resize(maxDecimals, '0');
+        return std::stoll(std::string(whole) + decimals);
+    }
+
+    inline std::string percentText(std::int64_t hundredths)
+    {
+        const auto decimals = std::to_string(hundredths % 100);
+        return std::to_string(hundredths / 100) + (hundredths % 100 == 0 ? "" : "." + (decimals.size() < 2 ? "0" + decimals : decimals)) + "%";
+    }
+
     inline bool isAddress(const std::string& text)
     {
         const auto colon = text.rfind(':');
@@ -163,6 +189,8 @@
             return "a size with unit B, KiB or MiB from " + sizeText(f.minimum) + " to " + sizeText(f.maximum) + ", such as \"64 KiB\"";
         case field_kind::Time:
             return "a time with unit ms, s, min or h from " + timeText(f.minimum) + " to " + timeText(f.maximum) + ", such as \"250ms\"";
+        case field_kind::Percent:
+            return "a percentage from " + percentText(f.minimum) + " to " + percentText(f.maximum) + ", such as \"2.5%\"";
         case field_kind::Level:
             return "one of \"debug\", \"info\", \"warning\", \"error\"";
         }
@@ -228,6 +256,13 @@
             f.time(out) = std::chrono::milliseconds(*ms);
             return true;
         }
+        case field_kind::Percent: {
+            const auto hundredths = text ? parsePercent(*text) : std::nullopt;
+            if (!hundredths || !inRange(*hundredths))
+                return false;
+            f.number(out) = *hundredths;
+            return true;
+        }
         }
         return false;
     }
