lovagectl check: findings and differences of a configuration before it is sent

Cause: instances skip entries of the platform's document that they can't use, so an operator learns of a shadowed route, a missing service or an account without keys only from failing requests.

Change: `lovagectl check FILE [--against CURRENT] [--format text|json]` checks the platform's document (platform/document_check.h, with line and column) and objects in TOML (src/config_check.h), and lists the differences by meaning. It needs no daemon. Whether targets exist in the regions of allowedRegions is not checked.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,4 +1,5 @@
 // lovagectl, the operators' command-line tool: usage text and dispatch of commands.
+#include "ctl/check.h"
 #include "ctl/commands.h"
 #include "ctl/replay.h"
 #include "trace_make.h"
@@ -29,6 +30,7 @@
   lovagectl [options] keys grant (--account NAME | --scope SCOPE...)
   lovagectl [options] keys withdraw ID
   lovagectl keys bootstrap
+  lovagectl check FILE [--against CURRENT] [--format FORMAT]
   lovagectl [options] history [--limit N]
   lovagectl [options] rollback NUMBER
   lovagectl [options] runs
@@ -50,6 +52,8 @@
   --ca FILE              PEM bundle to trust for https.
   -o FORMAT              table or json [default: table].
   -f FILE                Objects in TOML.
+  --against CURRENT      File with the configuration in force, for the differences.
+  --format FORMAT        text or json [default: text].
   -l SELECTOR            Only objects whose labels match.
   --dry-run              Check the change, don't make it.
   --wait                 Until all live instances have the change in force.
@@ -239,6 +243,12 @@
     const auto args = docopt::docopt(usageText, { argv + 1, argv + argc }, true, "");
     if (isSet(args, "bootstrap"))
         return bootstrapKey();
+    if (isSet(args, "check")) {
+        const auto format = textOf(args, "--format");
+        if (format != "text" && format != "json")
+            return usageError("--format: expected text or json");
+        return checkFile(textOf(args, "FILE"), textOf(args, "--against"), format == "json" ? output_format::Json : output_format::Table);
+    }
     if (isSet(args, "replay"))
         return replay(args);
     if (isSet(args, "trace"))
