--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -12,6 +12,8 @@
     using namespace detail;
     using s = entry_settings;
 
+    constexpr std::int64_t maxExtraWork = 2000; // hundredths of a percent; above 20% requests of usual speed would be repeated
+
     field<s> text(const char* section, const char* key, field_kind kind, bool required, std::function<std::string&(s&)> where)
     {
         return textField<s>(section, key, kind, required, std::move(where));
@@ -47,6 +49,7 @@
             decimalField<s>("bounds", "cold_slack", 0, 100'000, [](s& v) -> double& { return v.bounds.coldSlack; }),
             textMapField<s>("placement", "regions", [](s& v) -> std::map<std::string, std::string>& { return v.placement.regions; }),
             time("targets", "connection_cost", 0, msPerSecond, [](s& v) -> std::chrono::milliseconds& { return v.targets.connectionCost; }),
+            numberField<s>("hedging", "extra_work", field_kind::Percent, 0, maxExtraWork, [](s& v) -> std::int64_t& { return v.hedging.extraWork.emplace(0); }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
         return table;
@@ -66,6 +69,14 @@
 
 } // namespace
 
+std::optional<double> extraWorkShare(const entry_settings& settings)
+{
+    constexpr double hundredthsOfPercent = 10'000;
+    if (!settings.hedging.extraWork)
+        return std::nullopt;
+    return static_cast<double>(*settings.hedging.extraWork) / hundredthsOfPercent;
+}
+
 entry_reading readEntrySettings(std::string_view text, const std::string& file)
 {
     return readByTable(fields(), text, file, checkTogether);
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,11 @@
         // What a new connection to a target costs; 0: targets with a kept connection are not preferred.
         std::chrono::milliseconds connectionCost { 0 };
     } targets;
+    struct {
+        // Limit on the work of second attempts, in hundredths of a percent of a pool's work; 0: none are
+        // made. Empty: hedging after fixed delays out of a budget of successes.
+        std::optional<std::int64_t> extraWork;
+    } hedging;
     struct {
         std::string level = "info";
     } log;
@@ -72,6 +78,9 @@
 
 using entry_reading = reading_of<entry_settings>;
 
+// The limit on extra work as a share; empty if it is not set.
+std::optional<double> extraWorkShare(const entry_settings& settings);
+
 entry_reading readEntrySettings(std::string_view text, const std::string& file);
 entry_reading readEntrySettingsFile(const std::string& file);
 
