--- a/src/router.h
+++ b/src/router.h
@@ -247,7 +247,6 @@
     health_monitor m_health;
     request_limits m_limits; // that targets name
     request_limits m_coldLimits; // of targets while they are cold; the lower of both applies
-    request_limits m_limits;
     connection_pool_view m_connections;
     policy_set m_policies;
     std::vector<std::uint32_t> m_generations; // by slot; incremented when another target or incarnation takes the slot
