No shares without live targets; a moved run is tested to keep its slot

Cause: a holder that sees no live target of a pool would have given shares of 0, which stop all items for 1.5 s at a time; the exemption of moved items had no test. Change: no division on 0 slots; two tests, each of which fails without its guard. Conclusion: nothing is limited when the holder knows nothing about the pool.

--- a/src/pool_shares.cpp
+++ b/src/pool_shares.cpp
@@ -243,7 +243,8 @@
     const auto passed = m_last == instant {} ? duration {} : now - m_last;
     m_last = now;
     const auto demand = std::accumulate(models.begin(), models.end(), std::size_t { 0 }, [](std::size_t sum, const model_claim& model) { return sum + model.sum.demand(); });
-    m_limiting = demand > slots;
+    // A holder that sees no live target knows nothing about the pool.
+    m_limiting = slots > 0 && demand > slots;
     if (!m_limiting) {
         for (auto& [model, state] : m_models) {
             state.share.reset();
--- a/src/pool_shares.h
+++ b/src/pool_shares.h
@@ -84,8 +84,8 @@
     {
     }
 
-    // The shares of the claims that can be limited; empty if the whole demand fits into `slots`, so
-    // that nothing is limited. The shares, and the slots set apart for the other claims, add up to at
+    // The shares of the claims that can be limited; empty if the whole demand fits into `slots`, or
+    // there are none, so that nothing is limited. The shares, and the slots set apart for the other claims, add up to at
     // most `slots`, unless those claims hold more already: then only the floors are shared out.
     std::vector<slot_share> divide(const std::vector<slot_claim>& claims, std::size_t slots, instant now);
     bool limiting() const { return m_limiting; }
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -644,6 +644,32 @@
     BOOST_TEST(harness.runs.size() == 16u);
 }
 
+// Guards against an item that is cancelled for a move and then held back by the share.
+BOOST_AUTO_TEST_CASE(a_moved_run_keeps_its_slot_of_a_share_that_has_fallen)
+{
+    batch_harness harness(2);
+    auto spec = specOf("b", 1, 2, 1);
+    for (auto& item : spec.items)
+        item.expectedTokens = token_count(100);
+    harness.add(spec);
+    harness.pass(20ms);
+    const auto open = harness.open();
+    BOOST_REQUIRE(open.size() == 2u);
+    BOOST_REQUIRE(harness.runs.at(open[0]).choice.target != harness.runs.at(open[1]).choice.target);
+    for (const auto attempt : open)
+        harness.head(attempt, weight_version(2));
+    harness.runner.setShares(1, { { { pool, model }, { 1, 1 } } }, harness.now + 10s);
+    for (std::uint64_t event = 1; event <= 16; ++event) {
+        harness.pass(30ms);
+        harness.events(open[0], event, event);
+        if (event % 4 == 0 && harness.runs.contains(open[1]))
+            harness.events(open[1], event / 4, event / 4);
+    }
+    harness.pass(30ms);
+    BOOST_TEST(harness.runner.counts().moved == 1u);
+    BOOST_TEST(harness.runs.size() == 2u);
+}
+
 // Guards against items that no trainer waits for and that take the slots of required ones.
 BOOST_AUTO_TEST_CASE(required_groups_of_all_batches_are_sent_before_the_rest)
 {
--- a/tests/test_pool_shares.cpp
+++ b/tests/test_pool_shares.cpp
@@ -60,6 +60,13 @@
     BOOST_TEST(shares.divide({ claimFor("a", 50, 55) }, slots, start + 400ms).empty());
 }
 
+// Guards against a holder without a list of targets that stops all items.
+BOOST_AUTO_TEST_CASE(nothing_is_limited_without_live_targets)
+{
+    pool_shares shares;
+    BOOST_TEST(shares.divide({ claimFor("a", 50, 200), claimFor("b", 100, 60) }, 0, start).empty());
+}
+
 // Guards against a less urgent trainer that takes slots from an urgent one, and against its
 // starvation.
 BOOST_AUTO_TEST_CASE(the_urgent_class_gets_the_rest_and_others_their_floor)
