--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -89,7 +89,7 @@
     auto name = serviceClass(service).str() + " in";
     for (const auto& region : *regions)
         name += " " + region.str();
-    const routing_class_id out(name);
+    routing_class_id out(name);
     if (!m_router.table().hasClass(out)) {
         m_router.setClass(out, [pool = pool_id(service.str()), regions](const target_record& record) {
             return record.listed.pool == pool && isAllowed(regions, record.listed.region);
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -31,7 +31,7 @@
 
 
 class Entry(Program):
-    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings, store_address, source_address, bounds):
+    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings, store_address, source_address, bounds, regions):
         self.callers, self.readiness, self.instances, self.metrics = (f"http://127.0.0.1:{ports + i}" for i in range(4))
         addresses = [f"127.0.0.1:{ports + i}" for i in range(4)]
         self.source_address = source_address
@@ -39,7 +39,8 @@
                     "listen": {"callers": addresses[0], "readiness": addresses[1], "instances": addresses[2], "metrics": addresses[3], "seeds": seeds},
                     "store": {"address": store_address},
                     "duties": {"address": platform.duties.address, "usage_window": "2s", "usage_late": "10s", **duty_settings},
-                    "bounds": {"drain": "2s", "stop": "8s", "results_kept": "120s", **bounds}}
+                    "bounds": {"drain": "2s", "stop": "8s", "results_kept": "120s", **bounds},
+                    "placement": {"regions": regions}}
         path = kit.folder / f"{name}.toml"
         path.write_text(toml_text(sections))
         super().__init__(kit, name, [BIN / "lovageraild", "entry", "--config", path])
@@ -65,6 +66,7 @@
 
 class EntryCase(KitTest):
     bounds = {}  # further settings of the section
+    regions = {}  # by failure domain
     store_addresses = {}  # by index, for instances that reach the store at another address
 
     def start_entries(self, count=2, keys=("key-one",), **duties):
@@ -84,7 +86,7 @@
 
     def entry(self, index):
         return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds, self.duty_settings,
-                     self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}", self.bounds)
+                     self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}", self.bounds, self.regions)
 
     def submit(self, entry, name, body):
         return entry.send_request("/steps/" + name, name, body=json.dumps(body).encode())
--- a/tests/process/kit.py
+++ b/tests/process/kit.py
@@ -377,6 +377,8 @@
         return str(value)
     if isinstance(value, (list, tuple)):
         return "[" + ", ".join(toml_value(item) for item in value) + "]"
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{json.dumps(key)} = {toml_value(item)}" for key, item in value.items()) + " }"
     return json.dumps(str(value))
 
 
--- a/tests/test_evacuations.cpp
+++ b/tests/test_evacuations.cpp
@@ -18,6 +18,7 @@
     std::vector<evacuation_request> requestsOf(const std::vector<std::string>& keys)
     {
         std::vector<evacuation_request> out;
+        out.reserve(keys.size());
         for (const auto& key : keys)
             out.push_back({ key, platform::decodeEvacuation(key) });
         return out;
