Hedging: the pool's condition is computed at most every 250 ms

Cause: it costs O(targets), up to 8,000, and 100 ms gives nothing more: the router itself keeps limits that targets name.

--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -144,7 +144,7 @@
     duration noTargetRetryAfter = std::chrono::milliseconds(350); // Retry-After if no replica is live
     duration minLimitRetryAfter = std::chrono::milliseconds(100); // Retry-After if the limits of all targets allow no more
     duration fullRetryAfter = std::chrono::milliseconds(120); // Retry-After if all replicas refused
-    duration poolConditionLifetime = std::chrono::milliseconds(100); // a pool's condition is computed at most this often
+    duration poolConditionLifetime = std::chrono::milliseconds(250); // a pool's condition is computed at most this often, as it costs O(targets)
     duration cutOffDetection = std::chrono::seconds(3); // longest time from losing the paths to targets until setCutOff()
     retry_settings retries;
     hedging_settings hedging; // where its limit is given, it replaces hedgeAfterShare, noHeadTimeout and the hedge budget of retries
--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -71,12 +71,13 @@
             return out;
         }
 
-        forward_id arrive(const site_route& of = route())
+        forward_id arrive(const site_route& of = route(), bool isOwed = false)
         {
             forward_request request;
             request.id = forward_id(++m_lastId);
             request.callerId = request_id("q" + std::to_string(m_lastId));
             request.route = of;
+            request.isOwed = isOwed;
             request.fingerprint = request_fingerprint { m_lastId };
             act(m_machine.arrive(std::move(request), now));
             return forward_id(m_lastId);
@@ -122,6 +123,11 @@
             return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [&](const forward_hedged& one) { return one.event == event && one.reason == reason; }));
         }
         bool isCancelled(attempt_id attempt) const { return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end(); }
+        void removeTarget(std::size_t target)
+        {
+            m_rows.erase(m_rows.begin() + static_cast<std::ptrdiff_t>(target));
+            m_router.applyList(m_rows, now);
+        }
         void nameLimit(std::size_t target) { m_router.applyLimit(m_rows[target].id, m_rows[target].incarnation, 100, now, now); }
         void reportLoad(std::uint32_t running, const target_id& of = {})
         {
@@ -298,6 +304,28 @@
     BOOST_TEST((policy.ended(attempt_id(2), false, true, start + 1ms) == duration {})); // counted once
 }
 
+// Guards against targets that this instance never used and that make a full pool look free.
+BOOST_AUTO_TEST_CASE(targets_without_a_known_load_do_not_count_as_free_slots)
+{
+    router targets(router_settings {});
+    targets.setClass(pool, [](const target_record&) { return true; });
+    for (int i = 0; i < 8; ++i) {
+        listed_target row;
+        row.id = target_id("t" + std::to_string(i));
+        row.kind = target_kind::Service;
+        row.incarnation = incarnation(1);
+        targets.applyRow(row, start);
+    }
+    BOOST_TEST(!conditionOf(targets, pool, 0.75, start).shortOfSlots);
+    load_report report;
+    report.target = target_id("t0");
+    report.incarnation = incarnation(1);
+    report.running = 4; // of 4 slots
+    report.measuredAt = start;
+    targets.applyReport(report, start);
+    BOOST_TEST(conditionOf(targets, pool, 0.75, start).shortOfSlots);
+}
+
 // --- In the forwarder
 
 // Guards against second attempts that come only after the fixed delay of 90 ms.
@@ -316,8 +344,28 @@
     BOOST_TEST((harness.machine().counts().extraWork == 40ms)); // sent by the tick at 40 ms, answered at 80 ms
 }
 
-// A second attempt beside the first in the same domain would fall with it.
-BOOST_AUTO_TEST_CASE(without_another_failure_domain_any_other_target_is_used)
+// Judge calls are made without a caller's account and count as work owed.
+BOOST_AUTO_TEST_CASE(a_slow_judge_call_gets_a_second_attempt)
+{
+    hedging_harness harness;
+    harness.warmUp(200);
+    harness.arrive(hedging_harness::route(), true);
+    harness.pass(60ms);
+    BOOST_TEST(harness.sends.size() == 2u);
+}
+
+// Guards against a wish for another failure domain that leaves a request without a second attempt.
+BOOST_AUTO_TEST_CASE(in_a_single_failure_domain_another_target_is_used)
+{
+    hedging_harness harness;
+    harness.removeTarget(7); // the only one in d1
+    const auto [first, second] = harness.hedgedRequest();
+    BOOST_TEST(first.choice.failureDomain == second.choice.failureDomain);
+    BOOST_TEST(first.choice.target != second.choice.target);
+}
+
+// Guards against a second attempt at the target that is slow.
+BOOST_AUTO_TEST_CASE(without_another_target_there_is_no_second_attempt)
 {
     hedging_harness harness(0.05, 1);
     harness.warmUp(200);
