Second attempts know cold targets and the slowdown that targets report

Cause: the parts for hedging, cold targets and slowdowns were written side by side; the first had stubs for the other two. Change: currentSlowdown() takes the load tracker's average over seconds; a pool with a cold target gets no second attempts. Conclusion: no stub is left.

--- a/src/hedging.cpp
+++ b/src/hedging.cpp
@@ -141,6 +141,7 @@
     double requests = 0;
     for (const auto slot : targets.table().allowed(pool)) {
         condition.namesLimit |= targets.limits().limitOf(slot).has_value();
+        condition.hasColdTarget |= targets.coldLimits().limitOf(slot).has_value();
         const auto view = targets.load().view(slot, now);
         if (!view.reported && view.ownRequests <= 0)
             continue;
@@ -152,7 +153,7 @@
     return condition;
 }
 
-double currentSlowdown(const router& /*targets*/, target_slot /*slot*/, instant /*now*/) { return 1; }
+double currentSlowdown(const router& targets, target_slot slot, instant now) { return targets.load().view(slot, now).lastingSlowdown; }
 
 hedge_policy::hedge_policy(hedging_settings settings)
     : m_settings(settings)
--- a/src/hedging.h
+++ b/src/hedging.h
@@ -107,8 +107,8 @@
 };
 pool_condition conditionOf(const router& targets, const routing_class_id& pool, double busyShare, instant now);
 
-// How long work takes at the target now, as a multiple of the usual time. Always 1 until the load
-// tracker keeps the slowdown that targets report.
+// How long work takes at the target now, as a multiple of the usual time: the average over seconds of
+// the slowdown that it reports.
 double currentSlowdown(const router& targets, target_slot slot, instant now);
 
 class hedge_policy {
--- a/src/router.h
+++ b/src/router.h
@@ -150,6 +150,7 @@
     request_limits& limits() { return m_limits; }
     const request_limits& limits() const { return m_limits; }
     request_limits& coldLimits() { return m_coldLimits; }
+    const request_limits& coldLimits() const { return m_coldLimits; }
     // Whether both limits allow a request to the target now.
     bool mayStart(target_slot slot, instant now) const { return m_limits.mayStart(slot, now) && m_coldLimits.mayStart(slot, now); }
     // This instance's connections to targets; whoever sends the requests reports them.
--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -326,6 +326,45 @@
     BOOST_TEST(conditionOf(targets, pool, 0.75, start).shortOfSlots);
 }
 
+// Guards against second attempts that take the few requests that a cold target may get.
+BOOST_AUTO_TEST_CASE(a_pool_with_a_cold_target_is_reported_as_such_until_it_is_warm)
+{
+    router targets(router_settings {});
+    targets.setClass(pool, [](const target_record&) { return true; });
+    listed_target row;
+    row.id = target_id("t0");
+    row.kind = target_kind::Service;
+    row.incarnation = incarnation(1);
+    targets.applyRow(row, start);
+    targets.setColdLimit(row.id, 5.0, start);
+    BOOST_TEST(conditionOf(targets, pool, 0.75, start).hasColdTarget);
+    targets.setColdLimit(row.id, std::nullopt, start);
+    BOOST_TEST(!conditionOf(targets, pool, 0.75, start).hasColdTarget);
+}
+
+// Guards against a delay for usual speed at a target that reports that it is slow.
+BOOST_AUTO_TEST_CASE(the_slowdown_that_a_target_reports_for_seconds_scales_the_delay)
+{
+    router targets(router_settings {});
+    targets.setClass(pool, [](const target_record&) { return true; });
+    listed_target row;
+    row.id = target_id("t0");
+    row.kind = target_kind::Service;
+    row.incarnation = incarnation(1);
+    targets.applyRow(row, start);
+    const auto slot = *targets.table().find(row.id);
+    BOOST_TEST(currentSlowdown(targets, slot, start) == 1.0);
+    for (int i = 1; i <= 100; ++i) {
+        load_report report;
+        report.target = row.id;
+        report.incarnation = row.incarnation;
+        report.slowdown = 3;
+        report.measuredAt = start + i * 100ms;
+        targets.applyReport(report, report.measuredAt);
+    }
+    BOOST_TEST(currentSlowdown(targets, slot, start + 10s) > 2.0);
+}
+
 // --- In the forwarder
 
 // Guards against second attempts that come only after the fixed delay of 90 ms.
