--- a/tests/test_document_check.cpp
+++ b/tests/test_document_check.cpp
@@ -18,7 +18,7 @@
 {"name":"r-3","host":"h.example","prefix":"/c/","routeType":"rollout","service":"s1","resultDeadlineMs":7500,"itemTtlS":40}],
 "services":[
 {"name":"s1","healthPath":"/healthz","maxConnections":550,"coldStartS":3.0,"coldPerS":16.0,"engine":{"slots":6,"models":[{"name":"m1"}]},"autoscale":{"min":1,"max":26,"bootTimeS":4.0,"spotPrice":0.22,"zonePrices":{"z1":0.85}}},
-{"name":"s2","healthPath":"/healthz","maxConnections":520}],
+{"name":"s2","healthPath":"/healthz","maxConnections":520,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":33554432,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"name":"t2","apiKeys":["k3"]}]})";
 
