Programs of the process tests run in sessions of their own

Ruled out: a fault of the instance; the same test passes alone. Played on purpose by a script that ends the leader of the test's group while an instance is stopped: failed. Change: subprocess.Popen with start_new_session; a test that each program leads its session, which fails without the change. Conclusion: mended; the bound and the checks of the test are as they were.

--- a/tests/process/kit.py
+++ b/tests/process/kit.py
@@ -245,8 +245,10 @@
         self.allowed_exit_codes = None  # None allows any
         self.command = [str(part) for part in command]
         self.log_path = kit.folder / f"{name}.{len(kit.programs)}.log"
+        # A session of its own: when a process group becomes orphaned, as at the end of the shell that
+        # started the tests, the kernel sends SIGHUP to its stopped members, which a test may have paused.
         with open(self.log_path, "wb") as log:
-            self._process = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT,
+            self._process = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT, start_new_session=True,
                                              stdin=subprocess.DEVNULL, preexec_fn=_die_with_parent)
         self.pid = self._process.pid
         kit.programs.append(self)
--- a/tests/process/test_standins.py
+++ b/tests/process/test_standins.py
@@ -2,12 +2,20 @@
 each fault that can be injected has its effect."""
 
 import concurrent.futures
+import os
 import time
 import unittest
 
 from kit import CONNECTION_ERRORS, KitTest, Stream, b64, call, get, is_sanitized, post, unb64, wait_until
 
 
+class StartedPrograms(KitTest):
+    def test_each_has_a_session_of_its_own(self):
+        """Guards against a paused program that ends by SIGHUP with the shell that started the tests."""
+        program = self.kit.standin("kv")
+        self.assertEqual(os.getsid(program.pid), program.pid)
+
+
 class KeyValueStandin(KitTest):
     def setUp(self):
         super().setUp()
