--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -125,6 +125,14 @@
 # --- Stand-ins -----------------------------------------------------------------
 
 
+def refused_without_id(request):
+    """Refuses a request without an id, which is not run; reports and orders need none."""
+    if request.headers.get("Attempt-Id") or request.route in ("/report", "/order", "/healthz"):
+        return False
+    request.respond(400, None, {"Not-Executed": "1"})
+    return True
+
+
 class LossyStore(Store):
     """The platform's store. For a time, a share of the writes is done and not answered."""
 
@@ -156,6 +164,20 @@
         request.respond(status, body)
 
 
+def quiet(server):
+    """Keeps resets by peers, which are usual here, out of the output."""
+    server._server.handle_error = lambda *_: None
+    return server
+
+
+class Service(Replica):
+    """A replica of a plain service."""
+
+    def handle(self, request):
+        if not refused_without_id(request):
+            super().handle(request)
+
+
 class Engine(Replica):
     """A model replica that keeps a record of the items that it runs."""
 
@@ -165,6 +187,10 @@
         self.runs = []  # {item, began, ended, complete, headers, path}
         super().__init__(*args, **more)
 
+    def handle(self, request):
+        if not refused_without_id(request):
+            super().handle(request)
+
     def _stream(self, request):
         run = {"item": request.headers["Attempt-Id"], "path": request.path, "headers": list(request.headers.items()), "began": time.monotonic(), "ended": None, "complete": False}
         with self.record_lock:
@@ -246,8 +272,8 @@
         self.record_lock = threading.Lock()
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        self.store = LossyStore(seed)
-        self.duties = DutyReceiver()
+        self.store = quiet(LossyStore(seed))
+        self.duties = quiet(DutyReceiver())
         self.replicas = []
         self.ips = [f"127.0.0.{11 + i}" for i in range(len(ZONES))]
         self.ports = free_port_block(self.ips, 8)
@@ -261,11 +287,11 @@
             out.write(f"{(at - self.began) if at else self.now():8.3f} {text}\n")
 
     def engine(self, zone, models=("m",), **more):
-        self.replicas.append(Engine(self, f"i-{len(self.replicas)}", "models", zone, models=list(models), **more))
+        self.replicas.append(quiet(Engine(self, f"i-{len(self.replicas)}", "models", zone, models=list(models), **more)))
         return self.replicas[-1]
 
     def service(self, zone, **more):
-        self.replicas.append(Replica(self, f"i-{len(self.replicas)}", "app", zone, **more))
+        self.replicas.append(quiet(Service(self, f"i-{len(self.replicas)}", "app", zone, **more)))
         return self.replicas[-1]
 
     @property
