--- a/review/2/run.py
+++ b/review/2/run.py
@@ -63,7 +63,7 @@
     tenants = [{"name": "acme", "apiKeys": ["key-one"], "priority": 1}]
     world.put_config([plain, talk], services, tenants, version=3)
     for zone in ("zone-a", "zone-b", "zone-c"):
-        world.replicas.append(quiet(SlowEngine(world, f"i-{len(world.replicas)}", "models", zone, models=["m"], events=EVENTS, event_interval_s=0.05)))
+        world.engine(zone, kind=SlowEngine, events=EVENTS, event_interval_s=0.05)
         world.replicas.append(quiet(SlowService(world, f"i-{len(world.replicas)}", "app", zone)))
     world.start()
 
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -191,16 +191,37 @@
         if not refused_without_id(request):
             super().handle(request)
 
+    def events_of(self, item):
+        """How many events the answer to an item has."""
+        return self.events
+
     def _stream(self, request):
-        run = {"item": request.headers["Attempt-Id"], "path": request.path, "headers": list(request.headers.items()), "began": time.monotonic(), "ended": None, "complete": False}
+        item = request.headers["Attempt-Id"]
+        run = {"item": item, "path": request.path, "headers": list(request.headers.items()), "began": time.monotonic(), "ended": None, "complete": False}
         with self.record_lock:
             self.runs.append(run)
         try:
-            super()._stream(request)
+            self._send_events(request, self.events_of(item))
             run["complete"] = True
         finally:
             run["ended"] = time.monotonic()
 
+    def _send_events(self, request, count):
+        behind = int(request.headers.get("Last-Event-Id") or 0)
+        request.send_response(200)
+        headers = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked", "Attempt-Id": request.headers["Attempt-Id"], "Server-Stamp": "stamp"}
+        if behind < count:
+            headers["Weight-Versions"] = str(self.versions[request.headers.get("Model") or "m"])
+        for name, value in headers.items():
+            request.send_header(name, value)
+        request.end_headers()
+        for number in range(behind + 1, count + 1):
+            time.sleep(self.event_interval_s)
+            data = f"id: {number}\ndata: e{number}\n\n".encode()
+            request.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            request.wfile.flush()
+        request.wfile.write(b"0\r\n\r\n")
+
 
 class Edge:
     """One `entry` process on a machine of its own."""
@@ -286,8 +307,8 @@
         with self.record_lock, open(self.record_file, "a") as out:
             out.write(f"{(at - self.began) if at else self.now():8.3f} {text}\n")
 
-    def engine(self, zone, models=("m",), **more):
-        self.replicas.append(quiet(Engine(self, f"i-{len(self.replicas)}", "models", zone, models=list(models), **more)))
+    def engine(self, zone, models=("m",), kind=Engine, **more):
+        self.replicas.append(quiet(kind(self, f"i-{len(self.replicas)}", "models", zone, models=list(models), **more)))
         return self.replicas[-1]
 
     def service(self, zone, **more):
