--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -7,6 +7,7 @@
 
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -34,6 +35,8 @@
 HOST = "shop.example"
 FIRST_PORT, END_OF_PORTS = 21000, 31000
 READY_TIMEOUT_S = 20
+LONGEST_RUN_S = 110  # of a script
+PR_SET_PDEATHSIG = 1
 LOST_CHANNEL_S = 20  # a channel on which an answer was lost stays open and silent
 
 BOUNDS = {"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4.5, "drainMs": 2000, "graceS": 8, "lossSlackMs": 200,
@@ -223,6 +226,13 @@
         request.wfile.write(b"0\r\n\r\n")
 
 
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _die_with_parent():
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Edge:
     """One `entry` process on a machine of its own."""
 
@@ -250,7 +260,7 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         with open(self.world.logs / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(role["run"].split(" "), cwd=ROOT, env={**environment, "LOVAGERAIL_CONFIG": str(self.settings_file)}, stdin=subprocess.DEVNULL,
-                                            stdout=log, stderr=subprocess.STDOUT)
+                                            stdout=log, stderr=subprocess.STDOUT, preexec_fn=_die_with_parent)
 
     def signal(self, number):
         if self.running:
@@ -428,6 +438,14 @@
     """Plays `case(world)`, which returns the broken parts of its rule; ends the program with the exit code for it."""
     world = None
     code = EXIT_COULD_NOT_RUN
+
+    def give_up():
+        print("could not run: it took too long", file=sys.stderr)
+        os._exit(EXIT_COULD_NOT_RUN)  # the processes die with this one
+
+    watchdog = threading.Timer(LONGEST_RUN_S, give_up)
+    watchdog.daemon = True
+    watchdog.start()
     try:
         world = World(record, int(os.environ.get("SEED", "1")))
         broken = case(world)
