Review: an ended batch goes on at the instance that takes it over; the report

Cause: the notice of an end reaches an instance that has written itself into the head and does not know the batch yet; it answers 200 and starts the items. Method: review/5/run.sh stops an instance as planned while the store is slow, and ends half of its batches.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,56 +1,97 @@
-"""A tenant submits a batch with line breaks in an item's path, an item's header and a reward call's path."""
+"""A trainer ends its steps while the platform's store loses answers; afterwards the results are read at all machines."""
 
-import json
 import pathlib
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 
-from world import HOST, Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
+from world import Engine, Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
 
-SENDER, OTHER = "acme", "rival"
-WATCHED_FOR_S = 6
+BATCHES = 24  # steps that the trainers have asked ahead
+GROUPS, GROUP_SIZE, GROUPS_WAITED_FOR = 3, 1, 2
+EVENTS, EVENT_INTERVAL_S = 12, 0.1  # an item takes 1.2 s
+LOST_FOR_S, LOST_SHARE = 4.5, 0.35
+READ_PERIOD_S = 0.5  # "Clients read about twice per second"
+CONTACT_S, SETTLE_S = 3.0, 1.0
+ROUNDS = 4
 
 
-def smuggled(own_id, request_id, path):
-    """The end of a path that completes its own request and begins another one, for another tenant."""
-    return f" HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {own_id}\r\nContent-Length: 0\r\n\r\nPOST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\nTenant: {OTHER}\r\nX-Rest: "
+class UnevenEngine(Engine):
+    """A model replica; the items of a batch's last group are a little longer."""
+
+    def events_of(self, item):
+        return EVENTS + 1 if f"g{GROUPS - 1}i" in item else EVENTS
 
 
 def case(world):
-    world.put_config([route("judge", "/judge/", "safe", "app", authExempt=True, timeoutMs=2000), route("steps", "/steps/", "rollout", "models", resultDeadlineMs=7500, itemTtlS=60)],
-                     [engine_service(["m"]), {"name": "app", "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": False}],
-                     [{"name": SENDER, "apiKeys": ["key-one"], "priority": 1}, {"name": OTHER, "apiKeys": ["key-two"], "priority": 1}])
-    for zone in ("zone-a", "zone-b", "zone-c"):
-        world.engine(zone, events=5, event_interval_s=0.02)
-        world.service(zone)
+    world.put_config([route("steps", "/steps/", "rollout", "models", resultDeadlineMs=7500, itemTtlS=60)], [engine_service(["m"])],
+                     [{"name": "acme", "apiKeys": ["key-one"], "priority": 1}])
+    for i in range(9):
+        world.engine(("zone-a", "zone-b", "zone-c")[i % 3], kind=UnevenEngine, event_interval_s=EVENT_INTERVAL_S)
     world.start()
-    body, items = submission("b0", 0, 2, 2, "/steps/", judge="/judge/x")
-    sent_ids = {*items, *("j" + item for item in items)}
-    if disruption_wanted():
-        document = json.loads(body)
-        document["items"][0]["path"] += smuggled(items[0], "smuggled-one", "/steps/other")
-        document["items"][1]["headers"]["X-Note"] = f"a note\r\nTenant: {OTHER}"
-        document["items"][2]["scoringUrl"]["path"] += smuggled("j" + items[2], "smuggled-two", "/judge/other")
-        body = json.dumps(document).encode()
     trainer = Trainer(world, "key-one")
-    if not trainer.submit("b0", "/steps/", body):
-        world.note("the batch was not accepted")
-    time.sleep(WATCHED_FOR_S)
-    trainer.end("b0")
-
-    broken = []
-    for replica in world.replicas:
-        for path, headers in list(replica.executed_requests):
-            request_id, tenants = headers.get("Attempt-Id"), headers.get_all("Tenant") or []
-            world.note(f"{replica.name} ({replica.service}) ran {path} id={request_id} tenant={tenants}")
-            if request_id and request_id not in sent_ids:
-                broken.append(f"UNASKED: {replica.name} ran request {request_id} for {path}, which no client sent")
-            if any(tenant != SENDER for tenant in tenants):
-                broken.append(f"UNASKED: {replica.name} ran {path} with tenant {tenants}; the key is of {SENDER}")
-    return sorted(set(broken))
+
+    # Step 1. The trainer asks for its steps, and ends each once it has read the groups that it waits for.
+    def follow(batch, begin):
+        turn = begin
+        while True:
+            turn += READ_PERIOD_S
+            time.sleep(max(0.0, turn - time.monotonic()))
+            read = trainer.read(batch, wait_ms=0)
+            listed = {result["id"] for result in read["results"]} if read else set()
+            groups = [all(f"{batch}g{group}i{index}" in listed for index in range(GROUP_SIZE)) for group in range(GROUPS)]
+            if sum(groups) >= GROUPS_WAITED_FOR:
+                break
+        while not trainer.end(batch):
+            time.sleep(0.2)
+
+    followers = []
+    for step in range(BATCHES):
+        batch = f"b{step}"
+        body, _ = submission(batch, step, GROUPS, GROUP_SIZE, "/steps/")
+        document_waits = body.replace(b'"desiredCount": %d' % GROUPS, b'"desiredCount": %d' % GROUPS_WAITED_FOR)
+        if not trainer.submit(batch, "/steps/", document_waits):
+            raise RuntimeError("a batch was not accepted")
+        followers.append(threading.Thread(target=follow, args=(batch, time.monotonic())))
+        followers[-1].start()
+
+    # Step 2. The store loses answers.
+    time.sleep(0.3)
+    if disruption_wanted():
+        world.store.lose_answers_for(LOST_FOR_S, LOST_SHARE)
+    lost_end = time.monotonic() + LOST_FOR_S
+    world.note("the store loses answers from now on" if disruption_wanted() else "no trouble")
+    for follower in followers:
+        follower.join()
+    time.sleep(max(0.0, lost_end + CONTACT_S + SETTLE_S - time.monotonic()))
+
+    # Step 3. All machines are in touch again, and clients read from the start at each of them.
+    seen = {}  # by batch: time at which each position was first read
+    broken = set()
+    for number in range(ROUNDS):
+        for batch in (f"b{step}" for step in range(BATCHES)):
+            counts = {}
+            for edge in world.edges:
+                read = trainer.read(batch, wait_ms=0, edge=edge)
+                now = time.monotonic()
+                if read is None:
+                    continue
+                count = counts[edge.name] = len(read["results"])
+                first_read = seen.setdefault(batch, {})
+                for position in range(count):
+                    first_read.setdefault(position, now)
+                for position, at in first_read.items():
+                    if position >= count and now > at + SETTLE_S:
+                        broken.add(f"LOST: {edge.name} has nothing at position {position} of {batch}, which had been read more than {SETTLE_S:.0f} s before")
+            world.note(f"round {number}, {batch}: results {counts}")
+        time.sleep(SETTLE_S + 0.2)
+    for at, key, status, lost in world.store.writes:
+        if key.startswith("batch/"):
+            world.note(f"store: {key} -> {status}{', answer lost' if lost else ''}", at)
+    return sorted(broken)
 
 
 run_case(case, FOLDER / "record.txt")
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,6 +1,8 @@
-"""A trainer ends its steps while the platform's store loses answers; afterwards the results are read at all machines."""
+"""A machine is stopped as planned while the platform's store is slow, and trainers end batches meanwhile."""
 
 import pathlib
+import random
+import signal
 import sys
 import threading
 import time
@@ -8,90 +10,67 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 
-from world import Engine, Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
+from world import Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
 
-BATCHES = 24  # steps that the trainers have asked ahead
-GROUPS, GROUP_SIZE, GROUPS_WAITED_FOR = 3, 1, 2
-EVENTS, EVENT_INTERVAL_S = 12, 0.1  # an item takes 1.2 s
-LOST_FOR_S, LOST_SHARE = 4.5, 0.35
-READ_PERIOD_S = 0.5  # "Clients read about twice per second"
-CONTACT_S, SETTLE_S = 3.0, 1.0
-ROUNDS = 4
-
-
-class UnevenEngine(Engine):
-    """A model replica; the items of a batch's last group are a little longer."""
-
-    def events_of(self, item):
-        return EVENTS + 1 if f"g{GROUPS - 1}i" in item else EVENTS
+BATCHES = 24
+GROUPS, GROUP_SIZE = 2, 4  # 192 items in all, for 72 places
+EVENTS, EVENT_INTERVAL_S = 60, 0.1  # an item takes 6 s
+SLOW_FOR_S, ANSWER_TIME_S = 2.0, 0.24  # 60 times the usual 4 ms
+ENDS_WITHIN_S = (0.2, 0.6)  # after the SIGTERM
+CANCEL_S, CONTACT_S = 3.0, 3.0
+WATCHED_FOR_S = 16
 
 
 def case(world):
     world.put_config([route("steps", "/steps/", "rollout", "models", resultDeadlineMs=7500, itemTtlS=60)], [engine_service(["m"])],
                      [{"name": "acme", "apiKeys": ["key-one"], "priority": 1}])
     for i in range(9):
-        world.engine(("zone-a", "zone-b", "zone-c")[i % 3], kind=UnevenEngine, event_interval_s=EVENT_INTERVAL_S)
+        world.engine(("zone-a", "zone-b", "zone-c")[i % 3], events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
     world.start()
     trainer = Trainer(world, "key-one")
-
-    # Step 1. The trainer asks for its steps, and ends each once it has read the groups that it waits for.
-    def follow(batch, begin):
-        turn = begin
-        while True:
-            turn += READ_PERIOD_S
-            time.sleep(max(0.0, turn - time.monotonic()))
-            read = trainer.read(batch, wait_ms=0)
-            listed = {result["id"] for result in read["results"]} if read else set()
-            groups = [all(f"{batch}g{group}i{index}" in listed for index in range(GROUP_SIZE)) for group in range(GROUPS)]
-            if sum(groups) >= GROUPS_WAITED_FOR:
-                break
-        while not trainer.end(batch):
-            time.sleep(0.2)
-
-    followers = []
+    batch_of = {}
     for step in range(BATCHES):
-        batch = f"b{step}"
-        body, _ = submission(batch, step, GROUPS, GROUP_SIZE, "/steps/")
-        document_waits = body.replace(b'"desiredCount": %d' % GROUPS, b'"desiredCount": %d' % GROUPS_WAITED_FOR)
-        if not trainer.submit(batch, "/steps/", document_waits):
+        batch = f"b{step:02}"
+        body, items = submission(batch, step, GROUPS, GROUP_SIZE, "/steps/")
+        if not trainer.submit(batch, "/steps/", body):
             raise RuntimeError("a batch was not accepted")
-        followers.append(threading.Thread(target=follow, args=(batch, time.monotonic())))
-        followers[-1].start()
+        batch_of.update(dict.fromkeys(items, batch))
+    stopped = world.owner_of("b00")
 
-    # Step 2. The store loses answers.
-    time.sleep(0.3)
+    # Step 1. The store turns slow, and the machine that runs the batches is stopped as planned.
     if disruption_wanted():
-        world.store.lose_answers_for(LOST_FOR_S, LOST_SHARE)
-    lost_end = time.monotonic() + LOST_FOR_S
-    world.note("the store loses answers from now on" if disruption_wanted() else "no trouble")
-    for follower in followers:
-        follower.join()
-    time.sleep(max(0.0, lost_end + CONTACT_S + SETTLE_S - time.monotonic()))
+        world.store.be_slow_for(SLOW_FOR_S, ANSWER_TIME_S)
+    slow_end = time.monotonic() + SLOW_FOR_S
+    stopped.leaving = True
+    stopped.signal(signal.SIGTERM)
+    stop = time.monotonic()
+    world.note(f"SIGTERM for {stopped.name}")
+
+    # Step 2. Trainers end half of the batches, each until it is acknowledged.
+    acked = {}
+
+    def end(batch, at):
+        time.sleep(max(0.0, stop + at - time.monotonic()))
+        while not trainer.end(batch):
+            time.sleep(0.1)
+        acked[batch] = time.monotonic()
+
+    moments = random.Random(world.store.random.random())
+    enders = [threading.Thread(target=end, args=(f"b{step:02}", moments.uniform(*ENDS_WITHIN_S))) for step in range(0, BATCHES, 2)]
+    for ender in enders:
+        ender.start()
+    for ender in enders:
+        ender.join()
+    time.sleep(WATCHED_FOR_S)
 
-    # Step 3. All machines are in touch again, and clients read from the start at each of them.
-    seen = {}  # by batch: time at which each position was first read
-    broken = set()
-    for number in range(ROUNDS):
-        for batch in (f"b{step}" for step in range(BATCHES)):
-            counts = {}
-            for edge in world.edges:
-                read = trainer.read(batch, wait_ms=0, edge=edge)
-                now = time.monotonic()
-                if read is None:
-                    continue
-                count = counts[edge.name] = len(read["results"])
-                first_read = seen.setdefault(batch, {})
-                for position in range(count):
-                    first_read.setdefault(position, now)
-                for position, at in first_read.items():
-                    if position >= count and now > at + SETTLE_S:
-                        broken.add(f"LOST: {edge.name} has nothing at position {position} of {batch}, which had been read more than {SETTLE_S:.0f} s before")
-            world.note(f"round {number}, {batch}: results {counts}")
-        time.sleep(SETTLE_S + 0.2)
-    for at, key, status, lost in world.store.writes:
-        if key.startswith("batch/"):
-            world.note(f"store: {key} -> {status}{', answer lost' if lost else ''}", at)
-    return sorted(broken)
+    # Step 3. Items that reached a replica too late, from machines that were in touch by then.
+    broken = []
+    for run in world.runs():
+        batch = batch_of[run["item"]]
+        world.note(f"run of {run['item']}{', ended %.1f s before' % (run['began'] - acked[batch]) if batch in acked else ''}", run["began"])
+        if batch in acked and run["began"] - acked[batch] > CANCEL_S and run["began"] > slow_end + CONTACT_S:
+            broken.append(f"UNASKED: {run['item']} reached a replica {run['began'] - acked[batch]:.1f} s after the end of {batch} was acknowledged")
+    return broken
 
 
 run_case(case, FOLDER / "record.txt")
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -36,6 +36,7 @@
 FIRST_PORT, END_OF_PORTS = 21000, 31000
 READY_TIMEOUT_S = 20
 RESTART_DELAY_S = 0.5
+LISTEN_BACKLOG = 512
 LONGEST_RUN_S = 110  # of a script
 PR_SET_PDEATHSIG = 1
 LOST_CHANNEL_S = 20  # a channel on which an answer was lost stays open and silent
@@ -138,19 +139,33 @@
 
 
 class LossyStore(Store):
-    """The platform's store. For a time, a share of the writes is done and not answered."""
+    """The platform's store. For a time, a share of the writes is done and not answered, or answers take long."""
 
     def __init__(self, seed=1):
         self.random = random.Random(seed)
         self.lost_share = 0.0
         self.lost_until = 0.0
+        self.answer_time_s = 0.0
+        self.slow_until = 0.0
         self.writes = []  # (time, first key written, whether the answer was lost)
         super().__init__()
 
     def lose_answers_for(self, seconds, share):
         self.lost_share, self.lost_until = share, time.monotonic() + seconds
 
+    def be_slow_for(self, seconds, answer_time_s):
+        self.answer_time_s, self.slow_until = answer_time_s, time.monotonic() + seconds
+
     def handle(self, request):
+        request.__dict__.pop("respond", None)  # of the last call on this channel
+        if time.monotonic() < self.slow_until and request.route != "/kv-watch":
+            answer = request.respond
+
+            def answer_late(*what):
+                time.sleep(self.answer_time_s)
+                answer(*what)
+
+            request.respond = answer_late
         if request.route != "/kv-txn":
             super().handle(request)
             return
@@ -169,8 +184,9 @@
 
 
 def quiet(server):
-    """Keeps resets by peers, which are usual here, out of the output."""
+    """Keeps resets by peers, which are usual here, out of the output, and takes many channels at once."""
     server._server.handle_error = lambda *_: None
+    server._server.socket.listen(LISTEN_BACKLOG)
     return server
 
 
