Review: case 4 asks steps in turn, with calls to the machines of a trainer's zone

Cause: the trainers of the script asked all steps at once and called any machine; the platform leads a trainer's calls to the machines of its zone, and a trainer asks for its next step when it has ended one. Method: each of 24 trainers asks for two steps, one after the other. The check is unchanged.

No change of behaviour.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -10,7 +10,7 @@
 
 from world import Engine, Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
 
-BATCHES = 24  # steps that the trainers have asked ahead
+TRAINERS = 24  # each asks for two steps
 GROUPS, GROUP_SIZE, GROUPS_WAITED_FOR = 3, 1, 2
 EVENTS, EVENT_INTERVAL_S = 12, 0.1  # an item takes 1.2 s
 LOST_FOR_S, LOST_SHARE = 4.5, 0.35
@@ -34,28 +34,41 @@
     world.start()
     trainer = Trainer(world, "key-one")
 
-    # Step 1. The trainer asks for its steps, and ends each once it has read the groups that it waits for.
-    def follow(batch, begin):
-        turn = begin
+    # Step 1. Trainers ask for a step, end it once they have read the groups that they wait for, and ask for the next.
+    # The platform leads a trainer's calls to the machines of its zone.
+    batches = []
+
+    def ask(batch, step, near):
+        body, _ = submission(batch, step, GROUPS, GROUP_SIZE, "/steps/")
+        body = body.replace(b'"desiredCount": %d' % GROUPS, b'"desiredCount": %d' % GROUPS_WAITED_FOR)
+        if not trainer.submit(batch, "/steps/", body, edge=near[0]):
+            raise RuntimeError("a batch was not accepted")
+        batches.append(batch)
+
+    def follow(batch, near):
+        turn = time.monotonic()
         while True:
             turn += READ_PERIOD_S
             time.sleep(max(0.0, turn - time.monotonic()))
-            read = trainer.read(batch, wait_ms=0)
+            read = trainer.read(batch, wait_ms=0, edge=trainer.random.choice(near))
             listed = {result["id"] for result in read["results"]} if read else set()
             groups = [all(f"{batch}g{group}i{index}" in listed for index in range(GROUP_SIZE)) for group in range(GROUPS)]
             if sum(groups) >= GROUPS_WAITED_FOR:
                 break
-        while not trainer.end(batch):
+        while not trainer.end(batch, edge=trainer.random.choice(near)):
             time.sleep(0.2)
 
+    def train(number, near):
+        follow(f"t{number}s0", near)
+        ask(f"t{number}s1", TRAINERS + number, near)
+        follow(f"t{number}s1", near)
+
     followers = []
-    for step in range(BATCHES):
-        batch = f"b{step}"
-        body, _ = submission(batch, step, GROUPS, GROUP_SIZE, "/steps/")
-        document_waits = body.replace(b'"desiredCount": %d' % GROUPS, b'"desiredCount": %d' % GROUPS_WAITED_FOR)
-        if not trainer.submit(batch, "/steps/", document_waits):
-            raise RuntimeError("a batch was not accepted")
-        followers.append(threading.Thread(target=follow, args=(batch, time.monotonic())))
+    for number in range(TRAINERS):
+        zone = world.edges[number % len(world.edges)].zone
+        near = [edge for edge in world.edges if edge.zone == zone]
+        ask(f"t{number}s0", number, near)
+        followers.append(threading.Thread(target=train, args=(number, near)))
         followers[-1].start()
 
     # Step 2. The store loses answers.
@@ -72,7 +85,7 @@
     seen = {}  # by batch: time at which each position was first read
     broken = set()
     for number in range(ROUNDS):
-        for batch in (f"b{step}" for step in range(BATCHES)):
+        for batch in batches:
             counts = {}
             for edge in world.edges:
                 read = trainer.read(batch, wait_ms=0, edge=edge)
