--- a/review/2/run.py
+++ b/review/2/run.py
@@ -15,6 +15,7 @@
 GROUPS, GROUP_SIZE = 2, 4
 EVENTS, EVENT_INTERVAL_S = 25, 0.12  # an item takes 3 s
 PATIENCE_S = 20  # of the trainer, for each step
+SHEET_PATIENCE_S = 12  # as the sheet has it; the rule is broken only if it would be with this one too
 LOST_FOR_S, LOST_SHARE = 1.5, 0.35
 CONTACT_S = 3.0
 AT_NO_REPLICA_S = 5.0
@@ -93,7 +94,7 @@
     for run in runs:
         world.note(f"run of {run['item']} until {(run['ended'] or 0) - world.began:.3f}, {'complete' if run['complete'] else 'broken off'}", run["began"])
     broken = []
-    # Steady from contactMs after the last disturbance; here the planned stop counts as one too.
+    # Steady from contactMs after the last disturbance; the planned stop counts as one too, but not with the sheet's patience.
     steady = max(lost_end, getattr(stopped, "ended", lost_end)) + CONTACT_S
     for batch, state in batches.items():
         if state["complete"]:
@@ -108,8 +109,9 @@
         for item in state["items"]:
             own = [run for run in of_batch if run["item"] == item]
             idle = longest_idle(own, steady, end - 1)
-            if not any(run["complete"] for run in own) and idle >= AT_NO_REPLICA_S:
-                broken.append(f"LOST: step of {batch} ran out of time; item {item}, finished by no replica, was at none for {idle:.1f} s of steady state")
+            idle_by_sheet = longest_idle(own, lost_end + CONTACT_S, state["submitted"] + SHEET_PATIENCE_S - 1)
+            if not any(run["complete"] for run in own) and min(idle, idle_by_sheet) >= AT_NO_REPLICA_S:
+                broken.append(f"LOST: step of {batch} ran out of time; item {item}, finished by no replica, was at none for {idle:.1f} s of steady state, {idle_by_sheet:.1f} s by the sheet's patience")
     return broken
 
 
