Review: a stream that broke off in an event is ended as complete

Cause: caller_frontend::onTransfer() takes every end of a transfer without an error as the end of the stream, also if an event is unfinished. If the replica's answer has no length, a crash looks like that end. Method: 24 streams on a resumable route, replicas whose answers end with their channels, one of nine replicas crashes.

No change of behaviour.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,5 +1,6 @@
-"""A trainer ends its steps while the platform's store loses answers; afterwards the results are read at all machines."""
+"""A model replica whose answers have no length crashes in the middle of the events of its streams."""
 
+import http.client
 import pathlib
 import sys
 import threading
@@ -8,103 +9,105 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 
-from world import Engine, Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
+from world import HOST, Engine, disruption_wanted, engine_service, route, run_case  # noqa: E402
+
+STREAMS = 24
+EVENTS, EVENT_INTERVAL_S = 25, 0.1
+CRASH_AFTER_S = 1.0
+ENTRY_GONE_AFTER_S = 3.6  # "after three check-in intervals of silence"
+DEADLINE_MS = 9000
+
+
+class UnframedEngine(Engine):
+    """A model replica whose answers have no length and end with their channel. A crash ends its channels in the middle of an event."""
+
+    crashed = False
+
+    def _send_events(self, request, count):
+        behind = int(request.headers.get("Last-Event-Id") or 0)
+        request.close_connection = True
+        request.send_response(200)
+        for name, value in {"Content-Type": "text/event-stream", "Connection": "close", "Attempt-Id": request.headers["Attempt-Id"], "Server-Stamp": "stamp",
+                            "Weight-Versions": str(self.versions[request.headers["Model"]])}.items():
+            request.send_header(name, value)
+        request.end_headers()
+        for number in range(behind + 1, count + 1):
+            time.sleep(self.event_interval_s)
+            data = f"id: {number}\ndata: e{number}\n\n".encode()
+            if self.crashed:
+                request.wfile.write(data[:len(data) // 2])  # the channel ends behind these bytes
+                raise BrokenPipeError
+            request.wfile.write(data)
+
+    def crash(self):
+        self.crashed = True
+        entry_end = threading.Timer(ENTRY_GONE_AFTER_S, self.platform.store.remove, ["servers/" + self.name])
+        entry_end.daemon = True
+        entry_end.start()
+
+    def handle(self, request):
+        if self.crashed:
+            request.break_connection()
+        else:
+            super().handle(request)
+
+
+def read_stream(world, edge, request_id):
+    """Sends one request; returns the status, the proof, the bytes of the answer, and whether it ended as complete."""
+    channel = http.client.HTTPConnection(*edge.front.split(":"), timeout=DEADLINE_MS / 1000)
+    try:
+        channel.request("POST", f"/talk/{request_id}", b"prompt",
+                        {"Host": HOST, "Credential": "key-one", "Attempt-Id": request_id, "Deadline-Ms": str(DEADLINE_MS), "Model": "m", "Token-Count": "271,25", "Prompt-Prefix": f"{request_id}:271"})
+        answer = channel.getresponse()
+        status, proof = answer.status, answer.headers.get("Server-Stamp")
+        try:
+            body, complete = answer.read(), True
+        except http.client.IncompleteRead as broken:
+            body, complete = broken.partial, False
+        return status, proof, body, complete
+    except OSError as problem:
+        world.note(f"{request_id}: no answer ({type(problem).__name__})")
+        return None, None, b"", False
+    finally:
+        channel.close()
 
-TRAINERS = 24  # each asks for two steps
-GROUPS, GROUP_SIZE, GROUPS_WAITED_FOR = 3, 1, 2
-EVENTS, EVENT_INTERVAL_S = 12, 0.1  # an item takes 1.2 s
-LOST_FOR_S, LOST_SHARE = 4.5, 0.35
-READ_PERIOD_S = 0.5  # "Clients read about twice per second"
-CONTACT_S, SETTLE_S = 3.0, 1.0
-ROUNDS = 4
 
+def case(world):
+    world.put_config([route("talk", "/talk/", "streaming", "models", streaming=True, resumable=True)], [engine_service(["m"])], [{"name": "acme", "apiKeys": ["key-one"], "priority": 1}], version=3)
+    for i in range(9):
+        world.engine(("zone-a", "zone-b", "zone-c")[i % 3], kind=UnframedEngine, events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+    world.start()
 
-class UnevenEngine(Engine):
-    """A model replica; the items of a batch's last group are a little longer."""
+    # Step 1. Clients ask for streams.
+    streams = {}
 
-    def events_of(self, item):
-        return EVENTS + 1 if f"g{GROUPS - 1}i" in item else EVENTS
+    def ask(index):
+        request_id = f"c{index:02x}"
+        streams[request_id] = read_stream(world, world.edges[index % len(world.edges)], request_id)
 
+    clients = [threading.Thread(target=ask, args=(index,)) for index in range(STREAMS)]
+    for client in clients:
+        client.start()
 
-def case(world):
-    world.put_config([route("steps", "/steps/", "rollout", "models", resultDeadlineMs=7500, itemTtlS=60)], [engine_service(["m"])],
-                     [{"name": "acme", "apiKeys": ["key-one"], "priority": 1}])
-    for i in range(9):
-        world.engine(("zone-a", "zone-b", "zone-c")[i % 3], kind=UnevenEngine, event_interval_s=EVENT_INTERVAL_S)
-    world.start()
-    trainer = Trainer(world, "key-one")
-
-    # Step 1. Trainers ask for a step, end it once they have read the groups that they wait for, and ask for the next.
-    # The platform leads a trainer's calls to the machines of its zone.
-    batches = []
-
-    def ask(batch, step, near):
-        body, _ = submission(batch, step, GROUPS, GROUP_SIZE, "/steps/")
-        body = body.replace(b'"desiredCount": %d' % GROUPS, b'"desiredCount": %d' % GROUPS_WAITED_FOR)
-        if not trainer.submit(batch, "/steps/", body, edge=near[0]):
-            raise RuntimeError("a batch was not accepted")
-        batches.append(batch)
-
-    def follow(batch, near):
-        turn = time.monotonic()
-        while True:
-            turn += READ_PERIOD_S
-            time.sleep(max(0.0, turn - time.monotonic()))
-            read = trainer.read(batch, wait_ms=0, edge=trainer.random.choice(near))
-            listed = {result["id"] for result in read["results"]} if read else set()
-            groups = [all(f"{batch}g{group}i{index}" in listed for index in range(GROUP_SIZE)) for group in range(GROUPS)]
-            if sum(groups) >= GROUPS_WAITED_FOR:
-                break
-        while not trainer.end(batch, edge=trainer.random.choice(near)):
-            time.sleep(0.2)
-
-    def train(number, near):
-        follow(f"t{number}s0", near)
-        ask(f"t{number}s1", TRAINERS + number, near)
-        follow(f"t{number}s1", near)
-
-    followers = []
-    for number in range(TRAINERS):
-        zone = world.edges[number % len(world.edges)].zone
-        near = [edge for edge in world.edges if edge.zone == zone]
-        ask(f"t{number}s0", number, near)
-        followers.append(threading.Thread(target=train, args=(number, near)))
-        followers[-1].start()
-
-    # Step 2. The store loses answers.
-    time.sleep(0.3)
+    # Step 2. The replica with the most streams crashes; the others are sound.
+    time.sleep(CRASH_AFTER_S)
     if disruption_wanted():
-        world.store.lose_answers_for(LOST_FOR_S, LOST_SHARE)
-    lost_end = time.monotonic() + LOST_FOR_S
-    world.note("the store loses answers from now on" if disruption_wanted() else "no trouble")
-    for follower in followers:
-        follower.join()
-    time.sleep(max(0.0, lost_end + CONTACT_S + SETTLE_S - time.monotonic()))
-
-    # Step 3. All machines are in touch again, and clients read from the start at each of them.
-    seen = {}  # by batch: time at which each position was first read
-    broken = set()
-    for number in range(ROUNDS):
-        for batch in batches:
-            counts = {}
-            for edge in world.edges:
-                read = trainer.read(batch, wait_ms=0, edge=edge)
-                now = time.monotonic()
-                if read is None:
-                    continue
-                count = counts[edge.name] = len(read["results"])
-                first_read = seen.setdefault(batch, {})
-                for position in range(count):
-                    first_read.setdefault(position, now)
-                for position, at in first_read.items():
-                    if position >= count and now > at + SETTLE_S:
-                        broken.add(f"LOST: {edge.name} has nothing at position {position} of {batch}, which had been read more than {SETTLE_S:.0f} s before")
-            world.note(f"round {number}, {batch}: results {counts}")
-        time.sleep(SETTLE_S + 0.2)
-    for at, key, status, lost in world.store.writes:
-        if key.startswith("batch/"):
-            world.note(f"store: {key} -> {status}{', answer lost' if lost else ''}", at)
-    return sorted(broken)
+        busiest = max(world.engines, key=lambda engine: sum(1 for run in engine.runs if run["ended"] is None))
+        world.note(f"{busiest.name} crashes with {sum(1 for run in busiest.runs if run['ended'] is None)} streams")
+        busiest.crash()
+    for client in clients:
+        client.join()
+
+    # Step 3. A stream that ends as complete holds all that a replica makes of it.
+    whole = "".join(f"id: {n}\ndata: e{n}\n\n" for n in range(1, EVENTS + 1)).encode()
+    broken = []
+    for request_id, (status, proof, body, complete) in sorted(streams.items()):
+        world.note(f"{request_id}: status {status}, proof {proof}, {len(body)} of {len(whole)} bytes, {'ended as complete' if complete else 'broken off'}, ends with {body[-16:]!r}")
+        if status == 200 and complete and body != whole:
+            broken.append(f"ORDER: the stream of {request_id} ended as complete with {len(body)} of {len(whole)} bytes")
+    for run in world.runs():
+        world.note(f"replica ran {run['item']}, {'complete' if run['complete'] else 'broken off'}", run["began"])
+    return broken
 
 
 run_case(case, FOLDER / "record.txt")
