Review: a planned stop cuts requests that were just passed on to replicas

Cause: a stopping instance takes requests on kept channels until it exits, 0.6 s before the end of the grace time, whatever is open then. Method: a long stream keeps the instance up; clients send bookings of 0.6 s on the channels that they keep, 6 to 7.6 s after the SIGTERM, on an unsafe route.

No change of behaviour.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,6 +1,6 @@
-"""The machine that runs a step of a `singleVersion` route is killed and comes back, after a new version was named."""
+"""A machine is stopped as planned while a long stream runs there; clients go on using the channels that they keep."""
 
-import json
+import http.client
 import pathlib
 import signal
 import sys
@@ -10,164 +10,126 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 
-from world import RESTART_DELAY_S, Engine, Trainer, disruption_wanted, engine_service, route, run_case, submission  # noqa: E402
+from world import BOUNDS, HOST, Service, disruption_wanted, engine_service, quiet, route, run_case  # noqa: E402
 
-GROUPS, GROUP_SIZE = 6, 4
-EVENTS, EVENT_INTERVAL_S = 100, 0.06  # an item takes 6 s
-LOAD_S = 0.9  # "A change of version takes 0.9 s"
-PATIENCE_S = 20  # of the trainer, for the step
-NAMED_AFTER_S, KILLED_AFTER_S = 2.8, 4.7
-CONTACT_S = 3.0
-AT_NO_REPLICA_S = 5.0
-NO_VERSION_NAMED_FOR_S = 6.0
+EVENTS, EVENT_INTERVAL_S = 100, 0.1  # a stream takes 10 s
+STREAM_DEADLINE_MS = 12000
+CLIENTS = 24  # each keeps a channel and sends a booking on it once a while
+WORK_S = 0.6  # of a booking
+DEADLINE_MS = 2000
+FIRST_SENT_S, LAST_SENT_S = 6.0, 7.6  # after the SIGTERM; the channels were idle for less than four fifths of idleTimeoutMs
+EXCUSED_IF_SENT_S = 3.0  # "on a request that was sent no later than 3 s after the SIGTERM"
+PLANNED_WORK_S = BOUNDS["graceS"] + 1.0
 
 
-class VersionedEngine(Engine):
-    """A model replica that takes LOAD_S to change its version. Its runs wait meanwhile and go on under the new version, as the mode `retain` says."""
+class BookingService(Service):
+    """A replica of a plain service that notes which requests it has got and which it has answered."""
 
     def __init__(self, *args, **more):
-        self.loading = threading.Event()
-        self.refused = []  # (time, item, version expected, own version)
+        self.bookings = {}  # by attempt: (arrived, answered)
         super().__init__(*args, **more)
 
     def handle(self, request):
-        expected = request.headers.get("Expect-Version")
-        model = request.headers.get("Model")
-        if request.route == "/report":
-            models = [{"name": name, "version": version, "adapters": []} for name, version in self.versions.items()]
-            request.respond(200, {"stage": "hybrid", "models": models, "busy": self.loading.is_set(), "sequence": self.orders_applied})
-        elif request.route != "/order" and model and self.loading.is_set():
-            request.respond(503, None, {"Not-Executed": "1"})
-        elif request.route != "/order" and model and expected and int(expected) != self.versions[model]:
-            self.refused.append((time.monotonic(), request.headers.get("Attempt-Id"), int(expected), self.versions[model]))
-            request.respond(421, None, {"Instance-Id": self.name})
+        attempt = request.headers.get("Attempt-Id", "")
+        if request.route.startswith("/book/") and request.headers.get("Target-Instance") in (None, self.name):
+            self.bookings[attempt] = (time.monotonic(), None)
+            time.sleep(WORK_S)
+            super().handle(request)
+            self.bookings[attempt] = (self.bookings[attempt][0], time.monotonic())
         else:
             super().handle(request)
 
-    def _order(self, request):
-        order = json.loads(request.body)
-        assert order["mode"] == "retain"
-        if order["fenceToken"] < self.highest_fencing_number:
-            request.respond(412)
-        elif self.loading.is_set() or order.get("expected", self.orders_applied) != self.orders_applied:
-            request.respond(409)
-        elif self.versions[order["model"]] == order["version"]:
-            request.respond(200)
-        else:
-            self.highest_fencing_number = order["fenceToken"]
-            self.orders_applied += 1
-            self.loading.set()
-
-            def load():
-                time.sleep(LOAD_S)
-                self.versions[order["model"]] = order["version"]
-                self.loading.clear()
-                self.publish_heartbeat()
-
-            threading.Thread(target=load, daemon=True).start()
-            request.respond(202)
-
-    def _send_events(self, request, count):
-        model = request.headers["Model"]
-        behind = int(request.headers.get("Last-Event-Id") or 0)
-        version = self.versions[model]
-        request.send_response(200)
-        headers = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked", "Attempt-Id": request.headers["Attempt-Id"], "Server-Stamp": "stamp"}
-        if behind < count:
-            headers["Weight-Versions"] = str(version)
-        for name, value in headers.items():
-            request.send_header(name, value)
-        request.end_headers()
-        for number in range(behind + 1, count + 1):
-            time.sleep(self.event_interval_s)
-            while self.loading.is_set():
-                time.sleep(0.02)
-            changed = f"weight-versions: {self.versions[model]}\n" if self.versions[model] != version else ""
-            version = self.versions[model]
-            data = f"{changed}id: {number}\ndata: e{number}\n\n".encode()
-            request.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
-            request.wfile.flush()
-        request.wfile.write(b"0\r\n\r\n")
-
-
-def longest_idle(runs, begin, end):
-    """The longest span inside [begin, end] in which none of these runs was at a replica."""
-    longest, idle_since = 0.0, begin
-    for run in runs:
-        longest = max(longest, min(run["began"], end) - idle_since)
-        idle_since = max(idle_since, run["ended"] or end)
-    return max(longest, end - idle_since)
+
+class Booking:
+    """One request of a client on its kept channel, and what the client saw."""
+
+    def __init__(self, channel, attempt):
+        self.attempt, self.sent, self.status, self.failure, self.closes = attempt, None, None, None, False
+        try:
+            channel.request("POST", "/book/drum", attempt.encode(), {"Host": HOST, "Credential": "key-one", "Deadline-Ms": str(DEADLINE_MS), "Attempt-Id": attempt})
+            self.sent = time.monotonic()
+            answer = channel.getresponse()
+            answer.read()
+            self.status, self.closes = answer.status, answer.will_close
+        except (OSError, http.client.HTTPException) as problem:
+            self.failure = type(problem).__name__
+        self.ended = time.monotonic()
 
 
 def case(world):
-    world.put_config([route("steps", "/steps/", "rollout", "models", resultDeadlineMs=7500, itemTtlS=60, singleVersion=True)], [engine_service(["m"])],
+    world.put_config([route("book", "/book/", "unsafe", "app", timeoutMs=DEADLINE_MS), route("talk", "/talk/", "streaming", "models", streaming=True, timeoutMs=STREAM_DEADLINE_MS)],
+                     [engine_service(["m"]), {"name": "app", "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": False}],
                      [{"name": "acme", "apiKeys": ["key-one"], "priority": 1}])
-    for i in range(9):
-        world.engine(("zone-a", "zone-b", "zone-c")[i % 3], kind=VersionedEngine, events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+    services = []
+    for zone in ("zone-a", "zone-b", "zone-c"):
+        world.engine(zone, events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+        services += [quiet(BookingService(world, f"i-{len(world.replicas) + i}", "app", zone)) for i in range(3)]
+        world.replicas += services[-3:]
     world.start()
-    trainer = Trainer(world, "key-one")
-
-    # Step 1. Version 2 is named and step 2 asked, which allows version 1 and newer. Steps before it are open too, and the
-    # end of the next one names version 3 while step 2 runs.
-    def name(version):
-        world.store.put("op/version/m", {"model": "m", "version": version})
-        world.note(f"version {version} is named")
-
-    name(2)
-    body, items = submission("b0", 2, GROUPS, GROUP_SIZE, "/steps/", min_version=1)
-    time.sleep(0.1)
-    if not trainer.submit("b0", "/steps/", body):
-        raise RuntimeError("the batch was not accepted")
-    submitted = time.monotonic()
-    time.sleep(NAMED_AFTER_S)
-    name(3)
-    named = time.monotonic()
-
-    # Step 2. The machine that runs the step is killed and started again.
-    time.sleep(KILLED_AFTER_S - NAMED_AFTER_S)
-    back = time.monotonic()
+    edge = world.edges[0]
+
+    # Step 1. Clients have used their channels, and one asks for a stream.
+    channels = [http.client.HTTPConnection(*edge.front.split(":"), timeout=5) for _ in range(CLIENTS)]
+    first = []
+    clients = [threading.Thread(target=lambda index=index: first.append(Booking(channels[index], f"first{index:02}"))) for index in range(CLIENTS)]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
+    if any(booking.status != 200 for booking in first):
+        raise RuntimeError("a booking was not served before the stop")
+
+    def read_stream():
+        channel = http.client.HTTPConnection(*edge.front.split(":"), timeout=STREAM_DEADLINE_MS / 1000 + 1)
+        try:
+            channel.request("POST", "/talk/s", b"prompt", {"Host": HOST, "Credential": "key-one", "Deadline-Ms": str(STREAM_DEADLINE_MS), "Attempt-Id": "stream", "Model": "m",
+                                                           "Token-Count": "255,100", "Prompt-Prefix": "ab:255"})
+            world.note(f"the stream ended as complete, {channel.getresponse().read().count(b'data:')} of {EVENTS} events")
+        except (OSError, http.client.HTTPException) as problem:
+            world.note(f"the stream broke off: {type(problem).__name__}")
+
+    reader = threading.Thread(target=read_stream)
+    reader.start()
+    time.sleep(0.3)
+
+    # Step 2. The machine is stopped as planned.
+    stopped = time.monotonic()
     if disruption_wanted():
-        owner = world.owner_of("b0")
-        world.note(f"SIGKILL for {owner.name}")
-        owner.signal(signal.SIGKILL)
-        owner.process.wait()
-        time.sleep(RESTART_DELAY_S)
-        owner.start()
-        back = time.monotonic()
-
-    # Step 3. The trainer reads until the step is complete or out of time.
-    read = None
-    while time.monotonic() < submitted + PATIENCE_S:
-        answer = trainer.read("b0")
-        if answer:
-            if not read or len(answer["results"]) != len(read["results"]):
-                world.note(f"results {len(answer['results'])}")
-            read = answer
-        if read and len(read["results"]) == read["total"]:
-            break
-        time.sleep(0.3)
-    end = time.monotonic()
+        world.note("SIGTERM for " + edge.name)
+        edge.signal(signal.SIGTERM)
+
+        def watch_exit():
+            edge.process.wait()
+            world.note(f"{edge.name} has ended, {time.monotonic() - stopped:.2f} s after the SIGTERM")
+
+        threading.Thread(target=watch_exit, daemon=True).start()
+
+    # Step 3. The clients send on their channels.
+    bookings = []
+
+    def book(index):
+        time.sleep(max(0.0, stopped + FIRST_SENT_S + (LAST_SENT_S - FIRST_SENT_S) * index / CLIENTS - time.monotonic()))
+        bookings.append(Booking(channels[index], f"late{index:02}"))
+
+    clients = [threading.Thread(target=book, args=(index,)) for index in range(CLIENTS)]
+    for client in clients:
+        client.start()
+    for client in [*clients, reader]:
+        client.join()
+    time.sleep(WORK_S)
 
     # Step 4. The record, and the rule.
-    runs = world.runs()
-    for run in runs:
-        world.note(f"run of {run['item']} until {(run['ended'] or 0) - world.began:.3f}, {'complete' if run['complete'] else 'broken off'}", run["began"])
-    for engine in world.engines:
-        asked = [f"{at - world.began:.3f}" for at, _, _, _ in engine.refused]
-        world.note(f"{engine.name} has version {engine.versions['m']}; refused {len(asked)} runs that expected another one" + (f", from {asked[0]} until {asked[-1]}" if asked else ""))
-    world.note(f"{len(read['results']) if read else 0} of {len(items)} results read, of versions {sorted({str(result['versions']) for result in read['results']}) if read else []}")
-    if read and len(read["results"]) == read["total"]:
-        return []
-    steady = max(back + CONTACT_S, named + NO_VERSION_NAMED_FOR_S)
-    busy = sum(1 for run in runs if run["began"] <= end - 1 and (run["ended"] or end) > steady)
-    if busy > len(world.engines) * 8 / 2:
-        return []  # the replicas were half full
+    reached = {attempt: times for service in services for attempt, times in service.bookings.items()}
     broken = []
-    for item in items:
-        own = [run for run in runs if run["item"] == item]
-        idle = longest_idle(own, steady, end - 1)
-        if not any(run["complete"] for run in own) and idle >= AT_NO_REPLICA_S:
-            broken.append(f"LOST: the step ran out of time; item {item}, finished by no replica, was at none for {idle:.1f} s of steady state")
+    for booking in sorted(bookings, key=lambda one: one.attempt):
+        arrived = reached.get(booking.attempt, (None, None))[0]
+        world.note(f"{booking.attempt}: " + (f"sent {booking.sent - stopped:.2f} s after the SIGTERM, " if booking.sent else "not sent, ")
+                   + (f"at a replica {arrived - booking.sent:.2f} s later, " if arrived else "at no replica, ")
+                   + (f"status {booking.status}{', closes' if booking.closes else ''}" if booking.status else f"{booking.failure} {booking.ended - (booking.sent or booking.ended):.2f} s later"))
+        if booking.sent is None or arrived is None or booking.status is not None or booking.sent <= stopped + EXCUSED_IF_SENT_S:
+            continue
+        if booking.ended <= stopped + PLANNED_WORK_S and booking.ended < booking.sent + DEADLINE_MS / 1000:
+            broken.append(f"LOST: {booking.attempt} was read and passed on to a replica, and its channel ended without an answer {booking.ended - booking.sent:.2f} s after it was sent")
     return broken
 
 
