--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -294,6 +294,7 @@
         self.arrival_sources = []  # (monotonic time, IP of the sender) of the same requests
         self.executed_requests = []  # (path, headers) of requests that started to run
         self.refuse_requests = False  # answers 503 with Not-Executed
+        self.answer_delay_s = 0  # of a plain answer
         self.requests_to_break = 0  # number of requests to break: a stream after its third event, a plain one before its answer
         self.crashes_left = 0  # number of requests that find it crashing; it restarts at once
         self.orders_applied = 0
@@ -336,6 +337,7 @@
                 self.requests_to_break -= 1
                 request.break_connection()
             else:
+                time.sleep(self.answer_delay_s)
                 request.respond(200, request.body, {"Attempt-Id": request.headers["Attempt-Id"], "Server-Stamp": "stamp-" + request.headers["Attempt-Id"], "Server-Load": "1,0,8"})
 
     def _order(self, request):
--- a/tests/process/test_entry_faulty_replicas.py
+++ b/tests/process/test_entry_faulty_replicas.py
@@ -9,27 +9,8 @@
 import unittest
 
 from entry_world import HOST, KEY, EntryCase, config
+from faulty_replica import FaultyReplica
 from kit import CONNECTION_ERRORS, Stream, wait_until
-from platform_standin import Replica
-
-
-class FaultyReplica(Replica):
-    """A replica whose answers to requests are given by `fault`, a function of the request."""
-
-    fault = None
-
-    def handle(self, request):
-        if self.fault is None or request.route in ("/report", "/order") or request.headers.get("Target-Instance") != self.name:
-            super().handle(request)
-            return
-        self.executed_requests.append((request.route, dict(request.headers)))
-        self.fault(request)
-
-    def head(self, request, *lines):
-        return "\r\n".join(["HTTP/1.1 200 OK", "Attempt-Id: " + request.headers["Attempt-Id"], "Server-Stamp: stamp", *lines, "", ""]).encode()
-
-    def answer(self, request):
-        return self.head(request, f"Content-Length: {len(request.body)}") + request.body
 
 
 class FaultyReplicas(EntryCase):
