Logs name what marked the end of an answer: a length, chunks, no body, or the close of its connection

Change: the HTTP client says with head and end which framing the answer had (answer_framing); attempt_failed and run_failed name it. No change of what counts as whole. No change of behaviour but the log field.

--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -130,7 +130,7 @@
     if (!complete || !isSuccess(run.head.status)) {
         logEvent(log_level::Info, "batch", "run_failed",
             { { "item", run.item.str() }, { "target", run.target.str() }, { "status", std::to_string(event.status) }, { "not_run", run.head.notRun ? "1" : "0" },
-                { "detail", event.detail }, { "connection", std::string(toString(event.connection)) } });
+                { "detail", event.detail }, { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) } });
     }
     const bool sent = event.outcome != http::transfer_result::NotSent;
     m_runs.erase(found);
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -356,7 +356,7 @@
             const auto& forward = m_forwards.at(found->second.forward);
             logEvent(log_level::Info, "front", "attempt_failed",
                 { { "request", forward.callerId.str() }, { "target", found->second.target.str() }, { "status", std::to_string(event.status) },
-                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "connection", std::string(toString(event.connection)) },
+                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) },
                     { "took_ms", msText(m_context.now - found->second.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
         }
         if (found->second.streaming && event.outcome == http::transfer_result::Complete && !found->second.reader.remainder().empty())
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -25,6 +25,7 @@
         curl_slist* headerLines = nullptr;
         std::vector<event>* pendingEvents = nullptr;
         header_list headers;
+        bool headEnded = false; // by its blank line
         bool headReported = false;
         bool connected = false;
         std::size_t headBytes = 0;
@@ -48,20 +49,6 @@
         return static_cast<int>(status);
     }
 
-    // Emits the Head event, once, before the first byte of the body or the end.
-    void reportHead(transfer& t)
-    {
-        if (t.headReported)
-            return;
-        t.headReported = true;
-        event head;
-        head.what = event::kind::Head;
-        head.id = t.outgoing.id;
-        head.status = statusOf(t.easy);
-        head.headers = t.headers;
-        t.pendingEvents->push_back(std::move(head));
-    }
-
     std::string lower(std::string_view text)
     {
         std::string out(text);
@@ -79,6 +66,39 @@
         return text.substr(first, last - first + 1);
     }
 
+    // How the body's end will be marked, by a head that has ended.
+    answer_framing announcedFraming(const transfer& t)
+    {
+        constexpr int noContent = 204;
+        constexpr int notModified = 304;
+        constexpr int firstFinalStatus = 200;
+        const auto status = statusOf(t.easy);
+        long version = 0;
+        curl_easy_getinfo(t.easy, CURLINFO_HTTP_VERSION, &version);
+        if (!t.headEnded)
+            return answer_framing::None;
+        if (t.outgoing.method == "HEAD" || status < firstFinalStatus || status == noContent || status == notModified)
+            return answer_framing::NoBody;
+        if (version >= CURL_HTTP_VERSION_2_0 || lower(findHeader(t.headers, "transfer-encoding")).find("chunked") != std::string::npos)
+            return answer_framing::Chunks;
+        return findHeader(t.headers, "content-length").empty() ? answer_framing::Close : answer_framing::Length;
+    }
+
+    // Emits the Head event, once, before the first byte of the body or the end.
+    void reportHead(transfer& t)
+    {
+        if (t.headReported)
+            return;
+        t.headReported = true;
+        event head;
+        head.what = event::kind::Head;
+        head.id = t.outgoing.id;
+        head.status = statusOf(t.easy);
+        head.headers = t.headers;
+        head.framing = announcedFraming(t);
+        t.pendingEvents->push_back(std::move(head));
+    }
+
     // Counts bytes of a body; false if the answer has become too large.
     bool countBody(transfer& t, std::size_t bytes)
     {
@@ -110,11 +130,14 @@
         // A new status line starts a new head, e.g. after "100 Continue".
         if (line.substr(0, 5) == "HTTP/") {
             t.headers.clear();
+            t.headEnded = false;
             return line.size();
         }
+        t.headEnded = t.headEnded || trim(line).empty();
         const auto colon = line.find(':');
-        if (colon != std::string_view::npos)
-            t.headers.emplace_back(lower(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))));
+        if (colon == std::string_view::npos)
+            return line.size();
+        t.headers.emplace_back(lower(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))));
         return line.size();
     }
 
@@ -189,6 +212,23 @@
 
 } // namespace
 
+std::string_view toString(answer_framing framing)
+{
+    switch (framing) {
+    case answer_framing::None:
+        return "none";
+    case answer_framing::NoBody:
+        return "no_body";
+    case answer_framing::Length:
+        return "length";
+    case answer_framing::Chunks:
+        return "chunks";
+    case answer_framing::Close:
+        return "close";
+    }
+    return "none";
+}
+
 std::string_view toString(connection_use use)
 {
     switch (use) {
@@ -235,6 +275,8 @@
         done.outcome = outcome;
         done.detail = std::move(detail);
         done.connection = connectionOf(t);
+        if (outcome == transfer_result::Complete)
+            done.framing = announcedFraming(t);
         pending.push_back(std::move(done));
         const auto id = t.outgoing.id;
         release(t);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,6 +17,16 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+// What marks the end of an answer's body.
+enum class answer_framing {
+    None, // the end was not received
+    NoBody, // such an answer has none
+    Length, // Content-Length
+    Chunks, // the last chunk, or the end of the stream in HTTP/2
+    Close, // the connection was closed in order
+};
+std::string_view toString(answer_framing framing);
+
 // Outcome of a request as far as this side can know it.
 enum class transfer_result {
     Complete, // status, headers and the complete body were received
@@ -79,6 +89,7 @@
     transfer_result outcome = transfer_result::NotSent; // Done
     std::string detail; // Done: libcurl's error message
     connection_use connection = connection_use::None; // Connected and Done
+    answer_framing framing = answer_framing::None; // Head: as it is announced; Done: as it was received
 };
 
 // The value of a header, or an empty view. Names in `headers` must be in lower case.
