A head that breaks off is no answer, nor is one with two lengths

Callers saw a success with a proof and an empty body; a result had the proof of an answer that was never whole. Cause: libcurl reports success when the connection is closed in order within the head, with the status and the headers so far, and it takes the last of two contradictory lengths. The client passed both on as complete answers. Change: the client has seen a head only with its blank line, else the answer is truncated; a head with two different lengths breaks the answer off. Why it works: an answer has a head only once the head's own end is there; everything that uses the client, the store and the instances included, gets that.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -117,6 +117,11 @@
         return false;
     }
 
+    bool contradicts(const header_list& headers, std::string_view name, std::string_view value)
+    {
+        return std::any_of(headers.begin(), headers.end(), [&](const auto& header) { return header.first == name && header.second != value; });
+    }
+
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
     {
         auto& t = *static_cast<transfer*>(user);
@@ -137,7 +142,13 @@
         const auto colon = line.find(':');
         if (colon == std::string_view::npos)
             return line.size();
-        t.headers.emplace_back(lower(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1))));
+        auto name = lower(trim(line.substr(0, colon)));
+        auto value = std::string(trim(line.substr(colon + 1)));
+        if (name == "content-length" && contradicts(t.headers, name, value)) {
+            t.limitExceeded = "the answer's head states two lengths";
+            return 0;
+        }
+        t.headers.emplace_back(std::move(name), std::move(value));
         return line.size();
     }
 
@@ -201,7 +212,9 @@
     // How much of a request that ended with this code the peer may have received.
     transfer_result outcomeOf(const transfer& t, CURLcode code)
     {
-        if (code == CURLE_OK)
+        const auto framing = announcedFraming(t);
+        // libcurl succeeds too if the connection is closed within the head.
+        if (code == CURLE_OK && framing != answer_framing::None)
             return transfer_result::Complete;
         if (statusOf(t.easy) != 0)
             return transfer_result::Truncated;
@@ -434,10 +447,16 @@
         transfer* t = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &t);
         const CURLcode code = message->data.result;
-        if (code == CURLE_OK)
+        const auto outcome = outcomeOf(*t, code);
+        const bool ended = outcome == transfer_result::Complete;
+        if (ended)
             reportHead(*t);
-        const char* detail = t->limitExceeded != nullptr ? t->limitExceeded : curl_easy_strerror(code);
-        m_state->finish(*t, outcomeOf(*t, code), code == CURLE_OK ? "" : detail);
+        std::string detail;
+        if (t->limitExceeded != nullptr)
+            detail = t->limitExceeded;
+        else if (!ended)
+            detail = code == CURLE_OK ? "the answer ended within its head" : curl_easy_strerror(code);
+        m_state->finish(*t, outcome, std::move(detail));
     }
     m_state->failIdleTransfers();
     return std::exchange(m_state->pending, {});
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,7 +32,7 @@
     Complete, // status, headers and the complete body were received
     NotSent, // no byte of the request was sent: the peer can't have run it
     NoAnswer, // bytes were sent, but no status was received: the peer may have run it
-    Truncated, // the answer broke off after its status
+    Truncated, // the answer broke off after its status, maybe within its head
 };
 
 // Whether a kept connection of an earlier request may be used.
--- /dev/null
+++ b/tests/test_answer_framing.cpp
@@ -0,0 +1,98 @@
+// Tests what the HTTP client says of answers that end at each of their bytes, over real sockets.
+#include "http/client.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+using namespace lovagerail;
+
+// Answers one request with these bytes and closes the connection in order.
+class one_answer {
+public:
+    explicit one_answer(std::string bytes)
+        : m_bytes(std::move(bytes))
+        , m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in where {};
+        where.sin_family = AF_INET;
+        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof where;
+        BOOST_REQUIRE_EQUAL(bind(m_listener, reinterpret_cast<sockaddr*>(&where), size), 0);
+        BOOST_REQUIRE_EQUAL(listen(m_listener, 1), 0);
+        BOOST_REQUIRE_EQUAL(getsockname(m_listener, reinterpret_cast<sockaddr*>(&where), &size), 0);
+        m_url = "http://127.0.0.1:" + std::to_string(ntohs(where.sin_port)) + "/";
+        m_thread = std::thread([this] { run(); });
+    }
+    ~one_answer()
+    {
+        m_thread.join();
+        close(m_listener);
+    }
+    http::answer fetch() const
+    {
+        http::request request;
+        request.url = m_url;
+        return http::fetch(std::move(request));
+    }
+
+private:
+    void run() const
+    {
+        const int connection = accept(m_listener, nullptr, nullptr);
+        char request[4096];
+        if (recv(connection, request, sizeof request, 0) > 0)
+            send(connection, m_bytes.data(), m_bytes.size(), MSG_NOSIGNAL);
+        close(connection);
+    }
+
+    std::string m_bytes;
+    int m_listener;
+    std::string m_url;
+    std::thread m_thread;
+};
+
+http::transfer_result outcomeOf(const std::string& bytes) { return one_answer(bytes).fetch().outcome; }
+
+const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Stamp: s\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(answer_framing_suite)
+
+BOOST_AUTO_TEST_CASE(no_part_of_a_framed_answer_is_complete)
+{
+    const std::string withLength = head + "Content-Length: 10\r\n\r\n0123456789";
+    const std::string withChunks = head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n";
+    for (const auto& whole : { withLength, withChunks }) {
+        // libcurl does not wait for the last byte behind the last chunk.
+        const auto sufficient = whole.size() - (whole == withChunks ? 1 : 0);
+        for (std::size_t length = 0; length < sufficient; ++length) {
+            const auto outcome = outcomeOf(whole.substr(0, length));
+            BOOST_TEST((outcome == http::transfer_result::NoAnswer || outcome == http::transfer_result::Truncated), "ended after " << length << " of " << whole.size() << " bytes");
+        }
+        BOOST_TEST((outcomeOf(whole) == http::transfer_result::Complete));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_contradictory_lengths_is_broken)
+{
+    BOOST_TEST((outcomeOf(head + "Content-Length: 10\r\nContent-Length: 4\r\n\r\n0123456789") == http::transfer_result::Truncated));
+    BOOST_TEST((outcomeOf(head + "Content-Length: 10\r\nContent-Length: 10\r\n\r\n0123456789") == http::transfer_result::Complete));
+}
+
+BOOST_AUTO_TEST_CASE(an_interim_answer_proves_nothing)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    BOOST_TEST((outcomeOf(interim + head) != http::transfer_result::Complete));
+    BOOST_TEST((outcomeOf(interim + head + "Content-Length: 2\r\n\r\nok") == http::transfer_result::Complete));
+    BOOST_TEST((outcomeOf("HTTP/1.1 204 No Content\r\nAttempt-Id: a\r\n\r\n") == http::transfer_result::Complete));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
