An answer that ends with its connection is not taken for whole: it is confirmed, or passed on as what it is

Cause: an answer without a length or chunks ends when its connection is closed, and a target that breaks off closes its connections too. The end was taken for the proof, and plain answers were given a length on top, so that the caller could not see it either. Relays framed such answers anew, in chunks with their end. Change: such an end is a state of its own (Unproven). A request that may be repeated is sent once more, and the answer counts if a framed one comes or a second one is equal; answers that all differ end as 502. A request that may run once gets its answer without a length, ended by the close, as it came. A text or a stream is resumed after its last event; a run that adds nothing and ends there too confirms the end. A relay says how the target's answer ends. For the store, other instances and the product's own path an unproven answer is one that broke off (engines there prove the end by a finish reason). Why it works: what can't be proved is never turned into a proof; the second answer comes from another target wherever there is one.

--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -114,6 +114,14 @@
     Retry, // no score yet: ask again later
 };
 
+// How the answer to a run ended.
+enum class run_end {
+    Complete,
+    Unproven, // with its connection and behind an event: nothing shows that the text is complete
+    BrokenOff,
+    NotSent,
+};
+
 struct batch_runner_settings {
     // Time-out for the first event of a run, which is then sent to another target. Loading
     // weights stops a replica's work for about a second, longer while several load.
@@ -249,7 +257,7 @@
     // --- Runs: head, events and end of the answer to an attempt.
     std::vector<batch_action> head(attempt_id attempt, const item_head& head, instant now);
     std::vector<batch_action> events(attempt_id attempt, const std::vector<batch_event>& events, instant now);
-    std::vector<batch_action> done(attempt_id attempt, bool complete, bool sent, instant now);
+    std::vector<batch_action> done(attempt_id attempt, run_end end, instant now);
     bool runs(attempt_id attempt) const { return m_runs.contains(attempt); }
 
     // --- Judges and the store.
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -276,7 +276,7 @@
     return takeActions();
 }
 
-std::vector<batch_action> batch_runner::done(attempt_id attempt, bool complete, bool sent, instant now)
+std::vector<batch_action> batch_runner::done(attempt_id attempt, run_end end, instant now)
 {
     const auto found = m_runs.find(attempt);
     if (found == m_runs.end())
@@ -285,11 +285,14 @@
     auto& batch = m_batches.at(run.batch);
     auto& item = batch.items[run.index];
 
-    if (!complete || !run.headSeen || !run.head.echoesId) {
+    // A run that adds nothing to a text and ends in order confirms the end of that text.
+    const bool addsNothing = run.resumedFrom > 0 && item.generated.data.size() == run.resumedFrom;
+    const bool isBroken = end == run_end::BrokenOff || end == run_end::NotSent || (end == run_end::Unproven && run.accepted && !addsNothing);
+    if (isBroken || !run.headSeen || !run.head.echoesId) {
         // Step 1. The stream broke off: resume at another target.
         ++m_counts.broken;
         endRun(attempt, attempt_outcome::Reset, now);
-        item.avoidUntil[run.target] = now + (sent ? m_settings.avoidAfterFailure : m_settings.avoidUntilRefresh);
+        item.avoidUntil[run.target] = now + (end == run_end::NotSent ? m_settings.avoidUntilRefresh : m_settings.avoidAfterFailure);
     } else if (run.accepted && !item.generated.data.empty()) {
         // Step 2. The text is complete.
         learnPace(batch, run, now);
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -29,6 +29,7 @@
             return transfer_end::NotSent;
         case http::transfer_result::NoAnswer:
             return transfer_end::NoAnswer;
+        case http::transfer_result::Unproven: // engines prove the end by a finish reason
         case http::transfer_result::Truncated:
             return transfer_end::Truncated;
         }
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -27,6 +27,17 @@
         return site.priorityOf(*route, spec.account);
     }
 
+    run_end runEnd(http::transfer_result outcome, const platform::event_reader& reader)
+    {
+        if (outcome == http::transfer_result::NotSent)
+            return run_end::NotSent;
+        if (!reader.remainder().empty())
+            return run_end::BrokenOff; // within an event
+        if (outcome == http::transfer_result::Complete)
+            return run_end::Complete;
+        return outcome == http::transfer_result::Unproven ? run_end::Unproven : run_end::BrokenOff;
+    }
+
     bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -126,15 +137,14 @@
             breakOffRun(attempt);
         return;
     }
-    const bool complete = event.outcome == http::transfer_result::Complete && run.reader.remainder().empty();
-    if (!complete || !isSuccess(run.head.status)) {
+    const auto end = runEnd(event.outcome, run.reader);
+    if (end != run_end::Complete || !isSuccess(run.head.status)) {
         logEvent(log_level::Info, "batch", "run_failed",
             { { "item", run.item.str() }, { "target", run.target.str() }, { "status", std::to_string(event.status) }, { "not_run", run.head.notRun ? "1" : "0" },
                 { "detail", event.detail }, { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) } });
     }
-    const bool sent = event.outcome != http::transfer_result::NotSent;
     m_runs.erase(found);
-    execute(m_runner.done(attempt, complete, sent, m_context.now));
+    execute(m_runner.done(attempt, end, m_context.now));
 }
 
 // Ends a run whose answer goes on without the end of an event.
@@ -144,7 +154,7 @@
     logEvent(log_level::Warning, "batch", "run_broken_off", { { "item", found->second.item.str() }, { "target", found->second.target.str() } });
     m_link.cancel(found->second.transfer);
     m_runs.erase(found);
-    execute(m_runner.done(attempt, false, true, m_context.now));
+    execute(m_runner.done(attempt, run_end::BrokenOff, m_context.now));
 }
 
 void batches::callJudge(const judge_item& action)
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace lovagerail::edge {
 
@@ -26,6 +27,8 @@
         switch (outcome) {
         case http::transfer_result::Complete:
             return transfer_state::Complete;
+        case http::transfer_result::Unproven:
+            return transfer_state::Unproven;
         case http::transfer_result::NotSent:
             return transfer_state::NotSent;
         case http::transfer_result::NoAnswer:
@@ -351,19 +354,28 @@
         onHead(attempt, found->second, event);
     else if (event.what == http::event::kind::Body)
         onBytes(attempt, found->second, event.bytes);
-    else {
-        if (event.outcome != http::transfer_result::Complete || found->second.head.status >= statusBadRequest) {
-            const auto& forward = m_forwards.at(found->second.forward);
-            logEvent(log_level::Info, "front", "attempt_failed",
-                { { "request", forward.callerId.str() }, { "target", found->second.target.str() }, { "status", std::to_string(event.status) },
-                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) },
-                    { "took_ms", msText(m_context.now - found->second.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
-        }
-        if (found->second.streaming && event.outcome == http::transfer_result::Complete && !found->second.reader.remainder().empty())
-            m_forwards.at(found->second.forward).exchange->append(found->second.reader.remainder());
-        execute(m_forwarding.done(attempt, stateOf(event.outcome), m_context.now));
-        m_attempts.erase(attempt);
+    else
+        onEnd(attempt, found->second, event);
+}
+
+void caller_frontend::onEnd(attempt_id attempt, const open_attempt& openAttempt, const http::event& event)
+{
+    const auto end = stateOf(event.outcome);
+    if (openAttempt.streaming && end == transfer_state::Complete && !openAttempt.reader.remainder().empty())
+        m_forwards.at(openAttempt.forward).exchange->append(openAttempt.reader.remainder());
+    if (end != transfer_state::Complete || openAttempt.head.status >= statusBadRequest) {
+        const auto& forward = m_forwards.at(openAttempt.forward);
+        logEvent(log_level::Info, "front", "attempt_failed",
+            { { "request", forward.callerId.str() }, { "target", openAttempt.target.str() }, { "status", std::to_string(event.status) },
+                { "not_run", openAttempt.head.notRun ? "1" : "0" }, { "detail", event.detail },
+                { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) },
+                { "took_ms", msText(m_context.now - openAttempt.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
     }
+    answer_digest digest;
+    if (end == transfer_state::Unproven)
+        digest = answer_digest(XXH64(openAttempt.body.data(), openAttempt.body.size(), static_cast<XXH64_hash_t>(openAttempt.head.status)));
+    execute(m_forwarding.done(attempt, end, m_context.now, digest));
+    m_attempts.erase(attempt);
 }
 
 void caller_frontend::onHead(attempt_id attempt, open_attempt& openAttempt, const http::event& event)
@@ -428,8 +440,11 @@
     m_forwards.erase(found);
     auto& attempt = m_attempts.at(action.attempt);
     if (forward.exchange) {
-        logOutcome(forward, "delivered", attempt.head.status, attempt.target.str());
-        respond(forward.exchange, attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
+        logOutcome(forward, action.isProven ? "delivered" : "delivered_unproven", attempt.head.status, attempt.target.str());
+        if (action.isProven)
+            respond(forward.exchange, attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
+        else
+            forward.exchange->answerUntilClose(attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
         return;
     }
     logOutcome(forward, "own_call", attempt.head.status, attempt.target.str());
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -108,6 +108,7 @@
     void send(const forward_send& action);
     void onTransfer(attempt_id attempt, http::event& event);
     void onHead(attempt_id attempt, open_attempt& openAttempt, const http::event& event);
+    void onEnd(attempt_id attempt, const open_attempt& openAttempt, const http::event& event);
     void onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes);
     void breakOff(attempt_id attempt);
     void deliver(const forward_deliver& action);
--- a/src/edge/relay_codec.cpp
+++ b/src/edge/relay_codec.cpp
@@ -20,6 +20,7 @@
     constexpr std::string_view pathHeader = "lovagerail-path";
     constexpr std::string_view onceHeader = "lovagerail-once"; // the request must not be sent on a kept connection
     constexpr std::string_view outcomeHeader = "lovagerail-relay";
+    constexpr std::string_view framingHeader = "lovagerail-framing";
     constexpr std::array ownHeaders { targetHeader, incarnationHeader, methodHeader, pathHeader, onceHeader };
     // Of one connection, or set by the HTTP libraries of each hop.
     constexpr std::array connectionHeaders { std::string_view("connection"), std::string_view("keep-alive"), std::string_view("transfer-encoding"),
@@ -84,19 +85,25 @@
     return out;
 }
 
-void setRelayOutcome(http::header_list& headers, relay_outcome outcome)
+void setRelayOutcome(http::header_list& headers, relay_outcome outcome, http::answer_framing framing)
 {
     headers = withoutConnectionHeaders(headers);
     const auto* found = std::find_if(outcomeNames.begin(), outcomeNames.end(), [outcome](const outcome_name& entry) { return entry.outcome == outcome; });
     headers.emplace_back(outcomeHeader, found->name);
+    if (framing != http::answer_framing::None)
+        headers.emplace_back(framingHeader, toString(framing));
 }
 
-relay_outcome takeRelayOutcome(http::header_list& headers)
+relay_head takeRelayHead(http::header_list& headers)
 {
     const auto name = std::string(http::findHeader(headers, outcomeHeader));
-    std::erase_if(headers, [](const auto& header) { return header.first == outcomeHeader; });
+    relay_head out;
+    out.endsWithConnection = http::findHeader(headers, framingHeader) == toString(http::answer_framing::Close);
+    std::erase_if(headers, [](const auto& header) { return header.first == outcomeHeader || header.first == framingHeader; });
     const auto* found = std::find_if(outcomeNames.begin(), outcomeNames.end(), [&name](const outcome_name& entry) { return entry.name == name; });
-    return found == outcomeNames.end() ? relay_outcome::NotRelayed : found->outcome;
+    if (found != outcomeNames.end())
+        out.outcome = found->outcome;
+    return out;
 }
 
 } // namespace lovagerail::edge
--- a/src/edge/relay_codec.h
+++ b/src/edge/relay_codec.h
@@ -28,8 +28,13 @@
     Silent, // sent to the target, no answer: it may have run
     Answered, // the rest of the head, and the body, are the target's
 };
-void setRelayOutcome(http::header_list& headers, relay_outcome outcome);
+// `framing` is that of the target's answer, which the relay frames anew.
+void setRelayOutcome(http::header_list& headers, relay_outcome outcome, http::answer_framing framing = http::answer_framing::None);
+struct relay_head {
+    relay_outcome outcome = relay_outcome::NotRelayed;
+    bool endsWithConnection = false; // of the relay to the target: the end of the relay's answer proves nothing
+};
 // Removes what setRelayOutcome() has added. An answer without it is not a relay's.
-relay_outcome takeRelayOutcome(http::header_list& headers);
+relay_head takeRelayHead(http::header_list& headers);
 
 } // namespace lovagerail::edge
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -76,7 +76,7 @@
     if (event.what == http::event::kind::Head) {
         m_onHead(relay.target, relay.targetIncarnation, platform::decodeTargetHead(event.status, event.headers), relay.sentAt);
         relay.headSent = true;
-        setRelayOutcome(event.headers, relay_outcome::Answered);
+        setRelayOutcome(event.headers, relay_outcome::Answered, event.framing);
         relay.exchange->begin(event.status, std::move(event.headers));
         return;
     }
@@ -94,7 +94,7 @@
     if (!ended.headSent)
         refuse(ended.exchange, event.outcome != http::transfer_result::NotSent ? relay_outcome::Silent : m_link.paths().isCutOff() ? relay_outcome::NotRelayed
                                                                                                                                    : relay_outcome::PathBroken);
-    else if (event.outcome == http::transfer_result::Complete)
+    else if (event.outcome == http::transfer_result::Complete || event.outcome == http::transfer_result::Unproven)
         ended.exchange->end();
     else
         ended.exchange->abort();
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -129,7 +129,7 @@
     ++call.relaysTried;
     call.connected = false;
     call.relay = relay;
-    call.relayOutcome.reset();
+    call.relayHead.reset();
     call.startedAt = m_context.now;
     call.transfer = m_context.net.open(encodeRelayedCall(call.request, call.target, call.targetIncarnation, peer->address), [this, id](http::event& event) { onRelayedEvent(id, event); });
 }
@@ -236,8 +236,8 @@
         return;
     }
     if (event.what == http::event::kind::Head)
-        call.relayOutcome = takeRelayOutcome(event.headers);
-    const bool isAnswered = call.relayOutcome == relay_outcome::Answered;
+        call.relayHead = takeRelayHead(event.headers);
+    const bool isAnswered = call.relayHead && call.relayHead->outcome == relay_outcome::Answered;
     if (event.what != http::event::kind::Done) {
         if (isAnswered)
             report(id, event);
@@ -248,12 +248,16 @@
     if (isAnswered) {
         countEnd(end_kind::Relayed);
         m_paths.relayReached(call.relay, m_context.now);
+        if (call.relayHead->endsWithConnection && event.outcome == http::transfer_result::Complete) {
+            event.outcome = http::transfer_result::Unproven;
+            event.framing = http::answer_framing::Close;
+        }
         report(id, event);
         return;
     }
     countEnd(end_kind::RelayFailed);
     const auto relay = call.relay;
-    const auto outcome = call.relayOutcome;
+    const auto outcome = call.relayHead ? std::optional(call.relayHead->outcome) : std::nullopt;
     const bool unsent = outcome ? *outcome != relay_outcome::Silent : event.outcome == http::transfer_result::NotSent;
     logEvent(log_level::Info, duty, "relay_failed",
         { { "target", call.target.str() }, { "member", relay.str() }, { "not_run", unsent ? "1" : "0" }, { "status", std::to_string(event.status) }, { "detail", event.detail } });
--- a/src/edge/target_link.h
+++ b/src/edge/target_link.h
@@ -63,7 +63,7 @@
         instant startedAt {}; // of this transfer
         instant waitsUntil {}; // for a path
         instance_id relay; // empty on an own connection
-        std::optional<relay_outcome> relayOutcome; // once its head was received
+        std::optional<relay_head> relayHead; // once it was received
         bool connected = false; // to the target or the relay
         http::connection_use connection = http::connection_use::None;
         http::persistence persistence; // of the connection, as the answer's head states
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -390,7 +390,66 @@
     forward->lastEventId = lastEventId;
 }
 
-std::vector<forward_action> request_forwarder::done(attempt_id attempt, transfer_state end, instant now)
+// The end of the stream that the caller gets. Without a proof the stream is resumed after its last event, and a
+// run that adds nothing and ends there too confirms the end.
+void request_forwarder::onStreamEnd(open_forward& forward, const open_attempt& ended, bool isProven, instant now)
+{
+    endAttempt(forward, ended, attempt_outcome::Success, now);
+    const bool isConfirmed = forward.unprovenEnd && forward.unprovenEnd == forward.lastEventId;
+    if (!isProven && !isConfirmed) {
+        forward.unprovenEnd = forward.lastEventId;
+        ++forward.runs;
+        retryOrRefuse(forward, now);
+        return;
+    }
+    m_quarantine.completed(forward.request.fingerprint, m_wallTime);
+    m_actions.emplace_back(forward_end_stream { forward.request.id, true });
+    ++m_counts.delivered;
+    finish(forward);
+}
+
+// An answer of the replica that ended: delivers it, or tries again after an error or if nothing proves that it is
+// complete.
+void request_forwarder::onAnswer(open_forward& forward, const open_attempt& ended, bool isProven, answer_digest digest, instant now)
+{
+    // Step 1. The attempt.
+    onRunStarted(forward, ended, now);
+    const bool failed = ended.head->status >= statusServerError;
+    endAttempt(forward, ended, failed ? attempt_outcome::Failure : attempt_outcome::Success, now);
+    m_quarantine.completed(forward.request.fingerprint, m_wallTime);
+    forward.serverFailures += ended.head->status == statusServerError;
+    ++forward.runs;
+
+    // Step 2. Try again, or wait for the attempt beside this one.
+    const bool isConfirmed = isProven || forward.unprovenAnswer == digest;
+    const bool mayRetry = (failed || !isConfirmed) && !forward.streamStarted && forward.request.route.idempotent() && forward.runs < forward.request.route.maxAttempts
+        && forward.expires - now > m_settings.minAttemptTime;
+    const bool differs = !isConfirmed && forward.unprovenAnswer.has_value();
+    if (!isConfirmed)
+        forward.unprovenAnswer = digest;
+    if (mayRetry && !forward.attempts.empty()) {
+        endSecond(forward, hedge_event::Won, "first_failed", now);
+        return;
+    }
+    if (mayRetry && trySend(forward, now))
+        return;
+
+    // Step 3. The last answer.
+    if (differs && !failed) {
+        refuse(forward, statusBadGateway, {}, "no two answers without a proof of their end agree", now);
+        return;
+    }
+    m_retries.succeeded(forward.request.route.id.str(), now);
+    cancelAll(forward, std::nullopt, now);
+    if (forward.streamStarted)
+        m_actions.emplace_back(forward_end_stream { forward.request.id, false });
+    else
+        m_actions.emplace_back(forward_deliver { forward.request.id, ended.id, forward.serverFailures, isConfirmed });
+    ++m_counts.delivered;
+    finish(forward);
+}
+
+std::vector<forward_action> request_forwarder::done(attempt_id attempt, transfer_state end, instant now, answer_digest digest)
 {
     auto* forward = find(attempt);
     if (forward == nullptr)
@@ -400,47 +459,24 @@
     const bool wasStreaming = forward->streaming == attempt;
     if (wasStreaming)
         forward->streaming.reset();
-    const bool complete = end == transfer_state::Complete && ended.head && ended.head->echoesId;
-    if (end == transfer_state::Complete && ended.head && !ended.head->echoesId)
+    const bool isProven = end == transfer_state::Complete;
+    const bool hasAnswer = (isProven || end == transfer_state::Unproven) && ended.head;
+    const bool isOwnAnswer = hasAnswer && ended.head->echoesId;
+    if (hasAnswer && !isOwnAnswer)
         ++m_counts.crossed;
 
-    if (complete && ended.head->notRun) {
+    if (isOwnAnswer && ended.head->notRun) {
         // Step 1. The replica refused: not run there.
         ++m_counts.refusedByTarget;
         endAttempt(*forward, ended, attempt_outcome::Refused, now);
         ++forward->refusals;
         retryOrRefuse(*forward, now);
-    } else if (complete && wasStreaming) {
-        // Step 2. The stream is complete.
-        endAttempt(*forward, ended, attempt_outcome::Success, now);
-        m_quarantine.completed(forward->request.fingerprint, m_wallTime);
-        m_actions.emplace_back(forward_end_stream { forward->request.id, true });
-        ++m_counts.delivered;
-        finish(*forward);
-    } else if (complete && isDeliverable(*ended.head)) {
-        // Step 3. A complete answer of the replica: deliver it, or try again after an error.
-        onRunStarted(*forward, ended, now);
-        const bool failed = ended.head->status >= statusServerError;
-        endAttempt(*forward, ended, failed ? attempt_outcome::Failure : attempt_outcome::Success, now);
-        m_quarantine.completed(forward->request.fingerprint, m_wallTime);
-        forward->serverFailures += ended.head->status == statusServerError;
-        ++forward->runs;
-        const bool mayRetry = failed && !forward->streamStarted && forward->request.route.idempotent() && forward->runs < forward->request.route.maxAttempts
-            && forward->expires - now > m_settings.minAttemptTime;
-        if (mayRetry && !forward->attempts.empty()) {
-            endSecond(*forward, hedge_event::Won, "first_failed", now);
-            return takeActions(); // the other attempt may still succeed
-        }
-        if (mayRetry && trySend(*forward, now))
-            return takeActions();
-        m_retries.succeeded(forward->request.route.id.str(), now);
-        cancelAll(*forward, std::nullopt, now);
-        if (forward->streamStarted)
-            m_actions.emplace_back(forward_end_stream { forward->request.id, false });
-        else
-            m_actions.emplace_back(forward_deliver { forward->request.id, attempt, forward->serverFailures });
-        ++m_counts.delivered;
-        finish(*forward);
+    } else if (isOwnAnswer && wasStreaming) {
+        // Step 2. The end of a stream.
+        onStreamEnd(*forward, ended, isProven, now);
+    } else if (isOwnAnswer && isDeliverable(*ended.head)) {
+        // Step 3. An answer of the replica.
+        onAnswer(*forward, ended, isProven, digest, now);
     } else if (end == transfer_state::NotSent) {
         // Step 4. No byte was sent: not run.
         endAttempt(*forward, ended, attempt_outcome::Reset, now);
@@ -451,7 +487,7 @@
         onRunStarted(*forward, ended, now);
         ++forward->runs;
         endAttempt(*forward, ended, attempt_outcome::Reset, now);
-        if (end != transfer_state::Complete)
+        if (!hasAnswer)
             reportBrokenAttempt(*forward, ended, now);
         retryOrRefuse(*forward, now);
     }
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -12,6 +12,9 @@
 // An attempt has one of three outcomes. Not run: no byte was sent, or the target refused in
 // the documented way. Ran: the target answered. Unknown: anything else; then only
 // idempotent requests are attempted again.
+//
+// An answer without a proof that it is complete counts as such once a second attempt ends in the same
+// way. If there can't be one, it is delivered as what it is.
 #pragma once
 
 #include "batch.h"
@@ -34,10 +37,12 @@
 namespace lovagerail {
 
 using forward_id = number_id<struct forward_tag>;
+using answer_digest = number_id<struct answer_digest_tag>;
 
 // How an HTTP transfer ended; the values correspond to http::transfer_result.
 enum class transfer_state {
     Complete, // the complete answer was received
+    Unproven, // the answer ended with its connection: nothing shows that it is complete
     NotSent, // no byte was sent
     NoAnswer, // bytes were sent, but no status was received
     Truncated, // the answer broke off
@@ -85,6 +90,7 @@
     forward_id id;
     attempt_id attempt;
     std::uint32_t serverFailures = 0; // answers with status 500 so far, this one included
+    bool isProven = true; // false: the caller must get it without a length, too
 };
 // Starts to stream this attempt's answer to the caller: its head, then its events as they arrive.
 struct forward_begin_stream {
@@ -192,7 +198,8 @@
     // Notes an event of the stream to the caller. The owner must pass on only events after
     // the last one noted, as a resumed stream may repeat some.
     void progress(attempt_id attempt, std::uint64_t lastEventId, instant now);
-    std::vector<forward_action> done(attempt_id attempt, transfer_state end, instant now);
+    // `digest`: of status and body, for an unproven answer that is not streamed.
+    std::vector<forward_action> done(attempt_id attempt, transfer_state end, instant now, answer_digest digest = {});
 
     // Sets the limit on extra work of second attempts as a share of the pool's work; empty: hedging
     // after fixed delays out of a budget of successes.
@@ -243,6 +250,8 @@
         bool streamStarted = false; // the caller has the head of a stream
         target_software software; // that made the events which the caller has; empty: none yet
         std::optional<std::uint64_t> lastEventId;
+        std::optional<answer_digest> unprovenAnswer; // the last answer without a proof that it is complete
+        std::optional<std::uint64_t> unprovenEnd; // last event of the stream when a run ended without such a proof
     };
 
     open_forward* find(attempt_id attempt);
@@ -258,6 +267,8 @@
     void endAttempt(open_forward& forward, const open_attempt& attempt, attempt_outcome outcome, instant now);
     void onRunStarted(open_forward& forward, const open_attempt& attempt, instant now);
     void retryOrRefuse(open_forward& forward, instant now);
+    void onStreamEnd(open_forward& forward, const open_attempt& ended, bool isProven, instant now);
+    void onAnswer(open_forward& forward, const open_attempt& ended, bool isProven, answer_digest digest, instant now);
     void cancelAll(open_forward& forward, std::optional<attempt_id> except, instant now);
     void refuse(open_forward& forward, int status, duration retryAfter, std::string reason, instant now);
     void finish(open_forward& forward);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -215,7 +215,7 @@
         const auto framing = announcedFraming(t);
         // libcurl succeeds too if the connection is closed within the head.
         if (code == CURLE_OK && framing != answer_framing::None)
-            return transfer_result::Complete;
+            return framing == answer_framing::Close ? transfer_result::Unproven : transfer_result::Complete;
         if (statusOf(t.easy) != 0)
             return transfer_result::Truncated;
         long sent = 0;
@@ -288,7 +288,7 @@
         done.outcome = outcome;
         done.detail = std::move(detail);
         done.connection = connectionOf(t);
-        if (outcome == transfer_result::Complete)
+        if (outcome == transfer_result::Complete || outcome == transfer_result::Unproven)
             done.framing = announcedFraming(t);
         pending.push_back(std::move(done));
         const auto id = t.outgoing.id;
@@ -448,7 +448,7 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &t);
         const CURLcode code = message->data.result;
         const auto outcome = outcomeOf(*t, code);
-        const bool ended = outcome == transfer_result::Complete;
+        const bool ended = outcome == transfer_result::Complete || outcome == transfer_result::Unproven;
         if (ended)
             reportHead(*t);
         std::string detail;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -30,6 +30,9 @@
 // Outcome of a request as far as this side can know it.
 enum class transfer_result {
     Complete, // status, headers and the complete body were received
+    // The head was received, and a body that ended as the connection was closed. It may be the complete one, but a
+    // peer that ends early closes its connections too.
+    Unproven,
     NotSent, // no byte of the request was sent: the peer can't have run it
     NoAnswer, // bytes were sent, but no status was received: the peer may have run it
     Truncated, // the answer broke off after its status, maybe within its head
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -145,6 +145,8 @@
             response = MHD_create_response_from_buffer(x.m_unread.size(), x.m_unread.data(), MHD_RESPMEM_MUST_COPY);
         else
             response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, &onRead, new exchange_ptr(slot.shared), &onFree);
+        if (x.m_untilClose)
+            MHD_set_response_options(response, MHD_RF_HTTP_1_0_SERVER, MHD_RO_END);
         for (const auto& [name, value] : x.m_answerHeaders)
             MHD_add_response_header(response, name.c_str(), value.c_str());
         const auto queued = MHD_queue_response(connection, static_cast<unsigned>(x.m_status), response);
@@ -254,6 +256,20 @@
     resumeLocked();
 }
 
+void exchange::answerUntilClose(int status, header_list answerHeaders, std::string answerBody)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_begun)
+        return;
+    m_begun = true;
+    m_ended = true;
+    m_untilClose = true;
+    m_status = status;
+    m_answerHeaders = std::move(answerHeaders);
+    m_unread = std::move(answerBody);
+    resumeLocked();
+}
+
 bool exchange::callerDisconnected() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -71,6 +71,8 @@
     void abort();
     // Sends a complete answer with Content-Length.
     void answer(int status, header_list answerHeaders, std::string answerBody);
+    // Sends an answer of which nothing shows that it is complete: without a length, ended by closing the connection.
+    void answerUntilClose(int status, header_list answerHeaders, std::string answerBody);
 
     bool callerDisconnected() const;
 
@@ -86,6 +88,7 @@
     bool m_ended = false;
     bool m_aborted = false;
     bool m_bodyComplete = false; // the body is complete before the head is sent
+    bool m_untilClose = false; // the body has neither a length nor chunks
     int m_status = 0;
     header_list m_answerHeaders;
     std::string m_unread;
--- a/src/provider/kv_session.cpp
+++ b/src/provider/kv_session.cpp
@@ -30,6 +30,7 @@
         case http::transfer_result::NotSent:
             return makeError(error_code::Unavailable, event.detail);
         case http::transfer_result::NoAnswer:
+        case http::transfer_result::Unproven:
         case http::transfer_result::Truncated:
             return makeError(lostCode, event.detail);
         case http::transfer_result::Complete:
--- a/tests/test_answer_framing.cpp
+++ b/tests/test_answer_framing.cpp
@@ -81,6 +81,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_with_its_connection_is_unproven)
+{
+    const std::string whole = head + "Connection: close\r\n\r\n0123456789";
+    const auto headSize = whole.size() - 10;
+    for (std::size_t length = 0; length <= whole.size(); ++length) {
+        const auto outcome = outcomeOf(whole.substr(0, length));
+        const bool isBroken = outcome == http::transfer_result::NoAnswer || outcome == http::transfer_result::Truncated;
+        BOOST_TEST((length < headSize ? isBroken : outcome == http::transfer_result::Unproven), "ended after " << length << " bytes");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_contradictory_lengths_is_broken)
 {
     BOOST_TEST((outcomeOf(head + "Content-Length: 10\r\nContent-Length: 4\r\n\r\n0123456789") == http::transfer_result::Truncated));
