An answer that names no request is not the answer to one

Callers could get a success that belongs to another request. Cause: the id that a target echoes was compared only where there was one; a late answer, or a copy whose head lost the id, counted as the one that was waited for. Why it works: without the id there is nothing that ties the answer to the request.

--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -120,7 +120,7 @@
         m_frontend.recordTargetState(run.target, run.targetIncarnation, run.head, run.sentAt);
         item_head head;
         head.status = run.head.status;
-        head.echoesId = run.head.echoed.empty() || run.head.echoed.str() == run.item.str();
+        head.echoesId = platform::isAnswerTo(run.head, request_id(run.item.str()));
         head.notRun = run.head.notRun;
         head.version = run.head.version;
         execute(m_runner.head(attempt, head, m_context.now));
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -384,7 +384,7 @@
     const auto& openForward = m_forwards.at(openAttempt.forward);
     forward_head head;
     head.status = openAttempt.head.status;
-    head.echoesId = openAttempt.head.echoed.empty() || openAttempt.head.echoed == openForward.callerId;
+    head.echoesId = platform::isAnswerTo(openAttempt.head, openForward.callerId);
     head.signedByTarget = !openAttempt.head.proof.empty();
     head.notRun = openAttempt.head.notRun;
     recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head, openAttempt.sentAt);
