A stream that ends within an event has broken off

Cause: what remained behind the last event was passed on, and the end of the framing was taken for the end of the stream; items of batches demanded whole events. Change: the same rule for both: an end within an event is a break, and a resumable stream goes on at another target. Why it works: events are the units that the sender numbers, so half of one proves that more should have come.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -360,14 +360,16 @@
 
 void caller_frontend::onEnd(attempt_id attempt, const open_attempt& openAttempt, const http::event& event)
 {
-    const auto end = stateOf(event.outcome);
-    if (openAttempt.streaming && end == transfer_state::Complete && !openAttempt.reader.remainder().empty())
-        m_forwards.at(openAttempt.forward).exchange->append(openAttempt.reader.remainder());
+    // A stream that ends within an event has broken off, whatever its framing says.
+    auto end = stateOf(event.outcome);
+    const bool endsWithinEvent = openAttempt.streaming && !openAttempt.reader.remainder().empty();
+    if (endsWithinEvent && (end == transfer_state::Complete || end == transfer_state::Unproven))
+        end = transfer_state::Truncated;
     if (end != transfer_state::Complete || openAttempt.head.status >= statusBadRequest) {
         const auto& forward = m_forwards.at(openAttempt.forward);
         logEvent(log_level::Info, "front", "attempt_failed",
             { { "request", forward.callerId.str() }, { "target", openAttempt.target.str() }, { "status", std::to_string(event.status) },
-                { "not_run", openAttempt.head.notRun ? "1" : "0" }, { "detail", event.detail },
+                { "not_run", openAttempt.head.notRun ? "1" : "0" }, { "detail", endsWithinEvent ? "the stream ended within an event" : event.detail },
                 { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) },
                 { "took_ms", msText(m_context.now - openAttempt.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
     }
