A request keeps the way of its answer that was decided on arrival

Cause: two places decided whether bytes go on as a stream: the forwarder by the route as it was on arrival, the front end by the configuration in force when the head came (and by another set of statuses). Change: the forwarder alone decides; the front end asks it, and keeps from arrival on whether its route is a stream. Why it works: there is one decision, and it is part of the request.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -191,6 +191,7 @@
     forward.headers = std::move(caller.forwarded);
     forward.account = account;
     forward.route = route.id.str();
+    forward.streams = route.kind == route_kind::Stream;
     forward.maxAttempts = route.maxAttempts;
     forward.arrived = m_context.now;
     forward.where = { m_context.site->allowedRegions(&route, account), m_context.ownRegion() };
@@ -333,8 +334,7 @@
     request.reuse = action.repeatable ? http::connection_reuse::Allowed : http::connection_reuse::Forbidden;
     request.connectTimeout = targetConnectTimeout;
     request.unacknowledgedTimeout = targetUnacknowledgedTimeout;
-    const auto* route = m_context.site ? m_context.site->find(forward.host, forward.target) : nullptr;
-    if (route != nullptr && route->kind == route_kind::Stream)
+    if (forward.streams)
         request.maxBodyBytes = 0; // onBytes() bounds it
     auto& openAttempt = m_attempts[action.attempt];
     openAttempt.forward = action.id;
@@ -391,14 +391,10 @@
     head.notRun = openAttempt.head.notRun;
     recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head, openAttempt.sentAt);
     execute(m_forwarding.head(attempt, head, m_context.now));
-    // The actions may have cancelled this attempt or begun a stream to the caller.
+    // The actions may have cancelled this attempt.
     const auto current = m_attempts.find(attempt);
-    if (current == m_attempts.end())
-        return;
-    const auto forward = m_forwards.find(current->second.forward);
-    const auto* route = forward == m_forwards.end() || !m_context.site ? nullptr : m_context.site->find(forward->second.host, forward->second.target);
-    current->second.streaming = route != nullptr && route->kind == route_kind::Stream && head.signedByTarget && head.echoesId && !head.notRun
-        && head.status < statusBadRequest;
+    if (current != m_attempts.end())
+        current->second.streaming = m_forwarding.isStreaming(attempt);
 }
 
 void caller_frontend::onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes)
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -77,6 +77,7 @@
         body_regions where;
         client_account_id account;
         std::string route;
+        bool streams = false; // its route was a stream when the request arrived
         std::uint32_t maxAttempts = 0;
         instant arrived {};
         request_id stream; // attempt of the caller that began the stream
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -91,6 +91,12 @@
     return &found->second;
 }
 
+bool request_forwarder::isStreaming(attempt_id attempt) const
+{
+    const auto attemptEntry = m_byAttempt.find(attempt);
+    return attemptEntry != m_byAttempt.end() && m_open.at(attemptEntry->second).streaming == attempt;
+}
+
 // Ends the handling of an event: erases finished requests and returns the actions.
 std::vector<forward_action> request_forwarder::takeActions()
 {
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -214,6 +214,8 @@
 
     std::size_t open() const { return m_open.size(); }
     const forwarding_counts& counts() const { return m_counts; }
+    // Whether the answer of this attempt goes to the caller as a stream, as it arrives.
+    bool isStreaming(attempt_id attempt) const;
     // Whether the attempt is open.
     bool isAttemptOpen(attempt_id attempt) const { return m_byAttempt.contains(attempt); }
 
