--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace lovagerail::edge {
 
@@ -26,6 +27,8 @@
         switch (outcome) {
         case http::transfer_result::Complete:
             return transfer_state::Complete;
+        case http::transfer_result::Unproven:
+            return transfer_state::Unproven;
         case http::transfer_result::NotSent:
             return transfer_state::NotSent;
         case http::transfer_result::NoAnswer:
@@ -188,6 +191,7 @@
     forward.headers = std::move(caller.forwarded);
     forward.account = account;
     forward.route = route.id.str();
+    forward.streams = route.kind == route_kind::Stream;
     forward.maxAttempts = route.maxAttempts;
     forward.arrived = m_context.now;
     forward.where = { m_context.site->allowedRegions(&route, account), m_context.ownRegion() };
@@ -330,8 +334,7 @@
     request.reuse = action.repeatable ? http::connection_reuse::Allowed : http::connection_reuse::Forbidden;
     request.connectTimeout = targetConnectTimeout;
     request.unacknowledgedTimeout = targetUnacknowledgedTimeout;
-    const auto* route = m_context.site ? m_context.site->find(forward.host, forward.target) : nullptr;
-    if (route != nullptr && route->kind == route_kind::Stream)
+    if (forward.streams)
         request.maxBodyBytes = 0; // onBytes() bounds it
     auto& openAttempt = m_attempts[action.attempt];
     openAttempt.forward = action.id;
@@ -351,19 +354,30 @@
         onHead(attempt, found->second, event);
     else if (event.what == http::event::kind::Body)
         onBytes(attempt, found->second, event.bytes);
-    else {
-        if (event.outcome != http::transfer_result::Complete || found->second.head.status >= statusBadRequest) {
-            const auto& forward = m_forwards.at(found->second.forward);
-            logEvent(log_level::Info, "front", "attempt_failed",
-                { { "request", forward.callerId.str() }, { "target", found->second.target.str() }, { "status", std::to_string(event.status) },
-                    { "not_run", found->second.head.notRun ? "1" : "0" }, { "detail", event.detail }, { "connection", std::string(toString(event.connection)) },
-                    { "took_ms", msText(m_context.now - found->second.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
-        }
-        if (found->second.streaming && event.outcome == http::transfer_result::Complete && !found->second.reader.remainder().empty())
-            m_forwards.at(found->second.forward).exchange->append(found->second.reader.remainder());
-        execute(m_forwarding.done(attempt, stateOf(event.outcome), m_context.now));
-        m_attempts.erase(attempt);
+    else
+        onEnd(attempt, found->second, event);
+}
+
+void caller_frontend::onEnd(attempt_id attempt, const open_attempt& openAttempt, const http::event& event)
+{
+    // A stream that ends within an event has broken off, whatever its framing says.
+    auto end = stateOf(event.outcome);
+    const bool endsWithinEvent = openAttempt.streaming && !openAttempt.reader.remainder().empty();
+    if (endsWithinEvent && (end == transfer_state::Complete || end == transfer_state::Unproven))
+        end = transfer_state::Truncated;
+    if (end != transfer_state::Complete || openAttempt.head.status >= statusBadRequest) {
+        const auto& forward = m_forwards.at(openAttempt.forward);
+        logEvent(log_level::Info, "front", "attempt_failed",
+            { { "request", forward.callerId.str() }, { "target", openAttempt.target.str() }, { "status", std::to_string(event.status) },
+                { "not_run", openAttempt.head.notRun ? "1" : "0" }, { "detail", endsWithinEvent ? "the stream ended within an event" : event.detail },
+                { "framing", std::string(toString(event.framing)) }, { "connection", std::string(toString(event.connection)) },
+                { "took_ms", msText(m_context.now - openAttempt.sentAt) }, { "after_ms", msText(m_context.now - forward.arrived) } });
     }
+    answer_digest digest;
+    if (end == transfer_state::Unproven)
+        digest = answer_digest(XXH64(openAttempt.body.data(), openAttempt.body.size(), static_cast<XXH64_hash_t>(openAttempt.head.status)));
+    execute(m_forwarding.done(attempt, end, m_context.now, digest));
+    m_attempts.erase(attempt);
 }
 
 void caller_frontend::onHead(attempt_id attempt, open_attempt& openAttempt, const http::event& event)
@@ -372,19 +386,15 @@
     const auto& openForward = m_forwards.at(openAttempt.forward);
     forward_head head;
     head.status = openAttempt.head.status;
-    head.echoesId = openAttempt.head.echoed.empty() || openAttempt.head.echoed == openForward.callerId;
+    head.echoesId = platform::isAnswerTo(openAttempt.head, openForward.callerId);
     head.signedByTarget = !openAttempt.head.proof.empty();
     head.notRun = openAttempt.head.notRun;
     recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head, openAttempt.sentAt);
     execute(m_forwarding.head(attempt, head, m_context.now));
-    // The actions may have cancelled this attempt or begun a stream to the caller.
+    // The actions may have cancelled this attempt.
     const auto current = m_attempts.find(attempt);
-    if (current == m_attempts.end())
-        return;
-    const auto forward = m_forwards.find(current->second.forward);
-    const auto* route = forward == m_forwards.end() || !m_context.site ? nullptr : m_context.site->find(forward->second.host, forward->second.target);
-    current->second.streaming = route != nullptr && route->kind == route_kind::Stream && head.signedByTarget && head.echoesId && !head.notRun
-        && head.status < statusBadRequest;
+    if (current != m_attempts.end())
+        current->second.streaming = m_forwarding.isStreaming(attempt);
 }
 
 void caller_frontend::onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes)
@@ -428,8 +438,11 @@
     m_forwards.erase(found);
     auto& attempt = m_attempts.at(action.attempt);
     if (forward.exchange) {
-        logOutcome(forward, "delivered", attempt.head.status, attempt.target.str());
-        respond(forward.exchange, attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
+        logOutcome(forward, action.isProven ? "delivered" : "delivered_unproven", attempt.head.status, attempt.target.str());
+        if (action.isProven)
+            respond(forward.exchange, attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
+        else
+            forward.exchange->answerUntilClose(attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
         return;
     }
     logOutcome(forward, "own_call", attempt.head.status, attempt.target.str());
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -77,6 +77,7 @@
         body_regions where;
         client_account_id account;
         std::string route;
+        bool streams = false; // its route was a stream when the request arrived
         std::uint32_t maxAttempts = 0;
         instant arrived {};
         request_id stream; // attempt of the caller that began the stream
@@ -108,6 +109,7 @@
     void send(const forward_send& action);
     void onTransfer(attempt_id attempt, http::event& event);
     void onHead(attempt_id attempt, open_attempt& openAttempt, const http::event& event);
+    void onEnd(attempt_id attempt, const open_attempt& openAttempt, const http::event& event);
     void onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes);
     void breakOff(attempt_id attempt);
     void deliver(const forward_deliver& action);
