A stopped HTTP server closes its listening socket once

Cause: libmicrohttpd closes the listening socket when it is stopped, and the destructor closed that number again. By then it may be another thread's descriptor: a connection of the servers that still run, which libmicrohttpd then can't close. stopListening() closed it while the server's thread could still use it. Change: the socket is libmicrohttpd's until stopListening(), and closed by the destructor from then on, once. Why it works: each descriptor has one owner.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -284,7 +284,6 @@
     std::unique_ptr<server> self(new server);
     self->m_limits = limits;
     self->m_handler = std::move(onRequest);
-    self->m_listener = *bound;
 
     const bool ownThread = threading == server_threading::OwnThread;
     unsigned flags = (ownThread ? MHD_USE_EPOLL_INTERNAL_THREAD : MHD_USE_EPOLL) | MHD_ALLOW_SUSPEND_RESUME;
@@ -367,19 +366,19 @@
     for (const auto& openExchange : openExchanges)
         openExchange->abort();
     if (m_daemon != nullptr)
-        MHD_stop_daemon(m_daemon);
-    if (m_listener >= 0)
-        close(m_listener);
+        MHD_stop_daemon(m_daemon); // closes its listening socket
+    if (m_quiescedListener >= 0)
+        close(m_quiescedListener);
 }
 
 void server::stopListening()
 {
-    if (m_listener < 0)
+    if (m_quiescedListener >= 0)
         return;
-    m_listener = -1;
-    const auto descriptor = MHD_quiesce_daemon(m_daemon);
-    if (descriptor != MHD_INVALID_SOCKET)
-        close(descriptor);
+    m_quiescedListener = MHD_quiesce_daemon(m_daemon);
+    // The server's thread may still use the descriptor, so only the destructor closes it.
+    if (m_quiescedListener >= 0)
+        shutdown(m_quiescedListener, SHUT_RDWR);
 }
 
 std::size_t server::openRequests()
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -132,7 +132,7 @@
     server_limits m_limits;
     handler m_handler;
     MHD_Daemon* m_daemon = nullptr;
-    int m_listener = -1;
+    int m_quiescedListener = -1; // ours from stopListening() on; libmicrohttpd owns it before
     int m_descriptor = -1; // libmicrohttpd's epoll descriptor, which it owns; -1 with a thread of its own
     std::mutex m_openMutex; // guards the next two
     std::set<exchange_ptr> m_open; // requests whose head was received
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -5,9 +5,11 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace lovagerail {
 namespace {
@@ -54,6 +56,34 @@
     close(descriptor);
 }
 
+// A descriptor that is closed twice may be another thread's by then.
+BOOST_AUTO_TEST_CASE(shutdown_closes_no_descriptor_of_another_thread)
+{
+    constexpr int rounds = 400;
+    std::atomic<bool> ended { false };
+    std::atomic<int> closedByOthers { 0 };
+    std::vector<std::thread> openers;
+    for (int i = 0; i < 4; ++i) {
+        openers.emplace_back([&] {
+            while (!ended) {
+                const int own = open("/dev/null", O_RDONLY | O_CLOEXEC);
+                std::this_thread::yield();
+                closedByOthers += close(own) != 0 ? 1 : 0;
+            }
+        });
+    }
+    for (int round = 0; round < rounds; ++round) {
+        auto server = http::server::listen("127.0.0.1:0", {}, {}, [](const http::exchange_ptr&) {});
+        BOOST_REQUIRE(server);
+        if (round % 2 == 0)
+            (*server)->stopListening();
+    }
+    ended = true;
+    for (auto& opener : openers)
+        opener.join();
+    BOOST_TEST(closedByOthers == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
