--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -145,6 +145,7 @@
         self.refused_callers = set()  # {"all"} refuses every call with 503; a caller's port is unknown, so single callers cannot be refused
         self.list_page_size = 50  # rows per response of a listing
         self.lose_answers = 0  # number of writes to apply without answering; the connection is closed
+        self.silent_until = 0  # monotonic time; calls until then get no answer
         self.unanswered_submissions = 0  # number of batch submissions to apply without answering while the connection stays open
         super().__init__()
 
@@ -197,6 +198,11 @@
         return {"key": key, "value": base64.b64encode(value).decode(), "revision": changed, "created": created, "lease": lease}
 
     def handle(self, request):
+        silence = self.silent_until - time.monotonic()
+        if silence > 0:
+            time.sleep(silence)
+            request.break_connection()
+            return
         with self.lock:
             self.calls.append((request.command, request.route))
             if self.refused_callers:
