A submission is not accepted by an instance that doesn't know its route

Callers got 202 for a batch that nobody ran: its items reached no replica until the configuration changed next, 30 s later. Cause: submissions are passed on to the owner of the route. One that had just started and had no configuration yet, or an older one, wrote the batch to the store with itself as its owner, and then could not run it; as that owner was alive, nobody else took it over. Change: such an instance refuses the submission before it writes anything; the one that passed it on accepts it itself, as it does when an owner is down. Why it works: who accepts a batch has the route that it needs to run it.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -68,7 +68,14 @@
         return;
     }
 
-    // Step 2. Refuse a batch that no target may run, and a malformed body.
+    // Step 2. Refuse a batch that this instance can't run, as another one may have passed it on by a newer
+    // configuration; a batch that no target may run; and a malformed body.
+    const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
+    if (route == nullptr || route->kind != route_kind::Batch) {
+        logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", "no such batch route in the configuration in force" } });
+        respond(exchange, statusUnavailable, "");
+        return;
+    }
     if (!hasAllowedTarget(head)) {
         logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", "no live target in an allowed region" } });
         respond(exchange, statusUnavailable, "");
--- a/tests/process/test_entry_batches.py
+++ b/tests/process/test_entry_batches.py
@@ -1,6 +1,7 @@
 """Rollout batches on entry instances: each item gets exactly one result at one position, also when
 instances, replicas or the store fail."""
 
+import json
 import threading
 import time
 import unittest
@@ -10,6 +11,14 @@
 
 
 class EntryBatches(EntryCase):
+    def test_a_batch_is_not_accepted_where_its_route_is_not_known(self):
+        # An instance that has just started, or lags behind, gets it from one with a newer configuration.
+        first, _ = self.start_entries()
+        headers = {"x-batch": "early", "x-host": HOST["Host"], "x-path": "/not-yet/early", "x-account": "acme"}
+        response = call("POST", first.instances + "/submit", json.dumps(submission(2)).encode(), headers)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(call("GET", first.callers + "/lots/early?after=0", headers={**HOST, **KEY}).status, 404)
+
     def test_all_entries_list_the_same_results(self):
         first, second = self.start_entries()
         self.engines[0].requests_to_break = 2
