A length or an encoding by which the body is not read proves nothing

Callers could get a part of an answer as the whole, with a length of our own. Cause: two places decided what marks the end. The client read the head's lines, libcurl its own state: it ignores a length next to another transfer encoding, a length beyond its type and a name with a blank before the colon, and reads the first number of a list or of "5x"; the client took any value that holds "chunked" for chunks, and an answer of status 101 for a complete one. In each of these the body ends with the connection, or at another byte, and counted as proved. Change: chunks are the only encoding that proves an end; next to another one the end is that of the connection. A length is digits that fit, in a header whose name has no blank; else the answer is broken off, as is one with two encodings. An interim status is never the end. Trailers are no part of the head. Why it works: the client claims a framing only where libcurl goes by the same bytes.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -32,7 +32,7 @@
         std::size_t bodyBytes = 0; // if they are bounded
         std::size_t* collectedBytes = nullptr; // sum over all transfers of the client
         const std::unordered_map<std::uint64_t, std::unique_ptr<transfer>>* all = nullptr; // of the client
-        const char* limitExceeded = nullptr; // set if the answer was broken off here
+        const char* limitExceeded = nullptr; // why the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
     };
 
@@ -66,6 +66,11 @@
         return text.substr(first, last - first + 1);
     }
 
+    bool equalIgnoringCase(std::string_view left, std::string_view right)
+    {
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+    }
+
     // How the body's end will be marked, by a head that has ended.
     answer_framing announcedFraming(const transfer& t)
     {
@@ -75,12 +80,16 @@
         const auto status = statusOf(t.easy);
         long version = 0;
         curl_easy_getinfo(t.easy, CURLINFO_HTTP_VERSION, &version);
-        if (!t.headEnded)
+        if (!t.headEnded || status < firstFinalStatus)
             return answer_framing::None;
-        if (t.outgoing.method == "HEAD" || status < firstFinalStatus || status == noContent || status == notModified)
+        if (t.outgoing.method == "HEAD" || status == noContent || status == notModified)
             return answer_framing::NoBody;
-        if (version >= CURL_HTTP_VERSION_2_0 || lower(findHeader(t.headers, "transfer-encoding")).find("chunked") != std::string::npos)
+        if (version >= CURL_HTTP_VERSION_2_0)
             return answer_framing::Chunks;
+        // Next to a transfer encoding, libcurl ignores the length.
+        const auto encoding = findHeader(t.headers, "transfer-encoding");
+        if (!encoding.empty())
+            return equalIgnoringCase(encoding, "chunked") ? answer_framing::Chunks : answer_framing::Close;
         return findHeader(t.headers, "content-length").empty() ? answer_framing::Close : answer_framing::Length;
     }
 
@@ -117,9 +126,23 @@
         return false;
     }
 
-    bool contradicts(const header_list& headers, std::string_view name, std::string_view value)
+    // Why nothing shows by which of its bytes a head with this line marks the end of the body; null if it is sound.
+    const char* framingFault(const header_list& headers, std::string_view writtenName, std::string_view name, std::string_view value)
     {
-        return std::any_of(headers.begin(), headers.end(), [&](const auto& header) { return header.first == name && header.second != value; });
+        constexpr std::size_t maxLengthDigits = 18; // fits libcurl's type
+        const bool isLength = name == "content-length";
+        const bool isEncoding = name == "transfer-encoding";
+        if (!isLength && !isEncoding)
+            return nullptr;
+        if (writtenName.size() != name.size())
+            return "the answer's head has a blank in the name of its framing"; // libcurl does not know such a header
+        const bool isNumber = !value.empty() && value.size() <= maxLengthDigits && std::all_of(value.begin(), value.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+        if (isLength && !isNumber)
+            return "the answer's head states a malformed length";
+        const auto isOther = [&](const auto& header) { return header.first == name && (isEncoding || header.second != value); };
+        if (std::any_of(headers.begin(), headers.end(), isOther))
+            return isLength ? "the answer's head states two lengths" : "the answer's head states two transfer encodings";
+        return nullptr;
     }
 
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
@@ -138,16 +161,17 @@
             t.headEnded = false;
             return line.size();
         }
-        t.headEnded = t.headEnded || trim(line).empty();
+        if (t.headEnded)
+            return line.size(); // a trailer
+        t.headEnded = line.front() == '\r' || line.front() == '\n';
         const auto colon = line.find(':');
         if (colon == std::string_view::npos)
             return line.size();
         auto name = lower(trim(line.substr(0, colon)));
         auto value = std::string(trim(line.substr(colon + 1)));
-        if (name == "content-length" && contradicts(t.headers, name, value)) {
-            t.limitExceeded = "the answer's head states two lengths";
+        t.limitExceeded = framingFault(t.headers, line.substr(0, colon), name, value);
+        if (t.limitExceeded != nullptr)
             return 0;
-        }
         t.headers.emplace_back(std::move(name), std::move(value));
         return line.size();
     }
@@ -204,11 +228,6 @@
     // Headers that libcurl adds by default unless they are suppressed.
     constexpr std::string_view libcurlHeaders[] = { "Accept", "Content-Type", "User-Agent" };
 
-    bool equalIgnoringCase(std::string_view left, std::string_view right)
-    {
-        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-    }
-
     // How much of a request that ended with this code the peer may have received.
     transfer_result outcomeOf(const transfer& t, CURLcode code)
     {
--- a/tests/test_answer_framing.cpp
+++ b/tests/test_answer_framing.cpp
@@ -106,4 +106,59 @@
     BOOST_TEST((outcomeOf("HTTP/1.1 204 No Content\r\nAttempt-Id: a\r\n\r\n") == http::transfer_result::Complete));
 }
 
+BOOST_AUTO_TEST_CASE(an_interim_answer_alone_is_never_complete)
+{
+    const std::string whole = head + "Content-Length: 2\r\n\r\nok";
+    for (const std::string interim : { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nAttempt-Id: a\r\nServer-Stamp: s\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: a\r\n\r\n" }) {
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            const auto outcome = outcomeOf(interim + whole.substr(0, length));
+            BOOST_TEST((outcome == http::transfer_result::NoAnswer || outcome == http::transfer_result::Truncated), interim << length << " bytes behind: " << static_cast<int>(outcome));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_length_that_the_body_is_not_read_by_proves_nothing)
+{
+    const std::string part = "01234";
+    for (const std::string lines : { "Transfer-Encoding: identity\r\nContent-Length: 10\r\n", "Content-Length: 10\r\nTransfer-Encoding: identity\r\n", "Content-Length: 99999999999999999999\r\n",
+             "Content-Length : 10\r\n", "Content-Length: 5, 10\r\n", "Content-Length: 5x\r\n", "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length: 0x5\r\n", "Content-Length:\r\n 10\r\n", "Content-Length:\r\n",
+             "Content-Length: 10\r\n \r\n", "Transfer-Encoding: identity\r\n" }) {
+        for (const auto& body : { part, std::string() }) {
+            const auto outcome = outcomeOf(head + lines + "Connection: close\r\n\r\n" + body);
+            BOOST_TEST((outcome != http::transfer_result::Complete), lines << body);
+        }
+        BOOST_TEST((outcomeOf(head + lines) != http::transfer_result::Complete), lines << "alone");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_encoding_that_is_not_chunks_has_no_last_chunk)
+{
+    for (const std::string encoding : { "xchunked", "chunkedx", "gzip", "\"chunked\"", "chunked;q=1", "chunked, gzip" }) {
+        for (const std::string name : { "Transfer-Encoding", "Transfer-Encoding " }) {
+            for (const std::string body : { "", "01234", "5\r\n01234\r\n", "5\r\n01234\r\n0\r\n" }) {
+                const auto outcome = outcomeOf(head + name + ": " + encoding + "\r\n\r\n" + body);
+                BOOST_TEST((outcome != http::transfer_result::Complete), name << ": " << encoding << ", " << body);
+            }
+        }
+    }
+    for (const std::string body : { "", "01234", "5\r\n01234\r\n", "5\r\n01234\r\n0\r\n" }) {
+        BOOST_TEST((outcomeOf(head + "Transfer-Encoding : chunked\r\n\r\n" + body) != http::transfer_result::Complete), body);
+        BOOST_TEST((outcomeOf(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + body) != http::transfer_result::Complete), "both, " << body);
+        BOOST_TEST((outcomeOf(head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + body) != http::transfer_result::Complete), "both, " << body);
+        BOOST_TEST((outcomeOf(head + "Transfer-Encoding: Chunked\r\n\r\n" + body) != http::transfer_result::Complete), body);
+    }
+    BOOST_TEST((outcomeOf(head + "transfer-encoding: Chunked\r\n\r\n5;a=\"b\"\r\n01234\r\n0\r\nTrailer: t\r\n\r\n") == http::transfer_result::Complete));
+    BOOST_TEST((outcomeOf(head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\nTrailer: t\r\n") != http::transfer_result::Complete), "within the trailers");
+}
+
+BOOST_AUTO_TEST_CASE(a_status_without_a_body_ends_with_its_head)
+{
+    for (const std::string status : { "204 No Content", "304 Not Modified" })
+        BOOST_TEST((outcomeOf("HTTP/1.1 " + status + "\r\nAttempt-Id: a\r\nContent-Length: 10\r\n\r\n01") == http::transfer_result::Complete), status);
+    for (const std::string status : { "205 Reset Content", "201 Created" }) {
+        BOOST_TEST((outcomeOf("HTTP/1.1 " + status + "\r\nAttempt-Id: a\r\n\r\n") == http::transfer_result::Unproven), status);
+        BOOST_TEST((outcomeOf("HTTP/1.0 " + status + "\r\nAttempt-Id: a\r\nConnection: keep-alive\r\n\r\n") == http::transfer_result::Unproven), status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
