A stream of unknown origin goes on only where one version served lately

What callers saw: streams that they took up again ran to the end with 200, the first part written by one software version and the rest by another: after the old version had left, after all instances had been killed at once, and at an instance that had stood still while a version joined. A caller that names its first attempt was refused after a kill of all instances even where a single version had served all the time.

Cause: without a record of its origin, a stream went on wherever the list at hand showed one version among live targets. The list says nothing about versions that have just left, and after a pause it is old although it looks confirmed: an answer that waited in the socket counted as fresh.

A take-up of unknown origin waits until the list is proven to be newer than itself, for at most 1.6 s or half of the time left, and is then bound to the only version, or refused as not run with a Retry-After. How old a list is known to be counts from the question to the source, so time that an instance stood still makes it older. The root of the tree keeps the versions in the store, one entry for each pool with a streaming route, written only when they change; an instance reads it when it first needs it after a start or a gap of 5 s.

Why it works: whoever began a stream had its target in a list, so a list of the store that is newer than the take-up, the lists of the two minutes before and the record for the time before the start name its version.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/batches.h"
 #include "edge/departures.h"
+#include "edge/software_versions.h"
 #include "edge/stream_directory.h"
 #include "edge/target_limits.h"
 #include "edge/target_link.h"
@@ -20,6 +21,9 @@
 
     constexpr duration noConfigRetryAfter = std::chrono::milliseconds(500); // the first configuration is usually read within this time
 
+    constexpr duration maxOriginWait = std::chrono::milliseconds(1600); // the list of targets is usually confirmed within this time
+    constexpr duration unknownOriginRetryAfter = std::chrono::milliseconds(300);
+
     std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
 
     transfer_state stateOf(http::transfer_result outcome)
@@ -55,13 +59,14 @@
 
 } // namespace
 
-caller_frontend::caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams)
+caller_frontend::caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams, software_versions& versions)
     : m_context(shared)
     , m_link(link)
     , m_usage(usage)
     , m_departures(leavingTargets)
     , m_limits(limits)
     , m_streams(streams)
+    , m_versions(versions)
     , m_forwarding({}, shared.targets, blameMarks)
 {
 }
@@ -145,37 +150,36 @@
     m_batches->onSubmit(exchange, std::move(head), { caller.deadline, true });
 }
 
-// Whether all live targets of the route run the same software.
-bool caller_frontend::hasOneSoftware(const site_route& route) const
-{
-    std::set<target_software> found;
-    const auto& table = m_context.targets.table();
-    for (const auto slot : table.all()) {
-        const auto software = table.record(slot).listed.software();
-        const bool isOfRoute = std::any_of(route.services.begin(), route.services.end(), [&software](const weighted_service& weighted) { return weighted.service.str() == software.pool.str(); });
-        if (isOfRoute && table.isLive(slot))
-            found.insert(software);
-    }
-    return found.size() == 1;
-}
-
 // Goes on with a stream where it began. Without that a second run would be joined to the first, so
 // the request is refused as not run.
 void caller_frontend::resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account)
 {
-    if (caller.resumes.empty() && hasOneSoftware(route)) {
-        startForward(exchange, std::move(caller), route, account, {});
-        return;
-    }
+    std::set<pool_id> pools;
+    for (const auto& weighted : route.services)
+        pools.emplace(weighted.service.str());
+    auto patience = maxOriginWait;
+    if (caller.deadline)
+        patience = std::min<duration>(patience, *caller.deadline / 2);
     const auto stream = caller.resumes;
-    m_streams.find(stream, [this, exchange, caller = std::move(caller), route, account, askedAt = m_context.now](const std::optional<target_software>& software) mutable {
+    const software_versions::found_function goOn = [this, exchange, caller = std::move(caller), route, account, askedAt = m_context.now](const std::optional<target_software>& software) {
         if (!software) {
-            refuse(exchange, caller.id, statusUnavailable, {}, "no instance knows where the stream began");
+            refuse(exchange, caller.id, statusUnavailable, unknownOriginRetryAfter, "no instance knows where the stream began");
             return;
         }
-        if (caller.deadline)
-            *caller.deadline -= toMilliseconds(m_context.now - askedAt);
-        startForward(exchange, std::move(caller), route, account, *software);
+        auto delayed = caller;
+        if (delayed.deadline)
+            *delayed.deadline -= toMilliseconds(m_context.now - askedAt);
+        startForward(exchange, std::move(delayed), route, account, *software);
+    };
+    if (stream.empty()) {
+        m_versions.findOnly(std::move(pools), patience, goOn);
+        return;
+    }
+    m_streams.find(stream, [this, pools = std::move(pools), patience, goOn](const std::optional<target_software>& software) {
+        if (software)
+            goOn(software);
+        else
+            m_versions.findOnly(pools, patience, goOn);
     });
 }
 
@@ -196,7 +200,7 @@
     forward.arrived = m_context.now;
     forward.where = { m_context.site->allowedRegions(&route, account), m_context.ownRegion() };
     const auto allowed = forward.where.allowed;
-    forward.stream = software.empty() ? caller.id : caller.resumes;
+    forward.stream = software.empty() || caller.resumes.empty() ? caller.id : caller.resumes;
     m_forwards[id] = std::move(forward);
 
     forward_request request;
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -20,6 +20,7 @@
 
 class batches;
 class departures;
+class software_versions;
 class stream_directory;
 class target_limits;
 class target_link;
@@ -32,7 +33,7 @@
 
 class caller_frontend {
 public:
-    caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams);
+    caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams, software_versions& versions);
 
     void setBatches(batches& owner) { m_batches = &owner; }
     // Handles a request from the listener for callers.
@@ -102,7 +103,6 @@
     void refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason);
     void respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const;
     bool authenticate(const http::exchange_ptr& exchange, const platform::caller_headers& caller, client_account_id& account);
-    bool hasOneSoftware(const site_route& route) const;
     void resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account);
     void startForward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account, const target_software& software);
     void execute(std::vector<forward_action> actions);
@@ -124,6 +124,7 @@
     std::set<target_id> m_slowTargets; // logged as slow and not as usual since; unlisted ones are dropped at the next insertion
     std::set<target_id> m_malformedSlowdowns; // logged; dropped in the same way
     stream_directory& m_streams;
+    software_versions& m_versions;
     batches* m_batches = nullptr;
     request_forwarder m_forwarding;
     std::uint64_t m_lastForwardId = 0;
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -14,6 +14,7 @@
 #include "edge/platform_view.h"
 #include "edge/quarantine_gossip.h"
 #include "edge/request_relay.h"
+#include "edge/software_versions.h"
 #include "edge/stream_directory.h"
 #include "edge/target_limits.h"
 #include "edge/target_link.h"
@@ -93,8 +94,9 @@
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
             , m_limits(m_context, m_members)
             , m_streams(m_context, m_members)
+            , m_versions(m_context, m_platformView)
             , m_link(m_context, m_members)
-            , m_frontend(m_context, m_link, m_usage, m_blameMarks, m_departures, m_limits, m_streams)
+            , m_frontend(m_context, m_link, m_usage, m_blameMarks, m_departures, m_limits, m_streams, m_versions)
             , m_relay(m_context, m_link, [this](const target_id& target, incarnation number, const platform::target_head& head, instant sentAt) { m_frontend.recordTargetState(target, number, head, sentAt); })
             , m_batches(m_context, m_link, m_members, m_frontend, m_limits)
             , m_demand(m_context, m_members, [this](std::uint64_t request, const granted_shares& granted, instant sentAt) { m_batches.setShares(request, granted, sentAt); })
@@ -141,6 +143,7 @@
         quarantine_gossip m_quarantineGossip;
         target_limits m_limits;
         stream_directory m_streams;
+        software_versions m_versions;
         target_link m_link;
         caller_frontend m_frontend;
         request_relay m_relay;
@@ -359,6 +362,7 @@
         m_frontend.setCutOff(isCutOffAlone);
         m_relay.tick();
         m_streams.tick();
+        m_versions.tick();
         if (m_context.stopping && m_batches.allHandedOver())
             m_members.leave();
         if (m_context.now >= m_nextClosedCallerCheck && m_callers) {
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -77,6 +77,12 @@
         return XXH64(text.data(), text.size(), entries.size() + 1);
     }
 
+    // Rounded down, not negative.
+    std::uint64_t toMilliseconds(duration span)
+    {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), 0));
+    }
+
     void applyEvent(std::vector<kv_entry>& entries, const kv_event& event)
     {
         const auto position = std::lower_bound(entries.begin(), entries.end(), event.entry.key, [](const kv_entry& entry, const std::string& key) { return entry.key < key; });
@@ -164,7 +170,10 @@
         answeredDoc.reading = false;
         answeredDoc.retryDelay = {};
         answeredDoc.readAt = askedAt + readPeriod(index);
+        const bool isCurrent = answer->at >= answeredDoc.at;
         updateDocument(index, answer->entries, answer->at, askedAt);
+        if (index == TargetsIndex && isCurrent)
+            m_targetsProvenAt = std::max(m_targetsProvenAt, askedAt);
         if (index != TargetsIndex && mustReadStore())
             startWatch(index);
     };
@@ -214,6 +223,11 @@
     return out;
 }
 
+bool platform_view::isRoot() const
+{
+    return m_documents[MembersIndex].known && m_members.joined() && treePlace().rank == 0;
+}
+
 std::vector<member> platform_view::neighbours() const
 {
     std::vector<member> out;
@@ -286,13 +300,13 @@
     if (m_sourceCall != 0 || m_context.now < m_askAt)
         return;
     const auto query = m_sourceDigests.empty() ? digests() + std::string(firstCallMark) : m_sourceDigests;
-    m_sourceCall = m_context.net.call(peerCall(address, "/known?" + query, {}, peerTimeout), [this](const http::answer& answer) {
+    m_sourceCall = m_context.net.call(peerCall(address, "/known?" + query, {}, peerTimeout), [this, askedAt = m_context.now](const http::answer& answer) {
         m_sourceCall = 0;
-        onSourceAnswer(answer);
+        onSourceAnswer(answer, askedAt);
     });
 }
 
-void platform_view::onSourceAnswer(const http::answer& answer)
+void platform_view::onSourceAnswer(const http::answer& answer, instant askedAt)
 {
     const auto body = isOk(answer) ? parseJson(answer.body) : std::nullopt;
     if (!body || !body->isObject()) {
@@ -313,10 +327,14 @@
         const auto& documentJson = (*body)[documentNames[i]];
         const auto confirmedAt = m_context.now - std::chrono::milliseconds(jsonCount(documentJson, "age_ms"));
         const revision documentRevision(jsonCount(documentJson, "at"));
+        const bool isCurrent = documentRevision >= m_documents[i].at;
         if (documentJson.isMember("entries"))
             updateDocument(static_cast<document_index>(i), entriesFromJson(jsonList(documentJson, "entries")), documentRevision, confirmedAt);
-        else if (documentRevision >= m_documents[i].at)
+        else if (isCurrent)
             m_documents[i].confirmedAt = std::max(m_documents[i].confirmedAt, confirmedAt);
+        // The source answered after it had held the call for so long. A source of an older version doesn't say.
+        if (i == TargetsIndex && isCurrent && documentJson.isMember("proven_ms"))
+            m_targetsProvenAt = std::max(m_targetsProvenAt, askedAt + std::chrono::milliseconds(jsonCount(*body, "held_ms")) - std::chrono::milliseconds(jsonCount(documentJson, "proven_ms")));
         complete = complete && (m_documents[i].known || i == EvacuationsIndex);
     }
     m_sourceDigests = jsonText(*body, "versions");
@@ -329,12 +347,12 @@
 void platform_view::onPeerRequest(const http::exchange_ptr& exchange)
 {
     if (exchange->query != digests())
-        answerPeer(exchange);
+        answerPeer(exchange, {});
     else
         m_waitingPeers.push_back({ exchange, exchange->query, m_context.now + maxPeerWait });
 }
 
-void platform_view::answerPeer(const http::exchange_ptr& exchange) const
+void platform_view::answerPeer(const http::exchange_ptr& exchange, duration held) const
 {
     // Parse the digests of the copies that the peer has: one per document.
     std::vector<std::string> knownDigests;
@@ -346,6 +364,7 @@
     knownDigests.resize(std::max<std::size_t>(knownDigests.size(), DocumentCount));
     Json::Value out(Json::objectValue);
     out["versions"] = digests();
+    out["held_ms"] = Json::UInt64(toMilliseconds(held));
     for (std::size_t i = 0; i < documentCount(); ++i) {
         const auto& doc = m_documents[i];
         Json::Value documentJson(Json::objectValue);
@@ -354,6 +373,8 @@
         documentJson["at"] = Json::UInt64(doc.at.value());
         if (doc.known && knownDigests[i] != std::to_string(doc.digest))
             documentJson["entries"] = entriesJson(doc.entries);
+        if (i == TargetsIndex && m_targetsProvenAt != instant {})
+            documentJson["proven_ms"] = Json::UInt64(toMilliseconds(m_context.now - m_targetsProvenAt) + 1);
         out[documentNames[i]] = std::move(documentJson);
     }
     exchange->answer(statusOk, {}, writeJson(out));
@@ -552,7 +573,7 @@
         if (peer.knownDigests == currentDigests && m_context.now < peer.until)
             stillWaiting.push_back(std::move(peer));
         else
-            answerPeer(peer.exchange);
+            answerPeer(peer.exchange, m_context.now - (peer.until - maxPeerWait));
     }
     m_waitingPeers = std::move(stillWaiting);
 }
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -37,6 +37,11 @@
 
     // Whether a first list of targets was read.
     bool targetsKnown() const { return m_documents[TargetsIndex].known; }
+    // The list of targets was current at this time or later. Unlike the ages by which lists are refreshed,
+    // it doesn't count on quick answers: time that this instance stood still makes the list older.
+    instant targetsProvenAt() const { return m_targetsProvenAt; }
+    // Whether this instance is the first in the tree.
+    bool isRoot() const;
     // Whether requests may be sent to targets: the first list was read, and so were the evacuations
     // as far as they can be.
     bool mayServe() const;
@@ -99,8 +104,8 @@
     void updateSource();
     bool isStale(bool isReader) const;
     void askSource();
-    void onSourceAnswer(const http::answer& answer);
-    void answerPeer(const http::exchange_ptr& exchange) const;
+    void onSourceAnswer(const http::answer& answer, instant askedAt);
+    void answerPeer(const http::exchange_ptr& exchange, duration held) const;
     std::string digests() const;
 
     // Applying documents.
@@ -119,6 +124,7 @@
     std::vector<platform::target_entry> m_targets;
     evacuations m_evacuations;
     instant m_targetsKnownAt {}; // when the first list of targets was read
+    instant m_targetsProvenAt {};
     std::optional<instant> m_outageGraceUntil; // entries that expired in an outage may be missing until then
     view_source m_source;
     std::uint64_t m_sourceCall = 0; // the open call to the source; 0 = none
--- a/tests/process/software_versions_case.py
+++ b/tests/process/software_versions_case.py
@@ -14,12 +14,12 @@
 
 
 class SoftwareVersionsCase(EntryCase):
-    def start_mixed(self, count=2, event_interval_s=0.02):
-        """Two replicas of each version; the text of an event names the one that made it."""
+    def start_mixed(self, count=2, event_interval_s=0.02, versions=("v1", "v2")):
+        """Two replicas of each of both versions; the text of an event names the one that made it."""
         entries = self.start_entries(count)
         self.engines.append(self.platform.engine("pool", "south", models=["m"]))
         for index, engine in enumerate(self.engines):
-            engine.software = "v1" if index < 2 else "v2"
+            engine.software = versions[index // 2]
             engine.events, engine.event_interval_s = EVENTS, event_interval_s
             engine.event_text = "e{number}@{software}"
             engine.publish_heartbeat()
