Streams go on after a kill of all instances while two versions serve

What callers saw: after all instances had been killed at once during a release, every stream that they took up again was refused, although the version that began it still served.

Cause: origins of streams were in memory of three instances only.

Change: while a pool runs several software versions, and for two minutes after, origins also go to the store. An instance sends those of 200 ms to its archivist, one member for 64 instances, which writes at most four batches a second under a lease that ends by itself. An archivist reads them when it is first asked for a stream that it doesn't know.

With one version nothing is written.

Why it works: the archivists are found by the members alone, so the instances that come back ask those that read what was written before.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -93,8 +93,8 @@
             , m_usage(m_context)
             , m_quarantineGossip(m_context, m_platformView, m_blameMarks)
             , m_limits(m_context, m_members)
-            , m_streams(m_context, m_members)
             , m_versions(m_context, m_platformView)
+            , m_streams(m_context, m_members, m_versions)
             , m_link(m_context, m_members)
             , m_frontend(m_context, m_link, m_usage, m_blameMarks, m_departures, m_limits, m_streams, m_versions)
             , m_relay(m_context, m_link, [this](const target_id& target, incarnation number, const platform::target_head& head, instant sentAt) { m_frontend.recordTargetState(target, number, head, sentAt); })
@@ -142,8 +142,8 @@
         quarantine m_blameMarks;
         quarantine_gossip m_quarantineGossip;
         target_limits m_limits;
-        stream_directory m_streams;
         software_versions m_versions;
+        stream_directory m_streams;
         target_link m_link;
         caller_frontend m_frontend;
         request_relay m_relay;
@@ -237,6 +237,8 @@
             m_quarantineGossip.onPeerRequest(exchange);
         else if (exchange->path == "/origins")
             m_streams.onCopies(exchange);
+        else if (exchange->path == "/archive")
+            m_streams.onArchive(exchange);
         else if (exchange->path == "/origin")
             m_streams.onQuestion(exchange);
         else if (exchange->path == "/limits" || exchange->path == "/cold-limits")
--- a/src/edge/stream_directory.cpp
+++ b/src/edge/stream_directory.cpp
@@ -2,6 +2,7 @@
 #include "edge/stream_directory.h"
 
 #include "edge/peer_call.h"
+#include "edge/software_versions.h"
 #include "json_text.h"
 #include "log.h"
 #include "rendezvous.h"
@@ -20,21 +21,13 @@
     constexpr std::chrono::milliseconds copyTimeout { 800 };
     constexpr std::chrono::milliseconds askTimeout { 300 };
 
-    Json::Value softwareJson(const target_software& software)
-    {
-        Json::Value out(Json::objectValue);
-        out["pool"] = software.pool.str();
-        out["software"] = software.version;
-        return out;
-    }
-
-    target_software softwareFrom(const Json::Value& row) { return { pool_id(jsonText(row, "pool")), jsonText(row, "software") }; }
-
 } // namespace
 
-stream_directory::stream_directory(context& shared, members& membership)
+stream_directory::stream_directory(context& shared, members& membership, const software_versions& versions)
     : m_context(shared)
     , m_members(membership)
+    , m_versions(versions)
+    , m_archive(shared, membership, m_origins)
 {
 }
 
@@ -52,15 +45,17 @@
 void stream_directory::begun(const request_id& stream, const target_software& software)
 {
     m_origins.record(stream, software, m_context.now);
-    auto row = softwareJson(software);
-    row["stream"] = stream.str();
+    auto row = originRow(stream, software);
     for (const auto& keeper : keepersOf(stream, copies))
         m_toSend.try_emplace(keeper, Json::arrayValue).first->second.append(row);
+    if (m_versions.isMixed(software.pool))
+        m_archive.add(std::move(row));
 }
 
 void stream_directory::tick()
 {
     m_origins.dropExpired(m_context.now);
+    m_archive.tick();
     for (const auto& [name, rows] : std::exchange(m_toSend, {})) {
         const auto* peer = m_members.find(name);
         if (peer == nullptr)
@@ -89,31 +84,50 @@
         if (const auto callback = std::exchange(asked->onFound, {}))
             callback(software);
     };
+    const auto onMissing = [asked, conclude] {
+        if (--asked->openCalls == 0)
+            conclude(std::nullopt);
+    };
+    auto toAsk = keepersOf(stream, membersToAsk);
+    for (auto& archivist : m_archive.archivists()) {
+        if (std::find(toAsk.begin(), toAsk.end(), archivist) == toAsk.end())
+            toAsk.push_back(std::move(archivist));
+    }
+    asked->openCalls = toAsk.size() + 1;
     Json::Value body(Json::objectValue);
     body["stream"] = stream.str();
-    for (const auto& keeper : keepersOf(stream, membersToAsk)) {
-        ++asked->openCalls;
-        m_context.net.call(peerCall(m_members.find(keeper)->address, "/origin", writeJson(body), askTimeout), [asked, conclude](const http::answer& answer) {
+    for (const auto& member : toAsk) {
+        m_context.net.call(peerCall(m_members.find(member)->address, "/origin", writeJson(body), askTimeout), [conclude, onMissing](const http::answer& answer) {
             const auto row = isOk(answer) ? parseJson(answer.body) : std::nullopt;
-            const auto software = row ? softwareFrom(*row) : target_software();
+            const auto software = row ? softwareFromRow(*row) : target_software();
             if (!software.empty())
                 conclude(software);
-            else if (--asked->openCalls == 0)
-                conclude(std::nullopt);
+            else
+                onMissing();
         });
     }
-    if (asked->openCalls == 0)
-        conclude(std::nullopt);
+    m_archive.load([this, stream, conclude, onMissing] {
+        if (const auto known = m_origins.find(stream, m_context.now))
+            conclude(known);
+        else
+            onMissing();
+    });
 }
 
-void stream_directory::onQuestion(const http::exchange_ptr& exchange) const
+void stream_directory::onQuestion(const http::exchange_ptr& exchange)
 {
     const auto body = parseJson(exchange->body);
-    const auto software = body ? m_origins.find(request_id(jsonText(*body, "stream")), m_context.now) : std::nullopt;
-    if (software)
-        exchange->answer(statusOk, {}, writeJson(softwareJson(*software)));
+    const request_id stream(body ? jsonText(*body, "stream") : std::string());
+    const auto answer = [this, exchange, stream] {
+        if (const auto software = m_origins.find(stream, m_context.now))
+            exchange->answer(statusOk, {}, writeJson(originRow(stream, *software)));
+        else
+            exchange->answer(statusNotFound, {}, "");
+    };
+    if (m_origins.find(stream, m_context.now))
+        answer();
     else
-        exchange->answer(statusNotFound, {}, "");
+        m_archive.load(answer);
 }
 
 void stream_directory::onCopies(const http::exchange_ptr& exchange)
@@ -124,12 +138,7 @@
         exchange->answer(statusBadRequest, {}, "not origins of streams");
         return;
     }
-    for (const auto& row : *rows) {
-        const request_id stream(jsonText(row, "stream"));
-        const auto software = softwareFrom(row);
-        if (!stream.empty() && !software.empty())
-            m_origins.record(stream, software, m_context.now);
-    }
+    recordRows(m_origins, *rows, m_context.now);
     exchange->answer(statusOk, {}, "");
 }
 
