--- a/tests/process/test_entry_take_ups.py
+++ b/tests/process/test_entry_take_ups.py
@@ -21,7 +21,7 @@
         broken = self.begin(first)
         self.assertEqual(self.take_up(broken, [first, second], False), (STREAMS, 0))
 
-    def test_instance_that_stood_still_while_a_version_joined(self):
+    def take_up_where_an_instance_stood_still(self, resumes):
         first, second = self.start_one_version(2)
         time.sleep(1)
         first.pause()
@@ -29,7 +29,13 @@
         wait_until(lambda: "target=i-7 " in second.output(), "the other one knows the replicas", 5)
         broken = self.begin(second, "v2")
         threading.Timer(0.3, first.resume).start()
-        self.assertEqual(self.take_up(broken, [first], False)[1], 0)
+        self.assertEqual(self.take_up(broken, [first], resumes)[1], 0)
+
+    def test_instance_that_stood_still_while_a_version_joined(self):
+        self.take_up_where_an_instance_stood_still(False)
+
+    def test_instance_that_stood_still_is_told_the_first_attempt(self):
+        self.take_up_where_an_instance_stood_still(True)
 
 
 if __name__ == "__main__":
