A target that breaks off at the same byte twice does not prove its answer

Callers could get a part of a plain answer as the whole, with a length of our own. Cause: an unproven answer was confirmed by any later one with the same status and body. Once all targets were tried, or where only one is left, the second one comes from the same target, which may break off at the same byte each time. Change: only an answer of another target confirms. Equal ones of one target are no contradiction: after the attempts of the route the last one is delivered as unproven. Why it works: the doubt is about the target, so what settles it comes from elsewhere. A service with a single replica that never states a length costs one more attempt.

--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -427,12 +427,14 @@
     ++forward.runs;
 
     // Step 2. Try again, or wait for the attempt beside this one.
-    const bool isConfirmed = isProven || forward.unprovenAnswer == digest;
+    // A target that breaks off at the same byte again proves nothing by it.
+    const auto& earlier = forward.unproven;
+    const bool isConfirmed = isProven || (earlier && earlier->digest == digest && earlier->target != ended.choice.target);
     const bool mayRetry = (failed || !isConfirmed) && !forward.streamStarted && forward.request.route.idempotent() && forward.runs < forward.request.route.maxAttempts
         && forward.expires - now > m_settings.minAttemptTime;
-    const bool differs = !isConfirmed && forward.unprovenAnswer.has_value();
+    const bool differs = !isConfirmed && earlier && earlier->digest != digest;
     if (!isConfirmed)
-        forward.unprovenAnswer = digest;
+        forward.unproven = { digest, ended.choice.target };
     if (mayRetry && !forward.attempts.empty()) {
         endSecond(forward, hedge_event::Won, "first_failed", now);
         return;
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -234,6 +234,10 @@
         bool isSecond = false; // beside an open first attempt, within the limit on extra work
         target_id hedgeOf; // target of the first attempt
     };
+    struct unproven_answer {
+        answer_digest digest;
+        target_id target;
+    };
     struct open_forward {
         forward_request request;
         instant arrived;
@@ -252,7 +256,7 @@
         bool streamStarted = false; // the caller has the head of a stream
         target_software software; // that made the events which the caller has; empty: none yet
         std::optional<std::uint64_t> lastEventId;
-        std::optional<answer_digest> unprovenAnswer; // the last answer without a proof that it is complete
+        std::optional<unproven_answer> unproven; // the last answer without a proof that it is complete
         std::optional<std::uint64_t> unprovenEnd; // last event of the stream when a run ended without such a proof
     };
 
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -365,6 +365,23 @@
     BOOST_TEST(harness.deliveries[0].isProven);
 }
 
+// A target that breaks off at the same byte each time proves nothing by it.
+BOOST_AUTO_TEST_CASE(equal_unproven_answers_of_one_target_do_not_prove_each_other)
+{
+    forwarding_harness harness(1);
+    harness.arrive(routeOf(route_kind::Idempotent, 3));
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(harness.deliveries.empty());
+        harness.pass(std::chrono::milliseconds(50));
+        const auto attempt = harness.onlyOpen();
+        harness.head(attempt, good);
+        harness.done(attempt, transfer_state::Unproven, answer_digest(1));
+    }
+    BOOST_TEST(harness.refusals.empty());
+    BOOST_REQUIRE(harness.deliveries.size() == 1u);
+    BOOST_TEST(!harness.deliveries[0].isProven);
+}
+
 BOOST_AUTO_TEST_CASE(unproven_answers_that_all_differ_are_not_delivered)
 {
     forwarding_harness harness(4);
