What another instance's version does not say, or says in unknown words, proves nothing

Found by review, not seen by callers: a write to the store, or a request at a target, that was executed could count as not sent and be sent again; an answer that was cut at an older relay counted as whole. Cause: an instance that relays for another one states the outcome by name. A name that the reader doesn't know counted as not sent, and a relay that doesn't say how the target's answer ended, as older ones do, counted as one whose answer had a proof. Change: an unknown outcome is one that may have run (store: NoAnswer; targets: Silent); only an answer without an outcome is a refusal of the other instance. An end is proved only by a framing that is named and proves it. Two checks of test_relay_codec.cpp demanded the fault (an unknown name is NotRelayed; Answered without a framing is proved): the property now demands the exact outcome of each text, the other the exact state of each outcome. No run with two versions of our own. Why it works: each favourable reading needs its own word. While older relays serve, requests relayed by them are confirmed, or delivered without a length.

--- a/src/edge/relay_codec.cpp
+++ b/src/edge/relay_codec.cpp
@@ -98,11 +98,16 @@
 {
     const auto name = std::string(http::findHeader(headers, outcomeHeader));
     relay_head out;
-    out.endsWithConnection = http::findHeader(headers, framingHeader) == toString(http::answer_framing::Close);
+    const auto framing = std::string(http::findHeader(headers, framingHeader));
     std::erase_if(headers, [](const auto& header) { return header.first == outcomeHeader || header.first == framingHeader; });
     const auto* found = std::find_if(outcomeNames.begin(), outcomeNames.end(), [&name](const outcome_name& entry) { return entry.name == name; });
     if (found != outcomeNames.end())
         out.outcome = found->outcome;
+    else if (!name.empty())
+        out.outcome = relay_outcome::Silent; // of another version: it may have been sent
+    constexpr std::array provenFramings { http::answer_framing::NoBody, http::answer_framing::Length, http::answer_framing::Chunks };
+    const bool isProven = std::any_of(provenFramings.begin(), provenFramings.end(), [&framing](http::answer_framing proven) { return toString(proven) == framing; });
+    out.isEndUnproven = out.outcome == relay_outcome::Answered && !isProven;
     return out;
 }
 
--- a/src/edge/relay_codec.h
+++ b/src/edge/relay_codec.h
@@ -32,9 +32,11 @@
 void setRelayOutcome(http::header_list& headers, relay_outcome outcome, http::answer_framing framing = http::answer_framing::None);
 struct relay_head {
     relay_outcome outcome = relay_outcome::NotRelayed;
-    bool endsWithConnection = false; // of the relay to the target: the end of the relay's answer proves nothing
+    // The target's answer ended with its connection, or the relay, of another version, does not say how it ended: the end
+    // of the relay's answer proves nothing.
+    bool isEndUnproven = false;
 };
-// Removes what setRelayOutcome() has added. An answer without it is not a relay's.
+// Removes what setRelayOutcome() has added. An answer without it is not a relay's; an unknown outcome is Silent.
 relay_head takeRelayHead(http::header_list& headers);
 
 } // namespace lovagerail::edge
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -50,26 +50,30 @@
         return answer.outcome == http::transfer_result::Complete && answer.status != statusUnavailable && answer.status != statusTooManyRequests;
     }
 
-    // Turns the answer of the relaying instance into the answer of the store call. A failure
-    // of the call to that instance has the same meaning as one of a direct call.
-    http::answer unwrapRelayedAnswer(http::answer answer)
-    {
-        if (answer.outcome != http::transfer_result::Complete)
-            return answer;
-        const auto outcomeName = http::findHeader(answer.headers, outcomeHeader);
-        for (const auto& [value, name] : outcomeNames) {
-            if (outcomeName != name)
-                continue;
-            answer.outcome = value;
-            return answer;
-        }
-        // The peer refused to relay the call.
-        answer.outcome = http::transfer_result::NotSent;
-        answer.detail = "relaying instance can't reach the store";
+} // namespace
+
+http::answer unwrapRelayedAnswer(http::answer answer)
+{
+    if (answer.outcome != http::transfer_result::Complete)
+        return answer;
+    const auto outcomeName = http::findHeader(answer.headers, outcomeHeader);
+    for (const auto& [value, name] : outcomeNames) {
+        if (outcomeName != name)
+            continue;
+        answer.outcome = value;
         return answer;
     }
-
-} // namespace
+    // An outcome of another version's that this one does not know may be that of a call that was executed.
+    if (!outcomeName.empty()) {
+        answer.outcome = http::transfer_result::NoAnswer;
+        answer.detail = "relaying instance states an unknown outcome";
+        return answer;
+    }
+    // The peer refused to relay the call.
+    answer.outcome = http::transfer_result::NotSent;
+    answer.detail = "relaying instance can't reach the store";
+    return answer;
+}
 
 store_link::store_link(store_link_settings settings, std::string address, transfers& net)
     : m_settings(settings)
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -36,6 +36,10 @@
     duration watchRetryDelay = std::chrono::milliseconds(300); // after a failed watch
 };
 
+// Turns the answer of the relaying instance into the answer of the store call. A failure of the call to that
+// instance has the same meaning as one of a direct call.
+http::answer unwrapRelayedAnswer(http::answer answer);
+
 class store_link {
 public:
     using answer_function = std::function<void(const result<kv_answer>&)>;
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -248,7 +248,7 @@
     if (isAnswered) {
         countEnd(end_kind::Relayed);
         m_paths.relayReached(call.relay, m_context.now);
-        if (call.relayHead->endsWithConnection && event.outcome == http::transfer_result::Complete) {
+        if (call.relayHead->isEndUnproven && event.outcome == http::transfer_result::Complete) {
             event.outcome = http::transfer_result::Unproven;
             event.framing = http::answer_framing::Close;
         }
--- a/tests/test_relay_codec.cpp
+++ b/tests/test_relay_codec.cpp
@@ -88,8 +88,11 @@
         const bool isNumber = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
         RC_ASSERT(!decoded || isNumber);
         http::header_list headers { { "lovagerail-relay", text } };
-        const bool isOutcome = text == "answered" || text == "silent" || text == "path-broken";
-        RC_ASSERT(isOutcome || takeRelayHead(headers).outcome == relay_outcome::NotRelayed);
+        const auto isOne = [&text](std::string_view name) { return text == name; };
+        const auto expected = isOne("answered") ? relay_outcome::Answered : isOne("path-broken") ? relay_outcome::PathBroken
+            : isOne("not-relayed") || text.empty()                                               ? relay_outcome::NotRelayed
+                                                                                                 : relay_outcome::Silent;
+        RC_ASSERT(takeRelayHead(headers).outcome == expected);
     });
 }
 
@@ -99,7 +102,7 @@
         http::header_list headers { { "x-own", "one" }, { "transfer-encoding", "chunked" } };
         setRelayOutcome(headers, outcome);
         const auto head = takeRelayHead(headers);
-        BOOST_TEST((head.outcome == outcome && !head.endsWithConnection));
+        BOOST_TEST((head.outcome == outcome && head.isEndUnproven == (outcome == relay_outcome::Answered)));
         BOOST_TEST((headers == http::header_list { { "x-own", "one" } }));
     }
     http::header_list foreign { { "x-own", "one" } };
@@ -111,7 +114,7 @@
     for (const auto framing : { http::answer_framing::Length, http::answer_framing::Chunks, http::answer_framing::Close }) {
         http::header_list headers { { "x-own", "one" } };
         setRelayOutcome(headers, relay_outcome::Answered, framing);
-        BOOST_TEST((takeRelayHead(headers).endsWithConnection == (framing == http::answer_framing::Close)));
+        BOOST_TEST((takeRelayHead(headers).isEndUnproven == (framing == http::answer_framing::Close)));
         BOOST_TEST((headers == http::header_list { { "x-own", "one" } }));
     }
 }
