A reward call on a streaming route doesn't end the process

Callers saw: once a streaming route had the path of an accepted batch's reward calls, the instance ended with a segmentation fault, and again after each restart, as the batch was taken up again.

Cause: callService() gave the forwarder the route as configured, so the answer to a reward call began a stream to a caller that such a call doesn't have (caller_frontend::execute() used a null exchange). On a route of single runs the call wasn't repeated by the forwarder, so its count of 500s began anew with each call, and an item whose reward call always fails was never given up.

Change: a reward call is decided as what it is when it is made: only the status and the proof of its answer count, so it is no stream, and it may be repeated.

Why it works: a stream begins only for the kind Stream, which the request of a reward call never has, whatever routes a later configuration has. No state, message or call to the store is added.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -242,6 +242,8 @@
     request.id = id;
     request.callerId = call.id;
     request.route = *route;
+    // Only the status and the proof of the answer count, so it is no stream, and the call may be repeated.
+    request.route.kind = route_kind::Idempotent;
     request.route.allowedRegions = where.allowed;
     request.route.timeout = {}; // only the deadline applies
     request.deadline = deadline;
