A planned stop cuts no request that was passed on

Callers saw: while a long request kept a stopping instance up, it took requests on kept connections until its exit, and those at targets then got a closed connection, which promises nothing.

Cause: the intake went on as ever while the instance was stopping, and canExit() says yes at the bound whatever is open.

Change: the time of the exit is known from the signal on. Open requests are answered 100 ms before the exit at the latest, with what is true of them.

Why it works: what is taken ends by its own limit or by ours before the process. State: a number for each connection. No message, no call to the store.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -20,6 +20,8 @@
 
     constexpr duration noConfigRetryAfter = std::chrono::milliseconds(500); // the first configuration is usually read within this time
 
+    constexpr duration lastAnswerTime = std::chrono::milliseconds(100); // before the exit, for last answers to reach their callers
+
     std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
 
     transfer_state stateOf(http::transfer_result outcome)
@@ -124,6 +126,10 @@
         refuse(exchange, caller.id, statusContentTooLarge, {}, "body too large");
         return;
     }
+    if (m_context.stopping && !endsBeforeExit(exchange, caller, *route)) {
+        refuse(exchange, caller.id, statusUnavailable, {}, "stopping");
+        return;
+    }
     if (route->kind == route_kind::Stream && caller.lastEventId.value_or(0) > 0) {
         resumeStream(exchange, std::move(caller), *route, account);
         return;
@@ -145,6 +151,24 @@
     m_batches->onSubmit(exchange, std::move(head), { caller.deadline, true });
 }
 
+// While this instance is stopping: whether the request ends before the process does. One that came on a
+// kept connection must do so surely, as its caller finds another instance by a new connection. On new
+// connections, which the load balancer still opens for a while, its time is cut short instead.
+bool caller_frontend::endsBeforeExit(const http::exchange_ptr& exchange, platform::caller_headers& caller, const site_route& route)
+{
+    const auto timeLeft = toMilliseconds(m_context.exitAt - lastAnswerTime - m_context.now);
+    const bool hasTimeout = route.kind != route_kind::Batch && route.timeout > duration {};
+    const auto deadline = caller.deadline.value_or(std::chrono::milliseconds::max());
+    const auto limit = hasTimeout ? std::min(deadline, toMilliseconds(route.timeout)) : deadline;
+    caller.deadline = std::min(deadline, timeLeft);
+    return timeLeft.count() > 0 && (limit <= timeLeft || !exchange->onKeptConnection);
+}
+
+void caller_frontend::beginStop()
+{
+    m_forwarding.setLatestEnd(m_context.exitAt - lastAnswerTime);
+}
+
 // Whether all live targets of the route run the same software.
 bool caller_frontend::hasOneSoftware(const site_route& route) const
 {
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -58,6 +58,8 @@
     void setExtraWork(std::optional<double> share) { m_forwarding.setExtraWork(share); }
     // Whether this instance reaches no target while others do.
     void setCutOff(bool cutOff) { m_forwarding.setCutOff(cutOff, m_context.now); }
+    // The process ends at m_context.exitAt: each open request is answered before.
+    void beginStop();
     void tick();
     // Targets that were last seen to be slow for seconds; some may have gone since.
     std::size_t slowTargetCount() const { return m_slowTargets.size(); }
@@ -102,6 +104,7 @@
     void refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason);
     void respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const;
     bool authenticate(const http::exchange_ptr& exchange, const platform::caller_headers& caller, client_account_id& account);
+    bool endsBeforeExit(const http::exchange_ptr& exchange, platform::caller_headers& caller, const site_route& route);
     bool hasOneSoftware(const site_route& route) const;
     void resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account);
     void startForward(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account, const target_software& software);
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -22,6 +22,7 @@
     wall_time wall {};
     site_ptr site {}; // configuration in force; null until the first one was read
     bool stopping = false;
+    instant exitAt {}; // while stopping: the process ends then at the latest
 
     region_id ownRegion() const { return region_id(settings.regionOf(settings.instance.failureDomain)); }
 };
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -316,6 +316,8 @@
         logEvent(log_level::Info, "main", "stopping", { { "open", std::to_string(m_frontend.openCount()) }, { "batches", std::to_string(m_batches.openCount()) } });
         m_context.stopping = true;
         m_stopStart = m_context.now;
+        m_context.exitAt = m_context.now + m_settings.bounds.stop - stopMargin;
+        m_frontend.beginStop();
         m_members.releaseDuties();
         m_batches.beginStop();
     }
@@ -324,12 +326,11 @@
     {
         if (!m_context.stopping)
             return false;
-        const auto sinceStop = m_context.now - m_stopStart;
-        if (sinceStop >= m_settings.bounds.stop - stopMargin)
+        if (m_context.now >= m_context.exitAt)
             return true;
         // Every request that was read is answered completely.
         const bool answered = m_callers == nullptr || m_callers->openRequests() == 0;
-        return sinceStop >= balancerDrainTime && answered && m_frontend.openCount() == 0 && m_relay.openCount() == 0 && m_batches.allHandedOver() && m_usage.allCopied() && m_members.hasLeft();
+        return m_context.now - m_stopStart >= balancerDrainTime && answered && m_frontend.openCount() == 0 && m_relay.openCount() == 0 && m_batches.allHandedOver() && m_usage.allCopied() && m_members.hasLeft();
     }
 
     void entry_loop::tick()
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -153,7 +153,7 @@
     auto timeLimit = request.route.timeout > duration {} ? request.route.timeout : duration::max();
     if (request.deadline)
         timeLimit = std::min(timeLimit, *request.deadline - m_settings.answerMargin);
-    forward.expires = timeLimit == duration::max() ? instant::max() : now + timeLimit;
+    forward.expires = std::min(timeLimit == duration::max() ? instant::max() : now + timeLimit, m_latestEnd);
     forward.lastEventId = request.lastEventId;
     forward.software = request.software;
     forward.request = std::move(request);
@@ -770,6 +770,13 @@
         m_quarantine.withdraw(reported.request, reported.blame, m_wallTime);
 }
 
+void request_forwarder::setLatestEnd(instant latestEnd)
+{
+    m_latestEnd = latestEnd;
+    for (auto& [id, forward] : m_open)
+        forward.expires = std::min(forward.expires, latestEnd);
+}
+
 // Tells the quarantine the current incarnation of each target with a report: a new one
 // proves that the target crashed.
 void request_forwarder::checkForCrashes()
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -209,6 +209,9 @@
     // targets, and those of the last seconds did not either.
     void setCutOff(bool cutOff, instant now);
 
+    // Every request, whether open or still to come, is answered by then: the process ends after it.
+    void setLatestEnd(instant latestEnd);
+
     // Handles deadlines, hedges and delayed attempts. To be called about every 20 ms while open() > 0.
     std::vector<forward_action> tick(instant now);
 
@@ -288,6 +291,7 @@
     forwarding_settings m_settings;
     router& m_router;
     quarantine& m_quarantine;
+    instant m_latestEnd = instant::max();
     wall_time m_wallTime {};
     retry_policy m_retries;
     hedge_policy m_hedging;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -96,6 +96,8 @@
             x.method = method;
             x.m_unreadLimit = self.m_limits.unreadBytes;
             x.m_connection = connection;
+            auto* requests = static_cast<std::size_t*>(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+            x.onKeptConnection = (*requests)++ > 0;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &onHeader, &x.headers);
             return MHD_YES;
         }
@@ -177,6 +179,17 @@
 
     static void onFree(void* user) { delete static_cast<exchange_ptr*>(user); }
 
+    // Keeps the number of requests of each connection.
+    static void onConnection(void*, MHD_Connection*, void** context, MHD_ConnectionNotificationCode what)
+    {
+        if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+            *context = new std::size_t(0);
+            return;
+        }
+        delete static_cast<std::size_t*>(*context);
+        *context = nullptr;
+    }
+
     static void onCompleted(void* user, MHD_Connection*, void** context, MHD_RequestTerminationCode)
     {
         auto* slot = static_cast<request_slot*>(*context);
@@ -295,6 +308,7 @@
         { MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, nullptr },
         { MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress, nullptr },
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), self.get() },
+        { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(&server_callbacks::onConnection), nullptr },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), nullptr },
     };
     if (ownThread)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -54,6 +54,7 @@
     std::string query; // without '?', still encoded
     header_list headers; // names in lower case
     std::string body;
+    bool onKeptConnection = false; // its connection had a request before this one
 
     explicit exchange(std::size_t unreadBytes)
         : m_unreadLimit(unreadBytes)
