A text of a version that no target has is generated anew

Callers saw: on a singleVersion route, an item whose text was begun by a version that all targets had left was put to one after the other for ever.

Cause: targets were chosen by the text's software only, and each answered 421.

Change: a target that is listed with newer weights than the text's isn't asked to go on with it, nor is an item moved there.

Why it works: versions of targets only grow, so a newer one never goes on. One listed as older may be listed late and is still asked.

--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -16,6 +16,13 @@
         return std::find(versions.begin(), versions.end(), version) != versions.end();
     }
 
+    // Whether the text may not go on at the target, as its weights are newer and the route demands a single version.
+    // Listed versions may be late and only grow, so one listed with an older version may have the text's by now.
+    bool isTooNewFor(const listed_target& listed, const site_route& route, const model_id& model, const partial_text& text)
+    {
+        return route.singleVersion && !text.data.empty() && labelNumber(listed.labels, "version:" + model.str()) > text.versions.front().value();
+    }
+
 } // namespace
 
 std::uint32_t batch_runner::slotsOf(target_slot slot) const
@@ -103,7 +110,7 @@
     auto& item = batch.items[index];
 
     // Step 1. Choose a target: not a full or avoided one, and for a text one with the software that
-    // began it. A text that none can go on with is generated anew.
+    // began it and, if the route demands it, with its version. A text that none can go on with is generated anew.
     route_request routeRequest;
     routeRequest.routingClass = batch.routingClass;
     routeRequest.account = batch.spec.account;
@@ -118,9 +125,16 @@
         routeRequest.excluded.push_back(target);
     routeRequest.seed = XXH64(spec.id.str().data(), spec.id.str().size(), m_lastAttempt);
     routeRequest.software = item.generated.software;
+    const auto requiredExclusions = routeRequest.excluded.size();
+    for (const auto slot : m_router.table().allowed(batch.routingClass)) {
+        const auto& listed = m_router.table().record(slot).listed;
+        if (isTooNewFor(listed, batch.route, batch.spec.model, item.generated))
+            routeRequest.excluded.push_back(listed.id);
+    }
     auto decision = chooseTarget(batch, routeRequest, now);
     if (std::holds_alternative<no_route>(decision) && !routeRequest.software.empty()) {
         routeRequest.software = {};
+        routeRequest.excluded.resize(requiredExclusions);
         auto other = chooseTarget(batch, routeRequest, now);
         if (std::holds_alternative<route_choice>(other)) {
             if (!item.beginAnewAt)
@@ -383,6 +397,8 @@
         const auto& target = listed.id;
         if (target == from || (!item.generated.software.empty() && listed.software() != item.generated.software))
             continue;
+        if (isTooNewFor(listed, batch.route, batch.spec.model, item.generated))
+            continue;
         const auto avoided = item.avoidUntil.find(target);
         if (!m_router.mayStart(slot, now) || std::find(full.begin(), full.end(), target) != full.end() || (avoided != item.avoidUntil.end() && now < avoided->second))
             continue;
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -83,6 +83,12 @@
             std::erase_if(m_rows, [&version](const listed_target& row) { return row.softwareVersion == version; });
             m_router.applyList(m_rows, now);
         }
+        void setVersion(std::size_t replica, std::uint64_t version)
+        {
+            m_rows[replica].labels["version:m"] = std::to_string(version);
+            m_router.applyList(m_rows, now);
+        }
+        void add(const batch_spec& spec, const site_route& route) { runner.add(spec, route, 1, {}, 0, now, wallStart); }
         void add(const batch_spec& spec) { runner.add(spec, batchRoute(), 1, {}, 0, now, wallStart); }
         void pass(duration time)
         {
@@ -357,6 +363,61 @@
     BOOST_TEST(!harness.sent[2].lastEventId.has_value());
 }
 
+// --- Versions of weights, on routes that demand a single one for each text
+
+BOOST_AUTO_TEST_CASE(a_text_of_a_version_that_no_target_has_is_generated_anew)
+{
+    batch_harness harness(2);
+    auto route = batchRoute();
+    route.singleVersion = true;
+    harness.add(specOf("b", 1, 1, 1), route);
+    harness.pass(20ms);
+    const auto first = harness.open().front();
+    harness.head(first, weight_version(2));
+    harness.events(first, 1, 3);
+    harness.done(first, false);
+    for (const std::size_t replica : { 0, 1 })
+        harness.setVersion(replica, 3);
+    const auto broken = harness.now;
+    while (harness.sent.size() == 1 && harness.now - broken < 10s)
+        harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 2u);
+    BOOST_REQUIRE(!harness.sent[1].lastEventId.has_value());
+    BOOST_TEST(!harness.sent[1].expectVersion.has_value());
+    BOOST_TEST((harness.now - broken >= batch_runner_settings().maxResumeWait));
+    BOOST_TEST((harness.now - broken < 2 * batch_runner_settings().maxResumeWait));
+    const auto second = harness.open().front();
+    harness.head(second, weight_version(3));
+    harness.events(second, 1, 4);
+    harness.done(second, true);
+    harness.judgeAll();
+    harness.pass(100ms);
+    harness.writeAll();
+    BOOST_REQUIRE(harness.runner.listed(batch_id("b")).size() == 1u);
+    BOOST_TEST(harness.runner.listed(batch_id("b")).front().text == "e1\ne2\ne3\ne4");
+    BOOST_TEST((harness.runner.listed(batch_id("b")).front().versions == std::vector { weight_version(3) }));
+}
+
+BOOST_AUTO_TEST_CASE(a_text_goes_on_at_the_target_that_still_has_its_version)
+{
+    batch_harness harness(4);
+    auto route = batchRoute();
+    route.singleVersion = true;
+    harness.add(specOf("b", 1, 1, 1), route);
+    harness.pass(20ms);
+    const auto first = harness.open().front();
+    harness.head(first, weight_version(2));
+    harness.events(first, 1, 3);
+    harness.done(first, false);
+    for (const std::size_t replica : { 0, 1, 2 })
+        harness.setVersion(replica, 3);
+    harness.pass(300ms);
+    BOOST_REQUIRE(harness.sent.size() == 2u);
+    BOOST_TEST(harness.sent[1].choice.target.str() == "t3");
+    BOOST_TEST(harness.sent[1].lastEventId.value_or(0) == 3u);
+    BOOST_TEST((harness.sent[1].expectVersion == weight_version(2)));
+}
+
 // A text stored by an instance that did not know software versions.
 BOOST_AUTO_TEST_CASE(a_stored_text_without_its_software_is_generated_anew)
 {
