Results can be read after their batch's route was removed

Callers saw: once the only batch route of a host was removed, all instances answered 404 for its batches.

Cause: reads were told by the routes in force instead of by the batch.

Cost: an unknown batch on a host without batch routes is looked up in the store once a read, with a valid key where keys are required.

--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -34,6 +34,8 @@
         bool mayForward = true; // to the preferred owner of this route's batches
     };
     void onSubmit(const http::exchange_ptr& exchange, batch_head head, submit_options options);
+    // Whether this instance owns the batch or knows its owner.
+    bool isKnown(const batch_id& id) const { return m_owned.contains(id) || m_foreignHeads.contains(id); }
     void onBatchCall(const http::exchange_ptr& exchange, const platform::batch_call& call, const client_account_id& account, std::chrono::milliseconds wait);
     // Requests of other instances; returns false if the path is not handled here.
     bool onPeerRequest(const http::exchange_ptr& exchange);
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -105,8 +105,10 @@
     }
     const auto site = m_context.site;
 
-    // Step 1. Reads and ends of batches have fixed paths outside the configured routes.
-    if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query); call && hasBatchRoute(*site, caller.host)) {
+    // Step 1. Reads and ends of batches have fixed paths outside the configured routes. A batch outlives its route,
+    // so they are served too where no other route has taken their paths since.
+    const auto* route = site->find(caller.host, exchange->path);
+    if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query); call && (route == nullptr || hasBatchRoute(*site, caller.host) || m_batches->isKnown(call->id))) {
         client_account_id account;
         if (authenticate(exchange, caller, account))
             m_batches->onBatchCall(exchange, *call, account, caller.wait.value_or(std::chrono::milliseconds(0)));
@@ -114,7 +116,6 @@
     }
 
     // Step 2. Find the route, check the key and the limits.
-    const auto* route = site->find(caller.host, exchange->path);
     if (route == nullptr) {
         refuse(exchange, caller.id, statusNotFound, {}, "no route");
         return;
