--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -23,6 +23,7 @@
 
     constexpr duration maxOriginWait = std::chrono::milliseconds(1600); // the list of targets is usually confirmed within this time
     constexpr duration unknownOriginRetryAfter = std::chrono::milliseconds(300);
+    constexpr duration lastAnswerTime = std::chrono::milliseconds(100); // before the exit, for last answers to reach their callers
 
     std::chrono::milliseconds toMilliseconds(duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span); }
 
@@ -108,8 +109,10 @@
     }
     const auto site = m_context.site;
 
-    // Step 1. Reads and ends of batches have fixed paths outside the configured routes.
-    if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query); call && hasBatchRoute(*site, caller.host)) {
+    // Step 1. Reads and ends of batches have fixed paths outside the configured routes. A batch outlives its route,
+    // so they are served too where no other route has taken their paths since.
+    const auto* route = site->find(caller.host, exchange->path);
+    if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query); call && (route == nullptr || hasBatchRoute(*site, caller.host) || m_batches->isKnown(call->id))) {
         client_account_id account;
         if (authenticate(exchange, caller, account))
             m_batches->onBatchCall(exchange, *call, account, caller.wait.value_or(std::chrono::milliseconds(0)));
@@ -117,7 +120,6 @@
     }
 
     // Step 2. Find the route, check the key and the limits.
-    const auto* route = site->find(caller.host, exchange->path);
     if (route == nullptr) {
         refuse(exchange, caller.id, statusNotFound, {}, "no route");
         return;
@@ -129,6 +131,10 @@
         refuse(exchange, caller.id, statusContentTooLarge, {}, "body too large");
         return;
     }
+    if (m_context.stopping && !endsBeforeExit(exchange, caller, *route)) {
+        refuse(exchange, caller.id, statusUnavailable, {}, "stopping");
+        return;
+    }
     if (route->kind == route_kind::Stream && caller.lastEventId.value_or(0) > 0) {
         resumeStream(exchange, std::move(caller), *route, account);
         return;
@@ -150,6 +156,24 @@
     m_batches->onSubmit(exchange, std::move(head), { caller.deadline, true });
 }
 
+// While this instance is stopping: whether the request ends before the process does. One that came on a
+// kept connection must do so surely, as its caller finds another instance by a new connection. On new
+// connections, which the load balancer still opens for a while, its time is cut short instead.
+bool caller_frontend::endsBeforeExit(const http::exchange_ptr& exchange, platform::caller_headers& caller, const site_route& route)
+{
+    const auto timeLeft = toMilliseconds(m_context.exitAt - lastAnswerTime - m_context.now);
+    const bool hasTimeout = route.kind != route_kind::Batch && route.timeout > duration {};
+    const auto deadline = caller.deadline.value_or(std::chrono::milliseconds::max());
+    const auto limit = hasTimeout ? std::min(deadline, toMilliseconds(route.timeout)) : deadline;
+    caller.deadline = std::min(deadline, timeLeft);
+    return timeLeft.count() > 0 && (limit <= timeLeft || !exchange->onKeptConnection);
+}
+
+void caller_frontend::beginStop()
+{
+    m_forwarding.setLatestEnd(m_context.exitAt - lastAnswerTime);
+}
+
 // Goes on with a stream where it began. Without that a second run would be joined to the first, so
 // the request is refused as not run.
 void caller_frontend::resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account)
@@ -246,6 +270,8 @@
     request.id = id;
     request.callerId = call.id;
     request.route = *route;
+    // Only the status and the proof of the answer count, so it is no stream, and the call may be repeated.
+    request.route.kind = route_kind::Idempotent;
     request.route.allowedRegions = where.allowed;
     request.route.timeout = {}; // only the deadline applies
     request.deadline = deadline;
