A take-over goes on until its write is settled

Callers saw: after a planned stop or a crash of an instance while the store lost answers, a batch was never run again.

Cause: a take-over whose write of the head got no answer, or whose reads after it failed, counted as failed. But the head could name this instance by then. All others took the batch for owned, and so did the next scan here.

Change: a take-over is kept (batches_adoption.cpp) and its calls are repeated, with a pause, until the batch is owned or another instance has changed the head. An ended head is not taken over, and a batch that is owned already is not added again.

Why it works: all attempts carry the same condition, so a repetition either takes effect or is answered with the head as it is, which shows whose write came first. A late effect of an earlier attempt is the same write.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -387,6 +387,7 @@
 
     // Step 2. Take over batches whose owner is gone.
     readCollectedHeads();
+    continueAdoptions();
     adoptOrphans();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -14,11 +14,11 @@
 #include "edge/target_limits.h"
 #include "edge/target_link.h"
 #include "http/server.h"
+#include "open_write.h"
 #include "platform/batch_codec.h"
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -127,8 +127,16 @@
     void answerHeadsRequest(const http::exchange_ptr& exchange);
     void dropLostBatches(const std::vector<kv_entry>& heads);
     void recordOrphan(const batch_head& head, revision headRevision);
-    void adopt(const batch_head& head, revision headRevision, const std::function<void(bool)>& onDone);
-    void readAdoptedPages(const batch_head& head, revision headRevision, const std::string& submission, const std::function<void(bool)>& onDone);
+    using adoption_function = std::function<void(bool)>;
+    void adopt(const batch_head& head, revision headRevision, adoption_function onDone);
+    void continueAdoption(const batch_id& id);
+    void continueAdoptions();
+    void writeAdoptedHead(const batch_id& id);
+    void readAdoptedBody(const batch_id& id);
+    void readAdoptedPages(const batch_id& id, const std::string& body);
+    void retryAdoption(const batch_id& id, const error& reason);
+    bool takeAdopted(const batch_id& id, const std::string& body, const std::vector<kv_entry>& entries);
+    void finishAdoption(const batch_id& id, bool adopted);
     void onOwnershipLost(const batch_id& id, const char* reason);
     void handOver(const batch_id& id);
     void expire();
@@ -164,7 +172,18 @@
     std::map<batch_id, known_head> m_foreignHeads; // batches of other owners, as last read or reported
     std::map<batch_id, known_head> m_orphans; // batches without a live owner; taken over after a grace period
     std::map<batch_id, instant> m_orphanSince;
-    std::set<batch_id> m_adopting;
+    // A take-over of a batch; the batch is in m_owned once it is finished.
+    struct take_over {
+        std::uint64_t number = 0; // tells it from a later one of the same batch
+        batch_head head; // names this instance as the owner
+        guarded_write write;
+        revision headRevision; // 0: the write of the head is open
+        bool calling = false; // a call to the store is in flight
+        instant retryAt {};
+        adoption_function onDone;
+    };
+    std::map<batch_id, take_over> m_adoptions;
+    std::uint64_t m_lastAdoption = 0;
     std::vector<heads_function> m_headsWaiting; // requests for all heads that the next read answers
     bool m_readingHeads = false;
     instant m_readHeadsAt {};
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -116,73 +116,12 @@
 
 void batches::recordOrphan(const batch_head& head, revision headRevision)
 {
-    if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_adopting.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
+    if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_adoptions.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
         return;
     m_orphans[head.id] = { head, headRevision };
     m_orphanSince.try_emplace(head.id, m_context.now);
 }
 
-// Takes a batch over: rewrites the head on condition that its revision is unchanged, which
-// fences off the previous owner and other adopters, then reads what is stored of it. If that
-// read fails, the next scan finds the batch again.
-void batches::adopt(const batch_head& head, revision headRevision, const std::function<void(bool)>& onDone)
-{
-    if (!m_adopting.insert(head.id).second) {
-        onDone(false);
-        return;
-    }
-    const auto finish = [this, id = head.id, onDone](bool adopted) {
-        m_adopting.erase(id);
-        onDone(adopted);
-    };
-    auto adoptedHead = head;
-    adoptedHead.owner = instance_id(m_context.settings.instance.name);
-    adoptedHead.ownerIncarnation = m_context.ownIncarnation;
-    kv_transaction change;
-    change.compares.push_back({ headKey(head.id), kv_field::ModRevision, headRevision, {} });
-    change.then.emplace_back(kv_put { headKey(head.id), encodeHead(adoptedHead), {} });
-    m_context.store.call("batch adopt", std::move(change), [this, adoptedHead, finish](const result<kv_answer>& answer) {
-        if (!answer || !answer->succeeded) {
-            finish(false);
-            return;
-        }
-        m_context.store.call("batch adopt", readKey(submissionKey(adoptedHead.id)), [this, adoptedHead, finish, newRevision = answer->at](const result<kv_answer>& body) {
-            if (!body || body->entries.empty()) {
-                finish(false);
-                return;
-            }
-            readAdoptedPages(adoptedHead, newRevision, body->entries.front().value, finish);
-        });
-    });
-}
-
-void batches::readAdoptedPages(const batch_head& head, revision headRevision, const std::string& submission, const std::function<void(bool)>& onDone)
-{
-    m_context.store.list("batch adopt", pagesPrefix(head.id), [this, head, headRevision, submission, onDone](const result<kv_answer>& pages) {
-        if (!pages) {
-            onDone(false);
-            return;
-        }
-        std::vector<batch_result> listed;
-        std::uint32_t pageCount = 0;
-        bool hasTexts = false;
-        for (const auto& entry : pages->entries) {
-            if (entry.key == textsKey(head.id)) {
-                hasTexts = true;
-                m_runner.restoreTexts(decodeTexts(parseJson(entry.value).value_or(Json::Value())), m_context.now);
-                continue;
-            }
-            ++pageCount;
-            for (auto& pageResult : decodeBatchPage(entry.value).value_or(std::vector<batch_result>()))
-                listed.push_back(std::move(pageResult));
-        }
-        const bool adopted = takeOwnership(head, headRevision, submission, std::move(listed), pageCount);
-        if (adopted)
-            m_owned.at(head.id).mayHaveStoredTexts = hasTexts;
-        onDone(adopted);
-    });
-}
-
 void batches::onOwnershipLost(const batch_id& id, const char* reason)
 {
     logEvent(log_level::Warning, "batch", "lost", { { "batch", id.str() }, { "reason", reason } });
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -145,6 +145,9 @@
         self.refused_callers = set()  # {"all"} refuses every call with 503; a caller's port is unknown, so single callers cannot be refused
         self.list_page_size = 50  # rows per response of a listing
         self.lose_answers = 0  # number of writes to apply without answering; the connection is closed
+        self.lose_answers_to = []  # prefixes of keys: for each, the next write of such a key is applied without answering
+        self.refuse_writes_to = set()  # prefixes of keys whose writes are refused with 503
+        self.listing_delays_s = {}  # by prefix of the listing's own prefix
         self.unanswered_submissions = 0  # number of batch submissions to apply without answering while the connection stays open
         super().__init__()
 
@@ -207,11 +210,21 @@
         if operation == ("GET", "kv-watch"):
             self._watch(request)
             return
+        if operation[1] == "kv-range":
+            time.sleep(sum(delay for prefix, delay in self.listing_delays_s.items() if request.query["prefix"].startswith(prefix)))
+        written_keys = [row["key"] for row in json.loads(request.body).get("setKeys", [])] if operation[1] == "kv-txn" else []
+        if any(key.startswith(tuple(self.refuse_writes_to)) for key in written_keys):
+            request.respond(503)
+            return
         with self.lock:
             status, body = getattr(self, {"kv-key": "_get_key", "kv-range": "_list_range", "kv-txn": "_commit_transaction",
                                           "kv-lease": "_grant_lease", "kv-keep": "_keep_lease", "kv-lease-end": "_revoke_lease"}[operation[1]])(request)
             drop_answer = operation[1] == "kv-txn" and self.lose_answers > 0
             self.lose_answers -= drop_answer
+            lost_prefix = next((prefix for prefix in self.lose_answers_to if any(key.startswith(prefix) for key in written_keys)), None)
+            if lost_prefix is not None:
+                self.lose_answers_to.remove(lost_prefix)
+                drop_answer = True
             hold_open = operation[1] == "kv-txn" and self.unanswered_submissions > 0 and b"batch/body/" in request.body
             self.unanswered_submissions -= hold_open
         if hold_open:
