An ended batch lists the page whose write got no answer

Callers saw: a result that was read at one instance was missing at another for good, when a trainer ended its step while the store lost answers.

Cause: an ended batch doesn't write its open page again, and the end was written without finding out whether that page is stored. The owner answered without it, others with it, from the store.

Change: the write of the end also requires that the open page is not stored. If it is, the refusal shows it: it is listed, and the end is written again. Writes of pages and ends go by judgeWrite().

Why it works: either the page is stored before the end and then listed, or the head changes first, and then the write of the page can't take effect any more.

--- a/src/batch_pages.cpp
+++ b/src/batch_pages.cpp
@@ -174,6 +174,26 @@
     }
 }
 
+// Lists the results of the page that was written.
+void batch_runner::listPage(batch_state& batch)
+{
+    for (const auto index : batch.pageItems) {
+        auto& item = batch.items[index];
+        item.stage = item_stage::Listed;
+        item.generated = {};
+        batch.listed.push_back(std::move(item.result));
+    }
+    batch.pageItems.clear();
+    ++batch.pages;
+}
+
+void batch_runner::openPageFound(const batch_id& id)
+{
+    auto* batch = find(id);
+    if (batch != nullptr && openPage(id))
+        listPage(*batch);
+}
+
 std::vector<batch_action> batch_runner::pageWritten(const batch_id& id, std::uint32_t page, bool written, instant now)
 {
     auto* batch = find(id);
@@ -184,14 +204,7 @@
         batch->nextPageWrite = now + m_settings.pageRetryDelay;
         return takeActions();
     }
-    for (const auto index : batch->pageItems) {
-        auto& item = batch->items[index];
-        item.stage = item_stage::Listed;
-        item.generated = {};
-        batch->listed.push_back(std::move(item.result));
-    }
-    batch->pageItems.clear();
-    ++batch->pages;
+    listPage(*batch);
     writeDuePage(*batch, now);
     return takeActions();
 }
--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -137,6 +137,14 @@
     return batch == nullptr ? 0 : batch->pages;
 }
 
+std::optional<std::uint32_t> batch_runner::openPage(const batch_id& id) const
+{
+    const auto* batch = find(id);
+    if (batch == nullptr || batch->writing || batch->pageItems.empty())
+        return std::nullopt;
+    return batch->pages;
+}
+
 const batch_item* batch_runner::unlistedItem(const batch_id& id, const item_id& item) const
 {
     const auto* batch = find(id);
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -248,6 +248,9 @@
     const std::vector<batch_result>& listed(const batch_id& id) const;
     bool writing(const batch_id& id) const;
     std::uint32_t pages(const batch_id& id) const;
+    // The page whose write failed or has an unknown outcome; also of an ended batch, which doesn't
+    // write it again.
+    std::optional<std::uint32_t> openPage(const batch_id& id) const;
     const batch_item* unlistedItem(const batch_id& id, const item_id& item) const;
     std::vector<batch_id> all() const;
     std::vector<model_demand> demand(instant now) const;
@@ -264,6 +267,8 @@
     std::vector<batch_action> judged(const batch_id& batch, std::size_t index, judge_outcome outcome, const std::string& score, instant now);
     // A page whose write failed or has an unknown outcome (`written` false) is written again unchanged.
     std::vector<batch_action> pageWritten(const batch_id& batch, std::uint32_t page, bool written, instant now);
+    // The open page of an ended batch was found in the store.
+    void openPageFound(const batch_id& batch);
     void textsSaved(const batch_id& batch, bool written, instant now);
 
     // Sends waiting items, ends stalled runs, moves slow ones, writes pages that are due.
@@ -378,6 +383,7 @@
     void stopRuns(const batch_id& id, instant now);
     void onGroupComplete(batch_state& batch, instant now);
     void writeDuePage(batch_state& batch, instant now);
+    static void listPage(batch_state& batch);
     void saveDueTexts(batch_state& batch, instant now);
     void cancelStalledRuns(instant now);
     void updatePace(open_run& run, double typicalPace, std::size_t events, instant now);
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -171,27 +171,34 @@
         writeEnd(id);
 }
 
+// Writes the ended head. A page whose write is open must not appear behind the end, so the same
+// transaction requires that it isn't stored; if it is, it is listed first.
 void batches::writeEnd(const batch_id& id)
 {
     auto& owned = m_owned.at(id);
     owned.endWritePending = true;
     auto endedHead = owned.head;
     endedHead.ended = true;
+    guarded_write write { headKey(id), owned.headRevision, headKey(id), encodeHead(endedHead) };
     kv_transaction change;
-    change.compares.push_back({ headKey(id), kv_field::ModRevision, owned.headRevision, {} });
-    change.then.emplace_back(kv_put { headKey(id), encodeHead(endedHead), {} });
+    change.compares.push_back({ write.guard, kv_field::ModRevision, write.guardRevision, {} });
+    const auto openPage = m_runner.openPage(id);
+    if (openPage)
+        change.compares.push_back({ pageKey(id, *openPage), kv_field::ModRevision, {}, {} });
+    change.then.emplace_back(kv_put { write.key, write.value, {} });
     if (owned.mayHaveStoredTexts)
         change.then.emplace_back(kv_delete { textsKey(id), {} });
-    m_context.store.call("batch end", std::move(change), [this, id, endedHead](const result<kv_answer>& answer) {
+    m_context.store.call("batch end", std::move(change), [this, id, endedHead, openPage, write = std::move(write)](const result<kv_answer>& answer) {
         const auto found = m_owned.find(id);
         if (found == m_owned.end())
             return;
         auto& current = found->second;
         current.endWritePending = false;
         current.endRetryAt = m_context.now + endRetryDelay;
+        const auto verdict = judgeWrite(write, answer);
 
-        // Step 1. Failed, or outcome unknown: tick() retries until the timeout.
-        if (!answer) {
+        // Step 1. Open: tick() retries until the timeout.
+        if (verdict.state == write_state::Open) {
             if (m_context.now < current.endGiveUpAt)
                 return;
             for (const auto& waiter : std::exchange(current.endWaiters, {}))
@@ -199,16 +206,23 @@
             current.endGiveUpAt = m_context.now + endTimeout;
             return;
         }
-
-        // Step 2. Ended, by this write or by an earlier attempt of ours.
-        const auto* entry = answer->entries.empty() ? nullptr : &answer->entries.front();
-        const auto head = entry == nullptr ? std::nullopt : decodeHead(id, entry->value);
-        const bool endedEarlier = head && head->ended && head->owner == endedHead.owner && head->ownerIncarnation == endedHead.ownerIncarnation;
-        if (!answer->succeeded && !endedEarlier) {
+        if (verdict.state == write_state::Overtaken) {
             onOwnershipLost(id, "its head was changed by another instance");
             return;
         }
-        current.headRevision = answer->succeeded ? answer->at : entry->modRevision;
+
+        // Step 2. The open page is in the store: list it.
+        if (openPage && findEntry(*answer, pageKey(id, *openPage)) != nullptr) {
+            logEvent(log_level::Info, "batch", "page", { { "batch", id.str() }, { "page", std::to_string(*openPage) }, { "reason", "found at the end" } });
+            m_runner.openPageFound(id);
+        }
+        if (verdict.state == write_state::NotDone) {
+            current.endRetryAt = m_context.now;
+            return;
+        }
+
+        // Step 3. Ended, by this write or by an earlier attempt of ours.
+        current.headRevision = verdict.at;
         current.head = endedHead;
         logEvent(log_level::Info, "batch", "ended", { { "batch", id.str() } });
         for (const auto& waiter : std::exchange(current.endWaiters, {}))
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -174,29 +174,21 @@
 void batches::writePage(const write_page& action)
 {
     const auto& owned = m_owned.at(action.batch);
-    const auto key = pageKey(action.batch, action.page);
+    guarded_write write { headKey(action.batch), owned.headRevision, pageKey(action.batch, action.page) };
     kv_transaction change;
-    change.compares.push_back({ headKey(action.batch), kv_field::ModRevision, owned.headRevision, {} });
-    change.compares.push_back({ key, kv_field::ModRevision, {}, {} });
-    change.then.emplace_back(kv_put { key, encodeBatchPage(action.results), {} });
-    m_context.store.call("batch page", std::move(change), [this, action, key, headRevision = owned.headRevision](const result<kv_answer>& answer) {
+    change.compares.push_back({ write.guard, kv_field::ModRevision, write.guardRevision, {} });
+    change.compares.push_back({ write.key, kv_field::ModRevision, {}, {} });
+    change.then.emplace_back(kv_put { write.key, encodeBatchPage(action.results), {} });
+    m_context.store.call("batch page", std::move(change), [this, action, write = std::move(write)](const result<kv_answer>& answer) {
         const auto found = m_owned.find(action.batch);
         if (found == m_owned.end())
             return;
-        bool written = answer && answer->succeeded;
-        if (answer && !answer->succeeded) {
-            // An earlier attempt of ours may have written the page: while the head has this
-            // revision, no other instance can write it.
-            bool sameHead = false;
-            for (const auto& entry : answer->entries) {
-                sameHead = sameHead || (entry.key == headKey(action.batch) && entry.modRevision == headRevision);
-                written = written || entry.key == key;
-            }
-            if (!sameHead) {
-                onOwnershipLost(action.batch, "another instance took it over");
-                return;
-            }
+        const auto verdict = judgeWrite(write, answer);
+        if (verdict.state == write_state::Overtaken) {
+            onOwnershipLost(action.batch, "another instance changed its head");
+            return;
         }
+        const bool written = verdict.state == write_state::Done;
         logEvent(written ? log_level::Info : log_level::Warning, "batch", written ? "page" : "page_not_written",
             { { "batch", action.batch.str() }, { "page", std::to_string(action.page) }, { "results", std::to_string(action.results.size()) },
                 { "error", answer ? std::string() : toString(answer.error()) } });
--- a/tests/process/test_entry_open_writes.py
+++ b/tests/process/test_entry_open_writes.py
@@ -8,8 +8,6 @@
 from entry_world import HOST, KEY, EntryCase, submission
 from kit import call, wait_until
 
-CANCEL_S = 3.0  # an ended batch's items reach no replica later than this
-
 
 class OpenWrites(EntryCase):
     def head(self, batch):
@@ -54,6 +52,22 @@
         self.platform.store.listing_delays_s = {}
         self.assertEqual(len(self.wait_for_results(other, "b1", 8)), 4)
 
+    def test_an_ended_batch_lists_a_page_whose_write_got_no_answer(self):
+        entries = self.start_entries()
+        for engine in self.engines:
+            engine.events, engine.event_interval_s = 40, 0.03
+        owner, other = self.submit_to_owner(entries, "b1", submission(2))
+        self.platform.store.lose_answers_to = ["batch/page/"] * 20
+        wait_until(lambda: self.stored_items("b1"), "a page is stored", 8)
+        self.assertEqual(self.end(owner, "b1"), 200)
+        self.platform.store.lose_answers_to = []
+        stored = self.stored_items("b1")
+        for _ in range(3):
+            self.assertEqual(self.listed_items(owner, "b1"), stored)
+            self.assertEqual(self.listed_items(other, "b1"), stored)
+            time.sleep(0.3)
+        self.assertEqual(self.stored_items("b1"), stored)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
