A zero byte in a value no longer cuts its log line

The line about a store key with a zero byte ended at that byte: revision and reason were missing. Cause: the line's writer stops at a zero byte, and only line breaks were replaced. Now each control character is written as a space.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -4,6 +4,7 @@
 #include "named_thread.h"
 #include "ring.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/lockfree/queue.hpp>
 #include <chrono>
@@ -49,7 +50,8 @@
     // Quotes a value that a parser of key=value lines would otherwise split.
     void appendValue(std::string& line, const std::string& value)
     {
-        if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string::npos) {
+        const auto isControl = [](unsigned char c) { return c < ' ' || c == 0x7f; };
+        if (!value.empty() && value.find_first_of(" \"=\\") == std::string::npos && std::none_of(value.begin(), value.end(), isControl)) {
             line += value;
             return;
         }
@@ -57,7 +59,7 @@
         for (const char c : value) {
             if (c == '"' || c == '\\')
                 line += '\\';
-            line += c == '\n' || c == '\r' ? ' ' : c;
+            line += isControl(static_cast<unsigned char>(c)) ? ' ' : c; // the writer ends a line at a zero byte
         }
         line += '"';
     }
