Odd entries of another writer neither spoil the list of targets nor become targets

Seen: with one key that holds half a surrogate pair ("servers/lone-\ud800-half") no instance followed the list any more, or became ready at its start: jsoncpp refuses the whole answer of the store for it. Entries with an unusable address (no port, port 0, 65536, , no IP, line breaks, spaces), an id with line breaks or an impossible coldRemainingMs were taken as live targets. Entries below duties/node with an unusable address became members. Times and counts of a configuration beyond the range of their types became negative or 0. No process ended by any of these.

Cause: escapes were read by jsoncpp alone; decodeTarget() checked presence, not content; conversions from double and 64-bit counts were unchecked.

Change: parseJson() replaces lone halves by U+FFFD; decodeTarget() gives a reason, which is logged at Warning once per revision (targets step=ignored); such entries are dropped where they are read, so the list that passes between instances lacks them; members step=ignored for duty entries that no instance can have written; numbers of a configuration take the nearest bound. An age stated by another instance is bounded too, and a document of it that is no object is not read.

--- a/src/edge/members.cpp
+++ b/src/edge/members.cpp
@@ -2,6 +2,7 @@
 // that rendezvous hashing assigns to this instance.
 #include "edge/members.h"
 
+#include "endpoint.h"
 #include "log.h"
 #include "rendezvous.h"
 
@@ -35,6 +36,14 @@
         return out;
     }
 
+    // Whether an instance may have written the entry: a member's has its name in the key, too.
+    bool mayBeOurs(const std::string& key, const duty_holder& holder)
+    {
+        const auto duty = key.substr(dutyPrefix.size());
+        const bool namesItself = duty.rfind(nodePrefix, 0) != 0 || duty.substr(nodePrefix.size()) == holder.instance.str();
+        return namesItself && !holder.instance.empty() && isIpEndpoint(holder.address);
+    }
+
 } // namespace
 
 members::members(context& shared, std::vector<claimable_duty> duties)
@@ -128,10 +137,16 @@
     const auto membersBefore = std::exchange(m_members, {});
     const auto holdersBefore = std::exchange(m_holders, {});
     const auto unableBefore = std::exchange(m_unableMembers, {});
+    const auto malformedBefore = std::exchange(m_malformedEntries, {});
     for (const auto& entry : entries) {
         const auto holder = entry.key.rfind(dutyPrefix, 0) == 0 ? decodeHolder(entry) : std::nullopt;
-        if (!holder)
+        if (!holder || !mayBeOurs(entry.key, *holder)) {
+            m_malformedEntries[entry.key] = entry.modRevision;
+            const auto logged = malformedBefore.find(entry.key);
+            if (logged == malformedBefore.end() || logged->second != entry.modRevision)
+                logEvent(log_level::Warning, "members", "ignored", { { "key", entry.key }, { "revision", std::to_string(entry.modRevision.value()) }, { "reason", holder ? "its name or address can't be an instance's" : "names no holder" } });
             continue;
+        }
         const auto duty = entry.key.substr(dutyPrefix.size());
         if (duty.rfind(unablePrefix, 0) == 0) {
             if (!unableBefore.contains(holder->instance))
--- a/src/edge/members.h
+++ b/src/edge/members.h
@@ -90,6 +90,7 @@
     bool m_known = false;
     instant m_unableUntil {};
     std::set<instance_id> m_unableMembers; // by the last list
+    std::map<std::string, revision> m_malformedEntries; // of the last list, logged as ignored, by key
     bool m_releasing = false;
     bool m_leaving = false;
     std::map<instance_id, member> m_members;
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -45,6 +45,7 @@
     constexpr duration configStaleAge = std::chrono::milliseconds(2800);
     constexpr duration readerConfigStaleAge = std::chrono::milliseconds(2300);
     constexpr std::size_t readerCount = 3; // instances at the start of the tree's order that may read the store
+    constexpr std::chrono::milliseconds unknownAge = std::chrono::hours(1); // stated of a document that was never read, and the longest
     constexpr std::string_view firstCallMark = ".first"; // in the query of a first call, which is answered at once
 
     constexpr const char* documentNames[] = { "config", "members", "targets", "evacuations" };
@@ -164,6 +165,8 @@
         answeredDoc.reading = false;
         answeredDoc.retryDelay = {};
         answeredDoc.readAt = askedAt + readPeriod(index);
+        if (index == TargetsIndex)
+            forgetRemovedEntries(answer->entries);
         updateDocument(index, answer->entries, answer->at, askedAt);
         if (index != TargetsIndex && mustReadStore())
             startWatch(index);
@@ -311,9 +314,9 @@
         if (i == EvacuationsIndex && m_evacuations.readsItself())
             continue;
         const auto& documentJson = (*body)[documentNames[i]];
-        const auto confirmedAt = m_context.now - std::chrono::milliseconds(jsonCount(documentJson, "age_ms"));
+        const auto confirmedAt = m_context.now - std::chrono::milliseconds(std::min<std::uint64_t>(jsonCount(documentJson, "age_ms"), unknownAge.count()));
         const revision documentRevision(jsonCount(documentJson, "at"));
-        if (documentJson.isMember("entries"))
+        if (documentJson.isObject() && documentJson.isMember("entries"))
             updateDocument(static_cast<document_index>(i), entriesFromJson(jsonList(documentJson, "entries")), documentRevision, confirmedAt);
         else if (documentRevision >= m_documents[i].at)
             m_documents[i].confirmedAt = std::max(m_documents[i].confirmedAt, confirmedAt);
@@ -350,7 +353,7 @@
         const auto& doc = m_documents[i];
         Json::Value documentJson(Json::objectValue);
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.now - doc.confirmedAt);
-        documentJson["age_ms"] = Json::UInt64(doc.known ? static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)) : std::chrono::milliseconds(std::chrono::hours(1)).count());
+        documentJson["age_ms"] = Json::UInt64(doc.known ? static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)) : unknownAge.count());
         documentJson["at"] = Json::UInt64(doc.at.value());
         if (doc.known && knownDigests[i] != std::to_string(doc.digest))
             documentJson["entries"] = entriesJson(doc.entries);
@@ -366,6 +369,8 @@
     auto& doc = m_documents[index];
     if (doc.known && at < doc.at)
         return; // never go back to an older revision
+    if (index == TargetsIndex)
+        dropMalformedTargets(entries);
     std::sort(entries.begin(), entries.end(), [](const kv_entry& a, const kv_entry& b) { return a.key < b.key; });
     const auto digest = digestOf(entries, index == TargetsIndex, m_context.settings.bounds.coldOvershoot > 0);
     const bool unchanged = doc.known && digest == doc.digest;
@@ -475,6 +480,31 @@
         m_context.targets.setEvacuated(m_evacuations.inForce());
 }
 
+// Removes entries that name no target, so that they are not passed on either, and logs each of
+// their revisions once.
+void platform_view::dropMalformedTargets(std::vector<kv_entry>& entries)
+{
+    std::erase_if(entries, [this](const kv_entry& entry) {
+        const auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision);
+        if (target)
+            return false;
+        if (std::exchange(m_malformedTargets[entry.key], entry.modRevision) != entry.modRevision)
+            logEvent(log_level::Warning, "targets", "ignored", { { "key", entry.key }, { "revision", std::to_string(entry.modRevision.value()) }, { "reason", target.error().detail } });
+        return true;
+    });
+}
+
+// Lists of other instances lack the malformed entries, so only the store's tells that one is gone.
+void platform_view::forgetRemovedEntries(const std::vector<kv_entry>& stored)
+{
+    if (m_malformedTargets.empty())
+        return;
+    std::set<std::string_view> keys;
+    for (const auto& entry : stored)
+        keys.insert(entry.key);
+    std::erase_if(m_malformedTargets, [&keys](const auto& logged) { return !keys.contains(logged.first); });
+}
+
 void platform_view::applyTargets()
 {
     const auto& doc = m_documents[TargetsIndex];
@@ -483,8 +513,7 @@
         if (auto target = platform::decodeTarget(entry.key, entry.value, entry.createRevision)) {
             target->listed.region = region_id(m_context.settings.regionOf(target->listed.failureDomain.str()));
             entries.push_back(std::move(*target));
-        } else
-            logEvent(log_level::Debug, "targets", "ignored", { { "key", entry.key } });
+        }
     }
 
     // Step 1. After an outage, keep targets that were listed before it during the grace period.
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -106,6 +106,8 @@
     // Applying documents.
     void updateDocument(document_index index, std::vector<kv_entry> entries, revision at, instant confirmedAt);
     void applyConfig();
+    void dropMalformedTargets(std::vector<kv_entry>& entries);
+    void forgetRemovedEntries(const std::vector<kv_entry>& stored);
     void applyTargets();
     // Sets the limits of cold targets, by the list and the configuration.
     void applyColdLimits();
@@ -117,6 +119,7 @@
     members& m_members;
     std::array<document, DocumentCount> m_documents;
     std::vector<platform::target_entry> m_targets;
+    std::map<std::string, revision> m_malformedTargets; // logged as ignored, by key
     evacuations m_evacuations;
     instant m_targetsKnownAt {}; // when the first list of targets was read
     std::optional<instant> m_outageGraceUntil; // entries that expired in an outage may be missing until then
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -1,6 +1,7 @@
 // jsoncpp's reader and writer with the options used throughout the project.
 #include "json_text.h"
 
+#include <charconv>
 #include <json/json.h>
 #include <memory>
 
@@ -17,10 +18,52 @@
         return &object[name];
     }
 
+    constexpr std::size_t escapeLength = 6; // of "\\uXXXX"
+    constexpr unsigned firstSurrogate = 0xD800;
+    constexpr unsigned firstLowSurrogate = 0xDC00;
+    constexpr unsigned endOfSurrogates = 0xE000;
+    constexpr std::string_view replacementEscape = "\\ufffd";
+
+    // The code unit of the escape "\uXXXX" at this position; empty if there is none.
+    std::optional<unsigned> escapedUnit(std::string_view text, std::size_t at)
+    {
+        constexpr int hexBase = 16;
+        if (at + escapeLength > text.size() || text[at] != '\\' || text[at + 1] != 'u')
+            return std::nullopt;
+        unsigned unit = 0;
+        const auto* first = text.data() + at + 2;
+        const auto* last = text.data() + at + escapeLength;
+        const auto [end, fault] = std::from_chars(first, last, unit, hexBase);
+        return fault == std::errc() && end == last ? std::optional(unit) : std::nullopt;
+    }
+
+    // Replaces escaped halves of surrogate pairs, which no UTF-8 text holds: jsoncpp refuses the
+    // whole document for one of them.
+    std::string withoutLoneSurrogates(std::string_view text)
+    {
+        std::string out(text);
+        for (std::size_t at = out.find('\\'); at < out.size(); at = out.find('\\', at)) {
+            const auto unit = escapedUnit(out, at);
+            if (!unit) {
+                at += 2;
+                continue;
+            }
+            const auto next = escapedUnit(out, at + escapeLength);
+            const bool isPair = *unit >= firstSurrogate && *unit < firstLowSurrogate && next && *next >= firstLowSurrogate && *next < endOfSurrogates;
+            if (!isPair && *unit >= firstSurrogate && *unit < endOfSurrogates)
+                out.replace(at, escapeLength, replacementEscape);
+            at += isPair ? 2 * escapeLength : escapeLength;
+        }
+        return out;
+    }
+
 } // namespace
 
-std::optional<Json::Value> parseJson(std::string_view text)
+std::optional<Json::Value> parseJson(std::string_view document)
 {
+    const bool mayHaveSurrogates = document.find("\\ud") != std::string_view::npos || document.find("\\uD") != std::string_view::npos;
+    const auto repaired = mayHaveSurrogates ? withoutLoneSurrogates(document) : std::string();
+    const auto text = mayHaveSurrogates ? std::string_view(repaired) : document;
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["strictRoot"] = false;
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -75,15 +75,19 @@
         self.engines = [self.platform.engine("pool", zone, models=["m"]) for zone in ("north", "south", "north")]
         self.shops = [self.platform.service("shop", zone) for zone in ("north", "south")]
         self.platform.put_config(config(1, keys))
+        self.platform_started()
         ports = [free_ports(4) for _ in range(count)]
         seeds = [f"127.0.0.1:{port + 2}" for port in ports]
         self.ports, self.seeds, self.duty_settings = ports, seeds, duties
         self.entries = [self.entry(i) for i in range(count)]
         for entry in self.entries:
             wait_until(entry.is_ready, f"{entry.name} is ready")
-        wait_until(lambda: len(self.platform.store.keys_with_prefix("/lovagerail/duties/node/")) == count, "all entries hold their node key")
+        wait_until(lambda: len(self.platform.store.keys_with_prefix("/lovagerail/duties/node/entry-")) == count, "all entries hold their node key")
         return self.entries
 
+    def platform_started(self):
+        """Called before the first instance starts."""
+
     def entry(self, index):
         return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds, self.duty_settings,
                      self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}", self.bounds, self.regions)
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -176,6 +176,56 @@
         BOOST_TEST(!platform::decodeTarget("servers/i-2", bad, revision(5)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(entries_with_an_unusable_address_id_or_number_are_not_targets)
+{
+    const auto decode = [](const std::string& key, const std::string& address, const std::string& more = "") {
+        return platform::decodeTarget(key, R"({"service":"s","address":")" + address + R"(","zone":"z","state":"ready")" + more + "}", revision(5));
+    };
+    for (const std::string address : { "10.0.0.1:1", "10.0.0.1:65535", "[::1]:80" })
+        BOOST_TEST(decode("servers/i-1", address).has_value(), address);
+    for (const std::string address : { "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:080", "10.0.0.1:65536", "10.0.0.1:99999999999", "10.0.0.1:-1", "10.0.0.1:8x", "10.0.0.1:80/x", "10.0.0.1:80\\r\\nx: y",
+             " 10.0.0.1:80", "10.0.0.1 :80", "x@10.0.0.1:80", "256.0.0.1:80", "name:80", "::1:80", "[::1:80", "[]:80", "10.0.0.1\\u0000:80", ":80" })
+        BOOST_TEST(!decode("servers/i-1", address).has_value(), address);
+    for (const std::string key : { "servers/", "servers/a b", "servers/a\r\nb", "servers/\xff", "servers/\x7f" })
+        BOOST_TEST(!decode(key, "10.0.0.1:80").has_value(), key);
+    for (const std::string more : { R"("slots":4294967295)", R"("born":18446744073709551615)", R"("coldRemainingMs":0.5)", R"("models":[{"name":"m"}])" })
+        BOOST_TEST(decode("servers/i-1", "10.0.0.1:80", "," + more).has_value(), more);
+    for (const std::string more : { R"("slots":4294967296)", R"("slots":-1)", R"("born":1e30)", R"("born":-1)", R"("coldRemainingMs":1e300)", R"("coldRemainingMs":-1)", R"("coldRemainingMs":"5")",
+             R"("version":7)", R"("models":7)", R"("models":[7])", R"("models":[{"name":"m","version":18446744073709551616}])" }) {
+        const auto target = decode("servers/i-1", "10.0.0.1:80", "," + more);
+        BOOST_TEST(!target.has_value(), more);
+        BOOST_TEST((target || !target.error().detail.empty()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_key_with_half_a_surrogate_pair_does_not_spoil_the_list)
+{
+    const auto answer = platform::decodeStoreAnswer(readPrefix("servers/"), answered(200, R"({"items":[{"key":"servers/\ud83d\ude00","value":"eA==","revision":8},{"key":"servers/\ud800-\\ud800","value":"eA==","revision":9},)"
+                                                                                          R"({"key":"servers/\udc00\uD800","value":"eA==","revision":9},{"key":"servers/i","value":"eA==","revision":9}],"currentRev":9})"));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_REQUIRE(answer->entries.size() == 4u);
+    BOOST_TEST(answer->entries[0].key == "servers/\xf0\x9f\x98\x80");
+    BOOST_TEST(answer->entries[1].key == "servers/\xef\xbf\xbd-\\ud800");
+    BOOST_TEST(answer->entries[2].key == "servers/\xef\xbf\xbd\xef\xbf\xbd");
+    BOOST_TEST(answer->entries[3].key == "servers/i");
+}
+
+BOOST_AUTO_TEST_CASE(numbers_too_large_in_a_configuration_take_the_largest_value)
+{
+    for (const std::string number : { "1e300", "18446744073709551615", "4294967296", "2147483648" }) {
+        const auto site = platform::decodeSite(R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","timeoutMs":)" + number + R"(,"itemTtlS":)" + number + R"(,"priority":)" + number
+            + R"(,"maxAttempts":)" + number + R"(}],"limits":{"idleTimeoutMs":)" + number + "}}");
+        BOOST_REQUIRE(site.has_value());
+        const auto& route = site->routes.front();
+        BOOST_TEST(route.timeout > duration(), number);
+        BOOST_TEST(route.itemTtl > duration(), number);
+        BOOST_TEST(route.timeout + route.itemTtl > route.timeout, number);
+        BOOST_TEST(route.priority >= 0, number);
+        BOOST_TEST(route.maxAttempts >= 1u, number);
+        BOOST_TEST(site->limits.idle.count() > 0, number);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(events_are_split_at_blank_lines_wherever_reads_end)
 {
     const std::string stream = "weight-versions: 3\nid: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata: d";
