Deeply nested traces, ledger heads and usage records are refused instead of throwing

no_parser_throws_on_a_damaged_message now also puts in nesting of 3,000 levels, numbers beyond 64 bits, half surrogate pairs and impossible ports. It failed for traces: 62 of 4,000 messages threw. Cause: decodeTrace() used jsoncpp's reader, which throws beyond its depth, without catching. The readers of ledger heads, sealed usage and stored usage counters were built alike (their cases were added after the change, so they were not seen failing). All use parseJson() now, which catches. After: 0 messages throw.

--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -1,6 +1,8 @@
 // Codecs, keys and size bounds of a run's ledger; see ledger.h.
 #include "ledger.h"
 
+#include "json_text.h"
+
 #include <algorithm>
 #include <cassert>
 #include <json/json.h>
@@ -315,11 +317,10 @@
 
 result<ledger_head> decodeLedgerHead(std::string_view bytes)
 {
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    Json::Value json;
-    std::string problem;
-    if (!reader->parse(bytes.data(), bytes.data() + bytes.size(), &json, &problem) || !json.isObject())
+    const auto parsed = parseJson(bytes);
+    if (!parsed || !parsed->isObject())
         return failure(error_code::Corrupt, headStep, "not a JSON object");
+    const auto& json = *parsed;
     if (!json["fencing_number"].isUInt64() || !json["trainer_version"].isUInt64() || !json["acknowledged"].isUInt64() || !json["steps"].isArray())
         return failure(error_code::Corrupt, headStep, "a field is missing or has another type");
 
--- a/src/trace.cpp
+++ b/src/trace.cpp
@@ -1,6 +1,8 @@
 // Encoding and decoding of traces, and prompts for replaying them.
 #include "trace.h"
 
+#include "json_text.h"
+
 #include <algorithm>
 #include <cinttypes>
 #include <cstdio>
@@ -121,8 +123,6 @@
 
 result<trace> decodeTrace(std::string_view text)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     trace out;
     std::size_t number = 0;
     while (!text.empty()) {
@@ -135,9 +135,10 @@
         const auto corrupt = [number](const std::string& why) {
             return failure(error_code::Corrupt, step, peer_kind::File, {}, "line " + std::to_string(number) + ": " + why);
         };
-        Json::Value value;
-        if (!reader->parse(line.data(), line.data() + line.size(), &value, nullptr))
+        const auto parsed = parseJson(line);
+        if (!parsed)
             return corrupt("not JSON");
+        const auto& value = *parsed;
         if (number == 1) {
             if (!value.isObject() || !value["lovagerail_trace"].isInt())
                 return corrupt("expected the head of a trace");
--- a/src/usage_pull.cpp
+++ b/src/usage_pull.cpp
@@ -1,6 +1,7 @@
 // Usage pulls: answering on the instance, and the JSON encoding.
 #include "usage_pull.h"
 
+#include "json_text.h"
 #include "usage_json.h"
 
 #include <memory>
@@ -181,11 +182,10 @@
 
 result<std::vector<usage_batch>> countersFromValue(std::string_view value)
 {
-    Json::Value json;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(value.data(), value.data() + value.size(), &json, nullptr))
+    const auto json = parseJson(value);
+    if (!json)
         return failure(error_code::Corrupt, pullStep, peer_kind::KeyValueService, {}, "stored usage counters are not valid JSON");
-    return batchesFromJson(json);
+    return batchesFromJson(*json);
 }
 
 } // namespace lovagerail
--- a/src/usage_sealed.cpp
+++ b/src/usage_sealed.cpp
@@ -1,6 +1,7 @@
 // Sealed usage windows: sums, JSON encoding and reports.
 #include "usage_sealed.h"
 
+#include "json_text.h"
 #include "usage_json.h"
 
 #include <iterator>
@@ -203,10 +204,10 @@
 result<sealed_window> decodeSealed(std::string_view text)
 {
     // Step 1. Types of the top-level fields.
-    Json::Value json;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &json, nullptr) || !hasSealedFields(json))
+    const auto parsed = parseJson(text);
+    if (!parsed || !hasSealedFields(*parsed))
         return failure(error_code::Corrupt, sealedStep, "malformed sealed usage window");
+    const auto& json = *parsed;
     // Step 2. Accounts.
     sealed_window sealed;
     sealed.window = window_number(json["window"].asUInt64());
--- a/tests/test_malformed.cpp
+++ b/tests/test_malformed.cpp
@@ -5,10 +5,12 @@
 #include "batch_runner.h"
 #include "config.h"
 #include "edge/entries_json.h"
+#include "endpoint.h"
 #include "gossip_codec.h"
 #include "json_text.h"
 #include "keys.h"
 #include "lease.h"
+#include "ledger.h"
 #include "platform/batch_codec.h"
 #include "platform/desired_state.h"
 #include "platform/duty_codec.h"
@@ -17,6 +19,8 @@
 #include "property.h"
 #include "quarantine.h"
 #include "trace.h"
+#include "usage_pull.h"
+#include "usage_sealed.h"
 #include "usage_tally_json.h"
 
 #include <exception>
@@ -57,7 +61,10 @@
                                R"("limits":{"maxHeaderBytes":1000,"maxBodyBytes":1000,"idleTimeoutMs":1000}})",
                 [](const std::string& text) { (void)platform::decodeSite(text); } },
             { "target entry", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","sequence":3,"born":17,"spot":true,"coldRemainingMs":5,"models":[{"name":"m","version":4}]})",
-                [](const std::string& text) { (void)platform::decodeTarget("servers/i", text, revision(1)); } },
+                [](const std::string& text) {
+                    if (const auto target = platform::decodeTarget("servers/i", text, revision(1)))
+                        BOOST_TEST(isIpEndpoint(target->listed.address.substr(std::string_view("http://").size())), text);
+                } },
             { "announced version", R"({"model":"m","version":4})", [](const std::string& text) { (void)platform::decodeAnnouncedVersion(text); } },
             { "submission", R"({"step":1,"model":"m","minVersion":1,"desiredCount":1,"items":[{"id":"i","path":"/steps/1/i","headers":{"Model":"m","Token-Count":"5,6","Prompt-Prefix":"a:3,b:4"},)"
                             R"("body":"aGk=","tokens":9,"group":"g","scoringUrl":{"id":"j","host":"h","path":"/j","body":"aGk="}}]})",
@@ -95,6 +102,9 @@
             { "configuration change", R"({"kind":"route","name":"r","object":{"name":"r","path_prefix":"/p"}})", withJson([](const Json::Value& value) { (void)changeFromJson(value); }) },
             { "withdrawn keys", R"([{"id":"k","at":5}])", withJson([](const Json::Value& value) { (void)denyMarksFromJson(value); }) },
             { "gossip", std::string("\x93\x01\xa1x\x90", 5), [](const std::string& text) { (void)decodeGossip(text); } },
+            { "ledger head", R"({"fencing_number":1,"trainer_version":2,"acknowledged":3,"steps":[]})", [](const std::string& text) { (void)decodeLedgerHead(text); } },
+            { "sealed usage", R"({"window":1,"difference_count":0,"accounts":{},"targets":{},"included":[],"missing":[],"differences":[]})", [](const std::string& text) { (void)decodeSealed(text); } },
+            { "usage counters", "[]", [](const std::string& text) { (void)countersFromValue(text); } },
             { "trace", "{\"at_ms\":1,\"account\":\"a\"}\n", [](const std::string& text) { (void)decodeTrace(text); } },
         };
     }
@@ -125,12 +135,40 @@
         return text;
     }
 
+    constexpr const char* rawMark = "raw value"; // stands for a result of oddText()
+
     Json::Value oddValue(random_source& random)
     {
-        const Json::Value values[] = { Json::Value(), true, -1, Json::UInt64(~0ULL), Json::Int64(Json::Int64(1) << 62), 1e300, -0.5, "", "text", std::string(300, 'x'), Json::Value(Json::arrayValue), Json::Value(Json::objectValue) };
+        const Json::Value values[] = { Json::Value(), true, -1, Json::UInt64(~0ULL), Json::Int64(Json::Int64(1) << 62), 1e300, -0.5, "", "text", std::string(300, 'x'), rawMark, rawMark, rawMark, "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999", "10.0.0.1:80\r\nx: y", "[::1]:80", "::1:80", "-1", Json::Value(Json::arrayValue), Json::Value(Json::objectValue) };
         return values[below(random, std::size(values))];
     }
 
+    // JSON texts that no Json::Value holds: numbers beyond 64 bits, deep nesting, half surrogate pairs.
+    std::string oddText(random_source& random)
+    {
+        constexpr int depth = 3000;
+        const auto nested = [](const std::string& open, const std::string& close) {
+            std::string out;
+            for (int i = 0; i < depth; ++i)
+                out += open;
+            out += "1";
+            for (int i = 0; i < depth; ++i)
+                out += close;
+            return out;
+        };
+        const std::string texts[] = { nested("[", "]"), nested("{\"a\":", "}"), std::string(400, '9'), "99999999999999999999999", "-99999999999999999999999", "1e400", "-1e400", "1e-400", "18446744073709551616",
+            "-9223372036854775809", "9223372036854775808", "1e18", "4294967296", "-0.0", "\"\\ud800\"", "\"\\udc00\\ud800\"", "\"\\u0000\"", "\"\xff\xed\xa0\x80\"" };
+        return texts[below(random, std::size(texts))];
+    }
+
+    std::string withOddTexts(std::string text, random_source& random)
+    {
+        const auto mark = '"' + std::string(rawMark) + '"';
+        for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark, at))
+            text.replace(at, mark.size(), oddText(random));
+        return text;
+    }
+
     // Replaces a value somewhere in the document by one of another type or size.
     void damageValue(Json::Value& value, random_source& random)
     {
@@ -154,7 +192,7 @@
             return damageBytes(valid, random);
         for (std::size_t count = 1 + below(random, 3); count > 0; --count)
             damageValue(*value, random);
-        return writeJson(*value);
+        return withOddTexts(writeJson(*value), random);
     }
 
 } // namespace
