--- a/tests/test_answer_framing.cpp
+++ b/tests/test_answer_framing.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <initializer_list>
 #include <netinet/in.h>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -62,6 +64,14 @@
 
 const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Stamp: s\r\n";
 
+http::transfer_result outcomeBehindHead(std::initializer_list<std::string_view> parts)
+{
+    std::string bytes = head;
+    for (const auto part : parts)
+        bytes += part;
+    return outcomeOf(bytes);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(answer_framing_suite)
@@ -124,7 +134,7 @@
              "Content-Length : 10\r\n", "Content-Length: 5, 10\r\n", "Content-Length: 5x\r\n", "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length: 0x5\r\n", "Content-Length:\r\n 10\r\n", "Content-Length:\r\n",
              "Content-Length: 10\r\n \r\n", "Transfer-Encoding: identity\r\n" }) {
         for (const auto& body : { part, std::string() }) {
-            const auto outcome = outcomeOf(head + lines + "Connection: close\r\n\r\n" + body);
+            const auto outcome = outcomeBehindHead({ lines, "Connection: close\r\n\r\n", body });
             BOOST_TEST((outcome != http::transfer_result::Complete), lines << body);
         }
         BOOST_TEST((outcomeOf(head + lines) != http::transfer_result::Complete), lines << "alone");
@@ -136,16 +146,16 @@
     for (const std::string encoding : { "xchunked", "chunkedx", "gzip", "\"chunked\"", "chunked;q=1", "chunked, gzip" }) {
         for (const std::string name : { "Transfer-Encoding", "Transfer-Encoding " }) {
             for (const std::string body : { "", "01234", "5\r\n01234\r\n", "5\r\n01234\r\n0\r\n" }) {
-                const auto outcome = outcomeOf(head + name + ": " + encoding + "\r\n\r\n" + body);
+                const auto outcome = outcomeBehindHead({ name, ": ", encoding, "\r\n\r\n", body });
                 BOOST_TEST((outcome != http::transfer_result::Complete), name << ": " << encoding << ", " << body);
             }
         }
     }
     for (const std::string body : { "", "01234", "5\r\n01234\r\n", "5\r\n01234\r\n0\r\n" }) {
-        BOOST_TEST((outcomeOf(head + "Transfer-Encoding : chunked\r\n\r\n" + body) != http::transfer_result::Complete), body);
-        BOOST_TEST((outcomeOf(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + body) != http::transfer_result::Complete), "both, " << body);
-        BOOST_TEST((outcomeOf(head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + body) != http::transfer_result::Complete), "both, " << body);
-        BOOST_TEST((outcomeOf(head + "Transfer-Encoding: Chunked\r\n\r\n" + body) != http::transfer_result::Complete), body);
+        BOOST_TEST((outcomeBehindHead({ "Transfer-Encoding : chunked\r\n\r\n", body }) != http::transfer_result::Complete), body);
+        BOOST_TEST((outcomeBehindHead({ "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", body }) != http::transfer_result::Complete), "both, " << body);
+        BOOST_TEST((outcomeBehindHead({ "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", body }) != http::transfer_result::Complete), "both, " << body);
+        BOOST_TEST((outcomeBehindHead({ "Transfer-Encoding: Chunked\r\n\r\n", body }) != http::transfer_result::Complete), body);
     }
     BOOST_TEST((outcomeOf(head + "transfer-encoding: Chunked\r\n\r\n5;a=\"b\"\r\n01234\r\n0\r\nTrailer: t\r\n\r\n") == http::transfer_result::Complete));
     BOOST_TEST((outcomeOf(head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n0\r\nTrailer: t\r\n") != http::transfer_result::Complete), "within the trailers");
--- a/tests/test_open_write.cpp
+++ b/tests/test_open_write.cpp
@@ -99,18 +99,18 @@
             EffectLate,
             LateEffect,
             OtherWrites,
-            eventKinds };
+            EventKinds };
         std::size_t lateAttempts = 0;
         std::optional<write_verdict> settled;
         for (const auto event : events) {
-            switch (event % eventKinds) {
+            switch (event % EventKinds) {
             case AnswerArrives:
             case AnswerLost:
             case ReadArrives: {
                 if (settled)
                     break;
-                const auto answer = event % eventKinds == ReadArrives ? store.read(write) : store.attempt(write);
-                const auto verdict = judgeWrite(write, event % eventKinds == AnswerLost ? lost() : result<kv_answer>(answer));
+                const auto answer = event % EventKinds == ReadArrives ? store.read(write) : store.attempt(write);
+                const auto verdict = judgeWrite(write, event % EventKinds == AnswerLost ? lost() : result<kv_answer>(answer));
                 checkVerdict(write, verdict, store);
                 ++reached[verdict.state];
                 if (verdict.state == write_state::Done || verdict.state == write_state::Overtaken)
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -213,8 +213,11 @@
 BOOST_AUTO_TEST_CASE(numbers_too_large_in_a_configuration_take_the_largest_value)
 {
     for (const std::string number : { "1e300", "18446744073709551615", "4294967296", "2147483648" }) {
-        const auto site = platform::decodeSite(R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","timeoutMs":)" + number + R"(,"itemTtlS":)" + number + R"(,"priority":)" + number
-            + R"(,"maxAttempts":)" + number + R"(}],"limits":{"idleTimeoutMs":)" + number + "}}");
+        std::string document = R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s")";
+        for (const std::string name : { "timeoutMs", "itemTtlS", "priority", "maxAttempts" })
+            document.append(",\"").append(name).append("\":").append(number);
+        document.append(R"(}],"limits":{"idleTimeoutMs":)").append(number).append("}}");
+        const auto site = platform::decodeSite(document);
         BOOST_REQUIRE(site.has_value());
         const auto& route = site->routes.front();
         BOOST_TEST(route.timeout > duration(), number);
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -63,7 +63,9 @@
     std::atomic<bool> ended { false };
     std::atomic<int> closedByOthers { 0 };
     std::vector<std::thread> openers;
-    for (int i = 0; i < 4; ++i) {
+    constexpr int openerCount = 4;
+    openers.reserve(openerCount);
+    for (int i = 0; i < openerCount; ++i) {
         openers.emplace_back([&] {
             while (!ended) {
                 const int own = open("/dev/null", O_RDONLY | O_CLOEXEC);
