A stream goes on only with an answer that continues it

Behind an error it was given up, although other targets could go on.

Cause: the status and the proof alone decided that an answer is the rest of a stream; media type, and ids of a caller's stream, were not looked at. Items skipped repeated ids unseen.

Change: src/stream_continuation.h, pure, judges the head and each event before it is passed on, for callers' streams, take-ups, items and relayed answers. What doesn't go on is a failed attempt: the rest is asked for elsewhere within the route's attempts, else the caller sees a break. `answer_rejected` logs target and reason. A first success that is no stream is delivered whole.

Why it works: nothing is passed on before it is judged, and the end of an answer that was not accepted ends no stream.

--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -30,7 +30,7 @@
 namespace lovagerail {
 
 struct batch_event {
-    std::uint64_t id = 0;
+    std::optional<std::uint64_t> id; // empty: missing, or it can't be read
     std::string data;
     std::optional<weight_version> version; // set if the version changed with this event
 };
@@ -40,6 +40,7 @@
     int status = 0;
     bool echoesId = true; // false if the answer names another item than the one sent, so it must be discarded
     bool notRun = false; // the target refused and says that it ran nothing
+    bool isEventStream = false; // by its media type
     std::optional<weight_version> version;
 };
 
@@ -73,8 +74,8 @@
     BatchClosed, // ended, or owned by another instance from now on
     Stalled, // no event within the time-out
     Moved, // to a faster target
-    WrongAnswer, // of another item, or from weights that the batch does not allow
-    BrokenText, // a gap, a second version where one is allowed, or other software
+    WrongAnswer, // of another item, from weights that the batch does not allow, or no stream
+    BrokenText, // events that don't follow the text, a second version where one is allowed, or other software
 };
 std::string_view toString(cancel_reason reason);
 
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -2,6 +2,7 @@
 // from slow replicas; see batch_runner.h.
 #include "batch_runner.h"
 #include "http_status.h"
+#include "stream_continuation.h"
 
 #include <algorithm>
 #include <cassert>
@@ -220,13 +221,13 @@
         return takeActions(); // handled in done()
     m_router.firstToken(attempt, now);
 
-    // Cancel a stream of another item or of weights that this batch does not allow. A
+    // Cancel an answer that is no stream, and a stream of another item or of weights that this batch does not allow. A
     // stream resumed after the text's last event may have nothing left to generate, and
     // then states no version.
     const bool resumed = !item.generated.data.empty();
     const bool versionTooOld = head.version ? *head.version < batch.spec.minVersion : !resumed;
     const bool versionChanged = batch.route.singleVersion && resumed && head.version && *head.version != item.generated.versions.front();
-    if (head.echoesId && !versionTooOld && !versionChanged) {
+    if (head.echoesId && isStreamHead(head.status, head.isEventStream) && !versionTooOld && !versionChanged) {
         run.accepted = true;
         run.version = head.version.value_or(weight_version());
         return takeActions();
@@ -259,18 +260,25 @@
     for (const auto& event : events) {
         if (event.version)
             run.version = *event.version;
-        // Step 1. Skip repeated events. Cancel the run at a gap, at a second version if the
-        // route demands a single one, or if no version was reported.
-        const bool isFirst = item.generated.data.empty();
-        if (!isFirst && event.id <= item.generated.lastEventId)
+        // Step 1. Skip repeated events. Cancel the run at an event that doesn't follow the text, at a second
+        // version if the route demands a single one, or if no version was reported.
+        auto& text = item.generated;
+        const bool isFirst = text.data.empty();
+        const auto isSame = [&](std::uint64_t earlier) {
+            const auto distance = text.lastEventId - earlier;
+            return distance < text.data.size() && text.data[text.data.size() - 1 - distance] == event.data;
+        };
+        const auto order = orderOf(isFirst ? std::nullopt : std::optional(text.lastEventId), event.id, isSame);
+        if (order == event_order::Repeated)
             continue;
-        const bool hasGap = !isFirst && event.id != item.generated.lastEventId + 1;
+        const bool isOutOfOrder = order == event_order::Broken;
         const bool isSecondVersion = batch.route.singleVersion && !isFirst && run.version != item.generated.versions.front();
         const bool versionUnknown = run.version == weight_version(); // neither the head nor an event has stated a version
-        if (hasGap || isSecondVersion || versionUnknown) {
-            if (isSecondVersion) {
+        if (isOutOfOrder || isSecondVersion || versionUnknown) {
+            if (isSecondVersion)
                 dropText(item); // the route demands a single version
-            }
+            if (isOutOfOrder)
+                item.avoidUntil[run.target] = now + m_settings.avoidUntilRefresh;
             m_actions.emplace_back(cancel_run { attempt, cancel_reason::BrokenText });
             endRun(attempt, attempt_outcome::Failure, now);
             ++m_counts.broken;
@@ -283,7 +291,7 @@
         if (isFirst)
             item.generated.software = run.software;
         item.generated.data.push_back(event.data);
-        item.generated.lastEventId = event.id;
+        item.generated.lastEventId = *event.id;
         if (!contains(item.generated.versions, run.version))
             item.generated.versions.push_back(run.version);
     }
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -122,6 +122,7 @@
         head.status = run.head.status;
         head.echoesId = platform::isAnswerTo(run.head, request_id(run.item.str()));
         head.notRun = run.head.notRun;
+        head.isEventStream = run.head.isEventStream;
         head.version = run.head.version;
         execute(m_runner.head(attempt, head, m_context.now));
         return;
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -292,6 +292,8 @@
             const auto found = m_attempts.find(cancellation->attempt);
             if (found == m_attempts.end())
                 continue;
+            if (!cancellation->reason.empty())
+                logRejected(found->second, cancellation->reason, "");
             m_link.cancel(found->second.transfer);
             m_attempts.erase(found);
         } else if (const auto* delivery = std::get_if<forward_deliver>(&action))
@@ -419,6 +421,7 @@
     head.echoesId = platform::isAnswerTo(openAttempt.head, openForward.callerId);
     head.signedByTarget = !openAttempt.head.proof.empty();
     head.notRun = openAttempt.head.notRun;
+    head.isEventStream = openAttempt.head.isEventStream;
     recordTargetState(openAttempt.target, openAttempt.targetIncarnation, openAttempt.head, openAttempt.sentAt);
     execute(m_forwarding.head(attempt, head, m_context.now));
     // The actions may have cancelled this attempt.
@@ -437,7 +440,14 @@
     }
     const auto forward = openAttempt.forward;
     for (const auto& event : openAttempt.reader.feed(bytes)) {
-        m_forwarding.progress(attempt, event.id, m_context.now);
+        const event_digest digest(XXH64(event.raw.data(), event.raw.size(), 0));
+        const auto order = m_forwarding.streamEvent(attempt, event.id, digest, m_context.now);
+        if (order == event_order::Repeated)
+            continue;
+        if (order == event_order::Broken) {
+            rejectEvent(attempt, event);
+            return;
+        }
         auto& open = m_forwards.at(forward);
         if (!std::exchange(open.originKnown, true) && !open.stream.empty())
             m_streams.begun(open.stream, openAttempt.software);
@@ -461,6 +471,22 @@
     m_attempts.erase(attempt);
 }
 
+// Ends an attempt whose events don't go on with the stream that the caller gets.
+void caller_frontend::rejectEvent(attempt_id attempt, const platform::stream_event& event)
+{
+    const auto found = m_attempts.find(attempt);
+    logRejected(found->second, "an event that is not the next one", event.id ? std::to_string(*event.id) : "without an id");
+    m_link.cancel(found->second.transfer);
+    m_attempts.erase(found);
+    execute(m_forwarding.done(attempt, transfer_state::Rejected, m_context.now));
+}
+
+void caller_frontend::logRejected(const open_attempt& rejected, std::string_view reason, const std::string& event) const
+{
+    logEvent(log_level::Warning, "front", "answer_rejected",
+        { { "request", m_forwards.at(rejected.forward).callerId.str() }, { "target", rejected.target.str() }, { "status", std::to_string(rejected.head.status) }, { "reason", std::string(reason) }, { "event", event } });
+}
+
 void caller_frontend::deliver(const forward_deliver& action)
 {
     const auto found = m_forwards.find(action.id);
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -115,6 +115,8 @@
     void onEnd(attempt_id attempt, const open_attempt& openAttempt, const http::event& event);
     void onBytes(attempt_id attempt, open_attempt& openAttempt, const std::string& bytes);
     void breakOff(attempt_id attempt);
+    void rejectEvent(attempt_id attempt, const platform::stream_event& event);
+    void logRejected(const open_attempt& rejected, std::string_view reason, const std::string& event) const;
     void deliver(const forward_deliver& action);
     void logHedge(const forward_hedged& action) const;
     void logOutcome(const open_forward& forward, std::string_view outcome, int status, const std::string& detail) const;
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -154,7 +154,7 @@
     if (request.deadline)
         timeLimit = std::min(timeLimit, *request.deadline - m_settings.answerMargin);
     forward.expires = std::min(timeLimit == duration::max() ? instant::max() : now + timeLimit, m_latestEnd);
-    forward.lastEventId = request.lastEventId;
+    forward.passed = passed_events(request.lastEventId);
     forward.software = request.software;
     forward.request = std::move(request);
     auto& stored = m_open.emplace(id, std::move(forward)).first->second;
@@ -269,7 +269,7 @@
     std::optional<duration> deadline;
     if (forward.expires != instant::max())
         deadline = forward.expires - now;
-    m_actions.emplace_back(forward_send { forward.request.id, attempt, choice, deadline, forward.lastEventId, forward.request.route.idempotent() });
+    m_actions.emplace_back(forward_send { forward.request.id, attempt, choice, deadline, forward.passed.last(), forward.request.route.idempotent() });
 }
 
 void request_forwarder::endAttempt(open_forward& forward, const open_attempt& attempt, attempt_outcome outcome, instant now)
@@ -363,37 +363,57 @@
         onRunStarted(*forward, openAttempt, now);
         if (m_hedging.inForce() && !openAttempt.isSecond && head.status < statusServerError)
             m_hedging.answered(forward->request.route.id, openAttempt.pool, scale(now - openAttempt.sentAt, 1 / openAttempt.slowdown), now);
-        const bool streams = forward->request.route.kind == route_kind::Stream && isSuccess(head.status) && head.signedByTarget;
-        if (!streams || forward->streaming)
-            break;
-        forward->streaming = attempt;
-        if (!std::exchange(forward->streamStarted, true))
-            m_actions.emplace_back(forward_begin_stream { forward->request.id, attempt });
-        else
-            ++m_counts.resumed;
-        if (openAttempt.isSecond)
-            endSecond(*forward, hedge_event::Won, "answered_first", now);
-        else
-            endSecond(*forward, hedge_event::Lost, "first_answered", now);
-        cancelAll(*forward, attempt, now);
+        const bool streams = forward->request.route.kind == route_kind::Stream && head.signedByTarget && isStreamHead(head.status, head.isEventStream);
+        if (streams && !forward->streaming)
+            onStreamHead(*forward, openAttempt, now);
+        else if (!streams && forward->streamStarted)
+            rejectAnswer(*forward, openAttempt, "an answer that is no stream", now);
         break;
     }
     return takeActions();
 }
 
-void request_forwarder::progress(attempt_id attempt, std::uint64_t lastEventId, instant now)
+// The first attempt that answers with a stream, or with the rest of one, is the one whose events the caller gets.
+void request_forwarder::onStreamHead(open_forward& forward, open_attempt& answered, instant now)
+{
+    const auto attempt = answered.id;
+    forward.streaming = attempt;
+    if (!std::exchange(forward.streamStarted, true))
+        m_actions.emplace_back(forward_begin_stream { forward.request.id, attempt });
+    else
+        ++m_counts.resumed;
+    if (answered.isSecond)
+        endSecond(forward, hedge_event::Won, "answered_first", now);
+    else
+        endSecond(forward, hedge_event::Lost, "first_answered", now);
+    cancelAll(forward, attempt, now);
+}
+
+// Ends an attempt whose answer can't go on with the stream that the caller has begun to get.
+void request_forwarder::rejectAnswer(open_forward& forward, const open_attempt& answered, std::string_view reason, instant now)
+{
+    const open_attempt rejected = answered;
+    m_actions.emplace_back(forward_cancel { rejected.id, reason });
+    m_quarantine.completed(forward.request.fingerprint, m_wallTime);
+    ++forward.runs;
+    endAttempt(forward, rejected, attempt_outcome::Failure, now);
+    retryOrRefuse(forward, now);
+}
+
+event_order request_forwarder::streamEvent(attempt_id attempt, std::optional<std::uint64_t> id, event_digest digest, instant now)
 {
     auto* forward = find(attempt);
     if (forward == nullptr)
-        return;
+        return event_order::Broken;
+    const auto order = forward->passed.add(id, digest);
     for (auto& openAttempt : forward->attempts) {
         if (openAttempt.id != attempt)
             continue;
         openAttempt.lastReceivedAt = now;
-        if (forward->software.empty())
+        if (order == event_order::Next && forward->software.empty())
             forward->software = openAttempt.choice.software;
     }
-    forward->lastEventId = lastEventId;
+    return order;
 }
 
 // The end of the stream that the caller gets. Without a proof the stream is resumed after its last event, and a
@@ -401,9 +421,9 @@
 void request_forwarder::onStreamEnd(open_forward& forward, const open_attempt& ended, bool isProven, instant now)
 {
     endAttempt(forward, ended, attempt_outcome::Success, now);
-    const bool isConfirmed = forward.unprovenEnd && forward.unprovenEnd == forward.lastEventId;
+    const bool isConfirmed = forward.unprovenEnd && forward.unprovenEnd == forward.passed.last();
     if (!isProven && !isConfirmed) {
-        forward.unprovenEnd = forward.lastEventId;
+        forward.unprovenEnd = forward.passed.last();
         ++forward.runs;
         retryOrRefuse(forward, now);
         return;
@@ -494,8 +514,9 @@
         // Step 5. Unknown outcome: it may have run.
         onRunStarted(*forward, ended, now);
         ++forward->runs;
-        endAttempt(*forward, ended, attempt_outcome::Reset, now);
-        if (!hasAnswer)
+        const bool isRejected = end == transfer_state::Rejected;
+        endAttempt(*forward, ended, isRejected ? attempt_outcome::Failure : attempt_outcome::Reset, now);
+        if (!hasAnswer && !isRejected)
             reportBrokenAttempt(*forward, ended, now);
         retryOrRefuse(*forward, now);
     }
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -13,6 +13,9 @@
 // the documented way. Ran: the target answered. Unknown: anything else; then only
 // idempotent requests are attempted again.
 //
+// A stream that broke off goes on with answers that continue it (stream_continuation.h); any other answer
+// is a failed attempt, and the caller sees none of it.
+//
 // An answer without a proof that it is complete counts as such once a second attempt ends in the same
 // way. If there can't be one, it is delivered as what it is.
 #pragma once
@@ -23,6 +26,7 @@
 #include "retry.h"
 #include "router.h"
 #include "site.h"
+#include "stream_continuation.h"
 #include "types.h"
 
 #include <cstdint>
@@ -46,6 +50,7 @@
     NotSent, // no byte was sent
     NoAnswer, // bytes were sent, but no status was received
     Truncated, // the answer broke off
+    Rejected, // ended here: it doesn't go on with the caller's stream
 };
 
 struct forward_request {
@@ -70,6 +75,7 @@
     bool echoesId = true; // false if the answer names another request than the one sent, so it must be discarded
     bool signedByTarget = false; // whether it has the target's proof
     bool notRun = false; // the target states that it did not run the request
+    bool isEventStream = false; // by its media type
 };
 
 // --- Actions -----------------------------------------------------------------
@@ -84,6 +90,7 @@
 };
 struct forward_cancel {
     attempt_id attempt;
+    std::string_view reason {}; // set if the answer of the target is at fault
 };
 // Delivers the complete answer of this attempt to the caller unchanged.
 struct forward_deliver {
@@ -195,9 +202,9 @@
     // until the owner says otherwise.
     void setUnsent(attempt_id attempt, bool unsent);
     std::vector<forward_action> head(attempt_id attempt, const forward_head& head, instant now);
-    // Notes an event of the stream to the caller. The owner must pass on only events after
-    // the last one noted, as a resumed stream may repeat some.
-    void progress(attempt_id attempt, std::uint64_t lastEventId, instant now);
+    // Judges an event of the stream to the caller; an empty id is missing or can't be read. The owner passes on
+    // those that are next, and ends the attempt as rejected at a broken one.
+    event_order streamEvent(attempt_id attempt, std::optional<std::uint64_t> id, event_digest digest, instant now);
     // `digest`: of status and body, for an unproven answer that is not streamed.
     std::vector<forward_action> done(attempt_id attempt, transfer_state end, instant now, answer_digest digest = {});
 
@@ -258,7 +265,7 @@
         std::optional<attempt_id> streaming; // the attempt whose events go to the caller
         bool streamStarted = false; // the caller has the head of a stream
         target_software software; // that made the events which the caller has; empty: none yet
-        std::optional<std::uint64_t> lastEventId;
+        passed_events passed; // to the caller, or known to the caller before
         std::optional<unproven_answer> unproven; // the last answer without a proof that it is complete
         std::optional<std::uint64_t> unprovenEnd; // last event of the stream when a run ended without such a proof
     };
@@ -276,6 +283,8 @@
     void endAttempt(open_forward& forward, const open_attempt& attempt, attempt_outcome outcome, instant now);
     void onRunStarted(open_forward& forward, const open_attempt& attempt, instant now);
     void retryOrRefuse(open_forward& forward, instant now);
+    void onStreamHead(open_forward& forward, open_attempt& answered, instant now);
+    void rejectAnswer(open_forward& forward, const open_attempt& answered, std::string_view reason, instant now);
     void onStreamEnd(open_forward& forward, const open_attempt& ended, bool isProven, instant now);
     void onAnswer(open_forward& forward, const open_attempt& ended, bool isProven, answer_digest digest, instant now);
     void cancelAll(open_forward& forward, std::optional<attempt_id> except, instant now);
--- a/tests/test_batch_moves.cpp
+++ b/tests/test_batch_moves.cpp
@@ -134,7 +134,7 @@
                 if (stream.started < 1)
                     return;
                 stream.progress = 1;
-                act(m_runner.head(attempt, { 200, true, false, weight_version(1) }, m_now));
+                act(m_runner.head(attempt, { 200, true, false, true, weight_version(1) }, m_now));
             }
             stream.progress += std::chrono::duration<double>(stepTime) / usualEventTime / slowdown;
             std::vector<batch_event> events;
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -96,17 +96,16 @@
             act(runner.tick(now));
         }
         // Answers of one run: its head, events `first` to `last`, and its end.
-        void head(attempt_id attempt, std::optional<weight_version> version)
-        {
-            act(runner.head(attempt, { 200, true, false, version }, now));
-        }
+        void head(attempt_id attempt, const item_head& head) { act(runner.head(attempt, head, now)); }
+        void head(attempt_id attempt, std::optional<weight_version> version) { head(attempt, item_head { 200, true, false, true, version }); }
         void events(attempt_id attempt, std::uint64_t first, std::uint64_t last)
         {
             std::vector<batch_event> out;
             for (auto id = first; id <= last; ++id)
                 out.push_back({ id, "e" + std::to_string(id), std::nullopt });
-            act(runner.events(attempt, out, now));
+            events(attempt, out);
         }
+        void events(attempt_id attempt, const std::vector<batch_event>& events) { act(runner.events(attempt, events, now)); }
         void done(attempt_id attempt, bool complete)
         {
             done(attempt, complete ? run_end::Complete : run_end::BrokenOff);
@@ -444,6 +443,36 @@
     BOOST_TEST(harness.runner.counts().wrongVersion == 1u);
 }
 
+// A target that is asked for the rest of a text and answers with something else.
+BOOST_AUTO_TEST_CASE(an_answer_that_does_not_go_on_with_a_text_is_not_joined_to_it)
+{
+    using answer = std::vector<batch_event>;
+    const answer gap { { 4, "e4", std::nullopt } };
+    const answer other { { 1, "e1", std::nullopt }, { 2, "x2", std::nullopt } };
+    const answer withoutId { { std::nullopt, "e3", std::nullopt } };
+    for (const auto& events : { answer(), gap, other, withoutId }) {
+        batch_harness harness(2);
+        harness.add(specOf("b", 1, 1, 2));
+        harness.pass(20ms);
+        const auto first = harness.open().front();
+        harness.head(first, weight_version(2));
+        harness.events(first, 1, 2);
+        harness.done(first, false);
+        harness.pass(300ms);
+        const auto second = harness.open().front();
+        const bool isStream = !events.empty();
+        harness.head(second, item_head { 200, true, false, isStream, weight_version(2) });
+        harness.events(second, events);
+        BOOST_TEST(!harness.runs.contains(second));
+        harness.pass(300ms);
+        BOOST_REQUIRE(harness.sent.size() == 3u);
+        BOOST_TEST(harness.sent[2].lastEventId.value_or(0) == 2u);
+        BOOST_TEST(harness.sent[2].choice.target != harness.sent[1].choice.target);
+        harness.finish(harness.open().front(), 5);
+        BOOST_TEST(harness.judges.size() == 1u);
+    }
+}
+
 // An item is submitted again when its text is already complete. A stream resumed after the
 // last event would have no event and state no version, so the item must not be run again,
 // only judged.
@@ -538,7 +567,7 @@
         BOOST_REQUIRE(harness.runs.size() == 1u);
         const auto attempt = harness.open().front();
         harness.runs.erase(attempt);
-        static_cast<void>(harness.runner.head(attempt, { 500, true, false, std::nullopt }, harness.now));
+        static_cast<void>(harness.runner.head(attempt, { 500, true, false, false, std::nullopt }, harness.now));
         harness.done(attempt, true);
     }
     harness.pass(300ms);
--- a/tests/test_forwarding.cpp
+++ b/tests/test_forwarding.cpp
@@ -70,6 +70,11 @@
             open.erase(attempt);
             act(m_machine.done(attempt, end, now, digest));
         }
+        // An event that the caller must get.
+        void event(attempt_id attempt, std::uint64_t id)
+        {
+            BOOST_TEST((m_machine.streamEvent(attempt, id, event_digest(id), now) == event_order::Next));
+        }
         void disconnect() { act(m_machine.callerDisconnected(forward_id(1), now)); }
         void pass(duration time)
         {
@@ -157,7 +162,7 @@
         request_forwarder m_machine;
     };
 
-    constexpr forward_head good { 200, true, true, false };
+    constexpr forward_head good { 200, true, true, false, true };
     constexpr forward_head refused { 503, true, false, true };
     constexpr forward_head failed { 500, true, true, false };
     constexpr forward_head crossed { 200, false, true, false };
@@ -321,7 +326,7 @@
     const auto first = harness.onlyOpen();
     harness.head(first, good);
     BOOST_TEST(harness.streamsBegun == 1u);
-    harness.machine().progress(first, 7, harness.now);
+    harness.event(first, 7);
     harness.done(first, transfer_state::Truncated);
     BOOST_REQUIRE(harness.sends.size() == 2u);
     BOOST_TEST((harness.sends[1].lastEventId == std::optional<std::uint64_t>(7)));
@@ -333,6 +338,92 @@
     BOOST_TEST(harness.streamEnds[0]);
 }
 
+// --- Answers that don't go on with the stream that the caller gets
+
+namespace {
+
+    // A stream of which the caller has events 1 and 2 when its first attempt breaks off.
+    class broken_stream : public forwarding_harness {
+    public:
+        explicit broken_stream(std::uint32_t maxAttempts)
+            : forwarding_harness(3)
+        {
+            auto route = routeOf(route_kind::Stream, maxAttempts);
+            route.resumable = true;
+            arrive(route);
+            const auto first = onlyOpen();
+            head(first, good);
+            event(first, 1);
+            event(first, 2);
+            done(first, transfer_state::Truncated);
+        }
+    };
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_no_stream_is_replaced_by_that_of_another_target)
+{
+    constexpr forward_head page { 200, true, true, false, false };
+    constexpr forward_head empty { 204, true, true, false, true };
+    constexpr forward_head missing { 404, true, true, false, false };
+    for (const auto& head : { page, empty, missing, failed, unsignedSuccess, unconfirmedNotRun }) {
+        broken_stream harness(4);
+        const auto second = harness.onlyOpen();
+        harness.head(second, head);
+        BOOST_TEST(!harness.open.contains(second));
+        const auto third = harness.onlyOpen();
+        BOOST_TEST((harness.sends.back().lastEventId == std::optional<std::uint64_t>(2)));
+        BOOST_TEST(harness.sends.back().choice.target != harness.sends[1].choice.target);
+        harness.head(third, good);
+        harness.event(third, 3);
+        harness.done(third, transfer_state::Complete);
+        BOOST_TEST(harness.deliveries.empty());
+        BOOST_TEST(harness.streamsBegun == 1u);
+        BOOST_TEST(harness.streamEnds == std::vector<bool> { true }, boost::test_tools::per_element());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_no_target_goes_on_with_ends_as_broken)
+{
+    broken_stream harness(3);
+    harness.head(harness.onlyOpen(), { 204, true, true, false, true });
+    harness.head(harness.onlyOpen(), failed);
+    BOOST_TEST(harness.open.empty());
+    BOOST_TEST(harness.deliveries.empty());
+    BOOST_TEST(harness.refusals.empty());
+    BOOST_TEST(harness.streamEnds == std::vector<bool> { false }, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(events_that_do_not_follow_the_last_one_end_the_attempt)
+{
+    const std::optional<std::uint64_t> gap = 4;
+    for (const auto& id : { gap, std::optional<std::uint64_t>(), std::optional(std::numeric_limits<std::uint64_t>::max()) }) {
+        broken_stream harness(3);
+        const auto second = harness.onlyOpen();
+        harness.head(second, good);
+        BOOST_TEST((harness.machine().streamEvent(second, 1, event_digest(1), harness.now) == event_order::Repeated));
+        BOOST_TEST((harness.machine().streamEvent(second, 2, event_digest(77), harness.now) == event_order::Broken));
+        BOOST_TEST((harness.machine().streamEvent(second, id, event_digest(4), harness.now) == event_order::Broken));
+        harness.done(second, transfer_state::Rejected);
+        BOOST_TEST(harness.streamEnds.empty());
+        const auto third = harness.onlyOpen();
+        BOOST_TEST((harness.sends.back().lastEventId == std::optional<std::uint64_t>(2)));
+        harness.head(third, good);
+        harness.event(third, 3);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_success_that_is_no_stream_is_delivered_whole_to_a_caller_that_has_no_event)
+{
+    forwarding_harness harness(2);
+    harness.arrive(routeOf(route_kind::Stream));
+    const auto first = harness.onlyOpen();
+    harness.head(first, { 200, true, true, false, false });
+    harness.done(first, transfer_state::Complete);
+    BOOST_TEST(harness.streamsBegun == 0u);
+    BOOST_TEST(harness.deliveries.size() == 1u);
+}
+
 // --- Answers of which nothing shows that they are complete
 
 BOOST_AUTO_TEST_CASE(an_unproven_answer_is_not_delivered_while_another_target_can_prove_it)
@@ -418,15 +509,15 @@
         harness.arrive(route);
         const auto first = harness.onlyOpen();
         harness.head(first, good);
-        harness.machine().progress(first, 7, harness.now);
+        harness.event(first, 7);
         harness.done(first, transfer_state::Unproven);
         BOOST_TEST(harness.streamEnds.empty());
         BOOST_REQUIRE(harness.sends.size() == 2u);
         BOOST_TEST((harness.sends[1].lastEventId == std::optional<std::uint64_t>(7)));
         const auto second = harness.onlyOpen();
         harness.head(second, good);
-        if (added > 0)
-            harness.machine().progress(second, 7 + added, harness.now);
+        for (std::uint64_t event = 8; event <= 7 + added; ++event)
+            harness.event(second, event);
         harness.done(second, transfer_state::Unproven);
         BOOST_TEST(harness.streamEnds.size() == (added > 0 ? 0u : 1u));
         BOOST_TEST(harness.sends.size() == (added > 0 ? 3u : 2u));
@@ -439,7 +530,7 @@
     harness.arrive(routeOf(route_kind::Stream));
     const auto first = harness.onlyOpen();
     harness.head(first, good);
-    harness.machine().progress(first, 7, harness.now);
+    harness.event(first, 7);
     harness.done(first, transfer_state::Unproven);
     BOOST_TEST(harness.sends.size() == 1u);
     BOOST_REQUIRE(harness.streamEnds.size() == 1u);
@@ -671,7 +762,7 @@
         harness.arrive(route, 2s, forward_id(number + 1));
         const auto first = harness.onlyOpen();
         harness.head(first, good);
-        harness.machine().progress(first, 7, harness.now);
+        harness.event(first, 7);
         harness.done(first, transfer_state::Truncated);
         BOOST_REQUIRE(harness.sends.size() == 2u);
         BOOST_TEST((harness.sends[1].choice.software == harness.sends[0].choice.software));
--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -19,7 +19,7 @@
     const service_id app { "app" };
     const route_id r { "r" };
     const routing_class_id pool { "service app" };
-    constexpr forward_head good { 200, true, true, false };
+    constexpr forward_head good { 200, true, true, false, true };
 
     hedging_settings withLimit(double share)
     {
