A submission and an end that got no answer are open until they are settled

An end that reached an instance while it took the batch over was acknowledged, and 16 items ran later than 3 s after it.

Cause: a submission was given up at its caller's deadline, also if an attempt may have taken effect; then the head named a live instance that doesn't run the batch. An end for another instance's batch was written once; the instance that was taking the batch over, or submitting it, was not told, nor was the owner if a repeated end found the batch ended.

Change: callers are answered at their deadline (500, as before), the write goes on until it is settled. Ends of foreign batches are repeated by judgeWrite(); whoever learns of an ended head stops what it has of the batch. A waiter of another account no longer gets the status of a submission with the same id.

Why it works: an instance gives a submission up only if certainly no attempt of it can take effect any more, and an acknowledged end is told to each place where its items could run.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -59,8 +59,14 @@
         respond(exchange, owned->second.head.account == head.account ? statusAccepted : statusConflict, "");
         return;
     }
+    const auto giveUpAt = m_context.now + (options.deadline ? *options.deadline - submitDeadlineMargin : defaultSubmitTimeout);
     if (const auto pending = m_pendingSubmits.find(head.id); pending != m_pendingSubmits.end()) {
+        if (pending->second.head.account != head.account) {
+            respond(exchange, statusConflict, "");
+            return;
+        }
         pending->second.waiters.push_back(exchange);
+        pending->second.giveUpAt = std::max(pending->second.giveUpAt, giveUpAt);
         return;
     }
     if (const auto* owner = options.mayForward ? preferredOwner(head) : nullptr) {
@@ -97,7 +103,7 @@
     submit.head = head;
     submit.body = exchange->body;
     submit.waiters.push_back(exchange);
-    submit.giveUpAt = m_context.now + (options.deadline ? *options.deadline - submitDeadlineMargin : defaultSubmitTimeout);
+    submit.giveUpAt = giveUpAt;
     writeSubmit(head.id);
 }
 
@@ -170,12 +176,30 @@
     m_runner.accept(submit.head.id);
 }
 
-// True if all callers have disconnected and the batch is certainly not in the store.
+// True if no caller waits any more and the batch is certainly not in the store, or is not kept any longer.
 bool batches::isAbandoned(const pending_submit& submit) const
 {
+    if (m_context.wall > submit.head.submitted + m_context.settings.bounds.resultsKept)
+        return true;
     return !submit.outcomeUnknown && std::all_of(submit.waiters.begin(), submit.waiters.end(), [](const http::exchange_ptr& waiter) { return waiter->callerDisconnected(); });
 }
 
+// Retries the write, for its callers until they have to be answered. One that may have taken effect is open after that
+// too: the store may hold a head that names this instance, and then no other one runs the batch.
+void batches::continueSubmit(const batch_id& id)
+{
+    auto& submit = m_pendingSubmits.at(id);
+    if (m_context.now >= submit.giveUpAt) {
+        // A 500 leaves the outcome open, as items may already have run.
+        for (const auto& waiter : std::exchange(submit.waiters, {}))
+            respond(waiter, statusServerError, "");
+    }
+    if (isAbandoned(submit))
+        finishSubmit(id, statusServerError);
+    else
+        writeSubmit(id);
+}
+
 void batches::finishSubmit(const batch_id& id, int status)
 {
     auto submit = std::move(m_pendingSubmits.at(id));
@@ -290,9 +314,9 @@
     if (exchange->path == "/owner" && exchange->method == "POST") {
         const batch_id id(exchange->query);
         const auto head = decodeHead(id, exchange->body);
-        if (head && m_owned.contains(id) && head->ended)
-            onOwnershipLost(id, "another instance ended it");
-        else if (head && !m_owned.contains(id))
+        if (head && head->ended)
+            onEndedElsewhere(*head);
+        if (head && !m_owned.contains(id))
             m_foreignHeads[id] = { *head, {} };
         respond(exchange, statusOk, "");
         return true;
@@ -384,18 +408,14 @@
         if (!submit.writePending && m_context.now >= submit.retryAt)
             retryDue.push_back(id);
     }
-    for (const auto& id : retryDue) {
-        // A 500 leaves the outcome open, as items may already have run.
-        if (m_context.now >= m_pendingSubmits.at(id).giveUpAt || isAbandoned(m_pendingSubmits.at(id)))
-            finishSubmit(id, statusServerError);
-        else
-            writeSubmit(id);
-    }
+    for (const auto& id : retryDue)
+        continueSubmit(id);
 
     // Step 2. Take over batches whose owner is gone.
     readCollectedHeads();
     continueAdoptions();
     adoptOrphans();
+    retryForeignEnds();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
     execute(m_runner.tick(m_context.now));
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -61,6 +61,7 @@
         instant endRetryAt {};
         instant endGiveUpAt {};
     };
+    // A submission whose write is not settled. Once its callers are answered it has no waiters any more.
     struct pending_submit {
         batch_head head;
         std::vector<http::exchange_ptr> waiters;
@@ -93,6 +94,7 @@
     void markAccepted(const pending_submit& submit, revision headRevision);
     void writeSubmit(const batch_id& id);
     void onSubmitWritten(const batch_id& id, const result<kv_answer>& answer);
+    void continueSubmit(const batch_id& id);
     void finishSubmit(const batch_id& id, int status);
     bool takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages);
     const member* preferredOwner(const batch_head& head) const;
@@ -116,7 +118,18 @@
     // Ending a batch.
     void requestEnd(const batch_id& id, const http::exchange_ptr& exchange);
     void writeEnd(const batch_id& id);
+    // An end that this instance writes for a batch that it doesn't run.
+    struct foreign_end {
+        http::exchange_ptr exchange;
+        batch_head head; // ended
+        guarded_write write;
+        instant giveUpAt {};
+        instant retryAt {};
+    };
     void endForeign(const http::exchange_ptr& exchange, batch_head head, revision headRevision);
+    void writeForeignEnd(foreign_end end);
+    void retryForeignEnds();
+    void onEndedElsewhere(const batch_head& head);
     void notifyOwnerOfEnd(const batch_head& head, instant retryUntil);
 
     // Ownership.
@@ -165,6 +178,7 @@
         std::uint64_t transfer = 0;
     };
     std::vector<forwarded_submit> m_forwardedSubmits; // to other instances, not answered yet
+    std::vector<foreign_end> m_foreignEnds; // to be written again
     std::vector<waiting_read> m_reads;
     std::map<attempt_id, run_transfer> m_runs;
     struct known_head {
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -307,38 +307,83 @@
     });
 }
 
-// Ends a batch whose owner is gone or can't be reached, by a write that is conditional on
-// the revision of its head.
+// Ends a batch whose owner is gone, can't be reached or is only taking it over, by a write that is
+// conditional on the revision of its head.
 void batches::endForeign(const http::exchange_ptr& exchange, batch_head head, revision headRevision)
 {
     if (head.ended) {
         respond(exchange, statusOk, "");
+        // The writer of the end may not have learnt that it took effect, so its owner may still run items.
+        notifyOwnerOfEnd(head, m_context.now + notifyOwnerPeriod);
         return;
     }
     head.ended = true;
+    guarded_write write { headKey(head.id), headRevision, headKey(head.id), encodeHead(head) };
+    writeForeignEnd({ exchange, std::move(head), std::move(write), m_context.now + endTimeout, {} });
+}
+
+void batches::writeForeignEnd(foreign_end end)
+{
     kv_transaction change;
-    change.compares.push_back({ headKey(head.id), kv_field::ModRevision, headRevision, {} });
-    change.then.emplace_back(kv_put { headKey(head.id), encodeHead(head), {} });
-    m_context.store.call("batch end", std::move(change), [this, exchange, head](const result<kv_answer>& answer) {
-        m_foreignHeads.erase(head.id);
-        const bool ended = answer && answer->succeeded;
-        respond(exchange, ended ? statusOk : statusUnavailable, "");
-        if (ended && isAlive(head))
-            notifyOwnerOfEnd(head, m_context.now + notifyOwnerPeriod);
+    change.compares.push_back({ end.write.guard, kv_field::ModRevision, end.write.guardRevision, {} });
+    change.then.emplace_back(kv_put { end.write.key, end.write.value, {} });
+    m_context.store.call("batch end", std::move(change), [this, end = std::move(end)](const result<kv_answer>& answer) {
+        const auto verdict = judgeWrite(end.write, answer);
+        const bool isOpen = verdict.state == write_state::Open || verdict.state == write_state::NotDone;
+        if (isOpen && m_context.now < end.giveUpAt) {
+            m_foreignEnds.push_back(end);
+            m_foreignEnds.back().retryAt = m_context.now + endRetryDelay;
+            return;
+        }
+        m_foreignHeads.erase(end.head.id);
+        const bool ended = verdict.state == write_state::Done;
+        respond(end.exchange, ended ? statusOk : statusUnavailable, "");
+        if (ended)
+            notifyOwnerOfEnd(end.head, m_context.now + notifyOwnerPeriod);
     });
 }
 
+void batches::retryForeignEnds()
+{
+    std::vector<foreign_end> waiting;
+    for (auto& end : std::exchange(m_foreignEnds, {})) {
+        if (m_context.now >= end.retryAt)
+            writeForeignEnd(std::move(end));
+        else
+            waiting.push_back(std::move(end));
+    }
+    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_foreignEnds));
+}
+
 // An owner that is alive but could not be reached keeps running items, so repeat the notice
 // of the end until it gets through.
 void batches::notifyOwnerOfEnd(const batch_head& head, instant retryUntil)
 {
-    const auto* owner = m_members.find(head.owner);
-    if (owner == nullptr || m_context.now >= retryUntil)
+    if (!isAlive(head) || m_context.now >= retryUntil)
         return;
-    m_context.net.call(peerCall(owner->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [this, head, retryUntil](const http::answer& answer) {
+    if (head.owner.str() == m_context.settings.instance.name) {
+        onEndedElsewhere(head);
+        return;
+    }
+    m_context.net.call(peerCall(m_members.find(head.owner)->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [this, head, retryUntil](const http::answer& answer) {
         if (answer.outcome != http::transfer_result::Complete)
             notifyOwnerOfEnd(head, retryUntil);
     });
 }
 
+// The store has the end of a batch that this instance runs, takes over or is submitting: its items stop.
+void batches::onEndedElsewhere(const batch_head& head)
+{
+    m_orphans.erase(head.id);
+    m_orphanSince.erase(head.id);
+    if (const auto pending = m_pendingSubmits.find(head.id); pending != m_pendingSubmits.end() && pending->second.head.account == head.account)
+        finishSubmit(head.id, statusAccepted);
+    if (m_adoptions.contains(head.id))
+        finishAdoption(head.id, false);
+    const auto owned = m_owned.find(head.id);
+    // An end that is being written here settles by itself.
+    if (owned != m_owned.end() && !owned->second.head.ended && owned->second.endWaiters.empty())
+        onOwnershipLost(head.id, "another instance ended it");
+}
+
 } // namespace lovagerail::edge
