A request that may run once is not cut short by a planned stop

Cause: endsBeforeExit() cut the time of anything on a new connection short, also of work that may not be repeated.

Change: only what may be repeated (and submissions) is cut short; the rest is refused as not run, so that its caller may try again elsewhere at once.

Why it works: each request that is taken may either end by its own limit before the process does, or be repeated.

--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -157,8 +157,9 @@
 }
 
 // While this instance is stopping: whether the request ends before the process does. One that came on a
-// kept connection must do so surely, as its caller finds another instance by a new connection. On new
-// connections, which the load balancer still opens for a while, its time is cut short instead.
+// kept connection must do so surely, as its caller finds another instance by a new connection. So must one that
+// may run once: a cut would leave its caller in doubt, where a refusal lets it try again. Others on new
+// connections, which the load balancer still opens for a while, have their time cut short instead.
 bool caller_frontend::endsBeforeExit(const http::exchange_ptr& exchange, platform::caller_headers& caller, const site_route& route)
 {
     const auto timeLeft = toMilliseconds(m_context.exitAt - lastAnswerTime - m_context.now);
@@ -166,7 +167,8 @@
     const auto deadline = caller.deadline.value_or(std::chrono::milliseconds::max());
     const auto limit = hasTimeout ? std::min(deadline, toMilliseconds(route.timeout)) : deadline;
     caller.deadline = std::min(deadline, timeLeft);
-    return timeLeft.count() > 0 && (limit <= timeLeft || !exchange->onKeptConnection);
+    const bool mayBeCutShort = !exchange->onKeptConnection && (route.kind == route_kind::Batch || route.idempotent());
+    return timeLeft.count() > 0 && (limit <= timeLeft || mayBeCutShort);
 }
 
 void caller_frontend::beginStop()
--- a/tests/process/test_entry_planned_stop.py
+++ b/tests/process/test_entry_planned_stop.py
@@ -89,6 +89,34 @@
                 self.assertEqual(outcome == (200, True), name in ran, (name, outcome))
         self.assertEqual(set(outcomes.values()) - {None}, {(200, True), (503, True)})  # some came in time, some too late
 
+    def test_no_request_that_may_run_once_is_left_in_doubt_late_in_a_planned_stop(self):
+        entry = self.start()[0]
+        for engine in self.engines:
+            engine.events, engine.event_interval_s = LONG_EVENTS, LONG_INTERVAL_S
+        for shop in self.shops:
+            shop.answer_delay_s = 2 * WORK_S
+        stream = threading.Thread(target=self.connect(entry).send, args=("/talk/long", "long", 12000))
+        stream.start()
+        time.sleep(0.3)
+        stopped = time.monotonic()
+        entry.terminate()
+        outcomes = {}
+
+        def send(number):
+            time.sleep(max(0.0, stopped + FIRST_SENT_S + (LAST_SENT_S - FIRST_SENT_S) * number / CLIENTS - time.monotonic()))
+            outcomes[f"new{number}"] = self.connect(entry).send(f"/once/new{number}", f"new{number}")
+
+        threads = [threading.Thread(target=send, args=(number,)) for number in range(CLIENTS)]
+        for thread in threads:
+            thread.start()
+        for thread in [*threads, stream]:
+            thread.join()
+        ran = {path.rsplit("/", 1)[1] for path in self.arrived()}
+        for name, outcome in outcomes.items():
+            self.assertIn(outcome, [(200, True), (503, True)], name)
+            self.assertEqual(outcome == (200, True), name in ran, (name, outcome))
+        self.assertEqual(set(outcomes.values()), {(200, True), (503, True)})  # some came in time, some too late
+
     def test_a_request_that_outlasts_a_planned_stop_is_answered_before_the_process_ends(self):
         entry = self.start()[0]
         for shop in self.shops:
