A batch carries the route that it was accepted with

Cause: a take-over looked the route up again. It wrote the head first, then found no route and gave up, so that the head named a live instance that doesn't run the batch. The regions of relays and the priority of items were looked up at each use as well.

Change: the route with the priority and regions that hold for the batch's account is decided when its submission is accepted, and is part of its head. Heads of older versions are read as before.

Why it works: nothing that runs a batch asks the configuration in force for its route any more. Cost: some 300 bytes in each head; no message, no call.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -5,7 +5,9 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
+#include <limits>
 
 namespace lovagerail {
 
@@ -16,6 +18,67 @@
     constexpr duration orphanGracePeriod = std::chrono::milliseconds(1500);
     constexpr duration nextAdopterDelay = std::chrono::milliseconds(1500); // a first adopter has rewritten the head by then
     constexpr std::size_t adopterCount = 3;
+    constexpr std::uint64_t longestSpanMs = std::uint64_t { 30 } * 24 * 3600 * 1000; // of a route, so that sums of times stay in range
+
+    Json::Value encodeRoute(const batch_route& decided)
+    {
+        const auto& route = decided.route;
+        Json::Value out(Json::objectValue);
+        out["id"] = route.id.str();
+        out["host"] = route.host;
+        out["prefix"] = route.prefix;
+        out["services"] = Json::Value(Json::arrayValue);
+        for (const auto& weighted : route.services) {
+            Json::Value row(Json::objectValue);
+            row["service"] = weighted.service.str();
+            row["weight"] = weighted.weight;
+            out["services"].append(std::move(row));
+        }
+        out["single_version"] = route.singleVersion;
+        out["priority"] = route.priority;
+        out["max_attempts"] = route.maxAttempts;
+        out["deadline_ms"] = Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(route.resultDeadline).count());
+        out["item_ttl_ms"] = Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(route.itemTtl).count());
+        out["tokens_per_event"] = decided.tokensPerEvent;
+        if (route.allowedRegions) {
+            out["regions"] = Json::Value(Json::arrayValue);
+            for (const auto& region : *route.allowedRegions)
+                out["regions"].append(region.str());
+        }
+        return out;
+    }
+
+    // Empty if a batch can't be run by it.
+    std::optional<batch_route> decodeRoute(const Json::Value& value)
+    {
+        if (!value.isObject())
+            return std::nullopt;
+        const auto span = [&value](const char* name) { return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(jsonCount(value, name), longestSpanMs))); };
+        batch_route out;
+        auto& route = out.route;
+        route.kind = route_kind::Batch;
+        route.id = route_id(jsonText(value, "id"));
+        route.host = jsonText(value, "host");
+        route.prefix = jsonText(value, "prefix");
+        for (const auto& row : jsonList(value, "services")) {
+            if (auto service = jsonText(row, "service"); !service.empty())
+                route.services.push_back({ service_id(std::move(service)), static_cast<std::uint32_t>(std::min<std::uint64_t>(jsonCount(row, "weight"), std::numeric_limits<std::uint32_t>::max())) });
+        }
+        route.singleVersion = jsonFlag(value, "single_version");
+        route.priority = value["priority"].isInt() ? value["priority"].asInt() : 0;
+        route.maxAttempts = static_cast<std::uint32_t>(std::clamp<std::uint64_t>(jsonCount(value, "max_attempts"), 1, std::numeric_limits<std::uint32_t>::max()));
+        route.resultDeadline = span("deadline_ms");
+        route.itemTtl = span("item_ttl_ms");
+        out.tokensPerEvent = jsonNumber(value, "tokens_per_event", 1);
+        if (value.isMember("regions")) {
+            route.allowedRegions.emplace();
+            for (const auto& region : jsonList(value, "regions")) {
+                if (region.isString())
+                    route.allowedRegions->emplace(region.asString());
+            }
+        }
+        return route.services.empty() || !std::isfinite(out.tokensPerEvent) || out.tokensPerEvent <= 0 ? std::nullopt : std::optional(std::move(out));
+    }
 
 } // namespace
 
@@ -60,6 +123,8 @@
     out["ended"] = head.ended;
     if (!head.originRegion.empty())
         out["region"] = head.originRegion.str();
+    if (head.decided)
+        out["route"] = encodeRoute(*head.decided);
     return writeJson(out);
 }
 
@@ -79,6 +144,7 @@
     out.submitted = wall_time(std::chrono::milliseconds(static_cast<std::int64_t>(jsonCount(*value, "submitted"))));
     out.items = static_cast<std::uint32_t>(jsonCount(*value, "items"));
     out.ended = jsonFlag(*value, "ended");
+    out.decided = decodeRoute((*value)["route"]);
     return out;
 }
 
--- a/src/batch.h
+++ b/src/batch.h
@@ -68,6 +68,12 @@
     std::string score;
 };
 
+// What the configuration said of a batch when it was accepted. It travels with the batch, as routes change and go away.
+struct batch_route {
+    site_route route; // with the priority and the regions that hold for the batch's account
+    double tokensPerEvent = 1; // of its first service's streams; above 0
+};
+
 // The owner of a batch and whether it was ended. It is rewritten whenever either changes.
 // Writes of results compare its revision in the store, so a former owner can't write any.
 struct batch_head {
@@ -81,6 +87,7 @@
     std::uint32_t items = 0; // number of items
     bool ended = false;
     region_id originRegion {}; // of the instance that its caller connected to; empty if not known
+    std::optional<batch_route> decided {}; // empty in heads of older versions
 };
 
 // Keys in the store. Pages of results are numbered from 0 without gaps.
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -245,6 +245,8 @@
     bool has(const batch_id& id) const { return m_batches.contains(id); }
     bool ended(const batch_id& id) const;
     const batch_spec* spec(const batch_id& id) const;
+    // The route of a known batch, as it was decided.
+    const site_route& route(const batch_id& id) const { return m_batches.at(id).route; }
     // The results whose pages are stored, by position.
     const std::vector<batch_result>& listed(const batch_id& id) const;
     bool writing(const batch_id& id) const;
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -97,6 +97,7 @@
         return;
     }
     head.items = static_cast<std::uint32_t>(spec->items.size());
+    head.decided = routeInForce(head);
 
     // Step 3. The batch is accepted once its head and its body are in the store.
     auto& submit = m_pendingSubmits[head.id];
@@ -211,13 +212,26 @@
         onOwnershipLost(id, "it was not accepted in time");
 }
 
+// What the configuration in force says of the batch; empty if it has no such route.
+std::optional<batch_route> batches::routeInForce(const batch_head& head) const
+{
+    const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
+    if (route == nullptr || route->kind != route_kind::Batch)
+        return std::nullopt;
+    const auto* service = m_context.site->service(route->services.front().service);
+    batch_route out { *route, service == nullptr ? 1 : service->tokensPerEvent };
+    out.route.priority = m_context.site->priorityOf(*route, head.account);
+    out.route.allowedRegions = m_context.site->allowedRegions(route, head.account);
+    return out;
+}
+
 // Adds the batch to the runner, which runs its items. Returns false if the submission can't
-// be decoded or its route has been removed.
+// be decoded, or if its head names no route and it has been removed.
 bool batches::takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages)
 {
     auto spec = platform::decodeSubmission(head, body);
-    const auto* route = m_context.site ? m_context.site->find(head.host, head.path) : nullptr;
-    if (!spec || route == nullptr || route->kind != route_kind::Batch) {
+    const auto decided = head.decided ? head.decided : routeInForce(head);
+    if (!spec || !decided) {
         logEvent(log_level::Warning, "batch", "not_run", { { "batch", head.id.str() }, { "reason", spec ? "its route was removed" : toString(spec.error()) } });
         return false;
     }
@@ -228,16 +242,14 @@
     m_foreignHeads.erase(head.id);
     if (headRevision != revision())
         sendOwnerHint(head);
-    const auto* service = m_context.site->service(route->services.front().service);
-    auto effectiveRoute = *route;
-    effectiveRoute.priority = m_context.site->priorityOf(*route, head.account);
-    effectiveRoute.allowedRegions = m_context.site->allowedRegions(route, head.account);
-    m_runner.add(std::move(*spec), effectiveRoute, service == nullptr ? 1 : service->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
+    m_runner.add(std::move(*spec), decided->route, decided->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
     return true;
 }
 
 body_regions batches::regionsOf(const batch_head& head) const
 {
+    if (head.decided)
+        return { head.decided->route.allowedRegions, head.originRegion };
     if (!m_context.site)
         return {};
     return { m_context.site->allowedRegions(m_context.site->find(head.host, head.path), head.account), head.originRegion };
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -96,6 +96,7 @@
     void onSubmitWritten(const batch_id& id, const result<kv_answer>& answer);
     void continueSubmit(const batch_id& id);
     void finishSubmit(const batch_id& id, int status);
+    std::optional<batch_route> routeInForce(const batch_head& head) const;
     bool takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages);
     const member* preferredOwner(const batch_head& head) const;
     void forwardSubmit(const http::exchange_ptr& exchange, const batch_head& head, const member& owner, submit_options options);
--- a/src/edge/batches_adoption.cpp
+++ b/src/edge/batches_adoption.cpp
@@ -33,6 +33,8 @@
     started.head = head;
     started.head.owner = instance_id(m_context.settings.instance.name);
     started.head.ownerIncarnation = m_context.ownIncarnation;
+    if (!started.head.decided)
+        started.head.decided = routeInForce(head); // of an older version
     started.write = { headKey(head.id), headRevision, headKey(head.id), encodeHead(started.head) };
     started.onDone = std::move(onDone);
     continueAdoption(head.id);
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -16,15 +16,12 @@
     constexpr double msPerSecond = 1000;
 
     // The priority that an engine is told; empty where all its requests have the same.
-    std::optional<std::int32_t> itemPriority(const site_config& site, const batch_spec& spec)
+    std::optional<std::int32_t> itemPriority(const site_config& site, const site_route& route)
     {
-        const auto* route = site.find(spec.host, spec.path);
-        if (route == nullptr || route->services.empty())
-            return std::nullopt;
-        const auto* service = site.service(route->services.front().service);
+        const auto* service = site.service(route.services.front().service);
         if (service == nullptr || !service->engine || !site.prioritiesDiffer(service->id))
             return std::nullopt;
-        return site.priorityOf(*route, spec.account);
+        return route.priority;
     }
 
     run_end runEnd(http::transfer_result outcome, const platform::event_reader& reader)
@@ -84,7 +81,7 @@
     call.expectVersion = action.expectVersion;
     call.forwarded = item.headers;
     if (m_context.site)
-        call.priority = itemPriority(*m_context.site, *spec);
+        call.priority = itemPriority(*m_context.site, m_runner.route(action.batch));
 
     http::request request;
     request.method = "POST";
--- a/tests/process/test_entry_removed_routes.py
+++ b/tests/process/test_entry_removed_routes.py
@@ -6,7 +6,7 @@
 from kit import call, wait_until
 
 
-class RemovedRoutes(EntryCase):
+class RemovedRoutesCase(EntryCase):
     def remove_batch_route(self, entries, **more):
         changed = config(2, **more)
         changed["routes"] = [entry for entry in changed["routes"] if entry["name"] != "steps"]
@@ -14,6 +14,8 @@
         for entry in entries:
             wait_until(lambda entry=entry: "step=in_force version=2" in entry.output(), f"{entry.name} has the new configuration")
 
+
+class RemovedRoutes(RemovedRoutesCase):
     def test_results_can_be_read_after_their_route_was_removed(self):
         entries = self.start_entries()
         self.assertEqual(self.submit(entries[0], "batch", submission(2)).status, 202)
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -40,6 +40,50 @@
     BOOST_TEST(!decodeHead(head.id, "[1,").has_value());
 }
 
+// A batch goes on by the route that it was accepted with, also where that has been removed.
+BOOST_AUTO_TEST_CASE(the_decided_route_is_part_of_the_head)
+{
+    auto head = sampleHead();
+    batch_route decided;
+    decided.route.id = route_id("steps");
+    decided.route.host = "h.example";
+    decided.route.prefix = "/steps/";
+    decided.route.services = { { service_id("pool"), 3 }, { service_id("spare"), 1 } };
+    decided.route.singleVersion = true;
+    decided.route.priority = -2;
+    decided.route.maxAttempts = 4;
+    decided.route.resultDeadline = std::chrono::milliseconds(7500);
+    decided.route.itemTtl = std::chrono::seconds(40);
+    decided.route.allowedRegions = std::set<region_id> { region_id("land") };
+    decided.tokensPerEvent = 2.5;
+    head.decided = decided;
+    const auto read = decodeHead(head.id, encodeHead(head));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_REQUIRE(read->decided.has_value());
+    BOOST_TEST(encodeHead(*read) == encodeHead(head));
+    const auto& route = read->decided->route;
+    BOOST_TEST((route.kind == route_kind::Batch && route.singleVersion));
+    BOOST_TEST(route.services.size() == 2u);
+    BOOST_TEST(route.services[0].weight == 3u);
+    BOOST_TEST(route.priority == -2);
+    BOOST_TEST((route.resultDeadline == decided.route.resultDeadline && route.itemTtl == decided.route.itemTtl));
+    BOOST_TEST((route.allowedRegions == decided.route.allowedRegions));
+    BOOST_TEST(read->decided->tokensPerEvent == 2.5);
+}
+
+// Heads of older versions name no route; one by which nothing can run is none.
+BOOST_AUTO_TEST_CASE(a_head_without_a_usable_route_has_none)
+{
+    for (const char* row : { R"({"owner":"a"})", R"({"owner":"a","route":7})", R"({"owner":"a","route":{"services":[]}})", R"({"owner":"a","route":{"services":[{"weight":1}]}})",
+             R"({"owner":"a","route":{"services":[{"service":"s"}],"tokens_per_event":-1}})" }) {
+        const auto head = decodeHead(batch_id("b"), row);
+        BOOST_REQUIRE(head.has_value());
+        BOOST_TEST(!head->decided.has_value(), row);
+    }
+    const auto longest = decodeHead(batch_id("b"), R"({"owner":"a","route":{"services":[{"service":"s"}],"item_ttl_ms":18446744073709551615}})");
+    BOOST_TEST((longest->decided->route.itemTtl > duration {}));
+}
+
 BOOST_AUTO_TEST_CASE(page_round_trip)
 {
     batch_result completed;
--- a/tests/test_malformed.cpp
+++ b/tests/test_malformed.cpp
@@ -50,6 +50,8 @@
     std::vector<parser_case> parsers()
     {
         batch_head head;
+        head.decided = batch_route {};
+        head.decided->route.services = { { service_id("pool"), 1 } };
         head.id = batch_id("b");
         head.host = "h.example";
         head.path = "/steps/1";
