Line breaks in submissions don't smuggle requests to targets

Targets ran requests that no client sent, one of them in the name of another account: an item's path or header, or a reward call's path, held a line break and a second request.

Cause: texts out of JSON may hold any character and were written into the heads of requests as they are.

A submission with anything else is refused with 400 and a reason, also where another instance owns the batch; and the HTTP client, the one place that writes heads, doesn't send such a request, whoever made it (callers, the store, other instances).

Why it works: a head that is refused where it is written can't be made by any path.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -93,7 +93,9 @@
     const auto spec = platform::decodeSubmission(head, exchange->body);
     if (!spec) {
         logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", toString(spec.error()) } });
-        respond(exchange, statusBadRequest, "");
+        Json::Value reason(Json::objectValue);
+        reason["error"] = spec.error().detail;
+        respond(exchange, statusBadRequest, writeJson(reason));
         return;
     }
     head.items = static_cast<std::uint32_t>(spec->items.size());
@@ -301,7 +303,7 @@
         std::erase_if(m_forwardedSubmits, [&exchange](const forwarded_submit& forwarded) { return forwarded.exchange == exchange; });
         const bool refused = answer.status == statusUnavailable || answer.status == statusServerError;
         if (answer.outcome == http::transfer_result::Complete && !refused) {
-            respond(exchange, answer.status, "");
+            respond(exchange, answer.status, answer.body); // says what is wrong with a malformed one
             return;
         }
         logEvent(log_level::Warning, "batch", "not_passed_on", { { "batch", head.id.str() }, { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 // Maps requests to libcurl easy handles on one multi handle, and their callbacks to events.
 #include "http/client.h"
+#include "http/message_parts.h"
 
 #include <algorithm>
 #include <cctype>
@@ -349,6 +350,17 @@
 
 void client::start(request outgoing)
 {
+    const bool isWritable = isRequestPart(outgoing.method) && isRequestPart(outgoing.url) && isRequestPart(outgoing.target)
+        && std::all_of(outgoing.headers.begin(), outgoing.headers.end(), [](const auto& header) { return isHeaderName(header.first) && isHeaderValue(header.second); });
+    if (!isWritable) {
+        event refused;
+        refused.what = event::kind::Done;
+        refused.id = outgoing.id;
+        refused.outcome = transfer_result::NotSent;
+        refused.detail = "a line break or a zero byte in the head of the request";
+        m_state->pending.push_back(std::move(refused));
+        return;
+    }
     auto owned = std::make_unique<transfer>();
     transfer& t = *owned;
     t.outgoing = std::move(outgoing);
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -6,6 +6,7 @@
 #include "http/server.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <mutex>
@@ -167,4 +168,40 @@
         BOOST_TEST(!http::persistenceOf({ { "keep-alive", malformed } }).idleTimeout.has_value());
 }
 
+// Guards against texts that end a line of the request and begin another request.
+BOOST_AUTO_TEST_CASE(a_request_with_a_line_break_in_its_head_is_not_sent)
+{
+    const auto port = freePort();
+    std::atomic<std::size_t> received = 0;
+    auto listening = http::server::listen("127.0.0.1:" + std::to_string(port), {}, {}, [&received](const http::exchange_ptr& one) {
+        ++received;
+        one->answer(200, {}, "");
+    });
+    BOOST_REQUIRE(listening);
+    http::request sound;
+    sound.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    sound.headers = { { "X-Note", "a note: with spaces" } };
+    std::vector<http::request> requests(5, sound);
+    requests[1].target = "/x HTTP/1.1\r\nA: b\r\n\r\nGET /y";
+    requests[2].method = "GET /y HTTP/1.1\nA:";
+    requests[3].headers.emplace_back("X-More", "a\r\nTenant: rival");
+    requests[4].headers.emplace_back(std::string("X-More\0", 7), "a");
+    http::client client;
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        requests[i].id = i + 1;
+        client.start(requests[i]);
+    }
+    std::map<std::uint64_t, http::transfer_result> ends;
+    for (const auto until = now() + patience; ends.size() < requests.size() && now() < until;) {
+        for (const auto& event : client.poll(20ms)) {
+            if (event.what == http::event::kind::Done)
+                ends[event.id] = event.outcome;
+        }
+    }
+    BOOST_REQUIRE_EQUAL(ends.size(), requests.size());
+    for (const auto& [id, outcome] : ends)
+        BOOST_TEST((outcome == (id == 1 ? http::transfer_result::Complete : http::transfer_result::NotSent)), id);
+    BOOST_TEST(received == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -289,6 +289,27 @@
     BOOST_TEST(!platform::decodeSite("{}").has_value());
 }
 
+// Guards against items whose texts end a line of the request to a target and begin another request.
+BOOST_AUTO_TEST_CASE(a_submission_with_line_breaks_in_the_heads_of_its_requests_is_refused)
+{
+    const auto submission = [](const std::string& path, const std::string& name, const std::string& value, const std::string& judgePath, const std::string& id) {
+        return R"({"step":1,"model":"m","items":[{"id":")" + id + R"(","path":")" + path + R"(","headers":{")" + name + R"(":")" + value
+            + R"("},"body":"aGk=","scoringUrl":{"id":"j","host":"h","path":")" + judgePath + R"(","body":"aGk="}}]})";
+    };
+    BOOST_TEST(platform::decodeSubmission({}, submission("/steps/1", "X-Note", "a note: with spaces", "/judge/x", "i")).has_value());
+    for (const std::string bad : { "\\r\\nX: y", "\\n", "\\r", "\\u0000" }) {
+        BOOST_TEST(!platform::decodeSubmission({}, submission("/steps/1" + bad, "X-Note", "a", "/judge/x", "i")).has_value(), bad);
+        BOOST_TEST(!platform::decodeSubmission({}, submission("/steps/1", "X-Note" + bad, "a", "/judge/x", "i")).has_value(), bad);
+        BOOST_TEST(!platform::decodeSubmission({}, submission("/steps/1", "X-Note", "a" + bad, "/judge/x", "i")).has_value(), bad);
+        BOOST_TEST(!platform::decodeSubmission({}, submission("/steps/1", "X-Note", "a", "/judge/x" + bad, "i")).has_value(), bad);
+        BOOST_TEST(!platform::decodeSubmission({}, submission("/steps/1", "X-Note", "a", "/judge/x", "i" + bad)).has_value(), bad);
+    }
+    for (const std::string path : { "", "steps/1", "/steps/1 HTTP/1.1", "http://other.example/" })
+        BOOST_TEST(!platform::decodeSubmission({}, submission(path, "X-Note", "a", "/judge/x", "i")).has_value(), path);
+    for (const std::string name : { "", "Tenant ", "Tenant:", "\\tTenant" })
+        BOOST_TEST(!platform::decodeSubmission({}, submission("/steps/1", name, "a", "/judge/x", "i")).has_value(), name);
+}
+
 // Whatever bytes a peer sends, decoders return a value or an error.
 BOOST_AUTO_TEST_CASE(decoders_accept_any_bytes)
 {
