--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -430,6 +430,7 @@
     continueAdoptions();
     adoptOrphans();
     retryForeignEnds();
+    retryEndNotices();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
     execute(m_runner.tick(m_context.now));
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -131,7 +131,13 @@
     void writeForeignEnd(foreign_end end);
     void retryForeignEnds();
     void onEndedElsewhere(const batch_head& head);
+    struct end_notice {
+        batch_head head; // ended
+        instant retryUntil {};
+        instant retryAt {};
+    };
     void notifyOwnerOfEnd(const batch_head& head, instant retryUntil);
+    void retryEndNotices();
 
     // Ownership.
     void adoptOrphans();
@@ -180,6 +186,7 @@
     };
     std::vector<forwarded_submit> m_forwardedSubmits; // to other instances, not answered yet
     std::vector<foreign_end> m_foreignEnds; // to be written again
+    std::vector<end_notice> m_endNotices; // that did not reach their owners yet
     std::vector<waiting_read> m_reads;
     std::map<attempt_id, run_transfer> m_runs;
     struct known_head {
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -367,10 +367,22 @@
     }
     m_context.net.call(peerCall(m_members.find(head.owner)->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [this, head, retryUntil](const http::answer& answer) {
         if (answer.outcome != http::transfer_result::Complete)
-            notifyOwnerOfEnd(head, retryUntil);
+            m_endNotices.push_back({ head, retryUntil, m_context.now + endRetryDelay });
     });
 }
 
+void batches::retryEndNotices()
+{
+    std::vector<end_notice> waiting;
+    for (auto& notice : std::exchange(m_endNotices, {})) {
+        if (m_context.now >= notice.retryAt)
+            notifyOwnerOfEnd(notice.head, notice.retryUntil);
+        else
+            waiting.push_back(std::move(notice));
+    }
+    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_endNotices));
+}
+
 // The store has the end of a batch that this instance runs, takes over or is submitting: its items stop.
 void batches::onEndedElsewhere(const batch_head& head)
 {
