A stream begins with its first event

Cause: without an event that was passed on, any id was taken for the beginning.

Why it works: the same decision as for the rest of a stream, with 0 as the last id.

--- a/src/stream_continuation.h
+++ b/src/stream_continuation.h
@@ -28,8 +28,10 @@
     Broken, // without an id, behind a gap, or other than what was passed on under its id
 };
 
+inline constexpr std::uint64_t largestFirstId = 1; // streams begin with event 1; one that counts from 0 does no harm
+
 // Where an event stands in its stream. `last` is the id of the last event that was passed on, empty if
-// there is none: then any id begins the stream. `isSame` tells whether an event that was passed on under
+// there is none: then the event has to be the stream's first one. `isSame` tells whether an event that was passed on under
 // this id, which is not above `last`, has the same content.
 template <std::predicate<std::uint64_t> IsSame>
 event_order orderOf(std::optional<std::uint64_t> last, std::optional<std::uint64_t> id, IsSame&& isSame)
@@ -37,7 +39,7 @@
     if (!id)
         return event_order::Broken;
     if (!last)
-        return event_order::Next;
+        return *id <= largestFirstId ? event_order::Next : event_order::Broken;
     if (*id <= *last)
         return isSame(*id) ? event_order::Repeated : event_order::Broken;
     return *id - *last == 1 ? event_order::Next : event_order::Broken;
--- a/tests/test_stream_continuation.cpp
+++ b/tests/test_stream_continuation.cpp
@@ -40,6 +40,15 @@
     BOOST_TEST((passed.last() == event_id(3)));
 }
 
+// A target that was asked for a whole stream and begins in the middle of one.
+BOOST_AUTO_TEST_CASE(a_stream_begins_with_its_first_event)
+{
+    for (const std::uint64_t first : { 0, 1 })
+        BOOST_TEST((passed_events().add(first, contentOf(first)) == event_order::Next));
+    for (const std::uint64_t middle : { std::uint64_t { 2 }, std::uint64_t { 3 }, largestId })
+        BOOST_TEST((passed_events().add(middle, contentOf(middle)) == event_order::Broken));
+}
+
 BOOST_AUTO_TEST_CASE(no_event_follows_the_largest_id)
 {
     passed_events passed(event_id { largestId });
@@ -85,6 +94,8 @@
             RC_ASSERT(out[i] == out[i - 1] + 1);
         if (resumedBehind && !out.empty())
             RC_ASSERT(out.front() == *resumedBehind + 1);
+        if (!resumedBehind && !out.empty())
+            RC_ASSERT(out.front() <= 1);
     });
 }
 
