A model without any replica doesn't end the instance

Callers of it got closed connections; its successor in the duty over targets would end alike.

Cause: weight_sets::assignReplicas() returned at once when no replica was left, so that the sets kept members that were gone; plan() dereferenced the null pointer of their look-up.

Change: dead members are removed before that return.

Why it works: the invariant "only live replicas" holds whenever plan() runs.

--- a/src/weight_sets.cpp
+++ b/src/weight_sets.cpp
@@ -133,10 +133,7 @@
 
 void weight_sets::assignReplicas()
 {
-    if (m_models.empty() || m_replicas.empty())
-        return;
-
-    // Step 1. Remove members and models that are gone.
+    // Step 1. Remove members and models that are gone; also if no replica is left, as plan() relies on live members.
     std::map<model_id, std::set<target_id>> liveSets;
     for (const auto& model : m_models) {
         for (const auto& target : m_sets[model.model]) {
@@ -146,6 +143,8 @@
         liveSets[model.model];
     }
     m_sets = std::move(liveSets);
+    if (m_models.empty() || m_replicas.empty())
+        return;
 
     // Step 2. Shrink sets that are too large: remove replicas that also serve other models
     // first, then those with the oldest version.
--- a/tests/test_weight_sets.cpp
+++ b/tests/test_weight_sets.cpp
@@ -281,6 +281,21 @@
     }
 }
 
+// Guards against plans for replicas that are gone: the process ended when the last one left.
+BOOST_AUTO_TEST_CASE(sets_are_empty_while_all_replicas_are_gone)
+{
+    fleet f(4, 0);
+    f.step();
+    f.announceVersion(modelA);
+    const auto all = std::exchange(f.replicasNow, {});
+    BOOST_TEST(f.step() == 0u);
+    for (const auto& model : { modelA, modelB, modelC })
+        BOOST_TEST(f.sets.members(model).empty());
+    f.replicasNow = all;
+    BOOST_TEST(f.step() > 0u);
+    BOOST_TEST(!f.sets.members(modelA).empty());
+}
+
 // An order that was certainly not executed is repeated soon, but not immediately.
 BOOST_AUTO_TEST_CASE(a_refused_order_is_repeated)
 {
@@ -325,13 +340,15 @@
                 f.announceVersion(modelA);
             else if (roll == 1)
                 f.announceVersion(modelB);
-            else if (roll == 2 && f.replicasNow.size() > 1)
+            else if (roll == 2 && !f.replicasNow.empty())
                 f.replicasNow.erase(f.replicasNow.begin());
+            else if (roll == 4)
+                f.replicasNow.clear();
             else if (roll == 3 && f.replicasNow.size() < all.size())
                 f.replicasNow = all;
             f.step();
             for (const auto& model : { modelA, modelB, modelC }) {
-                RC_ASSERT(!f.sets.members(model).empty());
+                RC_ASSERT(f.sets.members(model).empty() == f.replicasNow.empty());
                 for (const auto& target : f.sets.members(model))
                     RC_ASSERT(std::any_of(f.replicasNow.begin(), f.replicasNow.end(), [&](const weight_replica& one) { return one.target == target; }));
             }
