Split forwarding, router and the platform's view where they do two jobs

Cause: forwarding.cpp had grown to over 800 lines, router.cpp to over 780, platform_view.cpp to over 600; a newcomer had to read all of each to find where an answer is taken, a candidate is chosen or another instance is answered.

Change: moves only. forwarding_answers.cpp takes an attempt's answer from its head to its end, forwarding_hedging.cpp starts and ends second attempts, router_candidates.cpp chooses among targets, platform_view_peers.cpp holds what instances tell each other. duration scale(duration, double) was in three files and is in types.h.

The fingerprint of the decision modules is the same; unit tests and 12 process tests of these parts passed on the plain build.

Conclusion: no behaviour changed.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -292,7 +292,7 @@
         parseLogLevel(m_settings.log.level, level);
         setLogLevel(level);
         m_store.setAddress(m_settings.store.address);
-        logEvent(log_level::Info, "main", "reloaded", { { "why", reason }, { "store", m_settings.store.address }, { "extra_work", m_settings.hedging.extraWork ? detail::percentText(*m_settings.hedging.extraWork) : "unset" } });
+        logEvent(log_level::Info, "main", "reloaded", { { "why", reason }, { "store", m_settings.store.address }, { "extra_work", m_settings.hedging.extraWork ? lovagerail::detail::percentText(*m_settings.hedging.extraWork) : "unset" } });
     }
 
     // The platform may rewrite the file without sending SIGHUP.
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -25,6 +25,13 @@
 
 namespace lovagerail::edge {
 
+namespace detail {
+
+    // Of the documents, by document_index: in messages between instances, and as causes of store calls.
+    inline constexpr const char* documentNames[] = { "config", "members", "targets", "evacuations" };
+
+} // namespace detail
+
 class platform_view {
 public:
     platform_view(context& shared, members& membership);
@@ -106,6 +113,7 @@
     void askSource();
     void onSourceAnswer(const http::answer& answer, instant askedAt);
     void answerPeer(const http::exchange_ptr& exchange, duration held) const;
+    void answerWaitingPeers();
     std::string digests() const;
 
     // Applying documents.
--- a/src/hedging.cpp
+++ b/src/hedging.cpp
@@ -15,11 +15,6 @@
     constexpr double minWeightInTail = 1; // expected observations above the quantile before it is used
     constexpr duration idleLifetime = std::chrono::minutes(30);
 
-    duration scale(duration span, double factor)
-    {
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
-    }
-
 } // namespace
 
 std::string_view toString(hedge_reason reason)
--- a/src/types.h
+++ b/src/types.h
@@ -120,6 +120,7 @@
 using micro_price = amount<struct micro_price_tag, std::int64_t>;
 
 using duration = std::chrono::nanoseconds;
+inline duration scale(duration span, double factor) { return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor); }
 
 // The monotonic clock of `instant`s. It has no now(): decision modules get the time as an argument.
 struct decision_clock {
