One delay for open writes, one check of the origins that another instance sends

Change: openWriteRetryDelay in open_write.h, takeRows() in origin_archive.h, EntryCase.submit_to_owner, head and end, stop_while_sending() in the test of planned stops. No check of a test changed.

Before: 3, 2 and 2 copies; after: one each.

Conclusion: no behaviour changed.

--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "batch.h"
+#include "open_write.h"
 #include "pool_shares.h"
 #include "router.h"
 #include "stream_pace.h"
@@ -143,7 +144,7 @@
     // short against the seconds in which an item is generated.
     duration maxResumeWait = std::chrono::milliseconds(500);
     duration judgeRetryDelay = std::chrono::milliseconds(250); // before a judge is asked again: above a judge's latency target of 150 ms
-    duration pageRetryDelay = std::chrono::milliseconds(250); // before a failed page write is repeated; the same delay as for submissions
+    duration pageRetryDelay = openWriteRetryDelay; // before a failed page write is repeated
     duration pageDelay = std::chrono::milliseconds(40); // before the page that completes the step, so that groups finished within it share the page
     // Before a page of groups that do not complete the step: the trainer waits for all of
     // them anyway. `pageDelay` applies instead once the batch is due within pageDelayCutoff.
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-    constexpr duration submitRetryDelay = std::chrono::milliseconds(250); // after a failed write
     // A submission stays pending while the store is unavailable: outages last some seconds,
     // and a trainer whose submission is refused meanwhile loses its training step. The final
     // answer comes before the caller's deadline, or, without one, within the usual timeout
@@ -149,7 +148,7 @@
         // Step 3. Not written, or outcome unknown: retry the same create-only write. The items
         // run meanwhile, so that an outage of the store doesn't delay the training step.
         submit.outcomeUnknown = submit.outcomeUnknown || answer.error().code == error_code::Unknown;
-        submit.retryAt = m_context.now + submitRetryDelay;
+        submit.retryAt = m_context.now + openWriteRetryDelay;
         logEvent(log_level::Warning, "batch", "submit_waits", { { "batch", id.str() }, { "error", toString(answer.error()) } });
         runBeforeAcceptance(submit);
     }
--- a/src/edge/batches_adoption.cpp
+++ b/src/edge/batches_adoption.cpp
@@ -12,12 +12,6 @@
 
 namespace lovagerail::edge {
 
-namespace {
-
-    constexpr duration adoptionRetryDelay = std::chrono::milliseconds(250); // after a failed call; the same as for submissions
-
-} // namespace
-
 void batches::adopt(const batch_head& head, revision headRevision, adoption_function onDone)
 {
     if (const auto owned = m_owned.find(head.id); owned != m_owned.end()) {
@@ -123,7 +117,7 @@
 {
     auto& started = m_adoptions.at(id);
     started.calling = false;
-    started.retryAt = m_context.now + adoptionRetryDelay;
+    started.retryAt = m_context.now + openWriteRetryDelay;
     logEvent(log_level::Warning, "batch", "adopt_waits", { { "batch", id.str() }, { "error", toString(reason) } });
 }
 
--- a/src/edge/origin_archive.cpp
+++ b/src/edge/origin_archive.cpp
@@ -55,6 +55,16 @@
 
 target_software softwareFromRow(const Json::Value& row) { return { pool_id(jsonText(row, "pool")), jsonText(row, "software") }; }
 
+std::optional<Json::Value> takeRows(const http::exchange_ptr& exchange)
+{
+    auto rows = parseJson(exchange->body);
+    if (rows && rows->isArray())
+        return rows;
+    logEvent(log_level::Warning, duty, "refused", { { "bytes", std::to_string(exchange->body.size()) } });
+    exchange->answer(statusBadRequest, {}, "not origins of streams");
+    return std::nullopt;
+}
+
 void recordRows(stream_origins& origins, const Json::Value& rows, instant now)
 {
     for (const auto& row : rows) {
@@ -120,12 +130,9 @@
 
 void origin_archive::onRecords(const http::exchange_ptr& exchange)
 {
-    const auto rows = parseJson(exchange->body);
-    if (!rows || !rows->isArray()) {
-        logEvent(log_level::Warning, duty, "refused", { { "bytes", std::to_string(exchange->body.size()) } });
-        exchange->answer(statusBadRequest, {}, "not origins of streams");
+    const auto rows = takeRows(exchange);
+    if (!rows)
         return;
-    }
     recordRows(m_origins, *rows, m_context.now);
     append(m_received, *rows);
     exchange->answer(statusOk, {}, "");
--- a/src/edge/origin_archive.h
+++ b/src/edge/origin_archive.h
@@ -61,5 +61,7 @@
 Json::Value originRow(const request_id& stream, const target_software& software);
 target_software softwareFromRow(const Json::Value& row);
 void recordRows(stream_origins& origins, const Json::Value& rows, instant now);
+// The rows that another instance sent; empty if the body holds none, which is answered and logged.
+std::optional<Json::Value> takeRows(const http::exchange_ptr& exchange);
 
 } // namespace lovagerail::edge
--- a/src/edge/stream_directory.cpp
+++ b/src/edge/stream_directory.cpp
@@ -132,12 +132,9 @@
 
 void stream_directory::onCopies(const http::exchange_ptr& exchange)
 {
-    const auto rows = parseJson(exchange->body);
-    if (!rows || !rows->isArray()) {
-        logEvent(log_level::Warning, duty, "refused", { { "bytes", std::to_string(exchange->body.size()) } });
-        exchange->answer(statusBadRequest, {}, "not origins of streams");
+    const auto rows = takeRows(exchange);
+    if (!rows)
         return;
-    }
     recordRows(m_origins, *rows, m_context.now);
     exchange->answer(statusOk, {}, "");
 }
--- a/src/open_write.h
+++ b/src/open_write.h
@@ -7,12 +7,15 @@
 #pragma once
 
 #include "kv.h"
+#include "types.h"
 
 #include <string>
 #include <string_view>
 
 namespace lovagerail {
 
+inline constexpr duration openWriteRetryDelay = std::chrono::milliseconds(250); // before an open write is repeated
+
 struct guarded_write {
     std::string guard; // key whose revision all attempts compare
     revision guardRevision; // 0: all attempts require that the guard doesn't exist
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -95,6 +95,18 @@
     def submit(self, entry, name, body):
         return entry.send_request("/steps/" + name, name, body=json.dumps(body).encode())
 
+    def submit_to_owner(self, entries, name, body):
+        """Submits a batch and returns its owner and the other entry."""
+        self.assertEqual(self.submit(entries[0], name, body).status, 202)
+        return sorted(entries, key=lambda entry: "step=owned batch=" + name not in entry.output())
+
+    def head(self, name):
+        """The head of a batch, as the store has it."""
+        return json.loads(self.platform.store.value("batch/head/" + name))
+
+    def end(self, entry, name):
+        return call("DELETE", f"{entry.callers}/lots/{name}", headers={**HOST, **KEY}).status
+
     def results(self, entry, name, after=0, wait_ms=500):
         response = call("GET", f"{entry.callers}/lots/{name}?after={after}", headers={**HOST, **KEY, "Wait-Ms": str(wait_ms)})
         self.assertEqual(response.status, 200, response)
--- a/tests/process/test_entry_open_submissions.py
+++ b/tests/process/test_entry_open_submissions.py
@@ -11,17 +11,6 @@
 
 
 class OpenSubmissions(EntryCase):
-    def head(self, batch):
-        return json.loads(self.platform.store.value("batch/head/" + batch))
-
-    def end(self, entry, batch):
-        return call("DELETE", f"{entry.callers}/lots/{batch}", headers={**HOST, **KEY}).status
-
-    def submit_to_owner(self, entries, batch, body):
-        """Submits a batch and returns its owner and the other entry."""
-        self.assertEqual(self.submit(entries[0], batch, body).status, 202)
-        return sorted(entries, key=lambda entry: "step=owned batch=" + batch not in entry.output())
-
     def test_an_end_during_a_take_over_stops_the_batch(self):
         entries = self.start_entries()
         for engine in self.engines:
--- a/tests/process/test_entry_open_writes.py
+++ b/tests/process/test_entry_open_writes.py
@@ -5,14 +5,11 @@
 import time
 import unittest
 
-from entry_world import HOST, KEY, EntryCase, submission
-from kit import call, wait_until
+from entry_world import EntryCase, submission
+from kit import wait_until
 
 
 class OpenWrites(EntryCase):
-    def head(self, batch):
-        return json.loads(self.platform.store.value("batch/head/" + batch))
-
     def stored_items(self, batch):
         keys = self.platform.store.keys_with_prefix(f"batch/page/{batch}/")
         return [row["item"] for key in keys if not key.endswith("texts") for row in json.loads(self.platform.store.value(key))]
@@ -20,14 +17,6 @@
     def listed_items(self, entry, batch):
         return [result["id"] for result in self.results(entry, batch, wait_ms=0)["results"]]
 
-    def end(self, entry, batch):
-        return call("DELETE", f"{entry.callers}/lots/{batch}", headers={**HOST, **KEY}).status
-
-    def submit_to_owner(self, entries, batch, body):
-        """Submits a batch and returns its owner and the other entry."""
-        self.assertEqual(self.submit(entries[0], batch, body).status, 202)
-        return sorted(entries, key=lambda entry: "step=owned batch=" + batch not in entry.output())
-
     def test_a_batch_whose_take_over_got_no_answer_is_run(self):
         entries = self.start_entries()
         for engine in self.engines:
--- a/tests/process/test_entry_planned_stop.py
+++ b/tests/process/test_entry_planned_stop.py
@@ -55,15 +55,10 @@
     def arrived(self):
         return {path for shop in self.shops for _, path in shop.arrivals}
 
-    def test_requests_on_kept_connections_are_not_cut_by_a_planned_stop(self):
-        entry = self.start()[0]
+    def stop_while_sending(self, entry, connection_of):
+        """Stops the instance while a long stream keeps it up, and sends requests that may run once; returns their outcomes by id."""
         for engine in self.engines:
             engine.events, engine.event_interval_s = LONG_EVENTS, LONG_INTERVAL_S
-        clients = [self.connect(entry) for _ in range(CLIENTS)]
-        for number, client in enumerate(clients):
-            self.assertEqual(client.send(f"/once/first{number}", f"first{number}"), (200, False))
-        for shop in self.shops:
-            shop.answer_delay_s = WORK_S
         stream = threading.Thread(target=self.connect(entry).send, args=("/talk/long", "long", 12000))
         stream.start()
         time.sleep(0.3)
@@ -73,13 +68,23 @@
 
         def send(number):
             time.sleep(max(0.0, stopped + FIRST_SENT_S + (LAST_SENT_S - FIRST_SENT_S) * number / CLIENTS - time.monotonic()))
-            outcomes[f"late{number}"] = clients[number].send(f"/once/late{number}", f"late{number}")
+            outcomes[f"late{number}"] = connection_of(number).send(f"/once/late{number}", f"late{number}")
 
         threads = [threading.Thread(target=send, args=(number,)) for number in range(CLIENTS)]
         for thread in threads:
             thread.start()
         for thread in [*threads, stream]:
             thread.join()
+        return outcomes
+
+    def test_requests_on_kept_connections_are_not_cut_by_a_planned_stop(self):
+        entry = self.start()[0]
+        clients = [self.connect(entry) for _ in range(CLIENTS)]
+        for number, client in enumerate(clients):
+            self.assertEqual(client.send(f"/once/first{number}", f"first{number}"), (200, False))
+        for shop in self.shops:
+            shop.answer_delay_s = WORK_S
+        outcomes = self.stop_while_sending(entry, lambda number: clients[number])
         ran = {path.rsplit("/", 1)[1] for path in self.arrived()}
         cut = [name for name, outcome in outcomes.items() if name in ran and outcome is None]
         self.assertEqual(cut, [], outcomes)
@@ -91,26 +96,9 @@
 
     def test_no_request_that_may_run_once_is_left_in_doubt_late_in_a_planned_stop(self):
         entry = self.start()[0]
-        for engine in self.engines:
-            engine.events, engine.event_interval_s = LONG_EVENTS, LONG_INTERVAL_S
         for shop in self.shops:
             shop.answer_delay_s = 2 * WORK_S
-        stream = threading.Thread(target=self.connect(entry).send, args=("/talk/long", "long", 12000))
-        stream.start()
-        time.sleep(0.3)
-        stopped = time.monotonic()
-        entry.terminate()
-        outcomes = {}
-
-        def send(number):
-            time.sleep(max(0.0, stopped + FIRST_SENT_S + (LAST_SENT_S - FIRST_SENT_S) * number / CLIENTS - time.monotonic()))
-            outcomes[f"new{number}"] = self.connect(entry).send(f"/once/new{number}", f"new{number}")
-
-        threads = [threading.Thread(target=send, args=(number,)) for number in range(CLIENTS)]
-        for thread in threads:
-            thread.start()
-        for thread in [*threads, stream]:
-            thread.join()
+        outcomes = self.stop_while_sending(entry, lambda number: self.connect(entry))
         ran = {path.rsplit("/", 1)[1] for path in self.arrived()}
         for name, outcome in outcomes.items():
             self.assertIn(outcome, [(200, True), (503, True)], name)
