A request that was given up doesn't arrive when its path is back

Cause: a second attempt that won, a cancelled item and a request whose time is up end by closing their connection. The kernel goes on sending the bytes of a socket that was closed in order. A cut path holds them up, and when it is back the replica gets a whole request that nobody waits for.

Change: a connection with unacknowledged bytes is closed by a reset, which discards them; for all requests of the HTTP client, and for orders to engines. Why it works: after the reset nothing is left to be sent again.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 // Maps requests to libcurl easy handles on one multi handle, and their callbacks to events.
 #include "http/client.h"
 #include "http/message_parts.h"
+#include "http/socket_close.h"
 
 #include <algorithm>
 #include <cctype>
@@ -202,6 +203,8 @@
         return CURL_SOCKOPT_OK;
     }
 
+    int closeSocket(void*, curl_socket_t descriptor) { return closeDiscardingUnacknowledged(descriptor); }
+
     connection_use connectionOf(const transfer& t)
     {
         if (!t.connected)
@@ -384,6 +387,7 @@
         curl_easy_setopt(t.easy, CURLOPT_INTERFACE, m_state->sourceAddress.c_str());
     if (!t.outgoing.target.empty())
         curl_easy_setopt(t.easy, CURLOPT_REQUEST_TARGET, t.outgoing.target.c_str());
+    curl_easy_setopt(t.easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
     if (t.outgoing.unacknowledgedTimeout.count() > 0) {
         curl_easy_setopt(t.easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
         curl_easy_setopt(t.easy, CURLOPT_SOCKOPTDATA, &t);
--- a/src/provider/order_thread.cpp
+++ b/src/provider/order_thread.cpp
@@ -1,6 +1,7 @@
 // Sends each order by a libcurl transfer of its own, whose socket is registered with the guard.
 #include "provider/order_thread.h"
 
+#include "http/socket_close.h"
 #include "log.h"
 
 #include <curl/curl.h>
@@ -36,7 +37,7 @@
     int closeSocket(void* user, curl_socket_t socket)
     {
         static_cast<order_guard*>(user)->unregisterSocket(socket);
-        return ::close(socket);
+        return http::closeDiscardingUnacknowledged(socket);
     }
 
     // Called when the socket is connected, before the request is sent. The authority may have
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 namespace {
@@ -108,6 +109,47 @@
     }
 };
 
+// A peer with a small window that reads nothing until it is asked to.
+struct stalled_peer {
+    int listening = -1;
+    std::uint16_t port = 0;
+
+    stalled_peer()
+    {
+        listening = socket(AF_INET, SOCK_STREAM, 0);
+        const int smallWindow = 1; // the kernel rounds it up
+        BOOST_REQUIRE_EQUAL(setsockopt(listening, SOL_SOCKET, SO_RCVBUF, &smallWindow, sizeof smallWindow), 0);
+        sockaddr_in where {};
+        where.sin_family = AF_INET;
+        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof where;
+        BOOST_REQUIRE_EQUAL(bind(listening, reinterpret_cast<sockaddr*>(&where), size), 0);
+        BOOST_REQUIRE_EQUAL(listen(listening, 1), 0);
+        BOOST_REQUIRE_EQUAL(getsockname(listening, reinterpret_cast<sockaddr*>(&where), &size), 0);
+        port = ntohs(where.sin_port);
+    }
+
+    ~stalled_peer() { close(listening); }
+
+    stalled_peer(const stalled_peer&) = delete;
+    stalled_peer& operator=(const stalled_peer&) = delete;
+
+    // Reads a connection to its end; returns the bytes that arrived.
+    std::string readAll() const
+    {
+        const int accepted = accept(listening, nullptr, nullptr);
+        BOOST_REQUIRE(accepted >= 0);
+        const timeval readTimeout { 2, 0 };
+        setsockopt(accepted, SOL_SOCKET, SO_RCVTIMEO, &readTimeout, sizeof readTimeout);
+        std::string out;
+        char buffer[4096];
+        for (ssize_t count = 0; (count = recv(accepted, buffer, sizeof buffer, 0)) > 0;)
+            out.append(buffer, static_cast<std::size_t>(count));
+        close(accepted);
+        return out;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http_client_suite)
@@ -204,4 +246,29 @@
     BOOST_TEST(received == 1U);
 }
 
+// Guards against a request that was given up while its path held it up, and that ran later (docs/incidents/UNASKED-HELD-UP.md).
+BOOST_AUTO_TEST_CASE(a_request_that_was_given_up_does_not_arrive_later)
+{
+    const std::string lastBytes = "the end of the body";
+    for (const bool byTimeout : { false, true }) {
+        const stalled_peer peer;
+        http::client client;
+        http::request request;
+        request.id = 1;
+        request.url = "http://127.0.0.1:" + std::to_string(peer.port) + "/";
+        request.method = "POST";
+        request.body = std::string(10000, 'x') + lastBytes;
+        if (byTimeout)
+            request.totalTimeout = 200ms;
+        client.start(request);
+        for (const auto until = now() + 300ms; now() < until;)
+            client.poll(20ms);
+        client.cancel(1);
+        BOOST_TEST(client.open() == 0U);
+        const auto arrived = peer.readAll();
+        BOOST_TEST(arrived.starts_with("POST / HTTP/1.1\r\n"));
+        BOOST_TEST(!arrived.ends_with(lastBytes), (byTimeout ? "ended by its timeout" : "cancelled"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
