A published version reaches the engines, also if the instances that were told of it are gone

What callers saw: a rollout that stops for good after all daemons were stopped and started in turn; steps come, then none until the trainer's deadline.

Cause: the duty over a model's weights had the published version from one notice, in memory. If its holder and the instance that got the call were both restarted before the next version, nobody wanted any version; the trainer waited for samples that only a newer version may generate, and published none.

Change: the coordinator of a run repeats the version of its ledger to the holder of the duty, once a second. Why it works: the ledger is read at each take-over.

Before: test_published_versions fails, the engines don't have the version after 40 s. After: it passes (14.8 s, beside load). Unit tests pass.

--- a/src/daemon/run_duty.cpp
+++ b/src/daemon/run_duty.cpp
@@ -3,6 +3,7 @@
 #include "daemon/run_duty.h"
 
 #include "daemon/status_api.h"
+#include "daemon/weight_duty.h"
 #include "http_status.h"
 #include "log.h"
 #include "object_codec.h"
@@ -14,6 +15,7 @@
 namespace {
 
     constexpr duration tickInterval = std::chrono::milliseconds(50);
+    constexpr duration versionNoticePeriod = std::chrono::seconds(1);
     // Concurrent generations per live engine, over all runs that this instance coordinates.
     constexpr std::size_t jobsPerEngine = 8;
 
@@ -67,7 +69,7 @@
     const auto* configured = m_context.inForce->findRun(run_id(name));
     if (configured == nullptr)
         return;
-    auto item = std::make_shared<active_run>(active_run { name, fencing, run_coordinator(settingsOf(*configured)), {}, {}, {}, {}, {}, {} });
+    auto item = std::make_shared<active_run>(active_run { name, fencing, run_coordinator(settingsOf(*configured)), {}, {}, {}, {}, {}, {}, {} });
     m_runs[name] = item;
     m_scheduler.setWeight(run_id(name), static_cast<std::uint32_t>(configured->weight));
     handleEvent(item, taken_over { fencing });
@@ -129,10 +131,24 @@
         reportLostHolders(item);
         handleEvent(item, lovagerail::tick {});
         expireCalls(item);
+        repeatVersionNotice(item);
     }
     dispatch();
 }
 
+// The holder of the duty over a model's weights has the trainer's version in memory only, and a new holder
+// doesn't know it. The run's ledger does.
+void run_duty::repeatVersionNotice(const run_ptr& item)
+{
+    if (!item->coordinator.leading() || m_context.now < item->nextVersionNotice)
+        return;
+    item->nextVersionNotice = m_context.now + versionNoticePeriod;
+    const auto* configured = m_context.inForce->findRun(run_id(item->name));
+    const auto version = item->coordinator.head().trainerVersion;
+    if (configured != nullptr && version != weight_version())
+        m_weights.onVersionPublished(configured->model, version);
+}
+
 // Reports payload holders that disappeared, or restarted without their payloads, to the coordinator.
 void run_duty::reportLostHolders(const run_ptr& item)
 {
--- a/src/daemon/run_duty.h
+++ b/src/daemon/run_duty.h
@@ -70,6 +70,7 @@
         std::map<stream_id, job_id> judging;
         std::set<stream_id> fetchingPrompts; // streams whose prompt is being fetched
         std::set<payload_holder> holders; // payload holders that were live at the last check
+        instant nextVersionNotice {};
     };
     using run_ptr = std::shared_ptr<active_run>;
 
@@ -84,6 +85,7 @@
     void onGroups(const run_ptr& item, const pending_call& call);
     void onVersion(const run_ptr& item, const pending_call& call);
     void onBatch(const run_ptr& item, pending_call call);
+    void repeatVersionNotice(const run_ptr& item);
     void onState(const run_ptr& item, const pending_call& call) const;
     trainer_call registerCall(const run_ptr& item, const pending_call& call);
     void expireCalls(const run_ptr& item);
