Fleet.set_up awaits the keys before it sends requests to targets

Change: set_up first waits for the key that was granted last, by a request that no target gets, then for the entries as before. No check changed.

--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -203,7 +203,26 @@
         self.apply()
         for account in ("mawr", "bach", "trainer"):
             self.grant(account)
-        wait_until(lambda: all(self.is_serving(url) and self.knows_keys(url) for url in self.callers()), "all entries serve requests")
+        wait_until(lambda: all(self.knows_keys(url) for url in self.callers()), "all entries know the keys")
+        wait_until(lambda: all(self.is_serving(url) for url in self.callers()), "all entries serve requests")
+        return self
+
+    def knows_keys(self, url):
+        """Whether the key that was granted last is in force there, and so all are; a grant returns earlier. No target gets the
+        request, as the trainer's account may not use the route."""
+        return call("GET", url + "/stock/ready", headers=self.auth("trainer")).status != 401
+
+    def callers(self):
+        """URLs of the callers' listeners of all running daemons."""
+        return [daemon.callers for daemon in self.daemons.values() if daemon.running]
+
+    def set_up(self):
+        """Applies the configuration, grants each account a key and waits until all entries serve requests."""
+        self.apply()
+        for account in ("mawr", "bach", "trainer"):
+            self.grant(account)
+        wait_until(lambda: all(self.knows_keys(url) for url in self.callers()), "all entries know the keys")
+        wait_until(lambda: all(self.is_serving(url) for url in self.callers()), "all entries serve requests")
         return self
 
     def knows_keys(self, url):
