Fleet: each method once

Cause: left callers, set_up and knows_keys in the class twice, and the later ones were in force.

Change: the copies go; the keys are awaited by the one request that no target gets. No check changed.

Conclusion: the fixture does what said.

--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -212,23 +212,6 @@
         request, as the trainer's account may not use the route."""
         return call("GET", url + "/stock/ready", headers=self.auth("trainer")).status != 401
 
-    def callers(self):
-        """URLs of the callers' listeners of all running daemons."""
-        return [daemon.callers for daemon in self.daemons.values() if daemon.running]
-
-    def set_up(self):
-        """Applies the configuration, grants each account a key and waits until all entries serve requests."""
-        self.apply()
-        for account in ("mawr", "bach", "trainer"):
-            self.grant(account)
-        wait_until(lambda: all(self.knows_keys(url) for url in self.callers()), "all entries know the keys")
-        wait_until(lambda: all(self.is_serving(url) for url in self.callers()), "all entries serve requests")
-        return self
-
-    def knows_keys(self, url):
-        """Whether the keys of all accounts are in force there; a grant returns earlier."""
-        return all(call("GET", url + "/stock/ready", headers=self.auth(account)).status != 401 for account in self.keys)
-
     def is_serving(self, url):
         response = call("POST", url + "/v1/completions", {"model": "model", "prompt": "is it there", "max_tokens": 2}, headers=self.auth("mawr"))
         service = call("GET", url + "/stock/ready", headers=self.auth("mawr"))
