--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -14,6 +14,9 @@
 
     constexpr std::int64_t maxExtraWork = 2000; // hundredths of a percent; above 20% requests of usual speed would be repeated
 
+    constexpr std::int64_t maxMemoryMb = 10'000'000;
+    constexpr std::int64_t maxDescriptors = 100'000'000;
+
     field<s> text(const char* section, const char* key, field_kind kind, bool required, std::function<std::string&(s&)> where)
     {
         return textField<s>(section, key, kind, required, std::move(where));
@@ -50,6 +53,8 @@
             textMapField<s>("placement", "regions", [](s& v) -> std::map<std::string, std::string>& { return v.placement.regions; }),
             time("targets", "connection_cost", 0, msPerSecond, [](s& v) -> std::chrono::milliseconds& { return v.targets.connectionCost; }),
             numberField<s>("hedging", "extra_work", field_kind::Percent, 0, maxExtraWork, [](s& v) -> std::int64_t& { return v.hedging.extraWork.emplace(0); }),
+            decimalField<s>("machine", "memory_mb", 0, maxMemoryMb, [](s& v) -> double& { return v.machine.memoryMb; }),
+            numberField<s>("machine", "descriptors", field_kind::Count, 0, maxDescriptors, [](s& v) -> std::int64_t& { return v.machine.descriptors; }),
             text("log", "level", field_kind::Level, false, [](s& v) -> std::string& { return v.log.level; }),
         };
         return table;
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -71,6 +71,12 @@
         // made. Empty: hedging after fixed delays out of a budget of successes.
         std::optional<std::int64_t> extraWork;
     } hedging;
+    struct {
+        // What this process may use; 0: what the system states of the machine. What clients send and hold open is
+        // bounded by it.
+        double memoryMb = 0; // 10^6 bytes
+        std::int64_t descriptors = 0;
+    } machine;
     struct {
         std::string level = "info";
     } log;
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -31,7 +31,7 @@
 
 
 class Entry(Program):
-    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings, store_address, source_address, bounds, regions):
+    def __init__(self, kit, name, zone, platform, ports, seeds, duty_settings, store_address, source_address, bounds, regions, machine):
         self.callers, self.readiness, self.instances, self.metrics = (f"http://127.0.0.1:{ports + i}" for i in range(4))
         addresses = [f"127.0.0.1:{ports + i}" for i in range(4)]
         self.source_address = source_address
@@ -40,7 +40,7 @@
                     "store": {"address": store_address},
                     "duties": {"address": platform.duties.address, "usage_window": "2s", "usage_late": "10s", **duty_settings},
                     "bounds": {"drain": "2s", "stop": "8s", "results_kept": "120s", **bounds},
-                    "placement": {"regions": regions}}
+                    "placement": {"regions": regions}, "machine": machine}
         path = kit.folder / f"{name}.toml"
         path.write_text(toml_text(sections))
         super().__init__(kit, name, [BIN / "lovageraild", "entry", "--config", path])
@@ -67,6 +67,8 @@
 class EntryCase(KitTest):
     bounds = {}  # further settings of the section
     regions = {}  # by failure domain
+    machine = {}  # settings of the section: memory and descriptors of each instance
+    limits = {}  # of callers, in place of those of config()
     store_addresses = {}  # by index, for instances that reach the store at another address
 
     def start_entries(self, count=2, keys=("key-one",), **duties):
@@ -74,7 +76,9 @@
         self.addCleanup(self.platform.close)
         self.engines = [self.platform.engine("pool", zone, models=["m"]) for zone in ("north", "south", "north")]
         self.shops = [self.platform.service("shop", zone) for zone in ("north", "south")]
-        self.platform.put_config(config(1, keys))
+        document = config(1, keys)
+        document["limits"].update(self.limits)
+        self.platform.put_config(document)
         self.platform_started()
         ports = [free_ports(4) for _ in range(count)]
         seeds = [f"127.0.0.1:{port + 2}" for port in ports]
@@ -90,7 +94,7 @@
 
     def entry(self, index):
         return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds, self.duty_settings,
-                     self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}", self.bounds, self.regions)
+                     self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}", self.bounds, self.regions, self.machine)
 
     def submit(self, entry, name, body):
         return entry.send_request("/steps/" + name, name, body=json.dumps(body).encode())
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -314,6 +314,7 @@
         self.executed_requests = []  # (path, headers) of requests that started to run
         self.refuse_requests = False  # answers 503 with Not-Executed
         self.answer_delay_s = 0  # of a plain answer
+        self.answer_body = None  # of a plain answer; None: the body of the request
         self.requests_to_break = 0  # number of requests to break: a stream after its third event, a plain one before its answer
         self.crashes_left = 0  # number of requests that find it crashing; it restarts at once
         self.orders_applied = 0
@@ -357,7 +358,7 @@
                 request.break_connection()
             else:
                 time.sleep(self.answer_delay_s)
-                request.respond(200, request.body, {"Attempt-Id": request.headers["Attempt-Id"], "Server-Stamp": "stamp-" + request.headers["Attempt-Id"], "Server-Load": "1,0,8"})
+                request.respond(200, request.body if self.answer_body is None else self.answer_body, {"Attempt-Id": request.headers["Attempt-Id"], "Server-Stamp": "stamp-" + request.headers["Attempt-Id"], "Server-Load": "1,0,8"})
 
     def _order(self, request):
         order = json.loads(request.body)
