Bodies that callers and instances send are bounded for the process as a whole

What callers saw: an instance that many clients sent large bodies was ended for its memory, and all its callers lost their connections; bodies far over the limit were read to their end, whatever the limit in force was.

Cause: each request had a limit of 64 MiB of its own, independent of the configuration, of the other requests and of the machine. A body was stored before its route, its key and its size were judged, in a string that doubles, and for as long as its client kept the connection open.

Change: memory of heads and bodies is charged to one account for all listeners (memory_budget, intake_limits), whose size follows from the memory of the machine: 0.7 of it is for clients, two thirds of that for holdings above 64 KiB, and 0.15 are kept for ordinary requests. A body is charged with its spare room before it is stored, its announced length at once. A request is judged when its head is there: unknown route or key, a length over the configured limit (413) and no room (503 with Retry-After) are answered before the body is read; what still arrives is dropped for 5 s, so that the answer isn't lost by a reset. A request with a body of up to 64 KiB keeps its connection. If memory runs out, bodies that stopped for a second or trickle are broken off with 408 (not run), the largest first (stalled_transfers).

Conclusion: the class is bounded where bodies come in; copies for attempts, answers, submissions and connections are separate faults and follow.

--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -28,7 +28,7 @@
         return;
     }
     if (exchange->path == rpcPath)
-        exchange->answer(statusOk, { { "Content-Type", "application/json" } }, m_server.handle(exchange->body));
+        exchange->answer(statusOk, { { "Content-Type", "application/json" } }, m_server.handle(exchange->body.str()));
     else if (exchange->path.rfind(forwardPath, 0) == 0 && m_forward)
         m_forward(exchange);
     else
--- a/src/daemon/serving_thread.cpp
+++ b/src/daemon/serving_thread.cpp
@@ -132,7 +132,8 @@
         request.path = exchange->path;
         request.query = exchange->query;
         request.headers = exchange->headers;
-        request.body = std::move(exchange->body);
+        request.body = exchange->body.str();
+        exchange->body.clear();
         m_exchanges[request.handle] = std::move(exchange);
         execute(m_serving.arrive(std::move(request), now, wall));
     }
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-    constexpr duration noConfigRetryAfter = std::chrono::milliseconds(500); // the first configuration is usually read within this time
-
     constexpr duration maxOriginWait = std::chrono::milliseconds(1600); // the list of targets is usually confirmed within this time
     constexpr duration unknownOriginRetryAfter = std::chrono::milliseconds(300);
     constexpr duration lastAnswerTime = std::chrono::milliseconds(100); // before the exit, for last answers to reach their callers
@@ -72,12 +70,13 @@
 {
 }
 
-void caller_frontend::respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const
+template <typename Body>
+void caller_frontend::respond(const http::exchange_ptr& exchange, int status, http::header_list headers, Body&& body) const
 {
     // During shutdown, close keep-alive connections with their next answer.
     if (m_context.stopping)
         headers.emplace_back("Connection", "close");
-    exchange->answer(status, std::move(headers), std::move(body));
+    exchange->answer(status, std::move(headers), std::forward<Body>(body));
 }
 
 void caller_frontend::refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason)
@@ -500,7 +499,7 @@
         if (action.isProven)
             respond(forward.exchange, attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
         else
-            forward.exchange->answerUntilClose(attempt.head.status, attempt.head.forwarded, std::move(attempt.body));
+            forward.exchange->answerUntilClose(attempt.head.status, attempt.head.forwarded, attempt.body);
         return;
     }
     logOutcome(forward, "own_call", attempt.head.status, attempt.target.str());
--- a/src/edge/caller_frontend.h
+++ b/src/edge/caller_frontend.h
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds targetConnectTimeout { 400 };
 constexpr std::chrono::milliseconds targetUnacknowledgedTimeout { 600 };
 
+constexpr duration noConfigRetryAfter = std::chrono::milliseconds(500); // the first configuration is usually read within this time
+
 class caller_frontend {
 public:
     caller_frontend(context& shared, target_link& link, usage_duty& usage, quarantine& blameMarks, departures& leavingTargets, target_limits& limits, stream_directory& streams, software_versions& versions);
@@ -38,6 +40,10 @@
     void setBatches(batches& owner) { m_batches = &owner; }
     // Handles a request from the listener for callers.
     void onRequest(const http::exchange_ptr& exchange);
+    // What a request may send as its body, and whether it is refused already by its head.
+    http::admission admit(const http::exchange& head) const;
+    // The answer to a request that its listener refuses.
+    http::refusal refusalOf(const http::exchange& refused, http::refusal_reason reason) const;
 
     // A call that the gateway itself makes to a service (a judge), with routing and retries
     // as for callers. The account and the caller's region decide where it may run. The callback gets the answer's status and proof; status 0 if no target
@@ -86,7 +92,7 @@
         request_id stream; // attempt of the caller that began the stream
         bool originKnown = false; // the stream directory knows it
         bool sent = false; // at least once
-        const std::string& body() const { return exchange ? exchange->body : serviceBody; }
+        std::string body() const { return exchange ? exchange->body.str() : serviceBody; }
     };
     struct open_attempt {
         forward_id forward;
@@ -103,7 +109,8 @@
 
     void recordSlowness(const target_id& target, target_slot slot, bool malformed);
     void refuse(const http::exchange_ptr& exchange, const request_id& id, int status, duration retryAfter, std::string_view reason);
-    void respond(const http::exchange_ptr& exchange, int status, http::header_list headers, std::string body) const;
+    template <typename Body>
+    void respond(const http::exchange_ptr& exchange, int status, http::header_list headers, Body&& body) const;
     bool authenticate(const http::exchange_ptr& exchange, const platform::caller_headers& caller, client_account_id& account);
     bool endsBeforeExit(const http::exchange_ptr& exchange, platform::caller_headers& caller, const site_route& route);
     void resumeStream(const http::exchange_ptr& exchange, platform::caller_headers caller, const site_route& route, const client_account_id& account);
--- a/src/edge/context.h
+++ b/src/edge/context.h
@@ -5,6 +5,7 @@
 #include "edge/entry_settings.h"
 #include "edge/store_link.h"
 #include "edge/transfers.h"
+#include "http/memory_account.h"
 #include "regions.h"
 #include "router.h"
 #include "site.h"
@@ -20,6 +21,7 @@
     incarnation ownIncarnation;
     instant now {};
     wall_time wall {};
+    http::memory_account_ptr clientMemory {}; // of all listeners; null before they listen
     site_ptr site {}; // configuration in force; null until the first one was read
     bool stopping = false;
     instant exitAt {}; // while stopping: the process ends then at the latest
--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -1,6 +1,5 @@
 // The event loop of an entry instance: sets up listeners and components, then polls and
 // ticks them in turn until shutdown.
-#include "edge/entry.h"
 
 #include "daemon/clock.h"
 #include "edge/batches.h"
@@ -22,13 +21,16 @@
 #include "edge/weight_duty.h"
 #include "http/server.h"
 #include "http_status.h"
+#include "intake_limits.h"
 #include "log.h"
 #include "settings_reader.h"
 
 #include <csignal>
 #include <malloc.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
+#include <sys/sysinfo.h>
 #include <unistd.h>
 
 namespace lovagerail::edge {
@@ -46,8 +48,7 @@
     constexpr duration stopMargin = std::chrono::milliseconds(600); // exit this long before SIGKILL
     constexpr duration storeCallsLogPeriod = std::chrono::seconds(10);
     constexpr duration settingsCheckPeriod = std::chrono::seconds(2);
-    constexpr std::size_t maxCallerBodyBytes = 64U << 20U; // the limit of the configuration is checked per request
-    constexpr std::size_t maxPeerBodyBytes = 16U << 20U;
+    constexpr std::size_t maxBodyBytes = 64U << 20U; // the limit of the configuration is checked per request
     constexpr std::size_t maxRelayedUnreadBytes = 8U << 20U; // of an answer that is passed on to another instance
     constexpr std::size_t maxPeerHeaderBytes = 64U << 10U;
     constexpr unsigned callerIdleSeconds = 120; // longer than the idle timeouts that callers are told
@@ -64,6 +65,20 @@
         return signalfd(-1, &handledSignals, SFD_CLOEXEC | SFD_NONBLOCK);
     }
 
+    // What the settings leave open is taken from the system.
+    machine_resources resourcesOf(const entry_settings& settings)
+    {
+        constexpr double bytesPerMb = 1e6;
+        machine_resources out { byte_count(static_cast<std::uint64_t>(settings.machine.memoryMb * bytesPerMb)), static_cast<std::uint64_t>(settings.machine.descriptors) };
+        struct sysinfo machine { };
+        if (out.memory == byte_count() && sysinfo(&machine) == 0)
+            out.memory = byte_count(static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit);
+        rlimit descriptors {};
+        if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && (out.descriptors == 0 || descriptors.rlim_cur < out.descriptors))
+            out.descriptors = descriptors.rlim_cur;
+        return out;
+    }
+
     // The next pending signal, or 0.
     int readSignal(int descriptor)
     {
@@ -115,7 +130,7 @@
 
     private:
         static router_settings routerSettings(const entry_settings& settings);
-        result<std::unique_ptr<http::server>> listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest) const;
+        result<std::unique_ptr<http::server>> listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest, http::server_hooks hooks) const;
         void onPeerRequest(const http::exchange_ptr& exchange);
         void onReadiness(const http::exchange_ptr& exchange) const;
         bool ready() const { return m_context.site && m_platformView.mayServe() && !m_context.stopping; }
@@ -184,40 +199,58 @@
         return out;
     }
 
-    result<std::unique_ptr<http::server>> entry_loop::listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest) const
+    result<std::unique_ptr<http::server>> entry_loop::listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest, http::server_hooks hooks) const
     {
-        return http::server::listen(address, limits, {}, std::move(onRequest), http::server_threading::OwnersLoop);
+        return http::server::listen(address, limits, {}, std::move(onRequest), http::server_threading::OwnersLoop, std::move(hooks));
     }
 
     result<void> entry_loop::listen()
     {
         updateClock();
-        http::server_limits callerLimits;
-        callerLimits.bodyBytes = maxCallerBodyBytes;
+        const auto machine = resourcesOf(m_settings);
+        const auto intake = intakeLimitsFor(machine);
+        logEvent(log_level::Info, "main", "limits",
+            {
+                { "memory", std::to_string(machine.memory.count()) },
+                { "descriptors", std::to_string(machine.descriptors) },
+                { "client_memory", std::to_string(intake.memory.total.count()) },
+            });
+        m_context.clientMemory = std::make_shared<http::memory_account>(intake.memory);
+        const auto limitsFor = [this] {
+            http::server_limits out;
+            out.memory = m_context.clientMemory;
+            return out;
+        };
+        auto callerLimits = limitsFor();
+        callerLimits.bodyBytes = maxBodyBytes;
         callerLimits.idleSeconds = callerIdleSeconds;
-        http::server_limits peerLimits;
-        peerLimits.bodyBytes = maxPeerBodyBytes;
+        auto peerLimits = limitsFor();
+        peerLimits.bodyBytes = maxBodyBytes;
         peerLimits.headerBytes = maxPeerHeaderBytes;
         peerLimits.idleSeconds = callerIdleSeconds;
         peerLimits.unreadBytes = maxRelayedUnreadBytes;
-        http::server_limits internalLimits;
+        auto internalLimits = limitsFor();
         internalLimits.idleSeconds = readinessIdleSeconds;
         struct listener_spec {
             std::unique_ptr<http::server>* server;
             const std::string* address;
             http::server_limits limits;
             http::server::handler handler;
+            http::server_hooks hooks {};
         };
+        http::server_hooks callerHooks;
+        callerHooks.admit = [this](const http::exchange& x) { return m_frontend.admit(x); };
+        callerHooks.refuse = [this](const http::exchange& x, http::refusal_reason reason) { return m_frontend.refusalOf(x, reason); };
         const listener_spec listeners[] = {
             { &m_peers, &m_settings.listen.instances, peerLimits, [this](const http::exchange_ptr& x) { onPeerRequest(x); } },
             { &m_metricsServer, &m_settings.listen.metrics, internalLimits, [this](const http::exchange_ptr& x) { m_metrics.answer(x); } },
-            { &m_callers, &m_settings.listen.callers, callerLimits, [this](const http::exchange_ptr& x) { m_frontend.onRequest(x); } },
+            { &m_callers, &m_settings.listen.callers, callerLimits, [this](const http::exchange_ptr& x) { m_frontend.onRequest(x); }, callerHooks },
             { &m_readiness, &m_settings.listen.readiness, internalLimits, [this](const http::exchange_ptr& x) { onReadiness(x); } },
         };
         for (const auto& spec : listeners) {
             if (spec.address->empty())
                 continue;
-            auto server = listenAt(*spec.address, spec.limits, spec.handler);
+            auto server = listenAt(*spec.address, spec.limits, spec.handler, spec.hooks);
             if (!server)
                 return tl::unexpected(server.error());
             *spec.server = std::move(*server);
@@ -371,8 +404,11 @@
         if (m_context.now >= m_nextClosedCallerCheck && m_callers) {
             m_nextClosedCallerCheck = m_context.now + closedCallerCheckPeriod;
             m_callers->dropClosedCallers();
+            m_callers->closeRefused();
             if (m_peers && m_relay.openCount() > 0)
                 m_peers->dropClosedCallers();
+            if (m_peers)
+                m_peers->closeRefused();
         }
         if (m_context.now >= m_nextSettingsCheck)
             reloadIfFileChanged();
@@ -413,6 +449,10 @@
 {
     constexpr int maxArenas = 1; // only one thread allocates; further arenas would only hold freed memory
     mallopt(M_ARENA_MAX, maxArenas);
+    // Large bodies are mapped, so that their memory is returned and they grow in place. A fixed threshold keeps the
+    // allocator from raising it with each body that is freed.
+    constexpr int mappedFromBytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, mappedFromBytes);
     const int signals = openSignalDescriptor();
     beginLogging(settings);
     int exitCode = exitOk;
--- a/src/edge/relay_codec.cpp
+++ b/src/edge/relay_codec.cpp
@@ -81,7 +81,7 @@
     if (!http::findHeader(exchange.headers, onceHeader).empty())
         out.request.reuse = http::connection_reuse::Forbidden;
     out.request.headers = withoutConnectionHeaders(exchange.headers);
-    out.request.body = exchange.body;
+    out.request.body = exchange.body.str();
     return out;
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,11 +2,14 @@
 // that answer.
 #include "http/server.h"
 
+#include "intake_limits.h"
 #include "named_thread.h"
+#include "stalled_transfers.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
+#include <charconv>
 #include <cstring>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -20,6 +23,16 @@
 
     constexpr std::size_t streamBlockBytes = 16 * 1024;
     constexpr int listenBacklog = 511;
+    constexpr int bodyTooLargeStatus = 413;
+    // Memory of an open request beside its body: its objects, and the head as it was parsed, as it is
+    // passed on, and as each of two attempts sends it.
+    constexpr std::size_t requestBytes = 8 * 1024;
+    constexpr std::size_t copiesOfHead = 5;
+    constexpr std::chrono::seconds refusedReadTime { 5 }; // in which a client may send on and read its refusal
+    constexpr std::chrono::milliseconds stalledSearchPeriod { 100 };
+
+    // A large holding needs the room of a large one.
+    std::size_t leastHeldFor(std::size_t bytes) { return bytes > ordinaryHoldingBytes ? ordinaryHoldingBytes : 1; }
 
     std::string lower(const char* text)
     {
@@ -58,11 +71,18 @@
     // Per-request context that libmicrohttpd passes to the callbacks.
     struct request_slot {
         exchange_ptr shared;
-        bool tooLarge = false;
+        server* owner = nullptr;
+        std::size_t bodyLimit = 0;
+        std::size_t announcedBytes = 0; // 0 = none, or chunked
+        std::optional<refusal> refused; // answered in place of the handler
+        bool refusalSent = false; // and nothing more is written to the connection
+        std::optional<std::list<server::refused_connection>::iterator> inRefused;
         bool handedOver = false;
         bool replied = false;
     };
 
+    static server::pressure_counts& pressureOf(request_slot& slot) { return slot.owner->m_pressure; }
+
     static MHD_Result onHeader(void* user, MHD_ValueKind, const char* key, const char* value)
     {
         static_cast<header_list*>(user)->emplace_back(lower(key), value == nullptr ? "" : value);
@@ -70,10 +90,11 @@
     }
 
     // Keeps the query as sent; libmicrohttpd itself would decode and split it.
-    static void* onUri(void*, const char* uri, MHD_Connection*)
+    static void* onUri(void* user, const char* uri, MHD_Connection*)
     {
         auto* slot = new request_slot;
-        slot->shared = std::make_shared<exchange>(0);
+        slot->owner = static_cast<server*>(user);
+        slot->shared = std::make_shared<exchange>(slot->owner->m_limits.unreadBytes, slot->owner->m_limits.memory);
         const std::string_view pathAndQuery(uri);
         const auto mark = pathAndQuery.find('?');
         slot->shared->path = std::string(pathAndQuery.substr(0, mark));
@@ -88,35 +109,39 @@
         auto& self = *static_cast<server*>(user);
         auto& slot = *static_cast<request_slot*>(*context);
         exchange& x = *slot.shared;
+        if (x.m_brokenOff)
+            return MHD_NO;
 
         // Step 1. First call: the head is complete.
         if (x.m_connection == nullptr && !slot.handedOver && x.method.empty()) {
             if (!self.registerOpen(slot.shared))
                 return MHD_NO;
             x.method = method;
-            x.m_unreadLimit = self.m_limits.unreadBytes;
             x.m_connection = connection;
             auto* requests = static_cast<std::size_t*>(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
             x.onKeptConnection = (*requests)++ > 0;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &onHeader, &x.headers);
+            onHead(slot, connection);
             return MHD_YES;
         }
 
         // Step 2. A part of the body.
         if (*uploadSize > 0) {
-            slot.tooLarge = slot.tooLarge || x.body.size() + *uploadSize > self.m_limits.bodyBytes;
-            if (!slot.tooLarge)
-                x.body.append(upload, *uploadSize);
+            const std::string_view bytes(upload, *uploadSize);
             *uploadSize = 0;
+            if (!slot.refused)
+                onBody(slot, connection, bytes);
             return MHD_YES;
         }
 
         // Step 3. The request is complete: pass it to the handler once.
+        x.m_bodyIncomplete = false;
+        if (slot.refusalSent)
+            return MHD_NO;
         if (!slot.handedOver) {
             slot.handedOver = true;
-            if (slot.tooLarge)
-                x.answer(413, { { "content-type", "application/json" } },
-                    R"({"error":{"outcome":"not_run","reason":"body_too_large"}})");
+            if (slot.refused)
+                x.answer(slot.refused->status, std::move(slot.refused->headers), slot.refused->body);
             else
                 self.m_handler(slot.shared);
         }
@@ -133,6 +158,89 @@
         return queueReply(connection, slot);
     }
 
+    // Refuses what can be refused by the head, and makes room for a body whose length is known.
+    static void onHead(request_slot& slot, MHD_Connection* connection)
+    {
+        auto& self = *slot.owner;
+        exchange& x = *slot.shared;
+        const auto length = findHeader(x.headers, "content-length");
+        const bool isChunked = !findHeader(x.headers, "transfer-encoding").empty();
+        if (!isChunked)
+            std::from_chars(length.data(), length.data() + length.size(), slot.announcedBytes);
+        x.m_headAt = x.m_lastByteAt = std::chrono::steady_clock::now();
+        x.m_bodyIncomplete = isChunked || slot.announcedBytes > 0;
+        slot.bodyLimit = self.m_limits.bodyBytes;
+
+        const auto headBytes = requestBytes + copiesOfHead * MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
+        if (!self.withRoom(1, [&] { return x.m_headMemory.resize(memory_use::Ordinary, headBytes); })) {
+            refuse(slot, connection, refusal_reason::Overloaded);
+            return;
+        }
+        if (!x.m_bodyIncomplete)
+            return;
+        if (self.m_hooks.admit) {
+            auto admitted = self.m_hooks.admit(x);
+            slot.bodyLimit = std::min(slot.bodyLimit, admitted.bodyBytes);
+            if (admitted.refused) {
+                refuse(slot, connection, std::move(*admitted.refused));
+                return;
+            }
+        }
+        if (slot.announcedBytes > slot.bodyLimit)
+            refuse(slot, connection, refusal_reason::BodyTooLarge);
+        else if (!self.withRoom(leastHeldFor(slot.announcedBytes), [&] { return x.body.reserve(slot.announcedBytes); }))
+            refuse(slot, connection, refusal_reason::Overloaded);
+    }
+
+    static void onBody(request_slot& slot, MHD_Connection* connection, std::string_view bytes)
+    {
+        exchange& x = *slot.shared;
+        x.m_lastByteAt = std::chrono::steady_clock::now();
+        if (x.body.size() + bytes.size() > slot.bodyLimit)
+            refuse(slot, connection, refusal_reason::BodyTooLarge);
+        else if (!slot.owner->withRoom(leastHeldFor(x.body.size()), [&] { return x.body.append(bytes, slot.bodyLimit); }))
+            refuse(slot, connection, refusal_reason::Overloaded);
+    }
+
+    static void refuse(request_slot& slot, MHD_Connection* connection, refusal_reason reason)
+    {
+        auto& counts = pressureOf(slot);
+        ++(reason == refusal_reason::BodyTooLarge ? counts.tooLarge : reason == refusal_reason::Overloaded ? counts.overloaded
+                                                                                                           : counts.stalled);
+        refuse(slot, connection, slot.owner->refusalFor(*slot.shared, reason));
+    }
+
+    // A request with a short body is answered when that was read, so that its connection is kept.
+    static void refuse(request_slot& slot, MHD_Connection* connection, refusal answer)
+    {
+        exchange& x = *slot.shared;
+        slot.refused = std::move(answer);
+        x.body.clear();
+        const bool isShort = slot.announcedBytes > 0 && slot.announcedBytes <= ordinaryHoldingBytes;
+        if (!x.m_bodyIncomplete || isShort || slot.owner->m_isEncrypted)
+            return;
+        x.m_headMemory.reset();
+        sendRefusal(connection, *slot.refused);
+        slot.refusalSent = true;
+        slot.owner->unregisterOpen(slot.shared);
+        auto& refused = slot.owner->m_refused;
+        slot.inRefused = refused.insert(refused.end(), { connection, std::chrono::steady_clock::now() + refusedReadTime });
+    }
+
+    // libmicrohttpd answers only before it reads a body or after it, so the answer is written beside it, and the last thing
+    // on its connection.
+    static void sendRefusal(MHD_Connection* connection, const refusal& answer)
+    {
+        std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + MHD_get_reason_phrase_for(static_cast<unsigned>(answer.status)) + "\r\n";
+        for (const auto& [name, value] : answer.headers)
+            text += name + ": " + value + "\r\n";
+        text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\nConnection: close\r\n\r\n" + answer.body;
+        const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        // A connection that doesn't take these few bytes is closed without them.
+        static_cast<void>(send(descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+        shutdown(descriptor, SHUT_WR);
+    }
+
     // Must not hold our lock, as libmicrohttpd holds its own lock when it calls onRead(),
     // which takes ours. Reading is safe, as these fields don't change once the answer has begun.
     static MHD_Result queueReply(MHD_Connection* connection, request_slot& slot)
@@ -144,7 +252,7 @@
             return MHD_NO;
         MHD_Response* response = nullptr;
         if (x.m_bodyComplete)
-            response = MHD_create_response_from_buffer(x.m_unread.size(), x.m_unread.data(), MHD_RESPMEM_MUST_COPY);
+            response = MHD_create_response_from_buffer(x.m_unread.size(), const_cast<char*>(x.m_unread.data()), MHD_RESPMEM_MUST_COPY);
         else
             response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, &onRead, new exchange_ptr(slot.shared), &onFree);
         if (x.m_untilClose)
@@ -163,7 +271,7 @@
         if (!x.m_unread.empty()) {
             const auto count = std::min(room, x.m_unread.size());
             std::copy_n(x.m_unread.data(), count, out);
-            x.m_unread.erase(0, count);
+            x.m_unread.consume(count);
             return static_cast<ssize_t>(count);
         }
         if (x.m_aborted)
@@ -190,12 +298,21 @@
         *context = nullptr;
     }
 
+    // libmicrohttpd closes the connection when it finds its end.
+    static void closeNow(MHD_Connection* connection)
+    {
+        shutdown(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, SHUT_RDWR);
+    }
+
     static void onCompleted(void* user, MHD_Connection*, void** context, MHD_RequestTerminationCode)
     {
         auto* slot = static_cast<request_slot*>(*context);
         if (slot == nullptr)
             return;
-        static_cast<server*>(user)->unregisterOpen(slot->shared);
+        auto& self = *static_cast<server*>(user);
+        self.unregisterOpen(slot->shared);
+        if (slot->inRefused)
+            self.m_refused.erase(*slot->inRefused);
         {
             std::lock_guard lock(slot->shared->m_mutex);
             slot->shared->m_connection = nullptr;
@@ -205,91 +322,7 @@
     }
 };
 
-void exchange::resumeLocked()
-{
-    if (!m_suspended || m_connection == nullptr)
-        return;
-    m_suspended = false;
-    MHD_resume_connection(m_connection);
-}
-
-void exchange::begin(int status, header_list answerHeaders)
-{
-    std::lock_guard lock(m_mutex);
-    if (m_begun)
-        return;
-    m_begun = true;
-    m_status = status;
-    m_answerHeaders = std::move(answerHeaders);
-    resumeLocked();
-}
-
-bool exchange::append(std::string_view bytes)
-{
-    std::lock_guard lock(m_mutex);
-    if (m_connection == nullptr || m_ended || m_aborted)
-        return false;
-    if (m_unread.size() + bytes.size() > m_unreadLimit) {
-        m_aborted = true;
-        m_unread.clear();
-        resumeLocked();
-        return false;
-    }
-    m_unread.append(bytes);
-    resumeLocked();
-    return true;
-}
-
-void exchange::end()
-{
-    std::lock_guard lock(m_mutex);
-    m_ended = true;
-    resumeLocked();
-}
-
-void exchange::abort()
-{
-    std::lock_guard lock(m_mutex);
-    m_aborted = true;
-    m_begun = true;
-    resumeLocked();
-}
-
-void exchange::answer(int status, header_list answerHeaders, std::string answerBody)
-{
-    std::lock_guard lock(m_mutex);
-    if (m_begun)
-        return;
-    m_begun = true;
-    m_ended = true;
-    m_bodyComplete = true;
-    m_status = status;
-    m_answerHeaders = std::move(answerHeaders);
-    m_unread = std::move(answerBody);
-    resumeLocked();
-}
-
-void exchange::answerUntilClose(int status, header_list answerHeaders, std::string answerBody)
-{
-    std::lock_guard lock(m_mutex);
-    if (m_begun)
-        return;
-    m_begun = true;
-    m_ended = true;
-    m_untilClose = true;
-    m_status = status;
-    m_answerHeaders = std::move(answerHeaders);
-    m_unread = std::move(answerBody);
-    resumeLocked();
-}
-
-bool exchange::callerDisconnected() const
-{
-    std::lock_guard lock(m_mutex);
-    return m_connection == nullptr;
-}
-
-result<std::unique_ptr<server>> server::listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest, server_threading threading)
+result<std::unique_ptr<server>> server::listen(const std::string& address, const server_limits& limits, const tls_files& tls, handler onRequest, server_threading threading, server_hooks hooks)
 {
     const auto bound = bindAddress(address);
     if (!bound)
@@ -297,6 +330,8 @@
     std::unique_ptr<server> self(new server);
     self->m_limits = limits;
     self->m_handler = std::move(onRequest);
+    self->m_hooks = std::move(hooks);
+    self->m_isEncrypted = !tls.certificatePem.empty();
 
     const bool ownThread = threading == server_threading::OwnThread;
     unsigned flags = (ownThread ? MHD_USE_EPOLL_INTERNAL_THREAD : MHD_USE_EPOLL) | MHD_ALLOW_SUSPEND_RESUME;
@@ -307,8 +342,8 @@
         { MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, nullptr },
         { MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress, nullptr },
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&server_callbacks::onCompleted), self.get() },
-        { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(&server_callbacks::onConnection), nullptr },
-        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), nullptr },
+        { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(&server_callbacks::onConnection), self.get() },
+        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&server_callbacks::onUri), self.get() },
     };
     if (ownThread)
         options.push_back({ MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(threadStackBytes), nullptr });
@@ -333,6 +368,78 @@
     MHD_run(m_daemon);
 }
 
+refusal server::refusalFor(const exchange& refused, refusal_reason reason)
+{
+    if (m_hooks.refuse)
+        return m_hooks.refuse(refused, reason);
+    const header_list json { { "content-type", "application/json" } };
+    if (reason == refusal_reason::BodyTooLarge)
+        return { bodyTooLargeStatus, json, R"({"error":{"outcome":"not_run","reason":"body_too_large"}})" };
+    return { detail::overloadedStatus, { json.front(), { "Retry-After", std::string(detail::defaultRetryAfter) } }, R"({"error":{"outcome":"not_run","reason":"overloaded"}})" };
+}
+
+template <typename Attempt>
+bool server::withRoom(std::size_t leastHeld, Attempt attempt)
+{
+    while (!attempt()) {
+        if (!closeStalled(leastHeld))
+            return false;
+    }
+    return true;
+}
+
+// Breaks off one stalled transfer that holds so many bytes, and frees them; false if there is none.
+bool server::closeStalled(std::size_t leastHeld)
+{
+    // Step 1. The progress of all transfers with clients. A search that found none holds for a while, as it costs O(open).
+    const auto now = std::chrono::steady_clock::now();
+    if (now < m_nextStalledSearch)
+        return false;
+    std::vector<exchange_ptr> open;
+    {
+        const std::lock_guard lock(m_openMutex);
+        open.assign(m_open.begin(), m_open.end());
+    }
+    std::vector<transfer_progress> progress;
+    for (const auto& x : open) {
+        auto& entry = progress.emplace_back();
+        if (x->m_bodyIncomplete)
+            entry = { x->m_headMemory.bytes() + x->body.size(), x->body.size(), now - x->m_headAt, now - x->m_lastByteAt, false };
+    }
+    for (auto& entry : progress) {
+        if (entry.heldBytes < leastHeld)
+            entry.heldBytes = 0;
+    }
+
+    // Step 2. Close the one that stalls.
+    const auto chosen = stalledTransfer(progress);
+    if (!chosen) {
+        m_nextStalledSearch = now + stalledSearchPeriod;
+        return false;
+    }
+    auto& x = *open[*chosen];
+    ++m_pressure.stalled;
+    unregisterOpen(open[*chosen]);
+    x.m_brokenOff = true;
+    x.m_bodyIncomplete = false;
+    x.body.clear();
+    x.m_headMemory.reset();
+    if (!m_isEncrypted)
+        server_callbacks::sendRefusal(x.m_connection, refusalFor(x, refusal_reason::TooSlow));
+    server_callbacks::closeNow(x.m_connection);
+    return true;
+}
+
+void server::closeRefused()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& refused : m_refused) {
+        if (refused.closeAt > now)
+            break;
+        server_callbacks::closeNow(refused.handle);
+    }
+}
+
 void server::dropClosedCallers()
 {
     std::vector<exchange_ptr> closed;
--- a/src/http_status.h
+++ b/src/http_status.h
@@ -9,6 +9,7 @@
 inline constexpr int statusUnauthorized = 401;
 inline constexpr int statusForbidden = 403;
 inline constexpr int statusNotFound = 404;
+inline constexpr int statusRequestTimeout = 408;
 inline constexpr int statusConflict = 409;
 inline constexpr int statusGone = 410;
 inline constexpr int statusPreconditionFailed = 412;
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -84,4 +85,88 @@
         BOOST_TEST(one->callerDisconnected());
 }
 
+// A server that its owner drives, whose clients are in this process.
+struct driven_server {
+    explicit driven_server(server_limits limits)
+        : port(freePort())
+    {
+        limits.bodyBytes = bodyBytes;
+        auto listening = server::listen(
+            "127.0.0.1:" + std::to_string(port), limits, {}, [this](exchange_ptr one) {
+                bodies.push_back(one->body.size());
+                one->answer(200, {}, std::string_view("ok"));
+            },
+            server_threading::OwnersLoop);
+        BOOST_REQUIRE(listening);
+        listener = std::move(*listening);
+    }
+
+    // Runs turns until there is nothing to do, also none that has just been sent; returns their number.
+    int runUntilQuiet()
+    {
+        int turns = 0;
+        for (;;) {
+            pollfd waiting { listener->descriptor(), POLLIN, 0 };
+            const bool isReadable = poll(&waiting, 1, 20) > 0;
+            listener->run();
+            if (!isReadable)
+                return turns;
+            ++turns;
+        }
+    }
+
+    static constexpr std::size_t bodyBytes = 4 << 20;
+    std::uint16_t port;
+    std::unique_ptr<server> listener;
+    std::vector<std::size_t> bodies; // of the requests that were handled
+};
+
+void sendAll(int descriptor, std::string_view text)
+{
+    while (!text.empty()) {
+        const auto sent = send(descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+        BOOST_REQUIRE(sent > 0);
+        text.remove_prefix(static_cast<std::size_t>(sent));
+    }
+}
+
+std::string received(int descriptor)
+{
+    std::string out(4096, '\0');
+    const auto size = recv(descriptor, out.data(), out.size(), MSG_DONTWAIT);
+    out.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return out;
+}
+
+memory_account_ptr accountOf(std::uint64_t total, std::uint64_t large)
+{
+    lovagerail::memory_limits limits;
+    limits.total = lovagerail::byte_count(total);
+    limits.ofUse.fill(limits.total);
+    limits.of(lovagerail::memory_use::Large) = lovagerail::byte_count(large);
+    return std::make_shared<memory_account>(limits);
+}
+
+BOOST_AUTO_TEST_CASE(bodies_without_room_are_refused_before_they_are_read)
+{
+    server_limits limits;
+    limits.memory = accountOf(1 << 20, 1 << 19);
+    driven_server one { limits };
+    const int caller = connectTo(one.port);
+    sendAll(caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    one.runUntilQuiet();
+    const auto answer = received(caller);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(answer.find("Retry-After: ") != std::string::npos);
+    const int tooLarge = connectTo(one.port);
+    sendAll(tooLarge, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n");
+    one.runUntilQuiet();
+    BOOST_TEST(received(tooLarge).starts_with("HTTP/1.1 413 "));
+    BOOST_TEST(one.bodies.empty());
+    BOOST_TEST(one.listener->pressure().overloaded == 1u);
+    BOOST_TEST(one.listener->pressure().tooLarge == 1u);
+    close(caller);
+    close(tooLarge);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_order_thread.cpp
+++ b/tests/test_order_thread.cpp
@@ -106,7 +106,7 @@
                 auto made = http::server::listen(address, {}, {}, [this](const http::exchange_ptr& exchange) {
                     ++orders;
                     if (answers)
-                        exchange->answer(200, {}, exchange->body);
+                        exchange->answer(200, {}, exchange->body.view());
                 });
                 if (made)
                     server = std::move(*made);
--- a/tests/test_relay_codec.cpp
+++ b/tests/test_relay_codec.cpp
@@ -18,7 +18,7 @@
         out->headers = call.headers;
         out->headers.emplace_back("content-length", std::to_string(call.body.size()));
         out->headers.emplace_back("connection", "keep-alive");
-        out->body = call.body;
+        out->body.append(call.body);
         return out;
     }
 
