The loop of an entry instance does not sleep while its servers have bytes to move

Cause: libmicrohttpd moves one buffer of a connection in a turn, and its epoll descriptor does not become readable again for bytes that were there before; the loop then waited for 20 or 50 ms.

Change: server::run() goes on while libmicrohttpd has work (MHD_get_timeout is 0), for 4 ms at most, and says whether there is more; the loop then polls without waiting. Other components get their turn in between.

New in test_http_server: a body of 4 MiB is read by turns without waits, and silent connections (idle, in their head, in their body) cause no turns.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -131,6 +131,7 @@
     private:
         static router_settings routerSettings(const entry_settings& settings);
         result<std::unique_ptr<http::server>> listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest, http::server_hooks hooks) const;
+        bool runServers();
         void onPeerRequest(const http::exchange_ptr& exchange);
         void onReadiness(const http::exchange_ptr& exchange) const;
         bool ready() const { return m_context.site && m_platformView.mayServe() && !m_context.stopping; }
@@ -421,22 +422,30 @@
         }
     }
 
+    // Returns whether a server has work left.
+    bool entry_loop::runServers()
+    {
+        bool hasWork = false;
+        for (auto* server : { m_callers.get(), m_readiness.get(), m_peers.get(), m_metricsServer.get() }) {
+            if (server != nullptr && server->run())
+                hasWork = true;
+        }
+        return hasWork;
+    }
+
     void entry_loop::run()
     {
-        http::server* const servers[] = { m_callers.get(), m_readiness.get(), m_peers.get(), m_metricsServer.get() };
         std::vector<int> descriptors { m_signals };
-        for (const auto* server : servers) {
+        for (const auto* server : { m_callers.get(), m_readiness.get(), m_peers.get(), m_metricsServer.get() }) {
             if (server != nullptr)
                 descriptors.push_back(server->descriptor());
         }
         while (!canExit()) {
             tick();
-            for (auto* server : servers) {
-                if (server != nullptr)
-                    server->run();
-            }
+            const bool hasWork = runServers();
             const bool busy = m_frontend.openCount() > 0 || m_batches.openCount() > 0 || m_relay.openCount() > 0;
-            m_net.poll(busy ? maxBusyPollWait : maxIdlePollWait, descriptors);
+            const auto maxWait = busy ? maxBusyPollWait : maxIdlePollWait;
+            m_net.poll(hasWork ? std::chrono::milliseconds(0) : maxWait, descriptors);
             updateClock();
             for (int signal = readSignal(m_signals); signal != 0; signal = readSignal(m_signals))
                 onSignal(signal);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -23,6 +23,7 @@
 
     constexpr std::size_t streamBlockBytes = 16 * 1024;
     constexpr int listenBacklog = 511;
+    constexpr std::chrono::milliseconds maxTurnTime { 4 }; // of run(): other work of the owner waits meanwhile
     constexpr int bodyTooLargeStatus = 413;
     // Memory of an open request beside its body: its objects, and the head as it was parsed, as it is
     // passed on, and as each of two attempts sends it.
@@ -369,9 +370,18 @@
     return self;
 }
 
-void server::run()
+// libmicrohttpd moves at most one buffer of each connection at a time, and its descriptor tells only of
+// connections that had no work before.
+bool server::run()
 {
-    MHD_run(m_daemon);
+    const auto end = std::chrono::steady_clock::now() + maxTurnTime;
+    for (;;) {
+        MHD_run(m_daemon);
+        MHD_UNSIGNED_LONG_LONG timeoutMs = 0;
+        const bool hasWork = MHD_get_timeout(m_daemon, &timeoutMs) == MHD_YES && timeoutMs == 0;
+        if (!hasWork || std::chrono::steady_clock::now() >= end)
+            return hasWork;
+    }
 }
 
 refusal server::refusalFor(const exchange& refused, refusal_reason reason)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -176,7 +176,9 @@
 
     // For server_threading::OwnersLoop: readable when run() has work.
     int descriptor() const { return m_descriptor; }
-    void run();
+    // Reads, answers and writes for a bounded time. Returns whether there is work left: the owner calls it again without
+    // waiting for the descriptor.
+    bool run();
     // Aborts requests whose caller has closed its socket while they wait for an answer:
     // libmicrohttpd does not poll suspended connections, so it would not notice.
     void dropClosedCallers();
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -108,8 +108,7 @@
         for (;;) {
             pollfd waiting { listener->descriptor(), POLLIN, 0 };
             const bool isReadable = poll(&waiting, 1, 20) > 0;
-            listener->run();
-            if (!isReadable)
+            if (!listener->run() && !isReadable)
                 return turns;
             ++turns;
         }
@@ -147,6 +146,46 @@
     return std::make_shared<memory_account>(limits);
 }
 
+// Guards against an owner that sleeps while bytes wait in the server, which its descriptor does not tell.
+BOOST_AUTO_TEST_CASE(a_body_that_has_arrived_is_read_without_waiting)
+{
+    driven_server one { {} };
+    const int caller = connectTo(one.port);
+    std::thread sender([caller] { sendAll(caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4194304\r\n\r\n" + std::string(driven_server::bodyBytes, 'x')); });
+    const int turns = [&one] {
+        int count = 0;
+        for (; one.bodies.empty() && count < 10'000; ++count) {
+            pollfd waiting { one.listener->descriptor(), POLLIN, 0 };
+            const bool hasWork = one.listener->run();
+            if (!hasWork)
+                poll(&waiting, 1, 1000);
+        }
+        return count;
+    }();
+    sender.join();
+    BOOST_REQUIRE_EQUAL(one.bodies.size(), 1u);
+    BOOST_TEST(one.bodies.front() == driven_server::bodyBytes);
+    BOOST_TEST(turns < 10'000);
+    close(caller);
+}
+
+// Guards against a loop that spins while connections are open and silent.
+BOOST_AUTO_TEST_CASE(silent_connections_cause_no_turns)
+{
+    driven_server one { {} };
+    std::vector<int> callers;
+    for (const char* sent : { "", "GET /x", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nabc", "GET /x HTTP/1.1\r\nHost: h\r\n\r\n" }) {
+        callers.push_back(connectTo(one.port));
+        sendAll(callers.back(), sent);
+    }
+    one.runUntilQuiet();
+    BOOST_TEST(one.bodies.size() == 1u);
+    for (int turn = 0; turn < 20; ++turn)
+        BOOST_TEST(!one.listener->run());
+    for (const int caller : callers)
+        close(caller);
+}
+
 BOOST_AUTO_TEST_CASE(bodies_without_room_are_refused_before_they_are_read)
 {
     server_limits limits;
@@ -169,4 +208,30 @@
     close(tooLarge);
 }
 
+BOOST_AUTO_TEST_CASE(a_stalled_body_makes_room_for_another)
+{
+    server_limits limits;
+    limits.memory = accountOf(2 << 20, 1 << 20);
+    driven_server one { limits };
+    const int stalled = connectTo(one.port);
+    sendAll(stalled, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n" + std::string(800'000, 'x'));
+    one.runUntilQuiet();
+    const std::string second = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n";
+    const int refused = connectTo(one.port);
+    sendAll(refused, second);
+    one.runUntilQuiet();
+    BOOST_TEST(received(refused).starts_with("HTTP/1.1 503 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200)); // longer than a body may pause
+    const int served = connectTo(one.port);
+    std::thread sender([served, &second] { sendAll(served, second + std::string(900'000, 'y')); });
+    while (one.bodies.empty())
+        one.runUntilQuiet();
+    sender.join();
+    one.runUntilQuiet();
+    BOOST_TEST(received(served).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(one.bodies.front() == 900'000u);
+    for (const int caller : { stalled, refused, served })
+        close(caller);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
