Submissions are bounded before they are parsed, and accepted batches in memory

What callers saw: two submissions of 4 MiB of "[],", which are refused in the end, took 250 MB; 24 accepted ones of 8,000 items took 171 MB. On a small machine either ends the process.

Cause: a submission was parsed into a tree whatever its size, a value of three bytes taking about 180; an accepted batch is kept for two minutes, and nothing bounded how many there are. Repeated submissions kept a copy of the body each while the first was written.

The memory of the parsed tree is estimated from its values (jsonTreeBytes) and charged while it exists; each batch is charged with three times its submission and 1 KiB an item, until it is dropped. Without room: 503 with Retry-After, so not run; 413 if it could never fit. A batch that is taken over is charged without being refused. Reads that need the store's pages are charged with 4 MiB while they wait.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -4,6 +4,7 @@
 #include "edge/peer_call.h"
 #include "json_text.h"
 #include "log.h"
+#include "platform/headers.h"
 #include "rendezvous.h"
 
 #include <algorithm>
@@ -19,6 +20,13 @@
     constexpr duration defaultSubmitTimeout = std::chrono::seconds(10);
     constexpr duration submitDeadlineMargin = std::chrono::milliseconds(200);
     constexpr duration expiryPeriod = std::chrono::seconds(5);
+    constexpr std::chrono::milliseconds noRoomRetryAfter { 1000 };
+    constexpr std::size_t ordinaryParsingBytes = 4U << 20U; // of a submission of a thousand items
+    constexpr std::size_t itemBytes = 1024; // of an item in memory, beside its texts
+
+    // Memory of a batch: its submission as it waits for the store, and its items.
+    std::size_t batchBytes(std::size_t submissionBytes, std::size_t items) { return 3 * submissionBytes + items * itemBytes; }
+
     constexpr std::chrono::milliseconds resultsKeptMargin { 5000 }; // records are deleted this long after the results_kept setting
 
 } // namespace
@@ -64,6 +72,7 @@
             respond(exchange, statusConflict, "");
             return;
         }
+        exchange->body.clear();
         pending->second.waiters.push_back(exchange);
         pending->second.giveUpAt = std::max(pending->second.giveUpAt, giveUpAt);
         return;
@@ -89,6 +98,9 @@
     head.owner = instance_id(m_context.settings.instance.name);
     head.ownerIncarnation = m_context.ownIncarnation;
     head.submitted = m_context.wall;
+    http::memory_claim parsing(m_context.clientMemory);
+    if (!hasRoomToParse(exchange, head, parsing))
+        return;
     const auto spec = platform::decodeSubmission(head, exchange->body);
     if (!spec) {
         logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", toString(spec.error()) } });
@@ -100,15 +112,44 @@
     head.items = static_cast<std::uint32_t>(spec->items.size());
     head.decided = routeInForce(head);
 
+    http::memory_claim memory(m_context.clientMemory);
+    if (!memory.resize(memory_use::Batch, batchBytes(exchange->body.size(), spec->items.size()))) {
+        refuseForWantOfRoom(exchange, head, "no room for its items");
+        return;
+    }
+
     // Step 3. The batch is accepted once its head and its body are in the store.
     auto& submit = m_pendingSubmits[head.id];
     submit.head = head;
+    submit.memory = std::move(memory);
     submit.body = exchange->body.str();
+    exchange->body.clear();
     submit.waiters.push_back(exchange);
     submit.giveUpAt = giveUpAt;
     writeSubmit(head.id);
 }
 
+// Charges the memory that the submission takes while it is parsed; refuses it if there is none.
+bool batches::hasRoomToParse(const http::exchange_ptr& exchange, const batch_head& head, http::memory_claim& parsing) const
+{
+    const auto bytes = jsonTreeBytes(exchange->body);
+    if (parsing.resize(bytes <= ordinaryParsingBytes ? memory_use::Ordinary : memory_use::Large, bytes))
+        return true;
+    if (m_context.clientMemory->mayEverFit(memory_use::Large, bytes)) {
+        refuseForWantOfRoom(exchange, head, "no room to parse it");
+        return false;
+    }
+    logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", "too many values" }, { "parsed_bytes", std::to_string(bytes) } });
+    respond(exchange, statusContentTooLarge, "");
+    return false;
+}
+
+void batches::refuseForWantOfRoom(const http::exchange_ptr& exchange, const batch_head& head, std::string_view what) const
+{
+    logEvent(log_level::Warning, "batch", "refused", { { "batch", head.id.str() }, { "error", std::string(what) } });
+    exchange->answer(statusUnavailable, platform::refusalHeaders(request_id(head.id.str()), noRoomRetryAfter), std::string_view());
+}
+
 void batches::writeSubmit(const batch_id& id)
 {
     auto& submit = m_pendingSubmits.at(id);
@@ -239,7 +280,9 @@
     logEvent(log_level::Info, "batch", "owned",
         { { "batch", head.id.str() }, { "step", std::to_string(spec->step) }, { "model", spec->model.str() }, { "least", std::to_string(spec->minVersion.value()) },
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(headRevision.value()) } });
-    m_owned[head.id] = { head, true, false, headRevision, false, {}, {}, {} };
+    http::memory_claim memory(m_context.clientMemory);
+    memory.force(memory_use::Batch, batchBytes(body.size(), spec->items.size())); // a batch that is accepted must be run
+    m_owned[head.id] = { head, true, false, headRevision, false, {}, {}, {}, std::move(memory) };
     m_foreignHeads.erase(head.id);
     if (headRevision != revision())
         sendOwnerHint(head);
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -60,12 +60,14 @@
         std::vector<http::exchange_ptr> endWaiters;
         instant endRetryAt {};
         instant endGiveUpAt {};
+        http::memory_claim memory {}; // of its items
     };
     // A submission whose write is not settled. Once its callers are answered it has no waiters any more.
     struct pending_submit {
         batch_head head;
         std::vector<http::exchange_ptr> waiters;
         std::string body;
+        http::memory_claim memory; // of the batch, until it is owned or refused
         bool outcomeUnknown = false; // some write attempt ended without a known outcome
         bool writePending = false;
         instant retryAt {};
@@ -96,6 +98,8 @@
     void onSubmitWritten(const batch_id& id, const result<kv_answer>& answer);
     void continueSubmit(const batch_id& id);
     void finishSubmit(const batch_id& id, int status);
+    bool hasRoomToParse(const http::exchange_ptr& exchange, const batch_head& head, http::memory_claim& parsing) const;
+    void refuseForWantOfRoom(const http::exchange_ptr& exchange, const batch_head& head, std::string_view what) const;
     std::optional<batch_route> routeInForce(const batch_head& head) const;
     bool takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages);
     const member* preferredOwner(const batch_head& head) const;
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "edge/peer_call.h"
 #include "log.h"
+#include "platform/headers.h"
 #include "rendezvous.h"
 
 #include <algorithm>
@@ -18,6 +19,8 @@
     constexpr duration endTimeout = std::chrono::milliseconds(3000);
     constexpr std::chrono::milliseconds forwardTimeout { 900 }; // added to the read's own wait
     constexpr std::chrono::milliseconds directoryTimeout { 400 };
+    constexpr std::size_t storeReadBytes = 4U << 20U; // the pages of a batch, as they are read and decoded
+    constexpr std::chrono::milliseconds noRoomRetryAfter { 500 };
     constexpr duration notifyOwnerPeriod = std::chrono::milliseconds(2500); // items must not reach targets later than 3 s after an end
 
     std::string encodeResultsAfter(std::size_t total, std::size_t after, const std::vector<batch_result>& listed)
@@ -269,7 +272,12 @@
         respond(exchange, statusNotFound, "");
         return;
     }
-    m_context.store.list("batch read", pagesPrefix(call.id), [this, exchange, call, head](const result<kv_answer>& pages) {
+    const auto room = std::make_shared<http::memory_claim>(m_context.clientMemory);
+    if (!room->resize(memory_use::Large, storeReadBytes)) {
+        exchange->answer(statusUnavailable, platform::refusalHeaders({}, noRoomRetryAfter), std::string_view());
+        return;
+    }
+    m_context.store.list("batch read", pagesPrefix(call.id), [this, exchange, call, head, room](const result<kv_answer>& pages) {
         if (!pages) {
             respond(exchange, statusUnavailable, "");
             return;
--- a/src/edge/caller_admission.cpp
+++ b/src/edge/caller_admission.cpp
@@ -3,6 +3,8 @@
 #include "http_status.h"
 #include "log.h"
 
+#include <algorithm>
+
 namespace lovagerail::edge {
 
 namespace {
@@ -36,6 +38,9 @@
     const bool needsKey = site.requiresKeys && (route == nullptr || !route->open);
     if (needsKey && !site.accountOfKey.contains(caller.key))
         refuseWith(statusUnauthorized, {}, "unknown key");
+    // A submission is one value of the store.
+    if (route != nullptr && route->kind == route_kind::Batch)
+        out.bodyBytes = std::min(out.bodyBytes, static_cast<std::size_t>(m_context.settings.store.maxValueBytes));
     return out;
 }
 
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -16,6 +16,7 @@
 
     constexpr std::int64_t maxMemoryMb = 10'000'000;
     constexpr std::int64_t maxDescriptors = 100'000'000;
+    constexpr std::int64_t maxStoreValueBytes = 1 << 30;
 
     field<s> text(const char* section, const char* key, field_kind kind, bool required, std::function<std::string&(s&)> where)
     {
@@ -40,6 +41,7 @@
             text("listen", "metrics", field_kind::Address, true, [](s& v) -> std::string& { return v.listen.metrics; }),
             { "listen", "seeds", field_kind::AddressList, false, 0, 0, {}, {}, {}, [](s& v) -> std::vector<std::string>& { return v.listen.seeds; } },
             text("store", "address", field_kind::Address, true, [](s& v) -> std::string& { return v.store.address; }),
+            numberField<s>("store", "max_value_bytes", field_kind::Count, 1024, maxStoreValueBytes, [](s& v) -> std::int64_t& { return v.store.maxValueBytes; }),
             text("duties", "address", field_kind::Address, false, [](s& v) -> std::string& { return v.duties.address; }),
             time("duties", "usage_window", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.duties.usageWindow; }),
             time("duties", "usage_late", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.duties.usageLate; }),
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -30,6 +30,7 @@
     } listen;
     struct {
         std::string address; // IP:port of the metadata store
+        std::int64_t maxValueBytes = 1 << 20; // of one of its values
     } store;
     struct {
         std::string address; // IP:port of the platform's API for usage reports and capacity orders
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -80,6 +80,30 @@
     return out;
 }
 
+std::size_t jsonTreeBytes(std::string_view document)
+{
+    constexpr std::size_t valueBytes = 128; // a value as a node of its parent
+    constexpr std::size_t containerBytes = 64;
+    constexpr std::size_t copiesOfTexts = 2;
+    std::size_t values = 1;
+    std::size_t containers = 0;
+    bool inText = false;
+    for (std::size_t at = 0; at < document.size(); ++at) {
+        const char c = document[at];
+        if (inText && c == '\\') {
+            ++at;
+            continue;
+        }
+        if (c == '"')
+            inText = !inText;
+        if (inText)
+            continue;
+        values += c == ',' || c == '[' || c == '{' ? 1 : 0;
+        containers += c == '[' || c == '{' ? 1 : 0;
+    }
+    return copiesOfTexts * document.size() + values * valueBytes + containers * containerBytes;
+}
+
 result<Json::Value> parseJsonObject(std::string_view text, std::string_view step, peer_kind peer)
 {
     auto value = parseJson(text);
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -10,6 +10,9 @@
 
 namespace lovagerail {
 
+// Upper estimate of the memory that parseJson() takes for this document, in bytes.
+std::size_t jsonTreeBytes(std::string_view document);
+
 // Empty if the text is not one JSON value.
 std::optional<Json::Value> parseJson(std::string_view text);
 // Fails with Corrupt, for this step and peer, if the text is not one JSON object.
--- a/tests/test_malformed.cpp
+++ b/tests/test_malformed.cpp
@@ -225,6 +225,19 @@
     }
 }
 
+// A document's size says little of what it takes when it is parsed.
+BOOST_AUTO_TEST_CASE(the_memory_of_a_parsed_document_is_estimated_by_its_values)
+{
+    std::string dense = "[";
+    for (int value = 0; value < 10'000; ++value)
+        dense += "[],";
+    dense += "[]]";
+    BOOST_TEST(jsonTreeBytes(dense) > 50 * dense.size());
+    const std::string text = "[\"" + std::string(10'000, ',') + "\\\"[{\"]";
+    BOOST_TEST(jsonTreeBytes(text) < 3 * text.size());
+    BOOST_TEST(jsonTreeBytes("") > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
