Connections and open requests are bounded by the machine, and idle ones make room

What callers saw: with 1,000 idle connections, or with heads that stop short, an instance with 700 descriptors had none left: ordinary requests got no answer, and it could not call its store and its targets.

Cause: each listener took up to 4,096 connections, whatever the process may open, and closed an idle one after 120 s; each open request needs a descriptor to a target, too.

When 1/16 of a listener's connections is left, a new one closes an idle one: first those that never sent a request, then the longest idle (connection_table). Above the limit of open requests, a stalled one is broken off, else the request is refused with 503 and Retry-After. One log line a second says what was refused and closed (duty main, step pressure), two metrics count it.

--- a/src/edge/entry.cpp
+++ b/src/edge/entry.cpp
@@ -47,6 +47,7 @@
     constexpr duration balancerDrainTime = std::chrono::milliseconds(3200);
     constexpr duration stopMargin = std::chrono::milliseconds(600); // exit this long before SIGKILL
     constexpr duration storeCallsLogPeriod = std::chrono::seconds(10);
+    constexpr duration pressureLogPeriod = std::chrono::seconds(1);
     constexpr duration settingsCheckPeriod = std::chrono::seconds(2);
     constexpr std::size_t maxBodyBytes = 64U << 20U; // the limit of the configuration is checked per request
     constexpr std::size_t maxRelayedUnreadBytes = 8U << 20U; // of an answer that is passed on to another instance
@@ -132,6 +133,8 @@
         static router_settings routerSettings(const entry_settings& settings);
         result<std::unique_ptr<http::server>> listenAt(const std::string& address, const http::server_limits& limits, http::server::handler onRequest, http::server_hooks hooks) const;
         bool runServers();
+        http::server::pressure_counts pressure() const;
+        void logPressure();
         void onPeerRequest(const http::exchange_ptr& exchange);
         void onReadiness(const http::exchange_ptr& exchange) const;
         bool ready() const { return m_context.site && m_platformView.mayServe() && !m_context.stopping; }
@@ -175,6 +178,8 @@
         instant m_nextClosedCallerCheck {};
         instant m_nextSettingsCheck {};
         instant m_nextStoreCallsLog {};
+        instant m_nextPressureLog {};
+        http::server::pressure_counts m_loggedPressure; // when last logged
         instant m_stopStart {};
         std::optional<std::string> m_settingsText; // content of m_file at the last check
         bool m_wasReady = false;
@@ -211,26 +216,25 @@
         const auto machine = resourcesOf(m_settings);
         const auto intake = intakeLimitsFor(machine);
         logEvent(log_level::Info, "main", "limits",
-            {
-                { "memory", std::to_string(machine.memory.count()) },
-                { "descriptors", std::to_string(machine.descriptors) },
-                { "client_memory", std::to_string(intake.memory.total.count()) },
-            });
+            { { "memory", std::to_string(machine.memory.count()) }, { "descriptors", std::to_string(machine.descriptors) }, { "client_memory", std::to_string(intake.memory.total.count()) },
+                { "connections", std::to_string(intake.callers.connections) }, { "requests", std::to_string(intake.callers.requests) } });
         m_context.clientMemory = std::make_shared<http::memory_account>(intake.memory);
-        const auto limitsFor = [this] {
+        const auto limitsFor = [this](const listener_limits& shares) {
             http::server_limits out;
+            out.connections = shares.connections;
+            out.requests = shares.requests;
             out.memory = m_context.clientMemory;
             return out;
         };
-        auto callerLimits = limitsFor();
+        auto callerLimits = limitsFor(intake.callers);
         callerLimits.bodyBytes = maxBodyBytes;
         callerLimits.idleSeconds = callerIdleSeconds;
-        auto peerLimits = limitsFor();
+        auto peerLimits = limitsFor(intake.instances);
         peerLimits.bodyBytes = maxBodyBytes;
         peerLimits.headerBytes = maxPeerHeaderBytes;
         peerLimits.idleSeconds = callerIdleSeconds;
         peerLimits.unreadBytes = maxRelayedUnreadBytes;
-        auto internalLimits = limitsFor();
+        auto internalLimits = limitsFor(intake.internal);
         internalLimits.idleSeconds = readinessIdleSeconds;
         struct listener_spec {
             std::unique_ptr<http::server>* server;
@@ -350,6 +354,33 @@
         logEvent(log_level::Info, "store", "calls", { { "by_cause", text } });
     }
 
+    // What the listeners for callers and instances refused and closed for want of room.
+    http::server::pressure_counts entry_loop::pressure() const
+    {
+        http::server::pressure_counts out;
+        for (const auto* server : { m_callers.get(), m_peers.get() }) {
+            if (server != nullptr)
+                out += server->pressure();
+        }
+        return out;
+    }
+
+    // One line for all that clients were refused since the last one.
+    void entry_loop::logPressure()
+    {
+        const auto now = pressure();
+        if (now == m_loggedPressure)
+            return;
+        const auto before = std::exchange(m_loggedPressure, now);
+        m_nextPressureLog = m_context.now + pressureLogPeriod;
+        const auto budget = m_context.clientMemory->snapshot();
+        logEvent(log_level::Warning, "main", "pressure",
+            { { "no_room", std::to_string(now.overloaded - before.overloaded) }, { "body_too_large", std::to_string(now.tooLarge - before.tooLarge) },
+                { "stalled", std::to_string(now.stalled - before.stalled) }, { "idle_connections", std::to_string(now.idle - before.idle) },
+                { "client_bytes", std::to_string(budget.used().count()) }, { "of", std::to_string(budget.limits().total.count()) },
+                { "large_bytes", std::to_string(budget.usedBy(memory_use::Large).count()) }, { "connections", std::to_string(m_callers ? m_callers->openConnections() : 0) } });
+    }
+
     void entry_loop::beginStop()
     {
         logEvent(log_level::Info, "main", "stopping", { { "open", std::to_string(m_frontend.openCount()) }, { "batches", std::to_string(m_batches.openCount()) } });
@@ -415,7 +446,9 @@
             reloadIfFileChanged();
         if (m_context.now >= m_nextStoreCallsLog)
             logStoreCalls();
-        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_targets.connections().counts(), m_frontend.openCount(), m_batches.openCount(), m_platformView.evacuated().size(), m_frontend.slowTargetCount(), &m_demand.shares() });
+        if (m_context.now >= m_nextPressureLog)
+            logPressure();
+        m_metrics.update({ m_frontend.counts(), m_batches.counts(), m_store.counts(), m_targets.connections().counts(), m_frontend.openCount(), m_batches.openCount(), m_platformView.evacuated().size(), m_frontend.slowTargetCount(), pressure(), m_context.clientMemory->snapshot().used().count(), &m_demand.shares() });
         if (ready() != m_wasReady) {
             m_wasReady = ready();
             logEvent(log_level::Info, "main", m_wasReady ? "ready" : "not_ready");
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -96,6 +96,9 @@
         prometheus::BuildGauge().Name("lovagerail_open_requests").Help("Requests under way").Register(registry).Add({}).Set(static_cast<double>(m_view->openForwards));
         prometheus::BuildGauge().Name("lovagerail_open_batches").Help("Batches of this instance that are not ended").Register(registry).Add({}).Set(static_cast<double>(m_view->openBatches));
         prometheus::BuildGauge().Name("lovagerail_evacuated_failure_domains").Help("Failure domains that get no new requests, as operators asked").Register(registry).Add({}).Set(static_cast<double>(m_view->evacuatedDomains));
+        add(registry, "lovagerail_clients_refused_total", "Requests refused, and transfers and connections closed, for want of room", "reason",
+            { { "no_room", m_view->pressure.overloaded }, { "body_too_large", m_view->pressure.tooLarge }, { "stalled", m_view->pressure.stalled }, { "idle_connection", m_view->pressure.idle } });
+        prometheus::BuildGauge().Name("lovagerail_client_bytes").Help("Memory charged to what clients send and hold open").Register(registry).Add({}).Set(static_cast<double>(m_view->clientBytes));
         prometheus::BuildGauge().Name("lovagerail_slow_targets").Help("Targets that state a slowdown lasting seconds").Register(registry).Add({}).Set(static_cast<double>(m_view->slowTargets));
     }
     exchange->answer(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, prometheus::TextSerializer().Serialize(registry.Collect()));
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -20,6 +20,8 @@
     std::size_t openBatches = 0;
     std::size_t evacuatedDomains = 0;
     std::size_t slowTargets = 0; // by the slowdown that they state, averaged over seconds
+    http::server::pressure_counts pressure {}; // of the listeners for callers and instances
+    std::uint64_t clientBytes = 0; // charged to what clients send and hold open
     const std::map<service_id, std::vector<slot_share>>* shares = nullptr; // given by this instance, by service
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -23,13 +23,15 @@
 
     constexpr std::size_t streamBlockBytes = 16 * 1024;
     constexpr int listenBacklog = 511;
-    constexpr std::chrono::milliseconds maxTurnTime { 4 }; // of run(): other work of the owner waits meanwhile
     constexpr int bodyTooLargeStatus = 413;
+    constexpr std::chrono::milliseconds maxTurnTime { 4 }; // of run(): other work of the owner waits meanwhile
     // Memory of an open request beside its body: its objects, and the head as it was parsed, as it is
     // passed on, and as each of two attempts sends it.
     constexpr std::size_t requestBytes = 8 * 1024;
     constexpr std::size_t copiesOfHead = 5;
     constexpr std::chrono::seconds refusedReadTime { 5 }; // in which a client may send on and read its refusal
+    constexpr unsigned spareConnectionsDivisor = 16; // idle connections are closed when so small a part of the limit is left
+    constexpr std::chrono::milliseconds freshConnectionPatience { 1000 };
     constexpr std::chrono::milliseconds stalledSearchPeriod { 100 };
 
     // A large holding needs the room of a large one.
@@ -104,6 +106,11 @@
         return slot;
     }
 
+    static connection_table::connection& recordOf(MHD_Connection* connection)
+    {
+        return *static_cast<connection_table::connection*>(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+    }
+
     static MHD_Result onAccess(void* user, MHD_Connection* connection, const char*, const char* method, const char*,
         const char* upload, size_t* uploadSize, void** context)
     {
@@ -115,14 +122,16 @@
 
         // Step 1. First call: the head is complete.
         if (x.m_connection == nullptr && !slot.handedOver && x.method.empty()) {
+            const bool isFull = !self.withRoom(1, [&self] { return !self.isFull(); });
             if (!self.registerOpen(slot.shared))
                 return MHD_NO;
             x.method = method;
             x.m_connection = connection;
-            auto* requests = static_cast<std::size_t*>(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
-            x.onKeptConnection = (*requests)++ > 0;
+            auto& record = recordOf(connection);
+            x.onKeptConnection = record.requests > 0;
+            self.m_connections.busy(record);
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &onHeader, &x.headers);
-            onHead(slot, connection);
+            onHead(slot, connection, isFull);
             return MHD_YES;
         }
 
@@ -160,7 +169,7 @@
     }
 
     // Refuses what can be refused by the head, and makes room for a body whose length is known.
-    static void onHead(request_slot& slot, MHD_Connection* connection)
+    static void onHead(request_slot& slot, MHD_Connection* connection, bool isFull)
     {
         auto& self = *slot.owner;
         exchange& x = *slot.shared;
@@ -173,7 +182,7 @@
         slot.bodyLimit = self.m_limits.bodyBytes;
 
         const auto headBytes = requestBytes + copiesOfHead * MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
-        if (!self.withRoom(1, [&] { return x.m_headMemory.resize(memory_use::Ordinary, headBytes); })) {
+        if (isFull || !self.withRoom(1, [&] { return x.m_headMemory.resize(memory_use::Ordinary, headBytes); })) {
             refuse(slot, connection, refusal_reason::Overloaded);
             return;
         }
@@ -294,15 +303,21 @@
 
     static void onFree(void* user) { delete static_cast<exchange_ptr*>(user); }
 
-    // Keeps the number of requests of each connection.
-    static void onConnection(void*, MHD_Connection*, void** context, MHD_ConnectionNotificationCode what)
+    static void onConnection(void* user, MHD_Connection* connection, void** context, MHD_ConnectionNotificationCode what)
     {
-        if (what == MHD_CONNECTION_NOTIFY_STARTED) {
-            *context = new std::size_t(0);
+        auto& self = *static_cast<server*>(user);
+        if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+            self.m_connections.closed(static_cast<connection_table::connection*>(*context));
+            *context = nullptr;
             return;
         }
-        delete static_cast<std::size_t*>(*context);
-        *context = nullptr;
+        auto* record = self.m_connections.opened(connection, std::chrono::steady_clock::now());
+        *context = record;
+        if (self.m_connections.size() + self.m_limits.connections / spareConnectionsDivisor >= self.m_limits.connections)
+            self.closeIdle();
+        record->memory = memory_claim(self.m_limits.memory);
+        if (!self.withRoom(1, [&] { return record->memory.resize(memory_use::Connection, connectionBytes); }))
+            closeNow(connection);
     }
 
     // libmicrohttpd closes the connection when it finds its end.
@@ -311,7 +326,7 @@
         shutdown(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, SHUT_RDWR);
     }
 
-    static void onCompleted(void* user, MHD_Connection*, void** context, MHD_RequestTerminationCode)
+    static void onCompleted(void* user, MHD_Connection* connection, void** context, MHD_RequestTerminationCode)
     {
         auto* slot = static_cast<request_slot*>(*context);
         if (slot == nullptr)
@@ -320,6 +335,8 @@
         self.unregisterOpen(slot->shared);
         if (slot->inRefused)
             self.m_refused.erase(*slot->inRefused);
+        if (!slot->shared->method.empty())
+            self.m_connections.idle(recordOf(connection), std::chrono::steady_clock::now());
         {
             std::lock_guard lock(slot->shared->m_mutex);
             slot->shared->m_connection = nullptr;
@@ -384,6 +401,11 @@
     }
 }
 
+bool server::isFull()
+{
+    return m_limits.requests > 0 && openRequests() >= m_limits.requests;
+}
+
 refusal server::refusalFor(const exchange& refused, refusal_reason reason)
 {
     if (m_hooks.refuse)
@@ -457,6 +479,17 @@
     return true;
 }
 
+void server::closeIdle()
+{
+    if (auto* idle = m_connections.takeIdle(std::chrono::steady_clock::now(), freshConnectionPatience)) {
+        ++m_pressure.idle;
+        server_callbacks::closeNow(idle->handle);
+        return;
+    }
+    if (!m_refused.empty())
+        server_callbacks::closeNow(m_refused.front().handle);
+}
+
 void server::closeRefused()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -2,15 +2,16 @@
 // loop. The handler gets each request when it is complete; the answer is given later, from
 // any thread, through its `exchange`.
 //
-// What clients send and hold open is bounded: the memory of heads, bodies and answers is charged to
-// an account that servers may share. A request that finds
-// no room is refused as soon as that is known, without reading its body; stalled transfers are
-// closed where others need the room.
+// What clients send and hold open is bounded: connections, open requests, and the memory of heads,
+// bodies and answers, which is charged to an account that servers may share. A request that finds
+// no room is refused as soon as that is known, without reading its body; stalled transfers and
+// idle connections are closed where others need the room.
 #pragma once
 
 #include "error.h"
 #include "http/byte_buffer.h"
 #include "http/client.h"
+#include "http/connection_table.h"
 #include "http/memory_account.h"
 
 #include <cstddef>
@@ -43,6 +44,7 @@
     // answer is aborted.
     std::size_t unreadBytes = 256 * 1024;
     unsigned connections = 4096;
+    unsigned requests = 0; // open at once; 0 = no limit beside that of connections
     unsigned connectionsPerAddress = 0; // 0 = no limit
     unsigned idleSeconds = 60;
     memory_account_ptr memory; // may be shared with other servers; null = unbounded
@@ -194,6 +196,7 @@
         std::uint64_t overloaded = 0; // requests
         std::uint64_t tooLarge = 0; // requests
         std::uint64_t stalled = 0; // transfers
+        std::uint64_t idle = 0; // connections
 
         friend bool operator==(const pressure_counts&, const pressure_counts&) = default;
         pressure_counts& operator+=(const pressure_counts& other)
@@ -201,6 +204,7 @@
             overloaded += other.overloaded;
             tooLarge += other.tooLarge;
             stalled += other.stalled;
+            idle += other.idle;
             return *this;
         }
     };
@@ -220,8 +224,10 @@
     // Returns false during shutdown.
     bool registerOpen(const exchange_ptr& openExchange);
     void unregisterOpen(const exchange_ptr& openExchange);
+    bool isFull();
     refusal refusalFor(const exchange& refused, refusal_reason reason);
     bool closeStalled(std::size_t leastHeld);
+    void closeIdle();
     // Tries until it succeeds or no stalled transfer is left that holds so many bytes.
     template <typename Attempt>
     bool withRoom(std::size_t leastHeld, Attempt attempt);
@@ -230,7 +236,8 @@
     handler m_handler;
     server_hooks m_hooks;
     bool m_isEncrypted = false;
-    pressure_counts m_pressure; // used by the server's thread only, as the next two
+    connection_table m_connections; // used by the server's thread only, as the next two
+    pressure_counts m_pressure;
     std::list<refused_connection> m_refused; // in the order of their refusals
     std::chrono::steady_clock::time_point m_nextStalledSearch;
     MHD_Daemon* m_daemon = nullptr;
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -208,6 +208,28 @@
     close(tooLarge);
 }
 
+BOOST_AUTO_TEST_CASE(a_short_body_that_is_refused_keeps_its_connection)
+{
+    server_limits limits;
+    limits.requests = 1;
+    driven_server one { limits };
+    const int first = connectTo(one.port);
+    sendAll(first, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n");
+    one.runUntilQuiet();
+    const int second = connectTo(one.port);
+    sendAll(second, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+    one.runUntilQuiet();
+    BOOST_TEST(received(second).starts_with("HTTP/1.1 503 "));
+    sendAll(first, "abc");
+    one.runUntilQuiet();
+    BOOST_TEST(received(first).starts_with("HTTP/1.1 200 "));
+    sendAll(second, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+    one.runUntilQuiet();
+    BOOST_TEST(received(second).starts_with("HTTP/1.1 200 "));
+    close(first);
+    close(second);
+}
+
 BOOST_AUTO_TEST_CASE(a_stalled_body_makes_room_for_another)
 {
     server_limits limits;
@@ -234,4 +256,24 @@
         close(caller);
 }
 
+BOOST_AUTO_TEST_CASE(idle_connections_make_room_for_new_ones)
+{
+    server_limits limits;
+    limits.connections = 32;
+    driven_server one { limits };
+    std::vector<int> idle;
+    for (int count = 0; count < 60; ++count) {
+        idle.push_back(connectTo(one.port));
+        one.runUntilQuiet();
+    }
+    BOOST_TEST(one.listener->openConnections() <= 32u);
+    const int caller = connectTo(one.port);
+    sendAll(caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    one.runUntilQuiet();
+    BOOST_TEST(received(caller).starts_with("HTTP/1.1 200 "));
+    close(caller);
+    for (const int descriptor : idle)
+        close(descriptor);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
