Answers that arrive faster than they are handled wait in their sockets

What callers saw: nothing yet; found by looking for the class of the faults before.

Cause: libcurl reads up to 100 buffers of each transfer in one call, and all of them became events before any was handled: 64 fast answers of 1 MiB put 58 MB into one round of the loop.

Change: beyond 2 MiB of undelivered body bytes, transfers pause (CURL_WRITEFUNC_PAUSE) until the next poll.

Evidence: http_client_suite/bytes_that_were_not_delivered_yet_are_bounded, at most 4 MiB in a poll, fails before with 58,288,128 bytes and passes now, with all answers complete.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -20,6 +20,8 @@
     constexpr long keepAliveSeconds = 1; // the shortest that the kernel accepts
     // Of all answers under way that callers collect; beyond, the largest breaks off.
     constexpr std::size_t maxCollectedBytes = 64U << 20U;
+    // Of bodies that were received and not delivered as events yet; beyond, transfers pause.
+    constexpr std::size_t maxPendingBodyBytes = 2U << 20U;
 
     struct transfer {
         request outgoing;
@@ -33,6 +35,8 @@
         std::size_t headBytes = 0;
         std::size_t bodyBytes = 0; // if they are bounded
         std::size_t* collectedBytes = nullptr; // sum over all transfers of the client
+        std::size_t* pendingBytes = nullptr; // of bodies in *pendingEvents
+        std::vector<std::uint64_t>* paused = nullptr; // transfers that wait until these are delivered
         const std::unordered_map<std::uint64_t, std::unique_ptr<transfer>>* all = nullptr; // of the client
         const char* limitExceeded = nullptr; // why the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
@@ -182,8 +186,13 @@
     {
         auto& t = *static_cast<transfer*>(user);
         t.lastByte = std::chrono::steady_clock::now();
+        if (*t.pendingBytes > maxPendingBodyBytes) {
+            t.paused->push_back(t.outgoing.id);
+            return CURL_WRITEFUNC_PAUSE;
+        }
         if (!countBody(t, size * count))
             return 0;
+        *t.pendingBytes += size * count;
         reportHead(t);
         event body;
         body.what = event::kind::Body;
@@ -292,6 +301,8 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
     std::vector<event> pending;
     std::size_t collectedBytes = 0;
+    std::size_t pendingBytes = 0; // of bodies in `pending`
+    std::vector<std::uint64_t> paused; // transfers whose next bytes wait until `pending` is delivered
     std::string sourceAddress; // as libcurl expects it; empty = the system chooses
 
     void release(const transfer& t)
@@ -319,6 +330,16 @@
         transfers.erase(id);
     }
 
+    // Lets paused transfers go on; those that find no room pause again.
+    void resumePaused()
+    {
+        for (const auto id : std::exchange(paused, {})) {
+            const auto found = transfers.find(id);
+            if (found != transfers.end())
+                curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+        }
+    }
+
     // Ends transfers whose peer has sent nothing for the idle timeout.
     void failIdleTransfers()
     {
@@ -370,6 +391,8 @@
     t.pendingEvents = &m_state->pending;
     t.all = &m_state->transfers;
     t.collectedBytes = &m_state->collectedBytes;
+    t.pendingBytes = &m_state->pendingBytes;
+    t.paused = &m_state->paused;
     t.lastByte = std::chrono::steady_clock::now();
     t.easy = curl_easy_init();
 
@@ -465,6 +488,7 @@
 std::vector<event> client::poll(std::chrono::milliseconds maxWait, std::span<const int> wakeDescriptors)
 {
     // Step 1. Wait for the sockets, the descriptors or the timeout.
+    m_state->resumePaused();
     std::vector<curl_waitfd> extras;
     for (const int descriptor : wakeDescriptors)
         extras.push_back({ descriptor, CURL_WAIT_POLLIN, 0 });
@@ -495,6 +519,7 @@
         m_state->finish(*t, outcome, std::move(detail));
     }
     m_state->failIdleTransfers();
+    m_state->pendingBytes = 0;
     return std::exchange(m_state->pending, {});
 }
 
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -13,6 +13,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <thread>
 #include <unistd.h>
 
 namespace {
@@ -271,4 +272,40 @@
     }
 }
 
+// Guards against a process that many fast answers fill before any of them is handled.
+BOOST_AUTO_TEST_CASE(bytes_that_were_not_delivered_yet_are_bounded)
+{
+    constexpr std::size_t answerBytes = 1 << 20;
+    constexpr std::uint64_t transfers = 64;
+    constexpr std::size_t maxBytesOfOnePoll = 4 << 20;
+    const auto port = freePort();
+    const std::string answer(answerBytes, 'a');
+    auto listening = http::server::listen("127.0.0.1:" + std::to_string(port), {}, {}, [&answer](const http::exchange_ptr& one) { one->answer(200, {}, answer); });
+    BOOST_REQUIRE(listening);
+    http::client client;
+    for (std::uint64_t id = 1; id <= transfers; ++id) {
+        http::request request;
+        request.id = id;
+        request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+        client.start(std::move(request));
+    }
+    std::size_t received = 0;
+    std::size_t most = 0;
+    std::size_t complete = 0;
+    const auto end = now() + 2 * patience;
+    while (complete < transfers && now() < end) {
+        std::this_thread::sleep_for(20ms); // the sockets fill
+        std::size_t bytes = 0;
+        for (const auto& event : client.poll(100ms)) {
+            bytes += event.bytes.size();
+            complete += event.what == http::event::kind::Done && event.outcome == http::transfer_result::Complete ? 1 : 0;
+        }
+        received += bytes;
+        most = std::max(most, bytes);
+    }
+    BOOST_TEST(complete == transfers);
+    BOOST_TEST(received == transfers * answerBytes);
+    BOOST_TEST(most <= maxBytesOfOnePoll);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
