Records of streams don't grow with the names that clients give

What callers would see: clients that begin many streams under ids as long as a head allows fill the memory of several instances.

Cause: an instance keeps 65,536 records of the streams that were begun, each twice under the caller's id, which may have 16 KiB: 2 GiB, and as much at the two instances that hold copies.

Evidence: long_names_are_recorded_shortly_and_apart (stream_origins_suite). Found by reading, the figure is computed; not shown on a process.

--- a/src/edge/stream_directory.cpp
+++ b/src/edge/stream_directory.cpp
@@ -42,8 +42,9 @@
     return order;
 }
 
-void stream_directory::begun(const request_id& stream, const target_software& software)
+void stream_directory::begun(const request_id& caller, const target_software& software)
 {
+    const auto stream = recordedName(caller);
     m_origins.record(stream, software, m_context.now);
     auto row = originRow(stream, software);
     for (const auto& keeper : keepersOf(stream, copies))
@@ -68,8 +69,9 @@
     }
 }
 
-void stream_directory::find(const request_id& stream, found_function onFound)
+void stream_directory::find(const request_id& caller, found_function onFound)
 {
+    const auto stream = recordedName(caller);
     if (const auto known = m_origins.find(stream, m_context.now)) {
         onFound(known);
         return;
--- a/src/edge/stream_directory.h
+++ b/src/edge/stream_directory.h
@@ -24,11 +24,11 @@
     stream_directory(context& shared, members& membership, const software_versions& versions);
 
     // The first event of the stream is about to reach its caller.
-    void begun(const request_id& stream, const target_software& software);
+    void begun(const request_id& caller, const target_software& software);
     // Calls back with the software that began the stream, or nothing if no instance knows it; from a
     // later round of the event loop, unless this instance knows.
     using found_function = std::function<void(const std::optional<target_software>&)>;
-    void find(const request_id& stream, found_function onFound);
+    void find(const request_id& caller, found_function onFound);
     // Sends copies of new records.
     void tick();
     // Handles copies of records from another instance.
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -1,8 +1,23 @@
 // Records of the software that began a stream; see stream_origins.h.
 #include "stream_origins.h"
 
+#include <cstdio>
+#include <xxhash.h>
+
 namespace lovagerail {
 
+request_id recordedName(const request_id& stream)
+{
+    constexpr std::size_t maxHexDigits = 16;
+    const auto& name = stream.str();
+    if (name.size() <= maxStreamNameBytes)
+        return stream;
+    const auto hash = XXH3_128bits(name.data(), name.size());
+    char text[2 * maxHexDigits + 2];
+    std::snprintf(text, sizeof text, "#%016llx%016llx", static_cast<unsigned long long>(hash.high64), static_cast<unsigned long long>(hash.low64));
+    return request_id(text);
+}
+
 stream_origins::stream_origins(stream_origin_settings settings)
     : m_settings(settings)
 {
--- a/src/stream_origins.h
+++ b/src/stream_origins.h
@@ -7,6 +7,7 @@
 #include "target_table.h"
 #include "types.h"
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -18,6 +19,11 @@
     std::size_t maxRecords = 65536; // beyond, the oldest are dropped
 };
 
+// The name under which a stream is recorded: that of the request which began it, or a hash of one that is longer than
+// any caller's, as records are many.
+constexpr std::size_t maxStreamNameBytes = 128;
+request_id recordedName(const request_id& stream);
+
 class stream_origins {
 public:
     explicit stream_origins(stream_origin_settings settings = {});
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -45,6 +45,17 @@
     BOOST_TEST(origins.find(request_id("900"), start).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(long_names_are_recorded_shortly_and_apart)
+{
+    const request_id usual(std::string(maxStreamNameBytes, 'a'));
+    BOOST_TEST(recordedName(usual) == usual);
+    const std::string longName(16'000, 'a');
+    const auto first = recordedName(request_id(longName));
+    BOOST_TEST(first.str().size() <= maxStreamNameBytes);
+    BOOST_TEST(first == recordedName(request_id(longName)));
+    BOOST_TEST(first != recordedName(request_id(longName + "b")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
