Long ids and paths: batches with an id that no key holds are refused, log values are cut

What callers saw: a submission whose id is too long for a key of the store (200 bytes) was refused by the store until its deadline. Log lines of refused requests hold the path that a client sent, up to 32 KiB; 4,096 of them may wait while the output is slow: 128 MiB.

Change: an id above 128 bytes is answered 400 at once. A value of a log line is cut at 1 KiB.

Evidence: test_entry_malformed, test_long_names_are_refused_or_cut, fails before (202 for the long id, as the stand-in's store takes any key) and passes now.

--- a/src/batch.h
+++ b/src/batch.h
@@ -19,6 +19,7 @@
 namespace lovagerail {
 
 using batch_id = name_id<struct batch_tag>;
+constexpr std::size_t maxBatchIdBytes = 128; // keys of the store, which hold it, have 200 at most
 using item_id = name_id<struct item_tag>;
 
 // A part of a prompt, in order; requests that begin with the same parts share a prefix.
--- a/src/edge/caller_frontend.cpp
+++ b/src/edge/caller_frontend.cpp
@@ -146,6 +146,10 @@
         refuse(exchange, caller.id, statusBadRequest, {}, "a batch is submitted by POST, with an id");
         return;
     }
+    if (caller.id.str().size() > maxBatchIdBytes) {
+        refuse(exchange, caller.id, statusBadRequest, {}, "the id is too long for a key of the store");
+        return;
+    }
     batch_head head;
     head.id = batch_id(caller.id.str());
     head.host = caller.host;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -18,6 +18,7 @@
 namespace {
 
     constexpr std::size_t queueCapacity = 4096;
+    constexpr std::size_t maxValueBytes = 1024; // a value may be a path that a client sent; bounds the lines that wait
     constexpr std::chrono::milliseconds idleWait { 200 };
 
     struct log_state {
@@ -47,9 +48,12 @@
             CLOG(INFO, "default") << "level=warning duty=log step=write dropped=" << lost;
     }
 
-    // Quotes a value that a parser of key=value lines would otherwise split.
-    void appendValue(std::string& line, const std::string& value)
+    // Quotes a value that a parser of key=value lines would otherwise split, and cuts a long one.
+    void appendValue(std::string& line, std::string_view text)
     {
+        std::string value(text.substr(0, maxValueBytes));
+        if (text.size() > maxValueBytes)
+            value += "...";
         const auto isControl = [](unsigned char c) { return c < ' ' || c == 0x7f; };
         if (!value.empty() && value.find_first_of(" \"=\\") == std::string::npos && std::none_of(value.begin(), value.end(), isControl)) {
             line += value;
--- a/tests/process/test_entry_malformed.py
+++ b/tests/process/test_entry_malformed.py
@@ -5,7 +5,7 @@
 import socket
 import unittest
 
-from entry_world import HOST, KEY, EntryCase, config
+from entry_world import HOST, KEY, EntryCase, config, submission
 from kit import wait_until
 
 BODIES = (b"", b"\x00\xff", b"null", b"7", b"[7,null,[],{}]", b'{"batch":7,"texts":7,"at":"x"}', b"{" * 200, b'[{"target":7,"incarnation":-1}]',
@@ -42,6 +42,14 @@
         self.assertTrue(first.running and second.running)
         self.assertEqual(first.pid, started)
 
+    def test_long_names_are_refused_or_cut(self):
+        first, _ = self.start_entries()
+        self.assertEqual(self.submit(first, "b" * 129, submission(1)).status, 400)
+        self.assertEqual(self.submit(first, "b" * 128, submission(1)).status, 202)
+        self.assertEqual(first.send_request("/none/" + "p" * 10000, "x").status, 404)
+        wait_until(lambda: "no route" in first.output(), "the refusal is logged")
+        self.assertLess(max(map(len, first.output().splitlines())), 5000)
+
     def send(self, address, method, path, body):
         connection = http.client.HTTPConnection(address, timeout=3)
         try:
