Instances get a tenth of the descriptors for each other's connections

Cause: 0.05 of the descriptors and a part of the clients' memory left 113 connections for other instances on the smallest machine; the deployment of 53 such machines keeps some for each of the others, and closing idle ones costs calls that are sent at that moment.

Change: 0.1 of the descriptors, at most 0.6 of the memory of own calls (254 on that machine); callers get 0.4 instead of 0.45, still bounded by their memory (866 on that machine).

Evidence: descriptors_are_left_for_targets_and_for_own_calls checks the sums for 700 to 65,536 descriptors; the crowd tests of connections, answers and the full size pass.

--- a/src/intake_limits.cpp
+++ b/src/intake_limits.cpp
@@ -10,7 +10,8 @@
     // Of the memory. The rest is the process itself: its code, what it knows of targets and
     // instances, its own calls, and what the allocator does not return.
     constexpr double clientShare = 0.65;
-    constexpr double ownShare = 0.08; // calls of other instances and of the platform
+    constexpr double ownShare = 0.095; // calls of other instances and of the platform
+    constexpr double ownConnectionShare = 0.6; // of that
     // Of the clients' memory.
     constexpr double connectionShare = 0.3;
     constexpr double largeShare = 0.68; // a body of 32 MiB and an equal answer fit on a machine of 160 MB
@@ -21,9 +22,9 @@
     // connections to targets that are kept or run items of batches.
     constexpr std::uint64_t ownDescriptors = 200 + 128;
     // Of the other descriptors.
-    constexpr double callerConnectionShare = 0.45;
+    constexpr double callerConnectionShare = 0.4;
     constexpr double callerRequestShare = 0.2; // a request may be at two targets at once
-    constexpr double instanceShare = 0.05;
+    constexpr double instanceShare = 0.1; // of each: connections and requests
     constexpr std::uint32_t internalConnections = 32;
     constexpr std::uint32_t minConnections = 16;
     constexpr std::uint32_t maxConnections = 16 * 1024;
@@ -47,11 +48,11 @@
     out.memory.of(memory_use::Batch) = share(total, batchShare);
 
     const auto usable = static_cast<double>(machine.descriptors > ownDescriptors ? machine.descriptors - ownDescriptors : 0);
-    const auto byMemory = static_cast<double>(out.memory.of(memory_use::Connection).count()) / static_cast<double>(connectionBytes);
-    const double connectionsByDescriptors = usable * (callerConnectionShare + instanceShare);
-    const double fitting = connectionsByDescriptors > 0 ? std::min(1.0, byMemory / connectionsByDescriptors) : 1.0;
-    out.callers = { boundedCount(usable * callerConnectionShare * fitting), boundedCount(usable * callerRequestShare) };
-    out.instances = { boundedCount(usable * instanceShare * fitting), boundedCount(usable * instanceShare) };
+    const auto connectionsIn = [](byte_count memory) { return static_cast<double>(memory.count()) / static_cast<double>(connectionBytes); };
+    const double callers = std::min(usable * callerConnectionShare, connectionsIn(out.memory.of(memory_use::Connection)));
+    const double instances = std::min(usable * instanceShare, connectionsIn(share(out.memory.of(memory_use::Own), ownConnectionShare)));
+    out.callers = { boundedCount(callers), boundedCount(usable * callerRequestShare) };
+    out.instances = { boundedCount(instances), boundedCount(usable * instanceShare) };
     out.internal = { internalConnections, internalConnections };
     return out;
 }
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -140,7 +140,8 @@
         const std::uint64_t sockets = limits.callers.connections + limits.instances.connections + 2 * limits.internal.connections;
         const std::uint64_t toTargets = limits.callers.requests + limits.instances.requests;
         BOOST_TEST(sockets + toTargets + 300 <= descriptors);
-        BOOST_TEST(limits.memory.of(memory_use::Connection).count() >= (limits.callers.connections + limits.instances.connections) * connectionBytes);
+        BOOST_TEST(limits.memory.of(memory_use::Connection).count() >= limits.callers.connections * connectionBytes);
+        BOOST_TEST(limits.memory.of(memory_use::Own).count() >= (limits.instances.connections + 2 * limits.internal.connections) * connectionBytes);
     }
 }
 
