Streams that nobody reads are stalled transfers, too

Cause: unread bytes of streams (up to 256 KiB each) were charged, but only complete answers and bodies were broken off when memory ran out, so clients that stop reading their streams could keep it from others.

Change: a stream of which nothing was read for 2 s while bytes wait is broken off like an answer; its pace is not judged, as its target sets it. A length above the range of the type counts as over the limit. Servers with a thread of their own close refused connections as new ones arrive.

Evidence: a_slow_stream_is_stalled_only_if_nothing_of_it_is_read (stalled_transfers_suite), which the code before can't express. Not shown on a process.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -11,6 +11,7 @@
 #include <cctype>
 #include <charconv>
 #include <cstring>
+#include <limits>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -175,8 +176,8 @@
         exchange& x = *slot.shared;
         const auto length = findHeader(x.headers, "content-length");
         const bool isChunked = !findHeader(x.headers, "transfer-encoding").empty();
-        if (!isChunked)
-            std::from_chars(length.data(), length.data() + length.size(), slot.announcedBytes);
+        if (!isChunked && std::from_chars(length.data(), length.data() + length.size(), slot.announcedBytes).ec == std::errc::result_out_of_range)
+            slot.announcedBytes = std::numeric_limits<std::size_t>::max();
         x.m_headAt = x.m_lastByteAt = std::chrono::steady_clock::now();
         x.m_bodyIncomplete = isChunked || slot.announcedBytes > 0;
         slot.bodyLimit = self.m_limits.bodyBytes;
@@ -243,7 +244,7 @@
     {
         std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + MHD_get_reason_phrase_for(static_cast<unsigned>(answer.status)) + "\r\n";
         for (const auto& [name, value] : answer.headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\nConnection: close\r\n\r\n" + answer.body;
         const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
         // A connection that doesn't take these few bytes is closed without them.
@@ -311,6 +312,7 @@
             *context = nullptr;
             return;
         }
+        self.closeRefused();
         auto* record = self.m_connections.opened(connection, std::chrono::steady_clock::now());
         *context = record;
         if (self.m_connections.size() + self.m_limits.connections / spareConnectionsDivisor >= self.m_limits.connections)
@@ -442,12 +444,14 @@
     for (const auto& x : open) {
         auto& entry = progress.emplace_back();
         if (x->m_bodyIncomplete) {
-            entry = { x->m_headMemory.bytes() + x->body.size(), x->body.size(), now - x->m_headAt, now - x->m_lastByteAt, false };
+            entry = { x->m_headMemory.bytes() + x->body.size(), x->body.size(), now - x->m_headAt, now - x->m_lastByteAt, transfer_kind::Body };
             continue;
         }
         const std::lock_guard lock(x->m_mutex);
-        if (x->m_ended && !x->m_unread.empty() && x->m_lastSentAt != exchange::time_point())
-            entry = { x->m_unread.size(), x->m_sentBytes, now - x->m_headAt, now - x->m_lastSentAt, true };
+        if (x->m_unread.empty() || x->m_lastSentAt == exchange::time_point())
+            continue;
+        const auto kind = x->m_ended ? transfer_kind::Answer : transfer_kind::Stream;
+        entry = { x->m_unread.size(), x->m_sentBytes, now - x->m_headAt, now - x->m_lastSentAt, kind };
     }
     for (auto& entry : progress) {
         if (entry.heldBytes < leastHeld)
@@ -463,7 +467,7 @@
     auto& x = *open[*chosen];
     ++m_pressure.stalled;
     unregisterOpen(open[*chosen]);
-    if (!progress[*chosen].isAnswer) {
+    if (progress[*chosen].kind == transfer_kind::Body) {
         x.m_brokenOff = true;
         x.m_bodyIncomplete = false;
         x.body.clear();
--- a/src/stalled_transfers.cpp
+++ b/src/stalled_transfers.cpp
@@ -11,8 +11,10 @@
     {
         if (transfer.age < settings.minAge)
             return false;
-        if (transfer.sinceLastByte >= (transfer.isAnswer ? settings.unreadAfter : settings.stalledAfter))
+        if (transfer.sinceLastByte >= (transfer.kind == transfer_kind::Body ? settings.stalledAfter : settings.unreadAfter))
             return true;
+        if (transfer.kind == transfer_kind::Stream)
+            return false;
         const double seconds = std::chrono::duration<double>(transfer.age).count();
         return static_cast<double>(transfer.movedBytes) < seconds * settings.minBytesPerSecond;
     }
@@ -22,7 +24,7 @@
 std::optional<std::size_t> stalledTransfer(std::span<const transfer_progress> transfers, const stall_settings& settings)
 {
     std::optional<std::size_t> out;
-    const auto rank = [&transfers](std::size_t index) { return std::pair(!transfers[index].isAnswer, transfers[index].heldBytes); };
+    const auto rank = [&transfers](std::size_t index) { return std::pair(transfers[index].kind == transfer_kind::Body, transfers[index].heldBytes); };
     for (std::size_t index = 0; index < transfers.size(); ++index) {
         if (transfers[index].heldBytes == 0 || !isStalled(transfers[index], settings))
             continue;
--- a/src/stalled_transfers.h
+++ b/src/stalled_transfers.h
@@ -10,19 +10,25 @@
 
 namespace lovagerail {
 
+enum class transfer_kind {
+    Body, // of a request, which arrives
+    Answer, // complete here, and read by the client
+    Stream, // an answer that is still made: its pace is not that of the client
+};
+
 struct transfer_progress {
     std::size_t heldBytes = 0;
     std::size_t movedBytes = 0; // received of a body, or sent of an answer
     duration age {};
     duration sinceLastByte {};
-    bool isAnswer = false; // complete here, and not read by the client
+    transfer_kind kind = transfer_kind::Body;
 };
 
 struct stall_settings {
     duration minAge = std::chrono::seconds(1); // younger transfers are not judged
     duration stalledAfter = std::chrono::seconds(1); // without a byte of a body
-    duration unreadAfter = std::chrono::seconds(2); // without a byte of an answer that was read
-    double minBytesPerSecond = 16 * 1024; // below, a transfer trickles
+    duration unreadAfter = std::chrono::seconds(2); // without a byte that was read of an answer or a stream
+    double minBytesPerSecond = 16 * 1024; // below, a body or an answer trickles
 };
 
 // The index of the transfer to break off; empty if all make progress. Bodies go before answers, whose work is done;
