Findings of the linter in the new code

No change of behaviour: batches::respond() takes a view of what it copied before, and the unit tests of the server pass.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -46,14 +46,14 @@
     return static_cast<std::size_t>(std::count_if(m_owned.begin(), m_owned.end(), [](const auto& entry) { return !entry.second.head.ended; }));
 }
 
-void batches::respond(const http::exchange_ptr& exchange, int status, std::string body) const
+void batches::respond(const http::exchange_ptr& exchange, int status, std::string_view body) const
 {
     http::header_list headers;
     if (!body.empty())
         headers.emplace_back("Content-Type", "application/json");
     if (m_context.stopping)
         headers.emplace_back("Connection", "close");
-    exchange->answer(status, std::move(headers), std::move(body));
+    exchange->answer(status, std::move(headers), body);
 }
 
 // --- Submission --------------------------------------------------------------
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -114,7 +114,7 @@
     const member* directoryMember(const batch_id& id) const;
     void sendOwnerHint(const batch_head& head);
     void findHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead);
-    void respond(const http::exchange_ptr& exchange, int status, std::string body) const;
+    void respond(const http::exchange_ptr& exchange, int status, std::string_view body) const;
     bool isAlive(const batch_head& head) const;
     // Where the submission and the items of the batch may be.
     body_regions regionsOf(const batch_head& head) const;
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -92,7 +92,7 @@
     {
         limits.bodyBytes = bodyBytes;
         auto listening = server::listen(
-            "127.0.0.1:" + std::to_string(port), limits, {}, [this](exchange_ptr one) {
+            "127.0.0.1:" + std::to_string(port), limits, {}, [this](const exchange_ptr& one) {
                 bodies.push_back(one->body.size());
                 one->answer(200, {}, std::string_view("ok"));
             },
