A large body does not grow by each of its very small chunks when memory is short

The plain build hid it, as its allocator grows in place.

Cause (a backtrace of the running test): where the account had no room for an eighth of spare room, the buffer asked for the exact size, so each chunk of 16 bytes was a growth, and a copy of the whole body.

Change: without that room a buffer above 64 KiB grows to the next multiple of 16 KiB, else the body is refused.

--- a/src/http/byte_buffer.cpp
+++ b/src/http/byte_buffer.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr std::size_t minCapacity = 1024;
+    constexpr std::size_t leastGrowthBytes = 16 * 1024;
     constexpr std::size_t growthDivisor = 8; // of a large buffer: an eighth of it is spare room at most
 
     // Small buffers double; copying them is cheap, and there may be many appends.
@@ -21,6 +22,14 @@
         return std::max({ needed, capacity + spare, minCapacity });
     }
 
+    // Where there is no room for that. Also then a large buffer doesn't grow, and maybe move, with each short append.
+    std::size_t leastGrownCapacity(std::size_t needed)
+    {
+        if (needed <= ordinaryHoldingBytes)
+            return needed;
+        return (needed / leastGrowthBytes + 1) * leastGrowthBytes;
+    }
+
 } // namespace
 
 byte_buffer::~byte_buffer() { std::free(m_data); }
@@ -59,8 +68,8 @@
     }
     const auto needed = m_end + bytes.size();
     if (needed > m_capacity) {
-        const auto grown = std::max(needed, std::min(grownCapacity(needed, m_capacity), expected));
-        if (!reserve(grown) && (grown == needed || !reserve(needed)))
+        const auto atMost = std::max(needed, expected);
+        if (!reserve(std::min(grownCapacity(needed, m_capacity), atMost)) && !reserve(std::min(leastGrownCapacity(needed), atMost)))
             return false;
     }
     std::memcpy(m_data + m_end, bytes.data(), bytes.size());
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -124,6 +124,21 @@
     BOOST_TEST(account->snapshot().used() == byte_count());
 }
 
+// Guards against a move of a large body with each of its very small chunks when memory is short.
+BOOST_AUTO_TEST_CASE(a_buffer_grows_in_steps_where_there_is_no_spare_room)
+{
+    const auto account = std::make_shared<http::memory_account>(limitsOf(4 * mib, 0, mib));
+    http::byte_buffer buffer(account);
+    std::size_t growths = 0;
+    auto charged = account->snapshot().used();
+    while (buffer.append("0123456789abcdef")) {
+        growths += account->snapshot().used() != charged ? 1 : 0;
+        charged = account->snapshot().used();
+    }
+    BOOST_TEST(buffer.size() > mib - 2 * 16 * 1024);
+    BOOST_TEST(growths < 100u);
+}
+
 BOOST_AUTO_TEST_CASE(the_smallest_machine_holds_a_full_body_and_its_answer)
 {
     const auto limits = intakeLimitsFor({ byte_count(160'000'000), 4100 });
