--- /dev/null
+++ b/review/lib-2/crashing.py
@@ -0,0 +1,64 @@
+"""A model replica that crashes when it begins to run certain items, and is back under its id seconds later."""
+
+import socket
+import struct
+import threading
+import time
+from http.server import ThreadingHTTPServer
+
+from world import Replica
+
+
+class CrashingEngine(Replica):
+    DOWN_S = 3.0  # "the replica is back after some seconds"; less than three check-in intervals
+    FIRST_TOKEN_S = 0.03
+    on_arrival = None  # called with (replica, item, time) for each item that arrives
+    crashes = None  # list of (time, replica, item)
+    poison = frozenset()
+
+    def __init__(self, *arguments, **more):
+        self.is_listed = True
+        super().__init__(*arguments, **more)
+        self.incarnation = int(time.time() * 1000)
+        self.publish_heartbeat()
+
+    def handle(self, request):
+        item = request.route.rsplit("/", 1)[-1]
+        if request.route.startswith("/steps/") and request.headers.get("Target-Instance") == self.name:
+            type(self).on_arrival(self, item, time.monotonic())
+            if item in self.poison:
+                time.sleep(self.FIRST_TOKEN_S)
+                if self.is_listed:  # not down already
+                    self.crash(item)
+                request.close_connection = True
+                return
+        super().handle(request)
+
+    def crash(self, item):
+        self.is_listed = False
+        self.crashes.append((time.monotonic(), self, item))
+        threading.Thread(target=self._restart, daemon=True).start()
+        server = self._server
+        server.socket.close()  # a port without a listener resets channels
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def _restart(self):
+        old = self._server
+        time.sleep(self.DOWN_S)
+        try:
+            old.shutdown()
+        except Exception:  # noqa: BLE001
+            pass
+        old.server_close()
+        self._server = ThreadingHTTPServer(("127.0.0.1", self.port), old.RequestHandlerClass)
+        self._server.daemon_threads = True
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.incarnation = int(time.time() * 1000)
+        self.orders_applied = self.highest_fencing_number = 0  # "a restart clears `sequence` and fences"
+        self.is_listed = True
+        self.publish_heartbeat()
