Review case 7: an item that crashes replicas is sent to one after the other

Cause: nothing counts the replicas that crash under an item of a batch. Method: one item of a batch crashes each model replica that begins to run it; the trainer sends its group again in the next step.

--- /dev/null
+++ b/review/7/run.py
@@ -0,0 +1,78 @@
+"""A batch has one item that crashes each replica that begins to run it; see claim.txt."""
+
+import pathlib
+import sys
+import threading
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "lib-2"))
+
+from world import BOUNDS, TROUBLE, World, item, main, submission  # noqa: E402
+from crashing import CrashingEngine  # noqa: E402
+
+STEPS = 3
+GROUPS, SIZE, WANTED = 5, 4, 4
+RESULT_DEADLINE_S = 7.5
+POISON = "bad0"
+CONTACT_S = BOUNDS["contactMs"] / 1000
+TRANSIT_S = 0.2  # from the sending machine to the stand-in, generously
+
+
+def run_step(world, step, carried):
+    """Submits a step, reads its results and ends it; returns the items of the groups that were not complete."""
+    batch = f"b{step}"
+    items = list(carried)
+    for group in range(GROUPS - len({row["group"] for row in carried})):
+        for index in range(SIZE):
+            name = POISON if step == 0 and group == 0 and index == 0 and TROUBLE else f"s{step}g{group}i{index}"
+            items.append(item(name, batch, f"g{step}.{group}", prompt=f"a{step}{group}:300"))
+    begun = time.monotonic()
+    entries = world.entries
+    if world.submit(entries[step % 4], batch, submission(items, step, 1, WANTED)) != 202:
+        raise RuntimeError("the submission was not accepted")
+    must = {row["group"] for row in carried}
+    listed, reads = {}, 0
+    complete = set()
+    while time.monotonic() - begun < RESULT_DEADLINE_S:
+        reads += 1
+        status, document = world.results(entries[(step + reads) % 4], batch, len(listed), 500)
+        for row in document["results"] if status == 200 else []:
+            listed[row["id"]] = row["state"]
+        complete = {group for group in {row["group"] for row in items} if all(row["id"] in listed for row in items if row["group"] == group)}
+        if len(complete) >= WANTED and must <= complete:
+            break
+        time.sleep(0.3)
+    world.record(f"step {step}: {len(complete)} of {GROUPS} groups complete after {time.monotonic() - begun:.1f} s")
+    world.end_batch(entries[(step + 1) % 4], batch)
+    return [row for row in items if row["group"] not in complete]
+
+
+def script(world):
+    arrivals, lock = [], threading.Lock()
+
+    def on_arrival(replica, name, when):
+        with lock:
+            if name == POISON:
+                if replica.is_listed:
+                    arrivals.append((when, replica.name))
+                world.record(f"item {name} reaches replica {replica.name}" + (" and crashes it" if replica.is_listed else ", which is down: not counted"))
+
+    CrashingEngine.on_arrival = staticmethod(on_arrival)
+    CrashingEngine.crashes = []
+    CrashingEngine.poison = frozenset({POISON})
+    world.start(entries=4, engines=8, services=3, event_interval_s=0.02, events=10)
+    carried = []
+    for step in range(STEPS):
+        carried = run_step(world, step, carried)[:WANTED // 2 * SIZE]
+        time.sleep(0.5)  # training
+    crashes = sorted(when for when, _, _ in CrashingEngine.crashes)
+    world.record(f"replicas that item {POISON} crashed: {len(crashes)}")
+    if len(crashes) < 3:
+        return True
+    late = [when for when, _ in arrivals if when > crashes[2] + CONTACT_S + TRANSIT_S]
+    world.record(f"it reached replicas {len(late)} times later than contactMs after the third crash; allowed are 3")
+    return len(late) <= 3
+
+
+main(script, lambda: World(FOLDER, engine=CrashingEngine))
