--- a/review/6/run.py
+++ b/review/6/run.py
@@ -58,6 +58,11 @@
 class TimedEngine(Replica):
     """Items whose names begin with "long" have many events."""
 
+    def handle(self, request):
+        if request.route.startswith("/steps/"):
+            self.platform.record(f"item {request.headers['Attempt-Id']} runs at {self.name}, behind event {request.headers.get('Last-Event-Id') or 0}")
+        super().handle(request)
+
     def _stream(self, request):
         events = 120 if "/long" in request.route else 4
         shadow = type("Shadow", (), {"versions": self.versions, "events": events, "event_interval_s": 0.03, "event_text": self.event_text, "software": self.software, "requests_to_break": 0})()
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,4 +1,4 @@
-"""A batch has one item that crashes each replica that begins to run it; see claim.txt."""
+"""A batch has one item, and another one reward call, that crashes each replica that begins to run it; see claim.txt."""
 
 import pathlib
 import sys
@@ -9,23 +9,24 @@
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 
 from world import BOUNDS, TROUBLE, World, item, main, submission  # noqa: E402
-from crashing import CrashingEngine  # noqa: E402
+from crashing import CrashingReplica  # noqa: E402
 
 STEPS = 3
 GROUPS, SIZE, WANTED = 5, 4, 4
 RESULT_DEADLINE_S = 7.5
-POISON = "bad0"
+POISONS = {"item": "bad0", "reward call": "rbadr0"}  # a reward call is named after its item
 CONTACT_S = BOUNDS["contactMs"] / 1000
 TRANSIT_S = 0.2  # from the sending machine to the stand-in, generously
 
 
-def run_step(world, step, carried):
+def run_step(world, kind, step, carried):
     """Submits a step, reads its results and ends it; returns the items of the groups that were not complete."""
-    batch = f"b{step}"
+    batch = f"b{kind[0]}{step}"
     items = list(carried)
     for group in range(GROUPS - len({row["group"] for row in carried})):
         for index in range(SIZE):
-            name = POISON if step == 0 and group == 0 and index == 0 and TROUBLE else f"s{step}g{group}i{index}"
+            is_poison = step == 0 and group == 0 and index == 0 and TROUBLE
+            name = POISONS[kind].removeprefix("r") if is_poison else f"{kind[0]}{step}g{group}i{index}"
             items.append(item(name, batch, f"g{step}.{group}", prompt=f"a{step}{group}:300"))
     begun = time.monotonic()
     entries = world.entries
@@ -48,31 +49,38 @@
     return [row for row in items if row["group"] not in complete]
 
 
-def script(world):
-    arrivals, lock = [], threading.Lock()
+def run_steps(world, kind):
+    """Whether the rule held for a request of this kind."""
+    poison, arrivals, lock = POISONS[kind], [], threading.Lock()
 
     def on_arrival(replica, name, when):
         with lock:
-            if name == POISON:
+            if name == poison:
                 if replica.is_listed:
-                    arrivals.append((when, replica.name))
-                world.record(f"item {name} reaches replica {replica.name}" + (" and crashes it" if replica.is_listed else ", which is down: not counted"))
+                    arrivals.append(when)
+                world.record(f"{kind} {name} reaches replica {replica.name} of {replica.service}" + (" and crashes it" if replica.is_listed else ", which is down: not counted"))
 
-    CrashingEngine.on_arrival = staticmethod(on_arrival)
-    CrashingEngine.crashes = []
-    CrashingEngine.poison = frozenset({POISON})
-    world.start(entries=4, engines=8, services=3, event_interval_s=0.02, events=10)
+    CrashingReplica.on_arrival = staticmethod(on_arrival)
+    CrashingReplica.crashes = []
+    CrashingReplica.poison = frozenset({poison})
     carried = []
     for step in range(STEPS):
-        carried = run_step(world, step, carried)[:WANTED // 2 * SIZE]
+        carried = run_step(world, kind, step, carried)[:WANTED // 2 * SIZE]
         time.sleep(0.5)  # training
-    crashes = sorted(when for when, _, _ in CrashingEngine.crashes)
-    world.record(f"replicas that item {POISON} crashed: {len(crashes)}")
+    crashes = sorted(when for when, _, _ in CrashingReplica.crashes)
+    world.record(f"replicas that {kind} {poison} crashed: {len(crashes)}")
     if len(crashes) < 3:
         return True
-    late = [when for when, _ in arrivals if when > crashes[2] + CONTACT_S + TRANSIT_S]
+    late = [when for when in arrivals if when > crashes[2] + CONTACT_S + TRANSIT_S]
     world.record(f"it reached replicas {len(late)} times later than contactMs after the third crash; allowed are 3")
     return len(late) <= 3
 
 
-main(script, lambda: World(FOLDER, engine=CrashingEngine))
+def script(world):
+    world.start(entries=4, engines=8, services=3, event_interval_s=0.02, events=10)
+    held = run_steps(world, "item")
+    time.sleep(5)  # all replicas are back
+    return run_steps(world, "reward call") and held
+
+
+main(script, lambda: World(FOLDER, engine=CrashingReplica, service=CrashingReplica))
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -81,12 +81,13 @@
     for name in sorted(closed, key=lambda name: int(name[1:])):
         when, entry, after = closed[name]
         if name not in StreamEngine.arrived:
+            world.record(f"request {name} to {entry}: its client closed the channel after {after * 1000:.0f} ms; it reached no replica")
             continue
         reached += 1
         behind = StreamEngine.arrived[name] - when
+        world.record(f"request {name} to {entry}: its client closed the channel after {after * 1000:.0f} ms; it reached a replica {behind:.3f} s after that")
         if behind > LATE_S:
             late.append(name)
-            world.record(f"request {name} to {entry}: its client closed the channel after {after * 1000:.0f} ms, and it reached a replica {behind:.3f} s later")
     world.record(f"{len(answered)} of {REQUESTS} clients got their stream, {len(closed)} left; of the requests of these {reached} reached a replica, {len(late)} over half a second after the close; allowed are a few, say {A_FEW}")
     return len(late) <= A_FEW
 
--- a/review/lib-2/crashing.py
+++ b/review/lib-2/crashing.py
@@ -1,4 +1,4 @@
-"""A model replica that crashes when it begins to run certain items, and is back under its id seconds later."""
+"""Replicas that crash when they begin to run certain requests, and are back under their ids seconds later."""
 
 import socket
 import struct
@@ -9,11 +9,11 @@
 from world import Replica
 
 
-class CrashingEngine(Replica):
+class CrashingReplica(Replica):
     DOWN_S = 3.0  # "the replica is back after some seconds"; less than three check-in intervals
     FIRST_TOKEN_S = 0.03
-    on_arrival = None  # called with (replica, item, time) for each item that arrives
-    crashes = None  # list of (time, replica, item)
+    on_arrival = None  # called with (replica, request id, time) for each request that arrives
+    crashes = None  # list of (time, replica, request id)
     poison = frozenset()
 
     def __init__(self, *arguments, **more):
@@ -23,20 +23,20 @@
         self.publish_heartbeat()
 
     def handle(self, request):
-        item = request.route.rsplit("/", 1)[-1]
-        if request.route.startswith("/steps/") and request.headers.get("Target-Instance") == self.name:
-            type(self).on_arrival(self, item, time.monotonic())
-            if item in self.poison:
+        name = request.headers.get("Attempt-Id")
+        if name is not None and request.headers.get("Target-Instance") == self.name:
+            type(self).on_arrival(self, name, time.monotonic())
+            if name in self.poison:
                 time.sleep(self.FIRST_TOKEN_S)
                 if self.is_listed:  # not down already
-                    self.crash(item)
+                    self.crash(name)
                 request.close_connection = True
                 return
         super().handle(request)
 
-    def crash(self, item):
+    def crash(self, name):
         self.is_listed = False
-        self.crashes.append((time.monotonic(), self, item))
+        self.crashes.append((time.monotonic(), self, name))
         threading.Thread(target=self._restart, daemon=True).start()
         server = self._server
         server.socket.close()  # a port without a listener resets channels
