--- a/review/7/run.py
+++ b/review/7/run.py
@@ -8,12 +8,12 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 
-from world import BOUNDS, TROUBLE, World, item, main, submission  # noqa: E402
+from world import BOUNDS, TROUBLE, World, desired_state, item, main, route, submission  # noqa: E402
 from crashing import CrashingReplica  # noqa: E402
 
-STEPS = 3
+STEPS = 6
 GROUPS, SIZE, WANTED = 5, 4, 4
-RESULT_DEADLINE_S = 7.5
+RESULT_DEADLINE_S = 5
 POISONS = {"item": "bad0", "reward call": "rbadr0"}  # a reward call is named after its item
 CONTACT_S = BOUNDS["contactMs"] / 1000
 TRANSIT_S = 0.2  # from the sending machine to the stand-in, generously
@@ -51,13 +51,13 @@
 
 def run_steps(world, kind):
     """Whether the rule held for a request of this kind."""
-    poison, arrivals, lock = POISONS[kind], [], threading.Lock()
+    poison, arrivals, lock, current = POISONS[kind], [], threading.Lock(), [0]
 
     def on_arrival(replica, name, when):
         with lock:
             if name == poison:
                 if replica.is_listed:
-                    arrivals.append(when)
+                    arrivals.append((when, current[0]))
                 world.record(f"{kind} {name} reaches replica {replica.name} of {replica.service}" + (" and crashes it" if replica.is_listed else ", which is down: not counted"))
 
     CrashingReplica.on_arrival = staticmethod(on_arrival)
@@ -65,19 +65,22 @@
     CrashingReplica.poison = frozenset({poison})
     carried = []
     for step in range(STEPS):
+        current[0] = step
         carried = run_step(world, kind, step, carried)[:WANTED // 2 * SIZE]
         time.sleep(0.5)  # training
     crashes = sorted(when for when, _, _ in CrashingReplica.crashes)
     world.record(f"replicas that {kind} {poison} crashed: {len(crashes)}")
     if len(crashes) < 3:
         return True
-    late = [when for when in arrivals if when > crashes[2] + CONTACT_S + TRANSIT_S]
-    world.record(f"it reached replicas {len(late)} times later than contactMs after the third crash; allowed are 3")
-    return len(late) <= 3
+    late = [step for when, step in arrivals if when > crashes[2] + CONTACT_S + TRANSIT_S]
+    world.record(f"it reached replicas {len(late)} times later than contactMs after the third crash, in {len(set(late))} batch submissions; allowed are 3 retries")
+    return len(set(late)) <= 3
 
 
 def script(world):
-    world.start(entries=4, engines=8, services=3, event_interval_s=0.02, events=10)
+    routes = [route("judge", "/judge/", "safe", "shop", authExempt=True, maxAttempts=4),
+              route("steps", "/steps/", "rollout", "pool", resultDeadlineMs=RESULT_DEADLINE_S * 1000, itemTtlS=40, timeoutMs=10000, targetLatencyMs=400)]
+    world.start(entries=4, engines=8, services=3, state=desired_state(routes=routes), event_interval_s=0.02, events=10)
     held = run_steps(world, "item")
     time.sleep(5)  # all replicas are back
     return run_steps(world, "reward call") and held
