--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,5 +1,6 @@
-"""A batch has one item, and another one reward call, that crashes each replica that begins to run it; see claim.txt."""
+"""The store does the write of a submission late and unanswered, and the instance that sent it is killed; see claim.txt."""
 
+import json
 import pathlib
 import sys
 import threading
@@ -8,82 +9,121 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 
-from world import BOUNDS, TROUBLE, World, desired_state, item, main, route, submission  # noqa: E402
-from crashing import CrashingReplica  # noqa: E402
-
-STEPS = 6
-GROUPS, SIZE, WANTED = 5, 4, 4
-RESULT_DEADLINE_S = 5
-POISONS = {"item": "bad0", "reward call": "rbadr0"}  # a reward call is named after its item
-CONTACT_S = BOUNDS["contactMs"] / 1000
-TRANSIT_S = 0.2  # from the sending machine to the stand-in, generously
-
-
-def run_step(world, kind, step, carried):
-    """Submits a step, reads its results and ends it; returns the items of the groups that were not complete."""
-    batch = f"b{kind[0]}{step}"
-    items = list(carried)
-    for group in range(GROUPS - len({row["group"] for row in carried})):
-        for index in range(SIZE):
-            is_poison = step == 0 and group == 0 and index == 0 and TROUBLE
-            name = POISONS[kind].removeprefix("r") if is_poison else f"{kind[0]}{step}g{group}i{index}"
-            items.append(item(name, batch, f"g{step}.{group}", prompt=f"a{step}{group}:300"))
+from world import TROUBLE, Replica, Store, World, desired_state, item, main, route, submission  # noqa: E402
+
+BATCH = "b3"
+LATE_S = 2.5  # "done 1 to 6 s later"
+RESTART_S = 0.3
+RETRY_AFTER_S = 2.6  # of the client, after its channel broke
+DEADLINE_S = 12  # of the step
+STEADY_S = 5
+CONTACT_S = 3  # contactMs
+
+
+class LateStore(Store):
+    """Does one write late and gives no answer to it."""
+
+    def __init__(self):
+        self.late_head = None  # key of a head: the next write that creates it is done late
+        self.on_late = lambda what: None
+        super().__init__()
+
+    def handle(self, request):
+        if request.route == "/kv-txn":
+            document = json.loads(request.body)
+            keys = [row["key"] for row in document.get("setKeys", [])]
+            with self.lock:
+                is_late = self.late_head is not None and self.late_head in keys
+                if is_late:
+                    self.late_head = None
+            if is_late:
+                threading.Timer(LATE_S, self._do_late, args=(request.body,)).start()
+                self.on_late("the store gives no answer to the write of the submission, and will do it later if its condition still holds")
+                time.sleep(10)  # the channel returns nothing further
+                request.close_connection = True
+                return
+        super().handle(request)
+
+    def _do_late(self, body):
+        with self.lock:
+            self._expire()
+            status, _ = self._commit_transaction(type("Late", (), {"body": body})())
+        self.on_late(f"the store does the late write: {status}")
+
+
+class CountingEngine(Replica):
+    arrived = []  # (time, item)
+    on_arrival = staticmethod(lambda: None)
+
+    def handle(self, request):
+        if request.route.startswith("/steps/"):
+            self.arrived.append((time.monotonic(), request.route.rsplit("/", 1)[-1]))
+            self.platform.record(f"item {request.headers['Attempt-Id']} runs at {self.name}, behind event {request.headers.get('Last-Event-Id') or 0}")
+            type(self).on_arrival()
+        super().handle(request)
+
+
+def script(world):
+    store = world.store
+    world.start(entries=4, engines=4, services=3, event_interval_s=0.1, events=20,
+                state=desired_state(routes=[route("judge", "/judge/", "safe", "shop", authExempt=True, maxAttempts=4),
+                                            route("steps", "/steps/", "rollout", "pool", resultDeadlineMs=DEADLINE_S * 1000, itemTtlS=40, timeoutMs=10000, targetLatencyMs=400)]))
+    # The instance that runs this route's batches, and one in another zone for the trainer.
+    if world.submit(world.entries[0], "b0", submission([item("first", "b0")])) != 202:
+        raise RuntimeError("the submission was not accepted")
+    name = json.loads(store.value("batch/head/b0"))["owner"]
+    owner = next(entry for entry in world.entries if entry.name == name)
+    near = next(entry for entry in world.entries if entry.zone != owner.zone and sum(other.zone == entry.zone for other in world.entries) == 1)
+    world.wait(lambda: len((world.results(near, "b0")[1] or {"results": []})["results"]) == 1, 5, "the first batch is done")
+    world.end_batch(near, "b0")
+    world.record(f"{owner.name} runs the batches of this route; the trainer's zone is that of {near.name}")
+    time.sleep(1)
+
+    items = [item(f"s{group}.{i}", BATCH, f"g{group}", prompt=f"a{group}:300") for group in range(12) for i in range(4)]
+    body = submission(items, 1, 1, 11)
+    CountingEngine.arrived.clear()
     begun = time.monotonic()
-    entries = world.entries
-    if world.submit(entries[step % 4], batch, submission(items, step, 1, WANTED)) != 202:
+    if TROUBLE:
+        store.on_late = world.record
+        store.late_head = "batch/head/" + BATCH
+        running = threading.Event()
+        CountingEngine.on_arrival = staticmethod(running.set)
+        first = threading.Thread(target=world.submit, args=(owner, BATCH, body))
+        first.start()
+        if not running.wait(5):
+            raise RuntimeError("no item began")
+        world.record("items of the batch begin")
+        time.sleep(0.05)
+        owner.kill()
+        first.join()
+        broken = time.monotonic()
+        time.sleep(RESTART_S)
+        owner.start()
+        world.record(f"{owner.name} is started again")
+        time.sleep(max(0, broken + RETRY_AFTER_S - time.monotonic()))
+    accepted = world.submit(near, BATCH, body, note=", at another daemon" if TROUBLE else "")
+    if accepted != 202:
         raise RuntimeError("the submission was not accepted")
-    must = {row["group"] for row in carried}
-    listed, reads = {}, 0
-    complete = set()
-    while time.monotonic() - begun < RESULT_DEADLINE_S:
-        reads += 1
-        status, document = world.results(entries[(step + reads) % 4], batch, len(listed), 500)
+    accepted_at = time.monotonic()
+
+    listed = {}
+    while time.monotonic() - begun < DEADLINE_S and len(listed) < 44:
+        status, document = world.results(near, BATCH, len(listed), 500)
         for row in document["results"] if status == 200 else []:
             listed[row["id"]] = row["state"]
-        complete = {group for group in {row["group"] for row in items} if all(row["id"] in listed for row in items if row["group"] == group)}
-        if len(complete) >= WANTED and must <= complete:
-            break
-        time.sleep(0.3)
-    world.record(f"step {step}: {len(complete)} of {GROUPS} groups complete after {time.monotonic() - begun:.1f} s")
-    world.end_batch(entries[(step + 1) % 4], batch)
-    return [row for row in items if row["group"] not in complete]
-
-
-def run_steps(world, kind):
-    """Whether the rule held for a request of this kind."""
-    poison, arrivals, lock, current = POISONS[kind], [], threading.Lock(), [0]
-
-    def on_arrival(replica, name, when):
-        with lock:
-            if name == poison:
-                if replica.is_listed:
-                    arrivals.append((when, current[0]))
-                world.record(f"{kind} {name} reaches replica {replica.name} of {replica.service}" + (" and crashes it" if replica.is_listed else ", which is down: not counted"))
-
-    CrashingReplica.on_arrival = staticmethod(on_arrival)
-    CrashingReplica.crashes = []
-    CrashingReplica.poison = frozenset({poison})
-    carried = []
-    for step in range(STEPS):
-        current[0] = step
-        carried = run_step(world, kind, step, carried)[:WANTED // 2 * SIZE]
-        time.sleep(0.5)  # training
-    crashes = sorted(when for when, _, _ in CrashingReplica.crashes)
-    world.record(f"replicas that {kind} {poison} crashed: {len(crashes)}")
-    if len(crashes) < 3:
-        return True
-    late = [step for when, step in arrivals if when > crashes[2] + CONTACT_S + TRANSIT_S]
-    world.record(f"it reached replicas {len(late)} times later than contactMs after the third crash, in {len(set(late))} batch submissions; allowed are 3 retries")
-    return len(set(late)) <= 3
-
-
-def script(world):
-    routes = [route("judge", "/judge/", "safe", "shop", authExempt=True, maxAttempts=4),
-              route("steps", "/steps/", "rollout", "pool", resultDeadlineMs=RESULT_DEADLINE_S * 1000, itemTtlS=40, timeoutMs=10000, targetLatencyMs=400)]
-    world.start(entries=4, engines=8, services=3, state=desired_state(routes=routes), event_interval_s=0.02, events=10)
-    held = run_steps(world, "item")
-    time.sleep(5)  # all replicas are back
-    return run_steps(world, "reward call") and held
+        time.sleep(0.4)
+    now = time.monotonic()
+    last = max((when for when, _ in CountingEngine.arrived), default=begun)
+    at_replicas = {name for _, name in CountingEngine.arrived}
+    world.record(f"{now - accepted_at:.1f} s after the 202, at the end of the step, {len(listed)} of {len(items)} results are listed; {len(at_replicas)} items have been at replicas, "
+                 f"the last one {now - last:.1f} s ago")
+    time.sleep(6)
+    status, document = world.results(near, BATCH, 0, 0)
+    world.record(f"6 s later: {status}, {len(document['results']) if document else 0} results; the last item was at a replica {time.monotonic() - max(when for when, _ in CountingEngine.arrived):.1f} s ago")
+    world.record(f"{owner.name}, which the head names, answers {world.results(owner, BATCH, 0, 0)[0]} to a first read there" if TROUBLE else "the end")
+    # Steady state begins contactMs after the late write, the last disturbance.
+    steady_from = begun + LATE_S + 0.5 + CONTACT_S
+    return len(listed) >= 44 or now - max(last, steady_from) < STEADY_S
 
 
-main(script, lambda: World(FOLDER, engine=CrashingReplica, service=CrashingReplica))
+main(script, lambda: World(FOLDER, engine=CountingEngine, store=LateStore))
