--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 run.py
+cd "$(dirname "$0")" && exec python3 -B run.py
