--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,4 +1,4 @@
-"""The store turns the instance away that reads the desired state for all, and another one stands still; see claim.txt."""
+"""The instance that reads the desired state for all is cut off from the store, and another one stands still; see claim.txt."""
 
 import copy
 import pathlib
@@ -16,9 +16,9 @@
 ROUNDS = 5
 CALM_S = 8  # between the rounds: the disturbance ends, and all are in touch again
 CONVERGE_S = BOUNDS["configConvergeMs"] / 1000
-REFUSED_S = 9.0  # for_s of platform_down (nodes) in the site file
+CUT_S = 6.9  # the longest for_s of core_cut in the site file
 FROZEN_S = 3.2  # the longest for_s of node_freeze there
-FREEZE_AFTER_S = 4.5  # the others read from the refused instance again soon
+FREEZE_AFTER_S = 4.5  # the others read from the cut instance again soon
 ALONE_S = 1.3  # between two watches if one instance alone watches the desired state
 
 class ProxiedWorld(World):
@@ -56,14 +56,14 @@
     world.record(f"round {number}: {reader.name} reads the desired state from the store for all")
     frozen = []
     if TROUBLE:
-        world.record(f"{reader.name} gets no response from the store from now on, for {REFUSED_S} s")
+        world.record(f"{reader.name} is cut off from the store from now on, for {CUT_S} s")
         world.proxies[reader.name].silent = True
 
         def heal():
             world.proxies[reader.name].silent = False
-            world.record(f"{reader.name} is served by the store again")
+            world.record(f"{reader.name} reaches the store again")
 
-        threading.Timer(REFUSED_S, heal).start()
+        threading.Timer(CUT_S, heal).start()
         ready = threading.Event()
 
         def freeze_if_alone(entry, when):
@@ -80,8 +80,8 @@
 
         time.sleep(FREEZE_AFTER_S)
         world.on_watch = freeze
-        if not ready.wait(REFUSED_S - FREEZE_AFTER_S):
-            world.record("the refused instance watches the desired state through no other one alone")
+        if not ready.wait(CUT_S - FREEZE_AFTER_S):
+            world.record("the cut instance watches the desired state through no other one alone")
         world.on_watch = None
     else:
         time.sleep(FREEZE_AFTER_S + 1)
