Log what becomes of batches without an owner, and from where documents are read

Change: an instance logs a batch that it finds without a live owner and why it leaves it, a submission whose key is in the store already and whether that owner lives, a batch that comes to be owned twice; each change of the source of the documents with the ages that decide it; a watch that fails, through whom and after how long.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -177,6 +177,8 @@
         // Step 2. The key exists: written by an earlier attempt of ours or by another instance.
         const auto* entry = answer->entries.empty() ? nullptr : &answer->entries.front();
         const auto head = entry == nullptr ? std::nullopt : decodeHead(id, entry->value);
+        if (head)
+            logEvent(log_level::Info, "batch", "in_store", { { "batch", id.str() }, { "owner", head->owner.str() }, { "incarnation", std::to_string(head->ownerIncarnation.value()) }, { "owner_alive", isAlive(*head) ? "1" : "0" }, { "fence", std::to_string(entry->modRevision.value()) } });
         if (head && isOwnCreation(*entry, submit.head))
             markAccepted(submit, entry->modRevision);
         else if (m_owned.contains(id) && !m_owned.at(id).accepted)
@@ -282,6 +284,8 @@
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(headRevision.value()) } });
     http::memory_claim memory(m_context.clientMemory);
     memory.force(memory_use::Batch, batchBytes(body.size(), spec->items.size())); // a batch that is accepted must be run
+    if (m_owned.contains(head.id))
+        logEvent(log_level::Warning, "batch", "owned_twice", { { "batch", head.id.str() }, { "listed_before", std::to_string(m_runner.listed(head.id).size()) } });
     m_owned[head.id] = { head, true, false, headRevision, false, {}, {}, {}, std::move(memory) };
     m_foreignHeads.erase(head.id);
     if (headRevision != revision())
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -119,7 +119,8 @@
     if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_adoptions.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
         return;
     m_orphans[head.id] = { head, headRevision };
-    m_orphanSince.try_emplace(head.id, m_context.now);
+    if (m_orphanSince.try_emplace(head.id, m_context.now).second)
+        logEvent(log_level::Info, "batch", "orphan", { { "batch", head.id.str() }, { "owner", head.owner.str() }, { "incarnation", std::to_string(head.ownerIncarnation.value()) }, { "fence", std::to_string(headRevision.value()) } });
 }
 
 void batches::onOwnershipLost(const batch_id& id, const char* reason)
@@ -200,8 +201,10 @@
         const instance_id self(m_context.settings.instance.name);
         const bool ownerReturned = orphan.head.owner != self && m_members.find(orphan.head.owner) != nullptr;
         const auto names = instancesFor(places, regionsOf(orphan.head));
-        if (ownerReturned || !adoptionDelay(orphan.head.owner, self, names))
+        if (ownerReturned || !adoptionDelay(orphan.head.owner, self, names)) {
+            logEvent(log_level::Info, "batch", "orphan_left", { { "batch", id.str() }, { "owner", orphan.head.owner.str() }, { "reason", ownerReturned ? "its owner returned" : "others adopt it" } });
             continue;
+        }
         adopt(orphan.head, orphan.headRevision, [this, id](bool adopted) {
             if (!adopted) {
                 m_scanDone = false; // scan again
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -109,6 +109,7 @@
     };
     tree_place treePlace() const;
     void updateSource();
+    void logSource();
     bool isStale(bool isReader) const;
     void askSource();
     void onSourceAnswer(const http::answer& answer, instant askedAt);
@@ -139,6 +140,7 @@
     std::optional<instant> m_outageGraceUntil; // entries that expired in an outage may be missing until then
     view_source m_source;
     std::uint64_t m_sourceCall = 0; // the open call to the source; 0 = none
+    std::string m_loggedSource; // the last one logged
     std::string m_askedSource; // the instance that was asked last
     std::string m_sourceDigests; // its digests() in its last answer; empty = none yet
     instant m_askAt {}; // not before
--- a/src/edge/platform_view_peers.cpp
+++ b/src/edge/platform_view_peers.cpp
@@ -104,6 +104,18 @@
     m_source.setSources(std::move(sources), isReader, m_context.now);
     const bool hasCopy = std::all_of(m_documents.begin(), m_documents.begin() + EvacuationsIndex, [](const document& doc) { return doc.known; });
     m_source.update(!hasCopy || isStale(isReader), hasCopy, m_context.now);
+    logSource();
+}
+
+// Logs each change of the source, with the ages that decide it.
+void platform_view::logSource()
+{
+    const auto source = mustReadStore() ? std::string("store") : m_source.source();
+    if (source == m_loggedSource)
+        return;
+    m_loggedSource = source;
+    const auto ageOf = [this](document_index index) { return m_documents[index].known ? std::to_string(toMilliseconds(m_context.now - m_documents[index].confirmedAt)) : std::string("none"); };
+    logEvent(log_level::Info, "knowledge", "source", { { "from", source }, { "config_age_ms", ageOf(ConfigIndex) }, { "members_age_ms", ageOf(MembersIndex) }, { "targets_age_ms", ageOf(TargetsIndex) } });
 }
 
 bool platform_view::isStale(bool isReader) const
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -89,6 +89,13 @@
     return directWorks() || !m_peers || m_peers().empty() ? call_path::Direct : call_path::ThroughPeer;
 }
 
+// The peer that relays the next call.
+std::string store_link::nextPeer() const
+{
+    const auto peers = m_peers();
+    return peers[m_nextPeer % peers.size()];
+}
+
 // Tries the direct path while calls go through peers, by a read of its own: a call of another
 // component would fail for the sake of the test, and with it perhaps a lease.
 void store_link::probeDirectPath()
@@ -121,10 +128,10 @@
         });
         return;
     }
-    const auto peers = m_peers();
     http::request relayed;
     relayed.method = "POST";
-    relayed.url = "http://" + peers[m_nextPeer++ % peers.size()] + std::string(relayPath);
+    relayed.url = "http://" + nextPeer() + std::string(relayPath);
+    ++m_nextPeer;
     relayed.headers.emplace_back(methodHeader, request.method);
     relayed.headers.emplace_back(targetHeader, targetOf(request.url));
     relayed.body = std::move(request.body);
@@ -235,7 +242,10 @@
     auto request = platform::encodeWatch(m_address, { watch.prefix, watch.after, watch.wait });
     request.totalTimeout = watch.wait + m_settings.maxTimeout;
     // lastId() is the id of this transfer; its answer comes only from a later poll().
-    send("watch " + watch.prefix, std::move(request), choosePath(), [this, id](const http::answer& answer) { onWatch(id, answer); });
+    const auto path = choosePath();
+    watch.openedAt = m_now;
+    watch.through = path == call_path::Direct ? std::string("direct") : nextPeer();
+    send("watch " + watch.prefix, std::move(request), path, [this, id](const http::answer& answer) { onWatch(id, answer); });
     watch.transfer = m_net.lastId();
 }
 
@@ -248,6 +258,7 @@
     watch.transfer = 0;
     const auto response = platform::decodeWatchResponse(answer);
     if (!response) {
+        logEvent(log_level::Info, "store", "watch_failed", { { "prefix", watch.prefix }, { "through", watch.through }, { "after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - watch.openedAt).count()) }, { "error", toString(response.error()) } });
         watch.reopenAt = m_now + m_settings.watchRetryDelay;
         return;
     }
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -83,6 +83,8 @@
         watch_function onResponse;
         std::uint64_t transfer = 0; // 0 = not open
         instant reopenAt {};
+        instant openedAt {};
+        std::string through {}; // the peer that relays it; "direct" without one
     };
     enum class call_path {
         Direct,
@@ -91,6 +93,7 @@
 
     void listFrom(const std::string& cause, kv_range range, kv_answer soFar, answer_function onAnswer);
     call_path choosePath() const;
+    std::string nextPeer() const;
     void probeDirectPath();
     void send(std::string_view cause, http::request request, call_path path, std::function<void(const http::answer&)> onAnswer);
     void recordDirectOutcome(const http::answer& answer);
