--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -8,6 +8,7 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace lovagerail::edge {
 
@@ -60,10 +61,15 @@
 
 void batches::onSubmit(const http::exchange_ptr& exchange, batch_head head, submit_options options)
 {
-    // Step 1. A repeated submission: already accepted here, or its write is in flight. One
-    // for which another instance is the preferred owner is forwarded.
-    if (const auto owned = m_owned.find(head.id); owned != m_owned.end() && owned->second.accepted) {
-        respond(exchange, owned->second.head.account == head.account ? statusAccepted : statusConflict, "");
+    // Step 1. A repeated submission: already accepted here, being taken over, or its write is in
+    // flight. One for which another instance is the preferred owner is forwarded.
+    const auto answerRepeated = [&](const batch_head& accepted) { respond(exchange, accepted.account == head.account ? statusAccepted : statusConflict, ""); };
+    if (ownsAccepted(head.id)) {
+        answerRepeated(m_owned.at(head.id).head);
+        return;
+    }
+    if (const auto adoption = m_adoptions.find(head.id); adoption != m_adoptions.end()) {
+        answerRepeated(adoption->second.head);
         return;
     }
     const auto giveUpAt = m_context.now + (options.deadline ? *options.deadline - submitDeadlineMargin : defaultSubmitTimeout);
@@ -201,6 +207,7 @@
 // batch can't be run here; finishSubmit() drops it if it is not accepted in the end.
 void batches::runBeforeAcceptance(const pending_submit& submit)
 {
+    assert(!m_adoptions.contains(submit.head.id));
     if (m_owned.contains(submit.head.id) || m_stopping)
         return;
     if (!takeOwnership(submit.head, {}, submit.body, {}, 0))
@@ -253,7 +260,13 @@
     for (const auto& waiter : submit.waiters)
         respond(waiter, status, "");
     if (m_owned.contains(id) && !m_owned.at(id).accepted)
-        onOwnershipLost(id, "it was not accepted in time");
+        onOwnershipLost(id, "it was not accepted as this instance's");
+}
+
+bool batches::ownsAccepted(const batch_id& id) const
+{
+    const auto owned = m_owned.find(id);
+    return owned != m_owned.end() && owned->second.accepted;
 }
 
 // What the configuration in force says of the batch; empty if it has no such route.
@@ -273,6 +286,7 @@
 // be decoded, or if its head names no route and it has been removed.
 bool batches::takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages)
 {
+    assert(!m_owned.contains(head.id) && !m_runner.has(head.id));
     auto spec = platform::decodeSubmission(head, body);
     const auto decided = head.decided ? head.decided : routeInForce(head);
     if (!spec || !decided) {
@@ -284,8 +298,6 @@
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(headRevision.value()) } });
     http::memory_claim memory(m_context.clientMemory);
     memory.force(memory_use::Batch, batchBytes(body.size(), spec->items.size())); // a batch that is accepted must be run
-    if (m_owned.contains(head.id))
-        logEvent(log_level::Warning, "batch", "owned_twice", { { "batch", head.id.str() }, { "listed_before", std::to_string(m_runner.listed(head.id).size()) } });
     m_owned[head.id] = { head, true, false, headRevision, false, {}, {}, {}, std::move(memory) };
     m_foreignHeads.erase(head.id);
     if (headRevision != revision())
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -53,7 +53,7 @@
     // A batch that this instance owns; its items are in m_runner.
     struct owned_batch {
         batch_head head;
-        bool accepted = true; // false: its submission is not in the store yet, and callers can't see it
+        bool accepted = true; // false: its submission is pending, and callers can't see the batch
         bool mayHaveStoredTexts = false; // the store may hold a record of partial texts, to delete at the end
         revision headRevision; // store revision of the head; fences all writes
         bool endWritePending = false; // a write of the ended head is in flight
@@ -63,6 +63,7 @@
         http::memory_claim memory {}; // of its items
     };
     // A submission whose write is not settled. Once its callers are answered it has no waiters any more.
+    // No batch is pending and being taken over at once: what is taken over is in the store, so it was accepted.
     struct pending_submit {
         batch_head head;
         std::vector<http::exchange_ptr> waiters;
@@ -101,6 +102,8 @@
     bool hasRoomToParse(const http::exchange_ptr& exchange, const batch_head& head, http::memory_claim& parsing) const;
     void refuseForWantOfRoom(const http::exchange_ptr& exchange, const batch_head& head, std::string_view what) const;
     std::optional<batch_route> routeInForce(const batch_head& head) const;
+    // Whether this instance owns the batch, and its head in the store says so.
+    bool ownsAccepted(const batch_id& id) const;
     bool takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages);
     const member* preferredOwner(const batch_head& head) const;
     void forwardSubmit(const http::exchange_ptr& exchange, const batch_head& head, const member& owner, submit_options options);
@@ -210,7 +213,7 @@
         instant retryAt {};
         adoption_function onDone;
     };
-    std::map<batch_id, take_over> m_adoptions;
+    std::map<batch_id, take_over> m_adoptions; // none of them in m_owned or m_pendingSubmits
     std::uint64_t m_lastAdoption = 0;
     std::vector<heads_function> m_headsWaiting; // requests for all heads that the next read answers
     bool m_readingHeads = false;
--- a/src/edge/batches_adoption.cpp
+++ b/src/edge/batches_adoption.cpp
@@ -14,14 +14,18 @@
 
 void batches::adopt(const batch_head& head, revision headRevision, adoption_function onDone)
 {
-    if (const auto owned = m_owned.find(head.id); owned != m_owned.end()) {
-        onDone(owned->second.accepted);
+    if (ownsAccepted(head.id)) {
+        onDone(true);
         return;
     }
     if (head.ended || m_adoptions.contains(head.id)) {
         onDone(false);
         return;
     }
+    // The head shows that the batch was accepted, so a repeated submission of it is settled. Texts that
+    // were begun for it are kept, and the take-over goes on with them.
+    if (const auto pending = m_pendingSubmits.find(head.id); pending != m_pendingSubmits.end())
+        finishSubmit(head.id, pending->second.head.account == head.account ? statusAccepted : statusConflict);
     auto& started = m_adoptions[head.id];
     started.number = ++m_lastAdoption;
     started.head = head;
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -116,7 +116,7 @@
 
 void batches::recordOrphan(const batch_head& head, revision headRevision)
 {
-    if (head.ended || isAlive(head) || m_owned.contains(head.id) || m_adoptions.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
+    if (head.ended || isAlive(head) || ownsAccepted(head.id) || m_adoptions.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
         return;
     m_orphans[head.id] = { head, headRevision };
     if (m_orphanSince.try_emplace(head.id, m_context.now).second)
@@ -196,7 +196,7 @@
         const auto orphan = m_orphans.at(id);
         m_orphans.erase(id);
         m_orphanSince.erase(id);
-        if (isAlive(orphan.head) || m_owned.contains(id))
+        if (isAlive(orphan.head) || ownsAccepted(id))
             continue;
         const instance_id self(m_context.settings.instance.name);
         const bool ownerReturned = orphan.head.owner != self && m_members.find(orphan.head.owner) != nullptr;
