--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -189,8 +189,10 @@
             markAccepted(submit, entry->modRevision);
         else if (m_owned.contains(id) && !m_owned.at(id).accepted)
             onOwnershipLost(id, "another instance accepted it");
-        if (head && !m_owned.contains(id))
+        if (head && !m_owned.contains(id)) {
             m_foreignHeads[id] = { *head, entry->modRevision };
+            recordOrphan(*head, entry->modRevision); // if its owner is gone: the submission is answered as accepted, so it must be run
+        }
         finishSubmit(id, !head ? statusServerError : head->account == submit.head.account ? statusAccepted
                                                                                           : statusConflict);
     } else {
@@ -410,6 +412,10 @@
         answerHeadsRequest(exchange);
         return true;
     }
+    if (exchange->path == orphansPath) {
+        answerOrphans(exchange);
+        return true;
+    }
     if (exchange->path == "/handover") {
         const auto value = parseJson(exchange->body);
         const batch_id id(value ? jsonText(*value, "batch") : std::string());
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -20,10 +20,14 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lovagerail::edge {
 
+// Call to another instance: heads of batches that it has to take over.
+inline constexpr std::string_view orphansPath = "/orphans";
+
 class batches {
 public:
     batches(context& shared, target_link& link, members& membership, caller_frontend& calls, target_limits& limits);
@@ -156,6 +160,11 @@
     void answerHeadsRequest(const http::exchange_ptr& exchange);
     void dropLostBatches(const std::vector<kv_entry>& heads);
     void recordOrphan(const batch_head& head, revision headRevision);
+    void adoptOrphan(const batch_id& id);
+    // Batches by the instance to which they are passed on.
+    using orphans_by_adopter = std::map<instance_id, std::vector<batch_id>>;
+    void passOnOrphans(const instance_id& adopter, const std::vector<batch_id>& ids);
+    void answerOrphans(const http::exchange_ptr& exchange);
     using adoption_function = std::function<void(bool)>;
     void adopt(const batch_head& head, revision headRevision, adoption_function onDone);
     void continueAdoption(const batch_id& id);
@@ -201,8 +210,13 @@
         revision headRevision;
     };
     std::map<batch_id, known_head> m_foreignHeads; // batches of other owners, as last read or reported
-    std::map<batch_id, known_head> m_orphans; // batches without a live owner; taken over after a grace period
-    std::map<batch_id, instant> m_orphanSince;
+    // A batch without a live owner: taken over after a grace period, or passed on to who does that.
+    struct orphan_batch {
+        known_head known;
+        instant since {}; // when it was found
+        instant passOnAt {}; // not before, after an attempt to pass it on
+    };
+    std::map<batch_id, orphan_batch> m_orphans;
     // A take-over of a batch; the batch is in m_owned once it is finished.
     struct take_over {
         std::uint64_t number = 0; // tells it from a later one of the same batch
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -395,7 +395,6 @@
 void batches::onEndedElsewhere(const batch_head& head)
 {
     m_orphans.erase(head.id);
-    m_orphanSince.erase(head.id);
     if (const auto pending = m_pendingSubmits.find(head.id); pending != m_pendingSubmits.end() && pending->second.head.account == head.account)
         finishSubmit(head.id, statusAccepted);
     if (m_adoptions.contains(head.id))
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -16,6 +16,8 @@
     constexpr std::chrono::milliseconds handOverTimeout { 2500 };
     constexpr duration headsCollectTime = std::chrono::milliseconds(50);
     constexpr std::chrono::milliseconds headsTimeout { 1500 };
+    constexpr std::chrono::milliseconds passOnTimeout { 500 };
+    constexpr duration passOnRetryDelay = std::chrono::milliseconds(700); // longer than the call
 
 } // namespace
 
@@ -118,9 +120,13 @@
 {
     if (head.ended || isAlive(head) || ownsAccepted(head.id) || m_adoptions.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
         return;
-    m_orphans[head.id] = { head, headRevision };
-    if (m_orphanSince.try_emplace(head.id, m_context.now).second)
-        logEvent(log_level::Info, "batch", "orphan", { { "batch", head.id.str() }, { "owner", head.owner.str() }, { "incarnation", std::to_string(head.ownerIncarnation.value()) }, { "fence", std::to_string(headRevision.value()) } });
+    const auto [found, isNew] = m_orphans.try_emplace(head.id);
+    found->second.known = { head, headRevision };
+    if (!isNew)
+        return;
+    found->second.since = m_context.now;
+    logEvent(log_level::Info, "batch", "orphan",
+        { { "batch", head.id.str() }, { "owner", head.owner.str() }, { "incarnation", std::to_string(head.ownerIncarnation.value()) }, { "fence", std::to_string(headRevision.value()) } });
 }
 
 void batches::onOwnershipLost(const batch_id& id, const char* reason)
@@ -163,8 +169,69 @@
     });
 }
 
-// Takes over batches of lost members that rendezvous hashing assigns to this instance, and
-// starts the check for batches that we lost while our own lease had expired.
+void batches::adoptOrphan(const batch_id& id)
+{
+    const auto orphan = m_orphans.extract(id).mapped();
+    adopt(orphan.known.head, orphan.known.headRevision, [this, id](bool adopted) {
+        if (!adopted) {
+            m_scanDone = false; // scan again
+            m_scanRetryAt = m_context.now + scanRetryDelay;
+        }
+        logEvent(log_level::Info, "batch", "adopted", { { "batch", id.str() }, { "done", adopted ? "1" : "0" } });
+    });
+}
+
+// Tells another instance of batches that it has to take over. They stay on record here until it has them in hand.
+void batches::passOnOrphans(const instance_id& adopter, const std::vector<batch_id>& ids)
+{
+    std::vector<kv_entry> heads;
+    for (const auto& id : ids) {
+        auto& orphan = m_orphans.at(id);
+        orphan.passOnAt = m_context.now + passOnRetryDelay;
+        kv_entry entry;
+        entry.key = headKey(id);
+        entry.value = encodeHead(orphan.known.head);
+        entry.modRevision = orphan.known.headRevision;
+        heads.push_back(std::move(entry));
+    }
+    const auto& address = m_members.find(adopter)->address;
+    m_context.net.call(peerCall(address, std::string(orphansPath), writeJson(entriesJson(heads)), passOnTimeout), [this, adopter, ids](const http::answer& answer) {
+        const bool inHand = isOk(answer);
+        // An instance of an older version does not take such a call; it finds the batches when they are read there.
+        const bool isUnknownCall = answer.outcome == http::transfer_result::Complete && answer.status == statusNotFound;
+        logEvent(log_level::Info, "batch", "passed_on", { { "batches", std::to_string(ids.size()) }, { "first", ids.front().str() }, { "to", adopter.str() }, { "status", std::to_string(answer.status) } });
+        if (!inHand && !isUnknownCall)
+            return;
+        for (const auto& id : ids)
+            m_orphans.erase(id);
+    });
+}
+
+// Answers 200 if all batches that the other instance found are run, taken over, or on record here.
+void batches::answerOrphans(const http::exchange_ptr& exchange)
+{
+    const auto rows = parseJson(exchange->body);
+    if (!rows || !rows->isArray() || m_stopping) {
+        respond(exchange, statusUnavailable, "");
+        return;
+    }
+    bool inHand = true;
+    for (const auto& entry : entriesFromJson(*rows)) {
+        if (entry.key.rfind(headPrefix, 0) != 0)
+            continue;
+        const batch_id id(entry.key.substr(headPrefix.size()));
+        const auto head = decodeHead(id, entry.value);
+        if (!head)
+            continue;
+        recordOrphan(*head, entry.modRevision);
+        inHand = inHand && (ownsAccepted(id) || m_adoptions.contains(id) || m_orphans.contains(id));
+    }
+    respond(exchange, inHand ? statusOk : statusConflict, "");
+}
+
+// Takes over batches of lost members that rendezvous hashing assigns to this instance, passes on
+// those that others have to take, and starts the check for batches that we lost while our own
+// lease had expired.
 void batches::adoptOrphans()
 {
     const bool ready = m_members.known() && m_members.joined() && m_context.site && !m_stopping;
@@ -174,45 +241,36 @@
         m_scanDone = false;
         m_recheckOwned = true;
     }
+    const instance_id self(m_context.settings.instance.name);
     for (const auto& name : ready ? m_members.takeLostMembers() : std::vector<instance_id>()) {
         // Only members of allowed regions count for a batch. One that is among its adopters is among
         // those of its own region too.
-        const instance_id self(m_context.settings.instance.name);
         const auto nearby = instancesFor(m_members.places(), { std::set<region_id> { m_members.ownRegion() }, {} });
         if (adoptionDelay(name, self, m_members.names()) || (m_context.site->hasRegionRules() && adoptionDelay(name, self, nearby)))
             m_scanDone = false;
     }
     if (!ready || m_orphans.empty())
         return;
+    std::erase_if(m_orphans, [this](const auto& entry) {
+        const auto& head = entry.second.known.head;
+        return isAlive(head) || ownsAccepted(entry.first) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept;
+    });
     const auto places = m_members.places();
     std::vector<batch_id> adoptable;
+    orphans_by_adopter passedOn;
     for (const auto& [id, orphan] : m_orphans) {
-        const auto names = instancesFor(places, regionsOf(orphan.head));
-        const auto delay = adoptionDelay(orphan.head.owner, instance_id(m_context.settings.instance.name), names);
-        if (!delay || m_context.now - m_orphanSince.at(id) >= *delay)
-            adoptable.push_back(id);
-    }
-    for (const auto& id : adoptable) {
-        const auto orphan = m_orphans.at(id);
-        m_orphans.erase(id);
-        m_orphanSince.erase(id);
-        if (isAlive(orphan.head) || ownsAccepted(id))
+        const auto plan = planOrphan(orphan.known.head.owner, self, instancesFor(places, regionsOf(orphan.known.head)));
+        if (m_context.now < orphan.since + plan.after || m_context.now < orphan.passOnAt)
             continue;
-        const instance_id self(m_context.settings.instance.name);
-        const bool ownerReturned = orphan.head.owner != self && m_members.find(orphan.head.owner) != nullptr;
-        const auto names = instancesFor(places, regionsOf(orphan.head));
-        if (ownerReturned || !adoptionDelay(orphan.head.owner, self, names)) {
-            logEvent(log_level::Info, "batch", "orphan_left", { { "batch", id.str() }, { "owner", orphan.head.owner.str() }, { "reason", ownerReturned ? "its owner returned" : "others adopt it" } });
-            continue;
-        }
-        adopt(orphan.head, orphan.headRevision, [this, id](bool adopted) {
-            if (!adopted) {
-                m_scanDone = false; // scan again
-                m_scanRetryAt = m_context.now + scanRetryDelay;
-            }
-            logEvent(log_level::Info, "batch", "adopted", { { "batch", id.str() }, { "done", adopted ? "1" : "0" } });
-        });
+        if (plan.next == orphan_plan::step::Adopt)
+            adoptable.push_back(id);
+        else if (plan.next == orphan_plan::step::PassOn)
+            passedOn[plan.to].push_back(id);
     }
+    for (const auto& id : adoptable)
+        adoptOrphan(id);
+    for (const auto& [adopter, ids] : passedOn)
+        passOnOrphans(adopter, ids);
 }
 
 } // namespace lovagerail::edge
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -20,6 +20,7 @@
 import time
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from types import SimpleNamespace
 
 from kit import free_ports
 
@@ -149,6 +150,7 @@
         self.lose_answers_to = []  # prefixes of keys: for each, the next write of such a key is applied without answering
         self.refuse_writes_to = set()  # prefixes of keys whose writes are refused with 503
         self.listing_delays_s = {}  # by prefix of the listing's own prefix
+        self.late_writes_to = {}  # by prefix of keys: delay of the next write of such a key, which is not answered; its condition holds or not at that time
         self.unanswered_submissions = 0  # number of batch submissions to apply without answering while the connection stays open
         super().__init__()
 
@@ -222,6 +224,11 @@
         if any(key.startswith(tuple(self.refuse_writes_to)) for key in written_keys):
             request.respond(503)
             return
+        if late_prefix := next((prefix for prefix in self.late_writes_to if any(key.startswith(prefix) for key in written_keys)), None):
+            threading.Timer(self.late_writes_to.pop(late_prefix), self._write_late, args=(request.body,)).start()
+            time.sleep(UNANSWERED_HOLD_S)
+            request.break_connection()
+            return
         with self.lock:
             status, body = getattr(self, {"kv-key": "_get_key", "kv-range": "_list_range", "kv-txn": "_commit_transaction",
                                           "kv-lease": "_grant_lease", "kv-keep": "_keep_lease", "kv-lease-end": "_revoke_lease"}[operation[1]])(request)
@@ -241,6 +248,11 @@
         else:
             request.respond(status, body)
 
+    def _write_late(self, body):
+        with self.lock:
+            self._expire()
+            self._commit_transaction(SimpleNamespace(body=body))
+
     def _get_key(self, request):
         key = request.query["key"]
         return (200, {**self._key_json(key), "currentRev": self.revision}) if key in self.keys else (404, {})
--- a/tests/process/test_entry_returned_owners.py
+++ b/tests/process/test_entry_returned_owners.py
@@ -5,7 +5,7 @@
 import unittest
 
 from entry_world import EntryCase, submission
-from kit import wait_until
+from kit import CONNECTION_ERRORS, wait_until
 
 
 class EntryReturnedOwners(EntryCase):
@@ -45,6 +45,42 @@
         self.assertEqual((results[:len(read)], len(set(results))), (read, 40))
         self.assertEqual([result["id"] for result in self.wait_for_results(other, "b1", 5)], results)
 
+    def killed_during_a_late_submission(self, entries, late_s=2.5):
+        """The owner of a submission whose write the store does late is killed and returns before it is done. Returns
+        that instance and the other one."""
+        first_owner, _ = self.submit_to_owner(entries, "b0", submission(1, step=7))  # the same instance runs all batches of the route
+        self.assertEqual(self.end(first_owner, "b0"), 200)
+        self.platform.store.late_writes_to = {"batch/body/": late_s}
+
+        def submit():
+            try:
+                self.submit(first_owner, "b1", submission(2))
+            except CONNECTION_ERRORS:
+                pass  # killed
+
+        submitting = threading.Thread(target=submit)
+        submitting.start()
+        wait_until(lambda: not self.platform.store.late_writes_to, "the submission is written")
+        time.sleep(0.1)
+        returned = self.restart(first_owner)
+        submitting.join()
+        wait_until(returned.is_ready, "the killed instance has returned")
+        wait_until(lambda: self.platform.store.value("batch/head/b1") is not None, "the late write is done", late_s + 2)
+        time.sleep(0.3)
+        return returned, next(entry for entry in entries if entry is not first_owner)
+
+    # Guards against a batch that nobody runs, as its head was written late and names an earlier process of an instance that has returned:
+    # a repeated submission finds the head.
+    def test_a_batch_whose_head_was_written_late_is_run_when_it_is_submitted_again(self):
+        _, other = self.killed_during_a_late_submission(self.start_entries())
+        self.assertEqual(self.submit(other, "b1", submission(2)).status, 202)
+        self.assertEqual(len(self.wait_for_results(other, "b1", 8)), 4)
+
+    # The same, where a read at another instance finds the head.
+    def test_a_batch_whose_head_was_written_late_is_run_when_it_is_read_elsewhere(self):
+        _, other = self.killed_during_a_late_submission(self.start_entries())
+        self.assertEqual(len(self.wait_for_results(other, "b1", 8)), 4)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -133,6 +133,32 @@
     BOOST_TEST(!adoptionDelay(owner, instance_id("stranger"), members).has_value());
 }
 
+// Guards against a batch that all instances leave alone: each one that finds it takes it over, or passes it on to one that does.
+BOOST_AUTO_TEST_CASE(whoever_finds_a_batch_without_an_owner_has_it_taken_over)
+{
+    using step = orphan_plan::step;
+    std::vector<instance_id> members;
+    for (int i = 0; i < 12; ++i)
+        members.emplace_back("entry-" + std::to_string(i));
+    for (const auto& owner : { members[4], instance_id("gone") }) {
+        for (const auto& finder : members) {
+            auto holder = finder;
+            auto plan = planOrphan(owner, holder, members);
+            BOOST_TEST((plan.next == step::Adopt) == (adoptionDelay(owner, finder, members).has_value() && (owner == finder || owner == instance_id("gone"))));
+            if (plan.next == step::PassOn) {
+                holder = plan.to;
+                plan = planOrphan(owner, holder, members);
+            }
+            BOOST_TEST((plan.next == step::Adopt), owner.str() << " found by " << finder.str());
+            if (owner == members[4])
+                BOOST_TEST(holder.str() == owner.str());
+        }
+    }
+    // One that may not run the batch passes it on as well, and waits if nobody may.
+    BOOST_TEST((planOrphan(members[4], instance_id("elsewhere"), members).next == step::PassOn));
+    BOOST_TEST((planOrphan(members[4], members[0], {}).next == step::Wait));
+}
+
 BOOST_AUTO_TEST_CASE(page_keys_sort_by_page_number)
 {
     BOOST_TEST(pageKey(batch_id("b"), 9) < pageKey(batch_id("b"), 10));
