Batches: late answers belong to the ownership under which their calls were made

An instance may lose a batch and own it again while a call about it is open. The answer to a write of a page, of texts or of an end, or to a reward call, was then taken for one of the present ownership: a page of the old one counted as written, or its failed condition as the loss of the present one. The check for lost batches also believed heads that were read before this instance wrote its own. Change: each ownership has a number, which the calls carry; heads that are not newer than the one that this instance wrote are ignored. Conclusion: no batch is given up for an answer that speaks of an earlier ownership.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -271,6 +271,12 @@
     return owned != m_owned.end() && owned->second.accepted;
 }
 
+batches::owned_batch* batches::findOwned(const batch_id& id, std::uint64_t ownership)
+{
+    const auto owned = m_owned.find(id);
+    return owned == m_owned.end() || owned->second.ownership != ownership ? nullptr : &owned->second;
+}
+
 // What the configuration in force says of the batch; empty if it has no such route.
 std::optional<batch_route> batches::routeInForce(const batch_head& head) const
 {
@@ -300,7 +306,7 @@
             { "items", std::to_string(spec->items.size()) }, { "listed", std::to_string(listed.size()) }, { "fence", std::to_string(headRevision.value()) } });
     http::memory_claim memory(m_context.clientMemory);
     memory.force(memory_use::Batch, batchBytes(body.size(), spec->items.size())); // a batch that is accepted must be run
-    m_owned[head.id] = { head, true, false, headRevision, false, {}, {}, {}, std::move(memory) };
+    m_owned[head.id] = { ++m_lastOwnership, head, true, false, headRevision, false, {}, {}, {}, std::move(memory) };
     m_foreignHeads.erase(head.id);
     if (headRevision != revision())
         sendOwnerHint(head);
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -56,6 +56,7 @@
 private:
     // A batch that this instance owns; its items are in m_runner.
     struct owned_batch {
+        std::uint64_t ownership = 0; // tells it from an earlier or later one of the same batch, to which late answers may belong
         batch_head head;
         bool accepted = true; // false: its submission is pending, and callers can't see the batch
         bool mayHaveStoredTexts = false; // the store may hold a record of partial texts, to delete at the end
@@ -108,6 +109,8 @@
     std::optional<batch_route> routeInForce(const batch_head& head) const;
     // Whether this instance owns the batch, and its head in the store says so.
     bool ownsAccepted(const batch_id& id) const;
+    // The batch, if it is still owned as it was when a call was made; else null.
+    owned_batch* findOwned(const batch_id& id, std::uint64_t ownership);
     bool takeOwnership(const batch_head& head, revision headRevision, std::string_view body, std::vector<batch_result> listed, std::uint32_t pages);
     const member* preferredOwner(const batch_head& head) const;
     void forwardSubmit(const http::exchange_ptr& exchange, const batch_head& head, const member& owner, submit_options options);
@@ -195,6 +198,7 @@
     target_limits& m_limits;
     batch_runner m_runner;
     std::map<batch_id, owned_batch> m_owned; // the same batches as in m_runner
+    std::uint64_t m_lastOwnership = 0;
     std::map<batch_id, pending_submit> m_pendingSubmits;
     struct forwarded_submit {
         http::exchange_ptr exchange;
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -191,11 +191,11 @@
     change.then.emplace_back(kv_put { write.key, write.value, {} });
     if (owned.mayHaveStoredTexts)
         change.then.emplace_back(kv_delete { textsKey(id), {} });
-    m_context.store.call("batch end", std::move(change), [this, id, endedHead, openPage, write = std::move(write)](const result<kv_answer>& answer) {
-        const auto found = m_owned.find(id);
-        if (found == m_owned.end())
+    m_context.store.call("batch end", std::move(change), [this, id, endedHead, openPage, write = std::move(write), ownership = owned.ownership](const result<kv_answer>& answer) {
+        auto* found = findOwned(id, ownership);
+        if (found == nullptr)
             return;
-        auto& current = found->second;
+        auto& current = *found;
         current.endWritePending = false;
         current.endRetryAt = m_context.now + endRetryDelay;
         const auto verdict = judgeWrite(write, answer);
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -110,6 +110,8 @@
         const auto head = decodeHead(id, entry.value);
         if (owned == m_owned.end() || !head || !owned->second.accepted)
             continue;
+        if (entry.modRevision <= owned->second.headRevision)
+            continue; // read before this instance wrote the head
         const bool sameOwner = head->owner == owned->second.head.owner && head->ownerIncarnation == owned->second.head.ownerIncarnation;
         if (!sameOwner || (head->ended && !owned->second.head.ended && owned->second.endWaiters.empty()))
             onOwnershipLost(id, sameOwner ? "another instance ended it" : "another instance took it over");
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -158,8 +158,10 @@
 void batches::callJudge(const judge_item& action)
 {
     const auto& item = m_runner.spec(action.batch)->items[action.index];
-    const auto& head = m_owned.at(action.batch).head;
-    m_frontend.callService(*item.judge, judgeDeadline, head.account, head.originRegion, [this, batch = action.batch, index = action.index](const caller_frontend::service_answer& answer) {
+    const auto& owned = m_owned.at(action.batch);
+    m_frontend.callService(*item.judge, judgeDeadline, owned.head.account, owned.head.originRegion, [this, batch = action.batch, index = action.index, ownership = owned.ownership](const caller_frontend::service_answer& answer) {
+        if (findOwned(batch, ownership) == nullptr)
+            return; // the text may be another one by now
         auto outcome = judge_outcome::Retry;
         if (isSuccess(answer.status) && !answer.proof.empty())
             outcome = judge_outcome::Scored;
@@ -177,9 +179,8 @@
     change.compares.push_back({ write.guard, kv_field::ModRevision, write.guardRevision, {} });
     change.compares.push_back({ write.key, kv_field::ModRevision, {}, {} });
     change.then.emplace_back(kv_put { write.key, encodeBatchPage(action.results), {} });
-    m_context.store.call("batch page", std::move(change), [this, action, write = std::move(write)](const result<kv_answer>& answer) {
-        const auto found = m_owned.find(action.batch);
-        if (found == m_owned.end())
+    m_context.store.call("batch page", std::move(change), [this, action, write = std::move(write), ownership = owned.ownership](const result<kv_answer>& answer) {
+        if (findOwned(action.batch, ownership) == nullptr)
             return;
         const auto verdict = judgeWrite(write, answer);
         if (verdict.state == write_state::Overtaken) {
@@ -202,7 +203,9 @@
     kv_transaction change;
     change.compares.push_back({ headKey(action.batch), kv_field::ModRevision, owned.headRevision, {} });
     change.then.emplace_back(kv_put { textsKey(action.batch), writeJson(encodeTexts(action.texts)), {} });
-    m_context.store.call("batch texts", std::move(change), [this, id = action.batch, items = action.texts.size()](const result<kv_answer>& answer) {
+    m_context.store.call("batch texts", std::move(change), [this, id = action.batch, items = action.texts.size(), ownership = owned.ownership](const result<kv_answer>& answer) {
+        if (findOwned(id, ownership) == nullptr)
+            return;
         const bool written = answer && answer->succeeded;
         logEvent(written ? log_level::Info : log_level::Warning, "batch", written ? "texts_saved" : "texts_not_saved",
             { { "batch", id.str() }, { "items", std::to_string(items) }, { "error", answer ? std::string() : toString(answer.error()) } });
