--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -46,6 +46,7 @@
             time("duties", "usage_window", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.duties.usageWindow; }),
             time("duties", "usage_late", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.duties.usageLate; }),
             time("duties", "turn_time", 0, msPerMinute, [](s& v) -> std::chrono::milliseconds& { return v.duties.turnTime; }),
+            time("bounds", "configuration", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.configuration; }),
             time("bounds", "drain", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.drain; }),
             time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
             time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -41,6 +41,7 @@
         std::chrono::milliseconds turnTime { 0 };
     } duties;
     struct {
+        std::chrono::milliseconds configuration { 2000 }; // a configuration is in force everywhere this long after the store has accepted it
         std::chrono::milliseconds drain { 2000 }; // a target gets no new requests this long after the store lists it as leaving
         std::chrono::milliseconds stop { 8000 }; // from SIGTERM to SIGKILL
         std::chrono::milliseconds resultsKept { 120'000 }; // retention of results, from a batch's submission
--- a/src/edge/platform_view.cpp
+++ b/src/edge/platform_view.cpp
@@ -18,9 +18,10 @@
     // The platform bounds how long after its notice a leaving target may still get new
     // requests. The list is read again after this share of that bound.
     constexpr double listReadShare = 0.45;
-    // A configuration must be in force within 2 s of its acceptance, also if the store stops
-    // answering on an open watch.
-    constexpr std::chrono::milliseconds configWatchWait { 1500 };
+    // A watch of the configuration waits so long at most, as a share of its bound: the answer confirms the
+    // copies of all instances, and the rest is left for those that get none.
+    constexpr double configWatchShare = 0.4;
+    constexpr std::chrono::milliseconds maxConfigWatchWait { 1500 };
     constexpr std::chrono::milliseconds membersWatchWait { 2500 }; // shorter than a lease
     // A longer gap between two confirmations of the target list counts as an outage of the store.
     constexpr duration outageThreshold = std::chrono::milliseconds(2500);
@@ -161,7 +162,9 @@
 void platform_view::startWatch(document_index index)
 {
     auto& doc = m_documents[index];
-    auto wait = index == MembersIndex ? membersWatchWait : configWatchWait;
+    auto wait = membersWatchWait;
+    if (index != MembersIndex)
+        wait = std::min(maxConfigWatchWait, std::chrono::duration_cast<std::chrono::milliseconds>(m_context.settings.bounds.configuration * configWatchShare));
     if (index == EvacuationsIndex)
         wait = std::min(wait, std::chrono::duration_cast<std::chrono::milliseconds>(m_evacuations.readPeriod()));
     doc.watch = m_context.store.watch(std::string(prefixOf(index)), doc.at, wait, [this, index](const platform::store_watch_response& response) {
--- a/src/edge/platform_view.h
+++ b/src/edge/platform_view.h
@@ -81,11 +81,17 @@
         instant readAt {};
         duration retryDelay {}; // after the last failure
     };
+    // Times at which the store confirmed the documents whose ages have bounds.
+    struct confirmation_times {
+        instant config {};
+        instant targets {};
+    };
     // A child whose long poll is open.
     struct waiting_peer {
         http::exchange_ptr exchange;
         std::string knownDigests; // result of digests() that it got from us last
         instant until {};
+        confirmation_times confirmed; // when the long poll arrived
     };
 
     duration shareOfDrainBound(double share) const;
@@ -114,6 +120,7 @@
     void askSource();
     void onSourceAnswer(const http::answer& answer, instant askedAt);
     void answerPeer(const http::exchange_ptr& exchange, duration held) const;
+    confirmation_times confirmations() const;
     void answerWaitingPeers();
     std::string digests() const;
 
--- a/src/edge/platform_view_peers.cpp
+++ b/src/edge/platform_view_peers.cpp
@@ -16,17 +16,19 @@
 
     // Shares of the bound on requests to leaving targets after which the list of targets counts as stale; the rest is
     // left for the calls and for requests in flight.
-    constexpr double listStaleShare = 0.85;
+    constexpr double listStaleShare = 0.75;
     constexpr double readerListStaleShare = 0.7;
+    // Shares of the bound on the configuration after which it counts as stale. The reader's is above the longest time
+    // between two confirmations by the store; the rest is left for other instances to be tried.
+    constexpr double configStaleShare = 0.7;
+    constexpr double readerConfigStaleShare = 0.65;
     constexpr std::size_t maxChildren = 8; // of one instance; three levels below the root hold several hundred instances
-    constexpr duration maxPeerWait = std::chrono::milliseconds(300); // long poll of a child while nothing changes
+    constexpr duration maxPeerWait = std::chrono::milliseconds(500); // long poll of a child while nothing is changed or confirmed
+    constexpr duration minConfirmedAdvance = std::chrono::milliseconds(100); // of a confirmation that is passed on at once
     constexpr std::chrono::milliseconds peerTimeout { 900 };
     constexpr duration askRetryDelay = std::chrono::milliseconds(50); // after a silent or empty answer
-    // If the configuration was confirmed longer ago, another source is tried. Readers are
-    // earlier, so that they have a fresh one when the others ask.
-    constexpr duration configStaleAge = std::chrono::milliseconds(2800);
-    constexpr duration readerConfigStaleAge = std::chrono::milliseconds(2300);
-    constexpr std::size_t readerCount = 3; // instances at the start of the tree's order that may read the store
+    constexpr std::size_t readerCount = 6; // instances at the start of the tree's order that may read the store
+    constexpr std::size_t askedReaders = 3; // the first of them, asked by instances whose parent has no fresh copy
     constexpr std::chrono::milliseconds unknownAge = std::chrono::hours(1); // stated of a document that was never read, and the longest
     constexpr std::string_view firstCallMark = ".first"; // in the query of a first call, which is answered at once
 
@@ -90,7 +92,7 @@
         isReader = place.rank < readerCount;
         if (place.parent != nullptr)
             sources.push_back(place.parent->address);
-        for (std::size_t rank = 0; rank < std::min(readerCount, place.order.size()) && !isReader; ++rank) {
+        for (std::size_t rank = 0; rank < std::min(askedReaders, place.order.size()) && !isReader; ++rank) {
             const auto* reader = m_members.find(place.order[rank]);
             if (reader != nullptr && (sources.empty() || reader->address != sources.front()))
                 sources.push_back(reader->address);
@@ -125,7 +127,8 @@
     const auto& evacuationsDoc = m_documents[EvacuationsIndex];
     if (evacuationsDoc.known && m_evacuations.isStale(m_context.now - evacuationsDoc.confirmedAt, isReader))
         return true;
-    return listAge > shareOfDrainBound(isReader ? readerListStaleShare : listStaleShare) || configAge > (isReader ? readerConfigStaleAge : configStaleAge);
+    const auto configBound = std::chrono::duration_cast<duration>(m_context.settings.bounds.configuration * (isReader ? readerConfigStaleShare : configStaleShare));
+    return listAge > shareOfDrainBound(isReader ? readerListStaleShare : listStaleShare) || configAge > configBound;
 }
 
 void platform_view::askSource()
@@ -192,7 +195,7 @@
     if (exchange->query != digests())
         answerPeer(exchange, {});
     else
-        m_waitingPeers.push_back({ exchange, exchange->query, m_context.now + maxPeerWait });
+        m_waitingPeers.push_back({ exchange, exchange->query, m_context.now + maxPeerWait, confirmations() });
 }
 
 void platform_view::answerPeer(const http::exchange_ptr& exchange, duration held) const
@@ -223,13 +226,21 @@
     exchange->answer(statusOk, {}, writeJson(out));
 }
 
-// Answers children whose long poll has a change or has timed out.
+platform_view::confirmation_times platform_view::confirmations() const
+{
+    return { m_documents[ConfigIndex].confirmedAt, m_documents[TargetsIndex].confirmedAt };
+}
+
+// Answers children whose long poll has a change or a confirmation, or has timed out. So copies are hardly
+// older at the bottom of the tree than at its root.
 void platform_view::answerWaitingPeers()
 {
     const auto currentDigests = digests();
+    const auto current = confirmations();
+    const auto hasAdvanced = [&current](const confirmation_times& before) { return current.config - before.config >= minConfirmedAdvance || current.targets - before.targets >= minConfirmedAdvance; };
     std::vector<waiting_peer> stillWaiting;
     for (auto& peer : m_waitingPeers) {
-        if (peer.knownDigests == currentDigests && m_context.now < peer.until)
+        if (peer.knownDigests == currentDigests && m_context.now < peer.until && !hasAdvanced(peer.confirmed))
             stillWaiting.push_back(std::move(peer));
         else
             answerPeer(peer.exchange, m_context.now - (peer.until - maxPeerWait));
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -89,11 +89,17 @@
     return directWorks() || !m_peers || m_peers().empty() ? call_path::Direct : call_path::ThroughPeer;
 }
 
-// The peer that relays the next call.
-std::string store_link::nextPeer() const
+// The peer that relays the next call: in turn, without those that were silent lately if there are others.
+std::string store_link::nextPeer()
 {
     const auto peers = m_peers();
-    return peers[m_nextPeer % peers.size()];
+    std::erase_if(m_silentPeers, [this](const auto& entry) { return m_now >= entry.second; });
+    for (std::size_t i = 0; i < peers.size(); ++i) {
+        const auto& peer = peers[m_nextPeer++ % peers.size()];
+        if (!m_silentPeers.contains(peer))
+            return peer;
+    }
+    return peers[m_nextPeer++ % peers.size()];
 }
 
 // Tries the direct path while calls go through peers, by a read of its own: a call of another
@@ -128,17 +134,21 @@
         });
         return;
     }
+    const auto peer = nextPeer();
     http::request relayed;
     relayed.method = "POST";
-    relayed.url = "http://" + nextPeer() + std::string(relayPath);
-    ++m_nextPeer;
+    relayed.url = "http://" + peer + std::string(relayPath);
     relayed.headers.emplace_back(methodHeader, request.method);
     relayed.headers.emplace_back(targetHeader, targetOf(request.url));
     relayed.body = std::move(request.body);
     relayed.connectTimeout = m_settings.connectTimeout;
     relayed.totalTimeout = request.totalTimeout;
     relayed.unacknowledgedTimeout = m_settings.unacknowledgedTimeout;
-    m_net.call(std::move(relayed), [this, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+    m_net.call(std::move(relayed), [this, peer, onAnswer = std::move(onAnswer)](const http::answer& answer) {
+        if (answer.outcome != http::transfer_result::Complete) {
+            m_silentPeers[peer] = m_now + m_settings.silentPeerTime;
+            logEvent(log_level::Info, "store", "relay_silent", { { "peer", peer }, { "detail", answer.detail } });
+        }
         const auto storeAnswer = unwrapRelayedAnswer(answer);
         recordReachability(wasServed(storeAnswer));
         onAnswer(storeAnswer);
@@ -161,10 +171,10 @@
         return;
     logEvent(directWorks() ? log_level::Info : log_level::Warning, "store", directWorks() ? "regained" : "lost",
         { { "status", std::to_string(answer.status) }, { "detail", answer.detail } });
-    if (directWorks())
-        return;
-    // Reopen open watches through a peer: on the lost path they would never be answered.
-    m_nextDirectProbe = m_now + m_settings.directProbePeriod;
+    if (!directWorks())
+        m_nextDirectProbe = m_now + m_settings.directProbePeriod;
+    // Reopen open watches on the other path: on the lost one they would never be answered, and a peer that
+    // relays them may have stopped meanwhile.
     for (auto& [id, watch] : m_watches) {
         if (watch.transfer != 0)
             m_net.cancel(watch.transfer);
@@ -240,12 +250,10 @@
 void store_link::open(std::uint64_t id, open_watch& watch)
 {
     auto request = platform::encodeWatch(m_address, { watch.prefix, watch.after, watch.wait });
-    request.totalTimeout = watch.wait + m_settings.maxTimeout;
+    request.totalTimeout = watch.wait + m_settings.watchMargin;
     // lastId() is the id of this transfer; its answer comes only from a later poll().
-    const auto path = choosePath();
     watch.openedAt = m_now;
-    watch.through = path == call_path::Direct ? std::string("direct") : nextPeer();
-    send("watch " + watch.prefix, std::move(request), path, [this, id](const http::answer& answer) { onWatch(id, answer); });
+    send("watch " + watch.prefix, std::move(request), choosePath(), [this, id](const http::answer& answer) { onWatch(id, answer); });
     watch.transfer = m_net.lastId();
 }
 
@@ -258,7 +266,7 @@
     watch.transfer = 0;
     const auto response = platform::decodeWatchResponse(answer);
     if (!response) {
-        logEvent(log_level::Info, "store", "watch_failed", { { "prefix", watch.prefix }, { "through", watch.through }, { "after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - watch.openedAt).count()) }, { "error", toString(response.error()) } });
+        logEvent(log_level::Info, "store", "watch_failed", { { "prefix", watch.prefix }, { "after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - watch.openedAt).count()) }, { "error", toString(response.error()) } });
         watch.reopenAt = m_now + m_settings.watchRetryDelay;
         return;
     }
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -28,6 +28,8 @@
     std::int32_t timeoutFactor = 8;
     std::chrono::milliseconds minTimeout { 400 }; // the store usually takes 4 ms, at times tens of times as long
     std::chrono::milliseconds maxTimeout { 1200 };
+    std::chrono::milliseconds watchMargin { 600 }; // beyond its wait, for the answer to a watch; it may hang at an instance that relays it
+    duration silentPeerTime = std::chrono::seconds(3); // without calls through a peer that did not answer
     std::chrono::milliseconds maxRelayedWait { 10'000 }; // longest watch that is relayed for a peer
     std::chrono::milliseconds connectTimeout { 500 };
     std::chrono::milliseconds unacknowledgedTimeout { 700 }; // TCP: sent bytes without acknowledgement
@@ -84,7 +86,6 @@
         std::uint64_t transfer = 0; // 0 = not open
         instant reopenAt {};
         instant openedAt {};
-        std::string through {}; // the peer that relays it; "direct" without one
     };
     enum class call_path {
         Direct,
@@ -93,7 +94,7 @@
 
     void listFrom(const std::string& cause, kv_range range, kv_answer soFar, answer_function onAnswer);
     call_path choosePath() const;
-    std::string nextPeer() const;
+    std::string nextPeer();
     void probeDirectPath();
     void send(std::string_view cause, http::request request, call_path path, std::function<void(const http::answer&)> onAnswer);
     void recordDirectOutcome(const http::answer& answer);
@@ -107,6 +108,7 @@
     transfers& m_net;
     peers_function m_peers;
     std::size_t m_nextPeer = 0;
+    std::map<std::string, instant> m_silentPeers; // that did not answer a relayed call, until when they get none
     int m_failures = 0; // consecutive, of the direct path
     bool m_unreachable = false; // the last call failed and the direct path does not work
     bool m_regained = false;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -151,6 +151,7 @@
         self.refuse_writes_to = set()  # prefixes of keys whose writes are refused with 503
         self.listing_delays_s = {}  # by prefix of the listing's own prefix
         self.late_writes_to = {}  # by prefix of keys: delay of the next write of such a key, which is not answered; its condition holds or not at that time
+        self.on_watch = lambda prefix, source: None  # called with the prefix of each watch and the IP that it comes from
         self.unanswered_submissions = 0  # number of batch submissions to apply without answering while the connection stays open
         super().__init__()
 
@@ -264,6 +265,7 @@
 
     def _watch(self, request):
         prefix, after = request.query["prefix"], int(request.query["after"])
+        self.on_watch(prefix, request.client_address[0])
         end = time.monotonic() + int(request.query["waitMs"]) / 1000
         with self.lock:
             while True:
