--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -5,10 +5,12 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <curl/curl.h>
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -17,19 +19,27 @@
 namespace {
 
     constexpr long maxKeptConnections = 256;
+    constexpr int firstFinalStatus = 200; // below, another head follows
     constexpr long keepAliveSeconds = 1; // the shortest that the kernel accepts
     // Of all answers under way that callers collect; beyond, the largest breaks off.
     constexpr std::size_t maxCollectedBytes = 64U << 20U;
     // Of bodies that were received and not delivered as events yet; beyond, transfers pause.
     constexpr std::size_t maxPendingBodyBytes = 2U << 20U;
 
+    // What the next line of an answer's head is.
+    enum class head_line {
+        Status,
+        Field, // or the blank line
+        Trailer, // the head has ended
+    };
+
     struct transfer {
         request outgoing;
         CURL* easy = nullptr;
         curl_slist* headerLines = nullptr;
         std::vector<event>* pendingEvents = nullptr;
         header_list headers;
-        bool headEnded = false; // by its blank line
+        head_line nextLine = head_line::Status;
         bool headReported = false;
         bool connected = false;
         std::size_t headBytes = 0;
@@ -38,7 +48,8 @@
         std::size_t* pendingBytes = nullptr; // of bodies in *pendingEvents
         std::vector<std::uint64_t>* paused = nullptr; // transfers that wait until these are delivered
         const std::unordered_map<std::uint64_t, std::unique_ptr<transfer>>* all = nullptr; // of the client
-        const char* limitExceeded = nullptr; // why the answer was broken off here
+        int headStatus = 0; // of the last sound status line
+        const char* refusal = nullptr; // why the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
     };
 
@@ -48,13 +59,6 @@
         std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
     }
 
-    int statusOf(CURL* easy)
-    {
-        long status = 0;
-        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        return static_cast<int>(status);
-    }
-
     std::string lower(std::string_view text)
     {
         std::string out(text);
@@ -82,11 +86,10 @@
     {
         constexpr int noContent = 204;
         constexpr int notModified = 304;
-        constexpr int firstFinalStatus = 200;
-        const auto status = statusOf(t.easy);
+        const auto status = t.headStatus;
         long version = 0;
         curl_easy_getinfo(t.easy, CURLINFO_HTTP_VERSION, &version);
-        if (!t.headEnded || status < firstFinalStatus)
+        if (t.nextLine != head_line::Trailer || status < firstFinalStatus)
             return answer_framing::None;
         if (t.outgoing.method == "HEAD" || status == noContent || status == notModified)
             return answer_framing::NoBody;
@@ -108,7 +111,7 @@
         event head;
         head.what = event::kind::Head;
         head.id = t.outgoing.id;
-        head.status = statusOf(t.easy);
+        head.status = t.headStatus;
         head.headers = t.headers;
         head.framing = announcedFraming(t);
         t.pendingEvents->push_back(std::move(head));
@@ -122,13 +125,13 @@
         t.bodyBytes += bytes;
         *t.collectedBytes += bytes;
         if (t.bodyBytes > t.outgoing.maxBodyBytes) {
-            t.limitExceeded = "the answer's body is too large";
+            t.refusal = "the answer's body is too large";
             return false;
         }
         const auto isLarger = [&t](const auto& entry) { return entry.second->bodyBytes > t.bodyBytes; };
         if (*t.collectedBytes <= maxCollectedBytes || std::any_of(t.all->begin(), t.all->end(), isLarger))
             return true;
-        t.limitExceeded = "the answers under way are too large together";
+        t.refusal = "the answers under way are too large together";
         return false;
     }
 
@@ -151,35 +154,80 @@
         return nullptr;
     }
 
-    std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
+    bool isLineEnd(std::string_view text) { return text == "\r\n" || text == "\n"; }
+
+    // The status that a status line states; empty if the line is none. libcurl reads versions and statuses that HTTP does not have,
+    // and a status without a blank behind it. For HTTP/2, which only https has here, it makes up the line itself.
+    // No request asks for another protocol, so the status that switches to one answers none.
+    std::optional<int> parseStatusLine(std::string_view line, bool isSecure)
+    {
+        constexpr int lowest = 100;
+        constexpr int highest = 599;
+        constexpr int switchingProtocols = 101;
+        constexpr std::size_t digits = 3;
+        const auto takePrefix = [&line](std::string_view prefix) {
+            const bool has = line.substr(0, prefix.size()) == prefix;
+            line.remove_prefix(has ? prefix.size() : 0);
+            return has;
+        };
+        if (!takePrefix("HTTP/1.1 ") && !takePrefix("HTTP/1.0 ") && !(isSecure && takePrefix("HTTP/2 ")))
+            return std::nullopt;
+        int status = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + std::min(digits, line.size()), status);
+        const auto rest = line.substr(static_cast<std::size_t>(parsed.ptr - line.data()));
+        if (parsed.ec != std::errc() || line.size() - rest.size() != digits || status < lowest || status > highest || status == switchingProtocols)
+            return std::nullopt;
+        return isLineEnd(rest) || rest.substr(0, 1) == " " ? std::optional(status) : std::nullopt;
+    }
+
+    // Takes a field, or the blank line behind them; returns what is wrong with it, or null.
+    const char* addField(transfer& t, std::string_view line)
+    {
+        if (isLineEnd(line)) {
+            t.nextLine = t.headStatus < firstFinalStatus ? head_line::Status : head_line::Trailer;
+            return nullptr;
+        }
+        const auto colon = line.find(':');
+        const auto name = trim(line.substr(0, colon));
+        const auto value = colon == std::string_view::npos ? std::string_view() : trim(line.substr(colon + 1));
+        if (colon == std::string_view::npos || !isHeaderName(name) || line.front() == ' ' || line.front() == '\t' || !isHeaderValue(value))
+            return "the answer's head has a malformed line";
+        auto lowerName = lower(name);
+        if (const auto* fault = framingFault(t.headers, line.substr(0, colon), lowerName, value))
+            return fault;
+        t.headers.emplace_back(std::move(lowerName), std::string(value));
+        return nullptr;
+    }
+
+    const char* addHeadLine(transfer& t, std::string_view line)
     {
-        auto& t = *static_cast<transfer*>(user);
-        const std::string_view line(data, size * count);
-        t.lastByte = std::chrono::steady_clock::now();
         t.headBytes += line.size();
-        if (t.headBytes > t.outgoing.maxHeadBytes) {
-            t.limitExceeded = "the answer's head is too large";
-            return 0;
+        if (t.headBytes > t.outgoing.maxHeadBytes)
+            return "the answer's head is too large";
+        switch (t.nextLine) {
+        case head_line::Status: {
+            const auto status = parseStatusLine(line, t.outgoing.url.rfind("https:", 0) == 0);
+            if (!status)
+                return "the answer has a malformed status line";
+            t.headStatus = *status;
+            t.headers.clear(); // of an interim answer
+            t.nextLine = head_line::Field;
+            return nullptr;
         }
-        // A new status line starts a new head, e.g. after "100 Continue".
-        if (line.substr(0, 5) == "HTTP/") {
-            t.headers.clear();
-            t.headEnded = false;
-            return line.size();
+        case head_line::Field:
+            return addField(t, line);
+        case head_line::Trailer:
+            return nullptr;
         }
-        if (t.headEnded)
-            return line.size(); // a trailer
-        t.headEnded = line.front() == '\r' || line.front() == '\n';
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos)
-            return line.size();
-        auto name = lower(trim(line.substr(0, colon)));
-        auto value = std::string(trim(line.substr(colon + 1)));
-        t.limitExceeded = framingFault(t.headers, line.substr(0, colon), name, value);
-        if (t.limitExceeded != nullptr)
-            return 0;
-        t.headers.emplace_back(std::move(name), std::move(value));
-        return line.size();
+        return nullptr;
+    }
+
+    std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& t = *static_cast<transfer*>(user);
+        t.lastByte = std::chrono::steady_clock::now();
+        t.refusal = addHeadLine(t, { data, size * count });
+        return t.refusal == nullptr ? size * count : 0;
     }
 
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* user)
@@ -248,7 +296,7 @@
         // libcurl succeeds too if the connection is closed within the head.
         if (code == CURLE_OK && framing != answer_framing::None)
             return framing == answer_framing::Close ? transfer_result::Unproven : transfer_result::Complete;
-        if (statusOf(t.easy) != 0)
+        if (t.headBytes > 0)
             return transfer_result::Truncated;
         long sent = 0;
         curl_easy_getinfo(t.easy, CURLINFO_REQUEST_SIZE, &sent);
@@ -318,7 +366,7 @@
         event done;
         done.what = event::kind::Done;
         done.id = t.outgoing.id;
-        done.status = statusOf(t.easy);
+        done.status = t.headStatus;
         done.outcome = outcome;
         done.detail = std::move(detail);
         done.connection = connectionOf(t);
@@ -512,8 +560,8 @@
         if (ended)
             reportHead(*t);
         std::string detail;
-        if (t->limitExceeded != nullptr)
-            detail = t->limitExceeded;
+        if (t->refusal != nullptr)
+            detail = t->refusal;
         else if (!ended)
             detail = code == CURLE_OK ? "the answer ended within its head" : curl_easy_strerror(code);
         m_state->finish(*t, outcome, std::move(detail));
--- a/tests/test_answer_framing.cpp
+++ b/tests/test_answer_framing.cpp
@@ -102,6 +102,29 @@
     }
 }
 
+// Guards against answers of a status or a protocol that does not exist, which reached callers as answers.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_sound_status_line_is_none)
+{
+    const std::string rest = "\r\nAttempt-Id: a\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string line : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200OK", "HTTP/1.1  200 OK",
+             "HTTP/1.1\t200 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.2 200 OK", "HTTP/2 200 OK", "HTTP/2", "HTTP/3 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", "HTTP/1.1 ", "ICY 200 OK" }) {
+        const auto answer = one_answer(line + rest).fetch();
+        BOOST_TEST((answer.outcome == http::transfer_result::NoAnswer || answer.outcome == http::transfer_result::Truncated), line);
+        BOOST_TEST(answer.status == 0, line);
+    }
+    for (const std::string line : { "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.1 599 Odd", "HTTP/1.1 299 Odd" })
+        BOOST_TEST((outcomeOf(line + rest) == http::transfer_result::Complete), line);
+    // Behind an interim answer, too.
+    BOOST_TEST((outcomeOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 OK" + rest) == http::transfer_result::Truncated));
+}
+
+BOOST_AUTO_TEST_CASE(a_head_with_a_line_that_is_no_field_is_broken)
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nok";
+    for (const std::string line : { "no field", "HTTP/1.1 200 OK", ": no name", "a b: c", " folded: x", "\tfolded", "A: b\rC: d" })
+        BOOST_TEST((outcomeBehindHead({ line, "\r\n", rest }) == http::transfer_result::Truncated), line);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_contradictory_lengths_is_broken)
 {
     BOOST_TEST((outcomeOf(head + "Content-Length: 10\r\nContent-Length: 4\r\n\r\n0123456789") == http::transfer_result::Truncated));
