Endless answers: chunk sizes, trailers, bytes behind the end, status checks

Cause: a report of other operators: a replica sent bytes that were no answer, without end, and the machine that had called ran out of memory. Heads, bodies and events were bounded and tested; chunk sizes, trailers, bytes behind a whole answer and the calls that an instance makes for itself were not tested. Answers that are read as small documents (status checks, orders, reports) may have 1 MiB; they could have 33 MB, of which a JSON tree takes a multiple (by reading).

--- a/src/edge/capacity_duty.cpp
+++ b/src/edge/capacity_duty.cpp
@@ -151,6 +151,7 @@
     auto request = platform::encodeCapacity(m_context.settings.duties.address, proof, { service.id.str(), order.where.failureDomain, order.count, spot });
     request.connectTimeout = orderConnectTimeout;
     request.totalTimeout = m_members.callTimeout(*heldDuty, orderTimeout);
+    request.maxBodyBytes = http::maxDocumentBytes;
     m_context.net.call(std::move(request), [this, id = service.id, order, term = heldDuty->fencing](const http::answer& answer) {
         logEvent(log_level::Info, "capacity", "ordered",
             { { "service", id.str() }, { "failure_domain", order.where.failureDomain.str() }, { "spot", order.where.kind == supply_kind::Cheap ? "1" : "0" },
--- a/src/edge/target_link.cpp
+++ b/src/edge/target_link.cpp
@@ -335,6 +335,7 @@
 void target_link::callDirect(http::request request, const target_id& target, transfers::answer_function onAnswer)
 {
     const auto reuse = request.reuse;
+    request.maxBodyBytes = http::maxDocumentBytes;
     m_context.net.call(std::move(request), [this, target, reuse, onAnswer = std::move(onAnswer)](const http::answer& answer) {
         recordOwnPath(target, answer);
         recordDirectCall(target, reuse, answer);
@@ -387,6 +388,7 @@
     request.reuse = http::connection_reuse::Forbidden; // kept connections may live on while new ones fail
     request.closeAfter = true; // a target may go on reading after it has rejected a request
     request.connectTimeout = request.totalTimeout = pathTestTimeout;
+    request.maxBodyBytes = http::maxDocumentBytes;
     m_context.net.call(std::move(request), [this, target, onEnd = std::move(onEnd)](const http::answer& answer) {
         recordOwnPath(target, answer);
         if (answer.connection != http::connection_use::None)
--- a/src/edge/usage_duty.cpp
+++ b/src/edge/usage_duty.cpp
@@ -269,6 +269,7 @@
     auto request = platform::encodeUsage(m_context.settings.duties.address, proof, window, state.sealed);
     request.connectTimeout = reportConnectTimeout;
     request.totalTimeout = m_members->callTimeout(*heldDuty, reportTimeout);
+    request.maxBodyBytes = http::maxDocumentBytes;
     m_context.net.call(std::move(request), [this, window](const http::answer& answer) {
         const auto found = m_windows.find(window);
         if (found == m_windows.end())
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,6 +19,9 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+// Bound on the body of an answer that is read as a small document: status checks, orders and reports of our own.
+constexpr std::size_t maxDocumentBytes = 1U << 20U;
+
 // What marks the end of an answer's body.
 enum class answer_framing {
     None, // the end was not received
