HTTP client: no connection is used again on which bytes arrived without a request

Callers saw: after a faulty replica had sent bytes behind whole answers, later requests failed on its kept connections, and after two failures the same request was refused everywhere (503, "targets died while they ran this request"). Cause: libcurl 7.88 takes a kept connection with unread bytes for a live one and reads them as the answer to the next request. An answer with another id was rejected; one that names none was taken. Evidence: "attempt_failed connection=kept detail=Unsupported protocol" of requests behind such answers, in test_entry_endless_parts.py; new connections did not fail, so the replica's later answers are ruled out as the cause. Change: the client notes which of its connections no request uses, and before new requests start it shuts down those on which something has arrived; libcurl then closes them as dead. One poll() for each round in which requests start. Not over TLS, where a peer may send at any time. Tests: tests/test_idle_connections.cpp, 5 failures with the client before (the second request got "other", the body sent behind the first answer), none now; test_entry_endless_parts.py failed 1 of 6 before, passes. Conclusion: what arrives behind an answer reaches no other request.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 // Maps requests to libcurl easy handles on one multi handle, and their callbacks to events.
 #include "http/client.h"
+#include "http/idle_connections.h"
 #include "http/message_parts.h"
 #include "http/socket_close.h"
 
@@ -48,6 +49,9 @@
         std::size_t* pendingBytes = nullptr; // of bodies in *pendingEvents
         std::vector<std::uint64_t>* paused = nullptr; // transfers that wait until these are delivered
         const std::unordered_map<std::uint64_t, std::unique_ptr<transfer>>* all = nullptr; // of the client
+        idle_connections* idle = nullptr; // of the client; null for a connection that the peer may speak on at any time
+        int openedSocket = -1; // for this transfer
+        std::optional<connection_name> connectionName {}; // while it is counted as used
         int headStatus = 0; // of the last sound status line
         const char* refusal = nullptr; // why the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
@@ -76,6 +80,8 @@
         return text.substr(first, last - first + 1);
     }
 
+    bool isSecure(const request& outgoing) { return outgoing.url.rfind("https:", 0) == 0; }
+
     bool equalIgnoringCase(std::string_view left, std::string_view right)
     {
         return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
@@ -159,7 +165,7 @@
     // The status that a status line states; empty if the line is none. libcurl reads versions and statuses that HTTP does not have,
     // and a status without a blank behind it. For HTTP/2, which only https has here, it makes up the line itself.
     // No request asks for another protocol, so the status that switches to one answers none.
-    std::optional<int> parseStatusLine(std::string_view line, bool isSecure)
+    std::optional<int> parseStatusLine(std::string_view line, bool mayBeSecond)
     {
         constexpr int lowest = 100;
         constexpr int highest = 599;
@@ -170,7 +176,7 @@
             line.remove_prefix(has ? prefix.size() : 0);
             return has;
         };
-        if (!takePrefix("HTTP/1.1 ") && !takePrefix("HTTP/1.0 ") && !(isSecure && takePrefix("HTTP/2 ")))
+        if (!takePrefix("HTTP/1.1 ") && !takePrefix("HTTP/1.0 ") && !(mayBeSecond && takePrefix("HTTP/2 ")))
             return std::nullopt;
         int status = 0;
         const auto parsed = std::from_chars(line.data(), line.data() + std::min(digits, line.size()), status);
@@ -206,7 +212,7 @@
             return "the answer's head is too large";
         switch (t.nextLine) {
         case head_line::Status: {
-            const auto status = parseStatusLine(line, t.outgoing.url.rfind("https:", 0) == 0);
+            const auto status = parseStatusLine(line, isSecure(t.outgoing));
             if (!status)
                 return "the answer has a malformed status line";
             t.headStatus = *status;
@@ -250,17 +256,22 @@
         return size * count;
     }
 
-    // Bounds how long sent bytes may stay unacknowledged on a connection.
+    // Notes the socket of a new connection, and bounds how long sent bytes may stay unacknowledged on it.
     int onSocket(void* user, curl_socket_t descriptor, curlsocktype)
     {
-        const auto& t = *static_cast<transfer*>(user);
+        auto& t = *static_cast<transfer*>(user);
+        t.openedSocket = descriptor;
         const auto milliseconds = static_cast<unsigned>(t.outgoing.unacknowledgedTimeout.count());
-        if (setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds) != 0)
+        if (milliseconds > 0 && setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds) != 0)
             return CURL_SOCKOPT_ERROR;
         return CURL_SOCKOPT_OK;
     }
 
-    int closeSocket(void*, curl_socket_t descriptor) { return closeDiscardingUnacknowledged(descriptor); }
+    int closeSocket(void* user, curl_socket_t descriptor)
+    {
+        static_cast<idle_connections*>(user)->closed(descriptor);
+        return closeDiscardingUnacknowledged(descriptor);
+    }
 
     connection_use connectionOf(const transfer& t)
     {
@@ -272,10 +283,14 @@
     }
 
     // Called when a connection is there, before the request is sent on it.
-    int onConnected(void* user, char*, char*, int, int)
+    int onConnected(void* user, char* peerIp, char*, int peerPort, int ownPort)
     {
         auto& t = *static_cast<transfer*>(user);
         t.connected = true;
+        if (t.idle != nullptr) {
+            t.connectionName = connection_name { peerIp, peerPort, ownPort };
+            t.idle->used(*t.connectionName, connectionOf(t) == connection_use::New ? t.openedSocket : -1);
+        }
         if (t.outgoing.reportConnected) {
             event connected;
             connected.what = event::kind::Connected;
@@ -350,12 +365,16 @@
     std::vector<event> pending;
     std::size_t collectedBytes = 0;
     std::size_t pendingBytes = 0; // of bodies in `pending`
+    idle_connections idle;
+    bool hasStarted = false; // a transfer, since the last poll
     std::vector<std::uint64_t> paused; // transfers whose next bytes wait until `pending` is delivered
     std::string sourceAddress; // as libcurl expects it; empty = the system chooses
 
     void release(const transfer& t)
     {
         collectedBytes -= t.bodyBytes;
+        if (t.connectionName)
+            idle.released(*t.connectionName);
         curl_multi_remove_handle(multi, t.easy);
         curl_easy_cleanup(t.easy);
         curl_slist_free_all(t.headerLines);
@@ -441,6 +460,9 @@
     t.collectedBytes = &m_state->collectedBytes;
     t.pendingBytes = &m_state->pendingBytes;
     t.paused = &m_state->paused;
+    // Over TLS and HTTP/2 a peer may send at any time.
+    t.idle = isSecure(t.outgoing) ? nullptr : &m_state->idle;
+    m_state->hasStarted = true;
     t.lastByte = std::chrono::steady_clock::now();
     t.easy = curl_easy_init();
 
@@ -459,9 +481,10 @@
     if (!t.outgoing.target.empty())
         curl_easy_setopt(t.easy, CURLOPT_REQUEST_TARGET, t.outgoing.target.c_str());
     curl_easy_setopt(t.easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
+    curl_easy_setopt(t.easy, CURLOPT_CLOSESOCKETDATA, &m_state->idle);
+    curl_easy_setopt(t.easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
+    curl_easy_setopt(t.easy, CURLOPT_SOCKOPTDATA, &t);
     if (t.outgoing.unacknowledgedTimeout.count() > 0) {
-        curl_easy_setopt(t.easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
-        curl_easy_setopt(t.easy, CURLOPT_SOCKOPTDATA, &t);
         // While nothing is being sent, only keep-alive probes detect a dead connection.
         curl_easy_setopt(t.easy, CURLOPT_TCP_KEEPALIVE, 1L);
         curl_easy_setopt(t.easy, CURLOPT_TCP_KEEPIDLE, keepAliveSeconds);
@@ -543,7 +566,10 @@
     if (m_state->pending.empty())
         curl_multi_poll(m_state->multi, extras.data(), static_cast<unsigned>(extras.size()), static_cast<int>(maxWait.count()), nullptr);
 
-    // Step 2. Transfer bytes; the callbacks append to the pending events.
+    // Step 2. Transfer bytes; the callbacks append to the pending events. New requests use no connection on which
+    // bytes without a request have arrived.
+    if (std::exchange(m_state->hasStarted, false))
+        m_state->idle.shutDownUnexpected();
     int running = 0;
     curl_multi_perform(m_state->multi, &running);
 
