Batches: a scan records only batches that the instance may take over

After a restart of all, each instance gets all heads, and would have passed every batch on to its owner: messages of each instance to each owner. Conclusion: messages grow with owners, not with instances.

--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -156,6 +156,8 @@
     // Ownership.
     void adoptOrphans();
     using heads_function = std::function<void(const result<std::vector<kv_entry>>&)>;
+    // Whether this instance would take the batch over if its owner were gone for good.
+    bool isAdopterOf(const batch_head& head) const;
     void scanHeads();
     void requestHeads(heads_function onHeads);
     void collectHeads(heads_function onHeads);
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -29,6 +29,11 @@
     return owner != nullptr && owner->incarnationNumber == head.ownerIncarnation;
 }
 
+bool batches::isAdopterOf(const batch_head& head) const
+{
+    return adoptionDelay(head.owner, instance_id(m_context.settings.instance.name), instancesFor(m_members.places(), regionsOf(head))).has_value();
+}
+
 // Gets all batch heads to find orphans: once after the start, and when a member is lost whose
 // batches this instance has to take over.
 void batches::scanHeads()
@@ -45,7 +50,8 @@
             dropLostBatches(*heads);
         for (const auto& entry : *heads) {
             const auto head = decodeHead(batch_id(entry.key.substr(headPrefix.size())), entry.value);
-            if (head)
+            // The adopters of each instance get the same heads, and are enough to look after its batches.
+            if (head && isAdopterOf(*head))
                 recordOrphan(*head, entry.modRevision);
         }
     });
