Tests: reserve a vector in test_batch.cpp, as the linter asks

Change: reserve() before the loop, as in the test above it. No change of behaviour. Figures: make lint clean over all sources; batch_suite passes. Conclusion: the linter is clean again.

--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -137,8 +137,10 @@
 BOOST_AUTO_TEST_CASE(whoever_finds_a_batch_without_an_owner_has_it_taken_over)
 {
     using step = orphan_plan::step;
+    constexpr int memberCount = 12;
     std::vector<instance_id> members;
-    for (int i = 0; i < 12; ++i)
+    members.reserve(memberCount);
+    for (int i = 0; i < memberCount; ++i)
         members.emplace_back("entry-" + std::to_string(i));
     for (const auto& owner : { members[4], instance_id("gone") }) {
         for (const auto& finder : members) {
