HTTP client: the head of an answer is read in a part of its own

Change: answer_head takes status line and fields; EntryCase.use_only(). Moves only, no change of behaviour. Conclusion: each file does one job again.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,12 +1,12 @@
 // Maps requests to libcurl easy handles on one multi handle, and their callbacks to events.
 #include "http/client.h"
+#include "http/answer_head.h"
 #include "http/idle_connections.h"
 #include "http/message_parts.h"
 #include "http/socket_close.h"
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <curl/curl.h>
 #include <mutex>
 #include <netinet/in.h>
@@ -20,30 +20,20 @@
 namespace {
 
     constexpr long maxKeptConnections = 256;
-    constexpr int firstFinalStatus = 200; // below, another head follows
     constexpr long keepAliveSeconds = 1; // the shortest that the kernel accepts
     // Of all answers under way that callers collect; beyond, the largest breaks off.
     constexpr std::size_t maxCollectedBytes = 64U << 20U;
     // Of bodies that were received and not delivered as events yet; beyond, transfers pause.
     constexpr std::size_t maxPendingBodyBytes = 2U << 20U;
 
-    // What the next line of an answer's head is.
-    enum class head_line {
-        Status,
-        Field, // or the blank line
-        Trailer, // the head has ended
-    };
-
     struct transfer {
         request outgoing;
         CURL* easy = nullptr;
         curl_slist* headerLines = nullptr;
         std::vector<event>* pendingEvents = nullptr;
-        header_list headers;
-        head_line nextLine = head_line::Status;
+        answer_head head;
         bool headReported = false;
         bool connected = false;
-        std::size_t headBytes = 0;
         std::size_t bodyBytes = 0; // if they are bounded
         std::size_t* collectedBytes = nullptr; // sum over all transfers of the client
         std::size_t* pendingBytes = nullptr; // of bodies in *pendingEvents
@@ -52,7 +42,6 @@
         idle_connections* idle = nullptr; // of the client; null for a connection that the peer may speak on at any time
         int openedSocket = -1; // for this transfer
         std::optional<connection_name> connectionName {}; // while it is counted as used
-        int headStatus = 0; // of the last sound status line
         const char* refusal = nullptr; // why the answer was broken off here
         std::chrono::steady_clock::time_point lastByte;
     };
@@ -63,23 +52,6 @@
         std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
     }
 
-    std::string lower(std::string_view text)
-    {
-        std::string out(text);
-        std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        return out;
-    }
-
-    std::string_view trim(std::string_view text)
-    {
-        constexpr std::string_view blanks = " \t\r\n";
-        const auto first = text.find_first_not_of(blanks);
-        if (first == std::string_view::npos)
-            return {};
-        const auto last = text.find_last_not_of(blanks);
-        return text.substr(first, last - first + 1);
-    }
-
     bool isSecure(const request& outgoing) { return outgoing.url.rfind("https:", 0) == 0; }
 
     bool equalIgnoringCase(std::string_view left, std::string_view right)
@@ -92,20 +64,20 @@
     {
         constexpr int noContent = 204;
         constexpr int notModified = 304;
-        const auto status = t.headStatus;
+        const auto status = t.head.status();
         long version = 0;
         curl_easy_getinfo(t.easy, CURLINFO_HTTP_VERSION, &version);
-        if (t.nextLine != head_line::Trailer || status < firstFinalStatus)
+        if (!t.head.hasEnded())
             return answer_framing::None;
         if (t.outgoing.method == "HEAD" || status == noContent || status == notModified)
             return answer_framing::NoBody;
         if (version >= CURL_HTTP_VERSION_2_0)
             return answer_framing::Chunks;
         // Next to a transfer encoding, libcurl ignores the length.
-        const auto encoding = findHeader(t.headers, "transfer-encoding");
+        const auto encoding = findHeader(t.head.headers(), "transfer-encoding");
         if (!encoding.empty())
             return equalIgnoringCase(encoding, "chunked") ? answer_framing::Chunks : answer_framing::Close;
-        return findHeader(t.headers, "content-length").empty() ? answer_framing::Close : answer_framing::Length;
+        return findHeader(t.head.headers(), "content-length").empty() ? answer_framing::Close : answer_framing::Length;
     }
 
     // Emits the Head event, once, before the first byte of the body or the end.
@@ -117,8 +89,8 @@
         event head;
         head.what = event::kind::Head;
         head.id = t.outgoing.id;
-        head.status = t.headStatus;
-        head.headers = t.headers;
+        head.status = t.head.status();
+        head.headers = t.head.headers();
         head.framing = announcedFraming(t);
         t.pendingEvents->push_back(std::move(head));
     }
@@ -141,98 +113,11 @@
         return false;
     }
 
-    // Why nothing shows by which of its bytes a head with this line marks the end of the body; null if it is sound.
-    const char* framingFault(const header_list& headers, std::string_view writtenName, std::string_view name, std::string_view value)
-    {
-        constexpr std::size_t maxLengthDigits = 18; // fits libcurl's type
-        const bool isLength = name == "content-length";
-        const bool isEncoding = name == "transfer-encoding";
-        if (!isLength && !isEncoding)
-            return nullptr;
-        if (writtenName.size() != name.size())
-            return "the answer's head has a blank in the name of its framing"; // libcurl does not know such a header
-        const bool isNumber = !value.empty() && value.size() <= maxLengthDigits && std::all_of(value.begin(), value.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
-        if (isLength && !isNumber)
-            return "the answer's head states a malformed length";
-        const auto isOther = [&](const auto& header) { return header.first == name && (isEncoding || header.second != value); };
-        if (std::any_of(headers.begin(), headers.end(), isOther))
-            return isLength ? "the answer's head states two lengths" : "the answer's head states two transfer encodings";
-        return nullptr;
-    }
-
-    bool isLineEnd(std::string_view text) { return text == "\r\n" || text == "\n"; }
-
-    // The status that a status line states; empty if the line is none. libcurl reads versions and statuses that HTTP does not have,
-    // and a status without a blank behind it. For HTTP/2, which only https has here, it makes up the line itself.
-    // No request asks for another protocol, so the status that switches to one answers none.
-    std::optional<int> parseStatusLine(std::string_view line, bool mayBeSecond)
-    {
-        constexpr int lowest = 100;
-        constexpr int highest = 599;
-        constexpr int switchingProtocols = 101;
-        constexpr std::size_t digits = 3;
-        const auto takePrefix = [&line](std::string_view prefix) {
-            const bool has = line.substr(0, prefix.size()) == prefix;
-            line.remove_prefix(has ? prefix.size() : 0);
-            return has;
-        };
-        if (!takePrefix("HTTP/1.1 ") && !takePrefix("HTTP/1.0 ") && !(mayBeSecond && takePrefix("HTTP/2 ")))
-            return std::nullopt;
-        int status = 0;
-        const auto parsed = std::from_chars(line.data(), line.data() + std::min(digits, line.size()), status);
-        const auto rest = line.substr(static_cast<std::size_t>(parsed.ptr - line.data()));
-        if (parsed.ec != std::errc() || line.size() - rest.size() != digits || status < lowest || status > highest || status == switchingProtocols)
-            return std::nullopt;
-        return isLineEnd(rest) || rest.substr(0, 1) == " " ? std::optional(status) : std::nullopt;
-    }
-
-    // Takes a field, or the blank line behind them; returns what is wrong with it, or null.
-    const char* addField(transfer& t, std::string_view line)
-    {
-        if (isLineEnd(line)) {
-            t.nextLine = t.headStatus < firstFinalStatus ? head_line::Status : head_line::Trailer;
-            return nullptr;
-        }
-        const auto colon = line.find(':');
-        const auto name = trim(line.substr(0, colon));
-        const auto value = colon == std::string_view::npos ? std::string_view() : trim(line.substr(colon + 1));
-        if (colon == std::string_view::npos || !isHeaderName(name) || line.front() == ' ' || line.front() == '\t' || !isHeaderValue(value))
-            return "the answer's head has a malformed line";
-        auto lowerName = lower(name);
-        if (const auto* fault = framingFault(t.headers, line.substr(0, colon), lowerName, value))
-            return fault;
-        t.headers.emplace_back(std::move(lowerName), std::string(value));
-        return nullptr;
-    }
-
-    const char* addHeadLine(transfer& t, std::string_view line)
-    {
-        t.headBytes += line.size();
-        if (t.headBytes > t.outgoing.maxHeadBytes)
-            return "the answer's head is too large";
-        switch (t.nextLine) {
-        case head_line::Status: {
-            const auto status = parseStatusLine(line, isSecure(t.outgoing));
-            if (!status)
-                return "the answer has a malformed status line";
-            t.headStatus = *status;
-            t.headers.clear(); // of an interim answer
-            t.nextLine = head_line::Field;
-            return nullptr;
-        }
-        case head_line::Field:
-            return addField(t, line);
-        case head_line::Trailer:
-            return nullptr;
-        }
-        return nullptr;
-    }
-
     std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
     {
         auto& t = *static_cast<transfer*>(user);
         t.lastByte = std::chrono::steady_clock::now();
-        t.refusal = addHeadLine(t, { data, size * count });
+        t.refusal = t.head.add({ data, size * count });
         return t.refusal == nullptr ? size * count : 0;
     }
 
@@ -311,7 +196,7 @@
         // libcurl succeeds too if the connection is closed within the head.
         if (code == CURLE_OK && framing != answer_framing::None)
             return framing == answer_framing::Close ? transfer_result::Unproven : transfer_result::Complete;
-        if (t.headBytes > 0)
+        if (t.head.hasBegun())
             return transfer_result::Truncated;
         long sent = 0;
         curl_easy_getinfo(t.easy, CURLINFO_REQUEST_SIZE, &sent);
@@ -385,7 +270,7 @@
         event done;
         done.what = event::kind::Done;
         done.id = t.outgoing.id;
-        done.status = t.headStatus;
+        done.status = t.head.status();
         done.outcome = outcome;
         done.detail = std::move(detail);
         done.connection = connectionOf(t);
@@ -455,6 +340,7 @@
     auto owned = std::make_unique<transfer>();
     transfer& t = *owned;
     t.outgoing = std::move(outgoing);
+    t.head = answer_head(t.outgoing.maxHeadBytes, isSecure(t.outgoing));
     t.pendingEvents = &m_state->pending;
     t.all = &m_state->transfers;
     t.collectedBytes = &m_state->collectedBytes;
--- a/tests/process/endless_case.py
+++ b/tests/process/endless_case.py
@@ -38,15 +38,9 @@
 
 class EndlessCase(EntryCase):
     def start_with_endless(self, service, **more):
-        """All other replicas of the service are gone."""
         entries = self.start_entries()
         self.endless = EndlessReplica(self.platform, "i-endless", service, "north", **more)
-        self.platform.replicas.append(self.endless)
-        for replica in self.shops if service == "shop" else self.engines:
-            self.platform.store.remove("servers/" + replica.name)
-        for entry in entries:
-            wait_until(lambda entry=entry: "target=i-endless" in entry.output(), f"{entry.name} knows the replica")
-        time.sleep(1)
+        self.use_only(self.endless)
         return entries
 
     def resident_mb(self, entry):
--- a/tests/process/entry_world.py
+++ b/tests/process/entry_world.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import time
 
 from kit import BIN, EXPECTED_EXIT_CODES, KitTest, Program, call, free_ports, get, toml_text, wait_until
 from platform_standin import Platform
@@ -96,6 +97,15 @@
         return Entry(self.kit, f"entry-{index}", ("north", "south")[index % 2], self.platform, self.ports[index], self.seeds, self.duty_settings,
                      self.store_addresses.get(index, self.platform.store.address), f"127.0.0.{11 + index}", self.bounds, self.regions, self.machine)
 
+    def use_only(self, replica):
+        """All other replicas of its service are gone."""
+        self.platform.replicas.append(replica)
+        for other in self.shops if replica.service == "shop" else self.engines:
+            self.platform.store.remove("servers/" + other.name)
+        for entry in self.entries:
+            wait_until(lambda entry=entry: "target=" + replica.name in entry.output(), f"{entry.name} knows {replica.name}")
+        time.sleep(1)
+
     def submit(self, entry, name, body):
         return entry.send_request("/steps/" + name, name, body=json.dumps(body).encode())
 
--- a/tests/process/status_line_case.py
+++ b/tests/process/status_line_case.py
@@ -1,11 +1,9 @@
 """Shared base of the test_entry_status_lines*.py tests: a replica whose answers have no sound status line."""
 
 import json
-import time
 
 from entry_world import EntryCase
 from faulty_replica import FaultyReplica
-from kit import wait_until
 
 STATUS_LINES = ("HTTP/1.1 000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/2 200 OK", "HTTP/1.1 200OK")
 
@@ -36,14 +34,8 @@
 
 class StatusLineCase(EntryCase):
     def start_with_odd(self, service, routes, **more):
-        """One odd replica; all others of the service are gone."""
         entries = self.start_entries()
         self.odd = OddReplica(self.platform, "i-odd", service, "north", **more)
         self.odd.odd_routes = routes
-        self.platform.replicas.append(self.odd)
-        for replica in self.shops if service == "shop" else self.engines:
-            self.platform.store.remove("servers/" + replica.name)
-        for entry in entries:
-            wait_until(lambda entry=entry: "target=i-odd" in entry.output(), f"{entry.name} knows the replica")
-        time.sleep(1)
+        self.use_only(self.odd)
         return entries
