--- /dev/null
+++ b/review/14/run.py
@@ -0,0 +1,86 @@
+"""A batch route that is moved to another pool, whose old pool is taken away afterwards. See claim.txt."""
+
+import pathlib
+import sys
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "lib-3"))
+from world import EXIT_BROKEN, EXIT_HELD, TROUBLE, Client, CouldNotRun, World, config, main, submission  # noqa: E402
+
+RESULT_DEADLINE_S = 20
+UNSENT_S = 5  # "has been at no replica for 5 s of steady state"
+CONTACT_S, DRAIN_S = 3, 2  # contactMs, drainMs
+EVENTS, EVENT_INTERVAL_S = 40, 0.1
+BATCH = "b000000000000001"
+
+
+def moved(version, pool):
+    document = config(version, {"resultDeadlineMs": RESULT_DEADLINE_S * 1000, "itemTtlS": 40})
+    document["routes"][0]["service"] = pool
+    document["services"].append({**document["services"][0], "name": "pool2"})
+    return document
+
+
+def case():
+    world = World(FOLDER)
+    old = world.platform.engine("pool", "caerdydd", models=["m0"], events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+    for zone in ("caerdydd", "abertawe"):
+        world.platform.engine("pool2", zone, models=["m0"], events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+        world.platform.service("app", zone)
+    world.start(moved(1, "pool"))
+    record, trainer = world.record, Client(world, "trainer")
+
+    document = submission(BATCH, 8, 4, EVENTS, 7)
+    if trainer.submit(world.entries[0], BATCH, document) != 202:
+        raise CouldNotRun("the batch submission was not accepted")
+    submitted_at = time.monotonic()
+
+    def age():
+        return time.monotonic() - submitted_at
+
+    # The operator moves the route to the new pool, and then takes the old pool's replica away: it drains, serves on for
+    # longer than drainMs and ends.
+    time.sleep(1)
+    world.platform.put_config(moved(2, "pool2"))
+    record.add("operator: desired state 2, acknowledged: the batch route leads to pool2")
+    left_at = None
+    if TROUBLE:
+        time.sleep(1)
+        old.state = "draining"
+        old.publish_heartbeat()
+        record.add(f"{old.name} of pool reports draining")
+        time.sleep(2 * DRAIN_S + EVENTS * EVENT_INTERVAL_S)
+        world.platform.store.remove("servers/" + old.name)
+        old.refuse_requests = True
+        left_at = time.monotonic()
+        record.add(f"{old.name} of pool is gone; it had no request any more")
+    results = []
+    while age() < RESULT_DEADLINE_S and len(results) < len(document["items"]):
+        status, body = trainer.read(world.entries[1], BATCH, 0, 500, quiet=True)
+        if status == 200:
+            results = body["results"]
+        time.sleep(0.5)
+    trainer.read(world.entries[1], BATCH)
+
+    # Items that no replica has begun when the step runs out of time.
+    begun = {}
+    for replica in world.platform.replicas:
+        paths = [path for path, _ in replica.executed_requests if path.startswith("/pule252/")]
+        if replica.service != "app":
+            record.add(f"{replica.name} of {replica.service}: began {len(paths)} items")
+        for path in paths:
+            begun[path] = replica.name
+    never = [item["id"] for item in document["items"] if item["path"] not in begun]
+    unsent_s = (time.monotonic() - left_at - CONTACT_S) if left_at else 0
+    trainer.end(world.entries[1], BATCH)
+    broken = never and unsent_s >= UNSENT_S
+    if broken:
+        record.add(f"broken: LOST: the step runs out of time, {len(never)} of its {len(document['items'])} items were at no replica, the last {unsent_s:.1f} s of them steady, and pool2 idle")
+    elif len(results) < len(document["items"]):
+        raise CouldNotRun("the step was not complete in time")
+    record.add("verdict: " + ("broken" if broken else "held"))
+    return EXIT_BROKEN if broken else EXIT_HELD
+
+
+main(case)
