--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -270,6 +270,7 @@
 
 def main(case):
     """Runs case() and exits with its verdict; 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT_RUN))  # so that what was started is ended
     try:
         code = case()
     except CouldNotRun as problem:
