--- a/review/14/run.py
+++ b/review/14/run.py
@@ -25,8 +25,9 @@
 def case():
     world = World(FOLDER)
     old = world.platform.engine("pool", "caerdydd", models=["m0"], events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+    for number in range(7):  # so that the one that is taken away is an eighth of the model replicas
+        world.platform.engine("pool2", ("caerdydd", "abertawe", "wrecsam")[number % 3], models=["m0"], events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
     for zone in ("caerdydd", "abertawe"):
-        world.platform.engine("pool2", zone, models=["m0"], events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
         world.platform.service("app", zone)
     world.start(moved(1, "pool"))
     record, trainer = world.record, Client(world, "trainer")
