--- a/review/11/run.py
+++ b/review/11/run.py
@@ -52,7 +52,7 @@
             if status in (404, 410):
                 broken.append(f"LOST: {entry.name} answers {status} for an open batch submission")
         time.sleep(2)
-        open_items = {path for replica in world.platform.replicas for path, _ in replica.executed_requests if path.startswith("/pule252/")}
+        open_items = {path for _, _, path, _, runs in world.items() if runs}
         record.add(f"replicas: began {len(open_items)} items of the batch submission; each takes {LONG_STEP_S} s, so none was done")
     elif not ended and not TROUBLE:
         raise CouldNotRun("the short step did not end in time")
--- a/review/12/run.py
+++ b/review/12/run.py
@@ -76,14 +76,12 @@
     in_touch_from.update({entry.ip: 0 for entry in others if entry is not frozen})
     names = {entry.ip: entry.name for entry in world.entries}
     late = []
-    for replica in world.platform.replicas:
-        for (at, path), (_, source) in zip(replica.arrivals, replica.arrival_sources):
-            if not path.startswith("/pule252/"):
-                continue
-            if at > ended_at:
-                record.add(f"{replica.name}: {path} from {names.get(source, source)} arrived {at - ended_at:.3f} s after the ack of the end")
-            if at > ended_at + CANCEL_S and at > in_touch_from.get(source, float("inf")):
-                late.append(f"UNASKED: an item of the ended batch submission reached {replica.name} from {names[source]} {at - ended_at:.1f} s after the ack of its end")
+    for at, replica, path, source, runs in world.items():
+        if at <= ended_at:
+            continue
+        record.add(f"{replica.name}: {path} from {names.get(source, source)} arrived {at - ended_at:.3f} s after the ack of the end and {'ran' if runs else 'did not run'}")
+        if runs and at > ended_at + CANCEL_S and at > in_touch_from.get(source, float("inf")):
+            late.append(f"UNASKED: an item of the ended batch submission reached {replica.name} from {names[source]} {at - ended_at:.1f} s after the ack of its end, and ran")
     for fault in late[:5]:
         record.add("broken: " + fault)
     record.add(f"{len(late)} such items")
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -40,6 +40,23 @@
     pass
 
 
+class RecordingReplica(platform_standin.Replica):
+    """Records each request in one entry: when it arrived, its path, the IP of its sender and whether it runs."""
+
+    def __init__(self, *arguments, **more):
+        self.requests = []
+        super().__init__(*arguments, **more)
+
+    def handle(self, request):
+        is_named = request.headers.get("Target-Instance") in (None, self.name)
+        runs = request.route not in ("/report", "/order") and is_named and not self.refuse_requests
+        self.requests.append((time.monotonic(), request.route, request.client_address[0], runs))
+        super().handle(request)
+
+
+platform_standin.Replica = RecordingReplica
+
+
 class Record:
     """What was sent, answered and run, with the time in seconds from the start; also printed."""
 
@@ -198,6 +215,10 @@
             time.sleep(every)
         raise CouldNotRun(f"timed out after {seconds} s: {what}")
 
+    def items(self):
+        """All requests for items that reached replicas, in their order: when, the replica, path, the sender's IP, whether it ran."""
+        return sorted(((at, replica, path, source, runs) for replica in self.platform.replicas for at, path, source, runs in replica.requests if path.startswith("/pule252/")), key=lambda item: item[0])
+
     def by_name(self, name):
         return next(entry for entry in self.entries if entry.name == name)
 
