Batches: log lines for hand-overs received, expiry and items without a target

A hand-over left no line at the instance that receives it, a deletion by age none at all, and items that no target may run none.

Change: hand_over_received with owner, incarnation and revision of the head as read; expired with age, ended and listed; unplaced and placed, once for each change, with the routing class and its targets. No behaviour.

--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -406,6 +406,17 @@
     }
 }
 
+void batch_runner::notePlacement(batch_state& batch)
+{
+    const auto targets = m_router.table().allowed(batch.routingClass).size();
+    const auto waiting = targets > 0 ? 0 : std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.stage == item_stage::Waiting; });
+    const bool unplaced = waiting > 0;
+    if (unplaced == batch.unplaced)
+        return;
+    batch.unplaced = unplaced;
+    m_actions.emplace_back(note_placement { batch.spec.id, static_cast<std::size_t>(waiting), targets, batch.routingClass });
+}
+
 std::vector<batch_action> batch_runner::tick(instant now)
 {
     cancelStalledRuns(now);
@@ -433,6 +444,7 @@
             if (item.stage == item_stage::AwaitingJudge && now >= item.retryAt)
                 finishText(*batch, i, now);
         }
+        notePlacement(*batch);
         writeDuePage(*batch, now);
         saveDueTexts(*batch, now);
     }
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -108,7 +108,14 @@
     duration timeLeft {};
     std::size_t competing = 0; // open batches that share the slots, this one included
 };
-using batch_action = std::variant<run_item, cancel_run, judge_item, write_page, save_texts, note_late>;
+// For the log: items wait although no target may run them, or such targets are there again.
+struct note_placement {
+    batch_id batch;
+    std::size_t waiting = 0;
+    std::size_t targets = 0; // that may run the items, full or not
+    routing_class_id routingClass;
+};
+using batch_action = std::variant<run_item, cancel_run, judge_item, write_page, save_texts, note_late, note_placement>;
 
 enum class judge_outcome {
     Scored,
@@ -329,6 +336,7 @@
         bool writesDeferred = false; // no writes: accept() was not called yet
         bool ended = false;
         bool late = false; // gives way to other batches; only while items wait for slots
+        bool unplaced = false; // items wait and no target may run them
     };
     // What is left of a batch for its trainer to go on.
     struct batch_need {
@@ -389,6 +397,7 @@
     void writeDuePage(batch_state& batch, instant now);
     static void listPage(batch_state& batch);
     void saveDueTexts(batch_state& batch, instant now);
+    void notePlacement(batch_state& batch);
     void cancelStalledRuns(instant now);
     void updatePace(open_run& run, double typicalPace, std::size_t events, instant now);
     std::optional<double> paceOf(const target_id& target, instant now) const;
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -431,6 +431,9 @@
         }
         m_runner.restoreTexts(decodeTexts((*value)["texts"]), m_context.now);
         readHead(id, exchange, [this, exchange](const batch_head& head, revision headRevision) {
+            logEvent(log_level::Info, "batch", "hand_over_received",
+                { { "batch", head.id.str() }, { "owner", head.owner.str() }, { "incarnation", std::to_string(head.ownerIncarnation.value()) }, { "owner_alive", isAlive(head) ? "1" : "0" },
+                    { "fence", std::to_string(headRevision.value()) } });
             adopt(head, headRevision, [this, exchange](bool adopted) { respond(exchange, adopted ? statusOk : statusConflict, ""); });
         });
         return true;
@@ -461,6 +464,10 @@
             expired.push_back(id);
     }
     for (const auto& id : expired) {
+        const auto& head = m_owned.at(id).head;
+        logEvent(log_level::Info, "batch", "expired",
+            { { "batch", id.str() }, { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_context.wall - head.submitted).count()) }, { "ended", head.ended ? "1" : "0" },
+                { "listed", std::to_string(m_runner.listed(id).size()) }, { "items", std::to_string(head.items) } });
         kv_transaction change;
         change.compares.push_back({ headKey(id), kv_field::ModRevision, m_owned.at(id).headRevision, {} });
         change.then.emplace_back(kv_delete { headKey(id), {} });
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -59,7 +59,10 @@
             writePage(*page);
         else if (const auto* texts = std::get_if<save_texts>(&action))
             saveTexts(*texts);
-        else if (const auto* note = std::get_if<note_late>(&action)) {
+        else if (const auto* placement = std::get_if<note_placement>(&action)) {
+            logEvent(log_level::Info, "batch", placement->waiting > 0 ? "unplaced" : "placed",
+                { { "batch", placement->batch.str() }, { "waiting", std::to_string(placement->waiting) }, { "targets", std::to_string(placement->targets) }, { "class", placement->routingClass.str() } });
+        } else if (const auto* note = std::get_if<note_late>(&action)) {
             logEvent(log_level::Info, "batch", note->late ? "late" : "not_late",
                 { { "batch", note->batch.str() }, { "slot_ms", std::to_string(static_cast<std::int64_t>(note->work * msPerSecond)) },
                     { "left_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(note->timeLeft).count()) }, { "competing", std::to_string(note->competing) } });
