--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -2,7 +2,6 @@
 #include "batch.h"
 
 #include "json_text.h"
-#include "rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,12 +12,6 @@
 
 namespace {
 
-    // A member whose lease expired during an outage of the store renews it within this time
-    // after the outage; until then its batches are not taken over.
-    constexpr duration orphanGracePeriod = std::chrono::milliseconds(1500);
-    constexpr duration nextAdopterDelay = std::chrono::milliseconds(1500); // a first adopter has rewritten the head by then
-    constexpr duration passOnDelay = std::chrono::milliseconds(300); // an instance that returns has found most of its batches by then
-    constexpr std::size_t adopterCount = 3;
     constexpr std::uint64_t longestSpanMs = std::uint64_t { 30 } * 24 * 3600 * 1000; // of a route, so that sums of times stay in range
 
     Json::Value encodeRoute(const batch_route& decided)
@@ -99,31 +92,6 @@
 
 std::string textsKey(const batch_id& id) { return pagesPrefix(id) + "texts"; }
 
-std::optional<duration> adoptionDelay(const instance_id& owner, const instance_id& self, std::vector<instance_id> members)
-{
-    if (owner == self)
-        return duration {};
-    const auto order = rendezvousOrder(owner.str(), std::move(members));
-    const auto own = std::find(order.begin(), order.end(), self);
-    const auto rank = own - order.begin();
-    if (own == order.end() || rank >= static_cast<std::ptrdiff_t>(adopterCount))
-        return std::nullopt;
-    return orphanGracePeriod + rank * nextAdopterDelay;
-}
-
-orphan_plan planOrphan(const instance_id& owner, const instance_id& self, const std::vector<instance_id>& members)
-{
-    const bool ownerReturned = owner != self && std::find(members.begin(), members.end(), owner) != members.end();
-    if (ownerReturned)
-        return { orphan_plan::step::PassOn, passOnDelay, owner };
-    if (const auto delay = adoptionDelay(owner, self, members))
-        return { orphan_plan::step::Adopt, *delay, {} };
-    const auto* first = rendezvousFirst(owner.str(), members);
-    if (first == nullptr)
-        return {};
-    return { orphan_plan::step::PassOn, passOnDelay, *first };
-}
-
 std::string encodeHead(const batch_head& head)
 {
     Json::Value out(Json::objectValue);
--- a/src/batch.h
+++ b/src/batch.h
@@ -102,28 +102,6 @@
 constexpr std::string_view headPrefix = "batch/head/";
 
 std::string encodeHead(const batch_head& head);
-// How long after a batch lost its owner this instance takes it over; empty if it does not. After
-// a restart an instance takes its own batches at once. Those of others go to the first members
-// by rendezvous hashing, each later one only if the batch is still without an owner then: a
-// member may be cut off from the store before others see that it is gone.
-std::optional<duration> adoptionDelay(const instance_id& owner, const instance_id& self, std::vector<instance_id> members);
-
-// What an instance does about a batch that it found without a live owner.
-struct orphan_plan {
-    enum class step {
-        Adopt,
-        PassOn, // to `to`, which takes the batch over
-        Wait, // no member may run it
-    };
-    step next = step::Wait;
-    duration after {}; // from finding the batch until the step
-    instance_id to {};
-};
-// `members`: those that may run the batch. An instance that has returned under its name takes its
-// batches itself, but it looks for them only once, and the head may have been written since then.
-// Without it, an instance that is no adopter passes the batch on to the first one.
-orphan_plan planOrphan(const instance_id& owner, const instance_id& self, const std::vector<instance_id>& members);
-
 std::optional<batch_head> decodeHead(const batch_id& id, std::string_view text);
 // Whether the entry that made a create-only write of head `ours` fail was created by an
 // earlier attempt of the same write whose answer was lost. False for a head rewritten
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -240,6 +240,8 @@
     // submission is not confirmed yet.
     void deferWrites(const batch_id& id);
     void accept(const batch_id& id);
+    // While held, waiting items are not sent. Runs, judges and pages go on.
+    void holdItems(bool held) { m_itemsHeld = held; }
     // Cancels all runs. Listed results stay readable.
     std::vector<batch_action> end(const batch_id& id, instant now);
     // Removes a batch that another instance owns now or whose retention is over.
@@ -417,6 +419,7 @@
     std::map<service_id, double> m_secondsPerToken; // of runs, for each expected token; moving average
     share_lease m_lease;
     instant m_nextLateDecision {};
+    bool m_itemsHeld = false;
     struct kept_text {
         partial_text generated;
         instant until {};
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -54,7 +54,7 @@
 
 void batch_runner::dispatch(batch_state& batch, instant now, const std::vector<bool>& marked)
 {
-    if (batch.ended)
+    if (batch.ended || m_itemsHeld)
         return;
     auto full = fullTargets(batch, now);
     const auto limit = m_lease.limit(shareKey(batch), now);
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -190,7 +190,7 @@
         else if (m_owned.contains(id) && !m_owned.at(id).accepted)
             onOwnershipLost(id, "another instance accepted it");
         if (head && !m_owned.contains(id)) {
-            m_foreignHeads[id] = { *head, entry->modRevision };
+            rememberForeignHead({ *head, entry->modRevision });
             recordOrphan(*head, entry->modRevision); // if its owner is gone: the submission is answered as accepted, so it must be run
         }
         finishSubmit(id, !head ? statusServerError : head->account == submit.head.account ? statusAccepted
@@ -309,7 +309,7 @@
     m_owned[head.id] = { ++m_lastOwnership, head, true, false, headRevision, false, {}, {}, {}, std::move(memory) };
     m_foreignHeads.erase(head.id);
     if (headRevision != revision())
-        sendOwnerHint(head);
+        sendOwnerHint(head, headRevision);
     m_runner.add(std::move(*spec), decided->route, decided->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
     return true;
 }
@@ -393,13 +393,7 @@
         return true;
     }
     if (exchange->path == "/owner" && exchange->method == "POST") {
-        const batch_id id(exchange->query);
-        const auto head = decodeHead(id, exchange->body);
-        if (head && head->ended)
-            onEndedElsewhere(*head);
-        if (head && !m_owned.contains(id))
-            m_foreignHeads[id] = { *head, {} };
-        respond(exchange, statusOk, "");
+        answerOwnerNotice(exchange);
         return true;
     }
     if (exchange->path == "/owner") {
@@ -423,19 +417,7 @@
         return true;
     }
     if (exchange->path == "/handover") {
-        const auto value = parseJson(exchange->body);
-        const batch_id id(value ? jsonText(*value, "batch") : std::string());
-        if (id.empty() || m_stopping) {
-            respond(exchange, statusUnavailable, "");
-            return true;
-        }
-        m_runner.restoreTexts(decodeTexts((*value)["texts"]), m_context.now);
-        readHead(id, exchange, [this, exchange](const batch_head& head, revision headRevision) {
-            logEvent(log_level::Info, "batch", "hand_over_received",
-                { { "batch", head.id.str() }, { "owner", head.owner.str() }, { "incarnation", std::to_string(head.ownerIncarnation.value()) }, { "owner_alive", isAlive(head) ? "1" : "0" },
-                    { "fence", std::to_string(headRevision.value()) } });
-            adopt(head, headRevision, [this, exchange](bool adopted) { respond(exchange, adopted ? statusOk : statusConflict, ""); });
-        });
+        answerHandOver(exchange);
         return true;
     }
     if (const auto call = platform::decodeBatchCall(exchange->method, exchange->path, exchange->query)) {
@@ -508,7 +490,8 @@
     continueAdoptions();
     adoptOrphans();
     retryForeignEnds();
-    retryEndNotices();
+    retryOwnerNotices();
+    holdItemsInDoubt();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
     execute(m_runner.tick(m_context.now));
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -7,6 +7,7 @@
 // on condition that the head still has the revision that the owner knows.
 #pragma once
 
+#include "batch_life.h"
 #include "batch_runner.h"
 #include "demand_codec.h"
 #include "edge/caller_frontend.h"
@@ -66,6 +67,8 @@
         instant endRetryAt {};
         instant endGiveUpAt {};
         http::memory_claim memory {}; // of its items
+
+        stored_head stored() const { return { head, headRevision }; }
     };
     // A submission whose write is not settled. Once its callers are answered it has no waiters any more.
     // No batch is pending and being taken over at once: what is taken over is in the store, so it was accepted.
@@ -122,7 +125,7 @@
     void answerFromStore(const http::exchange_ptr& exchange, const platform::batch_call& call, const batch_head& head, revision headRevision);
     void readHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead);
     const member* directoryMember(const batch_id& id) const;
-    void sendOwnerHint(const batch_head& head);
+    void sendOwnerHint(const batch_head& head, revision headRevision);
     void findHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead);
     void respond(const http::exchange_ptr& exchange, int status, std::string_view body) const;
     bool isAlive(const batch_head& head) const;
@@ -145,13 +148,18 @@
     void writeForeignEnd(foreign_end end);
     void retryForeignEnds();
     void onEndedElsewhere(const batch_head& head);
-    struct end_notice {
-        batch_head head; // ended
+    // News of a head for an instance that owns the batch, or that did before a take-over.
+    struct owner_notice {
+        stored_head news;
+        batch_owner to;
         instant retryUntil {};
         instant retryAt {};
     };
-    void notifyOwnerOfEnd(const batch_head& head, instant retryUntil);
-    void retryEndNotices();
+    void notifyOwnerOfEnd(const batch_head& head, revision headRevision);
+    void notifyOwner(owner_notice notice);
+    void retryOwnerNotices();
+    void answerOwnerNotice(const http::exchange_ptr& exchange);
+    void rememberForeignHead(const stored_head& known);
 
     // Ownership.
     void adoptOrphans();
@@ -182,6 +190,9 @@
     void finishAdoption(const batch_id& id, bool adopted);
     void onOwnershipLost(const batch_id& id, const char* reason);
     void handOver(const batch_id& id);
+    void answerHandOver(const http::exchange_ptr& exchange);
+    void holdItemsInDoubt();
+    batch_owner self() const { return { instance_id(m_context.settings.instance.name), m_context.ownIncarnation }; }
     void expire();
 
     // Actions of the runner.
@@ -208,17 +219,13 @@
     };
     std::vector<forwarded_submit> m_forwardedSubmits; // to other instances, not answered yet
     std::vector<foreign_end> m_foreignEnds; // to be written again
-    std::vector<end_notice> m_endNotices; // that did not reach their owners yet
+    std::vector<owner_notice> m_ownerNotices; // that did not get through yet
     std::vector<waiting_read> m_reads;
     std::map<attempt_id, run_transfer> m_runs;
-    struct known_head {
-        batch_head head;
-        revision headRevision;
-    };
-    std::map<batch_id, known_head> m_foreignHeads; // batches of other owners, as last read or reported
+    std::map<batch_id, stored_head> m_foreignHeads; // batches of other owners, as last read or reported
     // A batch without a live owner: taken over after a grace period, or passed on to who does that.
     struct orphan_batch {
-        known_head known;
+        stored_head known;
         instant since {}; // when it was found
         instant passOnAt {}; // not before, after an attempt to pass it on
     };
@@ -227,6 +234,7 @@
     struct take_over {
         std::uint64_t number = 0; // tells it from a later one of the same batch
         batch_head head; // names this instance as the owner
+        batch_owner former; // by the head before
         guarded_write write;
         revision headRevision; // 0: the write of the head is open
         bool calling = false; // a call to the store is in flight
@@ -241,6 +249,7 @@
     bool m_scanning = false;
     bool m_scanDone = false;
     bool m_recheckOwned = false; // the next scan also drops batches that others took over meanwhile
+    std::optional<instant> m_doubtfulSince; // other instances may have taken over what this one owns
     instant m_scanRetryAt {};
     instant m_nextExpiry {};
     bool m_stopping = false;
--- a/src/edge/batches_adoption.cpp
+++ b/src/edge/batches_adoption.cpp
@@ -12,6 +12,13 @@
 
 namespace lovagerail::edge {
 
+namespace {
+
+    // An instance that was suspended returns to the members within about a second after it wakes, and checks its batches then.
+    constexpr duration formerOwnerPeriod = std::chrono::milliseconds(2500);
+
+} // namespace
+
 void batches::adopt(const batch_head& head, revision headRevision, adoption_function onDone)
 {
     if (ownsAccepted(head.id)) {
@@ -29,6 +36,7 @@
     auto& started = m_adoptions[head.id];
     started.number = ++m_lastAdoption;
     started.head = head;
+    started.former = ownerOf(head);
     started.head.owner = instance_id(m_context.settings.instance.name);
     started.head.ownerIncarnation = m_context.ownIncarnation;
     if (!started.head.decided)
@@ -82,6 +90,9 @@
             return;
         case write_state::Done:
             found->second.headRevision = verdict.at;
+            // A former owner that this instance took for gone may be alive.
+            if (found->second.former != self())
+                notifyOwner({ { found->second.head, verdict.at }, found->second.former, m_context.now + formerOwnerPeriod, {} });
             readAdoptedBody(id);
             return;
         }
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -23,6 +23,16 @@
     constexpr std::chrono::milliseconds noRoomRetryAfter { 500 };
     constexpr duration notifyOwnerPeriod = std::chrono::milliseconds(2500); // items must not reach targets later than 3 s after an end
 
+    constexpr std::string_view revisionHeader = "x-revision"; // of a head between instances
+
+    // Reports a head to another instance.
+    http::request ownerCall(const std::string& address, const stored_head& news)
+    {
+        auto out = peerCall(address, "/owner?" + news.head.id.str(), encodeHead(news.head), directoryTimeout);
+        out.headers = { { std::string(revisionHeader), std::to_string(news.headRevision.value()) } };
+        return out;
+    }
+
     std::string encodeResultsAfter(std::size_t total, std::size_t after, const std::vector<batch_result>& listed)
     {
         std::vector<batch_result> remaining;
@@ -48,7 +58,7 @@
             respond(exchange, statusNotFound, "");
             return;
         }
-        m_foreignHeads[call.id] = { head, headRevision };
+        rememberForeignHead({ head, headRevision });
         forwardToOwner(exchange, call, account, wait, head, headRevision);
     };
     const auto foreign = m_foreignHeads.find(call.id);
@@ -68,13 +78,22 @@
     return m_members.find(*rendezvousFirst(id.str(), names));
 }
 
-void batches::sendOwnerHint(const batch_head& head)
+void batches::sendOwnerHint(const batch_head& head, revision headRevision)
 {
     const auto* directory = directoryMember(head.id);
     if (directory == nullptr || directory->name.str() == m_context.settings.instance.name)
         return;
     // Fire and forget: a lost hint only costs a read of the store.
-    m_context.net.call(peerCall(directory->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [](const http::answer&) {});
+    m_context.net.call(ownerCall(directory->address, { head, headRevision }), [](const http::answer&) {});
+}
+
+// Keeps the newest head that is known of a batch of another owner.
+void batches::rememberForeignHead(const stored_head& known)
+{
+    const auto [found, isNew] = m_foreignHeads.try_emplace(known.head.id, known);
+    const bool isOlder = known.headRevision != revision() && known.headRevision < found->second.headRevision;
+    if (!isNew && !isOlder)
+        found->second = known;
 }
 
 void batches::findHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead)
@@ -322,7 +341,7 @@
     if (head.ended) {
         respond(exchange, statusOk, "");
         // The writer of the end may not have learnt that it took effect, so its owner may still run items.
-        notifyOwnerOfEnd(head, m_context.now + notifyOwnerPeriod);
+        notifyOwnerOfEnd(head, headRevision);
         return;
     }
     head.ended = true;
@@ -347,7 +366,7 @@
         const bool ended = verdict.state == write_state::Done;
         respond(end.exchange, ended ? statusOk : statusUnavailable, "");
         if (ended)
-            notifyOwnerOfEnd(end.head, m_context.now + notifyOwnerPeriod);
+            notifyOwnerOfEnd(end.head, verdict.at);
     });
 }
 
@@ -363,32 +382,67 @@
     std::move(waiting.begin(), waiting.end(), std::back_inserter(m_foreignEnds));
 }
 
-// An owner that is alive but could not be reached keeps running items, so repeat the notice
-// of the end until it gets through.
-void batches::notifyOwnerOfEnd(const batch_head& head, instant retryUntil)
+// An owner that is alive but could not be reached keeps running items, so the notice is repeated.
+void batches::notifyOwnerOfEnd(const batch_head& head, revision headRevision)
 {
-    if (!isAlive(head) || m_context.now >= retryUntil)
+    notifyOwner({ { head, headRevision }, ownerOf(head), m_context.now + notifyOwnerPeriod, {} });
+}
+
+// Tells an instance of a head that another one wrote, until it answers or the time is up. One that is no member
+// at present may return within that time.
+void batches::notifyOwner(owner_notice notice)
+{
+    if (notice.to == self()) {
+        onEndedElsewhere(notice.news.head);
+        return;
+    }
+    if (m_context.now >= notice.retryUntil)
         return;
-    if (head.owner.str() == m_context.settings.instance.name) {
-        onEndedElsewhere(head);
+    notice.retryAt = m_context.now + endRetryDelay;
+    const auto* to = m_members.find(notice.to.name);
+    if (to == nullptr) {
+        m_ownerNotices.push_back(std::move(notice));
         return;
     }
-    m_context.net.call(peerCall(m_members.find(head.owner)->address, "/owner?" + head.id.str(), encodeHead(head), directoryTimeout), [this, head, retryUntil](const http::answer& answer) {
+    if (to->incarnationNumber != notice.to.life)
+        return; // it has ended
+    m_context.net.call(ownerCall(to->address, notice.news), [this, notice](const http::answer& answer) {
+        logEvent(log_level::Info, "batch", "owner_told",
+            { { "batch", notice.news.head.id.str() }, { "to", notice.to.name.str() }, { "ended", notice.news.head.ended ? "1" : "0" }, { "fence", std::to_string(notice.news.headRevision.value()) }, { "status", std::to_string(answer.status) } });
         if (answer.outcome != http::transfer_result::Complete)
-            m_endNotices.push_back({ head, retryUntil, m_context.now + endRetryDelay });
+            m_ownerNotices.push_back(notice);
     });
 }
 
-void batches::retryEndNotices()
+void batches::retryOwnerNotices()
 {
-    std::vector<end_notice> waiting;
-    for (auto& notice : std::exchange(m_endNotices, {})) {
+    std::vector<owner_notice> waiting;
+    for (auto& notice : std::exchange(m_ownerNotices, {})) {
         if (m_context.now >= notice.retryAt)
-            notifyOwnerOfEnd(notice.head, notice.retryUntil);
+            notifyOwner(std::move(notice));
         else
             waiting.push_back(std::move(notice));
     }
-    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_endNotices));
+    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_ownerNotices));
+}
+
+// Another instance reports a head: as a hint where the batch is, or because this instance owned the batch before.
+void batches::answerOwnerNotice(const http::exchange_ptr& exchange)
+{
+    const batch_id id(exchange->query);
+    const auto head = decodeHead(id, exchange->body);
+    if (!head) {
+        respond(exchange, statusBadRequest, "");
+        return;
+    }
+    const stored_head news { *head, revision(std::strtoull(std::string(http::findHeader(exchange->headers, revisionHeader)).c_str(), nullptr, 10)) };
+    if (head->ended)
+        onEndedElsewhere(*head);
+    else if (ownsAccepted(id) && judgeOwnership(m_owned.at(id).stored(), news) == owner_news::TakenOver)
+        onOwnershipLost(id, "its new owner says so");
+    if (!m_owned.contains(id))
+        rememberForeignHead(news);
+    respond(exchange, statusOk, "");
 }
 
 // The store has the end of a batch that this instance runs, takes over or is submitting: its items stop.
@@ -401,7 +455,7 @@
         finishAdoption(head.id, false);
     const auto owned = m_owned.find(head.id);
     // An end that is being written here settles by itself.
-    if (owned != m_owned.end() && !owned->second.head.ended && owned->second.endWaiters.empty())
+    if (owned != m_owned.end() && owned->second.endWaiters.empty() && judgeOwnership(owned->second.stored(), { head, {} }) == owner_news::Ended)
         onOwnershipLost(head.id, "another instance ended it");
 }
 
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -116,11 +116,9 @@
         const auto head = decodeHead(id, entry.value);
         if (owned == m_owned.end() || !head || !owned->second.accepted)
             continue;
-        if (entry.modRevision <= owned->second.headRevision)
-            continue; // read before this instance wrote the head
-        const bool sameOwner = head->owner == owned->second.head.owner && head->ownerIncarnation == owned->second.head.ownerIncarnation;
-        if (!sameOwner || (head->ended && !owned->second.head.ended && owned->second.endWaiters.empty()))
-            onOwnershipLost(id, sameOwner ? "another instance ended it" : "another instance took it over");
+        const auto news = judgeOwnership(owned->second.stored(), { *head, entry.modRevision });
+        if (news == owner_news::TakenOver || (news == owner_news::Ended && owned->second.endWaiters.empty()))
+            onOwnershipLost(id, news == owner_news::Ended ? "another instance ended it" : "another instance took it over");
     }
 }
 
@@ -163,6 +161,9 @@
     std::vector<batch_action> actions;
     Json::Value body(Json::objectValue);
     body["batch"] = id.str();
+    body["owner"] = owned.head.owner.str();
+    body["life"] = Json::UInt64(owned.head.ownerIncarnation.value());
+    body["fence"] = Json::UInt64(owned.headRevision.value());
     body["texts"] = encodeTexts(m_runner.releaseTexts(id, actions, m_context.now));
     const auto head = owned.head;
     for (const auto& waiter : owned.endWaiters)
@@ -177,6 +178,42 @@
     });
 }
 
+void batches::answerHandOver(const http::exchange_ptr& exchange)
+{
+    const auto body = parseJson(exchange->body);
+    const batch_id id(body ? jsonText(*body, "batch") : std::string());
+    if (id.empty() || m_stopping) {
+        respond(exchange, statusUnavailable, "");
+        return;
+    }
+    const hand_over offered { { instance_id(jsonText(*body, "owner")), incarnation(jsonCount(*body, "life")) }, revision(jsonCount(*body, "fence")) };
+    readHead(id, exchange, [this, exchange, offered, texts = decodeTexts((*body)["texts"])](const batch_head& head, revision headRevision) {
+        const auto step = planHandOver(offered, self(), { head, headRevision });
+        logEvent(log_level::Info, "batch", "hand_over",
+            { { "batch", head.id.str() }, { "from", offered.from.name.str() }, { "fence_offered", std::to_string(offered.headRevision.value()) }, { "owner", head.owner.str() },
+                { "incarnation", std::to_string(head.ownerIncarnation.value()) }, { "owner_alive", isAlive(head) ? "1" : "0" }, { "fence", std::to_string(headRevision.value()) }, { "outcome", std::string(toString(step)) } });
+        if (step == hand_over_step::Refuse || m_stopping) {
+            respond(exchange, step == hand_over_step::Refuse ? statusConflict : statusUnavailable, "");
+            return;
+        }
+        m_runner.restoreTexts(texts, m_context.now);
+        adopt(head, headRevision, [this, exchange](bool adopted) { respond(exchange, adopted ? statusOk : statusConflict, ""); });
+    });
+}
+
+// After a time without membership, items wait until the heads were compared with the store.
+void batches::holdItemsInDoubt()
+{
+    owner_standing standing { m_members.joined(), m_recheckOwned, m_context.store.awayFor(), {} };
+    if ((standing.isMember && !standing.isRechecking) || isStoreAway(standing))
+        m_doubtfulSince.reset();
+    else if (!m_doubtfulSince)
+        m_doubtfulSince = m_context.now;
+    if (m_doubtfulSince)
+        standing.doubtful = m_context.now - *m_doubtfulSince;
+    m_runner.holdItems(!mayBeginItems(standing));
+}
+
 void batches::adoptOrphan(const batch_id& id)
 {
     const auto orphan = m_orphans.extract(id).mapped();
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -203,13 +203,21 @@
 {
     auto& owned = m_owned.at(action.batch);
     owned.mayHaveStoredTexts = true;
+    guarded_write write { headKey(action.batch), owned.headRevision, textsKey(action.batch) };
     kv_transaction change;
-    change.compares.push_back({ headKey(action.batch), kv_field::ModRevision, owned.headRevision, {} });
-    change.then.emplace_back(kv_put { textsKey(action.batch), writeJson(encodeTexts(action.texts)), {} });
-    m_context.store.call("batch texts", std::move(change), [this, id = action.batch, items = action.texts.size(), ownership = owned.ownership](const result<kv_answer>& answer) {
-        if (findOwned(id, ownership) == nullptr)
+    change.compares.push_back({ write.guard, kv_field::ModRevision, write.guardRevision, {} });
+    change.then.emplace_back(kv_put { write.key, writeJson(encodeTexts(action.texts)), {} });
+    m_context.store.call("batch texts", std::move(change), [this, id = action.batch, items = action.texts.size(), write = std::move(write), ownership = owned.ownership](const result<kv_answer>& answer) {
+        const auto* current = findOwned(id, ownership);
+        if (current == nullptr)
+            return;
+        const auto verdict = judgeWrite(write, answer);
+        const bool isOwnEnd = current->endWritePending || current->head.ended; // which rewrites the head, too
+        if (verdict.state == write_state::Overtaken && !isOwnEnd) {
+            onOwnershipLost(id, "another instance changed its head");
             return;
-        const bool written = answer && answer->succeeded;
+        }
+        const bool written = verdict.state == write_state::Done;
         logEvent(written ? log_level::Info : log_level::Warning, "batch", written ? "texts_saved" : "texts_not_saved",
             { { "batch", id.str() }, { "items", std::to_string(items) }, { "error", answer ? std::string() : toString(answer.error()) } });
         // After a failure the runner saves them again later, with what was generated since. No
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -304,6 +304,10 @@
 void store_link::tick(instant now)
 {
     m_now = now;
+    if (!m_unreachable)
+        m_unreachableSince.reset();
+    else if (!m_unreachableSince)
+        m_unreachableSince = now;
     probeDirectPath();
     for (auto& [id, watch] : m_watches) {
         if (watch.transfer == 0 && now >= watch.reopenAt)
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -73,6 +73,8 @@
     void tick(instant now);
     // True once after the store was unreachable, directly and through peers, and answers again.
     bool takeRegained() { return std::exchange(m_regained, false); }
+    // For how long the store has been reached neither directly nor through peers; 0 if it is.
+    duration awayFor() const { return m_unreachableSince ? m_now - *m_unreachableSince : duration {}; }
     // Whether the direct path is in use: it has failed fewer than failuresUntilRelay times in a row.
     bool directWorks() const { return m_failures < m_settings.failuresUntilRelay; }
     const std::map<std::string, std::uint64_t, std::less<>>& counts() const { return m_counts; }
@@ -111,6 +113,7 @@
     std::map<std::string, instant> m_silentPeers; // that did not answer a relayed call, until when they get none
     int m_failures = 0; // consecutive, of the direct path
     bool m_unreachable = false; // the last call failed and the direct path does not work
+    std::optional<instant> m_unreachableSince; // by ticks, as calls fail before a process that was suspended learns the time
     bool m_regained = false;
     instant m_now {};
     std::chrono::milliseconds m_timeout; // of calls; adapted to the time that they take
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -103,64 +103,6 @@
     BOOST_TEST(!decodeBatchPage("{}").has_value());
 }
 
-// The first adopter of a lost owner's batches may be cut off from the store itself: others follow.
-BOOST_AUTO_TEST_CASE(several_members_may_take_over_one_after_the_other)
-{
-    const instance_id owner("lost");
-    constexpr int memberCount = 20;
-    std::vector<instance_id> members;
-    members.reserve(memberCount);
-    for (int i = 0; i < memberCount; ++i)
-        members.emplace_back("entry-" + std::to_string(i));
-    std::vector<duration> delays;
-    for (const auto& member : members) {
-        if (const auto delay = adoptionDelay(owner, member, members))
-            delays.push_back(*delay);
-    }
-    std::sort(delays.begin(), delays.end());
-    BOOST_REQUIRE(delays.size() == 3u);
-    BOOST_TEST((delays[0] < delays[1] && delays[1] < delays[2]));
-    // The second one takes over at last if the first never does, also once the first has left the list.
-    for (const auto& first : members) {
-        if (adoptionDelay(owner, first, members) != delays[0])
-            continue;
-        auto rest = members;
-        std::erase(rest, first);
-        const auto firstOfRest = std::count_if(rest.begin(), rest.end(), [&](const instance_id& member) { return adoptionDelay(owner, member, rest) == delays[0]; });
-        BOOST_TEST(firstOfRest == 1);
-    }
-    BOOST_TEST((adoptionDelay(owner, owner, members) == duration {}));
-    BOOST_TEST(!adoptionDelay(owner, instance_id("stranger"), members).has_value());
-}
-
-// Guards against a batch that all instances leave alone: each one that finds it takes it over, or passes it on to one that does.
-BOOST_AUTO_TEST_CASE(whoever_finds_a_batch_without_an_owner_has_it_taken_over)
-{
-    using step = orphan_plan::step;
-    constexpr int memberCount = 12;
-    std::vector<instance_id> members;
-    members.reserve(memberCount);
-    for (int i = 0; i < memberCount; ++i)
-        members.emplace_back("entry-" + std::to_string(i));
-    for (const auto& owner : { members[4], instance_id("gone") }) {
-        for (const auto& finder : members) {
-            auto holder = finder;
-            auto plan = planOrphan(owner, holder, members);
-            BOOST_TEST((plan.next == step::Adopt) == (adoptionDelay(owner, finder, members).has_value() && (owner == finder || owner == instance_id("gone"))));
-            if (plan.next == step::PassOn) {
-                holder = plan.to;
-                plan = planOrphan(owner, holder, members);
-            }
-            BOOST_TEST((plan.next == step::Adopt), owner.str() << " found by " << finder.str());
-            if (owner == members[4])
-                BOOST_TEST(holder.str() == owner.str());
-        }
-    }
-    // One that may not run the batch passes it on as well, and waits if nobody may.
-    BOOST_TEST((planOrphan(members[4], instance_id("elsewhere"), members).next == step::PassOn));
-    BOOST_TEST((planOrphan(members[4], members[0], {}).next == step::Wait));
-}
-
 BOOST_AUTO_TEST_CASE(page_keys_sort_by_page_number)
 {
     BOOST_TEST(pageKey(batch_id("b"), 9) < pageKey(batch_id("b"), 10));
--- /dev/null
+++ b/tests/test_batch_life.cpp
@@ -0,0 +1,143 @@
+// Tests of the decisions about batches, over all combinations of their inputs.
+#include "batch_life.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace lovagerail {
+
+namespace {
+
+    stored_head storedHead(const batch_owner& owner, std::uint64_t at, bool ended = false)
+    {
+        batch_head head;
+        head.id = batch_id("b1");
+        head.owner = owner.name;
+        head.ownerIncarnation = owner.life;
+        head.ended = ended;
+        return { head, revision(at) };
+    }
+
+    // Two instances, the first one in two incarnations.
+    const std::vector<batch_owner> owners { { instance_id("a"), incarnation(1) }, { instance_id("a"), incarnation(2) }, { instance_id("b"), incarnation(1) } };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(batch_life_suite)
+
+// The first adopter of a lost owner's batches may be cut off from the store itself: others follow.
+BOOST_AUTO_TEST_CASE(several_members_may_take_over_one_after_the_other)
+{
+    const instance_id owner("lost");
+    constexpr int memberCount = 20;
+    std::vector<instance_id> members;
+    members.reserve(memberCount);
+    for (int i = 0; i < memberCount; ++i)
+        members.emplace_back("entry-" + std::to_string(i));
+    std::vector<duration> delays;
+    for (const auto& member : members) {
+        if (const auto delay = adoptionDelay(owner, member, members))
+            delays.push_back(*delay);
+    }
+    std::sort(delays.begin(), delays.end());
+    BOOST_REQUIRE(delays.size() == 3u);
+    BOOST_TEST((delays[0] < delays[1] && delays[1] < delays[2]));
+    // The second one takes over at last if the first never does, also once the first has left the list.
+    for (const auto& first : members) {
+        if (adoptionDelay(owner, first, members) != delays[0])
+            continue;
+        auto rest = members;
+        std::erase(rest, first);
+        const auto firstOfRest = std::count_if(rest.begin(), rest.end(), [&](const instance_id& member) { return adoptionDelay(owner, member, rest) == delays[0]; });
+        BOOST_TEST(firstOfRest == 1);
+    }
+    BOOST_TEST((adoptionDelay(owner, owner, members) == duration {}));
+    BOOST_TEST(!adoptionDelay(owner, instance_id("stranger"), members).has_value());
+}
+
+// Guards against a batch that all instances leave alone: each one that finds it takes it over, or passes it on to one that does.
+BOOST_AUTO_TEST_CASE(whoever_finds_a_batch_without_an_owner_has_it_taken_over)
+{
+    using step = orphan_plan::step;
+    constexpr int memberCount = 12;
+    std::vector<instance_id> members;
+    members.reserve(memberCount);
+    for (int i = 0; i < memberCount; ++i)
+        members.emplace_back("entry-" + std::to_string(i));
+    for (const auto& owner : { members[4], instance_id("gone") }) {
+        for (const auto& finder : members) {
+            auto holder = finder;
+            auto plan = planOrphan(owner, holder, members);
+            BOOST_TEST((plan.next == step::Adopt) == (adoptionDelay(owner, finder, members).has_value() && (owner == finder || owner == instance_id("gone"))));
+            if (plan.next == step::PassOn) {
+                holder = plan.to;
+                plan = planOrphan(owner, holder, members);
+            }
+            BOOST_TEST((plan.next == step::Adopt), owner.str() << " found by " << finder.str());
+            if (owner == members[4])
+                BOOST_TEST(holder.str() == owner.str());
+        }
+    }
+    // One that may not run the batch passes it on as well, and waits if nobody may.
+    BOOST_TEST((planOrphan(members[4], instance_id("elsewhere"), members).next == step::PassOn));
+    BOOST_TEST((planOrphan(members[4], members[0], {}).next == step::Wait));
+}
+
+// Guards against a hand-over that is handled late and takes a batch from its live owner: for all heads that the receiver may read,
+// it takes the batch over only if nobody has rewritten the head since the batch was given away.
+BOOST_AUTO_TEST_CASE(a_hand_over_holds_only_for_the_head_that_was_given_away)
+{
+    constexpr std::uint64_t given = 10;
+    const hand_over offered { owners[0], revision(given) };
+    for (const auto& self : owners) {
+        for (const auto& owner : owners) {
+            for (const std::uint64_t at : { given - 1, given, given + 1 }) {
+                for (const bool ended : { false, true }) {
+                    const auto step = planHandOver(offered, self, storedHead(owner, at, ended));
+                    const bool isGiven = !ended && owner == owners[0] && at == given && !(self == owner);
+                    BOOST_TEST((step == hand_over_step::TakeOver) == isGiven);
+                    BOOST_TEST((step == hand_over_step::AlreadyOwned) == (!ended && owner == self));
+                }
+            }
+        }
+    }
+    // A call that doesn't state the head can't be told from a late one.
+    BOOST_TEST((planHandOver({}, owners[2], storedHead(owners[0], given)) == hand_over_step::Refuse));
+    BOOST_TEST((planHandOver({ owners[0], {} }, owners[2], storedHead(owners[0], given)) == hand_over_step::Refuse));
+}
+
+// A head says something to an owner only if it was written after the one that the owner holds; an end is final and needs no order.
+BOOST_AUTO_TEST_CASE(an_owner_is_displaced_by_newer_heads_alone)
+{
+    constexpr std::uint64_t held = 10;
+    for (const bool endedHere : { false, true }) {
+        for (const auto& owner : owners) {
+            for (const std::uint64_t at : { std::uint64_t { 0 }, held - 1, held, held + 1 }) {
+                for (const bool ended : { false, true }) {
+                    const auto news = judgeOwnership(storedHead(owners[0], held, endedHere), storedHead(owner, at, ended));
+                    BOOST_TEST((news == owner_news::TakenOver) == (!ended && at > held && !(owner == owners[0])));
+                    BOOST_TEST((news == owner_news::Ended) == (ended && !endedHere && (at == 0 || at > held)));
+                }
+            }
+        }
+    }
+}
+
+// Items wait while the owner may have lost its batches and can find out; not for long, and not while the store is away.
+BOOST_AUTO_TEST_CASE(items_wait_only_while_their_owner_can_check_its_batches)
+{
+    for (const bool isMember : { false, true }) {
+        for (const bool isRechecking : { false, true }) {
+            for (const auto away : { std::chrono::milliseconds(0), std::chrono::milliseconds(499), std::chrono::milliseconds(500) }) {
+                for (const auto doubtful : { std::chrono::milliseconds(0), std::chrono::milliseconds(1499), std::chrono::milliseconds(1500) }) {
+                    const bool waits = (!isMember || isRechecking) && away < std::chrono::milliseconds(500) && doubtful < std::chrono::milliseconds(1500);
+                    BOOST_TEST(mayBeginItems({ isMember, isRechecking, away, doubtful }) != waits);
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lovagerail
