--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+    constexpr std::uint64_t latestTimeMs = 1'000'000'000'000'000; // of a record, so that sums of times stay in range
     constexpr std::uint64_t longestSpanMs = std::uint64_t { 30 } * 24 * 3600 * 1000; // of a route, so that sums of times stay in range
 
     Json::Value encodeRoute(const batch_route& decided)
@@ -92,6 +93,12 @@
 
 std::string textsKey(const batch_id& id) { return pagesPrefix(id) + "texts"; }
 
+bool isPageOrTexts(const batch_id& id, std::string_view key)
+{
+    const auto prefix = pagesPrefix(id);
+    return key.substr(0, prefix.size()) == prefix && key.find('/', prefix.size()) == std::string_view::npos;
+}
+
 std::string encodeHead(const batch_head& head)
 {
     Json::Value out(Json::objectValue);
@@ -123,7 +130,7 @@
     out.path = jsonText(*value, "path");
     out.account = client_account_id(jsonText(*value, "account"));
     out.originRegion = region_id(jsonText(*value, "region"));
-    out.submitted = wall_time(std::chrono::milliseconds(static_cast<std::int64_t>(jsonCount(*value, "submitted"))));
+    out.submitted = wall_time(std::chrono::milliseconds(static_cast<std::int64_t>(std::min(jsonCount(*value, "submitted"), latestTimeMs))));
     out.items = static_cast<std::uint32_t>(jsonCount(*value, "items"));
     out.ended = jsonFlag(*value, "ended");
     out.decided = decodeRoute((*value)["route"]);
--- a/src/batch.h
+++ b/src/batch.h
@@ -99,6 +99,9 @@
 // Key of the saved partial texts of items without a result. It sorts after the pages and
 // has their prefix, so that one range read returns all that a new owner needs.
 std::string textsKey(const batch_id& id);
+// Whether a key with the prefix of the batch's pages is one of its pages or its texts, and not of a batch whose id
+// begins with this one's.
+bool isPageOrTexts(const batch_id& id, std::string_view key);
 constexpr std::string_view headPrefix = "batch/head/";
 
 std::string encodeHead(const batch_head& head);
--- a/src/batch_life.cpp
+++ b/src/batch_life.cpp
@@ -18,6 +18,9 @@
     // The check of an owner's batches takes a claim of the membership and a read of the heads. If it
     // takes longer than this, items go on without it.
     constexpr duration longestDoubt = std::chrono::milliseconds(1500);
+    // Beyond `retention::results`, for clocks of other machines and answers on their way.
+    constexpr std::chrono::milliseconds retentionMargin { 5000 };
+    constexpr std::chrono::milliseconds repeatedEndTime { 15'000 }; // callers repeat an end whose answer was lost within their deadlines
     // All calls of an instance that was suspended time out at once when it wakes, and the next ones are answered.
     constexpr duration shortestOutage = std::chrono::milliseconds(500);
 
@@ -93,4 +96,30 @@
 
 bool isStoreAway(const owner_standing& standing) { return standing.storeAway >= shortestOutage; }
 
+wall_time keptUntil(const batch_head& head, const retention& kept, std::optional<wall_time> endLearnt)
+{
+    const auto ofResults = head.submitted + kept.results + retentionMargin;
+    if (head.ended)
+        return endLearnt ? std::max(ofResults, *endLearnt + repeatedEndTime) : ofResults;
+    duration ownTime {};
+    if (head.decided)
+        ownTime = std::max(head.decided->route.resultDeadline, head.decided->route.itemTtl);
+    return std::max(ofResults, head.submitted + std::chrono::ceil<std::chrono::milliseconds>(ownTime) + kept.openBatches);
+}
+
+unowned_step planUnowned(const batch_head& head, const retention& kept, wall_time now)
+{
+    return head.ended || now > keptUntil(head, kept, {}) ? unowned_step::Delete : unowned_step::FindOwner;
+}
+
+bool deletesRecords(const instance_id& owner, const instance_id& self, const std::vector<instance_id>& members)
+{
+    if (owner == self)
+        return true;
+    if (std::find(members.begin(), members.end(), owner) != members.end())
+        return false; // has returned under its name, and finds them itself
+    const auto* first = rendezvousFirst(owner.str(), members);
+    return first != nullptr && *first == self;
+}
+
 } // namespace lovagerail
--- a/src/batch_life.h
+++ b/src/batch_life.h
@@ -1,4 +1,5 @@
-// Decisions about batches that depend on who owns them: take-over, hand-over and loss of ownership.
+// Decisions about batches that depend on who owns them and how old they are: take-over, hand-over, loss of
+// ownership, and deletion.
 //
 // Each one is a pure function of a batch's record as read, of who asks and of the time, and has its only
 // home here. Callers read the record, ask, and act under the record's revision; a call that is handled
@@ -92,4 +93,22 @@
 // Whether the owner can't check its batches now.
 bool isStoreAway(const owner_standing& standing);
 
+// --- Deletion -----------------------------------------------------------------
+
+struct retention {
+    std::chrono::milliseconds results; // from the submission
+    std::chrono::milliseconds openBatches; // of batches that nobody ends, from the last time that their route gives
+};
+// Until when the records of a batch are kept. An open one is kept at any age at which its items may run or its
+// trainer may wait; the limit is for trainers that are gone. `endLearnt`: when the one who asks learnt of the end.
+wall_time keptUntil(const batch_head& head, const retention& kept, std::optional<wall_time> endLearnt);
+// What an instance does about a head that it found without a live owner.
+enum class unowned_step {
+    FindOwner, // its items are to be run; see planOrphan()
+    Delete, // once it is not kept any longer
+};
+unowned_step planUnowned(const batch_head& head, const retention& kept, wall_time now);
+// Whether `self` is the one that deletes the records of a batch without a live owner.
+bool deletesRecords(const instance_id& owner, const instance_id& self, const std::vector<instance_id>& members);
+
 } // namespace lovagerail
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -1,4 +1,4 @@
-// Submission of batches, requests of other instances, expiry, and the periodic tick().
+// Submission of batches, requests of other instances, and the periodic tick().
 #include "edge/batches.h"
 
 #include "edge/peer_call.h"
@@ -20,7 +20,6 @@
     // of such callers.
     constexpr duration defaultSubmitTimeout = std::chrono::seconds(10);
     constexpr duration submitDeadlineMargin = std::chrono::milliseconds(200);
-    constexpr duration expiryPeriod = std::chrono::seconds(5);
     constexpr std::chrono::milliseconds noRoomRetryAfter { 1000 };
     constexpr std::size_t ordinaryParsingBytes = 4U << 20U; // of a submission of a thousand items
     constexpr std::size_t itemBytes = 1024; // of an item in memory, beside its texts
@@ -28,8 +27,6 @@
     // Memory of a batch: its submission as it waits for the store, and its items.
     std::size_t batchBytes(std::size_t submissionBytes, std::size_t items) { return 3 * submissionBytes + items * itemBytes; }
 
-    constexpr std::chrono::milliseconds resultsKeptMargin { 5000 }; // records are deleted this long after the results_kept setting
-
 } // namespace
 
 batches::batches(context& shared, target_link& link, members& membership, caller_frontend& calls, target_limits& limits)
@@ -233,7 +230,7 @@
 // True if no caller waits any more and the batch is certainly not in the store, or is not kept any longer.
 bool batches::isAbandoned(const pending_submit& submit) const
 {
-    if (m_context.wall > submit.head.submitted + m_context.settings.bounds.resultsKept)
+    if (m_context.wall > keptUntil(submit.head, kept(), {}))
         return true;
     return !submit.outcomeUnknown && std::all_of(submit.waiters.begin(), submit.waiters.end(), [](const http::exchange_ptr& waiter) { return waiter->callerDisconnected(); });
 }
@@ -403,7 +400,7 @@
         if (owned != m_owned.end())
             respond(exchange, statusOk, encodeHead(owned->second.head));
         else if (foreign != m_foreignHeads.end())
-            respond(exchange, statusOk, encodeHead(foreign->second.head));
+            respond(exchange, statusOk, encodeHead(foreign->second.known.head));
         else
             respond(exchange, statusNotFound, "");
         return true;
@@ -436,39 +433,6 @@
 
 bool batches::allHandedOver() const { return openCount() == 0 && m_pendingSubmits.empty() && m_openHandOvers == 0; }
 
-// Deletes batches whose retention period has passed, in memory and in the store.
-void batches::expire()
-{
-    m_nextExpiry = m_context.now + expiryPeriod;
-    std::vector<batch_id> expired;
-    for (const auto& [id, owned] : m_owned) {
-        if (m_context.wall > owned.head.submitted + m_context.settings.bounds.resultsKept + resultsKeptMargin)
-            expired.push_back(id);
-    }
-    for (const auto& id : expired) {
-        const auto& head = m_owned.at(id).head;
-        logEvent(log_level::Info, "batch", "expired",
-            { { "batch", id.str() }, { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_context.wall - head.submitted).count()) }, { "ended", head.ended ? "1" : "0" },
-                { "listed", std::to_string(m_runner.listed(id).size()) }, { "items", std::to_string(head.items) } });
-        kv_transaction change;
-        change.compares.push_back({ headKey(id), kv_field::ModRevision, m_owned.at(id).headRevision, {} });
-        change.then.emplace_back(kv_delete { headKey(id), {} });
-        change.then.emplace_back(kv_delete { submissionKey(id), {} });
-        if (m_owned.at(id).mayHaveStoredTexts && !m_owned.at(id).head.ended)
-            change.then.emplace_back(kv_delete { textsKey(id), {} });
-        constexpr std::uint32_t maxPagesPerTransaction = 28; // a transaction takes at most 32 entries
-        for (std::uint32_t page = 0; page < std::min(m_runner.pages(id), maxPagesPerTransaction); ++page)
-            change.then.emplace_back(kv_delete { pageKey(id, page), {} });
-        m_context.store.call("batch expire", std::move(change), [id](const result<kv_answer>& answer) {
-            if (!answer)
-                logEvent(log_level::Warning, "batch", "expire", { { "batch", id.str() }, { "error", toString(answer.error()) } });
-        });
-        m_owned.erase(id);
-        execute(m_runner.drop(id, m_context.now));
-    }
-    std::erase_if(m_foreignHeads, [this](const auto& entry) { return m_context.wall > entry.second.head.submitted + m_context.settings.bounds.resultsKept + resultsKeptMargin; });
-}
-
 void batches::tick()
 {
     // Step 1. Cancel forwarded submissions whose caller has disconnected; retry failed writes.
@@ -510,8 +474,7 @@
             handOver(id);
     }
     answerReads();
-    if (m_context.now >= m_nextExpiry)
-        expire();
+    expire();
 }
 
 } // namespace lovagerail::edge
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -67,6 +67,7 @@
         instant endRetryAt {};
         instant endGiveUpAt {};
         http::memory_claim memory {}; // of its items
+        std::optional<wall_time> endedAt {}; // when the end was written
 
         stored_head stored() const { return { head, headRevision }; }
     };
@@ -193,7 +194,27 @@
     void answerHandOver(const http::exchange_ptr& exchange);
     void holdItemsInDoubt();
     batch_owner self() const { return { instance_id(m_context.settings.instance.name), m_context.ownIncarnation }; }
+    retention kept() const { return { m_context.settings.bounds.resultsKept, m_context.settings.bounds.openBatchesKept }; }
+
+    // Deletion of records.
+    struct record_deletion {
+        batch_id id;
+        revision headRevision; // fences it
+        std::vector<std::string> keys; // beside head and submission, which are deleted last
+        instant retryAt {};
+    };
+    // A batch whose head names no live owner and that is to be deleted.
+    struct unowned_records {
+        batch_head head;
+        wall_time since {}; // when this instance learnt of it
+    };
     void expire();
+    void expireOwned();
+    void recordUnowned(const batch_head& head);
+    void deleteUnowned();
+    void readUnowned(const batch_id& id);
+    void deleteRecords(record_deletion deletion);
+    void retryDeletions();
 
     // Actions of the runner.
     void execute(std::vector<batch_action> actions);
@@ -222,7 +243,11 @@
     std::vector<owner_notice> m_ownerNotices; // that did not get through yet
     std::vector<waiting_read> m_reads;
     std::map<attempt_id, run_transfer> m_runs;
-    std::map<batch_id, stored_head> m_foreignHeads; // batches of other owners, as last read or reported
+    struct foreign_head {
+        stored_head known;
+        instant usedAt {};
+    };
+    std::map<batch_id, foreign_head> m_foreignHeads; // batches of other owners, as last read or reported
     // A batch without a live owner: taken over after a grace period, or passed on to who does that.
     struct orphan_batch {
         stored_head known;
@@ -252,6 +277,8 @@
     std::optional<instant> m_doubtfulSince; // other instances may have taken over what this one owns
     instant m_scanRetryAt {};
     instant m_nextExpiry {};
+    std::map<batch_id, unowned_records> m_unowned; // none of them in m_orphans
+    std::vector<record_deletion> m_deletions; // to be tried again
     bool m_stopping = false;
     std::size_t m_openHandOvers = 0; // not answered yet
 };
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -62,8 +62,8 @@
         forwardToOwner(exchange, call, account, wait, head, headRevision);
     };
     const auto foreign = m_foreignHeads.find(call.id);
-    if (foreign != m_foreignHeads.end() && isAlive(foreign->second.head) && !foreign->second.head.ended) {
-        const auto lastKnown = foreign->second;
+    if (foreign != m_foreignHeads.end() && isAlive(foreign->second.known.head) && !foreign->second.known.head.ended) {
+        const auto lastKnown = foreign->second.known;
         forward(lastKnown.head, lastKnown.headRevision);
     } else
         findHead(call.id, exchange, forward);
@@ -90,10 +90,11 @@
 // Keeps the newest head that is known of a batch of another owner.
 void batches::rememberForeignHead(const stored_head& known)
 {
-    const auto [found, isNew] = m_foreignHeads.try_emplace(known.head.id, known);
-    const bool isOlder = known.headRevision != revision() && known.headRevision < found->second.headRevision;
-    if (!isNew && !isOlder)
-        found->second = known;
+    auto& kept = m_foreignHeads[known.head.id];
+    kept.usedAt = m_context.now;
+    const bool isOlder = known.headRevision != revision() && known.headRevision < kept.known.headRevision;
+    if (!isOlder)
+        kept.known = known;
 }
 
 void batches::findHead(const batch_id& id, const http::exchange_ptr& exchange, head_function onHead)
@@ -246,6 +247,7 @@
         // Step 3. Ended, by this write or by an earlier attempt of ours.
         current.headRevision = verdict.at;
         current.head = endedHead;
+        current.endedAt = m_context.wall;
         logEvent(log_level::Info, "batch", "ended", { { "batch", id.str() } });
         for (const auto& waiter : std::exchange(current.endWaiters, {}))
             respond(waiter, statusOk, "");
@@ -457,6 +459,8 @@
     // An end that is being written here settles by itself.
     if (owned != m_owned.end() && owned->second.endWaiters.empty() && judgeOwnership(owned->second.stored(), { head, {} }) == owner_news::Ended)
         onOwnershipLost(head.id, "another instance ended it");
+    if (head.owner == self().name && !m_owned.contains(head.id))
+        recordUnowned(head); // others leave it to this instance, which its head names
 }
 
 } // namespace lovagerail::edge
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -51,8 +51,11 @@
         for (const auto& entry : *heads) {
             const auto head = decodeHead(batch_id(entry.key.substr(headPrefix.size())), entry.value);
             // The adopters of each instance get the same heads, and are enough to look after its batches.
-            if (head && isAdopterOf(*head))
-                recordOrphan(*head, entry.modRevision);
+            if (!head || !isAdopterOf(*head))
+                continue;
+            recordOrphan(*head, entry.modRevision);
+            if (!isAlive(*head) || (head->owner == self().name && !m_owned.contains(head->id)))
+                recordUnowned(*head);
         }
     });
 }
@@ -124,7 +127,7 @@
 
 void batches::recordOrphan(const batch_head& head, revision headRevision)
 {
-    if (head.ended || isAlive(head) || ownsAccepted(head.id) || m_adoptions.contains(head.id) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept)
+    if (isAlive(head) || ownsAccepted(head.id) || m_adoptions.contains(head.id) || planUnowned(head, kept(), m_context.wall) != unowned_step::FindOwner)
         return;
     const auto [found, isNew] = m_orphans.try_emplace(head.id);
     found->second.known = { head, headRevision };
@@ -298,7 +301,7 @@
         return;
     std::erase_if(m_orphans, [this](const auto& entry) {
         const auto& head = entry.second.known.head;
-        return isAlive(head) || ownsAccepted(entry.first) || m_context.wall > head.submitted + m_context.settings.bounds.resultsKept;
+        return isAlive(head) || ownsAccepted(entry.first) || planUnowned(head, kept(), m_context.wall) != unowned_step::FindOwner;
     });
     const auto places = m_members.places();
     std::vector<batch_id> adoptable;
--- a/src/edge/entry_settings.cpp
+++ b/src/edge/entry_settings.cpp
@@ -50,6 +50,7 @@
             time("bounds", "drain", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.drain; }),
             time("bounds", "stop", msPerSecond, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.stop; }),
             time("bounds", "results_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.resultsKept; }),
+            time("bounds", "open_batches_kept", msPerSecond, msPerDay, [](s& v) -> std::chrono::milliseconds& { return v.bounds.openBatchesKept; }),
             time("bounds", "evacuation", 100, msPerHour, [](s& v) -> std::chrono::milliseconds& { return v.bounds.evacuation; }),
             decimalField<s>("bounds", "cold_overshoot", 1, 100, [](s& v) -> double& { return v.bounds.coldOvershoot; }),
             decimalField<s>("bounds", "cold_slack", 0, 100'000, [](s& v) -> double& { return v.bounds.coldSlack; }),
--- a/src/edge/entry_settings.h
+++ b/src/edge/entry_settings.h
@@ -45,6 +45,7 @@
         std::chrono::milliseconds drain { 2000 }; // a target gets no new requests this long after the store lists it as leaving
         std::chrono::milliseconds stop { 8000 }; // from SIGTERM to SIGKILL
         std::chrono::milliseconds resultsKept { 120'000 }; // retention of results, from a batch's submission
+        std::chrono::milliseconds openBatchesKept { 3'600'000 }; // of batches that nobody ends, after the last time that their route gives their results and items
         // A failure domain gets no new requests this long after the store has accepted its
         // evacuation. 0: the deployment has no evacuations, and the store is not read for them.
         std::chrono::milliseconds evacuation { 0 };
--- a/tests/test_batch_life.cpp
+++ b/tests/test_batch_life.cpp
@@ -1,5 +1,6 @@
 // Tests of the decisions about batches, over all combinations of their inputs.
 #include "batch_life.h"
+#include "rendezvous.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -138,6 +139,63 @@
     }
 }
 
+// Guards against an open batch that is deleted, or left without an owner, because of its age; and against one that is kept for ever.
+BOOST_AUTO_TEST_CASE(an_open_batch_is_kept_while_its_items_or_its_trainer_need_it)
+{
+    using namespace std::chrono_literals;
+    constexpr retention kept { 120s, 1h };
+    constexpr auto margin = 5s;
+    constexpr auto repeatedEnd = 15s;
+    const wall_time submitted { 1'700'000'000'000ms };
+    for (const auto deadline : { 0s, 7s, 780s }) {
+        for (const auto itemTtl : { 0s, 40s, 3600s }) {
+            for (const bool hasRoute : { false, true }) {
+                auto open = storedHead(owners[0], 1).head;
+                open.submitted = submitted;
+                if (hasRoute) {
+                    open.decided.emplace();
+                    open.decided->route.resultDeadline = deadline;
+                    open.decided->route.itemTtl = itemTtl;
+                }
+                const auto ownEnd = submitted + (hasRoute ? std::max<std::chrono::milliseconds>(deadline, itemTtl) : 0ms);
+                BOOST_TEST((keptUntil(open, kept, {}) == std::max<wall_time>(submitted + 125s, ownEnd + 1h)));
+                for (const auto at : { ownEnd, submitted + 125s + 1ms, keptUntil(open, kept, {}) })
+                    BOOST_TEST((planUnowned(open, kept, at) == unowned_step::FindOwner));
+                BOOST_TEST((planUnowned(open, kept, keptUntil(open, kept, {}) + 1ms) == unowned_step::Delete));
+
+                auto ended = open;
+                ended.ended = true;
+                BOOST_TEST((planUnowned(ended, kept, submitted) == unowned_step::Delete));
+                BOOST_TEST((keptUntil(ended, kept, {}) == submitted + 120s + margin));
+                BOOST_TEST((keptUntil(ended, kept, submitted + 8s) == submitted + 120s + margin));
+                BOOST_TEST((keptUntil(ended, kept, submitted + 780s) == submitted + 780s + repeatedEnd));
+            }
+        }
+    }
+}
+
+// One member deletes what has no live owner; one that has returned under its name does so itself.
+BOOST_AUTO_TEST_CASE(one_member_deletes_the_records_of_a_lost_owner)
+{
+    std::vector<instance_id> members;
+    for (const char* name : { "a", "b", "c", "d", "e" })
+        members.emplace_back(name);
+    for (const auto& owner : { instance_id("gone"), members[2] }) {
+        const auto deleting = std::count_if(members.begin(), members.end(), [&](const instance_id& self) { return deletesRecords(owner, self, members); });
+        BOOST_TEST(deleting == 1);
+        BOOST_TEST((deletesRecords(owner, members[2], members) == (owner == members[2] || *rendezvousFirst(owner.str(), members) == members[2])));
+    }
+    BOOST_TEST(!deletesRecords(members[0], members[1], {}));
+}
+
+// A batch whose id begins with that of another one and a slash has its own pages.
+BOOST_AUTO_TEST_CASE(pages_of_another_batch_are_not_deleted_with_one)
+{
+    const batch_id id("X");
+    BOOST_TEST((isPageOrTexts(id, pageKey(id, 3)) && isPageOrTexts(id, textsKey(id))));
+    BOOST_TEST((!isPageOrTexts(id, pageKey(batch_id("X/2"), 0)) && !isPageOrTexts(id, textsKey(batch_id("X/2"))) && !isPageOrTexts(id, pageKey(batch_id("Y"), 0))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
