--- a/src/batch_contention.cpp
+++ b/src/batch_contention.cpp
@@ -15,11 +15,20 @@
 
 } // namespace
 
-share_key batch_runner::shareKey(const batch_state& batch) { return { batch.route.services.front().service, batch.spec.model }; }
+share_key batch_runner::shareKey(const batch_state& batch) { return { placeServices(batch).front(), batch.spec.model }; }
+
+// A run that was begun before its batch got another place counts for the service where it is.
+share_key batch_runner::shareKey(const open_run& run) const
+{
+    const auto& batch = m_batches.at(run.batch);
+    const service_id service(run.software.pool.str());
+    const auto& services = placeServices(batch);
+    return std::find(services.begin(), services.end(), service) != services.end() ? shareKey(batch) : share_key(service, batch.spec.model);
+}
 
 std::size_t batch_runner::runningOf(const share_key& key) const
 {
-    return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& entry) { return shareKey(m_batches.at(entry.second.batch)) == key; }));
+    return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& entry) { return shareKey(entry.second) == key; }));
 }
 
 // Slots of the service's live targets that are free, as far as load reports tell; counted up to `enough`.
@@ -65,7 +74,7 @@
 {
     batch_need out;
     const auto required = requiredItems(batch);
-    const auto pace = m_secondsPerToken.find(batch.route.services.front().service);
+    const auto pace = m_secondsPerToken.find(placeServices(batch).front());
     const double secondsPerToken = pace == m_secondsPerToken.end() ? 0 : pace->second;
     double waitingWork = 0;
     std::size_t waiting = 0;
@@ -75,7 +84,7 @@
             continue;
         ++out.open;
         const auto expected = static_cast<double>(batch.spec.items[i].expectedTokens.count());
-        const auto received = static_cast<double>(batch.items[i].generated.data.size()) * batch.tokensPerEvent;
+        const auto received = static_cast<double>(batch.items[i].generated.data.size()) * batch.places.tokensPerEvent;
         const double work = std::max(expected - received, expected * leastWorkLeft) * secondsPerToken;
         out.work += work;
         if (stage == item_stage::Waiting) {
@@ -98,7 +107,7 @@
     for (const auto* batch : batches) {
         if (m_lease.limit(shareKey(*batch), now))
             return true;
-        waiting[batch->route.services.front().service] += static_cast<std::size_t>(std::count_if(batch->items.begin(), batch->items.end(), [](const item_state& item) { return item.stage == item_stage::Waiting; }));
+        waiting[placeServices(*batch).front()] += static_cast<std::size_t>(std::count_if(batch->items.begin(), batch->items.end(), [](const item_state& item) { return item.stage == item_stage::Waiting; }));
     }
     return std::any_of(waiting.begin(), waiting.end(), [&](const auto& entry) { return entry.second > 0 && entry.second > freeSlots(entry.first, entry.second, now); });
 }
@@ -127,7 +136,7 @@
             jobs.push_back({ need.timeLeft, need.work, need.work / static_cast<double>(std::max<std::size_t>(need.groups, 1)), batch->late });
         }
         const auto expected = m_lease.expected(key, now);
-        const auto held = std::count_if(m_runs.begin(), m_runs.end(), [&, service = key.first](const auto& entry) { return shareKey(m_batches.at(entry.second.batch)).first == service; });
+        const auto held = std::count_if(m_runs.begin(), m_runs.end(), [&, service = key.first](const auto& entry) { return shareKey(entry.second).first == service; });
         chooseLate(jobs, static_cast<double>(expected ? *expected : static_cast<std::size_t>(held) + freeSlots(key.first, std::numeric_limits<std::size_t>::max(), now)));
         for (std::size_t i = 0; i < members.size(); ++i)
             setLate(*members[i], jobs[i].late, jobs[i], members.size());
@@ -180,7 +189,7 @@
                 modelDemand.work += item.expectedTokens.count();
         }
         modelDemand.minVersion = std::max(modelDemand.minVersion, batch.spec.minVersion);
-        const auto running = count(batch, item_stage::Running);
+        const auto running = static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&, batchId = id](const auto& entry) { return entry.second.batch == batchId && shareKey(entry.second) == key; }));
         const auto waiting = count(batch, item_stage::Waiting);
         modelDemand.running += running;
         if (isServiceFull(key.first, now))
@@ -188,7 +197,7 @@
 
         // For the shares. Items that no target could run, for want of weights, need no slots.
         std::size_t usable = 0;
-        for (const auto slot : m_router.table().allowed(batch.routingClass))
+        for (const auto slot : m_router.table().allowed(placeClass(batch)))
             usable += slotsOf(slot);
         modelDemand.waiting += std::min(waiting, usable);
         modelDemand.priority = isFirst ? batch.route.priority : std::min(modelDemand.priority, batch.route.priority);
@@ -202,6 +211,20 @@
             modelDemand.groups = static_cast<std::uint32_t>(need.groups);
         }
     }
+    // Runs that were begun before their batch got another place.
+    for (const auto& [attempt, run] : m_runs) {
+        const auto& batch = m_batches.at(run.batch);
+        const auto key = shareKey(run);
+        if (key == shareKey(batch))
+            continue;
+        auto& elsewhere = byModel[key];
+        elsewhere.priority = elsewhere.model.empty() ? batch.route.priority : std::min(elsewhere.priority, batch.route.priority);
+        elsewhere.service = key.first;
+        elsewhere.model = key.second;
+        elsewhere.minVersion = std::max(elsewhere.minVersion, batch.spec.minVersion);
+        ++elsewhere.running;
+        ++elsewhere.urgent;
+    }
     std::vector<model_demand> out;
     out.reserve(byModel.size());
     for (auto& [key, modelDemand] : byModel)
--- a/src/batch_life.cpp
+++ b/src/batch_life.cpp
@@ -24,6 +24,19 @@
     // All calls of an instance that was suspended time out at once when it wakes, and the next ones are answered.
     constexpr duration shortestOutage = std::chrono::milliseconds(500);
 
+    // The services that get work. A record of an older version may have no weights.
+    std::vector<service_id> weightedServices(const site_route& route)
+    {
+        std::vector<service_id> out;
+        std::vector<service_id> all;
+        for (const auto& weighted : route.services) {
+            all.push_back(weighted.service);
+            if (weighted.weight > 0)
+                out.push_back(weighted.service);
+        }
+        return out.empty() ? all : out;
+    }
+
 } // namespace
 
 std::optional<duration> adoptionDelay(const instance_id& owner, const instance_id& self, std::vector<instance_id> members)
@@ -122,4 +135,17 @@
     return first != nullptr && *first == self;
 }
 
+item_places placeItems(const batch_route& decided, const std::optional<batch_route>& inForce, const region_list& accountRegions)
+{
+    const auto decidedServices = weightedServices(decided.route);
+    if (!inForce)
+        return { decidedServices, {}, commonRegions(decided.route.allowedRegions, accountRegions), decided.tokensPerEvent };
+    item_places out { weightedServices(inForce->route), {}, inForce->route.allowedRegions, inForce->tokensPerEvent };
+    for (const auto& service : decidedServices) {
+        if (std::find(out.services.begin(), out.services.end(), service) == out.services.end())
+            out.otherServices.push_back(service);
+    }
+    return out;
+}
+
 } // namespace lovagerail
--- a/src/batch_life.h
+++ b/src/batch_life.h
@@ -1,5 +1,5 @@
-// Decisions about batches that depend on who owns them and how old they are: take-over, hand-over, loss of
-// ownership, and deletion.
+// Decisions about batches that depend on who owns them, how old they are and what configuration is in force:
+// take-over, hand-over, loss of ownership, deletion, and where items may run.
 //
 // Each one is a pure function of a batch's record as read, of who asks and of the time, and has its only
 // home here. Callers read the record, ask, and act under the record's revision; a call that is handled
@@ -111,4 +111,19 @@
 // Whether `self` is the one that deletes the records of a batch without a live owner.
 bool deletesRecords(const instance_id& owner, const instance_id& self, const std::vector<instance_id>& members);
 
+// --- Place --------------------------------------------------------------------
+
+// Where the items of a batch may run: both by what was decided at its acceptance and by any configuration since.
+struct item_places {
+    std::vector<service_id> services; // that items are sent to; not empty
+    std::vector<service_id> otherServices; // for texts that were begun there, and while the others have no target that may run the items
+    region_list regions;
+    double tokensPerEvent = 1; // of the first service's streams
+
+    friend bool operator==(const item_places&, const item_places&) = default;
+};
+// `inForce`: what the configuration in force says of the batch; empty if it has no such route. `accountRegions`: where it
+// lets the batch's account run anything.
+item_places placeItems(const batch_route& decided, const std::optional<batch_route>& inForce, const region_list& accountRegions);
+
 } // namespace lovagerail
--- a/src/batch_runner.cpp
+++ b/src/batch_runner.cpp
@@ -175,7 +175,6 @@
     auto& batch = m_batches[id];
     batch.spec = std::move(spec);
     batch.route = route;
-    batch.tokensPerEvent = tokensPerEvent;
     const auto age = std::max(std::chrono::duration_cast<duration>(wall - batch.spec.submitted), duration {});
     batch.dueAt = now - age + route.resultDeadline;
     batch.itemDeadline = now - age + route.itemTtl;
@@ -196,45 +195,79 @@
     resumeKeptTexts(batch);
     for (auto& item : batch.items)
         item.unstoredSince = now;
-    defineRoutingClass(batch);
+    setPlaces(batch, placeItems({ route, tokensPerEvent }, std::nullopt, {}));
     orderItems(batch);
     batch.completeGroups = static_cast<std::size_t>(std::count_if(batch.groups.begin(), batch.groups.end(), [&batch](const auto& group) {
         return std::all_of(group.second.begin(), group.second.end(), [&batch](std::size_t i) { return batch.items[i].stage == item_stage::Listed; });
     }));
 }
 
-// Defines the routing class of the batch: replicas of the route's services whose weights
-// are new enough.
-void batch_runner::defineRoutingClass(const batch_state& state)
+// Defines the routing class of these services: their replicas whose weights are new enough for the batch.
+routing_class_id batch_runner::defineRoutingClass(const batch_state& batch, const std::vector<service_id>& services)
 {
-    auto& batch = m_batches.at(state.spec.id);
-    std::string services;
+    std::string where;
     std::set<pool_id> pools;
-    for (const auto& routeService : batch.route.services) {
-        pools.insert(pool_id(routeService.service.str()));
-        services += " " + routeService.service.str();
+    for (const auto& service : services) {
+        pools.insert(pool_id(service.str()));
+        where += " " + service.str();
     }
-    const auto& regions = batch.route.allowedRegions;
+    const auto& regions = batch.places.regions;
     if (regions) {
-        services += " in";
+        where += " in";
         for (const auto& region : *regions)
-            services += " " + region.str();
+            where += " " + region.str();
     }
     const auto minVersion = batch.spec.minVersion.value();
     const auto label = "version:" + batch.spec.model.str();
-    batch.routingClass = routing_class_id("items" + services + " " + batch.spec.model.str() + " from " + std::to_string(minVersion));
-    if (m_router.table().hasClass(batch.routingClass))
-        return;
-    m_router.setClass(batch.routingClass, [pools, label, minVersion, regions](const target_record& record) {
-        return pools.contains(record.listed.pool) && isAllowed(regions, record.listed.region) && labelNumber(record.listed.labels, label) >= minVersion;
-    });
+    routing_class_id out("items" + where + " " + batch.spec.model.str() + " from " + std::to_string(minVersion));
+    if (!m_router.table().hasClass(out)) {
+        m_router.setClass(out, [pools, label, minVersion, regions](const target_record& record) {
+            return pools.contains(record.listed.pool) && isAllowed(regions, record.listed.region) && labelNumber(record.listed.labels, label) >= minVersion;
+        });
+    }
+    return out;
+}
+
+void batch_runner::dropRoutingClasses(const std::vector<routing_class_id>& names)
+{
+    for (const auto& name : names) {
+        const bool used = std::any_of(m_batches.begin(), m_batches.end(), [&name](const auto& entry) {
+            const auto& batch = entry.second;
+            return !batch.ended && (batch.firstClass == name || batch.otherClass == name || batch.anyClass == name);
+        });
+        if (!used)
+            m_router.removeClass(name);
+    }
+}
+
+void batch_runner::setPlaces(batch_state& batch, item_places places)
+{
+    const std::vector<routing_class_id> former { batch.firstClass, batch.otherClass, batch.anyClass };
+    batch.places = std::move(places);
+    batch.firstClass = batch.anyClass = defineRoutingClass(batch, batch.places.services);
+    batch.otherClass = {};
+    if (!batch.places.otherServices.empty()) {
+        auto services = batch.places.services;
+        services.insert(services.end(), batch.places.otherServices.begin(), batch.places.otherServices.end());
+        batch.otherClass = defineRoutingClass(batch, batch.places.otherServices);
+        batch.anyClass = defineRoutingClass(batch, services);
+    }
+    dropRoutingClasses(former);
+    choosePlace(batch);
 }
 
-void batch_runner::dropRoutingClass(const routing_class_id& name)
+void batch_runner::place(const batch_id& id, item_places places)
 {
-    const bool used = std::any_of(m_batches.begin(), m_batches.end(), [&name](const auto& entry) { return !entry.second.ended && entry.second.routingClass == name; });
-    if (!used)
-        m_router.removeClass(name);
+    auto* batch = find(id);
+    if (batch != nullptr && !batch->ended)
+        setPlaces(*batch, std::move(places));
+}
+
+// Items are sent to the services in force, or, while these have no target that may run them, to those that the batch was
+// accepted for.
+void batch_runner::choosePlace(batch_state& batch)
+{
+    batch.usesOther = m_router.table().allowed(batch.firstClass).empty() && !m_router.table().allowed(batch.otherClass).empty();
 }
 
 // Sets the order of sending: the items of a group follow each other; groups begun in an
@@ -330,7 +363,7 @@
     stopRuns(id, now);
     keepTexts(*batch, now);
     batch->ended = true;
-    dropRoutingClass(batch->routingClass);
+    dropRoutingClasses({ batch->firstClass, batch->otherClass, batch->anyClass });
     return takeActions();
 }
 
@@ -342,9 +375,9 @@
     stopRuns(id, now);
     // The trainer may repeat a submission that was never accepted.
     keepTexts(found->second, now);
-    const auto routingClass = found->second.routingClass;
+    const std::vector<routing_class_id> classes { found->second.firstClass, found->second.otherClass, found->second.anyClass };
     m_batches.erase(found);
-    dropRoutingClass(routingClass);
+    dropRoutingClasses(classes);
     return takeActions();
 }
 
@@ -408,21 +441,23 @@
 
 void batch_runner::notePlacement(batch_state& batch)
 {
-    const auto targets = m_router.table().allowed(batch.routingClass).size();
+    const auto targets = m_router.table().allowed(placeClass(batch)).size();
     const auto waiting = targets > 0 ? 0 : std::count_if(batch.items.begin(), batch.items.end(), [](const item_state& item) { return item.stage == item_stage::Waiting; });
     const bool unplaced = waiting > 0;
     if (unplaced == batch.unplaced)
         return;
     batch.unplaced = unplaced;
-    m_actions.emplace_back(note_placement { batch.spec.id, static_cast<std::size_t>(waiting), targets, batch.routingClass });
+    m_actions.emplace_back(note_placement { batch.spec.id, static_cast<std::size_t>(waiting), targets, placeClass(batch) });
 }
 
 std::vector<batch_action> batch_runner::tick(instant now)
 {
     cancelStalledRuns(now);
     for (auto& [id, batch] : m_batches) {
-        if (!batch.ended)
-            batch.typicalPace = typicalPace(batch, now);
+        if (batch.ended)
+            continue;
+        choosePlace(batch);
+        batch.typicalPace = typicalPace(batch, now);
     }
     moveStragglers(now);
     // The batch with the earliest due time is served first.
--- a/src/batch_runner.h
+++ b/src/batch_runner.h
@@ -13,7 +13,7 @@
 // versions are taken only from what targets report, never from what was requested.
 #pragma once
 
-#include "batch.h"
+#include "batch_life.h"
 #include "open_write.h"
 #include "pool_shares.h"
 #include "router.h"
@@ -238,6 +238,8 @@
     void add(batch_spec spec, const site_route& route, double tokensPerEvent, std::vector<batch_result> listed, std::uint32_t pages, instant now, wall_time wall);
     // Runs the items but writes nothing to the store until accept(): the write of the
     // submission is not confirmed yet.
+    // Where its items may run from now on; until the first call, what `route` of add() says.
+    void place(const batch_id& id, item_places places);
     void deferWrites(const batch_id& id);
     void accept(const batch_id& id);
     // While held, waiting items are not sent. Runs, judges and pages go on.
@@ -255,6 +257,7 @@
     bool has(const batch_id& id) const { return m_batches.contains(id); }
     bool ended(const batch_id& id) const;
     const batch_spec* spec(const batch_id& id) const;
+    const item_places& places(const batch_id& id) const { return m_batches.at(id).places; }
     // The route of a known batch, as it was decided.
     const site_route& route(const batch_id& id) const { return m_batches.at(id).route; }
     // The results whose pages are stored, by position.
@@ -317,7 +320,11 @@
     struct batch_state {
         batch_spec spec;
         site_route route;
-        routing_class_id routingClass;
+        item_places places;
+        routing_class_id firstClass; // targets of places.services whose weights are new enough
+        routing_class_id otherClass; // the same of places.otherServices
+        routing_class_id anyClass; // both
+        bool usesOther = false; // items are sent to otherClass, as firstClass has no target
         instant dueAt {};
         instant itemDeadline {}; // items still waiting then are abandoned
         std::vector<item_state> items; // same indexes as spec.items
@@ -329,7 +336,6 @@
         std::size_t completeGroups = 0; // with all items finished
         std::vector<std::size_t> pageItems; // indexes of the items in the page being written, in order
         std::map<target_id, instant> refusedUntil; // targets that refused an item, avoided until then
-        double tokensPerEvent = 1;
         double typicalPace = 0; // seconds per event at the replicas of its class, as of the last tick; 0: unknown
         std::optional<instant> pageDue; // when the next page is due; set while a complete group is in no page
         instant nextPageWrite {}; // earliest next page write
@@ -366,8 +372,13 @@
 
     batch_state* find(const batch_id& id);
     const batch_state* find(const batch_id& id) const;
-    void defineRoutingClass(const batch_state& batch);
-    void dropRoutingClass(const routing_class_id& name);
+    routing_class_id defineRoutingClass(const batch_state& batch, const std::vector<service_id>& services);
+    void dropRoutingClasses(const std::vector<routing_class_id>& names);
+    void setPlaces(batch_state& batch, item_places places);
+    void choosePlace(batch_state& batch);
+    static const routing_class_id& placeClass(const batch_state& batch) { return batch.usesOther ? batch.otherClass : batch.firstClass; }
+    static const std::vector<service_id>& placeServices(const batch_state& batch) { return batch.usesOther ? batch.places.otherServices : batch.places.services; }
+    const routing_class_id& classFor(const batch_state& batch, const item_state& item) const;
     void orderItems(batch_state& batch) const;
     void resumeKeptTexts(batch_state& batch);
     void keepTexts(const batch_state& batch, instant now);
@@ -379,6 +390,7 @@
     // Sends waiting items in order, only the marked ones if there are marks.
     void dispatch(batch_state& batch, instant now, const std::vector<bool>& marked = {});
     static share_key shareKey(const batch_state& batch);
+    share_key shareKey(const open_run& run) const;
     std::size_t runningOf(const share_key& key) const;
     std::uint32_t slotsOf(target_slot slot) const;
     std::size_t freeSlots(const service_id& service, std::size_t enough, instant now) const;
--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -45,7 +45,7 @@
     std::erase_if(batch.refusedUntil, [now](const auto& entry) { return now >= entry.second; });
     for (const auto& [target, until] : batch.refusedUntil)
         out.push_back(target);
-    for (const auto slot : m_router.table().allowed(batch.routingClass)) {
+    for (const auto slot : m_router.table().allowed(batch.anyClass)) {
         if (isFull(slot, now))
             out.push_back(m_router.table().record(slot).listed.id);
     }
@@ -98,6 +98,14 @@
     return decision;
 }
 
+// The targets that an item may be sent to: a text that was begun at a service stays there while it has targets.
+const routing_class_id& batch_runner::classFor(const batch_state& batch, const item_state& item) const
+{
+    const auto& software = item.generated.software;
+    const bool staysElsewhere = !software.empty() && !m_router.hasLive(placeClass(batch), software) && m_router.hasLive(batch.anyClass, software);
+    return staysElsewhere ? batch.anyClass : placeClass(batch);
+}
+
 // Discards the text so far; the item is generated anew.
 void batch_runner::dropText(item_state& item)
 {
@@ -113,7 +121,7 @@
     // Step 1. Choose a target: not a full or avoided one, and for a text one with the software that
     // began it and, if the route demands it, with its version. A text that none can go on with is generated anew.
     route_request routeRequest;
-    routeRequest.routingClass = batch.routingClass;
+    routeRequest.routingClass = classFor(batch, item);
     routeRequest.account = batch.spec.account;
     routeRequest.run = run_id(batch.spec.model.str());
     routeRequest.promptBlocks = hashParts(batch.spec.model, spec.prompt);
@@ -127,19 +135,20 @@
     routeRequest.seed = XXH64(spec.id.str().data(), spec.id.str().size(), m_lastAttempt);
     routeRequest.software = item.generated.software;
     const auto requiredExclusions = routeRequest.excluded.size();
-    for (const auto slot : m_router.table().allowed(batch.routingClass)) {
+    for (const auto slot : m_router.table().allowed(routeRequest.routingClass)) {
         const auto& listed = m_router.table().record(slot).listed;
         if (isTooNewFor(listed, batch.route, batch.spec.model, item.generated))
             routeRequest.excluded.push_back(listed.id);
     }
     auto decision = chooseTarget(batch, routeRequest, now);
     if (std::holds_alternative<no_route>(decision) && !routeRequest.software.empty()) {
+        const auto resumeClass = std::exchange(routeRequest.routingClass, placeClass(batch));
         routeRequest.software = {};
         routeRequest.excluded.resize(requiredExclusions);
         auto other = chooseTarget(batch, routeRequest, now);
         if (std::holds_alternative<route_choice>(other)) {
             if (!item.beginAnewAt)
-                item.beginAnewAt = m_router.hasLive(batch.routingClass, item.generated.software) ? now + m_settings.maxResumeWait : now;
+                item.beginAnewAt = m_router.hasLive(resumeClass, item.generated.software) ? now + m_settings.maxResumeWait : now;
             if (now < *item.beginAnewAt) {
                 delayRetry(item, m_settings.refusedRetryDelay, now);
                 return true;
@@ -199,7 +208,7 @@
     auto& batch = m_batches.at(run.batch);
     auto& item = batch.items[run.index];
     const auto newEvents = item.generated.data.size() - std::min(item.generated.data.size(), run.resumedFrom);
-    m_router.ended(attempt, { outcome, token_count(static_cast<std::uint64_t>(static_cast<double>(newEvents) * batch.tokensPerEvent)), std::nullopt }, now);
+    m_router.ended(attempt, { outcome, token_count(static_cast<std::uint64_t>(static_cast<double>(newEvents) * batch.places.tokensPerEvent)), std::nullopt }, now);
     item.attempt.reset();
     item.stage = item_stage::Waiting;
 }
@@ -343,11 +352,11 @@
 {
     constexpr double paceSmoothing = 0.05; // in the moving average: a step has about a hundred items
     const auto expected = static_cast<double>(batch.spec.items[run.index].expectedTokens.count());
-    const auto tokens = expected - static_cast<double>(run.resumedFrom) * batch.tokensPerEvent;
+    const auto tokens = expected - static_cast<double>(run.resumedFrom) * batch.places.tokensPerEvent;
     if (tokens < expected / 2 || expected == 0)
         return; // a short rest says little
     const double seconds = std::chrono::duration<double>(now - run.sentAt).count() / tokens;
-    const auto [known, isFirst] = m_secondsPerToken.try_emplace(batch.route.services.front().service, seconds);
+    const auto [known, isFirst] = m_secondsPerToken.try_emplace(shareKey(run).first, seconds);
     known->second += isFirst ? 0 : (seconds - known->second) * paceSmoothing;
 }
 
@@ -384,7 +393,7 @@
 {
     constexpr std::size_t quartile = 4;
     std::vector<double> paces;
-    for (const auto slot : m_router.table().allowed(batch.routingClass)) {
+    for (const auto slot : m_router.table().allowed(placeClass(batch))) {
         if (const auto pace = paceOf(m_router.table().record(slot).listed.id, now))
             paces.push_back(*pace);
     }
@@ -400,7 +409,7 @@
 std::optional<double> batch_runner::typicalFreePace(const batch_state& batch, const item_state& item, const target_id& from, const std::vector<target_id>& full, instant now) const
 {
     std::vector<double> paces;
-    for (const auto slot : m_router.table().allowed(batch.routingClass)) {
+    for (const auto slot : m_router.table().allowed(classFor(batch, item))) {
         const auto& listed = m_router.table().record(slot).listed;
         const auto& target = listed.id;
         if (target == from || (!item.generated.software.empty() && listed.software() != item.generated.software))
@@ -439,7 +448,7 @@
     // length so far. What is left must save more than the start of a new run costs.
     constexpr double minShareLeft = 1.0 / 3;
     const auto receivedEvents = static_cast<double>(item.generated.data.size());
-    const auto estimatedEvents = static_cast<double>(batch.spec.items[run.index].expectedTokens.count()) / batch.tokensPerEvent;
+    const auto estimatedEvents = static_cast<double>(batch.spec.items[run.index].expectedTokens.count()) / batch.places.tokensPerEvent;
     const double remainingEvents = std::max(estimatedEvents - receivedEvents, receivedEvents * minShareLeft);
     return remainingEvents * (*pace - *expected) - m_runStartSeconds >= std::chrono::duration<double>(m_settings.minMoveGain).count();
 }
--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -308,13 +308,51 @@
     if (headRevision != revision())
         sendOwnerHint(head, headRevision);
     m_runner.add(std::move(*spec), decided->route, decided->tokensPerEvent, std::move(listed), pages, m_context.now, m_context.wall);
+    placeBatch(head);
     return true;
 }
 
+std::optional<item_places> batches::placesOf(const batch_head& head) const
+{
+    const auto inForce = routeInForce(head);
+    const auto& decided = head.decided ? head.decided : inForce;
+    if (!decided)
+        return std::nullopt;
+    return placeItems(*decided, inForce, m_context.site ? m_context.site->allowedRegions(nullptr, head.account) : region_list());
+}
+
+void batches::placeBatch(const batch_head& head)
+{
+    const auto places = placesOf(head);
+    if (!places || *places == m_runner.places(head.id))
+        return;
+    const auto names = [](const std::vector<service_id>& services) {
+        std::string out;
+        for (const auto& service : services)
+            out += (out.empty() ? "" : " ") + service.str();
+        return out;
+    };
+    logEvent(log_level::Info, "batch", "moved",
+        { { "batch", head.id.str() }, { "services", names(places->services) }, { "others", names(places->otherServices) }, { "version", std::to_string(m_context.site->version) } });
+    m_runner.place(head.id, *places);
+}
+
+// Applies a new configuration to the batches that this instance owns.
+void batches::placeItemsInForce()
+{
+    if (m_context.site == m_placedBy)
+        return;
+    m_placedBy = m_context.site;
+    for (const auto& [id, owned] : m_owned) {
+        if (!owned.head.ended)
+            placeBatch(owned.head);
+    }
+}
+
 body_regions batches::regionsOf(const batch_head& head) const
 {
-    if (head.decided)
-        return { head.decided->route.allowedRegions, head.originRegion };
+    if (const auto places = placesOf(head))
+        return { places->regions, head.originRegion };
     if (!m_context.site)
         return {};
     return { m_context.site->allowedRegions(m_context.site->find(head.host, head.path), head.account), head.originRegion };
@@ -458,6 +496,7 @@
     holdItemsInDoubt();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
+    placeItemsInForce();
     execute(m_runner.tick(m_context.now));
     std::vector<batch_id> endRetryDue;
     std::vector<batch_id> handOverDue;
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -111,6 +111,10 @@
     bool hasRoomToParse(const http::exchange_ptr& exchange, const batch_head& head, http::memory_claim& parsing) const;
     void refuseForWantOfRoom(const http::exchange_ptr& exchange, const batch_head& head, std::string_view what) const;
     std::optional<batch_route> routeInForce(const batch_head& head) const;
+    // Where its items may run by the configuration in force; empty if its head names no route and it has been removed.
+    std::optional<item_places> placesOf(const batch_head& head) const;
+    void placeBatch(const batch_head& head);
+    void placeItemsInForce();
     // Whether this instance owns the batch, and its head in the store says so.
     bool ownsAccepted(const batch_id& id) const;
     // The batch, if it is still owned as it was when a call was made; else null.
@@ -233,6 +237,7 @@
     batch_runner m_runner;
     std::map<batch_id, owned_batch> m_owned; // the same batches as in m_runner
     std::uint64_t m_lastOwnership = 0;
+    site_ptr m_placedBy; // the configuration by which the items of m_owned are placed
     std::map<batch_id, pending_submit> m_pendingSubmits;
     struct forwarded_submit {
         http::exchange_ptr exchange;
--- a/src/edge/batches_runs.cpp
+++ b/src/edge/batches_runs.cpp
@@ -16,9 +16,9 @@
     constexpr double msPerSecond = 1000;
 
     // The priority that an engine is told; empty where all its requests have the same.
-    std::optional<std::int32_t> itemPriority(const site_config& site, const site_route& route)
+    std::optional<std::int32_t> itemPriority(const site_config& site, const site_route& route, const pool_id& pool)
     {
-        const auto* service = site.service(route.services.front().service);
+        const auto* service = site.service(service_id(pool.str()));
         if (service == nullptr || !service->engine || !site.prioritiesDiffer(service->id))
             return std::nullopt;
         return route.priority;
@@ -84,7 +84,7 @@
     call.expectVersion = action.expectVersion;
     call.forwarded = item.headers;
     if (m_context.site)
-        call.priority = itemPriority(*m_context.site, m_runner.route(action.batch));
+        call.priority = itemPriority(*m_context.site, m_runner.route(action.batch), action.choice.software.pool);
 
     http::request request;
     request.method = "POST";
--- a/tests/test_batch_life.cpp
+++ b/tests/test_batch_life.cpp
@@ -196,6 +196,47 @@
     BOOST_TEST((!isPageOrTexts(id, pageKey(batch_id("X/2"), 0)) && !isPageOrTexts(id, textsKey(batch_id("X/2"))) && !isPageOrTexts(id, pageKey(batch_id("Y"), 0))));
 }
 
+// Guards against items that may run nowhere, as their route was moved, and against items at services of weight 0. All combinations
+// of weights, routes in force and regions.
+BOOST_AUTO_TEST_CASE(items_are_placed_by_the_acceptance_and_the_configuration_in_force)
+{
+    const service_id first("first");
+    const service_id second("second");
+    const region_list land { { region_id("land") } };
+    const region_list sea { { region_id("sea") } };
+    using services = std::vector<service_id>;
+    for (const std::uint32_t decidedWeight : { 0U, 3U }) {
+        for (const std::uint32_t inForceWeight : { 0U, 3U }) {
+            for (const auto& regionsInForce : { region_list(), land, sea }) {
+                for (const auto& accountRegions : { region_list(), land, sea }) {
+                    batch_route decided;
+                    decided.route.services = { { first, 1 }, { second, decidedWeight } };
+                    decided.route.allowedRegions = land;
+                    decided.tokensPerEvent = 2;
+                    const auto decidedServices = decidedWeight > 0 ? services { first, second } : services { first };
+
+                    const auto removed = placeItems(decided, std::nullopt, accountRegions);
+                    BOOST_TEST((removed.services == decidedServices && removed.otherServices.empty()));
+                    BOOST_TEST((removed.regions == commonRegions(land, accountRegions) && removed.tokensPerEvent == 2));
+
+                    auto inForce = decided;
+                    inForce.route.services = { { second, 1 }, { first, inForceWeight } };
+                    inForce.route.allowedRegions = regionsInForce;
+                    inForce.tokensPerEvent = 1;
+                    const auto moved = placeItems(decided, inForce, accountRegions);
+                    BOOST_TEST((moved.services == (inForceWeight > 0 ? services { second, first } : services { second })));
+                    BOOST_TEST((moved.otherServices == (inForceWeight > 0 ? services {} : services { first })));
+                    BOOST_TEST((moved.regions == regionsInForce && moved.tokensPerEvent == 1));
+                }
+            }
+        }
+    }
+    // A record of an older version without weights.
+    batch_route unweighted;
+    unweighted.route.services = { { first, 0 }, { second, 0 } };
+    BOOST_TEST((placeItems(unweighted, std::nullopt, {}).services == services { first, second }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lovagerail
--- a/tests/test_batch_runner.cpp
+++ b/tests/test_batch_runner.cpp
@@ -73,6 +73,11 @@
             m_rows[replica].softwareVersion = version;
             m_router.applyList(m_rows, now);
         }
+        void setPool(std::size_t replica, const service_id& service)
+        {
+            m_rows[replica].pool = pool_id(service.str());
+            m_router.applyList(m_rows, now);
+        }
         void removeReplica(const target_id& target)
         {
             std::erase_if(m_rows, [&target](const listed_target& row) { return row.id == target; });
@@ -417,6 +422,71 @@
     BOOST_TEST((harness.sent[1].expectVersion == weight_version(2)));
 }
 
+// After a move, items are sent to the new pool, a text that was begun stays where it is, and each pool is told of its own load.
+BOOST_AUTO_TEST_CASE(a_batch_that_is_moved_sends_its_items_to_the_new_pool)
+{
+    const service_id newPool("pool2");
+    const item_places moved { { newPool }, { pool }, {}, 1 };
+    batch_harness harness(3);
+    harness.setPool(2, newPool);
+    harness.add(specOf("b", 20, 1, 1));
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 16u); // two replicas of the old pool
+    const auto broken = harness.open().front();
+    harness.head(broken, weight_version(2));
+    harness.events(broken, 1, 3);
+
+    harness.runner.place(batch_id("b"), moved);
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 20u);
+    for (std::size_t i = 16; i < 20; ++i)
+        BOOST_TEST(harness.sent[i].choice.software.pool.str() == newPool.str());
+    std::map<std::string, std::size_t> running;
+    for (const auto& demand : harness.runner.demand(harness.now))
+        running[demand.service.str()] = demand.running;
+    BOOST_TEST((running == std::map<std::string, std::size_t> { { pool.str(), 16 }, { newPool.str(), 4 } }));
+
+    harness.done(broken, false);
+    harness.pass(300ms);
+    BOOST_REQUIRE(harness.sent.size() == 21u);
+    BOOST_TEST(harness.sent.back().choice.software.pool.str() == pool.str());
+    BOOST_TEST(harness.sent.back().lastEventId.value_or(0) == 3u);
+}
+
+// The share that limits a batch is that of the pool to which its items are sent.
+BOOST_AUTO_TEST_CASE(a_moved_batch_keeps_within_its_share_of_the_new_pool)
+{
+    const service_id newPool("pool2");
+    batch_harness harness(2);
+    harness.setPool(1, newPool);
+    harness.add(specOf("b", 16, 1, 1));
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 8u);
+    harness.runner.setShares(1, { { share_key(newPool, model), leased_slots { 3, 3 } } }, harness.now + 10s);
+    harness.runner.place(batch_id("b"), { { newPool }, { pool }, {}, 1 });
+    harness.pass(20ms);
+    BOOST_TEST(harness.sent.size() == 11u);
+}
+
+// While the services in force have no target, items go on where the batch was accepted, and move once there is one.
+BOOST_AUTO_TEST_CASE(a_moved_batch_goes_on_at_its_old_pool_until_the_new_one_has_targets)
+{
+    const service_id newPool("pool2");
+    batch_harness harness(2);
+    harness.add(specOf("b", 40, 1, 1));
+    harness.runner.place(batch_id("b"), { { newPool }, { pool }, {}, 1 });
+    harness.pass(20ms);
+    BOOST_REQUIRE(harness.sent.size() == 16u);
+    BOOST_TEST(harness.sent.back().choice.software.pool.str() == pool.str());
+    harness.setPool(1, newPool);
+    for (const auto attempt : harness.open())
+        harness.done(attempt, false);
+    harness.pass(300ms); // they avoid their replicas for a while
+    BOOST_REQUIRE(harness.sent.size() == 24u);
+    for (std::size_t i = 16; i < harness.sent.size(); ++i)
+        BOOST_TEST(harness.sent[i].choice.software.pool.str() == newPool.str());
+}
+
 // A text stored by an instance that did not know software versions.
 BOOST_AUTO_TEST_CASE(a_stored_text_without_its_software_is_generated_anew)
 {
