Batches: heads that were asked for before a return to the members don't settle the check of owned batches

Cause, by reading: a scan that was under way when the instance became a member again cleared the mark of the check, though its heads may be older than the return. Batches that were taken over in between stayed in hand until the next refused write.

Change: returns are counted, and a scan settles those that it began after; another one follows else. While items are held back, slow runs stay where they are, as a run that is moved would wait as well.

--- a/src/batch_runs.cpp
+++ b/src/batch_runs.cpp
@@ -458,6 +458,8 @@
 // timing only and never the content of a sample.
 void batch_runner::moveStragglers(instant now)
 {
+    if (m_itemsHeld)
+        return;
     std::vector<attempt_id> moving;
     for (const auto& [attempt, run] : m_runs) {
         if (shouldMove(run, m_batches.at(run.batch), now))
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -278,7 +278,9 @@
     instant m_readHeadsAt {};
     bool m_scanning = false;
     bool m_scanDone = false;
-    bool m_recheckOwned = false; // the next scan also drops batches that others took over meanwhile
+    // Returns to the members, and those after which the owned batches were compared with the store.
+    std::uint64_t m_joins = 0;
+    std::uint64_t m_checkedJoins = 0;
     std::optional<instant> m_doubtfulSince; // other instances may have taken over what this one owns
     instant m_scanRetryAt {};
     instant m_nextExpiry {};
--- a/src/edge/batches_owners.cpp
+++ b/src/edge/batches_owners.cpp
@@ -39,14 +39,14 @@
 void batches::scanHeads()
 {
     m_scanning = true;
-    requestHeads([this](const result<std::vector<kv_entry>>& heads) {
+    requestHeads([this, joins = m_joins](const result<std::vector<kv_entry>>& heads) {
         m_scanning = false;
         if (!heads) {
             m_scanRetryAt = m_context.now + scanRetryDelay;
             return;
         }
-        m_scanDone = true;
-        if (std::exchange(m_recheckOwned, false))
+        m_scanDone = joins == m_joins; // else the heads may be older than the return to the members
+        if (std::exchange(m_checkedJoins, joins) != joins)
             dropLostBatches(*heads);
         for (const auto& entry : *heads) {
             const auto head = decodeHead(batch_id(entry.key.substr(headPrefix.size())), entry.value);
@@ -207,7 +207,7 @@
 // After a time without membership, items wait until the heads were compared with the store.
 void batches::holdItemsInDoubt()
 {
-    owner_standing standing { m_members.joined(), m_recheckOwned, m_context.store.awayFor(), {} };
+    owner_standing standing { m_members.joined(), m_checkedJoins != m_joins, m_context.store.awayFor(), {} };
     if ((standing.isMember && !standing.isRechecking) || isStoreAway(standing))
         m_doubtfulSince.reset();
     else if (!m_doubtfulSince)
@@ -287,7 +287,7 @@
         scanHeads();
     if (ready && m_members.takeJoinedEvent()) {
         m_scanDone = false;
-        m_recheckOwned = true;
+        ++m_joins;
     }
     const instance_id self(m_context.settings.instance.name);
     for (const auto& name : ready ? m_members.takeLostMembers() : std::vector<instance_id>()) {
