Tests: the faulty replica of the reward-call test gets calls

Cause: test_a_reward_call_whose_answer_ends_within_its_head_gives_no_score asks that the faulty replica was used, but calls that are answered at once by the sound one may all go there.

Change: the sound replica takes 0.1 s for an answer, as the engines of the other tests in the file do, so that calls spread. All checks stay.

--- a/tests/process/test_entry_unproven_texts.py
+++ b/tests/process/test_entry_unproven_texts.py
@@ -40,7 +40,9 @@
             message = b"HTTP/1.1 200 OK\r\nAttempt-Id: " + request.headers["Attempt-Id"].encode() + b"\r\nServer-Stamp: broken\r\nContent-Length: 1\r\n\r\nx"
             self.faulty.send_and_close(request, message[:-20])
 
-        self.check_texts(self.start_with(fault, "shop"))
+        entries = self.start_with(fault, "shop")
+        self.shops[0].answer_delay_s = 0.1  # so that calls spread
+        self.check_texts(entries)
 
     def test_no_part_of_a_stream_ends_as_complete(self):
         entries = self.start_with(self.cutting(lambda request: self.faulty.text_events(request), "Content-Type: text/event-stream", "Weight-Versions: 1"), "pool")
