Batches: one loop for what is to be tried again

Cause: ends, notices and deletions that wait for their next attempt each had the same loop.

Change: detail::retryDue(). No behaviour.

--- a/src/edge/batches.cpp
+++ b/src/edge/batches.cpp
@@ -491,8 +491,8 @@
     readCollectedHeads();
     continueAdoptions();
     adoptOrphans();
-    retryForeignEnds();
-    retryOwnerNotices();
+    detail::retryDue(m_foreignEnds, m_context.now, [this](foreign_end end) { writeForeignEnd(std::move(end)); });
+    detail::retryDue(m_ownerNotices, m_context.now, [this](owner_notice notice) { notifyOwner(std::move(notice)); });
     holdItemsInDoubt();
 
     // Step 3. Actions of the runner, pending ends, hand-overs, waiting reads, expiry.
--- a/src/edge/batches.h
+++ b/src/edge/batches.h
@@ -22,10 +22,27 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lovagerail::edge {
 
+namespace detail {
+
+    // Calls retry() with the elements whose `retryAt` has come, and keeps the others. It may add elements.
+    template <typename pending, typename function>
+    void retryDue(std::vector<pending>& elements, instant now, function retry)
+    {
+        for (auto& element : std::exchange(elements, {})) {
+            if (now >= element.retryAt)
+                retry(std::move(element));
+            else
+                elements.push_back(std::move(element));
+        }
+    }
+
+} // namespace detail
+
 // Call to another instance: heads of batches that it has to take over.
 inline constexpr std::string_view orphansPath = "/orphans";
 
@@ -151,7 +168,6 @@
     };
     void endForeign(const http::exchange_ptr& exchange, batch_head head, revision headRevision);
     void writeForeignEnd(foreign_end end);
-    void retryForeignEnds();
     void onEndedElsewhere(const batch_head& head);
     // News of a head for an instance that owns the batch, or that did before a take-over.
     struct owner_notice {
@@ -162,7 +178,6 @@
     };
     void notifyOwnerOfEnd(const batch_head& head, revision headRevision);
     void notifyOwner(owner_notice notice);
-    void retryOwnerNotices();
     void answerOwnerNotice(const http::exchange_ptr& exchange);
     void rememberForeignHead(const stored_head& known);
 
@@ -218,7 +233,6 @@
     void deleteUnowned();
     void readUnowned(const batch_id& id);
     void deleteRecords(record_deletion deletion);
-    void retryDeletions();
 
     // Actions of the runner.
     void execute(std::vector<batch_action> actions);
--- a/src/edge/batches_calls.cpp
+++ b/src/edge/batches_calls.cpp
@@ -372,18 +372,6 @@
     });
 }
 
-void batches::retryForeignEnds()
-{
-    std::vector<foreign_end> waiting;
-    for (auto& end : std::exchange(m_foreignEnds, {})) {
-        if (m_context.now >= end.retryAt)
-            writeForeignEnd(std::move(end));
-        else
-            waiting.push_back(std::move(end));
-    }
-    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_foreignEnds));
-}
-
 // An owner that is alive but could not be reached keeps running items, so the notice is repeated.
 void batches::notifyOwnerOfEnd(const batch_head& head, revision headRevision)
 {
@@ -416,18 +404,6 @@
     });
 }
 
-void batches::retryOwnerNotices()
-{
-    std::vector<owner_notice> waiting;
-    for (auto& notice : std::exchange(m_ownerNotices, {})) {
-        if (m_context.now >= notice.retryAt)
-            notifyOwner(std::move(notice));
-        else
-            waiting.push_back(std::move(notice));
-    }
-    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_ownerNotices));
-}
-
 // Another instance reports a head: as a hint where the batch is, or because this instance owned the batch before.
 void batches::answerOwnerNotice(const http::exchange_ptr& exchange)
 {
--- a/src/edge/batches_records.cpp
+++ b/src/edge/batches_records.cpp
@@ -20,7 +20,7 @@
 
 void batches::expire()
 {
-    retryDeletions();
+    detail::retryDue(m_deletions, m_context.now, [this](record_deletion deletion) { deleteRecords(std::move(deletion)); });
     if (m_context.now < m_nextExpiry)
         return;
     m_nextExpiry = m_context.now + expiryPeriod;
@@ -156,16 +156,4 @@
     });
 }
 
-void batches::retryDeletions()
-{
-    std::vector<record_deletion> waiting;
-    for (auto& deletion : std::exchange(m_deletions, {})) {
-        if (m_context.now >= deletion.retryAt)
-            deleteRecords(std::move(deletion));
-        else
-            waiting.push_back(std::move(deletion));
-    }
-    std::move(waiting.begin(), waiting.end(), std::back_inserter(m_deletions));
-}
-
 } // namespace lovagerail::edge
